--- /dev/null
+++ b/admin/run-models.ts
@@ -0,0 +1,71 @@
+/**
+ * Checks every Promela model under `models/` exhaustively with Spin. A model passes without a fault flag and must fail
+ * with each of its seeded faults, which its first lines list as `/* fault: FAULT_NAME * /`.
+ */
+import {spawnSync} from 'node:child_process';
+import {
+	mkdtemp, readFile, readdir, rm,
+} from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+
+const modelFolder = 'models';
+const searchDepth = 1_000_000;
+
+const run = (folder: string, program: string, args: readonly string[]): string => {
+	const result = spawnSync(program, args, {cwd: folder, encoding: 'utf8', maxBuffer: 64 * 1024 * 1024});
+	return `${result.stdout ?? ''}${result.stderr ?? ''}`;
+};
+
+/** Verdict of one exhaustive search. */
+type Verdict = {readonly errors: number; readonly complete: boolean; readonly output: string};
+
+const search = async (model: string, fault?: string): Promise<Verdict> => {
+	const folder = await mkdtemp(path.join(os.tmpdir(), 'hawthorncleat-model-'));
+	try {
+		const flags = fault ? [`-D${fault}`] : [];
+		const generated = run(folder, 'spin', [...flags, '-a', path.resolve(modelFolder, model)]);
+		const compiled = run(folder, 'cc', ['-O2', '-DSAFETY', '-DVECTORSZ=4096', '-o', 'pan', 'pan.c']);
+		const searched = run(folder, './pan', [`-m${searchDepth}`]);
+		const errors = /errors: (\d+)/.exec(searched)?.[1];
+		return {
+			errors: errors === undefined ? -1 : Number(errors),
+			complete: !searched.includes('max search depth too small') && !searched.includes('Search not completed'),
+			output: `${generated}${compiled}${searched}`,
+		};
+	} finally {
+		await rm(folder, {recursive: true});
+	}
+};
+
+const checkModel = async (model: string, fault?: string): Promise<boolean> => {
+	const verdict = await search(model, fault);
+	const ok = fault ? verdict.errors > 0 : verdict.errors === 0 && verdict.complete;
+	const expectation = fault ? `with ${fault} a violation is found` : 'holds in all states';
+	const states = /([\d.e+]+) states, stored/.exec(verdict.output)?.[1] ?? '?';
+	console.log(`${ok ? 'ok  ' : 'FAIL'} ${model}: ${expectation} (${states} states)`);
+	if (!ok) {
+		console.log(verdict.output);
+	}
+
+	return ok;
+};
+
+const listFaults = async (model: string): Promise<string[]> => {
+	const text = await readFile(path.join(modelFolder, model), 'utf8');
+	return [...text.matchAll(/^\/\* fault: (FAULT_\w+)/gm)].map(match => match[1]!);
+};
+
+const results: boolean[] = [];
+const fileNames = await readdir(modelFolder);
+const models = fileNames.filter(file => file.endsWith('.pml')).toSorted();
+for (const model of models) {
+	for (const fault of [undefined, ...await listFaults(model)]) {
+		results.push(await checkModel(model, fault));
+	}
+}
+
+const passed = results.filter(Boolean).length;
+console.log(`\nmodels: ${passed} passed, ${results.length - passed} failed`);
+process.exitCode = passed === results.length ? 0 : 1;
--- /dev/null
+++ b/admin/run-tests.ts
@@ -0,0 +1,115 @@
+/**
+ * Runs every `*.test.ts` file in a process of its own and adds up the results. Failures that KNOWN-RED.txt lists are
+ * printed and do not fail the run; a listed test that passes fails the run, so that the list stays true.
+ */
+import {spawn} from 'node:child_process';
+import {readFile, readdir} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {stripVTControlCharacters} from 'node:util';
+
+const parallelFiles = 4;
+// A test file that hangs must not use up the time of the whole run.
+const fileTimeoutMs = 180_000;
+const knownRedFile = 'KNOWN-RED.txt';
+
+/** Result of one test file. */
+type FileResult = {
+	readonly file: string;
+	readonly passed: number;
+	readonly failures: readonly string[];
+	readonly output: string;
+};
+
+const findTestFiles = async (): Promise<string[]> => {
+	const entries = await readdir('packages', {recursive: true, withFileTypes: true});
+	return entries
+		.map(entry => path.join(entry.parentPath, entry.name))
+		.filter(file => file.endsWith('.test.ts') && !file.includes('node_modules'))
+		.toSorted();
+};
+
+const parseResult = (file: string, output: string, exitCode: number | null): FileResult => {
+	const text = stripVTControlCharacters(output);
+	const total = Number(/Total:\s+(\d+)/.exec(text)?.[1] ?? 0);
+	const passed = Number(/Passed:\s+(\d+)/.exec(text)?.[1] ?? 0);
+	const failures = [...text.matchAll(/^\s+FAIL\s+(.+)$/gm)].map(match => `${file}: ${match[1]!.trim()}`);
+	if (total === 0 || (exitCode !== 0 && failures.length === 0)) {
+		failures.push(`${file}: did not finish (exit code ${String(exitCode)})`);
+	}
+
+	return {
+		file, passed, failures, output: text,
+	};
+};
+
+const runFile = async (file: string): Promise<FileResult> => new Promise(resolve => {
+	const child = spawn(process.execPath, ['--import', 'tsx', '--conditions=source', file], {
+		stdio: ['ignore', 'pipe', 'pipe'],
+		timeout: fileTimeoutMs,
+		killSignal: 'SIGKILL',
+	});
+	let output = '';
+	const append = (chunk: Uint8Array): void => {
+		output += String(chunk);
+	};
+
+	child.stdout.on('data', append);
+	child.stderr.on('data', append);
+	child.on('close', exitCode => {
+		resolve(parseResult(file, output, exitCode));
+	});
+});
+
+const runAll = async (files: readonly string[]): Promise<FileResult[]> => {
+	const waiting = [...files];
+	const results: FileResult[] = [];
+	const worker = async (): Promise<void> => {
+		for (let file = waiting.shift(); file !== undefined; file = waiting.shift()) {
+			const result = await runFile(file);
+			console.log(`${result.failures.length === 0 ? 'ok  ' : 'FAIL'} ${file} (${result.passed} passed)`);
+			results.push(result);
+		}
+	};
+
+	await Promise.all(Array.from({length: parallelFiles}, worker));
+	return results;
+};
+
+/** Lines of the form `test: <file>: <name>` name the tests that may fail. */
+const readKnownRed = async (): Promise<Set<string>> => {
+	const text = await readFile(knownRedFile, 'utf8').catch(() => '');
+	return new Set([...text.matchAll(/^test: (.+)$/gm)].map(match => match[1]!.trim()));
+};
+
+const report = (results: readonly FileResult[], knownRed: ReadonlySet<string>): boolean => {
+	const failures = results.flatMap(result => result.failures);
+	const unexpected = failures.filter(failure => !knownRed.has(failure));
+	const fixed = [...knownRed].filter(test => !failures.includes(test));
+	for (const result of results.filter(result => result.failures.length > 0)) {
+		console.log(`\n--- ${result.file}\n${result.output}`);
+	}
+
+	for (const failure of failures.filter(failure => knownRed.has(failure))) {
+		console.log(`known red: ${failure}`);
+	}
+
+	for (const failure of unexpected) {
+		console.log(`failed: ${failure}`);
+	}
+
+	for (const test of fixed) {
+		console.log(`listed in ${knownRedFile} but passes: ${test}`);
+	}
+
+	const passed = results.reduce((sum, result) => sum + result.passed, 0);
+	const failed = unexpected.length + fixed.length;
+	console.log(`\ntests: ${passed} passed, ${failed} failed`);
+	return failed === 0;
+};
+
+const filters = process.argv.slice(2);
+const allFiles = await findTestFiles();
+const files = filters.length === 0 ? allFiles : allFiles.filter(file => filters.some(filter => file.includes(filter)));
+const green = report(await runAll(files), filters.length === 0 ? await readKnownRed() : new Set());
+process.exitCode = green ? 0 : 1;
--- /dev/null
+++ b/packages/platform/src/store.ts
@@ -0,0 +1,38 @@
+/**
+ * The platform's transactional table and object store as the rest of the system sees them. A failed write says whether
+ * it can have taken effect, because an answer may be lost after the write.
+ */
+import type {TableRow, Transaction} from '@hawthorncleat/schema';
+import {BaseError} from '@hawthorncleat/core';
+
+/** Whether a failed write may have taken effect. */
+export type WriteOutcome = 'not-written' | 'unknown';
+
+const StoreErrorClass = BaseError.subclass('StoreError');
+
+/** The store could not be reached, or gave no usable answer in time. */
+export type StoreError = Error & {readonly outcome: WriteOutcome};
+
+export const createStoreError = (message: string, outcome: WriteOutcome, cause?: unknown): StoreError =>
+	new StoreErrorClass(message, {cause, props: {outcome}});
+
+export const isStoreError = (value: unknown): value is StoreError => value instanceof StoreErrorClass;
+
+/** Result of a transaction that the table answered. */
+export type TransactResult
+	= | {readonly ok: true; readonly versions: Readonly<Record<string, number>>}
+		| {readonly ok: false; readonly failed: readonly string[]};
+
+/** The transactional table. Every method rejects with a `StoreError` when the table cannot be reached. */
+export type Table = {
+	read(key: string): Promise<TableRow | undefined>;
+	scan(prefix: string, options?: {readonly limit?: number; readonly after?: string}): Promise<TableRow[]>;
+	transact(transaction: Transaction): Promise<TransactResult>;
+};
+
+/** The object store. Objects are JSON values. */
+export type ObjectStore = {
+	read(key: string): Promise<unknown>;
+	write(key: string, value: unknown): Promise<void>;
+	list(prefix: string): Promise<string[]>;
+};
--- /dev/null
+++ b/packages/wire/src/__tests__/peer.test.ts
@@ -0,0 +1,114 @@
+import {connect} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {createRequestError, isRequestError, type RequestError} from '@hawthorncleat/core';
+import {describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {dial, listen, type Peer} from '../index.js';
+
+const clock = {nowMs: () => performance.now()};
+const heartbeat = () => ({configVersion: 0, leaving: false});
+const base = {address: '127.0.0.1', clock, heartbeat};
+
+const withAbort = async (body: (signal: AbortSignal) => Promise<void>): Promise<void> => {
+	const controller = new AbortController();
+	try {
+		await body(controller.signal);
+	} finally {
+		controller.abort();
+	}
+};
+
+const refuse = (): never => {
+	const details = {
+		code: 'overloaded', ran: 'not-run', retryAfterMs: 70, status: 429,
+	} as const;
+	throw createRequestError('full', details);
+};
+
+describe('peer', () => {
+	describe('calls', () => {
+		it('returns the result of the other side', async () => withAbort(async signal => {
+			const handlers = {'config.since': ({version}: {version: number}) => ({version: version + 1})};
+			const listener = await listen({...base, port: 0, handlers}, signal);
+			const peer = await dial({...base, port: listener.port, handlers: {}}, signal);
+			assert.equal(await peer.call('config.since', {version: 4}), {version: 5});
+		}));
+
+		it('carries code, ran and retry time of a refusal', async () => withAbort(async signal => {
+			const listener = await listen({...base, port: 0, handlers: {'config.since': refuse}}, signal);
+			const peer = await dial({...base, port: listener.port, handlers: {}}, signal);
+			const error = await peer.call('config.since', {version: 1}).catch((error: unknown) => error);
+			assert.ok(isRequestError(error));
+			const {code, ran, retryAfterMs, status} = error;
+			assert.equal([code, ran, retryAfterMs, status], ['overloaded', 'not-run', 70, 429]);
+		}));
+
+		it('rejects parameters that do not match the schema', async () => withAbort(async signal => {
+			const handlers = {'config.since': () => ({version: 0})};
+			const listener = await listen({...base, port: 0, handlers}, signal);
+			const peer = await dial({...base, port: listener.port, handlers: {}}, signal);
+			const error = await peer.call('config.since', {version: -1}).catch((error: unknown) => error);
+			assert.match(String(error), /\/version must be >= 0/);
+		}));
+	});
+
+	describe('lost connections', () => {
+		it('answers unknown to a call that was under way', async () => withAbort(async signal => {
+			const handlers = {
+				'config.since'(_params: unknown, peer: Peer) {
+					peer.close();
+					return {version: 0};
+				},
+			};
+			const listener = await listen({...base, port: 0, handlers}, signal);
+			const peer = await dial({...base, port: listener.port, handlers: {}}, signal);
+			const error = await peer.call('config.since', {version: 1}).catch((error: unknown) => error);
+			assert.is((error as RequestError).ran, 'unknown');
+		}));
+
+		it('says not run when the connection cannot be opened', async () => withAbort(async signal => {
+			const controller = new AbortController();
+			const listener = await listen({...base, port: 0, handlers: {}}, controller.signal);
+			controller.abort();
+			await listener.closed;
+			const error = await dial({...base, port: listener.port, handlers: {}}, signal).catch((error: unknown) => error);
+			assert.is((error as RequestError).ran, 'not-run');
+		}));
+
+		it('closes a connection on which nothing arrives', async () => withAbort(async signal => {
+			const peers: Peer[] = [];
+			const onPeer = (peer: Peer) => {
+				peers.push(peer);
+			};
+
+			const limits = {heartbeatIntervalMs: 10, silenceLimitMs: 40};
+			const listener = await listen({
+				...base, ...limits, port: 0, handlers: {}, onPeer,
+			}, signal);
+			const socket = connect(listener.port, '127.0.0.1');
+			await new Promise(resolve => {
+				socket.once('data', resolve);
+			});
+			assert.is(await peers[0]!.closed, 'silent');
+			socket.destroy();
+		}));
+
+		it('closes a connection that sends a line of over 1 MiB', async () => withAbort(async signal => {
+			const peers: Peer[] = [];
+			const onPeer = (peer: Peer) => {
+				peers.push(peer);
+			};
+
+			const listener = await listen({
+				...base, port: 0, handlers: {}, onPeer,
+			}, signal);
+			const socket = connect(listener.port, '127.0.0.1');
+			socket.on('error', () => {/* The other side resets the connection. */});
+			socket.write('x'.repeat((1024 * 1024) + 2));
+			await new Promise(resolve => {
+				socket.once('close', resolve);
+			});
+			assert.is(await peers[0]!.closed, 'protocol-error');
+		}));
+	});
+});
--- /dev/null
+++ b/packages/wire/src/connect.ts
@@ -0,0 +1,93 @@
+/**
+ * Opens and accepts connections between the system's processes.
+ */
+import {
+	createServer, connect, type AddressInfo, type Socket,
+} from 'node:net';
+import {once} from 'node:events';
+import {createRequestError, type RequestError} from '@hawthorncleat/core';
+import {Peer, type PeerOptions} from './peer.js';
+
+const defaultDialTimeoutMs = 2000;
+
+export type DialOptions = Omit<PeerOptions, 'socket'> & {
+	readonly address: string;
+	readonly port: number;
+	readonly timeoutMs?: number;
+};
+
+const connectionRefused = (options: DialOptions, cause?: unknown): RequestError =>
+	createRequestError(`cannot connect to ${options.address}:${options.port}`, {code: 'connection-refused', ran: 'not-run', status: 503}, cause);
+
+const openSocket = async (options: DialOptions, signal: AbortSignal): Promise<Socket> => {
+	const socket = connect({host: options.address, port: options.port});
+	const timeout = AbortSignal.timeout(options.timeoutMs ?? defaultDialTimeoutMs);
+	try {
+		await once(socket, 'connect', {signal: AbortSignal.any([signal, timeout])});
+		return socket;
+	} catch (error) {
+		socket.on('error', () => {/* The socket is given up. */});
+		socket.destroy();
+		throw connectionRefused(options, error);
+	}
+};
+
+/** Connects to a listening process. The peer closes when `signal` aborts. */
+export const dial = async (options: DialOptions, signal: AbortSignal): Promise<Peer> => {
+	const socket = await openSocket(options, signal);
+	const peer = new Peer({...options, socket});
+	closeOnAbort(peer, signal);
+	return peer;
+};
+
+const closeOnAbort = (peer: Peer, signal: AbortSignal): void => {
+	const close = (): void => {
+		peer.close();
+	};
+
+	if (signal.aborted) {
+		close();
+		return;
+	}
+
+	signal.addEventListener('abort', close, {once: true});
+	void peer.closed.then(() => {
+		signal.removeEventListener('abort', close);
+	});
+};
+
+export type ListenOptions = Omit<PeerOptions, 'socket'> & {
+	readonly address: string;
+	readonly port: number;
+	readonly onPeer?: (peer: Peer) => void;
+};
+
+/** A listening socket and the peers that it accepted. */
+export type Listener = {
+	readonly port: number;
+	/** Peers that are open at the moment. */
+	readonly peers: ReadonlySet<Peer>;
+	/** Settles after `signal` aborted and everything was released. */
+	readonly closed: Promise<void>;
+};
+
+/** Listens for other processes until `signal` aborts. */
+export const listen = async (options: ListenOptions, signal: AbortSignal): Promise<Listener> => {
+	const peers = new Set<Peer>();
+	const server = createServer(socket => {
+		const peer = new Peer({...options, socket});
+		peers.add(peer);
+		closeOnAbort(peer, signal);
+		void peer.closed.then(() => {
+			peers.delete(peer);
+		});
+		options.onPeer?.(peer);
+	});
+	server.listen({host: options.address, port: options.port});
+	await once(server, 'listening', {signal});
+	const closed = once(server, 'close').then(() => {/* Only the moment matters. */});
+	signal.addEventListener('abort', () => {
+		server.close();
+	}, {once: true});
+	return {port: (server.address() as AddressInfo).port, peers, closed};
+};
--- /dev/null
+++ b/packages/wire/src/line-reader.ts
@@ -0,0 +1,50 @@
+/**
+ * Splits a byte stream into lines of UTF-8 text with a bound on their length.
+ */
+import {Buffer} from 'node:buffer';
+
+const newline = 0x0A;
+
+/** Longest accepted line in bytes; a peer that sends more is disconnected. */
+export const maxLineBytes = 1024 * 1024;
+
+/** Thrown when a line exceeds `maxLineBytes`. */
+export class LineTooLongError extends Error {}
+
+/** Collects chunks and returns the lines that are complete. */
+export class LineReader {
+	#parts: Uint8Array[] = [];
+	#pendingBytes = 0;
+
+	push(chunk: Uint8Array): string[] {
+		const lines: string[] = [];
+		let start = 0;
+		for (let end = chunk.indexOf(newline); end !== -1; end = chunk.indexOf(newline, start)) {
+			lines.push(this.#finishLine(chunk.subarray(start, end)));
+			start = end + 1;
+		}
+
+		if (start < chunk.length) {
+			this.#keep(chunk.subarray(start));
+		}
+
+		return lines;
+	}
+
+	#finishLine(tail: Uint8Array): string {
+		this.#keep(tail);
+		const line = this.#parts.length === 1 ? this.#parts[0]! : Buffer.concat(this.#parts);
+		this.#parts = [];
+		this.#pendingBytes = 0;
+		return Buffer.from(line.buffer, line.byteOffset, line.byteLength).toString('utf8');
+	}
+
+	#keep(part: Uint8Array): void {
+		this.#pendingBytes += part.length;
+		if (this.#pendingBytes > maxLineBytes) {
+			throw new LineTooLongError(`line is longer than ${maxLineBytes} bytes`);
+		}
+
+		this.#parts.push(part);
+	}
+}
--- /dev/null
+++ b/packages/wire/src/messages.ts
@@ -0,0 +1,83 @@
+/**
+ * The methods between the system's processes with the types of their parameters and results, and the validators of
+ * what arrives.
+ */
+import {
+	validators,
+	type ConfigSinceParams,
+	type ConfigSinceResult,
+	type CrashSuspect,
+	type EngineOrderParams,
+	type EngineOrderResult,
+	type FreshnessAnswer,
+	type FreshnessAskParams,
+	type HelloParams,
+	type HelloResult,
+	type LoadReport,
+	type PublishAnnounceParams,
+	type PublishAnnounceResult,
+	type PublishFinishParams,
+	type PublishFinishResult,
+	type RequestCancel,
+	type RequestFailed,
+	type RequestFrame,
+	type RequestResumeParams,
+	type RequestStartParams,
+	type RequestStartResult,
+	type ServiceCallParams,
+	type ServiceCallResult,
+	type Validator,
+} from '@hawthorncleat/schema';
+
+/** Calls, which have an answer. */
+export type Calls = {
+	hello: {params: HelloParams; result: HelloResult};
+	'request.start': {params: RequestStartParams; result: RequestStartResult};
+	'request.resume': {params: RequestResumeParams; result: {resumed: true}};
+	'service.call': {params: ServiceCallParams; result: ServiceCallResult};
+	'engine.order': {params: EngineOrderParams; result: EngineOrderResult};
+	'config.since': {params: ConfigSinceParams; result: ConfigSinceResult};
+	'freshness.ask': {params: FreshnessAskParams; result: FreshnessAnswer};
+	'publish.announce': {params: PublishAnnounceParams; result: PublishAnnounceResult};
+	'publish.finish': {params: PublishFinishParams; result: PublishFinishResult};
+};
+
+/** Notifications, which have none. `heartbeat` is handled by the peer itself. */
+export type Notifications = {
+	'request.frame': RequestFrame;
+	'request.failed': RequestFailed;
+	'request.cancel': RequestCancel;
+	'load.report': LoadReport;
+	'crash.suspect': CrashSuspect;
+};
+
+export type CallName = keyof Calls;
+export type NotificationName = keyof Notifications;
+
+/** What a process does on each call and notification; a missing handler answers "method not found". */
+export type Handlers<Context> = {
+	readonly [Name in CallName]?: (params: Calls[Name]['params'], context: Context) =>
+		| Calls[Name]['result']
+		| Promise<Calls[Name]['result']>;
+} & {
+	readonly [Name in NotificationName]?: (params: Notifications[Name], context: Context) => void;
+};
+
+/** Checks of the parameters that arrive, by method. */
+export const paramsValidators: Readonly<Record<CallName | NotificationName | 'heartbeat', Validator>> = {
+	hello: validators.validateHelloParams,
+	heartbeat: validators.validateHeartbeat,
+	'request.start': validators.validateRequestStartParams,
+	'request.resume': validators.validateRequestResumeParams,
+	'request.cancel': validators.validateRequestCancel,
+	'request.frame': validators.validateRequestFrame,
+	'request.failed': validators.validateRequestFailed,
+	'service.call': validators.validateServiceCallParams,
+	'engine.order': validators.validateEngineOrderParams,
+	'config.since': validators.validateConfigSinceParams,
+	'freshness.ask': validators.validateFreshnessAskParams,
+	'publish.announce': validators.validatePublishAnnounceParams,
+	'publish.finish': validators.validatePublishFinishParams,
+	'load.report': validators.validateLoadReport,
+	'crash.suspect': validators.validateCrashSuspect,
+};
--- /dev/null
+++ b/packages/wire/src/peer.ts
@@ -0,0 +1,260 @@
+/**
+ * One end of a JSON-RPC 2.0 connection over TCP, one JSON object per line. Both ends may call and notify. Heartbeats go
+ * both ways; a connection on which nothing arrives for `silenceLimitMs` is destroyed, because a middlebox may have
+ * forgotten it without telling either end.
+ */
+import type {Socket} from 'node:net';
+import {
+	createRequestError, isRequestError, type Clock, type RequestError,
+} from '@hawthorncleat/core';
+import {
+	check, type Finding, type Heartbeat, type Refusal,
+} from '@hawthorncleat/schema';
+import {
+	JSONRPCClient,
+	JSONRPCErrorCode,
+	JSONRPCErrorException,
+	JSONRPCServer,
+	JSONRPCServerAndClient,
+	type JSONRPCParams,
+} from 'json-rpc-2.0';
+import {LineReader} from './line-reader.js';
+import {
+	paramsValidators, type CallName, type Calls, type Handlers, type NotificationName, type Notifications,
+} from './messages.js';
+
+export const heartbeatIntervalMs = 1000;
+/** Three missed heartbeats; one late heartbeat must not cost a connection. */
+export const silenceLimitMs = 3000;
+const refusalErrorCode = -32_000;
+const defaultCallTimeoutMs = 10_000;
+
+/** Why a connection ended. */
+export type CloseReason = 'closed-here' | 'closed-there' | 'silent' | 'protocol-error' | 'failed';
+
+export type PeerOptions = {
+	readonly socket: Socket;
+	readonly clock: Clock;
+	readonly handlers: Handlers<Peer>;
+	/** Content of the next heartbeat. */
+	readonly heartbeat: () => Heartbeat;
+	readonly onHeartbeat?: (heartbeat: Heartbeat, peer: Peer) => void;
+	readonly heartbeatIntervalMs?: number;
+	readonly silenceLimitMs?: number;
+};
+
+export type CallOptions = {readonly timeoutMs?: number};
+
+const connectionLost = (reason: CloseReason): RequestError =>
+	createRequestError(`connection lost (${reason})`, {code: 'connection-lost', ran: 'unknown', status: 502});
+
+const invalidParameters = (method: string, findings: readonly Finding[]): JSONRPCErrorException =>
+	new JSONRPCErrorException(
+		`invalid parameters of ${method}: ${findings.map(finding => `${finding.place} ${finding.problem}`).join('; ')}`,
+		JSONRPCErrorCode.InvalidParams,
+	);
+
+const toWireError = (err: unknown): Error => {
+	if (!isRequestError(err)) {
+		return err instanceof Error ? err : new Error(String(err));
+	}
+
+	const data: Refusal = {code: err.code, ran: err.ran};
+	if (err.retryAfterMs !== undefined) {
+		data.retryAfterMs = err.retryAfterMs;
+	}
+
+	return new JSONRPCErrorException(err.message, refusalErrorCode, {...data, status: err.status});
+};
+
+const fromWireError = (err: unknown): unknown => {
+	if (!(err instanceof JSONRPCErrorException) || err.code !== refusalErrorCode) {
+		return err;
+	}
+
+	const data = err.data as Refusal & {status?: number};
+	return createRequestError(err.message, data);
+};
+
+/** A connection to another process of the system. */
+export class Peer {
+	/** Settles when the connection has ended, for whatever reason. */
+	readonly closed: Promise<CloseReason>;
+	/** Free for the owner, for instance the id from `hello`. */
+	remoteId = '';
+
+	readonly #options: PeerOptions;
+	readonly #reader = new LineReader();
+	readonly #rpc: JSONRPCServerAndClient;
+	readonly #timer: NodeJS.Timeout;
+	readonly #resolveClosed: (reason: CloseReason) => void;
+	#lastReceivedMs: number;
+	#closeReason: CloseReason | undefined;
+
+	constructor(options: PeerOptions) {
+		this.#options = options;
+		this.#lastReceivedMs = options.clock.nowMs();
+		const {promise, resolve} = createDeferred<CloseReason>();
+		this.closed = promise;
+		this.#resolveClosed = resolve;
+		this.#rpc = new JSONRPCServerAndClient(
+			this.#createServer(),
+			new JSONRPCClient(async payload => {
+				this.#send(payload);
+			}),
+			{errorListener() {/* Errors travel to the caller; a log line per failed call would flood. */}},
+		);
+		this.#attachSocket();
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, options.heartbeatIntervalMs ?? heartbeatIntervalMs);
+	}
+
+	get isOpen(): boolean {
+		return this.#closeReason === undefined;
+	}
+
+	/** Bytes written and not yet taken by the network; grows when the other side reads slowly. */
+	get bufferedBytes(): number {
+		return this.#options.socket.writableLength;
+	}
+
+	get bytesSent(): number {
+		return this.#options.socket.bytesWritten;
+	}
+
+	get bytesReceived(): number {
+		return this.#options.socket.bytesRead;
+	}
+
+	async call<Name extends CallName>(
+		name: Name,
+		params: Calls[Name]['params'],
+		options: CallOptions = {},
+	): Promise<Calls[Name]['result']> {
+		if (this.#closeReason) {
+			throw createRequestError('connection is closed', {code: 'connection-closed', ran: 'not-run', status: 503});
+		}
+
+		try {
+			const timeoutMs = options.timeoutMs ?? defaultCallTimeoutMs;
+			return await this.#rpc.timeout(timeoutMs).request(name, params as JSONRPCParams) as Calls[Name]['result'];
+		} catch (error) {
+			throw this.#explain(error);
+		}
+	}
+
+	notify<Name extends NotificationName>(name: Name, params: Notifications[Name]): void {
+		if (!this.#closeReason) {
+			this.#rpc.notify(name, params as JSONRPCParams);
+		}
+	}
+
+	close(reason: CloseReason = 'closed-here'): void {
+		if (this.#closeReason) {
+			return;
+		}
+
+		this.#closeReason = reason;
+		clearInterval(this.#timer);
+		this.#options.socket.destroy();
+		this.#rpc.rejectAllPendingRequests('connection lost');
+		this.#resolveClosed(reason);
+	}
+
+	#createServer(): JSONRPCServer {
+		const server = new JSONRPCServer({errorListener() {/* See above. */}});
+		const names = Object.keys(paramsValidators) as Array<CallName | NotificationName | 'heartbeat'>;
+		for (const name of names) {
+			const handler = name === 'heartbeat' ? this.#receiveHeartbeat : this.#options.handlers[name];
+			if (handler) {
+				server.addMethod(name, async params => this.#handle(name, handler as AnyHandler, params));
+			}
+		}
+
+		return server;
+	}
+
+	readonly #receiveHeartbeat = (heartbeat: Heartbeat): void => {
+		this.#options.onHeartbeat?.(heartbeat, this);
+	};
+
+	async #handle(name: CallName | NotificationName | 'heartbeat', handler: AnyHandler, params: unknown): Promise<unknown> {
+		const checked = check(paramsValidators[name], params);
+		if (!checked.ok) {
+			throw invalidParameters(name, checked.findings);
+		}
+
+		try {
+			return await handler(checked.value, this) ?? null;
+		} catch (error) {
+			throw toWireError(error);
+		}
+	}
+
+	#attachSocket(): void {
+		const {socket} = this.#options;
+		socket.setNoDelay(true);
+		socket.on('data', chunk => {
+			this.#receive(chunk);
+		});
+		socket.on('error', () => {
+			this.close('failed');
+		});
+		socket.on('close', () => {
+			this.close('closed-there');
+		});
+	}
+
+	#receive(chunk: Uint8Array): void {
+		this.#lastReceivedMs = this.#options.clock.nowMs();
+		try {
+			for (const line of this.#reader.push(chunk)) {
+				void this.#rpc.receiveAndSend(JSON.parse(line));
+			}
+		} catch {
+			this.close('protocol-error');
+		}
+	}
+
+	#send(payload: unknown): void {
+		if (!this.#closeReason) {
+			this.#options.socket.write(`${JSON.stringify(payload)}\n`);
+		}
+	}
+
+	#tick(): void {
+		const silentMs = this.#options.clock.nowMs() - this.#lastReceivedMs;
+		if (silentMs > (this.#options.silenceLimitMs ?? silenceLimitMs)) {
+			this.close('silent');
+			return;
+		}
+
+		this.#send({jsonrpc: '2.0', method: 'heartbeat', params: this.#options.heartbeat()});
+	}
+
+	#explain(err: unknown): Error {
+		if (this.#closeReason) {
+			return connectionLost(this.#closeReason);
+		}
+
+		const explained = fromWireError(err);
+		if (isRequestError(explained) || explained instanceof JSONRPCErrorException) {
+			return explained;
+		}
+
+		return createRequestError('no answer in time', {
+			code: 'call-timeout', ran: 'unknown', status: 504,
+		});
+	}
+}
+
+type AnyHandler = (params: unknown, peer: Peer) => unknown;
+
+const createDeferred = <Value>(): {promise: Promise<Value>; resolve: (value: Value) => void} => {
+	let resolve!: (value: Value) => void;
+	const promise = new Promise<Value>(_resolve => {
+		resolve = _resolve;
+	});
+	return {promise, resolve};
+};
