--- a/xo.config.js
+++ b/xo.config.js
@@ -40,6 +40,8 @@
 				{selector: 'memberLike', modifiers: ['requiresQuotes'], format: null},
 				{selector: 'typeLike', format: ['StrictPascalCase']},
 			],
+			// Packages that have no code yet.
+			'unicorn/no-empty-file': 'off',
 			// The compiler's target predates the v flag.
 			'require-unicode-regexp': 'off',
 			'@typescript-eslint/no-restricted-types': 'off',
