Decide freshness by reads, relays and outage attestations

An entry cannot tell a store that is down for all from one that only it cannot reach. Evidence is a read of the head, a relayed read, or an attestation by a majority of every witness group; a writer announces to a majority of one group first, so the two sets meet.

Ruled out while writing: ending an announcement on a read of the older version (the write may follow), and letting a new witness attest at once (a writer with the older host list may have asked others).

--- /dev/null
+++ b/packages/core/src/__tests__/freshness.test.ts
@@ -0,0 +1,170 @@
+import type {FreshnessAnswer, HostRecord} from '@hawthorncleat/schema';
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {
+	announcementLimitMs, combineAnswers, createWitnessGroups, findOwnGroup, Freshness, Witness, witnessSettleMs,
+} from '../index.js';
+
+const createEntry = (version = 5) => {
+	const clock = createManualClock(1000);
+	const state = {version, unreachable: true};
+	const freshness = new Freshness({clock, localVersion: () => state.version});
+	const witness = new Witness({
+		clock,
+		incarnation: 'a',
+		freshness,
+		localVersion: () => state.version,
+		isStoreUnreachable: () => state.unreachable,
+	});
+	witness.setView('view', false);
+	return {
+		clock, state, freshness, witness,
+	};
+};
+
+/** A witness that may attest, because it has read the head since its start. */
+const createSettledEntry = () => {
+	const entry = createEntry();
+	entry.clock.advance(witnessSettleMs);
+	entry.freshness.noteRead(entry.clock.nowMs(), 5);
+	entry.witness.attests();
+	return entry;
+};
+
+const createHost = (hostId: string, dataCentre: string): HostRecord => ({
+	hostId, dataCentre, kind: 'entry', address: '127.0.0.1', port: 1, state: 'live',
+});
+
+const rank = (_key: string, candidate: string): number => candidate.codePointAt(0) ?? 0;
+
+describe('freshness', () => {
+	it('admits nothing before there is evidence, so that a restarted entry does not serve withdrawn keys', () => {
+		assert.not(createEntry().freshness.mayServe());
+	});
+
+	it('admits on a read for 4 s and not longer, so that a withdrawn key stops at an entry that is cut off', () => {
+		const {clock, freshness} = createEntry();
+		freshness.noteRead(clock.nowMs(), 5);
+		clock.advance(4000);
+		assert.ok(freshness.mayServe());
+		clock.advance(1);
+		assert.not(freshness.mayServe());
+	});
+
+	it('does not count a read of a version that is not in force here yet', () => {
+		const {clock, state, freshness} = createEntry();
+		freshness.noteRead(clock.nowMs(), 6);
+		assert.not(freshness.mayServe());
+		state.version = 6;
+		assert.ok(freshness.mayServe());
+	});
+
+	it('dates relayed evidence by its age at the peer', () => {
+		const {clock, freshness} = createEntry();
+		freshness.noteRelay(clock.nowMs(), {basis: 'read', ageMs: 3000, version: 5});
+		clock.advance(1001);
+		assert.not(freshness.mayServe());
+	});
+
+	it('keeps an attestation for 2 s only', () => {
+		const {clock, freshness} = createEntry();
+		freshness.noteAttestation(clock.nowMs(), 5);
+		clock.advance(2000);
+		assert.ok(freshness.mayServe());
+		clock.advance(1);
+		assert.not(freshness.mayServe());
+	});
+});
+
+describe('witness', () => {
+	it('does not attest before it has evidence of its own life, because a restart loses announcements', () => {
+		const {clock, freshness, witness} = createEntry();
+		clock.advance(witnessSettleMs);
+		assert.not(witness.attests());
+		freshness.noteRelay(clock.nowMs(), {basis: 'attestation', ageMs: 1, version: 5});
+		assert.not(witness.attests());
+		clock.advance(10);
+		freshness.noteRelay(clock.nowMs(), {basis: 'attestation', ageMs: 1, version: 5});
+		assert.ok(witness.attests());
+	});
+
+	it('does not attest while a publication is pending, even after a read of the older version', () => {
+		const {clock, freshness, witness} = createSettledEntry();
+		witness.announce('p1', 6, 'view');
+		freshness.noteRead(clock.nowMs(), 5);
+		assert.not(witness.attests());
+	});
+
+	it('attests again once the version is in force or the publication was abandoned', () => {
+		const {state, witness} = createSettledEntry();
+		witness.announce('p1', 6, 'view');
+		witness.finish('p1', 'accepted', 6);
+		assert.not(witness.attests());
+		state.version = 6;
+		assert.ok(witness.attests());
+		witness.announce('p2', 7, 'view');
+		witness.finish('p2', 'abandoned', 6);
+		assert.ok(witness.attests());
+	});
+
+	it('changes its incarnation when it forgets an announcement, so that a slow writer does not count on it', () => {
+		const {clock, witness} = createSettledEntry();
+		const {incarnation} = witness.announce('p1', 6, 'view');
+		clock.advance(announcementLimitMs + 1);
+		assert.ok(witness.attests());
+		assert.is.not(witness.incarnation, incarnation);
+	});
+
+	it('refuses writers and askers with another list of witnesses', () => {
+		const {clock, witness} = createSettledEntry();
+		clock.advance(4001);
+		assert.not(witness.announce('p1', 6, 'other view').noted);
+		assert.equal(witness.answer('other view'), {kind: 'none'});
+	});
+
+	it('waits after it has joined, so that writers with the older list have finished', () => {
+		const {clock, freshness, witness} = createSettledEntry();
+		witness.setView('second view', false);
+		assert.ok(witness.attests());
+		witness.setView('third view', true);
+		freshness.noteRead(clock.nowMs(), 5);
+		assert.not(witness.attests());
+		clock.advance(witnessSettleMs);
+		freshness.noteRead(clock.nowMs(), 5);
+		assert.ok(witness.attests());
+	});
+
+	it('relays a read with its age', () => {
+		const {clock, witness} = createSettledEntry();
+		clock.advance(30);
+		assert.equal(witness.answer('view'), {
+			kind: 'evidence', basis: 'read', ageMs: 30, version: 5,
+		});
+	});
+});
+
+describe('witness groups', () => {
+	const hosts = [
+		...['a', 'b', 'c', 'd'].map(id => createHost(id, 'large')),
+		createHost('e', 'small-1'),
+		createHost('f', 'small-2'),
+	];
+	const groups = createWitnessGroups({hosts, regionOf: () => 'west', rank});
+	const unreachable = (ids: string): Map<string, FreshnessAnswer> =>
+		new Map([...ids].map(id => [id, {kind: 'unreachable', version: id === 'b' ? 9 : 8}]));
+
+	it('gives a large data centre a group of its own and merges small ones', () => {
+		assert.equal(groups.map(group => [group.name, group.view]), [
+			['data-centre/large', 'a,b,c'],
+			['region/west', 'e,f'],
+		]);
+		assert.is(findOwnGroup(groups, {dataCentre: 'small-1', region: 'west'})?.name, 'region/west');
+	});
+
+	it('needs a majority of every group, because a writer announces to a majority of one', () => {
+		assert.is(combineAnswers(groups, unreachable('abef')), 9);
+		assert.is(combineAnswers(groups, unreachable('abe')), undefined);
+		assert.is(combineAnswers(groups, unreachable('aef')), undefined);
+		assert.is(combineAnswers([], unreachable('abef')), undefined);
+	});
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,12 @@
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
+export {
+	attestationMs, Freshness, freshnessLimitMs, type Evidence, type EvidenceBasis, type FreshnessOptions,
+} from './freshness.js';
+export {
+	announcementLimitMs, Witness, witnessSettleMs, type Noted, type WitnessOptions,
+} from './witness.js';
+export {
+	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type Rank, type WitnessGroup, type WitnessGroupInput,
+} from './witness-groups.js';
--- /dev/null
+++ b/packages/core/src/witness-groups.ts
@@ -0,0 +1,103 @@
+/**
+ * Which entries are witnesses, and when their answers together show that the store is out of reach for the whole fleet.
+ */
+import type {FreshnessAnswer, HostRecord} from '@hawthorncleat/schema';
+
+const smallestOwnGroup = 3;
+const witnessesPerDataCentre = 3;
+/** Five in a group that spans data centres, so that it outlives a data centre and a restart at the same time. */
+const witnessesPerMergedGroup = 5;
+
+/** Orders candidates for a key; the lowest ranks come first. Must be the same on every host. */
+export type Rank = (key: string, candidate: string) => number;
+
+/** Entries that answer for one data centre, or for the small data centres of one region. */
+export type WitnessGroup = {
+	readonly name: string;
+	readonly witnesses: readonly HostRecord[];
+	/** Ids of the witnesses in one string, to be compared between hosts. */
+	readonly view: string;
+};
+
+export type WitnessGroupInput = {
+	readonly hosts: readonly HostRecord[];
+	readonly regionOf: (dataCentre: string) => string;
+	readonly rank: Rank;
+};
+
+const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> => {
+	const groups = new Map<string, Item[]>();
+	for (const item of items) {
+		const key = keyOf(item);
+		const group = groups.get(key) ?? [];
+		group.push(item);
+		groups.set(key, group);
+	}
+
+	return groups;
+};
+
+const createGroup = (name: string, entries: readonly HostRecord[], size: number, rank: Rank): WitnessGroup => {
+	const witnesses = entries
+		.toSorted((a, b) => rank(name, a.hostId) - rank(name, b.hostId) || (a.hostId < b.hostId ? -1 : 1))
+		.slice(0, size);
+	return {name, witnesses, view: witnesses.map(witness => witness.hostId).join(',')};
+};
+
+/** Divides the live entries into witness groups. */
+export const createWitnessGroups = ({hosts, regionOf, rank}: WitnessGroupInput): WitnessGroup[] => {
+	const entries = hosts.filter(host => host.kind === 'entry');
+	const groups: WitnessGroup[] = [];
+	const merged: HostRecord[] = [];
+	for (const [dataCentre, members] of groupBy(entries, host => host.dataCentre)) {
+		if (members.length >= smallestOwnGroup) {
+			groups.push(createGroup(`data-centre/${dataCentre}`, members, witnessesPerDataCentre, rank));
+		} else {
+			merged.push(...members);
+		}
+	}
+
+	for (const [region, members] of groupBy(merged, host => regionOf(host.dataCentre))) {
+		groups.push(createGroup(`region/${region}`, members, witnessesPerMergedGroup, rank));
+	}
+
+	return groups;
+};
+
+/** The group that an entry announces its publications to. */
+export const findOwnGroup = (
+	groups: readonly WitnessGroup[],
+	entry: {readonly dataCentre: string; readonly region: string},
+): WitnessGroup | undefined =>
+	groups.find(group => group.name === `data-centre/${entry.dataCentre}`)
+	?? groups.find(group => group.name === `region/${entry.region}`);
+
+/** True when the count is more than half of the group. */
+export const isMajority = (count: number, group: WitnessGroup): boolean => count * 2 > group.witnesses.length;
+
+/**
+ * Rule `attestation`: a majority of every group must answer "unreachable". Returns the highest version that they hold,
+ * or undefined when there is no attestation.
+ */
+export const combineAnswers = (
+	groups: readonly WitnessGroup[],
+	answers: ReadonlyMap<string, FreshnessAnswer>,
+): number | undefined => {
+	if (groups.length === 0) {
+		return undefined;
+	}
+
+	let highest = 0;
+	for (const group of groups) {
+		const attesting = group.witnesses
+			.map(witness => answers.get(witness.hostId))
+			.filter(answer => answer?.kind === 'unreachable');
+		if (!isMajority(attesting.length, group)) {
+			return undefined;
+		}
+
+		highest = Math.max(highest, ...attesting.map(answer => answer?.version ?? 0));
+	}
+
+	return highest;
+};
