--- /dev/null
+++ b/packages/stand-ins/src/engine/event-stream.ts
@@ -0,0 +1,52 @@
+/**
+ * The engine's `GET /events`: cache events as newline-delimited JSON, late and, if asked for, incomplete.
+ */
+import type {ServerResponse} from 'node:http';
+import type {CacheEvent} from './prefix-cache.js';
+
+export type EventStreamOptions = {readonly eventDelayMs: number; readonly loseEveryNthEvent: number};
+
+export class EventStream {
+	readonly #options: EventStreamOptions;
+	readonly #listeners = new Set<ServerResponse>();
+	readonly #timers = new Set<NodeJS.Timeout>();
+	#published = 0;
+
+	constructor(options: EventStreamOptions, signal: AbortSignal) {
+		this.#options = options;
+		signal.addEventListener('abort', () => {
+			for (const timer of this.#timers) {
+				clearTimeout(timer);
+			}
+		}, {once: true});
+	}
+
+	attach(res: ServerResponse): void {
+		res.writeHead(200, {'content-type': 'application/x-ndjson'});
+		res.flushHeaders();
+		this.#listeners.add(res);
+		res.on('close', () => {
+			this.#listeners.delete(res);
+		});
+	}
+
+	publish(event: CacheEvent): void {
+		this.#published += 1;
+		const {loseEveryNthEvent, eventDelayMs} = this.#options;
+		if (loseEveryNthEvent > 0 && this.#published % loseEveryNthEvent === 0) {
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			this.#timers.delete(timer);
+			this.#send(event);
+		}, eventDelayMs);
+		this.#timers.add(timer);
+	}
+
+	#send(event: CacheEvent): void {
+		for (const listener of this.#listeners) {
+			listener.write(`${JSON.stringify(event)}\n`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/stand-ins/src/http-server.ts
@@ -0,0 +1,166 @@
+/**
+ * HTTP server shared by the stand-ins: routes by `find-my-way`, JSON bodies, and connections that can be dropped at once
+ * to imitate a crash.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import findMyWay, {type HTTPMethod} from 'find-my-way';
+
+/** One request with its whole body. */
+export type Exchange = {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly path: string;
+	readonly params: Readonly<Record<string, string | undefined>>;
+	readonly query: URLSearchParams;
+	readonly body: string;
+};
+
+export type Handler = (exchange: Exchange) => Promise<void> | void;
+
+/** A handler with its method and path pattern. */
+export type HttpRoute = readonly [method: HTTPMethod | HTTPMethod[], path: string, handler: Handler];
+
+export type HttpServerOptions = {
+	readonly address?: string;
+	readonly port?: number;
+	readonly routes: readonly HttpRoute[];
+};
+
+/** A listening server that may go down and come back on the same port. */
+export type HttpServer = {
+	readonly port: number;
+	readonly url: string;
+	/** Settles after `signal` aborted and every connection was closed. */
+	readonly closed: Promise<void>;
+	/** Drops all connections and refuses new ones. */
+	goDown(): void;
+	/** Listens again on the same port. */
+	comeBack(): Promise<void>;
+};
+
+export const defaultAddress = '127.0.0.1';
+
+/** Answers with a JSON value. */
+export const sendJson = (res: ServerResponse, status: number, value: unknown): void => {
+	res.writeHead(status, {'content-type': 'application/json'});
+	res.end(JSON.stringify(value));
+};
+
+/** Resets the connection, so that the client gets no answer at all. */
+export const dropConnection = (req: IncomingMessage): void => {
+	req.socket.resetAndDestroy();
+};
+
+/** Thrown for a body that is not what the interface asks for; the client gets 400. */
+export class BadBodyError extends Error {}
+
+/** Parses a JSON body. */
+export const parseJson = (text: string): unknown => {
+	try {
+		return JSON.parse(text);
+	} catch (error) {
+		throw new BadBodyError('body is not JSON', {cause: error});
+	}
+};
+
+const readBody = async (req: IncomingMessage): Promise<string> => {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of req) {
+		chunks.push(chunk as Uint8Array);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+};
+
+const handleExchange = async (handler: Handler, exchange: Omit<Exchange, 'body'>): Promise<void> => {
+	try {
+		const body = await readBody(exchange.req);
+		await handler({...exchange, body});
+	} catch (error) {
+		if (exchange.res.headersSent || exchange.res.destroyed) {
+			exchange.res.destroy();
+			return;
+		}
+
+		const status = error instanceof BadBodyError ? 400 : 500;
+		sendJson(exchange.res, status, {error: error instanceof Error ? error.message : String(error)});
+	}
+};
+
+const createListener = (routes: readonly HttpRoute[]): (req: IncomingMessage, res: ServerResponse) => void => {
+	const router = findMyWay({
+		defaultRoute(_req, res) {
+			sendJson(res, 404, {error: 'no such path'});
+		},
+	});
+	for (const [method, path, handler] of routes) {
+		router.on(method, path, (req, res, params) => {
+			const url = new URL(req.url ?? '/', 'http://stand-in');
+			const exchange = {
+				req, res, path: url.pathname, params, query: url.searchParams,
+			};
+			void handleExchange(handler, exchange);
+		});
+	}
+
+	return (req, res) => {
+		router.lookup(req, res);
+	};
+};
+
+const startListening = async (server: Server, address: string, port: number): Promise<number> => {
+	server.listen({host: address, port});
+	await once(server, 'listening');
+	return (server.address() as AddressInfo).port;
+};
+
+const stopListening = (server: Server): void => {
+	if (server.listening) {
+		server.close();
+	}
+
+	server.closeAllConnections();
+};
+
+/** Starts a server that runs until `signal` aborts. */
+export const startHttpServer = async (options: HttpServerOptions, signal: AbortSignal): Promise<HttpServer> => {
+	const address = options.address ?? defaultAddress;
+	const server = createServer(createListener(options.routes));
+	// Clients keep idle connections; closing them early would look like a fault that no test asked for.
+	server.keepAliveTimeout = 60_000;
+	const port = await startListening(server, address, options.port ?? 0);
+	const closed = new Promise<void>(resolve => {
+		const stop = (): void => {
+			if (server.listening) {
+				server.once('close', resolve);
+			} else {
+				resolve();
+			}
+
+			stopListening(server);
+		};
+
+		signal.addEventListener('abort', stop, {once: true});
+		if (signal.aborted) {
+			stop();
+		}
+	});
+	return {
+		port,
+		url: `http://${address}:${port}`,
+		closed,
+		goDown() {
+			stopListening(server);
+		},
+		async comeBack() {
+			if (!signal.aborted && !server.listening) {
+				await startListening(server, address, port);
+			}
+		},
+	};
+};
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,27 @@
-
+export {
+	startPlatform, type PlatformStandIn,
+} from './platform/platform.js';
+export type {PlatformEvent, PlatformOptions, PlatformRecord} from './platform/state.js';
+export {startEngine, type EngineStandIn} from './engine/engine.js';
+export type {
+	AnswerFault, EngineEvent, EngineOptions, EngineRecord,
+} from './engine/options.js';
+export type {CacheEvent} from './engine/prefix-cache.js';
+export {
+	computeAnswerLength,
+	computeExpectedAnswer,
+	computePrefixBlocks,
+	tokenize,
+	type AnswerLength,
+	type PrefixBlock,
+} from './engine/tokens.js';
+export {
+	startPlainService,
+	type PlainServiceOptions,
+	type PlainServiceStandIn,
+	type ServiceBehaviour,
+	type ServiceCall,
+	type ServiceEvent,
+	type ServiceRecord,
+} from './service/plain-service.js';
+export type {Recorded} from './history.js';
