--- /dev/null
+++ b/packages/platform/src/__tests__/with-platform.ts
@@ -0,0 +1,29 @@
+/**
+ * Starts a platform stand-in with a client for one test.
+ */
+import {startPlatform, type PlatformOptions, type PlatformStandIn} from '@hawthorncleat/stand-ins';
+import {
+	createHttpClient, createTable, type HttpClient, type Table,
+} from '../index.js';
+
+export type Fixture = {
+	readonly platform: PlatformStandIn;
+	readonly http: HttpClient;
+	readonly table: Table;
+	readonly signal: AbortSignal;
+};
+
+export const withPlatform = async (body: (fixture: Fixture) => Promise<void>, options: PlatformOptions = {}, timeoutMs = 1000): Promise<void> => {
+	const controller = new AbortController();
+	const {signal} = controller;
+	const platform = await startPlatform(options, signal);
+	const http = createHttpClient({url: platform.url, timeoutMs}, signal);
+	try {
+		await body({
+			platform, http, table: createTable(http), signal,
+		});
+	} finally {
+		controller.abort();
+		await platform.closed;
+	}
+};
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,3 +7,18 @@
 	type TransactResult,
 	type WriteOutcome,
 } from './store.js';
+export {
+	createHttpClient, defaultPlatformTimeoutMs, type HttpClient, type HttpClientOptions,
+} from './http-client.js';
+export {createTable} from './table.js';
+export {
+	createEndpointOrders,
+	createHostList,
+	createObjectStore,
+	createUsageReports,
+	type EndpointOrdersClient,
+	type HostListClient,
+	type SendOptions,
+	type UsageReportsClient,
+} from './services.js';
+export {transactOnce, type OnceResult, type Settle} from './transact-once.js';
