Add leases and action claims

Duty transactions check the row lease-epoch/<duty>, which only a takeover writes: a check of lease/<duty> itself would fail whenever a renewal came between.

--- /dev/null
+++ b/packages/core/src/__tests__/claims.test.ts
@@ -0,0 +1,37 @@
+import {describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {
+	brandAs, completeClaimRow, findBatch, judgeClaimRow, maxBatchRows, maxRecordedAnswerBytes, readClaimRow, type ActionId, type ClaimId, type ClaimRow, type EntryId,
+} from '../index.js';
+
+const row: ClaimRow = {
+	claimId: brandAs<ClaimId>('c1'), entryId: brandAs<EntryId>('e1'), digest: 'd1', state: 'claimed',
+};
+const request = {actionId: brandAs<ActionId>('a1'), digest: 'd1'};
+const answer = {status: 200, headers: {}, bodyBase64: 'b2s='};
+
+describe('claims', () => {
+	it('gives each row state its meaning', () => {
+		assert.equal(judgeClaimRow(row, request), {kind: 'in-doubt'});
+		assert.equal(judgeClaimRow({...row, state: 'released'}, request), {kind: 'claimable'});
+		assert.equal(judgeClaimRow(completeClaimRow(row, answer), request), {kind: 'done', answer});
+		assert.equal(judgeClaimRow(row, {...request, digest: 'd2'}), {kind: 'key-reused'});
+	});
+
+	it('does not record an answer that is too large', () => {
+		const large = {...answer, bodyBase64: 'x'.repeat(maxRecordedAnswerBytes)};
+		assert.equal(judgeClaimRow(completeClaimRow(row, large), request), {kind: 'already-ran'});
+	});
+
+	it('keeps two items of one row out of the same batch', () => {
+		const full = new Map(Array.from({length: maxBatchRows}, (_, index) => [`k${index}`, 0]));
+		const batches = [full, new Map([['a', 1]]), new Map([['b', 2]])];
+		assert.is(findBatch(batches, 'a'), batches[2]);
+		assert.is(findBatch(batches, 'b'), batches[1]);
+	});
+
+	it('reads only rows of the right form', () => {
+		assert.equal(readClaimRow(row), row);
+		assert.is(readClaimRow({...row, state: 'other'}), undefined);
+	});
+});
--- /dev/null
+++ b/packages/core/src/__tests__/lease.test.ts
@@ -0,0 +1,56 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {
+	LeaseHolder, leaseDefaults, LeaseTaker, readLeaseRow,
+} from '../index.js';
+
+describe('lease arithmetic', () => {
+	it('stops the holder a margin before expiry, counted from the send time', () => {
+		const clock = createManualClock(100);
+		const holder = new LeaseHolder(leaseDefaults, clock.nowMs());
+		clock.advance(7499);
+		assert.ok(holder.isHeld(clock.nowMs()));
+		clock.advance(1);
+		assert.not.ok(holder.isHeld(clock.nowMs()));
+		holder.renewed(3100);
+		assert.equal([holder.stopAtMs, holder.renewAtMs], [10_600, 6100]);
+	});
+
+	it('does not go back when an older renewal is confirmed late', () => {
+		const holder = new LeaseHolder(leaseDefaults, 5000);
+		holder.renewed(2000);
+		assert.is(holder.stopAtMs, 12_500);
+	});
+
+	it('lets a taker in at once only without a row or after a release', () => {
+		const observations = [{version: null, released: false}, {version: 4, released: true}, {version: 4, released: false}];
+		const results = observations.map(observation => new LeaseTaker(leaseDefaults).observe(observation, 50));
+		assert.equal(results, [true, true, false]);
+	});
+
+	it('makes a taker wait anew after each change of the version', () => {
+		const taker = new LeaseTaker(leaseDefaults);
+		const observe = (version: number, atMs: number): boolean => taker.observe({version, released: false}, atMs);
+		assert.equal([observe(1, 0), observe(1, 8999), observe(2, 9000), observe(2, 17_999), observe(2, 18_000)], [false, false, false, false, true]);
+	});
+
+	it('never has a holder and a taker in charge together, however long requests and answers take', () => {
+		const duration = fc.nat({max: 5000});
+		fc.assert(fc.property(duration, duration, fc.array(duration, {maxLength: 20}), (requestMs, answerMs, pollGaps) => {
+			const holder = new LeaseHolder(leaseDefaults, 0);
+			const taker = new LeaseTaker(leaseDefaults);
+			let nowMs = requestMs + answerMs;
+			for (const gapMs of [0, ...pollGaps]) {
+				nowMs += gapMs;
+				const takes = taker.observe({version: 1, released: false}, nowMs);
+				assert.not.ok(takes && holder.isHeld(nowMs));
+			}
+		}));
+	});
+
+	it('reads only rows of the right form', () => {
+		assert.is(readLeaseRow({holder: 'e1'}), undefined);
+		assert.is(readLeaseRow(null), undefined);
+	});
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,31 @@
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
+export {
+	LeaseHolder,
+	leaseDefaults,
+	leaseEpochKey,
+	leaseKey,
+	LeaseTaker,
+	readLeaseRow,
+	type LeaseDurations,
+	type LeaseObservation,
+	type LeaseRow,
+} from './lease.js';
+export {
+	claimBatchMs,
+	claimKey,
+	claimWaitMs,
+	completeClaimRow,
+	completionBatchMs,
+	findBatch,
+	judgeClaimRow,
+	maxBatchRows,
+	maxRecordedAnswerBytes,
+	readClaimRow,
+	releaseClaimRow,
+	type ActionAnswer,
+	type ClaimRequest,
+	type ClaimResult,
+	type ClaimRow,
+} from './claims.js';
