--- a/packages/core/src/lease.ts
+++ b/packages/core/src/lease.ts
@@ -55,9 +55,14 @@
 		return this.#sentMs + this.#durations.leaseRenewMs;
 	}
 
-	/** Records a successful renewal. */
-	renewed(sentMs: number): void {
-		this.#sentMs = Math.max(this.#sentMs, sentMs);
+	/**
+	 * Records a successful renewal. One whose answer comes after the lease has lapsed does not count: the duty has been
+	 * stopped by then, and a lapsed lease must not come back to life under the same epoch.
+	 */
+	renewed(sentMs: number, receivedMs: number): void {
+		if (this.isHeld(receivedMs)) {
+			this.#sentMs = Math.max(this.#sentMs, sentMs);
+		}
 	}
 
 	isHeld(nowMs: number): boolean {
--- a/packages/platform/src/__tests__/clients.test.ts
+++ b/packages/platform/src/__tests__/clients.test.ts
@@ -114,4 +114,16 @@
 		await createEndpointOrders(http).send(order, {maySend: () => true});
 		assert.is(platform.history.length, 1);
 	}));
+
+	it('asks for the authority only when the connection is open', async () => withPlatform(async ({signal}) => {
+		let asked = 0;
+		const maySend = (): boolean => {
+			asked += 1;
+			return true;
+		};
+
+		const closedPort = createHttpClient({url: 'http://127.0.0.1:9'}, signal);
+		const outcome = await outcomeOf(createEndpointOrders(closedPort).send(order, {maySend}));
+		assert.equal([outcome, asked], ['not-written', 0]);
+	}));
 });
--- a/packages/platform/src/lease-runner.ts
+++ b/packages/platform/src/lease-runner.ts
@@ -212,7 +212,7 @@
 		let waitMs = tenure.holder.renewAtMs - this.#options.clock.nowMs();
 		while (!signal.aborted) {
 			await sleep(waitMs, signal);
-			if (signal.aborted) {
+			if (signal.aborted || !tenure.holder.isHeld(this.#options.clock.nowMs())) {
 				return;
 			}
 
@@ -231,7 +231,7 @@
 		const result = await this.#write(tenure.version, this.#createRow(tenure.epoch, tenure.state));
 		if (result.kind === 'written') {
 			tenure.version = result.version;
-			tenure.holder.renewed(this.#lastAttempt!.sentMs);
+			tenure.holder.renewed(this.#lastAttempt!.sentMs, this.#options.clock.nowMs());
 			return 'renewed';
 		}
 
--- a/packages/stand-ins/src/http-server.ts
+++ b/packages/stand-ins/src/http-server.ts
@@ -8,6 +8,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import findMyWay, {type HTTPMethod} from 'find-my-way';
 
 /** One request with its whole body. */
@@ -44,6 +45,9 @@
 };
 
 export const defaultAddress = '127.0.0.1';
+// An outgoing connection may hold the port for a moment while the server is down.
+const listenAttempts = 40;
+const listenRetryMs = 50;
 
 /** Answers with a JSON value. */
 export const sendJson = (res: ServerResponse, status: number, value: unknown): void => {
@@ -119,6 +123,20 @@
 	return (server.address() as AddressInfo).port;
 };
 
+/** Listens on a port that was free a moment ago. */
+const listenAgain = async (server: Server, address: string, port: number): Promise<void> => {
+	for (let attempt = 1; attempt < listenAttempts; attempt += 1) {
+		try {
+			await startListening(server, address, port);
+			return;
+		} catch {
+			await delay(listenRetryMs);
+		}
+	}
+
+	await startListening(server, address, port);
+};
+
 const stopListening = (server: Server): void => {
 	if (server.listening) {
 		server.close();
@@ -159,7 +177,10 @@
 		},
 		async comeBack() {
 			if (!signal.aborted && !server.listening) {
-				await startListening(server, address, port);
+				await listenAgain(server, address, port);
+				if (signal.aborted) {
+					stopListening(server);
+				}
 			}
 		},
 	};
