Make lease and client tests independent of the machine's load

The hand-over test now uses a lease that cannot expire in time, so it proves that the lease was given back. The slow write in the client test reached the table after its client had given up and used up the next fault. Programming errors in the lease runner are no longer taken for outages of the table.

--- a/packages/platform/src/__tests__/clients.test.ts
+++ b/packages/platform/src/__tests__/clients.test.ts
@@ -37,7 +37,8 @@
 		it('promises not-written only for a refused connection', async () => withPlatform(async ({platform, table, signal}) => {
 			const closedPort = createTable(createHttpClient({url: 'http://127.0.0.1:9'}, signal));
 			const outcomes = [await outcomeOf(closedPort.transact(put('w', null)))];
-			for (const faults of [{tableDown: true}, {tableSlowMs: 400}, {loseTableAnswers: 1}]) {
+			// The slow write comes last, because it reaches the table after its client has given up.
+			for (const faults of [{tableDown: true}, {loseTableAnswers: 1}, {tableSlowMs: 400}]) {
 				platform.setFaults(faults);
 				outcomes.push(await outcomeOf(table.transact(put('w', null))));
 			}
--- a/packages/platform/src/__tests__/lease-runner.test.ts
+++ b/packages/platform/src/__tests__/lease-runner.test.ts
@@ -8,7 +8,9 @@
 } from '../index.js';
 import {withPlatform, type Fixture} from './with-platform.js';
 
-const durations = {leaseTtlMs: 450, leaseRenewMs: 100, leaseMarginMs: 75};
+const durations = {leaseTtlMs: 900, leaseRenewMs: 100, leaseMarginMs: 150};
+// Expires only after the test has failed, so that a hand-over in time proves that the lease was given back.
+const longDurations = {...durations, leaseTtlMs: 60_000};
 const clock = {nowMs: () => performance.now()};
 
 type Candidate = {
@@ -83,20 +85,25 @@
 };
 
 describe('lease runner', () => {
-	it('lets one of two candidates in and hands over at once when it stops', async () => withPlatform(async fixture => {
+	it('lets one of two candidates in while it renews', async () => withPlatform(async fixture => {
 		const inCharge = new Set<string>();
 		const candidates = [startCandidate(fixture, 'e1', inCharge), startCandidate(fixture, 'e2', inCharge)];
 		await waitUntil(() => inCharge.size === 1);
 		await delay(3 * durations.leaseTtlMs);
 		const epochs = candidates.flatMap(candidate => candidate.epochs);
 		assert.equal(epochs, [1]);
-		const [first, second] = inCharge.has('e1') ? candidates : candidates.toReversed();
-		await first!.stop();
-		const startMs = performance.now();
-		await waitUntil(() => second!.epochs.length === 1);
-		assert.ok(performance.now() - startMs < durations.leaseTtlMs);
-		assert.equal(second!.epochs, [2]);
-		await second!.stop();
+		await Promise.all(candidates.map(async candidate => candidate.stop()));
+	}));
+
+	it('hands over without waiting for expiry when the holder stops', async () => withPlatform(async fixture => {
+		const inCharge = new Set<string>();
+		const first = startCandidate(fixture, 'e1', inCharge, {durations: longDurations});
+		await waitUntil(() => inCharge.has('e1'));
+		const second = startCandidate(fixture, 'e2', inCharge, {durations: longDurations});
+		await first.stop();
+		await waitUntil(() => inCharge.has('e2'));
+		assert.equal([first.epochs, second.epochs], [[1], [2]]);
+		await second.stop();
 	}));
 
 	it('stops a holder that is cut off before another takes over, and fences it', async () => withPlatform(async fixture => {
--- a/packages/platform/src/lease-runner.ts
+++ b/packages/platform/src/lease-runner.ts
@@ -6,7 +6,7 @@
 	brandAs, LeaseHolder, leaseDefaults, leaseEpochKey, leaseKey, LeaseTaker, readLeaseRow, type Clock, type LeaseDurations, type LeaseEpoch, type LeaseRow, type MakeId,
 } from '@hawthorncleat/core';
 import type {TableCheck, TablePut, TableRow} from '@hawthorncleat/schema';
-import type {Table} from './store.js';
+import {isStoreError, type Table} from './store.js';
 import {transactOnce, type OnceResult} from './transact-once.js';
 
 // A renewal that failed is tried again soon, since the lease lasts for only two more renewals.
@@ -55,6 +55,14 @@
 	await delay(Math.max(0, durationMs), undefined, {signal}).catch(() => undefined);
 };
 
+const ignoreStoreError = (error: unknown): undefined => {
+	if (!isStoreError(error)) {
+		throw error;
+	}
+
+	return undefined;
+};
+
 class LeaseRunner {
 	readonly #options: LeaseRunnerOptions;
 	readonly #durations: LeaseDurations;
@@ -85,7 +93,7 @@
 	async #take(): Promise<Tenure | undefined> {
 		const taker = new LeaseTaker(this.#durations);
 		while (!this.#signal.aborted) {
-			const tenure = await this.#tryTake(taker).catch(() => undefined);
+			const tenure = await this.#tryTake(taker).catch(ignoreStoreError);
 			if (tenure) {
 				return tenure;
 			}
@@ -156,15 +164,19 @@
 			controller.abort();
 		};
 
-		const renewing = this.#keepRenewing(tenure, signal).finally(stop);
-		const watching = this.#watchExpiry(tenure, signal).finally(stop);
+		const upkeep = Promise.all([
+			this.#keepRenewing(tenure, signal).finally(stop),
+			this.#watchExpiry(tenure, signal).finally(stop),
+		]);
+		// Awaited below, when the duty has stopped; until then a rejection must not count as unhandled.
+		upkeep.catch(() => undefined);
 		try {
 			await this.#options.onHeld(this.#createLease(tenure), signal);
 		} catch (error) {
 			this.#fail(error, signal);
 		} finally {
 			stop();
-			await Promise.all([renewing, watching]);
+			await upkeep;
 			await this.#giveBack(tenure);
 		}
 	}
