--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,3 +32,30 @@
 export {
 	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type Rank, type WitnessGroup, type WitnessGroupInput,
 } from './witness-groups.js';
+	LeaseHolder,
+	leaseDefaults,
+	leaseEpochKey,
+	leaseKey,
+	LeaseTaker,
+	readLeaseRow,
+	type LeaseDurations,
+	type LeaseObservation,
+	type LeaseRow,
+} from './lease.js';
+export {
+	claimBatchMs,
+	claimKey,
+	claimWaitMs,
+	completeClaimRow,
+	completionBatchMs,
+	findBatch,
+	judgeClaimRow,
+	maxBatchRows,
+	maxRecordedAnswerBytes,
+	readClaimRow,
+	releaseClaimRow,
+	type ActionAnswer,
+	type ClaimRequest,
+	type ClaimResult,
+	type ClaimRow,
+} from './claims.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,3 +7,20 @@
 	type TransactResult,
 	type WriteOutcome,
 } from './store.js';
+export {
+	createHttpClient, defaultPlatformTimeoutMs, type HttpClient, type HttpClientOptions,
+} from './http-client.js';
+export {createTable} from './table.js';
+export {
+	createEndpointOrders,
+	createHostList,
+	createObjectStore,
+	createUsageReports,
+	type EndpointOrdersClient,
+	type HostListClient,
+	type SendOptions,
+	type UsageReportsClient,
+} from './services.js';
+export {transactOnce, type OnceResult, type Settle} from './transact-once.js';
+export {runLease, type Lease, type LeaseRunnerOptions} from './lease-runner.js';
+export {createClaimWriter, type ClaimWriter, type ClaimWriterOptions} from './claim-writer.js';
