--- /dev/null
+++ b/packages/core/src/config/__tests__/delta.test.ts
@@ -0,0 +1,37 @@
+import type {ConfigObject} from '@hawthorncleat/schema';
+import {describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {applyDelta, diffSnapshots, overlappingObjects} from '../delta.js';
+import {sortObjects} from '../objects.js';
+
+const seed = 20_260;
+
+const account = fc.record({
+	kind: fc.constant('client-account' as const),
+	name: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+	weight: fc.integer({min: 1, max: 3}),
+});
+const objects = fc.uniqueArray(account, {selector: ({name}) => name})
+	.map(list => sortObjects(list as ConfigObject[]));
+
+describe('deltas', () => {
+	it('lead from one snapshot to the other; guards against daemons that differ from the store', () => {
+		fc.assert(fc.property(objects, objects, (before, after) => {
+			const from = {version: 3, objects: before};
+			const to = {version: 4, objects: after};
+			assert.equal(applyDelta(from, {version: 4, change: diffSnapshots(from, to)}), to);
+		}), {seed});
+	});
+
+	it('overlap symmetrically; guards against one of two operators losing a change', () => {
+		fc.assert(fc.property(objects, objects, (a, b) => {
+			const forward = overlappingObjects({put: a}, {put: b}).map(({name}) => name);
+			assert.equal(forward, overlappingObjects({put: b}, {put: a}).map(({name}) => name));
+		}), {seed});
+	});
+
+	it('do not apply to another version', () => {
+		assert.throws(() => applyDelta({version: 3, objects: []}, {version: 5, change: {}}));
+	});
+});
--- /dev/null
+++ b/packages/core/src/config/__tests__/view.test.ts
@@ -0,0 +1,83 @@
+import {configSchema} from '@hawthorncleat/schema';
+import {describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {createConfigView, defaultWeight, routeDefaults} from '../create-view.js';
+import {createInForce} from '../in-force.js';
+import {hashKey} from '../objects.js';
+import {base} from './fixture.js';
+
+const view = createConfigView(base);
+
+describe('config view', () => {
+	it('has the defaults of the schema; guards against two different defaults', () => {
+		const {Route: route, ClientAccount: account} = configSchema.$defs;
+		const {properties} = route;
+		for (const [field, value] of Object.entries(routeDefaults)) {
+			assert.is((properties[field as keyof typeof properties] as {default: unknown}).default, value);
+		}
+
+		assert.is(account.properties.weight.default, defaultWeight);
+	});
+
+	it('finds a key with its account and the default weight', () => {
+		assert.is(view.findKey(hashKey('secret'))?.account.weight, 1);
+		assert.is(view.findKey(hashKey('other')), undefined);
+	});
+
+	it('finds a model route in every scheme; guards against callers with inherited names', () => {
+		for (const name of ['restock-plan', 'restock', 'SVC-RESTOCK', 'restock-v2', 'models.restock.v2']) {
+			assert.is(view.findModelRoute(name)?.route.name, 'restock-plan');
+		}
+
+		assert.is(view.findModelRoute('desk'), undefined);
+	});
+
+	it('finds the longest path at a segment boundary that allows the method', () => {
+		const find = (method: string, path: string) => view.findServiceRoute(method, path)?.route.name;
+		assert.is(find('GET', '/stock/4?x=/orders'), 'stock');
+		assert.is(find('POST', '/stock/orders/9'), 'orders');
+		assert.is(find('GET', '/stock/orders'), 'stock');
+		assert.is(find('POST', '/stock'), undefined);
+		assert.is(find('GET', '/stocks'), undefined);
+	});
+
+	it('finds nothing for a path with dot segments; guards against an open route leading to an order', () => {
+		for (const path of ['/stock/../orders', '/stock/%2e%2E/orders', '/stock/..%2forders', '/stock/..%5corders', '/stock/%']) {
+			assert.is(view.findServiceRoute('GET', path), undefined);
+		}
+	});
+});
+
+describe('version in force', () => {
+	const delta = (version: number) => ({version, change: {}});
+
+	it('never installs a lower version or jumps a gap; guards against a reverted change (I14)', () => {
+		const inForce = createInForce(base);
+		assert.not(inForce.install({snapshot: {version: 6, objects: []}}));
+		assert.not(inForce.install({deltas: [delta(9)]}));
+		assert.ok(inForce.install({deltas: [delta(9), delta(7), delta(8)]}));
+		assert.is(inForce.view().version, 9);
+		assert.is(inForce.view().snapshot.objects.length, base.objects.length);
+	});
+
+	it('serves deltas that it holds and else the snapshot; guards against peers that cannot catch up', () => {
+		const inForce = createInForce(base);
+		inForce.install({deltas: [delta(8), delta(9)]});
+		assert.equal(inForce.since(8), {version: 9, deltas: [delta(9)]});
+		assert.is(inForce.since(3).snapshot?.version, 9);
+		assert.equal(inForce.since(12), {version: 9, deltas: []});
+	});
+
+	it('tells listeners until their signal aborts', () => {
+		const inForce = createInForce();
+		const controller = new AbortController();
+		const seen: number[] = [];
+		inForce.onChange(({version}) => {
+			seen.push(version);
+		}, controller.signal);
+		inForce.install({snapshot: base});
+		controller.abort();
+		inForce.install({deltas: [delta(8)]});
+		assert.equal(seen, [7]);
+	});
+});
--- /dev/null
+++ b/packages/core/src/config/rules.ts
@@ -0,0 +1,145 @@
+/**
+ * Rules that a whole configuration must satisfy beyond the schema of each object.
+ */
+import type {ConfigObject, Route} from '@hawthorncleat/schema';
+import {describeObject, type Report} from './findings.js';
+import {createNameIndex, type NameIndex} from './names.js';
+import {objectsOfKind} from './objects.js';
+import {isUnambiguousPath, normalizePrefix} from './paths.js';
+import {referencesOf} from './references.js';
+
+const safeMethods = new Set(['GET', 'HEAD']);
+
+const checkReferences = (
+	object: ConfigObject,
+	names: NameIndex,
+	ignored: ReadonlySet<string>,
+	report: Report,
+): void => {
+	for (const {field, value, kind} of referencesOf(object)) {
+		if (ignored.has(value) || names.resolve(kind, value)) {
+			continue;
+		}
+
+		const [other] = names.resolveAnyKind(value);
+		const found = other ? `, the name belongs to ${describeObject(other)}` : '';
+		report(object, field, value, `no ${kind} has this name${found}`);
+	}
+};
+
+const checkRouteKind = (route: Route, names: NameIndex, report: Report): void => {
+	const service = names.resolve('service', route.service);
+	if (!service) {
+		return;
+	}
+
+	if (service.modelVersion === undefined) {
+		if (route.path === undefined) {
+			report(route, 'path', undefined, `required because ${describeObject(service)} is a plain service`);
+		}
+
+		return;
+	}
+
+	if (route.path !== undefined) {
+		report(route, 'path', route.path, `not allowed because ${describeObject(service)} is a model service`);
+	}
+
+	if (route.action) {
+		report(route, 'action', true, `not allowed because ${describeObject(service)} is a model service`);
+	}
+};
+
+const checkRouteFields = (route: Route, report: Report): void => {
+	if (route.action && route.methods?.every(method => safeMethods.has(method))) {
+		report(route, 'methods', route.methods, 'an action route must allow a method other than GET and HEAD');
+	}
+
+	if (route.access === 'open' && route.accounts) {
+		report(route, 'accounts', route.accounts, 'not allowed on an open route, which anyone may use');
+	}
+
+	if (route.path !== undefined && !isUnambiguousPath(route.path)) {
+		report(route, 'path', route.path, 'must not contain the segments . and ..');
+	}
+};
+
+const methodsOverlap = (a: Route, b: Route): boolean =>
+	!a.methods || !b.methods || a.methods.some(method => b.methods?.includes(method));
+
+const checkPaths = (routes: readonly Route[], report: Report): void => {
+	const byPrefix = new Map<string, Route[]>();
+	for (const route of routes) {
+		if (route.path === undefined) {
+			continue;
+		}
+
+		const earlier = byPrefix.get(normalizePrefix(route.path)) ?? [];
+		for (const other of earlier.filter(other => methodsOverlap(route, other))) {
+			const problem = `${describeObject(other)} has the same path and a method in common`;
+			report(route, 'path', route.path, problem);
+			report(other, 'path', other.path, `${describeObject(route)} has the same path and a method in common`);
+		}
+
+		byPrefix.set(normalizePrefix(route.path), [...earlier, route]);
+	}
+};
+
+const checkHashes = (objects: readonly ConfigObject[], report: Report): void => {
+	const holders = new Map<string, ConfigObject>();
+	for (const key of objectsOfKind(objects, 'key')) {
+		const other = holders.get(key.hash);
+		if (other) {
+			report(key, 'hash', key.hash, `also the hash of ${describeObject(other)}`);
+			report(other, 'hash', key.hash, `also the hash of ${describeObject(key)}`);
+		}
+
+		holders.set(key.hash, key);
+	}
+};
+
+const checkNames = (names: NameIndex, report: Report): void => {
+	for (const {object, other, field, name} of names.clashes) {
+		report(object, field, name, `also a name of ${describeObject(other)}`);
+		report(other, '', name, `a name of it is also ${field} of ${describeObject(object)}`);
+	}
+};
+
+/** A request's model field may hold the name of a route, service or model version, so these must not contradict. */
+const checkModelNames = (routes: readonly Route[], names: NameIndex, report: Report): void => {
+	for (const route of routes) {
+		const own = names.resolve('service', route.service);
+		if (own?.modelVersion === undefined) {
+			continue;
+		}
+
+		const service = names.resolve('service', route.name);
+		if (service?.modelVersion !== undefined && service.name !== own.name) {
+			report(route, 'name', route.name, `also the name of ${describeObject(service)}, which the route does not lead to`);
+		}
+
+		const modelVersion = names.resolve('model-version', route.name);
+		if (modelVersion && modelVersion.name !== names.resolve('model-version', own.modelVersion)?.name) {
+			report(route, 'name', route.name, `also the name of ${describeObject(modelVersion)}, which the route does not lead to`);
+		}
+	}
+};
+
+/** Checks all rules and reports every violation, except dangling references to one of the ignored names. */
+export const checkRules = (objects: readonly ConfigObject[], ignored: ReadonlySet<string>, report: Report): void => {
+	const names = createNameIndex(objects);
+	const routes = objectsOfKind(objects, 'route');
+	for (const object of objects) {
+		checkReferences(object, names, ignored, report);
+	}
+
+	for (const route of routes) {
+		checkRouteKind(route, names, report);
+		checkRouteFields(route, report);
+	}
+
+	checkPaths(routes, report);
+	checkHashes(objects, report);
+	checkNames(names, report);
+	checkModelNames(routes, names, report);
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,13 @@
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
+export {createConfigView} from './config/create-view.js';
+export {checkChange, type ChangeCheck} from './config/check-change.js';
+export type {ConfigFinding} from './config/findings.js';
+export {hashKey, objectKey, touchedObjects} from './config/objects.js';
+export {
+	applyChange, applyDelta, diffSnapshots, emptySnapshot, overlappingObjects,
+} from './config/delta.js';
+export {
+	createInForce, type ConfigUpdate, type InForce, type InForceListener,
+} from './config/in-force.js';
