--- /dev/null
+++ b/packages/platform/src/config-publish.ts
@@ -0,0 +1,232 @@
+/**
+ * Publishing a change. The change is checked as a whole against the head that it is to follow, written, and on a
+ * conflict checked again against the newer head, unless the newer versions touch the same objects.
+ */
+import {
+	checkChange, overlappingObjects, touchedObjects, type ChangeCheck, type ConfigFinding,
+} from '@hawthorncleat/core';
+import {
+	check, validators, type Change, type Delta, type Head, type ObjectId, type Snapshot, type Validator,
+} from '@hawthorncleat/schema';
+import {
+	completeSnapshot, createContentError, headKey, type ConfigReader, type ConfigStoreOptions, type FetchedConfig, type HeadRow,
+} from './config-reader.js';
+import {createStoreError, isStoreError} from './store.js';
+
+/** How a publication ended. */
+export type PublishResult
+	= | {
+		readonly kind: 'published';
+		readonly snapshot: Snapshot;
+		readonly delta: Delta;
+		/** False when the change is in the store but too few witnesses have confirmed it. */
+		readonly confirmed: boolean;
+	}
+	| {readonly kind: 'findings'; readonly findings: readonly ConfigFinding[]}
+	| {readonly kind: 'conflict'; readonly conflicts: readonly ObjectId[]; readonly version: number};
+
+/** How an announced version ended, as the witnesses are told. */
+export type AnnouncedOutcome = 'accepted' | 'abandoned' | 'unknown';
+
+/** A change to publish. */
+export type PublishRequest = {
+	/** The version that the publisher has in force. */
+	readonly base: Snapshot;
+	readonly change: unknown;
+	/** Runs before the head row is written. A rejection ends the publication with nothing in force. */
+	readonly announce?: (version: number) => Promise<void>;
+	/** Runs after each announcement, also a rejected one. Returns whether the accepted version is confirmed. */
+	readonly finish?: (outcome: AnnouncedOutcome, version: number) => Promise<boolean>;
+};
+
+/** Publishes a change. Rejects with a `StoreError` whose `outcome` says whether it can be in force. */
+export type Publish = (request: PublishRequest) => Promise<PublishResult>;
+
+/** A new daemon reads the newest snapshot and at most this many deltas. */
+const snapshotInterval = 100;
+
+/**
+ * The head keeps at least this many delta keys across a snapshot, so that a writer whose answer was lost still finds
+ * its own delta there, and a change written against a slightly older version can be rebased.
+ */
+const minListedDeltas = 50;
+
+/** More conflicts in a row than this mean that something other than operators writes the row. */
+const maxAttempts = 20;
+
+/** Reads of the head after a lost answer, before the outcome is reported as unknown. */
+const resolveAttempts = 3;
+
+type Accepted = Extract<ChangeCheck, {ok: true}>;
+type Context = {readonly options: ConfigStoreOptions; readonly reader: ConfigReader};
+type Write = {readonly row: HeadRow; readonly head: Head};
+
+const listDeltas = ({deltaKeys}: Head, deltaKey: string, snapshotVersion: number, version: number): string[] => {
+	const kept = Math.max(minListedDeltas, version - snapshotVersion);
+	return [...deltaKeys, deltaKey].slice(-kept);
+};
+
+/** Writes the objects of a version and returns the head that refers to them. */
+const writeObjects = async ({objects, makeId}: ConfigStoreOptions, {head}: HeadRow, next: Accepted): Promise<Head> => {
+	const {version} = next.snapshot;
+	const part = makeId();
+	const deltaKey = `config/delta/${version}-${part}`;
+	await objects.write(deltaKey, next.delta);
+	const isSnapshotDue = version % snapshotInterval === 0;
+	const snapshotKey = isSnapshotDue ? `config/snapshot/${version}-${part}` : head.snapshotKey;
+	if (isSnapshotDue) {
+		await objects.write(`config/snapshot/${version}-${part}`, next.snapshot);
+	}
+
+	const snapshotVersion = isSnapshotDue ? version : head.snapshotVersion;
+	const deltaKeys = listDeltas(head, deltaKey, snapshotVersion, version);
+	return {
+		version, writeId: makeId(), snapshotKey, snapshotVersion, deltaKeys,
+	};
+};
+
+/** Whether the head is the given write or follows it. */
+const includesWrite = (current: Head, written: Head): boolean =>
+	current.writeId === written.writeId || current.deltaKeys.includes(written.deltaKeys.at(-1) ?? '');
+
+const transact = async ({options}: Context, {row, head}: Write): Promise<'written' | 'refused' | 'unknown'> => {
+	try {
+		const result = await options.table.transact({
+			writeId: head.writeId,
+			checks: [{key: headKey, version: row.rowVersion}],
+			puts: [{key: headKey, value: head}],
+			deletes: [],
+		});
+		return result.ok ? 'written' : 'refused';
+	} catch (error) {
+		if (isStoreError(error) && error.outcome === 'unknown') {
+			return 'unknown';
+		}
+
+		throw error;
+	}
+};
+
+/**
+ * Writes the head row. After a lost answer the same write is sent again: a late first one makes the second fail its
+ * check, and the head then shows the write id. A refusal also counts as won when the head shows the write.
+ */
+const writeHead = async (context: Context, write: Write): Promise<boolean> => {
+	// A refusal sets it too, because the table's client may have sent the write more than once.
+	let mayBeWritten = false;
+	for (let attempt = 0; attempt < resolveAttempts; attempt += 1) {
+		try {
+			const outcome = await transact(context, write);
+			if (outcome === 'written') {
+				return true;
+			}
+
+			mayBeWritten = true;
+			const {head} = await context.reader.readHead();
+			if (includesWrite(head, write.head)) {
+				return true;
+			}
+
+			if (head.version !== write.row.head.version) {
+				return false;
+			}
+		} catch (error) {
+			if (!mayBeWritten || !isStoreError(error)) {
+				throw error;
+			}
+		}
+	}
+
+	throw createStoreError('the head of the configuration may or may not have been written', 'unknown');
+};
+
+/** Objects that versions newer than the change's base touch; all of the change's when those versions are not known. */
+const findConflicts = (change: Change, since: number, {deltas = [], snapshot}: FetchedConfig): ObjectId[] => {
+	if (snapshot) {
+		return touchedObjects(change);
+	}
+
+	const newer: Change[] = deltas.filter(({version}) => version > since).map(delta => delta.change);
+	return overlappingObjects(change, {
+		put: newer.flatMap(({put = []}) => put),
+		delete: newer.flatMap(({delete: deleted = []}) => deleted),
+	});
+};
+
+/** Tells the witnesses the outcome. A failure leaves the announcement pending, which is safe. */
+const finish = async (request: PublishRequest, outcome: AnnouncedOutcome, version: number): Promise<boolean> => {
+	try {
+		return await request.finish?.(outcome, version) ?? true;
+	} catch {
+		return false;
+	}
+};
+
+const outcomeOf = (error: unknown): AnnouncedOutcome =>
+	isStoreError(error) && error.outcome === 'unknown' ? 'unknown' : 'abandoned';
+
+const announceAndWrite = async (context: Context, request: PublishRequest, write: Write): Promise<boolean> => {
+	const {version} = write.head;
+	try {
+		await request.announce?.(version);
+		return await writeHead(context, write);
+	} catch (error) {
+		await finish(request, outcomeOf(error), version);
+		throw error;
+	}
+};
+
+/** Announces and writes one version. */
+const tryWrite = async (
+	context: Context,
+	request: PublishRequest,
+	row: HeadRow,
+	next: Accepted,
+): Promise<PublishResult | undefined> => {
+	const {snapshot, delta} = next;
+	const head = await writeObjects(context.options, row, next);
+	const won = await announceAndWrite(context, request, {row, head});
+	const confirmed = await finish(request, won ? 'accepted' : 'abandoned', snapshot.version);
+	return won
+		? {
+			kind: 'published', snapshot, delta, confirmed,
+		}
+		: undefined;
+};
+
+const fetchNewest = async ({reader}: Context, base: Snapshot, {head}: HeadRow): Promise<Snapshot> => {
+	const newest = completeSnapshot(base, await reader.fetchTo(head, base.version));
+	if (newest.version !== head.version) {
+		throw createContentError(`the store is at version ${head.version}, behind the base version ${newest.version}`);
+	}
+
+	return newest;
+};
+
+const attemptPublish = async (context: Context, request: PublishRequest): Promise<PublishResult | undefined> => {
+	const checked = check<Change>(validators.validateChange as Validator, request.change);
+	const row = await context.reader.readHead();
+	const newest = await fetchNewest(context, request.base, row);
+	const since = checked.ok ? checked.value.baseVersion ?? request.base.version : newest.version;
+	if (checked.ok && since < newest.version) {
+		const conflicts = findConflicts(checked.value, since, await context.reader.fetchTo(row.head, since));
+		if (conflicts.length > 0) {
+			return {kind: 'conflict', conflicts, version: newest.version};
+		}
+	}
+
+	const next = checkChange(newest, request.change);
+	return next.ok ? tryWrite(context, request, row, next) : {kind: 'findings', findings: next.findings};
+};
+
+/** Creates the publishing function of a store. */
+export const createPublish = (options: ConfigStoreOptions, reader: ConfigReader): Publish => async request => {
+	for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+		const result = await attemptPublish({options, reader}, request);
+		if (result) {
+			return result;
+		}
+	}
+
+	throw createStoreError(`the head of the configuration changed ${maxAttempts} times in a row`, 'not-written');
+};
