--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -33,3 +33,16 @@
 export {
 	createInForce, type ConfigUpdate, type InForce, type InForceListener,
 } from './config/in-force.js';
+export {
+	describeSettings,
+	formatSettingFinding,
+	readSettings,
+	variableOf,
+	type SettingDescription,
+	type SettingFinding,
+	type SettingsByKind,
+	type SettingsKind,
+	type SettingSources,
+	type SettingsResult,
+} from './settings.js';
+export {createNameIndex, type NameIndex} from './config/names.js';
