--- a/packages/hawthorncleat/bin/hawthorncleat.js
+++ b/packages/hawthorncleat/bin/hawthorncleat.js
@@ -6,7 +6,7 @@
 
 try {
 	const {runMain} = await import('../dist/index.js');
-	await runMain();
+	await runMain(code => process.exit(code));
 } catch (error) {
 	console.error(error);
 	process.exitCode = 1;
