--- a/packages/hawthorncleat/src/daemons/start.ts
+++ b/packages/hawthorncleat/src/daemons/start.ts
@@ -36,6 +36,10 @@
 	error: 0, warn: 1, info: 3, debug: 4,
 } as const;
 
+/** Errors have no enumerable fields, so JSON would show them empty. */
+const toPlainValue = (value: unknown): unknown =>
+	value instanceof Error ? {name: value.name, message: value.message, stack: value.stack} : value;
+
 /** Creates the log: JSON lines or lines for people, both on standard error. */
 export const createLog = (
 	{logFormat, logLevel}: LogSettings,
@@ -47,7 +51,7 @@
 	...logFormat === 'json' && {
 		reporters: [{
 			log({type: level, date, args}) {
-				const [message, ...details] = args as unknown[];
+				const [message, ...details] = (args as unknown[]).map(value => toPlainValue(value));
 				writeLine(JSON.stringify({
 					time: date.toISOString(), level, message, ...details.length > 0 && {details},
 				}));
