--- a/packages/core/src/config/__tests__/view.test.ts
+++ b/packages/core/src/config/__tests__/view.test.ts
@@ -1,9 +1,12 @@
 import {configSchema} from '@hawthorncleat/schema';
 import {describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
 import * as assert from 'uvu/assert';
-import {createConfigView, defaultWeight, routeDefaults} from '../create-view.js';
+import {checkChange} from '../check-change.js';
+import {createConfigView, defaultWeight} from '../create-view.js';
 import {createInForce} from '../in-force.js';
-import {hashKey} from '../objects.js';
+import {hashKey, objectKey} from '../objects.js';
+import {routeDefaults} from '../route-index.js';
 import {base} from './fixture.js';
 
 const view = createConfigView(base);
@@ -68,6 +71,37 @@
 		assert.equal(inForce.since(12), {version: 9, deltas: []});
 	});
 
+	it('equals a view built anew after each delta; guards against keys that outlive their withdrawal (I6)', () => {
+		const hashes = ['1', '2', '3'].map(digit => hashKey(digit));
+		const key = fc.record({
+			kind: fc.constant('key' as const),
+			name: fc.constantFrom('desk-1', 'k2', 'k3'),
+			account: fc.constantFrom('order-desk', 'planning'),
+			hash: fc.constantFrom(...hashes),
+			state: fc.constantFrom('active' as const, 'withdrawn' as const),
+		});
+		const route = fc.record({kind: fc.constant('route' as const), name: fc.constantFrom('restock-plan', 'second'), service: fc.constant('restock')});
+		const change = fc.record({
+			put: fc.uniqueArray(fc.oneof(key, route), {selector: objectKey, maxLength: 3}),
+			delete: fc.constantFrom([], [{kind: 'key' as const, name: 'desk-1'}], [{kind: 'route' as const, name: 'second'}]),
+		});
+		fc.assert(fc.property(fc.array(change, {minLength: 1, maxLength: 6}), changes => {
+			const inForce = createInForce(base);
+			for (const [index, given] of changes.entries()) {
+				const checked = checkChange(inForce.view().snapshot, given);
+				inForce.install({deltas: [{version: base.version + 1 + index, change: checked.ok ? checked.delta.change : {}}]});
+			}
+
+			const view = inForce.view();
+			const anew = createConfigView(view.snapshot);
+			for (const hash of [...hashes, hashKey('secret')]) {
+				assert.equal(view.findKey(hash), anew.findKey(hash));
+			}
+
+			assert.equal(view.listModelRoutes(), anew.listModelRoutes());
+		}), {seed: 6});
+	});
+
 	it('tells listeners until their signal aborts', () => {
 		const inForce = createInForce();
 		const controller = new AbortController();
--- a/packages/core/src/config/create-view.ts
+++ b/packages/core/src/config/create-view.ts
@@ -1,132 +1,123 @@
 /**
- * Builds the view in which daemons look up keys and routes. The snapshot is taken to be checked.
+ * Builds the view in which daemons look up keys and routes, from a checked snapshot or from the view before it.
  */
-import type {Route, Snapshot} from '@hawthorncleat/schema';
+import type {
+	Change, ConfigObject, Delta, Key, Snapshot,
+} from '@hawthorncleat/schema';
 import {brandAs, type ConfigVersion} from '../ids.js';
-import {allNames, createNameIndex, type NameIndex} from './names.js';
-import {objectsOfKind} from './objects.js';
-import {isUnambiguousPath, normalizePrefix, prefixesOf} from './paths.js';
-import type {ConfigView, ResolvedKey, ResolvedRoute} from './view.js';
-
-/** The schema's defaults of a route; a test compares them with the schema. */
-export const routeDefaults = {
-	access: 'key', action: false, priority: 5, firstTokenMs: 420, timeoutMs: 30_000,
-} as const;
+import {createLayeredMap, type LayeredMap} from './layered-map.js';
+import {
+	objectKey, objectsOfKind, sortObjects, type ObjectOf,
+} from './objects.js';
+import {createRouteIndex, type RouteIndex} from './route-index.js';
+import type {ConfigView, ResolvedKey} from './view.js';
 
 /** The schema's default weight of a client account. */
 export const defaultWeight = 1;
 
-const resolveKeys = (snapshot: Snapshot, names: NameIndex): Map<string, ResolvedKey> => {
-	const keys = new Map<string, ResolvedKey>();
-	for (const key of objectsOfKind(snapshot.objects, 'key')) {
-		const account = names.resolve('client-account', key.account);
-		if (account) {
-			keys.set(key.hash, {key, account: {...account, weight: account.weight ?? defaultWeight}});
-		}
-	}
-
-	return keys;
+/** A view that knows how to become the next one. */
+export type AdvancingView = ConfigView & {
+	/** The view after the delta of the next version. */
+	advance(delta: Delta): AdvancingView;
 };
 
-const resolveAccounts = (route: Route, names: NameIndex): ReadonlySet<string> | undefined => {
-	if (!route.accounts) {
-		return undefined;
-	}
-
-	const accounts = route.accounts.map(ref => names.resolve('client-account', ref)?.name);
-	return new Set(accounts.filter(name => name !== undefined));
+type Parts = {
+	readonly version: number;
+	readonly objects: LayeredMap<ConfigObject>;
+	readonly keys: LayeredMap<Key>;
+	/** All objects but accounts and keys, of which there are few. */
+	readonly fleet: ReadonlyMap<string, ConfigObject>;
+	readonly routes: RouteIndex;
 };
 
-const resolveRoute = (route: Route, names: NameIndex): ResolvedRoute | undefined => {
-	const service = names.resolve('service', route.service);
-	if (!service) {
-		return undefined;
-	}
+type ObjectChanges = ReadonlyMap<string, ConfigObject | undefined>;
+
+const isFleetKey = (key: string): boolean => !key.startsWith('client-account:') && !key.startsWith('key:');
 
-	const modelVersion = service.modelVersion === undefined
-		? undefined
-		: names.resolve('model-version', service.modelVersion);
+const createParts = ({version, objects}: Snapshot): Parts => {
+	const entries = objects.map(object => [objectKey(object), object] as const);
+	const fleet = new Map(entries.filter(([key]) => isFleetKey(key)));
 	return {
-		route: {...routeDefaults, ...route},
-		service,
-		modelVersion,
-		places: service.places.map(ref => names.resolve('place', ref)).filter(place => place !== undefined),
-		accounts: resolveAccounts(route, names),
+		version,
+		objects: createLayeredMap(new Map(entries)),
+		keys: createLayeredMap(new Map(objectsOfKind(objects, 'key').map(key => [key.hash, key]))),
+		fleet,
+		routes: createRouteIndex(sortObjects(fleet.values())),
 	};
 };
 
-type ModelNames = Map<string, ResolvedRoute>;
+const listChanges = ({put = [], delete: deleted = []}: Change): ObjectChanges => new Map<string, ConfigObject | undefined>([
+	...deleted.map(id => [objectKey(id), undefined] as const),
+	...put.map(object => [objectKey(object), object] as const),
+]);
+
+/** Old hashes are removed before new ones are set, since a hash may move from one key to another. */
+const listKeyChanges = ({objects}: Parts, changes: ObjectChanges): Map<string, Key | undefined> => {
+	const removed = [...changes.keys()].map(key => objects.get(key)).filter(object => object?.kind === 'key');
+	const added = [...changes.values()].filter(object => object?.kind === 'key');
+	return new Map<string, Key | undefined>([
+		...removed.map(key => [key.hash, undefined] as const),
+		...added.map(key => [key.hash, key] as const),
+	]);
+};
 
-/** Adds the names that lead to exactly one route and that no earlier group of names holds. */
-const addNames = (table: ModelNames, pairs: ReadonlyArray<readonly [string, ResolvedRoute]>): void => {
-	const groups = new Map<string, Set<ResolvedRoute>>();
-	for (const [name, route] of pairs) {
-		groups.set(name, (groups.get(name) ?? new Set()).add(route));
+const advanceFleet = ({fleet, routes}: Parts, changes: ObjectChanges): Pick<Parts, 'fleet' | 'routes'> => {
+	const relevant = [...changes].filter(([key]) => isFleetKey(key));
+	if (relevant.length === 0) {
+		return {fleet, routes};
 	}
 
-	for (const [name, [route, ...others]] of groups) {
-		if (route && others.length === 0 && !table.has(name)) {
-			table.set(name, route);
+	const next = new Map(fleet);
+	for (const [key, object] of relevant) {
+		if (object) {
+			next.set(key, object);
+		} else {
+			next.delete(key);
 		}
 	}
-};
-
-const namesOf = (object: Parameters<typeof allNames>[0] | undefined): string[] =>
-	object ? allNames(object).map(({name}) => name) : [];
 
-const indexModelRoutes = (routes: readonly ResolvedRoute[]): ModelNames => {
-	const table: ModelNames = new Map();
-	addNames(table, routes.map(route => [route.route.name, route] as const));
-	addNames(table, routes.flatMap(route => namesOf(route.service).map(name => [name, route] as const)));
-	addNames(table, routes.flatMap(route => namesOf(route.modelVersion).map(name => [name, route] as const)));
-	return table;
+	return {fleet: next, routes: createRouteIndex(sortObjects(next.values()))};
 };
 
-const indexPaths = (routes: readonly ResolvedRoute[]): Map<string, ResolvedRoute[]> => {
-	const table = new Map<string, ResolvedRoute[]>();
-	for (const route of routes) {
-		const prefix = normalizePrefix(route.route.path ?? '');
-		table.set(prefix, [...table.get(prefix) ?? [], route]);
+const advanceParts = (parts: Parts, {version, change}: Delta): Parts => {
+	if (version !== parts.version + 1) {
+		throw new RangeError(`delta of version ${version} does not follow version ${parts.version}`);
 	}
 
-	return table;
-};
-
-const allowsMethod = ({route}: ResolvedRoute, method: string): boolean => {
-	const allowed: readonly string[] | undefined = route.methods;
-	return allowed?.includes(method) ?? true;
+	const changes = listChanges(change);
+	return {
+		version,
+		objects: parts.objects.with(changes),
+		keys: parts.keys.with(listKeyChanges(parts, changes)),
+		...advanceFleet(parts, changes),
+	};
 };
 
-const findByPath = (
-	table: ReadonlyMap<string, readonly ResolvedRoute[]>,
-	method: string,
-	path: string,
-): ResolvedRoute | undefined => {
-	const [pathOnly = ''] = path.split('?', 1);
-	if (!isUnambiguousPath(pathOnly)) {
+const findKey = ({keys, objects}: Parts, hash: string): ResolvedKey | undefined => {
+	const key = keys.get(hash);
+	const account = key && objects.get(objectKey({kind: 'client-account', name: key.account}));
+	if (!key || !account) {
 		return undefined;
 	}
 
-	const candidates = prefixesOf(pathOnly).flatMap(prefix => table.get(prefix) ?? []);
-	return candidates.find(route => allowsMethod(route, method));
+	const found = account as ObjectOf<'client-account'>;
+	return {key, account: {...found, weight: found.weight ?? defaultWeight}};
 };
 
-/** Creates the view of one version. */
-export const createConfigView = (snapshot: Snapshot): ConfigView => {
-	const names = createNameIndex(snapshot.objects);
-	const keys = resolveKeys(snapshot, names);
-	const routes = objectsOfKind(snapshot.objects, 'route')
-		.map(route => resolveRoute(route, names))
-		.filter(route => route !== undefined);
-	const modelRoutes = routes.filter(route => route.modelVersion !== undefined);
-	const byModelName = indexModelRoutes(modelRoutes);
-	const byPath = indexPaths(routes.filter(route => route.service.modelVersion === undefined));
+/** The snapshot is built when it is first asked for, because sorting all objects takes long and few views need it. */
+const createView = (parts: Parts, known?: Snapshot): AdvancingView => {
+	let snapshot = known;
 	return {
-		version: brandAs<ConfigVersion>(snapshot.version),
-		snapshot,
-		findKey: hash => keys.get(hash),
-		findModelRoute: name => byModelName.get(name),
-		findServiceRoute: (method, path) => findByPath(byPath, method, path),
-		listModelRoutes: () => modelRoutes,
+		version: brandAs<ConfigVersion>(parts.version),
+		get snapshot() {
+			snapshot ??= {version: parts.version, objects: sortObjects(parts.objects.values())};
+			return snapshot;
+		},
+		findKey: hash => findKey(parts, hash),
+		...parts.routes,
+		advance: delta => createView(advanceParts(parts, delta)),
 	};
 };
+
+/** Creates the view of one version. */
+export const createConfigView = (snapshot: Snapshot): AdvancingView => createView(createParts(snapshot), snapshot);
--- a/packages/core/src/config/delta.ts
+++ b/packages/core/src/config/delta.ts
@@ -10,9 +10,7 @@
 /** The configuration before the first change. */
 export const emptySnapshot: Snapshot = {version: 0, objects: []};
 
-/** The objects of a snapshot after a change, in order; the change is taken to be checked. */
-export const applyChange = (objects: Snapshot['objects'], change: Change): Snapshot['objects'] => {
-	const byKey = new Map(objects.map(object => [objectKey(object), object]));
+const changeObjects = (byKey: Map<string, ConfigObject>, change: Change): void => {
 	for (const id of change.delete ?? []) {
 		byKey.delete(objectKey(id));
 	}
@@ -20,19 +18,34 @@
 	for (const object of change.put ?? []) {
 		byKey.set(objectKey(object), object);
 	}
+};
 
+/** The objects of a snapshot after a change, in order; the change is taken to be checked. */
+export const applyChange = (objects: readonly ConfigObject[], change: Change): ConfigObject[] => {
+	const byKey = new Map(objects.map(object => [objectKey(object), object]));
+	changeObjects(byKey, change);
 	return sortObjects(byKey.values());
 };
 
-/** Applies the delta of the next version. Throws when the delta belongs to another version. */
-export const applyDelta = (snapshot: Snapshot, delta: Delta): Snapshot => {
-	if (delta.version !== snapshot.version + 1) {
-		throw new RangeError(`delta of version ${delta.version} does not follow version ${snapshot.version}`);
+/** Applies consecutive deltas; the objects are sorted once. */
+export const applyDeltas = (snapshot: Snapshot, deltas: readonly Delta[]): Snapshot => {
+	const byKey = new Map(snapshot.objects.map(object => [objectKey(object), object]));
+	let {version} = snapshot;
+	for (const delta of deltas) {
+		if (delta.version !== version + 1) {
+			throw new RangeError(`delta of version ${delta.version} does not follow version ${version}`);
+		}
+
+		version = delta.version;
+		changeObjects(byKey, delta.change);
 	}
 
-	return {version: delta.version, objects: applyChange(snapshot.objects, delta.change)};
+	return {version, objects: sortObjects(byKey.values())};
 };
 
+/** Applies the delta of the next version. Throws when the delta belongs to another version. */
+export const applyDelta = (snapshot: Snapshot, delta: Delta): Snapshot => applyDeltas(snapshot, [delta]);
+
 /** The change that turns one snapshot into another. */
 export const diffSnapshots = (from: Snapshot, to: Snapshot): Change => {
 	const before = new Map(from.objects.map(object => [objectKey(object), object]));
--- a/packages/core/src/config/in-force.ts
+++ b/packages/core/src/config/in-force.ts
@@ -3,8 +3,8 @@
  * reverts on a daemon that has once seen it (I14).
  */
 import type {Delta, Snapshot} from '@hawthorncleat/schema';
-import {createConfigView} from './create-view.js';
-import {applyDelta, emptySnapshot} from './delta.js';
+import {createConfigView, type AdvancingView} from './create-view.js';
+import {emptySnapshot} from './delta.js';
 import type {ConfigView} from './view.js';
 
 /** Deltas or a snapshot that bring a daemon to a newer version. */
@@ -27,14 +27,14 @@
 /** Enough for a peer that missed a few minutes at the target of one change every 2.3 s. */
 const keptDeltas = 200;
 
-type State = {readonly snapshot: Snapshot; readonly recent: readonly Delta[]};
+type State = {readonly view: AdvancingView; readonly recent: readonly Delta[]};
 
 const installSnapshot = (state: State, snapshot: Snapshot | undefined): State =>
-	snapshot && snapshot.version > state.snapshot.version ? {snapshot, recent: []} : state;
+	snapshot && snapshot.version > state.view.version ? {view: createConfigView(snapshot), recent: []} : state;
 
 const installDelta = (state: State, delta: Delta): State =>
-	delta.version === state.snapshot.version + 1
-		? {snapshot: applyDelta(state.snapshot, delta), recent: [...state.recent, delta].slice(-keptDeltas)}
+	delta.version === state.view.version + 1
+		? {view: state.view.advance(delta), recent: [...state.recent, delta].slice(-keptDeltas)}
 		: state;
 
 const installUpdate = (state: State, {snapshot, deltas = []}: ConfigUpdate): State => {
@@ -46,29 +46,27 @@
 	return next;
 };
 
-const updateSince = ({snapshot, recent}: State, version: number): {readonly version: number} & ConfigUpdate => {
+const updateSince = ({view, recent}: State, version: number): {readonly version: number} & ConfigUpdate => {
 	const missing = recent.filter(delta => delta.version > version);
-	const complete = missing.length >= snapshot.version - version;
-	return complete ? {version: snapshot.version, deltas: missing} : {version: snapshot.version, snapshot};
+	const isComplete = missing.length >= view.version - version;
+	return isComplete ? {version: view.version, deltas: missing} : {version: view.version, snapshot: view.snapshot};
 };
 
 /** Creates a holder; it starts with the empty configuration of version 0. */
 export const createInForce = (first: Snapshot = emptySnapshot): InForce => {
-	let state: State = {snapshot: first, recent: []};
-	let view = createConfigView(first);
+	let state: State = {view: createConfigView(first), recent: []};
 	const listeners = new Set<InForceListener>();
 	return {
-		view: () => view,
+		view: () => state.view,
 		install(update) {
 			const next = installUpdate(state, update);
-			if (next.snapshot.version <= state.snapshot.version) {
+			if (next.view.version <= state.view.version) {
 				return false;
 			}
 
 			state = next;
-			view = createConfigView(next.snapshot);
 			for (const listener of listeners) {
-				listener(view);
+				listener(state.view);
 			}
 
 			return true;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,7 +28,7 @@
 export type {ConfigFinding} from './config/findings.js';
 export {hashKey, objectKey, touchedObjects} from './config/objects.js';
 export {
-	applyChange, applyDelta, diffSnapshots, emptySnapshot, overlappingObjects,
+	applyChange, applyDelta, applyDeltas, diffSnapshots, emptySnapshot, overlappingObjects,
 } from './config/delta.js';
 export {
 	createInForce, type ConfigUpdate, type InForce, type InForceListener,
--- a/packages/platform/src/config-reader.ts
+++ b/packages/platform/src/config-reader.ts
@@ -2,7 +2,7 @@
  * Reading of the configuration from the platform's store: the head row, deltas and snapshots.
  */
 import {
-	applyDelta, BaseError, emptySnapshot, type ConfigUpdate, type MakeId,
+	applyDeltas, BaseError, emptySnapshot, type ConfigUpdate, type MakeId,
 } from '@hawthorncleat/core';
 import {
 	check, validators, type Delta, type Head, type Snapshot, type Validator,
@@ -84,12 +84,5 @@
 });
 
 /** The newest snapshot from a fetched update; the base is the snapshot that the update starts from. */
-export const completeSnapshot = (base: Snapshot, {snapshot, deltas = []}: ConfigUpdate): Snapshot => {
-	let newest = snapshot ?? base;
-	for (const delta of deltas) {
-		newest = applyDelta(newest, delta);
-	}
-
-	return newest;
-};
-
+export const completeSnapshot = (base: Snapshot, {snapshot, deltas = []}: ConfigUpdate): Snapshot =>
+	deltas.length > 0 ? applyDeltas(snapshot ?? base, deltas) : snapshot ?? base;
