--- a/packages/core/src/config/delta.ts
+++ b/packages/core/src/config/delta.ts
@@ -3,7 +3,7 @@
  */
 import {isDeepStrictEqual} from 'node:util';
 import type {
-	Change, Delta, ObjectId, Snapshot,
+	Change, ConfigObject, Delta, ObjectId, Snapshot,
 } from '@hawthorncleat/schema';
 import {objectKey, sortObjects, touchedObjects} from './objects.js';
 
