--- a/packages/hawthorncleat/src/daemons/local-fleet.ts
+++ b/packages/hawthorncleat/src/daemons/local-fleet.ts
@@ -124,14 +124,29 @@
 	return parts.start.entry(settings, parts.deps, parts.signal);
 };
 
-/** The entry drains first, since its running requests need the agents. */
-const combineDaemons = (entry: RunningDaemon, agents: readonly RunningDaemon[]): RunningDaemon => ({
-	async drain() {
-		await entry.drain();
+/**
+ * The entry drains first, since its running requests need the agents. The agents also drain when the entry has closed
+ * after a drain through its admin API, so that the process ends.
+ */
+const combineDaemons = (entry: RunningDaemon, agents: readonly RunningDaemon[]): RunningDaemon => {
+	const drainAgents = async (): Promise<void> => {
 		await Promise.all(agents.map(async agent => agent.drain()));
-	},
-	closed: Promise.all([entry, ...agents].map(async ({closed}) => closed)).then(() => undefined),
-});
+	};
+
+	const closeAll = async (): Promise<void> => {
+		await entry.closed;
+		await drainAgents();
+		await Promise.all(agents.map(async ({closed}) => closed));
+	};
+
+	return {
+		closed: closeAll(),
+		async drain() {
+			await entry.drain();
+			await drainAgents();
+		},
+	};
+};
 
 /** Starts the fleet. */
 export const startLocalFleet = async (
