--- a/packages/platform/src/__tests__/config-store.test.ts
+++ b/packages/platform/src/__tests__/config-store.test.ts
@@ -206,6 +206,10 @@
 
 		const old = await store.publish({base: newest, change: {baseVersion: 3, ...putAccount('z')}});
 		assert.is(old.kind, 'conflict');
+		const lagging = await publish(store, emptySnapshot, putAccount('z'));
+		assert.is(lagging.version, 231);
+		const overlapping = await store.publish({base: emptySnapshot, change: putAccount('a1')});
+		assert.is(overlapping.kind, 'conflict');
 	});
 
 	it('loses no change of any operator; guards against a lost update under racing writers and lost answers', async () => {
--- a/packages/platform/src/config-publish.ts
+++ b/packages/platform/src/config-publish.ts
@@ -3,7 +3,7 @@
  * conflict checked again against the newer head, unless the newer versions touch the same objects.
  */
 import {
-	checkChange, overlappingObjects, touchedObjects, type ChangeCheck, type ConfigFinding,
+	checkChange, diffSnapshots, overlappingObjects, touchedObjects, type ChangeCheck, type ConfigFinding,
 } from '@hawthorncleat/core';
 import {
 	check, validators, type Change, type Delta, type Head, type ObjectId, type Snapshot, type Validator,
@@ -140,17 +140,33 @@
 	throw createStoreError('the head of the configuration may or may not have been written', 'unknown');
 };
 
-/** Objects that versions newer than the change's base touch; all of the change's when those versions are not known. */
-const findConflicts = (change: Change, since: number, {deltas = [], snapshot}: FetchedConfig): ObjectId[] => {
-	if (snapshot) {
-		return touchedObjects(change);
+/** What happened after a version, as one change; undefined when the store no longer lists the versions between. */
+const mergeChangesAfter = (since: number, base: Snapshot, newest: Snapshot, fetched: FetchedConfig): Change | undefined => {
+	if (fetched.snapshot) {
+		return since === base.version ? diffSnapshots(base, newest) : undefined;
 	}
 
-	const newer: Change[] = deltas.filter(({version}) => version > since).map(delta => delta.change);
-	return overlappingObjects(change, {
+	const newer: Change[] = (fetched.deltas ?? []).filter(({version}) => version > since).map(({change}) => change);
+	return {
 		put: newer.flatMap(({put = []}) => put),
 		delete: newer.flatMap(({delete: deleted = []}) => deleted),
-	});
+	};
+};
+
+/** Objects of the change that versions after its own base touch; all of them when those versions are not known. */
+const findConflicts = async (
+	{reader}: Context,
+	{base}: PublishRequest,
+	change: Change,
+	{head, newest}: {readonly head: Head; readonly newest: Snapshot},
+): Promise<ObjectId[]> => {
+	const since = change.baseVersion ?? base.version;
+	if (since >= newest.version) {
+		return [];
+	}
+
+	const newer = mergeChangesAfter(since, base, newest, await reader.fetchTo(head, since));
+	return newer ? overlappingObjects(change, newer) : touchedObjects(change);
 };
 
 /** Tells the witnesses the outcome. A failure leaves the announcement pending, which is safe. */
@@ -207,12 +223,11 @@
 	const checked = check<Change>(validators.validateChange as Validator, request.change);
 	const row = await context.reader.readHead();
 	const newest = await fetchNewest(context, request.base, row);
-	const since = checked.ok ? checked.value.baseVersion ?? request.base.version : newest.version;
-	if (checked.ok && since < newest.version) {
-		const conflicts = findConflicts(checked.value, since, await context.reader.fetchTo(row.head, since));
-		if (conflicts.length > 0) {
-			return {kind: 'conflict', conflicts, version: newest.version};
-		}
+	const conflicts = checked.ok
+		? await findConflicts(context, request, checked.value, {head: row.head, newest})
+		: [];
+	if (conflicts.length > 0) {
+		return {kind: 'conflict', conflicts, version: newest.version};
 	}
 
 	const next = checkChange(newest, request.change);
