--- /dev/null
+++ b/packages/core/src/config/create-view.ts
@@ -0,0 +1,123 @@
+/**
+ * Builds the view in which daemons look up keys and routes, from a checked snapshot or from the view before it.
+ */
+import type {
+	Change, ConfigObject, Delta, Key, Snapshot,
+} from '@hawthorncleat/schema';
+import {brandAs, type ConfigVersion} from '../ids.js';
+import {createLayeredMap, type LayeredMap} from './layered-map.js';
+import {
+	objectKey, objectsOfKind, sortObjects, type ObjectOf,
+} from './objects.js';
+import {createRouteIndex, type RouteIndex} from './route-index.js';
+import type {ConfigView, ResolvedKey} from './view.js';
+
+/** The schema's default weight of a client account. */
+export const defaultWeight = 1;
+
+/** A view that knows how to become the next one. */
+export type AdvancingView = ConfigView & {
+	/** The view after the delta of the next version. */
+	advance(delta: Delta): AdvancingView;
+};
+
+type Parts = {
+	readonly version: number;
+	readonly objects: LayeredMap<ConfigObject>;
+	readonly keys: LayeredMap<Key>;
+	/** All objects but accounts and keys, of which there are few. */
+	readonly fleet: ReadonlyMap<string, ConfigObject>;
+	readonly routes: RouteIndex;
+};
+
+type ObjectChanges = ReadonlyMap<string, ConfigObject | undefined>;
+
+const isFleetKey = (key: string): boolean => !key.startsWith('client-account:') && !key.startsWith('key:');
+
+const createParts = ({version, objects}: Snapshot): Parts => {
+	const entries = objects.map(object => [objectKey(object), object] as const);
+	const fleet = new Map(entries.filter(([key]) => isFleetKey(key)));
+	return {
+		version,
+		objects: createLayeredMap(new Map(entries)),
+		keys: createLayeredMap(new Map(objectsOfKind(objects, 'key').map(key => [key.hash, key]))),
+		fleet,
+		routes: createRouteIndex(sortObjects(fleet.values())),
+	};
+};
+
+const listChanges = ({put = [], delete: deleted = []}: Change): ObjectChanges => new Map<string, ConfigObject | undefined>([
+	...deleted.map(id => [objectKey(id), undefined] as const),
+	...put.map(object => [objectKey(object), object] as const),
+]);
+
+/** Old hashes are removed before new ones are set, since a hash may move from one key to another. */
+const listKeyChanges = ({objects}: Parts, changes: ObjectChanges): Map<string, Key | undefined> => {
+	const removed = [...changes.keys()].map(key => objects.get(key)).filter(object => object?.kind === 'key');
+	const added = [...changes.values()].filter(object => object?.kind === 'key');
+	return new Map<string, Key | undefined>([
+		...removed.map(key => [key.hash, undefined] as const),
+		...added.map(key => [key.hash, key] as const),
+	]);
+};
+
+const advanceFleet = ({fleet, routes}: Parts, changes: ObjectChanges): Pick<Parts, 'fleet' | 'routes'> => {
+	const relevant = [...changes].filter(([key]) => isFleetKey(key));
+	if (relevant.length === 0) {
+		return {fleet, routes};
+	}
+
+	const next = new Map(fleet);
+	for (const [key, object] of relevant) {
+		if (object) {
+			next.set(key, object);
+		} else {
+			next.delete(key);
+		}
+	}
+
+	return {fleet: next, routes: createRouteIndex(sortObjects(next.values()))};
+};
+
+const advanceParts = (parts: Parts, {version, change}: Delta): Parts => {
+	if (version !== parts.version + 1) {
+		throw new RangeError(`delta of version ${version} does not follow version ${parts.version}`);
+	}
+
+	const changes = listChanges(change);
+	return {
+		version,
+		objects: parts.objects.with(changes),
+		keys: parts.keys.with(listKeyChanges(parts, changes)),
+		...advanceFleet(parts, changes),
+	};
+};
+
+const findKey = ({keys, objects}: Parts, hash: string): ResolvedKey | undefined => {
+	const key = keys.get(hash);
+	const account = key && objects.get(objectKey({kind: 'client-account', name: key.account}));
+	if (!key || !account) {
+		return undefined;
+	}
+
+	const found = account as ObjectOf<'client-account'>;
+	return {key, account: {...found, weight: found.weight ?? defaultWeight}};
+};
+
+/** The snapshot is built when it is first asked for, because sorting all objects takes long and few views need it. */
+const createView = (parts: Parts, known?: Snapshot): AdvancingView => {
+	let snapshot = known;
+	return {
+		version: brandAs<ConfigVersion>(parts.version),
+		get snapshot() {
+			snapshot ??= {version: parts.version, objects: sortObjects(parts.objects.values())};
+			return snapshot;
+		},
+		findKey: hash => findKey(parts, hash),
+		...parts.routes,
+		advance: delta => createView(advanceParts(parts, delta)),
+	};
+};
+
+/** Creates the view of one version. */
+export const createConfigView = (snapshot: Snapshot): AdvancingView => createView(createParts(snapshot), snapshot);
--- /dev/null
+++ b/packages/core/src/config/in-force.ts
@@ -0,0 +1,86 @@
+/**
+ * The version of the configuration that a daemon has in force. It never goes back, so an accepted change never
+ * reverts on a daemon that has once seen it (I14).
+ */
+import type {Delta, Snapshot} from '@hawthorncleat/schema';
+import {createConfigView, type AdvancingView} from './create-view.js';
+import {emptySnapshot} from './delta.js';
+import type {ConfigView} from './view.js';
+
+/** Deltas or a snapshot that bring a daemon to a newer version. */
+export type ConfigUpdate = {readonly deltas?: readonly Delta[]; readonly snapshot?: Snapshot};
+
+/** Called with the new view after each installation. */
+export type InForceListener = (view: ConfigView) => void;
+
+/** Holder of the version in force. */
+export type InForce = {
+	view(): ConfigView;
+	/** Installs what is newer and follows without a gap. Returns whether the version has risen. */
+	install(update: ConfigUpdate): boolean;
+	/** What a peer at the given version needs; deltas where they are still held, else the snapshot. */
+	since(version: number): {readonly version: number} & ConfigUpdate;
+	/** Registers a listener until the signal aborts. */
+	onChange(listener: InForceListener, signal?: AbortSignal): void;
+};
+
+/** Enough for a peer that missed a few minutes at the target of one change every 2.3 s. */
+const keptDeltas = 200;
+
+type State = {readonly view: AdvancingView; readonly recent: readonly Delta[]};
+
+const installSnapshot = (state: State, snapshot: Snapshot | undefined): State =>
+	snapshot && snapshot.version > state.view.version ? {view: createConfigView(snapshot), recent: []} : state;
+
+const installDelta = (state: State, delta: Delta): State =>
+	delta.version === state.view.version + 1
+		? {view: state.view.advance(delta), recent: [...state.recent, delta].slice(-keptDeltas)}
+		: state;
+
+const installUpdate = (state: State, {snapshot, deltas = []}: ConfigUpdate): State => {
+	let next = installSnapshot(state, snapshot);
+	for (const delta of deltas.toSorted((a, b) => a.version - b.version)) {
+		next = installDelta(next, delta);
+	}
+
+	return next;
+};
+
+const updateSince = ({view, recent}: State, version: number): {readonly version: number} & ConfigUpdate => {
+	const missing = recent.filter(delta => delta.version > version);
+	const isComplete = missing.length >= view.version - version;
+	return isComplete ? {version: view.version, deltas: missing} : {version: view.version, snapshot: view.snapshot};
+};
+
+/** Creates a holder; it starts with the empty configuration of version 0. */
+export const createInForce = (first: Snapshot = emptySnapshot): InForce => {
+	let state: State = {view: createConfigView(first), recent: []};
+	const listeners = new Set<InForceListener>();
+	return {
+		view: () => state.view,
+		install(update) {
+			const next = installUpdate(state, update);
+			if (next.view.version <= state.view.version) {
+				return false;
+			}
+
+			state = next;
+			for (const listener of listeners) {
+				listener(state.view);
+			}
+
+			return true;
+		},
+		since: version => updateSince(state, version),
+		onChange(listener, signal) {
+			if (signal?.aborted) {
+				return;
+			}
+
+			listeners.add(listener);
+			signal?.addEventListener('abort', () => {
+				listeners.delete(listener);
+			}, {once: true});
+		},
+	};
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -59,3 +59,26 @@
 	type ClaimResult,
 	type ClaimRow,
 } from './claims.js';
+export {createConfigView} from './config/create-view.js';
+export {checkChange, type ChangeCheck} from './config/check-change.js';
+export type {ConfigFinding} from './config/findings.js';
+export {hashKey, objectKey, touchedObjects} from './config/objects.js';
+export {
+	applyChange, applyDelta, applyDeltas, diffSnapshots, emptySnapshot, overlappingObjects,
+} from './config/delta.js';
+export {
+	createInForce, type ConfigUpdate, type InForce, type InForceListener,
+} from './config/in-force.js';
+export {
+	describeSettings,
+	formatSettingFinding,
+	readSettings,
+	variableOf,
+	type SettingDescription,
+	type SettingFinding,
+	type SettingsByKind,
+	type SettingsKind,
+	type SettingSources,
+	type SettingsResult,
+} from './settings.js';
+export {createNameIndex, type NameIndex} from './config/names.js';
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -24,3 +24,10 @@
 export {transactOnce, type OnceResult, type Settle} from './transact-once.js';
 export {runLease, type Lease, type LeaseRunnerOptions} from './lease-runner.js';
 export {createClaimWriter, type ClaimWriter, type ClaimWriterOptions} from './claim-writer.js';
+export {createConfigStore, type ConfigStore} from './config-store.js';
+export {
+	headKey, type ConfigStoreOptions, type FetchedConfig, type HeadRow,
+} from './config-reader.js';
+export type {
+	AnnouncedOutcome, Publish, PublishRequest, PublishResult,
+} from './config-publish.js';
