--- /dev/null
+++ b/packages/core/src/crash-suspects.ts
@@ -0,0 +1,83 @@
+/**
+ * Remembers which requests ran at an engine when it crashed, so that a request that crashes every engine costs two of
+ * them at most.
+ */
+import type {Clock} from './clock.js';
+import type {Fingerprint} from './ids.js';
+
+const suspectMs = 600_000;
+/** The notices of one crash arrive on several ways within this time and count once. */
+const sameCrashMs = 5000;
+const quarantineMarks = 2;
+
+/** What may be done with a request. */
+export type Suspicion = 'none' | 'suspect' | 'quarantined';
+
+type Mark = {readonly source: string; readonly atMs: number};
+
+/** Marks of fingerprints, each kept for ten minutes. */
+export class CrashSuspects {
+	readonly #clock: Clock;
+	readonly #marks = new Map<Fingerprint, Mark[]>();
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** Number of fingerprints with a mark. */
+	get size(): number {
+		return this.#marks.size;
+	}
+
+	/** Adds a mark for a crash at `source`. Returns false if the mark repeats a known crash. */
+	mark(fingerprint: Fingerprint, source: string): boolean {
+		this.#dropExpired();
+		const marks = this.#marks.get(fingerprint) ?? [];
+		const nowMs = this.#clock.nowMs();
+		if (marks.some(mark => mark.source === source && nowMs - mark.atMs < sameCrashMs)) {
+			return false;
+		}
+
+		this.#marks.set(fingerprint, [...marks, {source, atMs: nowMs}]);
+		return true;
+	}
+
+	/** Takes over another entry's count. Counts are not added, because both may have heard of the same crash. */
+	learn(fingerprint: Fingerprint, count: number): void {
+		this.#dropExpired();
+		const marks = [...this.#marks.get(fingerprint) ?? []];
+		while (marks.length < Math.min(count, quarantineMarks)) {
+			marks.push({source: '', atMs: this.#clock.nowMs()});
+		}
+
+		this.#marks.set(fingerprint, marks);
+	}
+
+	countMarks(fingerprint: Fingerprint): number {
+		const oldestMs = this.#clock.nowMs() - suspectMs;
+		return (this.#marks.get(fingerprint) ?? []).filter(mark => mark.atMs > oldestMs).length;
+	}
+
+	judge(fingerprint: Fingerprint): Suspicion {
+		const count = this.countMarks(fingerprint);
+		if (count === 0) {
+			return 'none';
+		}
+
+		return count < quarantineMarks ? 'suspect' : 'quarantined';
+	}
+
+	/** Time until the request may run again. */
+	retryAfterMs(fingerprint: Fingerprint): number {
+		const [oldest] = (this.#marks.get(fingerprint) ?? []).slice(-quarantineMarks);
+		return oldest ? Math.max(0, oldest.atMs + suspectMs - this.#clock.nowMs()) : 0;
+	}
+
+	#dropExpired(): void {
+		for (const [fingerprint] of this.#marks) {
+			if (this.countMarks(fingerprint) === 0) {
+				this.#marks.delete(fingerprint);
+			}
+		}
+	}
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,12 @@
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
+export {chooseByRendezvous} from './rendezvous.js';
+export {
+	decideRetry, maxAttempts, RetryBudget, type FailureKind, type RetryDecision, type RetryState,
+} from './retry.js';
+export {CrashSuspects, type Suspicion} from './crash-suspects.js';
+export {TokenBucket} from './rate-limit.js';
+export {
+	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsagePart,
+} from './usage.js';
--- /dev/null
+++ b/packages/core/src/usage.ts
@@ -0,0 +1,111 @@
+/**
+ * Usage of the client accounts. Each entry writes one cumulative part per window; the parts of a window are added up
+ * once when the window is frozen.
+ */
+import type {UsageFigure} from '@hawthorncleat/schema';
+import type {ClientAccountName, WindowId} from './ids.js';
+
+/** What one request used. */
+export type Usage = {readonly promptTokens: number; readonly outputTokens: number; readonly serviceCalls: number};
+
+/** All that one incarnation of an entry metered in one window up to now. */
+export type UsagePart = {
+	readonly window: WindowId;
+	readonly entryId: string;
+	readonly incarnation: string;
+	readonly sequence: number;
+	readonly figures: readonly UsageFigure[];
+};
+
+type MeteredWindow = {figures: Map<ClientAccountName, UsageFigure>; sequence: number; flushedSequence: number};
+
+const byAccount = (a: UsageFigure, b: UsageFigure): number => {
+	if (a.clientAccount === b.clientAccount) {
+		return 0;
+	}
+
+	return a.clientAccount < b.clientAccount ? -1 : 1;
+};
+
+const addTo = (figures: Map<string, UsageFigure>, clientAccount: string, usage: Usage): void => {
+	const before = figures.get(clientAccount);
+	figures.set(clientAccount, {
+		clientAccount,
+		promptTokens: (before?.promptTokens ?? 0) + usage.promptTokens,
+		outputTokens: (before?.outputTokens ?? 0) + usage.outputTokens,
+		serviceCalls: (before?.serviceCalls ?? 0) + usage.serviceCalls,
+	});
+};
+
+/** Object key of a part. Each flush of a window overwrites the same object with higher figures. */
+export const usagePartKey = (part: UsagePart): string => `usage/${part.window}/${part.entryId}/${part.incarnation}`;
+
+/** Adds up usage per window and account until it has been flushed. */
+export class UsageMeter {
+	readonly #owner: {readonly entryId: string; readonly incarnation: string};
+	readonly #windows = new Map<WindowId, MeteredWindow>();
+
+	constructor(owner: {readonly entryId: string; readonly incarnation: string}) {
+		this.#owner = owner;
+	}
+
+	/** Number of windows in memory. */
+	get windows(): number {
+		return this.#windows.size;
+	}
+
+	record(window: WindowId, account: ClientAccountName, usage: Usage): void {
+		const metered = this.#windows.get(window) ?? {figures: new Map(), sequence: 0, flushedSequence: 0};
+		addTo(metered.figures, account, usage);
+		metered.sequence += 1;
+		this.#windows.set(window, metered);
+	}
+
+	/** The parts that have changed since they were last flushed. */
+	unflushedParts(): UsagePart[] {
+		return [...this.#windows]
+			.filter(([, metered]) => metered.sequence > metered.flushedSequence)
+			.map(([window, metered]) => ({
+				window,
+				...this.#owner,
+				sequence: metered.sequence,
+				figures: [...metered.figures.values()].toSorted(byAccount),
+			}));
+	}
+
+	/** Notes that a part has been written. */
+	markFlushed(part: UsagePart): void {
+		const metered = this.#windows.get(part.window);
+		if (metered) {
+			metered.flushedSequence = Math.max(metered.flushedSequence, part.sequence);
+		}
+	}
+
+	/** Forgets the windows that are flushed and over. */
+	dropFlushed(currentWindow: WindowId): void {
+		for (const [window, metered] of this.#windows) {
+			if (window !== currentWindow && metered.flushedSequence === metered.sequence) {
+				this.#windows.delete(window);
+			}
+		}
+	}
+}
+
+/** Adds up the parts of one window; of several states of one part only the newest counts. */
+export const freezeWindow = (parts: readonly UsagePart[]): UsageFigure[] => {
+	const newest = new Map<string, UsagePart>();
+	for (const part of parts) {
+		const key = usagePartKey(part);
+		const known = newest.get(key);
+		if (!known || known.sequence < part.sequence) {
+			newest.set(key, part);
+		}
+	}
+
+	const sums = new Map<string, UsageFigure>();
+	for (const figure of [...newest.values()].flatMap(part => part.figures)) {
+		addTo(sums, figure.clientAccount, figure);
+	}
+
+	return [...sums.values()].toSorted(byAccount);
+};
--- /dev/null
+++ b/packages/entry/src/deps.ts
@@ -0,0 +1,145 @@
+/**
+ * What the entry needs from the other parts of the system, as small functions, so that each part can be replaced in
+ * tests and wired in one place.
+ */
+import type {
+	ActionId, ClaimId, Clock, ConfigView, EndpointId, Fingerprint, MakeId, Random,
+} from '@hawthorncleat/core';
+import type {
+	ConfigSinceParams,
+	ConfigSinceResult,
+	Finding,
+	FreshnessAnswer,
+	FreshnessAskParams,
+	HostRecord,
+	LoadReport,
+	PublishAnnounceParams,
+	PublishAnnounceResult,
+	PublishFinishParams,
+	PublishFinishResult,
+	ServiceCallResult,
+} from '@hawthorncleat/schema';
+import type {ObjectStore} from '@hawthorncleat/platform';
+import type {Telemetry} from './telemetry.js';
+
+/** The configuration in force. */
+export type ConfigSource = {current(): ConfigView};
+
+/** The hosts of the entry's region as last read. */
+export type HostSource = {current(): readonly HostRecord[]};
+
+/** Result of a claim for an action. */
+export type ClaimResult
+	= | {readonly kind: 'granted'; readonly claimId: ClaimId}
+		| {readonly kind: 'done'; readonly answer: unknown}
+		| {readonly kind: 'in-doubt' | 'already-ran' | 'key-reused'}
+		| {readonly kind: 'unavailable'; readonly retryAfterMs: number};
+
+/** Claims of actions in the table. */
+export type Claims = {
+	claim(action: {readonly actionId: ActionId; readonly digest: string}): Promise<ClaimResult>;
+	complete(claimId: ClaimId, answer: ServiceCallResult): Promise<unknown>;
+	release(claimId: ClaimId): Promise<unknown>;
+};
+
+/** Tells whether the evidence of freshness allows keyed requests. */
+export type FreshnessCheck = {mayServe(nowMs: number): boolean};
+
+/** Result of a published change. */
+export type ApplyResult
+	= | {readonly kind: 'published'; readonly version: number; readonly confirmed: boolean}
+		| {readonly kind: 'invalid'; readonly findings: readonly Finding[]}
+		| {readonly kind: 'conflict'; readonly conflicts: readonly unknown[]; readonly version: number}
+		| {readonly kind: 'unavailable'; readonly code: string; readonly retryAfterMs: number};
+
+/** Checks and publishes changes of the configuration. The change is untrusted input. */
+export type Publisher = {
+	validate(change: unknown): Promise<readonly Finding[]> | readonly Finding[];
+	apply(change: unknown): Promise<ApplyResult>;
+};
+
+/** Answers to other entries and agents that do not concern requests. */
+export type PeerServices = {
+	configSince?(params: ConfigSinceParams): ConfigSinceResult | Promise<ConfigSinceResult>;
+	askFreshness?(params: FreshnessAskParams): FreshnessAnswer | Promise<FreshnessAnswer>;
+	announcePublish?(params: PublishAnnounceParams): PublishAnnounceResult | Promise<PublishAnnounceResult>;
+	finishPublish?(params: PublishFinishParams): PublishFinishResult | Promise<PublishFinishResult>;
+	/** Hears the configuration version in each heartbeat. */
+	onPeerVersion?(version: number): void;
+};
+
+/** One endpoint as the choice sees it. */
+export type EndpointCandidate = {
+	readonly id: EndpointId;
+	readonly isLocal: boolean;
+	readonly report: LoadReport | undefined;
+	/** Tokens of work that this entry has sent since the last load report. */
+	readonly dispatchedTokens: number;
+	/** Whether a request of this entry that is a crash suspect runs there. */
+	readonly runsSuspect: boolean;
+};
+
+/** What the choice knows of a request. */
+export type ChoiceRequest = {
+	readonly kind: 'model' | 'service';
+	readonly tokens: number;
+	readonly prompt: string;
+	readonly isSuspect: boolean;
+};
+
+/** Chooses one of the candidates, or none if no candidate may take the request. */
+export type ChooseEndpoint = (
+	candidates: readonly EndpointCandidate[],
+	request: ChoiceRequest,
+	random: Random,
+) => EndpointCandidate | undefined;
+
+/** Everything that the entry is given at its start. */
+export type EntryDeps = {
+	readonly clock: Clock;
+	/** Time of day in milliseconds; only used to name usage windows. */
+	readonly wallClock: Clock;
+	readonly random: Random;
+	readonly makeId: MakeId;
+	readonly config: ConfigSource;
+	readonly hosts: HostSource;
+	readonly claims: Claims;
+	readonly freshness: FreshnessCheck;
+	readonly publisher: Publisher;
+	/** The usage parts are written here. */
+	readonly usageStore: Pick<ObjectStore, 'write'>;
+	readonly peerServices?: PeerServices;
+	readonly chooseEndpoint?: ChooseEndpoint;
+	/** Hears of each new crash mark. */
+	readonly onCrashMark?: (fingerprint: Fingerprint) => void;
+	readonly telemetry?: Telemetry;
+	/** Shorter times for tests. */
+	readonly timings?: Partial<Timings>;
+};
+
+/** Times of the entry that tests shorten. */
+export type Timings = {
+	/** A stream that makes no progress for this long is started again elsewhere. */
+	readonly progressLimitMs: number;
+	/** How long a stream waits for a new connection to its agent before it is started again elsewhere. */
+	readonly resumeWaitMs: number;
+	/** Time to come back that is given with a refusal whose cause is expected to pass. */
+	readonly retryAfterMs: number;
+	/** Time for a caller to send its whole request. */
+	readonly bodyTimeoutMs: number;
+	/** Unsent bytes of an answer at which a caller that reads too slowly is disconnected. */
+	readonly maxUnsentBytes: number;
+	readonly firstReconnectMs: number;
+	readonly maxReconnectMs: number;
+};
+
+export const defaultTimings: Timings = {
+	progressLimitMs: 10_000,
+	// Shorter than the first reconnect would turn each lost connection into a restart.
+	resumeWaitMs: 1000,
+	retryAfterMs: 1000,
+	bodyTimeoutMs: 10_000,
+	maxUnsentBytes: 1024 * 1024,
+	firstReconnectMs: 100,
+	maxReconnectMs: 5000,
+};
--- /dev/null
+++ b/packages/entry/src/request-context.ts
@@ -0,0 +1,36 @@
+/**
+ * What model and service requests share: the endpoints, the rules for retries and the measurements.
+ */
+import type {
+	ClientAccountName, Clock, CrashSuspects, Fingerprint, Random, ResolvedRoute, RetryBudget,
+} from '@hawthorncleat/core';
+import type {ChooseEndpoint, Timings} from './deps.js';
+import type {EndpointPool} from './endpoint-pool.js';
+import type {Metrics} from './metrics.js';
+import type {Telemetry} from './telemetry.js';
+
+/** What a running request uses of the entry. */
+export type RequestContext = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly dataCentre: string;
+	readonly pool: EndpointPool;
+	readonly budget: RetryBudget;
+	readonly suspects: CrashSuspects;
+	readonly choose: ChooseEndpoint;
+	readonly timings: Timings;
+	readonly metrics: Metrics;
+	readonly telemetry: Telemetry;
+	/** Notes a crash and passes the mark on to the other entries. */
+	readonly markCrash: (fingerprints: readonly string[], source: string) => void;
+};
+
+/** What is known of any admitted request. */
+export type AdmittedRequest = {
+	readonly requestId: string;
+	readonly clientAccount: ClientAccountName;
+	readonly route: ResolvedRoute;
+	readonly fingerprint: Fingerprint;
+	readonly traceparent: string;
+	readonly admittedMs: number;
+};
--- /dev/null
+++ b/packages/entry/src/stream-attempt.ts
@@ -0,0 +1,249 @@
+/**
+ * One attempt of a model request at one agent: starts it, takes its frames in order, resumes it after a gap or a lost
+ * connection, and cancels it when it is abandoned.
+ */
+import {
+	check,
+	validators,
+	type FrameEnd,
+	type RequestFailed,
+	type RequestFrame,
+	type RequestStartParams,
+	type RequestStartResult,
+} from '@hawthorncleat/schema';
+import {classifyCallError, type AttemptFailure} from './attempt-failure.js';
+import type {Endpoint, StreamListener} from './endpoint.js';
+
+const startTimeoutMs = 3000;
+const resumeTimeoutMs = 3000;
+/** An agent that leaves more gaps than this in one stream is not able to deliver it. */
+const maxResumes = 5;
+/** Far more than the longest answer; a stream beyond it is not an answer. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+
+/** How an attempt ended. */
+export type AttemptOutcome
+	= | {readonly kind: 'end'; readonly end: FrameEnd}
+		| {readonly kind: 'failed'; readonly failure: AttemptFailure; readonly isCrash: boolean};
+
+/** The tokens that the caller has been given, over all attempts. */
+export type Delivery = {readonly tokens: string[]; bytes: number; onTokens(tokens: readonly string[]): void};
+
+type AttemptOptions = {
+	readonly endpoint: Endpoint;
+	readonly params: RequestStartParams;
+	readonly delivery: Delivery;
+	readonly progressLimitMs: number;
+	readonly resumeWaitMs: number;
+};
+
+/** Runs one attempt. Settled at its end, at its failure or when the signal aborts. */
+export class StreamAttempt implements StreamListener {
+	readonly #options: AttemptOptions;
+	readonly #outcome: Promise<AttemptOutcome>;
+	#settle!: (outcome: AttemptOutcome) => void;
+	#isSettled = false;
+	#isStarted = false;
+	#isRecovering = false;
+	#hasListener = true;
+	#resumes = 0;
+	#progressTimer: NodeJS.Timeout | undefined;
+
+	constructor(options: AttemptOptions) {
+		this.#options = options;
+		this.#outcome = new Promise(resolve => {
+			this.#settle = outcome => {
+				this.#isSettled = true;
+				resolve(outcome);
+			};
+		});
+	}
+
+	async run(signal: AbortSignal): Promise<AttemptOutcome> {
+		const {endpoint, params} = this.#options;
+		const abort = (): void => {
+			this.#fail({kind: 'no-progress', ran: 'unknown', code: 'aborted'});
+		};
+
+		signal.addEventListener('abort', abort, {once: true});
+		endpoint.streams.set(params.requestId, this);
+		try {
+			this.#noteProgress();
+			void this.#start();
+			return await this.#outcome;
+		} finally {
+			signal.removeEventListener('abort', abort);
+			this.#release();
+		}
+	}
+
+	onFrame(frame: RequestFrame): void {
+		if (this.#isSettled || frame.attempt !== this.#options.params.attempt) {
+			return;
+		}
+
+		const next = this.#options.delivery.tokens.length;
+		if (frame.position === next) {
+			this.#accept(frame);
+			return;
+		}
+
+		// A frame that ends before the next position is a duplicate; any other one shows that frames are missing.
+		if (frame.position > next || frame.position + frame.tokens.length > next) {
+			void this.#recover();
+		}
+	}
+
+	onFailed(failed: RequestFailed): void {
+		if (this.#isSettled || failed.attempt !== this.#options.params.attempt) {
+			return;
+		}
+
+		const {code, ran, crash} = failed;
+		const hasDelivered = this.#options.delivery.tokens.length > this.#options.params.delivered.length;
+		if (crash) {
+			this.#fail({kind: 'engine-crashed', ran: 'ran', code}, true);
+		} else if (ran === 'not-run' && !hasDelivered) {
+			this.#fail({kind: 'refused', ran, code});
+		} else {
+			this.#fail({kind: 'invalid-response', ran: hasDelivered ? 'ran' : ran, code});
+		}
+	}
+
+	onConnectionLost(): void {
+		if (this.#isStarted && !this.#isSettled) {
+			void this.#recover();
+		}
+	}
+
+	async #start(): Promise<void> {
+		const {endpoint, params} = this.#options;
+		const {peer} = endpoint;
+		if (!peer) {
+			this.#fail({kind: 'not-connected', ran: 'not-run', code: 'connection-closed'});
+			return;
+		}
+
+		try {
+			const answer = await peer.call('request.start', params, {timeoutMs: startTimeoutMs});
+			this.#started(answer);
+		} catch (error) {
+			const failure = classifyCallError(error);
+			this.#isStarted = failure.kind === 'connection-lost';
+			await (this.#isStarted ? this.#recover() : this.#failStart(failure));
+		}
+	}
+
+	#started(answer: unknown): void {
+		this.#isStarted = true;
+		const checked = check<RequestStartResult>(validators.validateRequestStartResult, answer);
+		if (!checked.ok) {
+			this.#fail({kind: 'invalid-response', ran: 'unknown', code: 'invalid-response'});
+			return;
+		}
+
+		if (!this.#options.endpoint.peer) {
+			void this.#recover();
+		}
+	}
+
+	#failStart(failure: AttemptFailure): void {
+		// A refused request left nothing at the agent that would have to be cancelled.
+		this.#hasListener = failure.kind === 'invalid-response';
+		this.#fail(failure);
+	}
+
+	#accept(frame: RequestFrame): void {
+		const {delivery, params} = this.#options;
+		delivery.bytes += frame.tokens.reduce((sum, token) => sum + token.length, 0);
+		const isTooLong = delivery.tokens.length + frame.tokens.length > params.maxTokens;
+		if (isTooLong || delivery.bytes > maxAnswerBytes) {
+			this.#fail({kind: 'invalid-response', ran: 'ran', code: 'answer-too-long'});
+			return;
+		}
+
+		this.#noteProgress();
+		for (const token of frame.tokens) {
+			delivery.tokens.push(token);
+		}
+
+		if (frame.tokens.length > 0) {
+			delivery.onTokens(frame.tokens);
+		}
+
+		if (frame.end) {
+			this.#finish(frame.end);
+		}
+	}
+
+	#finish(end: FrameEnd): void {
+		this.#hasListener = false;
+		if (end.reason === 'cancelled') {
+			this.#fail({kind: 'no-progress', ran: 'ran', code: 'cancelled-by-agent'});
+			return;
+		}
+
+		this.#settle({kind: 'end', end});
+	}
+
+	/** Resumes the stream at the next position, on a new connection if the old one is lost. */
+	async #recover(): Promise<void> {
+		if (this.#isRecovering || this.#isSettled) {
+			return;
+		}
+
+		this.#isRecovering = true;
+		this.#resumes += 1;
+		try {
+			await this.#resumeOnce();
+		} catch (error) {
+			const {code} = classifyCallError(error);
+			this.#fail({kind: 'connection-lost', ran: 'unknown', code});
+		} finally {
+			this.#isRecovering = false;
+		}
+	}
+
+	async #resumeOnce(): Promise<void> {
+		const {endpoint, params, delivery, resumeWaitMs} = this.#options;
+		if (this.#resumes > maxResumes) {
+			this.#fail({kind: 'invalid-response', ran: 'ran', code: 'too-many-gaps'});
+			return;
+		}
+
+		const peer = await endpoint.waitForPeer(resumeWaitMs);
+		if (!peer || endpoint.incarnation !== params.incarnation) {
+			this.#fail({kind: 'connection-lost', ran: 'unknown', code: 'connection-lost'});
+			return;
+		}
+
+		const {requestId, attempt} = params;
+		const position = delivery.tokens.length;
+		await peer.call('request.resume', {requestId, attempt, position}, {timeoutMs: resumeTimeoutMs});
+	}
+
+	#noteProgress(): void {
+		clearTimeout(this.#progressTimer);
+		this.#progressTimer = setTimeout(() => {
+			this.#fail({kind: 'no-progress', ran: 'unknown', code: 'no-progress'});
+		}, this.#options.progressLimitMs);
+	}
+
+	#fail(failure: AttemptFailure, isCrash = false): void {
+		if (!this.#isSettled) {
+			this.#settle({kind: 'failed', failure, isCrash});
+		}
+	}
+
+	#release(): void {
+		const {endpoint, params} = this.#options;
+		clearTimeout(this.#progressTimer);
+		if (endpoint.streams.get(params.requestId) === this) {
+			endpoint.streams.delete(params.requestId);
+		}
+
+		if (this.#hasListener) {
+			endpoint.peer?.notify('request.cancel', {requestId: params.requestId, attempt: params.attempt});
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/usage-flush.ts
@@ -0,0 +1,79 @@
+/**
+ * Writes the metered usage to the object store, and keeps it in memory while the store is down.
+ */
+import {
+	brandAs, usagePartKey, UsageMeter, type ClientAccountName, type Clock, type Usage, type UsagePart, type WindowId,
+} from '@hawthorncleat/core';
+import type {ObjectStore} from '@hawthorncleat/platform';
+import type {Log} from './telemetry.js';
+
+type UsageOptions = {
+	readonly entryId: string;
+	readonly incarnation: string;
+	readonly windowMs: number;
+	readonly wallClock: Clock;
+	readonly store: Pick<ObjectStore, 'write'>;
+	readonly log: Log;
+	readonly onFailure: () => void;
+};
+
+/** Meters usage and flushes it. */
+export class UsageRecorder {
+	readonly #options: UsageOptions;
+	readonly #meter: UsageMeter;
+	#flushing: Promise<void> | undefined;
+	#isFailing = false;
+
+	constructor(options: UsageOptions) {
+		this.#options = options;
+		this.#meter = new UsageMeter(options);
+	}
+
+	get windows(): number {
+		return this.#meter.windows;
+	}
+
+	record(account: ClientAccountName, usage: Usage): void {
+		this.#meter.record(this.#currentWindow(), account, usage);
+	}
+
+	/** Writes what has not been written yet. One flush runs at a time, so that parts are written in order. */
+	async flush(): Promise<void> {
+		this.#flushing ??= this.#flushAll().finally(() => {
+			this.#flushing = undefined;
+		});
+		return this.#flushing;
+	}
+
+	#currentWindow(): WindowId {
+		const {windowMs, wallClock} = this.#options;
+		return brandAs<WindowId>(String(Math.floor(wallClock.nowMs() / windowMs) * windowMs));
+	}
+
+	async #flushAll(): Promise<void> {
+		for (const part of this.#meter.unflushedParts()) {
+			await this.#write(part);
+		}
+
+		this.#meter.dropFlushed(this.#currentWindow());
+	}
+
+	async #write(part: UsagePart): Promise<void> {
+		try {
+			await this.#options.store.write(usagePartKey(part), part);
+			this.#meter.markFlushed(part);
+			this.#noteState(false);
+		} catch {
+			this.#options.onFailure();
+			this.#noteState(true);
+		}
+	}
+
+	#noteState(isFailing: boolean): void {
+		if (isFailing !== this.#isFailing) {
+			this.#isFailing = isFailing;
+			const message = isFailing ? 'usage cannot be written and is kept in memory' : 'usage is written again';
+			this.#options.log[isFailing ? 'warn' : 'info'](message);
+		}
+	}
+}
