--- /dev/null
+++ b/packages/core/src/__tests__/request-rules.test.ts
@@ -0,0 +1,138 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {
+	brandAs,
+	chooseByRendezvous,
+	CrashSuspects,
+	decideRetry,
+	freezeWindow,
+	RetryBudget,
+	TokenBucket,
+	UsageMeter,
+	type ClientAccountName,
+	type FailureKind,
+	type Fingerprint,
+	type WindowId,
+} from '../index.js';
+
+const noLimit = {take: () => true};
+const poison = brandAs<Fingerprint>('poison');
+
+describe('rules for requests', () => {
+	describe('decideRetry', () => {
+		it('follows the retry table, so that nothing that may have run is repeated', () => {
+			const retried = (idempotent: boolean): FailureKind[] => {
+				const kinds: FailureKind[] = [
+					'refused', 'not-connected', 'connection-lost', 'no-progress', 'engine-crashed', 'service-error', 'invalid-response',
+				];
+				return kinds.filter(kind => decideRetry(kind, {attempts: 1, idempotent, earlier: []}, noLimit).retry);
+			};
+
+			assert.is(retried(true).length, 7);
+			assert.equal(retried(false), ['refused', 'not-connected']);
+		});
+
+		it('repeats a server error once and makes three attempts at most', () => {
+			assert.not(decideRetry('service-error', {attempts: 2, idempotent: true, earlier: ['service-error']}, noLimit).retry);
+			assert.ok(decideRetry('refused', {attempts: 2, idempotent: true, earlier: ['refused']}, noLimit).retry);
+			assert.not(decideRetry('refused', {attempts: 3, idempotent: true, earlier: []}, noLimit).retry);
+		});
+
+		it('keeps retries under a tenth of the first attempts', () => {
+			const budget = new RetryBudget();
+			const takeAll = (): number => {
+				let taken = 0;
+				while (budget.take()) {
+					taken += 1;
+				}
+
+				return taken;
+			};
+
+			assert.is(takeAll(), 10);
+			for (let count = 0; count < 30; count++) {
+				budget.countFirstAttempt();
+			}
+
+			assert.is(takeAll(), 3);
+		});
+	});
+
+	describe('CrashSuspects', () => {
+		it('counts the notices of one crash once and quarantines at the second crash, for ten minutes', () => {
+			const clock = createManualClock();
+			const suspects = new CrashSuspects(clock);
+			assert.ok(suspects.mark(poison, 'e1'));
+			assert.not(suspects.mark(poison, 'e1'));
+			suspects.learn(poison, 1);
+			assert.is(suspects.judge(poison), 'suspect');
+			suspects.mark(poison, 'e2');
+			assert.equal([suspects.judge(poison), suspects.retryAfterMs(poison)], ['quarantined', 600_000]);
+			clock.advance(600_000);
+			assert.is(suspects.judge(poison), 'none');
+		});
+
+		it('keeps a quarantine learned from another entry', () => {
+			const suspects = new CrashSuspects(createManualClock());
+			suspects.learn(poison, 2);
+			assert.is(suspects.judge(poison), 'quarantined');
+		});
+	});
+
+	describe('TokenBucket', () => {
+		it('refuses beyond a burst of two seconds and says when to come back', () => {
+			const clock = createManualClock();
+			const bucket = new TokenBucket(100, clock);
+			assert.equal([bucket.take(150), bucket.take(100)], [0, 500]);
+			clock.advance(500);
+			assert.is(bucket.take(100), 0);
+		});
+
+		it('lets a request through that is larger than the burst, and makes later ones pay for it', () => {
+			const bucket = new TokenBucket(100, createManualClock());
+			assert.equal([bucket.take(1000), bucket.take(1)], [0, 8010]);
+		});
+	});
+
+	describe('chooseByRendezvous', () => {
+		it('moves only the choices of a member that leaves', () => {
+			const members = Array.from({length: 40}, (_, index) => `host-${index}`);
+			const chosen = chooseByRendezvous('key', members, 5, id => id);
+			const after = chooseByRendezvous('key', members.filter(id => id !== chosen[0]).toReversed(), 5, id => id);
+			assert.equal(after.slice(0, 4), chosen.slice(1));
+		});
+	});
+
+	describe('usage', () => {
+		const window = brandAs<WindowId>('w');
+		const account = brandAs<ClientAccountName>('haugland');
+		const usage = {promptTokens: 3, outputTokens: 2, serviceCalls: 1};
+
+		it('keeps what a failed flush did not write, and counts a part once however often it was written', () => {
+			const meter = new UsageMeter(() => ({entryId: 'e', incarnation: 'i'}));
+			meter.record(window, account, usage);
+			const [first] = meter.unflushedParts();
+			meter.record(window, account, usage);
+			meter.markFlushed(first!);
+			const [second] = meter.unflushedParts();
+			const expected = [{
+				clientAccount: 'haugland', promptTokens: 6, outputTokens: 4, serviceCalls: 2,
+			}];
+			assert.equal(freezeWindow([second!, first!]), expected);
+			meter.dropFlushed(brandAs<WindowId>('next'));
+			assert.is(meter.windows, 1);
+			meter.markFlushed(second!);
+			meter.dropFlushed(brandAs<WindowId>('next'));
+			assert.is(meter.windows, 0);
+		});
+
+		it('gives the same figures whatever the order of the parts', () => {
+			const figures = [{clientAccount: 'b', ...usage}, {clientAccount: 'a', ...usage}];
+			const parts = ['i1', 'i2'].map(incarnation => ({
+				window, entryId: 'e', incarnation, sequence: 1, figures,
+			}));
+			assert.equal(freezeWindow(parts), freezeWindow(parts.toReversed()));
+			assert.equal(freezeWindow(parts).map(figure => figure.promptTokens), [6, 6]);
+		});
+	});
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,5 +30,5 @@
 export {CrashSuspects, type Suspicion} from './crash-suspects.js';
 export {TokenBucket} from './rate-limit.js';
 export {
-	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsagePart,
+	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
 } from './usage.js';
--- a/packages/core/src/retry.ts
+++ b/packages/core/src/retry.ts
@@ -7,6 +7,8 @@
 export const maxAttempts = 3;
 const budgetPerFirstAttempt = 0.1;
 const maxSavedRetries = 10;
+/** Sums of 0.1 fall short of whole numbers by rounding. */
+const roundingError = 1e-9;
 
 /** What went wrong with one attempt. */
 export type FailureKind
@@ -65,8 +67,7 @@
 
 	/** Takes one retry out of the budget, if there is one. */
 	take(): boolean {
-		// Sums of 0.1 fall short of whole numbers by rounding.
-		if (this.#saved + Number.EPSILON * maxSavedRetries < 1) {
+		if (this.#saved + roundingError < 1) {
 			return false;
 		}
 
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -17,6 +17,9 @@
 	readonly figures: readonly UsageFigure[];
 };
 
+/** The incarnation of an entry that a part belongs to. */
+export type UsageOwner = {readonly entryId: string; readonly incarnation: string};
+
 type MeteredWindow = {figures: Map<ClientAccountName, UsageFigure>; sequence: number; flushedSequence: number};
 
 const byAccount = (a: UsageFigure, b: UsageFigure): number => {
@@ -42,10 +45,10 @@
 
 /** Adds up usage per window and account until it has been flushed. */
 export class UsageMeter {
-	readonly #owner: {readonly entryId: string; readonly incarnation: string};
+	readonly #owner: () => UsageOwner;
 	readonly #windows = new Map<WindowId, MeteredWindow>();
 
-	constructor(owner: {readonly entryId: string; readonly incarnation: string}) {
+	constructor(owner: () => UsageOwner) {
 		this.#owner = owner;
 	}
 
@@ -55,7 +58,7 @@
 	}
 
 	record(window: WindowId, account: ClientAccountName, usage: Usage): void {
-		const metered = this.#windows.get(window) ?? {figures: new Map(), sequence: 0, flushedSequence: 0};
+		const metered = this.#windows.get(window) ?? {figures: new Map<ClientAccountName, UsageFigure>(), sequence: 0, flushedSequence: 0};
 		addTo(metered.figures, account, usage);
 		metered.sequence += 1;
 		this.#windows.set(window, metered);
@@ -67,7 +70,7 @@
 			.filter(([, metered]) => metered.sequence > metered.flushedSequence)
 			.map(([window, metered]) => ({
 				window,
-				...this.#owner,
+				...this.#owner(),
 				sequence: metered.sequence,
 				figures: [...metered.figures.values()].toSorted(byAccount),
 			}));
--- a/packages/entry/src/account-limits.ts
+++ b/packages/entry/src/account-limits.ts
@@ -61,7 +61,7 @@
 		state.running += 1;
 		let isReleased = false;
 		return {
-			release: unusedTokens => {
+			release(unusedTokens) {
 				if (!isReleased) {
 					isReleased = true;
 					state.running -= 1;
--- a/packages/entry/src/attempt-failure.ts
+++ b/packages/entry/src/attempt-failure.ts
@@ -34,9 +34,11 @@
 	}
 
 	if (ran === 'not-run') {
-		return retryAfterMs === undefined ? {kind: 'refused', ran, code} : {
-			kind: 'refused', ran, code, retryAfterMs,
-		};
+		return retryAfterMs === undefined
+			? {kind: 'refused', ran, code}
+			: {
+				kind: 'refused', ran, code, retryAfterMs,
+			};
 	}
 
 	// An agent's own words are not checked by the wire layer.
--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -5,7 +5,9 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {isRequestError, type RequestError} from '@hawthorncleat/core';
-import {callerError, errorBody, isCallerErrorCode, retryAfterSeconds} from './caller-errors.js';
+import {
+	callerError, errorBody, isCallerErrorCode, retryAfterSeconds,
+} from './caller-errors.js';
 
 /** A whole answer that a caller has not taken after this time is dropped. */
 const answerTakenMs = 30_000;
--- a/packages/entry/src/caller-context.ts
+++ b/packages/entry/src/caller-context.ts
@@ -1,6 +1,7 @@
 /**
  * What the handlers of the caller interface use.
  */
+import type {HopSpan} from '@hawthorncleat/telemetry';
 import type {AccountLimits} from './account-limits.js';
 import type {CallerConnection} from './caller-connection.js';
 import type {
@@ -8,7 +9,6 @@
 } from './deps.js';
 import type {RequestContext} from './request-context.js';
 import type {RunningRequests} from './running-requests.js';
-import type {Span} from './telemetry.js';
 import type {UsageRecorder} from './usage-flush.js';
 
 export type CallerContext = RequestContext & {
@@ -30,6 +30,6 @@
 	readonly url: URL;
 	/** The caller's key. It is used to find the account and goes no further. */
 	readonly key: string | undefined;
-	readonly span: Span;
+	readonly span: HopSpan;
 	readonly receivedMs: number;
 };
--- a/packages/entry/src/caller-errors.ts
+++ b/packages/entry/src/caller-errors.ts
@@ -48,9 +48,13 @@
 /** The JSON body of an error answer. */
 export const errorBody = (err: RequestError): {error: Record<string, unknown>} => {
 	const {code, message, ran, retryAfterMs} = err;
-	return {error: retryAfterMs === undefined ? {code, message, ran} : {
-		code, message, ran, retryAfterMs,
-	}};
+	return {
+		error: retryAfterMs === undefined
+			? {code, message, ran}
+			: {
+				code, message, ran, retryAfterMs,
+			},
+	};
 };
 
 /** Value of `Retry-After` in whole seconds, rounded up. */
--- a/packages/entry/src/caller-headers.ts
+++ b/packages/entry/src/caller-headers.ts
@@ -30,8 +30,8 @@
 	'traceparent',
 	'tracestate',
 ]);
-const keyHeaderPattern = /(?:api|access|client|auth)[\-_]?(?:key|token|account)|account/;
-const keyParameterPattern = /^(?:.*[\-_.])?(?:api[\-_]?key|access[\-_]?(?:key|token)|auth[\-_]?(?:key|token)|authorization|bearer|key|token)$/;
+const keyHeaderPattern = /(?:api|access|client|auth)[_-]?(?:key|token|account)|account/;
+const keyParameterPattern = /^(?:.*[-_.])?(?:api[-_]?key|access[-_]?(?:key|token)|auth[-_]?(?:key|token)|authorization|bearer|key|token)$/;
 
 const returnedHeaders = new Set([
 	'content-type', 'content-language', 'cache-control', 'etag', 'last-modified', 'location', 'retry-after', 'vary',
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -4,17 +4,13 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {createRequire} from 'node:module';
-import type findMyWay from 'find-my-way';
+import findMyWay from 'find-my-way';
 import {callerError} from './caller-errors.js';
 import {toCallerError, watchCaller} from './caller-connection.js';
 import type {CallerContext, IncomingCall} from './caller-context.js';
 import {bearerKey, refuseKeyInUrl} from './caller-headers.js';
 import {answerFailure, handleCompletion, handleModelList} from './model-handler.js';
 import {handleServiceCall} from './service-handler.js';
-import {parseTraceparent} from './telemetry.js';
-
-const createRouter = createRequire(import.meta.url)('find-my-way') as typeof findMyWay;
 
 type Handler = (call: IncomingCall, context: CallerContext) => Promise<void>;
 type CallKind = 'completion' | 'chat' | 'models' | 'service';
@@ -40,7 +36,7 @@
 
 const receive = (req: IncomingMessage, res: ServerResponse, context: CallerContext, makeId: () => string): IncomingCall => {
 	const connection = watchCaller(req, res);
-	const span = context.telemetry.startSpan('entry.request', parseTraceparent(req.headers.traceparent));
+	const span = context.telemetry.startSpan('entry.request', String(req.headers.traceparent ?? ''));
 	const receivedMs = context.clock.nowMs();
 	const key = bearerKey(req.headers.authorization);
 	return {
@@ -51,22 +47,20 @@
 const serve = async (kind: CallKind, call: IncomingCall, context: CallerContext): Promise<void> => {
 	const {connection, key, span, receivedMs} = call;
 	let code = 'ok';
-	let failure: unknown;
 	try {
 		context.running.refuseWhileDraining();
 		const url = parseUrl(connection.req.url);
 		refuseKeyInUrl(url, key);
 		await handlers[kind]({...call, url}, context);
 	} catch (error) {
-		failure = error;
 		code = connection.left.aborted ? 'caller-left' : toCallerError(error).code;
 		answerFailure(connection, error);
 	}
 
 	context.metrics.requests.inc({kind, code});
 	context.metrics.duration.observe({kind}, (context.clock.nowMs() - receivedMs) / 1000);
-	span.setAttribute('hawthorncleat.outcome', code);
-	span.end(failure);
+	span.setAttributes({'hawthorncleat.outcome': code});
+	span.end(code === 'ok' ? undefined : code);
 };
 
 /** Creates the server; the caller listens and closes. */
@@ -76,9 +70,11 @@
 		void context.running.track(async () => serve(kind, call, context));
 	};
 
-	const router = createRouter({defaultRoute: handle('service'), onBadUrl: (_path, req, res) => {
-		handle('service')(req as IncomingMessage, res as ServerResponse);
-	}});
+	const router = findMyWay({
+		defaultRoute: handle('service'), onBadUrl(_path, req, res) {
+			handle('service')(req, res);
+		},
+	});
 	router.on('POST', '/v1/completions', handle('completion'));
 	router.on('POST', '/v1/chat/completions', handle('chat'));
 	router.on('GET', '/v1/models', handle('models'));
--- a/packages/entry/src/completion-format.ts
+++ b/packages/entry/src/completion-format.ts
@@ -1,6 +1,7 @@
 /**
  * The completion and chat formats: reading a request and building answers and stream events.
  */
+/* eslint-disable @typescript-eslint/naming-convention -- The fields of the callers' format are in snake case. */
 import type {FrameEnd} from '@hawthorncleat/schema';
 import {callerError} from './caller-errors.js';
 
@@ -134,5 +135,17 @@
 	const content = kind === 'chat' ? {delta: {}} : {text: '', logprobs: null};
 	const object = objectName(kind, true);
 	const last = {...head, object, choices: [{index: 0, ...content, finish_reason: end.reason}]};
-	return includeUsage ? [last, {...head, object, choices: [], usage: usageOf(end)}] : [last];
+	return includeUsage
+		? [last, {
+			...head, object, choices: [], usage: usageOf(end),
+		}]
+		: [last];
 };
+
+/** Builds the list of models. */
+export const modelList = (names: readonly string[]): unknown => ({
+	object: 'list',
+	data: names.map(id => ({
+		id, object: 'model', created: 0, owned_by: 'hawthorncleat',
+	})),
+});
--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -3,7 +3,7 @@
  * tests and wired in one place.
  */
 import type {
-	ActionId, ClaimId, Clock, ConfigView, EndpointId, Fingerprint, MakeId, Random,
+	ActionId, ClaimId, Clock, ConfigView, EndpointId, MakeId, Random,
 } from '@hawthorncleat/core';
 import type {
 	ConfigSinceParams,
@@ -20,7 +20,7 @@
 	ServiceCallResult,
 } from '@hawthorncleat/schema';
 import type {ObjectStore} from '@hawthorncleat/platform';
-import type {Telemetry} from './telemetry.js';
+import type {Log, Tracing} from '@hawthorncleat/telemetry';
 
 /** The configuration in force. */
 export type ConfigSource = {current(): ConfigView};
@@ -110,9 +110,8 @@
 	readonly usageStore: Pick<ObjectStore, 'write'>;
 	readonly peerServices?: PeerServices;
 	readonly chooseEndpoint?: ChooseEndpoint;
-	/** Hears of each new crash mark. */
-	readonly onCrashMark?: (fingerprint: Fingerprint) => void;
-	readonly telemetry?: Telemetry;
+	readonly log?: Log;
+	readonly tracing?: Tracing;
 	/** Shorter times for tests. */
 	readonly timings?: Partial<Timings>;
 };
--- a/packages/entry/src/endpoint-pool.ts
+++ b/packages/entry/src/endpoint-pool.ts
@@ -43,12 +43,12 @@
 
 /** Keeps one connection to each chosen agent. */
 export class EndpointPool {
-	readonly #self: EntryPlace;
+	readonly #self: () => EntryPlace;
 	readonly #options: EndpointOptions;
 	readonly #endpoints = new Map<string, Endpoint>();
 	readonly #closing = new Set<Promise<void>>();
 
-	constructor(self: EntryPlace, options: EndpointOptions) {
+	constructor(self: () => EntryPlace, options: EndpointOptions) {
 		this.#self = self;
 		this.#options = options;
 	}
@@ -59,7 +59,7 @@
 
 	/** Follows the host list: connects to new hosts and leaves those that are gone once their streams have ended. */
 	update(hosts: readonly HostRecord[]): void {
-		const wanted = new Map(chooseSubset(hosts, this.#self).map(host => [addressOf(host), host]));
+		const wanted = new Map(chooseSubset(hosts, this.#self()).map(host => [addressOf(host), host]));
 		for (const [key, host] of wanted) {
 			this.#want(key, host);
 		}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,18 @@
-
+export {
+	defaultTimings,
+	type ApplyResult,
+	type ChoiceRequest,
+	type ChooseEndpoint,
+	type ClaimResult,
+	type Claims,
+	type ConfigSource,
+	type EndpointCandidate,
+	type EntryDeps,
+	type FreshnessCheck,
+	type HostSource,
+	type PeerServices,
+	type Publisher,
+	type Timings,
+} from './deps.js';
+export {chooseLeastWait} from './choose-endpoint.js';
+export {startEntry, type Entry} from './start.js';
--- a/packages/entry/src/model-handler.ts
+++ b/packages/entry/src/model-handler.ts
@@ -12,6 +12,7 @@
 import {
 	endEvents,
 	estimateTokens,
+	modelList,
 	readCompletionRequest,
 	tokenEvent,
 	wholeAnswer,
@@ -39,7 +40,7 @@
 	let outputTokens = 0;
 	const deadline = new AbortController();
 	const timer = setTimeout(() => {
-		deadline.abort(callerError('endpoint-timeout', 'the answer took too long', {ran: 'ran', retryAfterMs: context.timings.retryAfterMs}));
+		deadline.abort(callerError('endpoint-timeout', 'the answer took too long', {retryAfterMs: context.timings.retryAfterMs}));
 	}, request.route.route.timeoutMs);
 	const countTokens = (tokens: readonly string[]): void => {
 		if (outputTokens === 0) {
@@ -184,10 +185,7 @@
 		authenticate(undefined, context);
 	}
 
-	const data = routes.map(({route}) => ({
-		id: route.name, object: 'model', created: 0, owned_by: 'hawthorncleat',
-	}));
-	sendJson(call.connection.res, 200, {object: 'list', data});
+	sendJson(call.connection.res, 200, modelList(routes.map(({route}) => route.name)));
 };
 
 /** Answers a call with its error unless its answer has begun. */
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -2,7 +2,7 @@
  * Runs a call of a plain service. An idempotent call may be tried again; an action is sent on only after a refusal by
  * the only agent that received it.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {
 	decideRetry, type FailureKind, type Ran, type RequestError,
 } from '@hawthorncleat/core';
--- /dev/null
+++ b/packages/entry/src/start.ts
@@ -0,0 +1,108 @@
+/**
+ * Starts an entry and releases everything that it holds when its signal aborts.
+ */
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import type {EntrySettings} from '@hawthorncleat/schema';
+import {startAdminServer} from '@hawthorncleat/telemetry';
+import {listen} from '@hawthorncleat/wire';
+import {createAdminRoutes} from './admin-routes.js';
+import {createCallerServer} from './caller-server.js';
+import type {EntryDeps} from './deps.js';
+import {createEntryParts, type EntryParts} from './entry-parts.js';
+import {createInternalHandlers} from './internal-handlers.js';
+
+/** A running entry. */
+export type Entry = {
+	readonly callerPort: number;
+	readonly internalPort: number;
+	readonly adminPort: number;
+	/** Settles after `signal` aborted and everything was released. */
+	readonly closed: Promise<void>;
+	/** Refuses new requests and settles when the running ones have ended and their usage is written. */
+	drain(): Promise<void>;
+};
+
+const listenInternally = async (parts: EntryParts, signal: AbortSignal) => listen({
+	address: parts.settings.address,
+	port: parts.settings.internalPort,
+	clock: parts.deps.clock,
+	heartbeat: parts.heartbeat,
+	handlers: createInternalHandlers(parts.deps.peerServices ?? {}, parts.helloResult, parts.learn),
+	onHeartbeat(heartbeat) {
+		parts.deps.peerServices?.onPeerVersion?.(heartbeat.configVersion);
+	},
+}, signal);
+
+const listenForCallers = async (parts: EntryParts, signal: AbortSignal): Promise<{port: number; closed: Promise<void>}> => {
+	const server = createCallerServer(parts.context, parts.deps.makeId);
+	server.listen({host: parts.settings.address, port: parts.settings.callerPort});
+	await once(server, 'listening', {signal});
+	const closed = once(server, 'close').then(() => {/* Only the moment matters. */});
+	signal.addEventListener('abort', () => {
+		server.close();
+		server.closeAllConnections();
+	}, {once: true});
+	return {port: (server.address() as AddressInfo).port, closed};
+};
+
+const startAdmin = async (parts: EntryParts, drain: () => void, signal: AbortSignal) => startAdminServer({
+	address: parts.settings.address,
+	port: parts.settings.adminPort,
+	registry: parts.context.metrics.registry,
+	readiness: parts.readiness,
+	addRoutes: createAdminRoutes({
+		adminToken: parts.settings.adminToken,
+		config: parts.deps.config,
+		publisher: parts.deps.publisher,
+		status: parts.status,
+		startDrain: drain,
+	}),
+}, signal);
+
+const startTimers = (parts: EntryParts, signal: AbortSignal): void => {
+	const hostTimer = setInterval(parts.followHosts, parts.settings.hostPollMs);
+	const usageTimer = setInterval(() => {
+		void parts.context.usage.flush();
+	}, parts.settings.usageFlushMs);
+	signal.addEventListener('abort', () => {
+		clearInterval(hostTimer);
+		clearInterval(usageTimer);
+	}, {once: true});
+};
+
+const startParts = async (parts: EntryParts, signal: AbortSignal): Promise<Entry> => {
+	const internal = await listenInternally(parts, signal);
+	parts.setInternalPort(internal.port);
+	parts.followHosts();
+	startTimers(parts, signal);
+	const callers = await listenForCallers(parts, signal);
+	let draining: Promise<void> | undefined;
+	const drain = async (): Promise<void> => {
+		draining ??= parts.drain();
+		return draining;
+	};
+
+	const admin = await startAdmin(parts, () => {
+		void drain();
+	}, signal);
+	const released = once(signal, 'abort').then(async () => parts.close());
+	const closed = Promise.all([internal.closed, callers.closed, admin.closed, released]).then(() => {/* All released. */});
+	return {
+		callerPort: callers.port, internalPort: internal.port, adminPort: admin.port, drain, closed,
+	};
+};
+
+/** Starts an entry. A failed start releases what had been started. */
+export const startEntry = async (settings: EntrySettings, deps: EntryDeps, signal: AbortSignal): Promise<Entry> => {
+	signal.throwIfAborted();
+	const failed = new AbortController();
+	const parts = createEntryParts(settings, deps);
+	try {
+		return await startParts(parts, AbortSignal.any([signal, failed.signal]));
+	} catch (error) {
+		failed.abort();
+		await parts.close();
+		throw error;
+	}
+};
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -130,7 +130,12 @@
 		} catch (error) {
 			const failure = classifyCallError(error);
 			this.#isStarted = failure.kind === 'connection-lost';
-			await (this.#isStarted ? this.#recover() : this.#failStart(failure));
+			if (this.#isStarted) {
+				await this.#recover();
+				return;
+			}
+
+			this.#failStart(failure);
 		}
 	}
 
--- a/packages/entry/src/usage-flush.ts
+++ b/packages/entry/src/usage-flush.ts
@@ -5,11 +5,11 @@
 	brandAs, usagePartKey, UsageMeter, type ClientAccountName, type Clock, type Usage, type UsagePart, type WindowId,
 } from '@hawthorncleat/core';
 import type {ObjectStore} from '@hawthorncleat/platform';
-import type {Log} from './telemetry.js';
+import type {Log} from '@hawthorncleat/telemetry';
 
 type UsageOptions = {
-	readonly entryId: string;
-	readonly incarnation: string;
+	/** The id may become known only when the entry listens. */
+	readonly owner: () => {readonly entryId: string; readonly incarnation: string};
 	readonly windowMs: number;
 	readonly wallClock: Clock;
 	readonly store: Pick<ObjectStore, 'write'>;
@@ -26,7 +26,7 @@
 
 	constructor(options: UsageOptions) {
 		this.#options = options;
-		this.#meter = new UsageMeter(options);
+		this.#meter = new UsageMeter(options.owner);
 	}
 
 	get windows(): number {
