--- a/packages/entry/src/__tests__/callers.test.ts
+++ b/packages/entry/src/__tests__/callers.test.ts
@@ -100,6 +100,20 @@
 		}));
 	});
 
+	describe('other ways for a key or a route', () => {
+		it('refuses a key in the body, which the endpoint would see', async () => withEntry(async world => {
+			assert.is(await describeError(await complete(world, {prompt: `say ${goodKey}`})), '400 bad-request not-run');
+			const res = await send(world, '/stock', {method: 'POST', body: `key=${goodKey}`});
+			assert.is(await describeError(res), '400 bad-request not-run');
+		}));
+
+		it('refuses a path that a service could read as the path of an action', async () => withEntry(async world => {
+			for (const path of ['/stock/..%2Forders', '/stock/..%5corders', '/stock//orders']) {
+				assert.is(await describeError(await send(world, path)), '400 bad-request not-run');
+			}
+		}));
+	});
+
 	describe('limits', () => {
 		const addSlowDesk = async (world: World): Promise<FakeAgent> => addAgent(world, 'desk', {
 			async 'service.call'() {
--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -160,6 +160,10 @@
 	}
 };
 
+/** Starts a second entry beside the first one, with other settings. */
+export const startAgain = async (world: World, changes: Partial<EntrySettings>): Promise<Entry> =>
+	startEntry({...settings, ...changes}, createDeps(world, {}), world.signal);
+
 /** Polls until a condition holds. */
 export const until = async (condition: () => boolean, what: string): Promise<void> => {
 	const startMs = clock.nowMs();
--- a/packages/entry/src/admin-routes.ts
+++ b/packages/entry/src/admin-routes.ts
@@ -6,7 +6,7 @@
 import {isRequestError} from '@hawthorncleat/core';
 import type {AdminOptions} from '@hawthorncleat/telemetry';
 import {
-	sendError, sendJson, toCallerError, watchCaller,
+	sendError, sendJson, watchCaller,
 } from './caller-connection.js';
 import {bearerKey} from './caller-headers.js';
 import {retryAfterSeconds} from './caller-errors.js';
@@ -75,7 +75,8 @@
 		await handler(req, res);
 	} catch (error) {
 		if (isRequestError(error)) {
-			sendError(watchCaller(req, res), toCallerError(error));
+			// Codes of the publication, such as `witnesses-unavailable`, go to the operator as they are.
+			sendError(watchCaller(req, res), error);
 			return;
 		}
 
--- a/packages/entry/src/endpoint.ts
+++ b/packages/entry/src/endpoint.ts
@@ -90,6 +90,14 @@
 		return this.streams.size === 0 && this.openCalls === 0;
 	}
 
+	/** Takes over the queue length that an answer to `request.start` gave between two load reports. */
+	noteQueue(queuedTokens: number): void {
+		if (this.#report) {
+			this.#report = {...this.#report, waitingTokens: queuedTokens};
+			this.dispatchedTokens = 0;
+		}
+	}
+
 	/** Waits until there is a connection, at most `limitMs`. */
 	async waitForPeer(limitMs: number): Promise<Peer | undefined> {
 		return this.#connection.waitForPeer(limitMs);
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -35,6 +35,7 @@
 	readonly #connectionOptions: ConnectionOptions;
 	#entryId: string;
 	#entryPeers: EntryPeers | undefined;
+	#liveEntries = 1;
 
 	constructor(settings: EntrySettings, deps: EntryDeps) {
 		this.settings = settings;
@@ -99,6 +100,7 @@
 
 	readonly followHosts = (): void => {
 		const hosts = this.deps.hosts.current();
+		this.#liveEntries = hosts.filter(host => host.kind === 'entry' && host.state === 'live').length;
 		this.#pool.update(hosts);
 		this.#entryPeers?.update(hosts);
 		this.#metrics.configVersion.set(this.#configVersion);
@@ -122,7 +124,7 @@
 		this.#running.startDrain();
 		log.info('draining', {running: this.#running.count});
 		const isIdle = await this.#running.idle(this.settings.drainLimitMs);
-		await this.#usage.flush();
+		await this.#usage.flushFinally();
 		log[isIdle ? 'info' : 'warn']('drained', {running: this.#running.count});
 	}
 
@@ -172,7 +174,7 @@
 	#createLimits(): AccountLimits {
 		return new AccountLimits({
 			clock: this.deps.clock,
-			liveEntries: () => this.deps.hosts.current().filter(host => host.kind === 'entry' && host.state === 'live').length,
+			liveEntries: () => this.#liveEntries,
 			retryAfterMs: this.#timings.retryAfterMs,
 		});
 	}
--- a/packages/entry/src/kept-connection.ts
+++ b/packages/entry/src/kept-connection.ts
@@ -54,6 +54,7 @@
 
 	/** Waits until there is a connection, at most `limitMs`. */
 	async waitForPeer(limitMs: number): Promise<Peer | undefined> {
+		this.#forgetClosedPeer();
 		if (!this.peer) {
 			const limit = new AbortController();
 			const signal = AbortSignal.any([limit.signal, this.#controller.signal]);
@@ -118,11 +119,18 @@
 	}
 
 	#lose(reason: string): void {
-		this.#peer = undefined;
-		this.#connected = createSignal();
+		this.#forgetClosedPeer();
 		this.#target.onDown?.(reason);
 	}
 
+	/** A call may fail before `closed` has been noticed; whoever waits then must not see the old signal. */
+	#forgetClosedPeer(): void {
+		if (this.#peer && !this.#peer.isOpen) {
+			this.#peer = undefined;
+			this.#connected = createSignal();
+		}
+	}
+
 	readonly #receiveHeartbeat = (heartbeat: Heartbeat): void => {
 		this.#target.onHeartbeat?.(heartbeat);
 		this.#options.onPeerVersion?.(heartbeat.configVersion);
--- a/packages/entry/src/model-handler.ts
+++ b/packages/entry/src/model-handler.ts
@@ -8,6 +8,7 @@
 import {
 	EventStream, sendError, sendJson, toCallerError, type CallerConnection,
 } from './caller-connection.js';
+import {refuseKeyInBody} from './caller-headers.js';
 import type {CallerContext, IncomingCall} from './caller-context.js';
 import {
 	endEvents,
@@ -163,6 +164,7 @@
 	}
 
 	const body = await readBody(call.connection.req, context.bodyLimits);
+	refuseKeyInBody(body, call.key);
 	const asked = readCompletionRequest(kind, parseJsonObject(body));
 	const {request, caller} = admitRequest(call, asked, body, context);
 	const admission = context.limits.admit(caller, request.tokens);
--- a/packages/entry/src/service-handler.ts
+++ b/packages/entry/src/service-handler.ts
@@ -8,7 +8,9 @@
 import {callerError} from './caller-errors.js';
 import {sendAnswer} from './caller-connection.js';
 import type {CallerContext, IncomingCall} from './caller-context.js';
-import {forwardedHeaders, returnedToCaller} from './caller-headers.js';
+import {
+	forwardedHeaders, refuseAmbiguousPath, refuseKeyInBody, returnedToCaller,
+} from './caller-headers.js';
 import {fingerprintOf} from './model-handler.js';
 import {readBody} from './request-body.js';
 import {runServiceRequest, type ServiceRequest} from './service-request.js';
@@ -69,6 +71,7 @@
 
 /** Handles a call of a plain service. */
 export const handleServiceCall = async (call: IncomingCall, context: CallerContext): Promise<void> => {
+	refuseAmbiguousPath(call.url);
 	const route = findRoute(call, context);
 	authorize(route, call.key, context);
 	if (route.route.action) {
@@ -76,6 +79,7 @@
 	}
 
 	const body = await readBody(call.connection.req, context.bodyLimits);
+	refuseKeyInBody(body, call.key);
 	// The configuration may have changed while the body arrived.
 	const currentRoute = findRoute(call, context);
 	const caller = authorize(currentRoute, call.key, context);
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -147,6 +147,7 @@
 			return;
 		}
 
+		this.#options.endpoint.noteQueue(checked.value.queuedTokens);
 		if (!this.#options.endpoint.peer) {
 			void this.#recover();
 		}
--- a/packages/entry/src/usage-flush.ts
+++ b/packages/entry/src/usage-flush.ts
@@ -1,12 +1,16 @@
 /**
  * Writes the metered usage to the object store, and keeps it in memory while the store is down.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	brandAs, usagePartKey, UsageMeter, type ClientAccountName, type Clock, type Usage, type UsagePart, type WindowId,
 } from '@hawthorncleat/core';
 import type {ObjectStore} from '@hawthorncleat/platform';
 import type {Log} from '@hawthorncleat/telemetry';
 
+const finalTries = 5;
+const finalPauseMs = 500;
+
 type UsageOptions = {
 	/** The id may become known only when the entry listens. */
 	readonly owner: () => {readonly entryId: string; readonly incarnation: string};
@@ -45,6 +49,20 @@
 		return this.#flushing;
 	}
 
+	/** Writes everything, with a few tries, because what is left at the end of the process is lost. */
+	async flushFinally(): Promise<void> {
+		for (let tries = 1; tries <= finalTries; tries++) {
+			await this.flush();
+			if (this.#meter.unflushedParts().length === 0) {
+				return;
+			}
+
+			await sleep(finalPauseMs);
+		}
+
+		this.#options.log.warn('usage was not written before the end', {parts: this.#meter.unflushedParts().length});
+	}
+
 	#currentWindow(): WindowId {
 		const {windowMs, wallClock} = this.#options;
 		return brandAs<WindowId>(String(Math.floor(wallClock.nowMs() / windowMs) * windowMs));
