--- a/packages/entry/src/action-request.ts
+++ b/packages/entry/src/action-request.ts
@@ -69,16 +69,14 @@
 	return answer;
 };
 
-const dispatchClaimed = async (
+const dispatchOrRelease = async (
 	request: ServiceRequest,
 	ids: {readonly actionId: ActionId; readonly claimId: ClaimId},
 	deps: ActionDeps,
 ): Promise<ServiceCallResult> => {
 	try {
 		deps.checkAgain();
-		const answer = await deps.dispatch({...request, action: ids});
-		deps.inBackground(deps.claims.complete(ids.claimId, answer));
-		return answer;
+		return await deps.dispatch({...request, action: ids});
 	} catch (error) {
 		if (isRequestError(error) && error.ran === 'not-run') {
 			deps.inBackground(deps.claims.release(ids.claimId));
@@ -88,6 +86,17 @@
 	}
 };
 
+const dispatchClaimed = async (
+	request: ServiceRequest,
+	ids: {readonly actionId: ActionId; readonly claimId: ClaimId},
+	deps: ActionDeps,
+): Promise<ServiceCallResult> => {
+	const answer = await dispatchOrRelease(request, ids, deps);
+	// Outside of the release above: an action that ran must not be released, whatever happens here.
+	deps.inBackground(deps.claims.complete(ids.claimId, answer));
+	return answer;
+};
+
 /** Runs an action, or returns the answer that was recorded when it ran. */
 export const runAction = async (request: ServiceRequest, key: string, deps: ActionDeps): Promise<ServiceCallResult> => {
 	const actionId = actionIdOf(request.clientAccount, request.route.route.name, key);
