--- a/packages/entry/src/__tests__/model.test.ts
+++ b/packages/entry/src/__tests__/model.test.ts
@@ -98,6 +98,22 @@
 			assert.is(await textOf(await complete(world)), 'one two three');
 		}));
 
+		it('does not pass off an answer as whole whose end counts other tokens', async () => withEntry(async world => {
+			await addEngine(world, (params, peer) => {
+				sendTokens(peer, params, 0, ['one ']);
+				peer.notify('request.frame', {
+					requestId: params.requestId,
+					attempt: params.attempt,
+					position: 1,
+					tokens: [],
+					end: {
+						reason: 'stop', promptTokens: 3, cachedTokens: 0, outputTokens: 2,
+					},
+				});
+			});
+			assert.is(await describeError(await complete(world)), '502 endpoint-failed ran retry');
+		}));
+
 		it('gives up on an agent that sends more than was asked for, which would grow without bound', async () => withEntry(async world => {
 			await addEngine(world, (params, peer) => {
 				sendTokens(peer, params, 0, ['a', 'b', 'c']);
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -189,6 +189,12 @@
 			return;
 		}
 
+		// The agent counts over all attempts too, so another count means that the caller would miss tokens.
+		if (end.outputTokens !== this.#options.delivery.tokens.length) {
+			this.#fail({kind: 'invalid-response', ran: 'ran', code: 'wrong-token-count'});
+			return;
+		}
+
 		this.#settle({kind: 'end', end});
 	}
 
