--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -82,3 +82,12 @@
 	type SettingsResult,
 } from './settings.js';
 export {createNameIndex, type NameIndex} from './config/names.js';
+export {chooseByRendezvous} from './rendezvous.js';
+export {
+	decideRetry, maxAttempts, RetryBudget, type FailureKind, type RetryDecision, type RetryState,
+} from './retry.js';
+export {CrashSuspects, type Suspicion} from './crash-suspects.js';
+export {TokenBucket} from './rate-limit.js';
+export {
+	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
+} from './usage.js';
