--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,7 @@
 export {
 	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type Rank, type WitnessGroup, type WitnessGroupInput,
 } from './witness-groups.js';
+export {
 	LeaseHolder,
 	leaseDefaults,
 	leaseEpochKey,
