--- /dev/null
+++ b/packages/agent/src/action-memory.ts
@@ -0,0 +1,31 @@
+/**
+ * The actions that this agent received in its life. A message that arrives twice does not run a second time.
+ */
+import {createRequestError} from '@hawthorncleat/core';
+import type {ActionRef} from '@hawthorncleat/schema';
+
+/** Actions by id with the claim that brought each. */
+export class ActionMemory {
+	readonly #claims = new Map<string, {claimId: string; isNotRun: boolean}>();
+
+	/**
+	 * Notes an action before it is sent, or refuses it. Another claim for the same action is taken only after the earlier
+	 * one certainly did not run.
+	 */
+	begin({actionId, claimId}: ActionRef): void {
+		const earlier = this.#claims.get(actionId);
+		if (earlier && (earlier.claimId === claimId || !earlier.isNotRun)) {
+			throw createRequestError('this action was already received', {code: 'duplicate-action', ran: 'unknown', status: 409});
+		}
+
+		this.#claims.set(actionId, {claimId, isNotRun: false});
+	}
+
+	/** Notes that the connection to the service was refused before the first byte. */
+	noteNotRun({actionId, claimId}: ActionRef): void {
+		const claim = this.#claims.get(actionId);
+		if (claim?.claimId === claimId) {
+			claim.isNotRun = true;
+		}
+	}
+}
--- /dev/null
+++ b/packages/agent/src/endpoint.ts
@@ -0,0 +1,34 @@
+/**
+ * What an agent needs from its endpoint, whichever kind it is. An engine and a plain service each implement it.
+ */
+import type {
+	EngineOrderResult,
+	RequestCancel,
+	RequestResumeParams,
+	RequestStartParams,
+	RequestStartResult,
+	ServiceCallParams,
+	ServiceCallResult,
+} from '@hawthorncleat/schema';
+import type {FrameTarget} from './stream.js';
+import type {LoadSnapshot} from './load-reporter.js';
+
+/** The endpoint behind an agent. */
+export type Endpoint = {
+	/** Begins to talk to the endpoint; the slot port is held. */
+	open(): void;
+	/** Why the endpoint takes no work; empty when it does. */
+	problems(): string[];
+	load(): Omit<LoadSnapshot, 'leaving'>;
+	startRequest(params: RequestStartParams, listener: FrameTarget): RequestStartResult;
+	resumeRequest(params: RequestResumeParams, listener: FrameTarget): {resumed: true};
+	cancelRequest(params: RequestCancel): void;
+	callService(params: ServiceCallParams): Promise<ServiceCallResult>;
+	receiveOrder(orderNumber: number): Promise<EngineOrderResult>;
+	detach(listener: FrameTarget): void;
+	/** Settles when all accepted work has ended. */
+	whenIdle(): Promise<void>;
+	/** Whether the entries that listen were sent everything. */
+	isDelivered(): boolean;
+	close(): Promise<void>;
+};
--- /dev/null
+++ b/packages/agent/src/engine-endpoint.ts
@@ -0,0 +1,103 @@
+/**
+ * A model engine as an agent's endpoint.
+ */
+import type {MakeId} from '@hawthorncleat/core';
+import type {Table} from '@hawthorncleat/platform';
+import type {Endpoint} from './endpoint.js';
+import type {EngineClient} from './engine-client.js';
+import {EngineMonitor} from './engine-monitor.js';
+import {OrderExecutor} from './order-executor.js';
+import {unavailable} from './refusals.js';
+import {RequestRunner, type RequestRunnerOptions} from './request-runner.js';
+
+export type EngineEndpointOptions = Omit<RequestRunnerOptions, 'isEngineAlive' | 'mayStart'> & {
+	readonly endpoint: string;
+	readonly incarnation: string;
+	readonly engine: EngineClient;
+	readonly table: Table;
+	readonly makeId: MakeId;
+	readonly signal: AbortSignal;
+	/** Called when the role changed or the engine became available or unavailable. */
+	readonly onChange: () => void;
+};
+
+/** Creates the endpoint of a model engine. */
+export const createEngineEndpoint = (options: EngineEndpointOptions): Endpoint => {
+	const {engine, log, metrics, signal, onChange} = options;
+	const monitor: EngineMonitor = new EngineMonitor(engine, {
+		onDown() {
+			log.warn('engine does not answer');
+			metrics.crashes.inc();
+			runner.failAll();
+			onChange();
+		},
+		onState(state, previous) {
+			if (!previous) {
+				log.info('engine answers', {role: state.role});
+			}
+
+			if (state.role !== previous?.role || state.changing !== previous.changing) {
+				onChange();
+			}
+
+			runner.pump();
+		},
+	});
+	const runner: RequestRunner = new RequestRunner({
+		...options,
+		isEngineAlive: async () => await monitor.probe() !== undefined,
+		mayStart: () => monitor.state?.changing === false,
+	});
+	const orders = new OrderExecutor({
+		...options,
+		probe: async () => monitor.probe(),
+		whenIdle: async () => runner.whenIdle(),
+	});
+	const problems = (): string[] => [
+		...(monitor.state ? [] : ['engine-unreachable']),
+		...(monitor.state?.changing || orders.isExecuting ? ['engine-changing'] : []),
+	];
+
+	return {
+		open() {
+			monitor.start();
+			void orders.initialise().catch((error: unknown) => {
+				if (!signal.aborted) {
+					log.error('engine orders cannot be initialised', {error: String(error)});
+				}
+			});
+		},
+		problems,
+		load: () => ({
+			role: monitor.state?.role ?? 'mixed',
+			running: runner.scheduler.running.size,
+			waiting: runner.scheduler.waitingCount,
+			waitingTokens: runner.scheduler.waitingTokens,
+			freeTokens: monitor.state?.kvFreeTokens ?? 0,
+			prefixes: [],
+		}),
+		startRequest: (params, listener) => runner.start(params, listener),
+		resumeRequest: (params, listener) => runner.resume(params, listener),
+		cancelRequest(params) {
+			runner.cancel(params);
+		},
+		async callService() {
+			throw unavailable('no-endpoint', 'this endpoint is a model engine');
+		},
+		async receiveOrder(orderNumber) {
+			const result = await orders.receive(orderNumber);
+			metrics.orders.inc({result: result.state});
+			return result;
+		},
+		detach(listener) {
+			runner.detach(listener);
+		},
+		whenIdle: async () => runner.whenIdle(),
+		isDelivered: () => runner.scheduler.isIdle && runner.isDelivered,
+		async close() {
+			monitor.stop();
+			runner.close();
+			await engine.close();
+		},
+	};
+};
--- /dev/null
+++ b/packages/agent/src/handlers.ts
@@ -0,0 +1,69 @@
+/**
+ * What an agent does with each message of an entry.
+ */
+import type {HelloResult} from '@hawthorncleat/schema';
+import type {Readiness} from '@hawthorncleat/telemetry';
+import type {Handlers, Peer} from '@hawthorncleat/wire';
+import type {Endpoint} from './endpoint.js';
+import type {AgentMetrics} from './metrics.js';
+import {otherIncarnation, unavailable} from './refusals.js';
+
+// An order may reach an agent whose engine is down or changing; the order rules decide what happens then.
+const reasonsOfEngine = ['engine-unreachable', 'engine-changing'];
+
+export type HandlerOptions = {
+	readonly endpoint: Endpoint;
+	readonly metrics: AgentMetrics;
+	readonly incarnation: string;
+	readonly identity: HelloResult;
+	readonly readiness: () => Readiness;
+	readonly onHello: (peer: Peer) => void;
+};
+
+/** Creates the handlers of one agent. */
+export const createHandlers = (options: HandlerOptions): Handlers<Peer> => {
+	const {endpoint, metrics, identity, onHello} = options;
+	const checkIncarnation = (incarnation: string, isAction: boolean): void => {
+		if (incarnation !== options.incarnation) {
+			metrics.refused.inc({code: 'other-incarnation'});
+			throw otherIncarnation(isAction);
+		}
+	};
+
+	const checkReady = (ignored: readonly string[] = []): void => {
+		const reason = options.readiness().reasons.find(reason => !ignored.includes(reason));
+		if (reason !== undefined) {
+			metrics.refused.inc({code: reason});
+			throw unavailable(reason, `the agent takes no work: ${reason}`);
+		}
+	};
+
+	return {
+		hello({id}, peer) {
+			peer.remoteId = id;
+			// The answer to this call goes out before the report.
+			setImmediate(() => {
+				onHello(peer);
+			});
+			return identity;
+		},
+		'request.start'(params, peer) {
+			checkIncarnation(params.incarnation, false);
+			checkReady();
+			return endpoint.startRequest(params, peer);
+		},
+		'request.resume': (params, peer) => endpoint.resumeRequest(params, peer),
+		'request.cancel'(params) {
+			endpoint.cancelRequest(params);
+		},
+		async 'service.call'(params) {
+			checkIncarnation(params.incarnation, params.action !== undefined);
+			checkReady();
+			return endpoint.callService(params);
+		},
+		async 'engine.order'({orderNumber}) {
+			checkReady(reasonsOfEngine);
+			return endpoint.receiveOrder(orderNumber);
+		},
+	};
+};
--- /dev/null
+++ b/packages/agent/src/request-runner.ts
@@ -0,0 +1,329 @@
+/**
+ * Runs model requests: takes them from entries, starts them at the engine, keeps their streams and reports how each
+ * one ends.
+ */
+import {createRequestError, type Clock} from '@hawthorncleat/core';
+import type {
+	RequestCancel, RequestResumeParams, RequestStartParams, RequestStartResult,
+} from '@hawthorncleat/schema';
+import type {Log, Tracing} from '@hawthorncleat/telemetry';
+import type {CrashMarks} from './crash-marks.js';
+import {invalidResponse, isEngineFailure, type EngineClient} from './engine-client.js';
+import type {AgentMetrics} from './metrics.js';
+import {overloaded, unknownRequest} from './refusals.js';
+import {RequestScheduler, type SchedulerLimits} from './request-scheduler.js';
+import {Stream, type FrameTarget, type StreamOutcome} from './stream.js';
+
+/** How long a stream without a listener keeps its place at the engine. */
+export const orphanLimitMs = 10_000;
+/** How long an ended stream can still be resumed. */
+export const replayMs = 10_000;
+const sweepIntervalMs = 100;
+// Ended streams beyond this many are forgotten early, oldest first, which bounds the memory for replays.
+const maxEndedStreams = 4096;
+
+export type RequestRunnerOptions = {
+	readonly limits: SchedulerLimits;
+	readonly engine: EngineClient;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly tracing: Tracing;
+	readonly metrics: AgentMetrics;
+	readonly marks: CrashMarks;
+	/** Asks the engine whether it still answers, after a connection broke. */
+	readonly isEngineAlive: () => Promise<boolean>;
+	/** Whether requests may be sent to the engine at the moment. */
+	readonly mayStart: () => boolean;
+	/** Tells all entries that these requests ran when the engine crashed. */
+	readonly onCrash: (fingerprints: string[]) => void;
+};
+
+/** All model requests of one agent. */
+export class RequestRunner {
+	readonly scheduler: RequestScheduler;
+	readonly #streams = new Map<string, Stream>();
+	readonly #timer: NodeJS.Timeout;
+	readonly #idleWaiters: Array<() => void> = [];
+
+	constructor(private readonly options: RequestRunnerOptions) {
+		this.scheduler = new RequestScheduler(options.limits);
+		this.#timer = setInterval(() => {
+			this.sweep();
+		}, sweepIntervalMs);
+	}
+
+	/** Whether every stream ended and its listener, if it has one, was sent everything. */
+	get isDelivered(): boolean {
+		return [...this.#streams.values()].every(stream => stream.isDelivered);
+	}
+
+	/** Takes a request into the queue, or refuses it. */
+	start(params: RequestStartParams, listener: FrameTarget): RequestStartResult {
+		this.#replaceEarlierAttempt(params);
+		const work = this.scheduler.estimate(params);
+		const decision = this.scheduler.decide(work, params.firstTokenInMs);
+		if (!decision.accepted) {
+			this.options.metrics.refused.inc({code: 'overloaded'});
+			throw overloaded(decision.retryAfterMs);
+		}
+
+		const {requestId, attempt, traceparent, fingerprint, suspect} = params;
+		const span = this.options.tracing.startSpan('agent.request', traceparent, {requestId, attempt, model: params.model});
+		const isSuspect = suspect === true || this.options.marks.has(fingerprint);
+		const stream = new Stream(params, work, isSuspect, span);
+		stream.attach(listener);
+		this.#streams.set(requestId, stream);
+		this.scheduler.add(stream);
+		this.pump();
+		return {accepted: true, queuedTokens: this.scheduler.waitingTokens};
+	}
+
+	/** Sends a stream again from a position, on the connection that asks. */
+	resume({requestId, attempt, position}: RequestResumeParams, listener: FrameTarget): {resumed: true} {
+		const stream = this.#streams.get(requestId);
+		if (!stream || stream.params.attempt !== attempt || !stream.rewind(position)) {
+			throw unknownRequest();
+		}
+
+		stream.attach(listener);
+		// The answer to this call goes out before the frames.
+		setImmediate(() => {
+			stream.flush();
+		});
+		return {resumed: true};
+	}
+
+	cancel({requestId, attempt}: RequestCancel): void {
+		const stream = this.#streams.get(requestId);
+		if (stream?.params.attempt === attempt) {
+			this.#cancelStream(stream);
+		}
+	}
+
+	/** Notes that a connection ended; its streams wait for a resume. */
+	detach(listener: FrameTarget): void {
+		const nowMs = this.options.clock.nowMs();
+		for (const stream of this.#streams.values()) {
+			stream.detach(listener, nowMs);
+		}
+	}
+
+	/** Starts waiting requests while there are places. */
+	pump(): void {
+		while (this.options.mayStart()) {
+			const stream = this.scheduler.takeNext();
+			if (!stream) {
+				return;
+			}
+
+			void this.#run(stream);
+		}
+	}
+
+	/** The engine stopped answering: everything that runs there is lost, and what waits goes elsewhere. */
+	failAll(): void {
+		const running = [...this.scheduler.running].filter(stream => !stream.outcome);
+		this.#reportCrash(running);
+		for (const stream of running) {
+			const hasTokens = stream.nextPosition > stream.params.delivered.length;
+			this.#fail(stream, {code: 'engine-crashed', ran: hasTokens ? 'ran' : 'unknown', crash: true});
+			stream.abort.abort();
+		}
+
+		for (const stream of this.scheduler.clearWaiting()) {
+			this.#fail(stream, {code: 'engine-unreachable', ran: 'not-run', crash: false});
+		}
+	}
+
+	/** Settles when nothing runs or waits. */
+	async whenIdle(): Promise<void> {
+		if (!this.scheduler.isIdle) {
+			await new Promise<void>(resolve => {
+				this.#idleWaiters.push(resolve);
+			});
+		}
+	}
+
+	/** Sends what slow connections can take again, and ends streams that nobody listens to. */
+	sweep(): void {
+		const nowMs = this.options.clock.nowMs();
+		let endedCount = 0;
+		for (const [requestId, stream] of this.#streams) {
+			stream.flush();
+			if (stream.endedMs !== undefined) {
+				endedCount += 1;
+				if (this.#isForgettable(stream, nowMs)) {
+					this.#streams.delete(requestId);
+				}
+			} else if (stream.listenerLostMs !== undefined && nowMs - stream.listenerLostMs >= orphanLimitMs) {
+				this.#cancelStream(stream);
+			}
+		}
+
+		this.#forgetOldest(endedCount - maxEndedStreams);
+	}
+
+	close(): void {
+		clearInterval(this.#timer);
+		for (const stream of this.#streams.values()) {
+			stream.abort.abort();
+			stream.releaseRoom();
+			stream.span.end('agent stopped');
+		}
+
+		this.#streams.clear();
+		this.scheduler.clearWaiting();
+		this.#wakeIdleWaiters();
+	}
+
+	#isForgettable(stream: Stream, nowMs: number): boolean {
+		const isHeldBack = stream.listener?.isOpen === true && !stream.isDelivered;
+		return !isHeldBack && nowMs - (stream.endedMs ?? nowMs) >= replayMs;
+	}
+
+	#forgetOldest(excess: number): void {
+		let left = excess;
+		for (const [requestId, stream] of this.#streams) {
+			if (left <= 0) {
+				return;
+			}
+
+			if (stream.endedMs !== undefined && stream.isDelivered) {
+				this.#streams.delete(requestId);
+				left -= 1;
+			}
+		}
+	}
+
+	#replaceEarlierAttempt({requestId, attempt}: RequestStartParams): void {
+		const earlier = this.#streams.get(requestId);
+		if (!earlier) {
+			return;
+		}
+
+		if (earlier.params.attempt >= attempt) {
+			throw createRequestError('this attempt was already received', {code: 'duplicate-attempt', ran: 'unknown', status: 409});
+		}
+
+		this.#cancelStream(earlier);
+	}
+
+	#cancelStream(stream: Stream): void {
+		const {engine, metrics} = this.options;
+		this.#streams.delete(stream.params.requestId);
+		if (stream.outcome) {
+			return;
+		}
+
+		metrics.cancelled.inc();
+		stream.span.end('cancelled');
+		if (this.scheduler.removeWaiting(stream)) {
+			this.#wakeIdleWaiters();
+			return;
+		}
+
+		// The place counts as free when the engine's stream has ended, which aborting it brings about.
+		void engine.cancel(stream.engineRequestId).catch(() => undefined).finally(() => {
+			stream.abort.abort();
+			stream.releaseRoom();
+		});
+	}
+
+	async #run(stream: Stream): Promise<void> {
+		const {clock, metrics} = this.options;
+		stream.startedMs = clock.nowMs();
+		try {
+			await this.#readAnswer(stream);
+		} catch (error) {
+			await this.#handleFailure(stream, error);
+		}
+
+		this.scheduler.finish(stream, clock.nowMs());
+		metrics.finished.inc();
+		this.#wakeIdleWaiters();
+		this.pump();
+	}
+
+	async #readAnswer(stream: Stream): Promise<void> {
+		const {engine, clock, metrics} = this.options;
+		const {clientAccount, prompt, maxTokens, priority, delivered} = stream.params;
+		const params = {
+			requestId: stream.engineRequestId, clientAccount, prompt, maxTokens, priority, delivered,
+		};
+		for await (const batch of engine.generate(params, stream.span.traceparent, stream.abort.signal)) {
+			stream.firstTokenMs ??= clock.nowMs();
+			metrics.outputTokens.inc(batch.tokens.length);
+			stream.append(batch.tokens);
+			if (batch.end?.reason === 'cancelled' && this.#streams.get(stream.params.requestId) === stream) {
+				throw invalidResponse('an end as cancelled of a request that was not cancelled');
+			}
+
+			if (batch.end) {
+				this.#end(stream, {end: batch.end});
+			}
+
+			stream.flush();
+			await stream.waitForRoom();
+		}
+	}
+
+	async #handleFailure(stream: Stream, error: unknown): Promise<void> {
+		if (stream.abort.signal.aborted || stream.outcome) {
+			return;
+		}
+
+		if (!isEngineFailure(error)) {
+			this.options.log.error('request failed inside the agent', {error: String(error)});
+			this.#fail(stream, {code: 'endpoint-failed', ran: 'unknown', crash: false});
+			return;
+		}
+
+		// While the engine does not answer, its monitor fails all requests, this one among them.
+		const isAlive = error.connectionBroke ? await this.options.isEngineAlive() : true;
+		if (stream.outcome || stream.abort.signal.aborted) {
+			return;
+		}
+
+		if (!isAlive) {
+			this.failAll();
+			return;
+		}
+
+		const crash = error.connectionBroke && error.ran !== 'not-run';
+		if (crash) {
+			this.#reportCrash([stream]);
+		}
+
+		this.#fail(stream, {code: error.code, ran: error.ran, crash});
+	}
+
+	#reportCrash(streams: readonly Stream[]): void {
+		const fingerprints = streams.map(stream => stream.params.fingerprint);
+		if (fingerprints.length > 0) {
+			this.options.marks.add(fingerprints);
+			this.options.onCrash(fingerprints);
+		}
+	}
+
+	#fail(stream: Stream, failed: {code: string; ran: 'not-run' | 'ran' | 'unknown'; crash: boolean}): void {
+		this.options.metrics.failed.inc({code: failed.code});
+		this.#end(stream, {failed});
+		stream.flush();
+		this.#wakeIdleWaiters();
+	}
+
+	#end(stream: Stream, outcome: StreamOutcome): void {
+		stream.finish(outcome, this.options.clock.nowMs());
+		stream.span.end('failed' in outcome ? outcome.failed.code : undefined);
+	}
+
+	#wakeIdleWaiters(): void {
+		if (!this.scheduler.isIdle) {
+			return;
+		}
+
+		for (const resolve of this.#idleWaiters.splice(0)) {
+			resolve();
+		}
+	}
+}
--- /dev/null
+++ b/packages/agent/src/request-scheduler.ts
@@ -0,0 +1,130 @@
+/**
+ * Decides which model request runs next at the engine. It owns the fair queue, the set of running requests and the
+ * measured rates; it sends nothing itself.
+ */
+import {
+	addSample,
+	decideQueueing,
+	estimateWork,
+	FairQueue,
+	initialRates,
+	type EngineRates,
+	type QueueDecision,
+	type WorkEstimate,
+} from '@hawthorncleat/core';
+import type {RequestStartParams} from '@hawthorncleat/schema';
+import type {Stream} from './stream.js';
+
+export type SchedulerLimits = {readonly maxRunning: number; readonly maxWaitingTokens: number};
+
+const totalTokens = ({prefillTokens, decodeTokens}: WorkEstimate): number => prefillTokens + decodeTokens;
+
+/** The queue of one engine. */
+export class RequestScheduler {
+	readonly running = new Set<Stream>();
+	readonly #queue = new FairQueue<Stream>();
+	#waiting: WorkEstimate = {prefillTokens: 0, decodeTokens: 0};
+	#rates: EngineRates = initialRates;
+
+	constructor(private readonly limits: SchedulerLimits) {}
+
+	get waitingCount(): number {
+		return this.#queue.size;
+	}
+
+	get waitingTokens(): number {
+		return this.#queue.waitingTokens;
+	}
+
+	get isIdle(): boolean {
+		return this.running.size === 0 && this.#queue.size === 0;
+	}
+
+	estimate({prompt, delivered, maxTokens}: RequestStartParams): WorkEstimate {
+		const deliveredCharacters = delivered.reduce((sum, token) => sum + token.length, 0);
+		return estimateWork(this.#rates, prompt.length + deliveredCharacters, maxTokens);
+	}
+
+	decide(work: WorkEstimate, firstTokenInMs: number): QueueDecision {
+		return decideQueueing({
+			...this.limits,
+			running: this.running.size,
+			waitingTokens: this.waitingTokens,
+			waiting: this.#waiting,
+			rates: this.#rates,
+		}, work, firstTokenInMs);
+	}
+
+	add(stream: Stream): void {
+		const {clientAccount, weight} = stream.params;
+		this.#count(stream.work, 1);
+		this.#queue.push({
+			account: clientAccount, weight, tokens: totalTokens(stream.work), item: stream,
+		});
+	}
+
+	/** Removes a request that waits. Returns whether it did. */
+	removeWaiting(stream: Stream): boolean {
+		const removed = this.#queue.remove(stream.params.clientAccount, stream);
+		if (removed) {
+			this.#count(stream.work, -1);
+		}
+
+		return removed;
+	}
+
+	/** Removes all requests that wait. */
+	clearWaiting(): Stream[] {
+		this.#waiting = {prefillTokens: 0, decodeTokens: 0};
+		return this.#queue.clear();
+	}
+
+	/** Takes the next request to run, if there is a place. A suspect never runs together with another suspect. */
+	takeNext(): Stream | undefined {
+		if (this.running.size >= this.limits.maxRunning) {
+			return undefined;
+		}
+
+		const hasSuspect = [...this.running].some(stream => stream.isSuspect);
+		const next = this.#queue.pop(stream => !(hasSuspect && stream.isSuspect));
+		if (next) {
+			this.#count(next.work, -1);
+			this.running.add(next);
+		}
+
+		return next;
+	}
+
+	/** Frees the place of a request; one that reached its end gives a sample of the engine's rates. */
+	finish(stream: Stream, nowMs: number): void {
+		const sharedBy = Math.max(1, this.running.size);
+		if (!this.running.delete(stream)) {
+			return;
+		}
+
+		const {outcome, startedMs, firstTokenMs, params, work} = stream;
+		if (!outcome || !('end' in outcome) || startedMs === undefined || firstTokenMs === undefined) {
+			return;
+		}
+
+		const {promptTokens, cachedTokens} = outcome.end;
+		const outputTokens = outcome.end.outputTokens - params.delivered.length;
+		this.#rates = addSample(this.#rates, {
+			promptCharacters: params.prompt.length,
+			promptTokens,
+			cachedTokens,
+			outputTokens,
+			prefillMs: (firstTokenMs - startedMs) / sharedBy,
+			decodeMs: (nowMs - firstTokenMs) / sharedBy,
+		});
+		const actualTokens = Math.max(0, promptTokens - cachedTokens) + outputTokens;
+		this.#queue.correct(params.clientAccount, params.weight, actualTokens - totalTokens(work));
+	}
+
+	#count(work: WorkEstimate, sign: 1 | -1): void {
+		this.#waiting = {
+			prefillTokens: this.#waiting.prefillTokens + (sign * work.prefillTokens),
+			decodeTokens: this.#waiting.decodeTokens + (sign * work.decodeTokens),
+		};
+	}
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,33 @@
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
+export {FairQueue, type QueuedWork} from './fair-queue.js';
+export {
+	addSample,
+	decideQueueing,
+	estimateFirstTokenMs,
+	estimateWork,
+	initialRates,
+	type EngineRates,
+	type QueueDecision,
+	type QueueView,
+	type RateSample,
+	type WorkEstimate,
+} from './first-token.js';
+export {
+	beginOrder,
+	decideMessage,
+	engineOrderKey,
+	finishOrder,
+	initialOrders,
+	learnRow,
+	markSettled,
+	markStarted,
+	mayExecute,
+	maySettle,
+	parseOrderRow,
+	type EngineOrderRow,
+	type EngineOrders,
+	type EngineRole,
+	type OrderDecision,
+} from './engine-orders.js';
