--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -68,6 +68,9 @@
 		role: 'mixed', changing: false, lastOrder: 0, running: 0, waiting: 0, kvFreeTokens: 1000,
 	};
 
+	#server: Server | undefined;
+	#port = 0;
+
 	generate: Generate = ({delivered, maxTokens}, res) => {
 		for (let position = delivered.length; position < maxTokens; position += 1) {
 			writeToken(res, position);
@@ -76,9 +79,6 @@
 		writeEnd(res, maxTokens);
 	};
 
-	#server: Server | undefined;
-	#port = 0;
-
 	get url(): string {
 		return `http://127.0.0.1:${this.#port}`;
 	}
@@ -101,7 +101,7 @@
 	async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		this.requests += 1;
 		const body = await readJson(req);
-		switch (req.url) {
+		switch (req.url ?? '') {
 			case '/generate': {
 				this.#begin(body as GenerateParams, res);
 
@@ -184,10 +184,18 @@
 
 	async connect(port: number, signal: AbortSignal): Promise<this> {
 		const handlers = {
-			'request.frame': (frame: RequestFrame) => void this.frames.push(frame),
-			'request.failed': (failed: RequestFailed) => void this.failures.push(failed),
-			'load.report': (report: LoadReport) => void this.reports.push(report),
-			'crash.suspect': (suspect: CrashSuspect) => void this.suspects.push(suspect),
+			'request.frame': (frame: RequestFrame) => {
+				this.frames.push(frame);
+			},
+			'request.failed': (failed: RequestFailed) => {
+				this.failures.push(failed);
+			},
+			'load.report': (report: LoadReport) => {
+				this.reports.push(report);
+			},
+			'crash.suspect': (suspect: CrashSuspect) => {
+				this.suspects.push(suspect);
+			},
 		};
 		this.peer = await dial({
 			address: '127.0.0.1', port, clock, handlers, heartbeat: () => ({configVersion: 0, leaving: false}),
--- a/packages/agent/src/__tests__/requests.test.ts
+++ b/packages/agent/src/__tests__/requests.test.ts
@@ -128,7 +128,8 @@
 			const crashes = entry.failures.filter(failure => failure.crash).map(failure => failure.requestId).toSorted();
 			assert.equal(crashes, ['r1', 'r2']);
 			assert.is(entry.failures.find(failure => failure.requestId === 'r3')?.ran, 'not-run');
-			assert.is((await readError(entry.start('r4'))).ran, 'not-run');
+			const refusal = await readError(entry.start('r4'));
+			assert.is(refusal.ran, 'not-run');
 			await engine.start();
 			await delay(700);
 			await entry.start('r5');
--- a/packages/agent/src/action-memory.ts
+++ b/packages/agent/src/action-memory.ts
@@ -8,16 +8,18 @@
 export class ActionMemory {
 	readonly #claims = new Map<string, {claimId: string; isNotRun: boolean}>();
 
-	/**
-	 * Notes an action before it is sent, or refuses it. Another claim for the same action is taken only after the earlier
-	 * one certainly did not run.
-	 */
-	begin({actionId, claimId}: ActionRef): void {
+	/** Refuses a duplicate. Another claim for the same action is taken only after the earlier one certainly did not run. */
+	check({actionId, claimId}: ActionRef): void {
 		const earlier = this.#claims.get(actionId);
 		if (earlier && (earlier.claimId === claimId || !earlier.isNotRun)) {
 			throw createRequestError('this action was already received', {code: 'duplicate-action', ran: 'unknown', status: 409});
 		}
+	}
 
+	/** Notes an action before it is sent, or refuses it. */
+	begin(action: ActionRef): void {
+		this.check(action);
+		const {actionId, claimId} = action;
 		this.#claims.set(actionId, {claimId, isNotRun: false});
 	}
 
--- a/packages/agent/src/endpoint.ts
+++ b/packages/agent/src/endpoint.ts
@@ -2,6 +2,7 @@
  * What an agent needs from its endpoint, whichever kind it is. An engine and a plain service each implement it.
  */
 import type {
+	ActionRef,
 	EngineOrderResult,
 	RequestCancel,
 	RequestResumeParams,
@@ -23,6 +24,8 @@
 	startRequest(params: RequestStartParams, listener: FrameTarget): RequestStartResult;
 	resumeRequest(params: RequestResumeParams, listener: FrameTarget): {resumed: true};
 	cancelRequest(params: RequestCancel): void;
+	/** Refuses an action that was already received, whether or not the agent takes work now. */
+	checkAction(action: ActionRef): void;
 	callService(params: ServiceCallParams): Promise<ServiceCallResult>;
 	receiveOrder(orderNumber: number): Promise<EngineOrderResult>;
 	detach(listener: FrameTarget): void;
--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -180,9 +180,14 @@
 	}
 };
 
+/** Whether a failed question for the state shows that the engine is gone, and not only that it answers late or badly. */
+export const isEngineGone = (error: unknown): boolean =>
+	!isEngineFailure(error) && (error as Error | undefined)?.name !== 'TimeoutError' && !(error instanceof SyntaxError);
+
 /** Creates the client of the engine at `baseUrl`. */
 export const createEngineClient = (baseUrl: string, maxRunning: number): EngineClient => {
-	const streams = new Agent({connections: maxRunning + 1, pipelining: 1, connect: {timeout: connectTimeoutMs}});
+	// Each stream has a connection of its own: a reused one that the engine just closed would look like a crash.
+	const streams = new Agent({connections: maxRunning + 1, pipelining: 0, connect: {timeout: connectTimeoutMs}});
 	const control = new Agent({connections: controlConnections, pipelining: 1, connect: {timeout: connectTimeoutMs}});
 	const post = async (path: string, body: unknown): Promise<Dispatcher.ResponseData> => request(new URL(path, baseUrl), {
 		method: 'POST',
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -1,7 +1,7 @@
 /**
  * A model engine as an agent's endpoint.
  */
-import type {MakeId} from '@hawthorncleat/core';
+import type {EngineRole, MakeId} from '@hawthorncleat/core';
 import type {Table} from '@hawthorncleat/platform';
 import type {Endpoint} from './endpoint.js';
 import type {EngineClient} from './engine-client.js';
@@ -17,27 +17,32 @@
 	readonly table: Table;
 	readonly makeId: MakeId;
 	readonly signal: AbortSignal;
-	/** Called when the role changed or the engine became available or unavailable. */
-	readonly onChange: () => void;
+	readonly onRoleChange: () => void;
 };
 
 /** Creates the endpoint of a model engine. */
 export const createEngineEndpoint = (options: EngineEndpointOptions): Endpoint => {
-	const {engine, log, metrics, signal, onChange} = options;
+	const {engine, log, metrics, signal, onRoleChange} = options;
+	// An engine that restarts keeps its last known role until it answers.
+	let role: EngineRole = 'mixed';
 	const monitor: EngineMonitor = new EngineMonitor(engine, {
-		onDown() {
-			log.warn('engine does not answer');
-			metrics.crashes.inc();
-			runner.failAll();
-			onChange();
+		onDown(isGone) {
+			log.warn('engine does not answer', {isGone});
+			if (isGone) {
+				metrics.crashes.inc();
+				runner.failAll();
+			} else {
+				runner.failWaiting();
+			}
 		},
 		onState(state, previous) {
 			if (!previous) {
 				log.info('engine answers', {role: state.role});
 			}
 
-			if (state.role !== previous?.role || state.changing !== previous.changing) {
-				onChange();
+			if (state.role !== role) {
+				role = state.role;
+				onRoleChange();
 			}
 
 			runner.pump();
@@ -45,7 +50,10 @@
 	});
 	const runner: RequestRunner = new RequestRunner({
 		...options,
-		isEngineAlive: async () => await monitor.probe() !== undefined,
+		async isEngineAlive() {
+			const state = await monitor.probe();
+			return state !== undefined;
+		},
 		mayStart: () => monitor.state?.changing === false,
 	});
 	const orders = new OrderExecutor({
@@ -55,7 +63,7 @@
 	});
 	const problems = (): string[] => [
 		...(monitor.state ? [] : ['engine-unreachable']),
-		...(monitor.state?.changing || orders.isExecuting ? ['engine-changing'] : []),
+		...(monitor.state?.changing === true || orders.isExecuting ? ['engine-changing'] : []),
 	];
 
 	return {
@@ -69,7 +77,7 @@
 		},
 		problems,
 		load: () => ({
-			role: monitor.state?.role ?? 'mixed',
+			role,
 			running: runner.scheduler.running.size,
 			waiting: runner.scheduler.waitingCount,
 			waitingTokens: runner.scheduler.waitingTokens,
@@ -81,6 +89,7 @@
 		cancelRequest(params) {
 			runner.cancel(params);
 		},
+		checkAction() {/* An engine has no actions. */},
 		async callService() {
 			throw unavailable('no-endpoint', 'this endpoint is a model engine');
 		},
--- a/packages/agent/src/engine-monitor.ts
+++ b/packages/agent/src/engine-monitor.ts
@@ -2,13 +2,13 @@
  * Polls the state of the engine. An engine that does not answer takes no work until it answers again.
  */
 import type {EngineState} from '@hawthorncleat/schema';
-import type {EngineClient} from './engine-client.js';
+import {isEngineGone, type EngineClient} from './engine-client.js';
 
 const pollIntervalMs = 500;
 
 export type EngineMonitorEvents = {
-	/** The engine stopped answering. */
-	readonly onDown: () => void;
+	/** The engine stopped answering; `isGone` if its port takes no connections, not only no answer came in time. */
+	readonly onDown: (isGone: boolean) => void;
 	/** Called with every answer. */
 	readonly onState: (state: EngineState, previous: EngineState | undefined) => void;
 };
@@ -17,7 +17,9 @@
 export class EngineMonitor {
 	#state: EngineState | undefined;
 	#timer: NodeJS.Timeout | undefined;
-	#probing: Promise<EngineState | undefined> | undefined;
+	#current: Promise<EngineState | undefined> | undefined;
+	#next: Promise<EngineState | undefined> | undefined;
+	#wasGone = false;
 	#stopped = false;
 
 	constructor(private readonly client: EngineClient, private readonly events: EngineMonitorEvents) {}
@@ -38,16 +40,35 @@
 		clearTimeout(this.#timer);
 	}
 
-	/** Asks the engine now. Concurrent calls share one question. */
+	/**
+	 * Asks the engine now. A question that is already under way may show the state before the event that made the caller
+	 * ask, so another one follows it; callers that wait for that one share it.
+	 */
 	async probe(): Promise<EngineState | undefined> {
-		this.#probing ??= this.#ask().finally(() => {
-			this.#probing = undefined;
+		if (!this.#current) {
+			return this.#begin();
+		}
+
+		this.#next ??= this.#current.then(async () => {
+			this.#next = undefined;
+			return this.#begin();
+		});
+		return this.#next;
+	}
+
+	async #begin(): Promise<EngineState | undefined> {
+		this.#current = this.#ask().finally(() => {
+			this.#current = undefined;
 		});
-		return this.#probing;
+		return this.#current;
 	}
 
 	async #ask(): Promise<EngineState | undefined> {
-		const state = await this.client.state().catch(() => undefined);
+		let isGone = false;
+		const state = await this.#readState().catch((error: unknown) => {
+			isGone = isEngineGone(error);
+			return undefined;
+		});
 		if (this.#stopped) {
 			return undefined;
 		}
@@ -56,13 +77,27 @@
 		this.#state = state;
 		if (state) {
 			this.events.onState(state, previous);
-		} else if (previous) {
-			this.events.onDown();
+		} else if (previous !== undefined || (isGone && !this.#wasGone)) {
+			this.events.onDown(isGone);
 		}
 
+		this.#wasGone = isGone;
 		return state;
 	}
 
+	async #readState(): Promise<EngineState> {
+		try {
+			return await this.client.state();
+		} catch (error) {
+			if (!isEngineGone(error)) {
+				throw error;
+			}
+
+			// An idle connection that the engine closed fails as well; a second question opens a new one.
+			return this.client.state();
+		}
+	}
+
 	#schedule(delayMs: number): void {
 		if (this.#stopped) {
 			return;
--- a/packages/agent/src/handlers.ts
+++ b/packages/agent/src/handlers.ts
@@ -58,6 +58,11 @@
 		},
 		async 'service.call'(params) {
 			checkIncarnation(params.incarnation, params.action !== undefined);
+			// First, because a refusal as not ready says that the action did not run.
+			if (params.action) {
+				endpoint.checkAction(params.action);
+			}
+
 			checkReady();
 			return endpoint.callService(params);
 		},
--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,2 +1,2 @@
-export {orphanLimitMs, replayMs} from './request-runner.js';
+export {orphanLimitMs, replayMs} from './stream-store.js';
 export {startAgent, type Agent, type AgentDependencies} from './start-agent.js';
--- a/packages/agent/src/order-executor.ts
+++ b/packages/agent/src/order-executor.ts
@@ -44,8 +44,6 @@
 	readonly probe: () => Promise<EngineState | undefined>;
 	/** Settles when nothing runs or waits at the engine; called after `isExecuting` became true. */
 	readonly whenIdle: () => Promise<void>;
-	/** Called when an order begins or ends. */
-	readonly onChange: () => void;
 };
 
 /** The orders of one engine. */
@@ -109,9 +107,12 @@
 		}
 
 		this.#orders = beginOrder(this.#orders, found.row);
-		this.options.onChange();
 		this.options.log.info('engine order started', {number: started.number, role: started.role});
-		void this.#execute({version: found.version + 1, row: started});
+		void this.#execute({version: found.version + 1, row: started}).catch((error: unknown) => {
+			if (!this.options.signal.aborted) {
+				this.options.log.error('engine order failed inside the agent', {number: started.number, error: String(error)});
+			}
+		});
 		return {state: 'started'};
 	}
 
@@ -141,7 +142,7 @@
 
 	/** Waits until the engine changes nothing, then settles the row. */
 	async #settle({version, row}: VersionedRow): Promise<void> {
-		const {probe, signal, makeId, onChange, log} = this.options;
+		const {probe, signal, makeId, log} = this.options;
 		while (!signal.aborted && !maySettle(await probe())) {
 			await this.#pause(statePollMs);
 		}
@@ -158,7 +159,6 @@
 		}
 
 		this.#orders = finishOrder(this.#orders);
-		onChange();
 	}
 
 	/** Writes until the table tells whether the write took effect. */
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -4,7 +4,7 @@
  */
 import {createRequestError, type Clock} from '@hawthorncleat/core';
 import type {
-	RequestCancel, RequestResumeParams, RequestStartParams, RequestStartResult,
+	FrameEnd, RequestCancel, RequestResumeParams, RequestStartParams, RequestStartResult,
 } from '@hawthorncleat/schema';
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
 import type {CrashMarks} from './crash-marks.js';
@@ -13,15 +13,9 @@
 import {overloaded, unknownRequest} from './refusals.js';
 import {RequestScheduler, type SchedulerLimits} from './request-scheduler.js';
 import {Stream, type FrameTarget, type StreamOutcome} from './stream.js';
+import {StreamStore} from './stream-store.js';
 
-/** How long a stream without a listener keeps its place at the engine. */
-export const orphanLimitMs = 10_000;
-/** How long an ended stream can still be resumed. */
-export const replayMs = 10_000;
 const sweepIntervalMs = 100;
-// Ended streams beyond this many are forgotten early, oldest first, which bounds the memory for replays.
-const maxEndedStreams = 4096;
-
 export type RequestRunnerOptions = {
 	readonly limits: SchedulerLimits;
 	readonly engine: EngineClient;
@@ -41,7 +35,7 @@
 /** All model requests of one agent. */
 export class RequestRunner {
 	readonly scheduler: RequestScheduler;
-	readonly #streams = new Map<string, Stream>();
+	readonly #streams = new StreamStore();
 	readonly #timer: NodeJS.Timeout;
 	readonly #idleWaiters: Array<() => void> = [];
 
@@ -54,7 +48,7 @@
 
 	/** Whether every stream ended and its listener, if it has one, was sent everything. */
 	get isDelivered(): boolean {
-		return [...this.#streams.values()].every(stream => stream.isDelivered);
+		return this.#streams.isDelivered;
 	}
 
 	/** Takes a request into the queue, or refuses it. */
@@ -72,7 +66,7 @@
 		const isSuspect = suspect === true || this.options.marks.has(fingerprint);
 		const stream = new Stream(params, work, isSuspect, span);
 		stream.attach(listener);
-		this.#streams.set(requestId, stream);
+		this.#streams.add(stream);
 		this.scheduler.add(stream);
 		this.pump();
 		return {accepted: true, queuedTokens: this.scheduler.waitingTokens};
@@ -81,7 +75,7 @@
 	/** Sends a stream again from a position, on the connection that asks. */
 	resume({requestId, attempt, position}: RequestResumeParams, listener: FrameTarget): {resumed: true} {
 		const stream = this.#streams.get(requestId);
-		if (!stream || stream.params.attempt !== attempt || !stream.rewind(position)) {
+		if (stream?.params.attempt !== attempt || !stream.rewind(position)) {
 			throw unknownRequest();
 		}
 
@@ -102,10 +96,7 @@
 
 	/** Notes that a connection ended; its streams wait for a resume. */
 	detach(listener: FrameTarget): void {
-		const nowMs = this.options.clock.nowMs();
-		for (const stream of this.#streams.values()) {
-			stream.detach(listener, nowMs);
-		}
+		this.#streams.detach(listener, this.options.clock.nowMs());
 	}
 
 	/** Starts waiting requests while there are places. */
@@ -130,6 +121,11 @@
 			stream.abort.abort();
 		}
 
+		this.failWaiting();
+	}
+
+	/** The engine takes no work: what waits goes elsewhere. */
+	failWaiting(): void {
 		for (const stream of this.scheduler.clearWaiting()) {
 			this.#fail(stream, {code: 'engine-unreachable', ran: 'not-run', crash: false});
 		}
@@ -146,55 +142,23 @@
 
 	/** Sends what slow connections can take again, and ends streams that nobody listens to. */
 	sweep(): void {
-		const nowMs = this.options.clock.nowMs();
-		let endedCount = 0;
-		for (const [requestId, stream] of this.#streams) {
-			stream.flush();
-			if (stream.endedMs !== undefined) {
-				endedCount += 1;
-				if (this.#isForgettable(stream, nowMs)) {
-					this.#streams.delete(requestId);
-				}
-			} else if (stream.listenerLostMs !== undefined && nowMs - stream.listenerLostMs >= orphanLimitMs) {
-				this.#cancelStream(stream);
-			}
+		for (const orphan of this.#streams.sweep(this.options.clock.nowMs())) {
+			this.#cancelStream(orphan);
 		}
-
-		this.#forgetOldest(endedCount - maxEndedStreams);
 	}
 
 	close(): void {
 		clearInterval(this.#timer);
-		for (const stream of this.#streams.values()) {
+		for (const stream of this.#streams.clear()) {
 			stream.abort.abort();
 			stream.releaseRoom();
 			stream.span.end('agent stopped');
 		}
 
-		this.#streams.clear();
 		this.scheduler.clearWaiting();
 		this.#wakeIdleWaiters();
 	}
 
-	#isForgettable(stream: Stream, nowMs: number): boolean {
-		const isHeldBack = stream.listener?.isOpen === true && !stream.isDelivered;
-		return !isHeldBack && nowMs - (stream.endedMs ?? nowMs) >= replayMs;
-	}
-
-	#forgetOldest(excess: number): void {
-		let left = excess;
-		for (const [requestId, stream] of this.#streams) {
-			if (left <= 0) {
-				return;
-			}
-
-			if (stream.endedMs !== undefined && stream.isDelivered) {
-				this.#streams.delete(requestId);
-				left -= 1;
-			}
-		}
-	}
-
 	#replaceEarlierAttempt({requestId, attempt}: RequestStartParams): void {
 		const earlier = this.#streams.get(requestId);
 		if (!earlier) {
@@ -210,7 +174,7 @@
 
 	#cancelStream(stream: Stream): void {
 		const {engine, metrics} = this.options;
-		this.#streams.delete(stream.params.requestId);
+		this.#streams.delete(stream);
 		if (stream.outcome) {
 			return;
 		}
@@ -254,12 +218,8 @@
 			stream.firstTokenMs ??= clock.nowMs();
 			metrics.outputTokens.inc(batch.tokens.length);
 			stream.append(batch.tokens);
-			if (batch.end?.reason === 'cancelled' && this.#streams.get(stream.params.requestId) === stream) {
-				throw invalidResponse('an end as cancelled of a request that was not cancelled');
-			}
-
 			if (batch.end) {
-				this.#end(stream, {end: batch.end});
+				this.#noteEnd(stream, batch.end);
 			}
 
 			stream.flush();
@@ -267,8 +227,16 @@
 		}
 	}
 
+	#noteEnd(stream: Stream, end: FrameEnd): void {
+		if (end.reason !== 'cancelled') {
+			this.#end(stream, {end});
+		} else if (this.#streams.has(stream)) {
+			throw invalidResponse('an end as cancelled of a request that was not cancelled');
+		}
+	}
+
 	async #handleFailure(stream: Stream, error: unknown): Promise<void> {
-		if (stream.abort.signal.aborted || stream.outcome) {
+		if (stream.outcome !== undefined || stream.abort.signal.aborted) {
 			return;
 		}
 
@@ -280,7 +248,7 @@
 
 		// While the engine does not answer, its monitor fails all requests, this one among them.
 		const isAlive = error.connectionBroke ? await this.options.isEngineAlive() : true;
-		if (stream.outcome || stream.abort.signal.aborted) {
+		if (stream.outcome !== undefined || stream.abort.signal.aborted) {
 			return;
 		}
 
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -12,7 +12,7 @@
 	type QueueDecision,
 	type WorkEstimate,
 } from '@hawthorncleat/core';
-import type {RequestStartParams} from '@hawthorncleat/schema';
+import type {FrameEnd, RequestStartParams} from '@hawthorncleat/schema';
 import type {Stream} from './stream.js';
 
 export type SchedulerLimits = {readonly maxRunning: number; readonly maxWaitingTokens: number};
@@ -102,23 +102,29 @@
 			return;
 		}
 
-		const {outcome, startedMs, firstTokenMs, params, work} = stream;
-		if (!outcome || !('end' in outcome) || startedMs === undefined || firstTokenMs === undefined) {
+		const {outcome, params, work} = stream;
+		const end = outcome && 'end' in outcome ? outcome.end : undefined;
+		if (end) {
+			this.#measure(stream, end, nowMs, sharedBy);
+		}
+
+		const prefillTokens = end ? Math.max(0, end.promptTokens - end.cachedTokens) : work.prefillTokens;
+		this.#queue.correct(params.clientAccount, params.weight, prefillTokens + stream.tokenCount - totalTokens(work));
+	}
+
+	#measure({startedMs, firstTokenMs, params, tokenCount}: Stream, end: FrameEnd, nowMs: number, sharedBy: number): void {
+		if (startedMs === undefined || firstTokenMs === undefined) {
 			return;
 		}
 
-		const {promptTokens, cachedTokens} = outcome.end;
-		const outputTokens = outcome.end.outputTokens - params.delivered.length;
 		this.#rates = addSample(this.#rates, {
 			promptCharacters: params.prompt.length,
-			promptTokens,
-			cachedTokens,
-			outputTokens,
+			promptTokens: end.promptTokens,
+			cachedTokens: end.cachedTokens,
+			outputTokens: tokenCount,
 			prefillMs: (firstTokenMs - startedMs) / sharedBy,
 			decodeMs: (nowMs - firstTokenMs) / sharedBy,
 		});
-		const actualTokens = Math.max(0, promptTokens - cachedTokens) + outputTokens;
-		this.#queue.correct(params.clientAccount, params.weight, actualTokens - totalTokens(work));
 	}
 
 	#count(work: WorkEstimate, sign: 1 | -1): void {
--- a/packages/agent/src/service-calls.ts
+++ b/packages/agent/src/service-calls.ts
@@ -4,7 +4,9 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {createRequestError, isRequestError, type RequestError} from '@hawthorncleat/core';
-import type {Headers, ServiceCallParams, ServiceCallResult} from '@hawthorncleat/schema';
+import type {
+	ActionRef, Headers, ServiceCallParams, ServiceCallResult,
+} from '@hawthorncleat/schema';
 import type {Tracing} from '@hawthorncleat/telemetry';
 import {Agent, type Dispatcher} from 'undici';
 import {ActionMemory} from './action-memory.js';
@@ -18,7 +20,20 @@
 const maxAnswerBytes = 700 * 1024;
 // These concern one connection, or are set here, or must not reach an endpoint.
 const droppedRequestHeaders = new Set([
-	'authorization', 'connection', 'content-length', 'expect', 'host', 'keep-alive', 'proxy-authorization', 'te', 'traceparent', 'trailer', 'transfer-encoding', 'upgrade', 'x-action-id', 'x-client-account',
+	'authorization',
+	'connection',
+	'content-length',
+	'expect',
+	'host',
+	'keep-alive',
+	'proxy-authorization',
+	'te',
+	'traceparent',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	'x-action-id',
+	'x-client-account',
 ]);
 const droppedResponseHeaders = new Set([
 	'connection', 'content-length', 'keep-alive', 'proxy-authenticate', 'trailer', 'transfer-encoding', 'upgrade',
@@ -110,6 +125,11 @@
 		return this.#running;
 	}
 
+	/** Refuses an action that was already received. */
+	checkAction(action: ActionRef): void {
+		this.#actions.check(action);
+	}
+
 	async call(params: ServiceCallParams): Promise<ServiceCallResult> {
 		if (this.#running >= this.options.maxRunning) {
 			this.options.metrics.refused.inc({code: 'overloaded'});
--- a/packages/agent/src/service-endpoint.ts
+++ b/packages/agent/src/service-endpoint.ts
@@ -23,6 +23,9 @@
 			throw unknownRequest();
 		},
 		cancelRequest() {/* Calls of a service have no cancel message. */},
+		checkAction(action) {
+			calls.checkAction(action);
+		},
 		callService: async params => calls.call(params),
 		receiveOrder: async () => ({state: 'ignored'}),
 		detach() {/* The answer of a call goes to the connection that asked. */},
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -35,10 +35,10 @@
 export type Agent = {
 	readonly internalPort: number;
 	readonly adminPort: number;
-	/** Takes no new work and settles when the accepted work has ended. */
-	drain(): Promise<void>;
 	/** Settles after the signal aborted and everything was released. */
 	readonly closed: Promise<void>;
+	/** Takes no new work and settles when the accepted work has ended. */
+	drain(): Promise<void>;
 };
 
 type Context = {
@@ -51,7 +51,7 @@
 	readonly peers: Set<Peer>;
 };
 
-const createEndpoint = (context: Context, onChange: () => void): Endpoint => {
+const createEndpoint = (context: Context, onRoleChange: () => void): Endpoint => {
 	const {settings, dependencies, tracing, metrics, signal, peers, incarnation} = context;
 	const onCrash = (fingerprints: string[]): void => {
 		for (const peer of peers) {
@@ -85,7 +85,7 @@
 		marks: new CrashMarks(clock),
 		signal,
 		onCrash,
-		onChange,
+		onRoleChange,
 	});
 };
 
--- a/packages/agent/src/stream.ts
+++ b/packages/agent/src/stream.ts
@@ -60,6 +60,10 @@
 		return this.#basePosition + this.#tokens.length;
 	}
 
+	get tokenCount(): number {
+		return this.#tokens.length;
+	}
+
 	/** Whether the entry was sent everything, the outcome included. */
 	get isDelivered(): boolean {
 		return this.#isOutcomeSent;
--- a/packages/telemetry/src/admin-server.ts
+++ b/packages/telemetry/src/admin-server.ts
@@ -66,18 +66,16 @@
 	const server = createServer((req, res) => {
 		router.lookup(req, res);
 	});
-	server.listen({host: options.address, port: options.port});
-	await once(server, 'listening', {signal});
-	const closed = once(server, 'close').then(() => {/* Only the moment matters. */});
 	const close = (): void => {
 		server.close();
 		server.closeAllConnections();
 	};
 
-	if (signal.aborted) {
-		close();
-	}
-
 	signal.addEventListener('abort', close, {once: true});
+	const closed = new Promise<void>(resolve => {
+		server.once('close', resolve);
+	});
+	server.listen({host: options.address, port: options.port});
+	await once(server, 'listening', {signal});
 	return {port: (server.address() as AddressInfo).port, closed};
 };
