--- a/packages/agent/src/__tests__/requests.test.ts
+++ b/packages/agent/src/__tests__/requests.test.ts
@@ -134,5 +134,15 @@
 			await delay(700);
 			await entry.start('r5');
 		}));
+
+		// Guards against marks on a request that never reached the engine.
+		it('marks nothing when the engine was already gone', async () => withAgent({}, async ({entry, engine}) => {
+			engine.crash();
+			const refusal = await entry.start('r1').then(() => undefined, (error: unknown) => error as RequestError);
+			await until(() => refusal !== undefined || entry.failures.length > 0);
+			const {ran} = refusal ?? entry.failures[0]!;
+			assert.is(ran, 'not-run');
+			assert.equal(entry.suspects, []);
+		}));
 	});
 });
--- a/packages/agent/src/__tests__/services.test.ts
+++ b/packages/agent/src/__tests__/services.test.ts
@@ -10,13 +10,14 @@
 import * as assert from 'uvu/assert';
 import {startAgent, type Agent} from '../index.js';
 import {
-	clock, createSettings, FakeEntry, makeId, traceparent, untilReady,
+	clock, createSettings, FakeEntry, makeId, traceparent, until, untilReady,
 } from './fakes.js';
 
 type Setting = {
 	readonly agent: Agent;
 	readonly received: IncomingMessage[];
 	readonly server: Server;
+	readonly stop: () => void;
 	readonly call: (changes?: Partial<ServiceCallParams>) => Promise<ServiceCallResult>;
 	readonly fail: (changes?: Partial<ServiceCallParams>) => Promise<[string, string]>;
 };
@@ -59,9 +60,13 @@
 		return [code, ran];
 	};
 
+	const stop = (): void => {
+		controller.abort();
+	};
+
 	try {
 		await body({
-			agent, received, server, call, fail,
+			agent, received, server, call, fail, stop,
 		});
 	} finally {
 		controller.abort();
@@ -133,6 +138,27 @@
 		assert.equal(await fail({action: {...action, claimId: 'c2'}}), ['endpoint-failed', 'not-run']);
 	}));
 
+	// Guards against a planned stop that loses the answer of a call which was under way.
+	it('delivers the answer of a running call before the drain ends', async () => {
+		let finish!: () => void;
+		const hold = (_req: IncomingMessage, res: ServerResponse): void => {
+			finish = () => {
+				res.end('done');
+			};
+		};
+
+		await withService(hold, async ({agent, call, received, stop}) => {
+			const answer = call({action});
+			await until(() => received.length === 1);
+			const drained = agent.drain();
+			finish();
+			await drained;
+			stop();
+			const {status} = await answer;
+			assert.is(status, 200);
+		});
+	});
+
 	// Guards against more calls at the service than it is configured for.
 	it('refuses calls beyond the bound', async () => withService(() => undefined, async ({fail}) => {
 		const slow = [fail({timeoutMs: 300}), fail({timeoutMs: 300})];
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -8,7 +8,9 @@
 } from '@hawthorncleat/schema';
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
 import type {CrashMarks} from './crash-marks.js';
-import {invalidResponse, isEngineFailure, type EngineClient} from './engine-client.js';
+import {
+	invalidResponse, isEngineFailure, type EngineClient, type EngineFailure,
+} from './engine-client.js';
 import type {AgentMetrics} from './metrics.js';
 import {overloaded, unknownRequest} from './refusals.js';
 import {RequestScheduler, type SchedulerLimits} from './request-scheduler.js';
@@ -116,8 +118,7 @@
 		const running = [...this.scheduler.running].filter(stream => !stream.outcome);
 		this.#reportCrash(running);
 		for (const stream of running) {
-			const hasTokens = stream.nextPosition > stream.params.delivered.length;
-			this.#fail(stream, {code: 'engine-crashed', ran: hasTokens ? 'ran' : 'unknown', crash: true});
+			this.#fail(stream, {code: 'engine-crashed', ran: stream.tokenCount > 0 ? 'ran' : 'unknown', crash: true});
 			stream.abort.abort();
 		}
 
@@ -246,23 +247,28 @@
 			return;
 		}
 
-		// While the engine does not answer, its monitor fails all requests, this one among them.
-		const isAlive = error.connectionBroke ? await this.options.isEngineAlive() : true;
-		if (stream.outcome !== undefined || stream.abort.signal.aborted) {
-			return;
+		if (error.ran === 'not-run') {
+			// It never reached the engine, so it is no suspect if the engine crashed.
+			this.#fail(stream, {code: error.code, ran: error.ran, crash: false});
 		}
 
-		if (!isAlive) {
-			this.failAll();
+		await this.#checkEngine(error);
+		if (stream.outcome !== undefined || stream.abort.signal.aborted) {
 			return;
 		}
 
-		const crash = error.connectionBroke && error.ran !== 'not-run';
-		if (crash) {
+		if (error.connectionBroke) {
 			this.#reportCrash([stream]);
 		}
 
-		this.#fail(stream, {code: error.code, ran: error.ran, crash});
+		this.#fail(stream, {code: error.code, ran: error.ran, crash: error.connectionBroke});
+	}
+
+	/** After a connection broke: if the engine does not answer, all its requests have failed. */
+	async #checkEngine({connectionBroke}: EngineFailure): Promise<void> {
+		if (connectionBroke && !await this.options.isEngineAlive()) {
+			this.failAll();
+		}
 	}
 
 	#reportCrash(streams: readonly Stream[]): void {
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -112,13 +112,13 @@
 		this.#queue.correct(params.clientAccount, params.weight, prefillTokens + stream.tokenCount - totalTokens(work));
 	}
 
-	#measure({startedMs, firstTokenMs, params, tokenCount}: Stream, end: FrameEnd, nowMs: number, sharedBy: number): void {
+	#measure({startedMs, firstTokenMs, promptCharacters, tokenCount}: Stream, end: FrameEnd, nowMs: number, sharedBy: number): void {
 		if (startedMs === undefined || firstTokenMs === undefined) {
 			return;
 		}
 
 		this.#rates = addSample(this.#rates, {
-			promptCharacters: params.prompt.length,
+			promptCharacters,
 			promptTokens: end.promptTokens,
 			cachedTokens: end.cachedTokens,
 			outputTokens: tokenCount,
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -20,6 +20,7 @@
 import {createServiceEndpoint} from './service-endpoint.js';
 import {holdSlot} from './slot.js';
 
+// Also waited once after the last work ended, because the answer to a call goes out shortly after its end.
 const drainPollMs = 50;
 
 export type AgentDependencies = {
@@ -118,9 +119,9 @@
 
 const waitUntilDelivered = async ({peers, signal}: Context, endpoint: Endpoint): Promise<void> => {
 	await endpoint.whenIdle();
-	while (!signal.aborted && !(endpoint.isDelivered() && [...peers].every(peer => peer.bufferedBytes === 0))) {
+	do {
 		await delay(drainPollMs, undefined, {signal}).catch(() => undefined);
-	}
+	} while (!signal.aborted && !(endpoint.isDelivered() && [...peers].every(peer => peer.bufferedBytes === 0)));
 };
 
 const withLimit = async (work: Promise<void>, limitMs: number): Promise<void> => {
--- a/packages/agent/src/stream.ts
+++ b/packages/agent/src/stream.ts
@@ -28,6 +28,7 @@
 	startedMs: number | undefined;
 	firstTokenMs: number | undefined;
 	readonly abort = new AbortController();
+	readonly promptCharacters: number;
 
 	readonly #tokens: string[] = [];
 	readonly #basePosition: number;
@@ -37,16 +38,25 @@
 	#isOutcomeSent = false;
 	#resolveRoom: (() => void) | undefined;
 
+	#params: RequestStartParams;
+
 	constructor(
-		readonly params: RequestStartParams,
+		params: RequestStartParams,
 		readonly work: WorkEstimate,
 		readonly isSuspect: boolean,
 		readonly span: HopSpan,
 	) {
+		this.#params = params;
+		this.promptCharacters = params.prompt.length;
 		this.#basePosition = params.delivered.length;
 		this.#sentPosition = this.#basePosition;
 	}
 
+	/** The request; its prompt and delivered tokens are dropped at the end. */
+	get params(): RequestStartParams {
+		return this.#params;
+	}
+
 	/** The name of this attempt at the engine, so that a cancel message for one attempt does not hit the next. */
 	get engineRequestId(): string {
 		return `${this.params.requestId}/${this.params.attempt}`;
@@ -76,9 +86,12 @@
 		}
 	}
 
+	/** Notes how the request ended; a later outcome is ignored. */
 	finish(outcome: StreamOutcome, nowMs: number): void {
 		this.outcome ??= outcome;
 		this.endedMs ??= nowMs;
+		// Only the answer is kept for a resume; prompts can be far larger.
+		this.#params = {...this.#params, prompt: '', delivered: []};
 		this.releaseRoom();
 	}
 
