--- a/packages/agent/src/__tests__/lifecycle.test.ts
+++ b/packages/agent/src/__tests__/lifecycle.test.ts
@@ -103,14 +103,18 @@
 			const agent = await startAgent(settings, {
 				clock, random: () => 0.5, makeId, log: silentLog, table: new FakeTable(),
 			}, controller.signal);
-			await delay(700);
-			assert.not(await isReady(agent));
-			assert.is(engine.requests, 0);
-			holder.close();
-			await untilReady(agent);
-			controller.abort();
-			engine.crash();
-			await agent.closed;
+			try {
+				await delay(700);
+				assert.not(await isReady(agent));
+				assert.is(engine.requests, 0);
+				holder.close();
+				await untilReady(agent);
+			} finally {
+				holder.close();
+				controller.abort();
+				engine.crash();
+				await agent.closed;
+			}
 		});
 	});
 
