--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -11,6 +11,7 @@
 import {
 	invalidResponse, isEngineFailure, type EngineClient, type EngineFailure,
 } from './engine-client.js';
+import {IdleSignal} from './idle-signal.js';
 import type {AgentMetrics} from './metrics.js';
 import {overloaded, unknownRequest} from './refusals.js';
 import {RequestScheduler, type SchedulerLimits} from './request-scheduler.js';
@@ -39,7 +40,7 @@
 	readonly scheduler: RequestScheduler;
 	readonly #streams = new StreamStore();
 	readonly #timer: NodeJS.Timeout;
-	readonly #idleWaiters: Array<() => void> = [];
+	readonly #idle = new IdleSignal(() => this.scheduler.isIdle);
 
 	constructor(private readonly options: RequestRunnerOptions) {
 		this.scheduler = new RequestScheduler(options.limits);
@@ -134,11 +135,7 @@
 
 	/** Settles when nothing runs or waits. */
 	async whenIdle(): Promise<void> {
-		if (!this.scheduler.isIdle) {
-			await new Promise<void>(resolve => {
-				this.#idleWaiters.push(resolve);
-			});
-		}
+		await this.#idle.wait();
 	}
 
 	/** Sends what slow connections can take again, and ends streams that nobody listens to. */
@@ -157,7 +154,7 @@
 		}
 
 		this.scheduler.clearWaiting();
-		this.#wakeIdleWaiters();
+		this.#idle.check();
 	}
 
 	#replaceEarlierAttempt({requestId, attempt}: RequestStartParams): void {
@@ -183,7 +180,7 @@
 		metrics.cancelled.inc();
 		stream.span.end('cancelled');
 		if (this.scheduler.removeWaiting(stream)) {
-			this.#wakeIdleWaiters();
+			this.#idle.check();
 			return;
 		}
 
@@ -205,7 +202,7 @@
 
 		this.scheduler.finish(stream, clock.nowMs());
 		metrics.finished.inc();
-		this.#wakeIdleWaiters();
+		this.#idle.check();
 		this.pump();
 	}
 
@@ -283,21 +280,11 @@
 		this.options.metrics.failed.inc({code: failed.code});
 		this.#end(stream, {failed});
 		stream.flush();
-		this.#wakeIdleWaiters();
+		this.#idle.check();
 	}
 
 	#end(stream: Stream, outcome: StreamOutcome): void {
 		stream.finish(outcome, this.options.clock.nowMs());
 		stream.span.end('failed' in outcome ? outcome.failed.code : undefined);
 	}
-
-	#wakeIdleWaiters(): void {
-		if (!this.scheduler.isIdle) {
-			return;
-		}
-
-		for (const resolve of this.#idleWaiters.splice(0)) {
-			resolve();
-		}
-	}
 }
--- a/packages/agent/src/service-calls.ts
+++ b/packages/agent/src/service-calls.ts
@@ -11,6 +11,7 @@
 import {Agent, type Dispatcher} from 'undici';
 import {ActionMemory} from './action-memory.js';
 import {isNeverConnected, readErrorCode} from './connection-errors.js';
+import {IdleSignal} from './idle-signal.js';
 import type {AgentMetrics} from './metrics.js';
 import {overloaded} from './refusals.js';
 
@@ -105,7 +106,7 @@
 /** The calls of one agent. */
 export class ServiceCalls {
 	#running = 0;
-	readonly #idleWaiters: Array<() => void> = [];
+	readonly #idle = new IdleSignal(() => this.#running === 0);
 	readonly #actions = new ActionMemory();
 	readonly #reads: Agent;
 	readonly #writes: Agent;
@@ -145,17 +146,13 @@
 			return await this.#callWithSpan(params);
 		} finally {
 			this.#running -= 1;
-			this.#wakeIdleWaiters();
+			this.#idle.check();
 		}
 	}
 
 	/** Settles when no call is under way. */
 	async whenIdle(): Promise<void> {
-		if (this.#running > 0) {
-			await new Promise<void>(resolve => {
-				this.#idleWaiters.push(resolve);
-			});
-		}
+		await this.#idle.wait();
 	}
 
 	async close(): Promise<void> {
@@ -218,14 +215,4 @@
 
 		return failure;
 	}
-
-	#wakeIdleWaiters(): void {
-		if (this.#running > 0) {
-			return;
-		}
-
-		for (const resolve of this.#idleWaiters.splice(0)) {
-			resolve();
-		}
-	}
 }
