--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -92,3 +92,33 @@
 export {
 	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
 } from './usage.js';
+export {FairQueue, type QueuedWork} from './fair-queue.js';
+export {
+	addSample,
+	decideQueueing,
+	estimateFirstTokenMs,
+	estimateWork,
+	initialRates,
+	type EngineRates,
+	type QueueDecision,
+	type QueueView,
+	type RateSample,
+	type WorkEstimate,
+} from './first-token.js';
+export {
+	beginOrder,
+	decideMessage,
+	engineOrderKey,
+	finishOrder,
+	initialOrders,
+	learnRow,
+	markSettled,
+	markStarted,
+	mayExecute,
+	maySettle,
+	parseOrderRow,
+	type EngineOrderRow,
+	type EngineOrders,
+	type EngineRole,
+	type OrderDecision,
+} from './engine-orders.js';
