Connect the entry and the agent to the platform

The entry follows host list and configuration, keeps evidence of freshness, announces publications to its witness group and claims actions. The agent reads engine orders from the table.

Cause of one wrong reading on the way: host records use any of the three naming schemes, so the entry turns their places and services into canonical names.

Not run: the freshness model, whose state space is still too large (over 70 million states).

--- /dev/null
+++ b/packages/agent/src/start-daemon.ts
@@ -0,0 +1,16 @@
+/**
+ * Starts an agent as it runs in production: connected to the platform's table by its settings.
+ */
+import {createHttpClient, createTable} from '@hawthorncleat/platform';
+import type {AgentSettings} from '@hawthorncleat/schema';
+import {startAgent, type Agent, type AgentDependencies} from './start-agent.js';
+
+/** Starts the daemon. */
+export const startAgentDaemon = async (
+	settings: AgentSettings,
+	dependencies: Omit<AgentDependencies, 'table'>,
+	signal: AbortSignal,
+): Promise<Agent> => {
+	const table = createTable(createHttpClient({url: settings.platformUrl}, signal));
+	return startAgent(settings, {...dependencies, table}, signal);
+};
--- a/packages/core/src/__tests__/freshness.test.ts
+++ b/packages/core/src/__tests__/freshness.test.ts
@@ -35,8 +35,6 @@
 	hostId, dataCentre, kind: 'entry', address: '127.0.0.1', port: 1, state: 'live',
 });
 
-const rank = (_key: string, candidate: string): number => candidate.codePointAt(0) ?? 0;
-
 describe('freshness', () => {
 	it('admits nothing before there is evidence, so that a restarted entry does not serve withdrawn keys', () => {
 		assert.not(createEntry().freshness.mayServe());
@@ -149,22 +147,23 @@
 		createHost('e', 'small-1'),
 		createHost('f', 'small-2'),
 	];
-	const groups = createWitnessGroups({hosts, regionOf: () => 'west', rank});
-	const unreachable = (ids: string): Map<string, FreshnessAnswer> =>
-		new Map([...ids].map(id => [id, {kind: 'unreachable', version: id === 'b' ? 9 : 8}]));
+	const groups = createWitnessGroups({hosts, regionOf: () => 'west'});
+	const [large, merged] = groups.map(group => group.witnesses.map(witness => witness.hostId));
+	const unreachable = (ids: readonly string[]): Map<string, FreshnessAnswer> =>
+		new Map(ids.map((id, index) => [id, {kind: 'unreachable', version: 8 + index}]));
 
 	it('gives a large data centre a group of its own and merges small ones', () => {
-		assert.equal(groups.map(group => [group.name, group.view]), [
-			['data-centre/large', 'a,b,c'],
-			['region/west', 'e,f'],
+		assert.equal(groups.map(group => [group.name, group.witnesses.length]), [
+			['data-centre/large', 3],
+			['region/west', 2],
 		]);
 		assert.is(findOwnGroup(groups, {dataCentre: 'small-1', region: 'west'})?.name, 'region/west');
 	});
 
 	it('needs a majority of every group, because a writer announces to a majority of one', () => {
-		assert.is(combineAnswers(groups, unreachable('abef')), 9);
-		assert.is(combineAnswers(groups, unreachable('abe')), undefined);
-		assert.is(combineAnswers(groups, unreachable('aef')), undefined);
-		assert.is(combineAnswers([], unreachable('abef')), undefined);
+		assert.is(combineAnswers(groups, unreachable([...large!.slice(1), ...merged!])), 11);
+		assert.is(combineAnswers(groups, unreachable([...large!, merged![0]!])), undefined);
+		assert.is(combineAnswers(groups, unreachable([large![0]!, ...merged!])), undefined);
+		assert.is(combineAnswers([], unreachable(large!)), undefined);
 	});
 });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,7 +30,7 @@
 	announcementLimitMs, Witness, witnessSettleMs, type Noted, type WitnessOptions,
 } from './witness.js';
 export {
-	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type Rank, type WitnessGroup, type WitnessGroupInput,
+	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type WitnessGroup, type WitnessGroupInput,
 } from './witness-groups.js';
 export {
 	LeaseHolder,
--- a/packages/core/src/witness-groups.ts
+++ b/packages/core/src/witness-groups.ts
@@ -2,15 +2,13 @@
  * Which entries are witnesses, and when their answers together show that the store is out of reach for the whole fleet.
  */
 import type {FreshnessAnswer, HostRecord} from '@hawthorncleat/schema';
+import {chooseByRendezvous} from './rendezvous.js';
 
 const smallestOwnGroup = 3;
 const witnessesPerDataCentre = 3;
 /** Five in a group that spans data centres, so that it outlives a data centre and a restart at the same time. */
 const witnessesPerMergedGroup = 5;
 
-/** Orders candidates for a key; the lowest ranks come first. Must be the same on every host. */
-export type Rank = (key: string, candidate: string) => number;
-
 /** Entries that answer for one data centre, or for the small data centres of one region. */
 export type WitnessGroup = {
 	readonly name: string;
@@ -22,7 +20,6 @@
 export type WitnessGroupInput = {
 	readonly hosts: readonly HostRecord[];
 	readonly regionOf: (dataCentre: string) => string;
-	readonly rank: Rank;
 };
 
 const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> => {
@@ -37,28 +34,26 @@
 	return groups;
 };
 
-const createGroup = (name: string, entries: readonly HostRecord[], size: number, rank: Rank): WitnessGroup => {
-	const witnesses = entries
-		.toSorted((a, b) => rank(name, a.hostId) - rank(name, b.hostId) || (a.hostId < b.hostId ? -1 : 1))
-		.slice(0, size);
+const createGroup = (name: string, entries: readonly HostRecord[], size: number): WitnessGroup => {
+	const witnesses = chooseByRendezvous(name, entries, size, host => host.hostId);
 	return {name, witnesses, view: witnesses.map(witness => witness.hostId).join(',')};
 };
 
 /** Divides the live entries into witness groups. */
-export const createWitnessGroups = ({hosts, regionOf, rank}: WitnessGroupInput): WitnessGroup[] => {
+export const createWitnessGroups = ({hosts, regionOf}: WitnessGroupInput): WitnessGroup[] => {
 	const entries = hosts.filter(host => host.kind === 'entry');
 	const groups: WitnessGroup[] = [];
 	const merged: HostRecord[] = [];
 	for (const [dataCentre, members] of groupBy(entries, host => host.dataCentre)) {
 		if (members.length >= smallestOwnGroup) {
-			groups.push(createGroup(`data-centre/${dataCentre}`, members, witnessesPerDataCentre, rank));
+			groups.push(createGroup(`data-centre/${dataCentre}`, members, witnessesPerDataCentre));
 		} else {
 			merged.push(...members);
 		}
 	}
 
 	for (const [region, members] of groupBy(merged, host => regionOf(host.dataCentre))) {
-		groups.push(createGroup(`region/${region}`, members, witnessesPerMergedGroup, rank));
+		groups.push(createGroup(`region/${region}`, members, witnessesPerMergedGroup));
 	}
 
 	return groups;
--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -97,6 +97,7 @@
 	hostPollMs: 20,
 	usageFlushMs: 60_000,
 	usageWindowMs: 60_000,
+	witnessSettleMs: 60_000,
 	drainLimitMs: 0,
 	traceFile: '',
 };
--- /dev/null
+++ b/packages/entry/src/control/config-sync.ts
@@ -0,0 +1,85 @@
+/**
+ * Brings the configuration in force up to the version that others have, from the store or, while that is out of reach,
+ * from another entry.
+ */
+import type {ConfigUpdate, InForce} from '@hawthorncleat/core';
+import type {ConfigStore} from '@hawthorncleat/platform';
+import {
+	check, validators, type ConfigSinceResult, type Delta, type Snapshot,
+} from '@hawthorncleat/schema';
+import type {Peer} from '@hawthorncleat/wire';
+
+const peerTimeoutMs = 2000;
+
+export type ConfigSyncOptions = {
+	readonly inForce: InForce;
+	readonly store: ConfigStore;
+	readonly peers: () => ReadonlyMap<string, Peer>;
+};
+
+const readUpdate = (result: ConfigSinceResult): ConfigUpdate => {
+	const deltas = (result.deltas ?? []) as unknown[];
+	if (!deltas.every(delta => check(validators.validateDelta, delta).ok)) {
+		throw new Error('a peer sent a delta that does not match the schema');
+	}
+
+	if (result.snapshot && !check(validators.validateSnapshot, result.snapshot).ok) {
+		throw new Error('a peer sent a snapshot that does not match the schema');
+	}
+
+	return {deltas: deltas as Delta[], snapshot: result.snapshot as Snapshot | undefined};
+};
+
+/** Installs newer versions; one attempt runs at a time. */
+export class ConfigSync {
+	readonly #options: ConfigSyncOptions;
+	#running: Promise<void> | undefined;
+
+	constructor(options: ConfigSyncOptions) {
+		this.#options = options;
+	}
+
+	/** Tries to reach at least `version`. */
+	async catchUp(version: number): Promise<void> {
+		if (version <= this.#localVersion) {
+			return;
+		}
+
+		this.#running ??= this.#catchUpOnce(version).finally(() => {
+			this.#running = undefined;
+		});
+		await this.#running;
+	}
+
+	/** Takes the newest version of any peer, for a start while the store is down. */
+	async askPeers(): Promise<void> {
+		await Promise.all([...this.#options.peers().values()].map(async peer => this.#askPeer(peer)));
+	}
+
+	get #localVersion(): number {
+		return this.#options.inForce.view().version;
+	}
+
+	async #catchUpOnce(version: number): Promise<void> {
+		try {
+			this.#options.inForce.install(await this.#options.store.fetchSince(this.#localVersion));
+		} catch {
+			// The store is out of reach or lags; the peers may have what is missing.
+		}
+
+		if (this.#localVersion < version) {
+			await this.askPeers();
+		}
+	}
+
+	async #askPeer(peer: Peer): Promise<void> {
+		try {
+			const result = await peer.call('config.since', {version: this.#localVersion}, {timeoutMs: peerTimeoutMs});
+			if (result.version > this.#localVersion) {
+				this.#options.inForce.install(readUpdate(result));
+			}
+		} catch {
+			// Another peer or the next round brings it.
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/control/entry-control.ts
@@ -0,0 +1,212 @@
+/**
+ * The control side of an entry: configuration, hosts, freshness, publications and claims, connected to the platform.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	brandAs,
+	createInForce,
+	createWitnessGroups,
+	findOwnGroup,
+	Freshness,
+	Witness,
+	type Clock,
+	type EntryId,
+	type InForce,
+	type MakeId,
+	type WitnessGroup,
+} from '@hawthorncleat/core';
+import {
+	createClaimWriter, createConfigStore, createHostList, createHttpClient, createObjectStore, createTable, type ObjectStore, type Table,
+} from '@hawthorncleat/platform';
+import type {EntrySettings, HostRecord} from '@hawthorncleat/schema';
+import type {Log} from '@hawthorncleat/telemetry';
+import type {Peer} from '@hawthorncleat/wire';
+import type {EntryDeps, PeerServices} from '../deps.js';
+import {ConfigSync} from './config-sync.js';
+import {FreshnessLoop} from './freshness-loop.js';
+import {HostWatch} from './host-watch.js';
+import {WitnessedPublisher} from './publisher.js';
+
+/** A read of the head that takes longer is treated as failed, so that an attestation still comes in time. */
+const headTimeoutMs = 800;
+
+export type ControlDeps = {
+	readonly clock: Clock;
+	readonly makeId: MakeId;
+	readonly log: Log;
+};
+
+type PartOfDeps = 'claims' | 'config' | 'entryHosts' | 'freshness' | 'hosts' | 'peerServices' | 'publisher' | 'usageStore';
+
+/** What the control side gives to the rest of the entry. */
+export type EntryControl = Pick<EntryDeps, PartOfDeps> & {
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly inForce: InForce;
+	readonly hostWatch: HostWatch;
+	readonly peers: () => ReadonlyMap<string, Peer>;
+	/** Settles after the signal aborted. */
+	readonly closed: Promise<void>;
+};
+
+const createStores = (settings: EntrySettings, {makeId}: ControlDeps, signal: AbortSignal) => {
+	const http = createHttpClient({url: settings.platformUrl}, signal);
+	const quickHttp = createHttpClient({url: settings.platformUrl, timeoutMs: headTimeoutMs}, signal);
+	const table = createTable(http);
+	const objects = createObjectStore(http);
+	return {
+		table,
+		objects,
+		hostList: createHostList(http),
+		configStore: createConfigStore({table, objects, makeId}),
+		headStore: createConfigStore({table: createTable(quickHttp), objects, makeId}),
+	};
+};
+
+/** The witness groups by the current host list. */
+class Groups {
+	#groups: readonly WitnessGroup[] = [];
+	readonly #settings: EntrySettings;
+	readonly #hostWatch: () => HostWatch;
+	readonly #witness: Witness;
+
+	constructor(settings: EntrySettings, hostWatch: () => HostWatch, witness: Witness) {
+		this.#settings = settings;
+		this.#hostWatch = hostWatch;
+		this.#witness = witness;
+	}
+
+	readonly all = (): readonly WitnessGroup[] => this.#groups;
+
+	readonly own = (): WitnessGroup | undefined => findOwnGroup(this.#groups, this.#settings);
+
+	/** Host ids of all witnesses. */
+	readonly members = (): ReadonlySet<string> =>
+		new Set(this.#groups.flatMap(group => group.witnesses.map(({hostId}) => hostId)));
+
+	readonly update = (): void => {
+		const {entryId} = this.#settings;
+		const wasWitness = this.#includes(entryId);
+		const {entries: hosts, regionOf} = this.#hostWatch();
+		this.#groups = createWitnessGroups({hosts, regionOf});
+		this.#witness.setView(this.own()?.view ?? '', !wasWitness && this.#includes(entryId));
+	};
+
+	#includes(hostId: string): boolean {
+		return this.own()?.witnesses.some(witness => witness.hostId === hostId) ?? false;
+	}
+}
+
+const createPeerServices = (
+	{inForce, witness, groups, sync}: {inForce: InForce; witness: Witness; groups: Groups; sync: ConfigSync},
+	setPeers: (peers: () => ReadonlyMap<string, Peer>) => void,
+): PeerServices => ({
+	configSince({version}) {
+		const {version: newest, deltas, snapshot} = inForce.since(version);
+		return {
+			version: newest,
+			...(deltas && {deltas: deltas as unknown as Array<Record<string, unknown>>}),
+			...(snapshot && {snapshot: snapshot as unknown as Record<string, unknown>}),
+		};
+	},
+	askFreshness: ({view}) => witness.answer(view),
+	announcePublish: ({announceId, version, view}) => witness.announce(announceId, version, view),
+	finishPublish({announceId, outcome, version}) {
+		witness.finish(announceId, outcome, version);
+		if (outcome === 'accepted') {
+			void sync.catchUp(version);
+		}
+
+		return {version: inForce.view().version, incarnation: witness.incarnation};
+	},
+	onPeerVersion(version) {
+		void sync.catchUp(version);
+	},
+	requiredEntries: groups.members,
+	usePeers: setPeers,
+});
+
+const pollHosts = async (hostWatch: HostWatch, pollMs: number, signal: AbortSignal): Promise<void> => {
+	while (!signal.aborted) {
+		await sleep(pollMs, undefined, {signal}).catch(() => {/* The loop ends. */});
+		await hostWatch.poll();
+	}
+};
+
+/** Connects an entry to the platform. Reads the host list and the configuration once before it returns. */
+export const createEntryControl = async (
+	settings: EntrySettings,
+	deps: ControlDeps,
+	signal: AbortSignal,
+): Promise<EntryControl> => {
+	const {clock, makeId, log} = deps;
+	const {entryId, dataCentre, region} = settings;
+	const stores = createStores(settings, deps, signal);
+	const inForce = createInForce();
+	const localVersion = (): number => inForce.view().version;
+	const freshness = new Freshness({clock, localVersion});
+	const loops: {freshness?: FreshnessLoop} = {};
+	const witness = new Witness({
+		clock,
+		freshness,
+		localVersion,
+		incarnation: makeId(),
+		isStoreUnreachable: () => loops.freshness?.isStoreUnreachable ?? false,
+		witnessSettleMs: settings.witnessSettleMs,
+	});
+	let peers = (): ReadonlyMap<string, Peer> => new Map<string, Peer>();
+	const currentPeers = (): ReadonlyMap<string, Peer> => peers();
+	const sync = new ConfigSync({inForce, store: stores.configStore, peers: currentPeers});
+	const groups: Groups = new Groups(settings, () => hostWatch, witness);
+	const hostWatch = new HostWatch({
+		client: stores.hostList, dataCentre, region, view: inForce.view, onChange: groups.update,
+	});
+	const freshnessLoop = new FreshnessLoop({
+		clock,
+		entryId,
+		pollMs: settings.headPollMs,
+		freshness,
+		witness,
+		store: stores.headStore,
+		sync,
+		groups: groups.all,
+		ownGroup: groups.own,
+		peers: currentPeers,
+		localVersion,
+	});
+	loops.freshness = freshnessLoop;
+	inForce.onChange(view => {
+		log.info('configuration in force', {version: view.version});
+	}, signal);
+	await hostWatch.poll();
+	await freshnessLoop.readRound();
+	await hostWatch.poll();
+	const closed = Promise.all([
+		freshnessLoop.run(signal),
+		pollHosts(hostWatch, settings.hostPollMs, signal),
+	]).then(() => {/* All loops have ended. */});
+	return {
+		table: stores.table,
+		objects: stores.objects,
+		inForce,
+		hostWatch,
+		peers: currentPeers,
+		closed,
+		config: {current: inForce.view},
+		hosts: {current: (): readonly HostRecord[] => hostWatch.region},
+		entryHosts: {current: (): readonly HostRecord[] => hostWatch.entries},
+		claims: createClaimWriter({
+			table: stores.table, clock, makeId, entryId: brandAs<EntryId>(entryId),
+		}, signal),
+		freshness: {mayServe: () => freshness.mayServe()},
+		publisher: new WitnessedPublisher({
+			clock, makeId, entryId, inForce, store: stores.configStore, witness, ownGroup: groups.own, peers: currentPeers,
+		}),
+		usageStore: stores.objects,
+		peerServices: createPeerServices({
+			inForce, witness, groups, sync,
+		}, source => {
+			peers = source;
+		}),
+	};
+};
--- /dev/null
+++ b/packages/entry/src/control/freshness-loop.ts
@@ -0,0 +1,155 @@
+/**
+ * Keeps the evidence of freshness up to date: witnesses read the head themselves, other entries ask their witnesses,
+ * and while the head cannot be read the witnesses of the whole fleet are asked for an attestation.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	combineAnswers, type Clock, type Freshness, type Witness, type WitnessGroup,
+} from '@hawthorncleat/core';
+import type {ConfigStore} from '@hawthorncleat/platform';
+import type {FreshnessAnswer} from '@hawthorncleat/schema';
+import type {Peer} from '@hawthorncleat/wire';
+import type {ConfigSync} from './config-sync.js';
+
+/** Leaves time for a second round before evidence of 4 s runs out. */
+const askTimeoutMs = 700;
+
+export type FreshnessLoopOptions = {
+	readonly clock: Clock;
+	readonly entryId: string;
+	readonly pollMs: number;
+	readonly freshness: Freshness;
+	readonly witness: Witness;
+	/** Its reads must time out well below the limit of freshness. */
+	readonly store: ConfigStore;
+	readonly sync: ConfigSync;
+	readonly groups: () => readonly WitnessGroup[];
+	readonly ownGroup: () => WitnessGroup | undefined;
+	readonly peers: () => ReadonlyMap<string, Peer>;
+	readonly localVersion: () => number;
+};
+
+/** The rounds of one entry. */
+export class FreshnessLoop {
+	readonly #options: FreshnessLoopOptions;
+	#isStoreUnreachable = false;
+
+	constructor(options: FreshnessLoopOptions) {
+		this.#options = options;
+	}
+
+	/** True while the last read of the head failed. */
+	get isStoreUnreachable(): boolean {
+		return this.#isStoreUnreachable;
+	}
+
+	/** Runs rounds until the signal aborts. */
+	async run(signal: AbortSignal): Promise<void> {
+		await Promise.all([
+			this.#repeat(async () => this.readRound(), signal),
+			this.#repeat(async () => this.attestRound(), signal),
+		]);
+	}
+
+	/** Gets evidence that rests on a read of the head. */
+	async readRound(): Promise<void> {
+		const isRelayed = !this.#isWitness && await this.#askOwnGroup();
+		if (!isRelayed) {
+			await this.#readHead();
+		}
+	}
+
+	/** Asks for an attestation while the head cannot be read. */
+	async attestRound(): Promise<void> {
+		if (!this.#isStoreUnreachable) {
+			return;
+		}
+
+		const {clock, freshness, sync, groups} = this.#options;
+		const sentAtMs = clock.nowMs();
+		const current = groups();
+		const version = combineAnswers(current, await this.#askAll(current));
+		if (version !== undefined) {
+			freshness.noteAttestation(sentAtMs, version);
+			await sync.catchUp(version);
+		}
+	}
+
+	get #isWitness(): boolean {
+		const {ownGroup, entryId} = this.#options;
+		return ownGroup()?.witnesses.some(({hostId}) => hostId === entryId) ?? true;
+	}
+
+	async #repeat(round: () => Promise<void>, signal: AbortSignal): Promise<void> {
+		const {clock, pollMs} = this.#options;
+		while (!signal.aborted) {
+			const startedAtMs = clock.nowMs();
+			await round();
+			const restMs = Math.max(0, pollMs - (clock.nowMs() - startedAtMs));
+			await sleep(restMs, undefined, {signal}).catch(() => {/* The loop ends. */});
+		}
+	}
+
+	async #readHead(): Promise<void> {
+		const {clock, store, freshness, sync} = this.#options;
+		const sentAtMs = clock.nowMs();
+		try {
+			const {head} = await store.readHead();
+			this.#isStoreUnreachable = false;
+			freshness.noteRead(sentAtMs, head.version);
+			await sync.catchUp(head.version);
+		} catch {
+			this.#isStoreUnreachable = true;
+		}
+	}
+
+	/** Returns whether a witness of the own group gave evidence that rests on a read. */
+	async #askOwnGroup(): Promise<boolean> {
+		const group = this.#options.ownGroup();
+		if (!group) {
+			return false;
+		}
+
+		const answers = await this.#askAll([group]);
+		return [...answers.values()].some(answer => answer.kind === 'evidence' && answer.basis === 'read');
+	}
+
+	async #askAll(groups: readonly WitnessGroup[]): Promise<Map<string, FreshnessAnswer>> {
+		const questions = groups.flatMap(({view, witnesses}) => witnesses.map(({hostId}) => ({view, hostId})));
+		const answers = new Map<string, FreshnessAnswer>();
+		await Promise.all(questions.map(async ({hostId, view}) => {
+			const answer = await this.#ask(hostId, view);
+			if (answer) {
+				answers.set(hostId, answer);
+			}
+		}));
+		return answers;
+	}
+
+	async #ask(hostId: string, view: string): Promise<FreshnessAnswer | undefined> {
+		const {entryId, witness, localVersion, peers} = this.#options;
+		if (hostId === entryId) {
+			return witness.attests() ? {kind: 'unreachable', version: localVersion()} : undefined;
+		}
+
+		const peer = peers().get(hostId);
+		return peer ? this.#askPeer(peer, view) : undefined;
+	}
+
+	async #askPeer(peer: Peer, view: string): Promise<FreshnessAnswer | undefined> {
+		const {clock, localVersion, freshness, sync} = this.#options;
+		const sentAtMs = clock.nowMs();
+		try {
+			const answer = await peer.call('freshness.ask', {version: localVersion(), view}, {timeoutMs: askTimeoutMs});
+			const {kind, basis, ageMs, version} = answer;
+			if (kind === 'evidence' && basis !== undefined && ageMs !== undefined && version !== undefined) {
+				freshness.noteRelay(sentAtMs, {basis, ageMs, version});
+				void sync.catchUp(version);
+			}
+
+			return answer;
+		} catch {
+			return undefined;
+		}
+	}
+}
--- /dev/null
+++ b/packages/entry/src/control/host-watch.ts
@@ -0,0 +1,82 @@
+/**
+ * Follows the platform's host list, data centre by data centre. A data centre whose list cannot be read keeps its last
+ * one, because connections tell sooner than the list which hosts are gone.
+ */
+import type {ConfigView} from '@hawthorncleat/core';
+import type {HostListClient} from '@hawthorncleat/platform';
+import type {HostList, HostRecord} from '@hawthorncleat/schema';
+import {normaliseHost, readPlaceNames, type PlaceNames} from './place-names.js';
+
+export type HostWatchOptions = {
+	readonly client: HostListClient;
+	/** The data centre of this entry, read also before there is a configuration. */
+	readonly dataCentre: string;
+	readonly region: string;
+	readonly view: () => ConfigView;
+	/** Called after each poll that changed the list. */
+	readonly onChange: () => void;
+};
+
+/** The hosts as last read. */
+export class HostWatch {
+	readonly #options: HostWatchOptions;
+	readonly #lists = new Map<string, HostList>();
+	#names: PlaceNames | undefined;
+	#namesVersion = -1;
+	#hosts: readonly HostRecord[] = [];
+
+	constructor(options: HostWatchOptions) {
+		this.#options = options;
+	}
+
+	/** All hosts of the fleet, with canonical names. */
+	get all(): readonly HostRecord[] {
+		return this.#hosts;
+	}
+
+	/** Hosts of this entry's region. */
+	get region(): readonly HostRecord[] {
+		return this.#hosts.filter(host => this.regionOf(host.dataCentre) === this.#options.region);
+	}
+
+	get entries(): readonly HostRecord[] {
+		return this.#hosts.filter(host => host.kind === 'entry');
+	}
+
+	readonly regionOf = (dataCentre: string): string => {
+		const region = this.#currentNames().regions.get(dataCentre);
+		return region ?? (dataCentre === this.#options.dataCentre ? this.#options.region : '');
+	};
+
+	/** Reads all lists once. */
+	async poll(): Promise<void> {
+		const dataCentres = new Set([this.#options.dataCentre, ...this.#currentNames().regions.keys()]);
+		await Promise.all([...dataCentres].map(async dataCentre => this.#read(dataCentre)));
+		const hosts = [...this.#lists.values()]
+			.flatMap(list => list.hosts)
+			.map(host => normaliseHost(host, this.#currentNames()));
+		const isChanged = JSON.stringify(hosts) !== JSON.stringify(this.#hosts);
+		this.#hosts = hosts;
+		if (isChanged) {
+			this.#options.onChange();
+		}
+	}
+
+	async #read(dataCentre: string): Promise<void> {
+		const known = this.#lists.get(dataCentre);
+		const list = await this.#options.client.read(dataCentre, known?.version).catch(() => undefined);
+		if (list) {
+			this.#lists.set(dataCentre, list);
+		}
+	}
+
+	#currentNames(): PlaceNames {
+		const view = this.#options.view();
+		if (!this.#names || this.#namesVersion !== view.version) {
+			this.#names = readPlaceNames(view);
+			this.#namesVersion = view.version;
+		}
+
+		return this.#names;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/control/publisher.ts
@@ -0,0 +1,150 @@
+/**
+ * Checks and publishes changes for operators. Rules `announce` and `confirm` of `models/freshness.pml`: a majority of the
+ * own witness group hears of a version before it is written, and the change counts as confirmed once a majority has heard
+ * that it was.
+ */
+import {
+	checkChange, createRequestError, isMajority, type Clock, type InForce, type MakeId, type Witness, type WitnessGroup,
+} from '@hawthorncleat/core';
+import {isStoreError, type AnnouncedOutcome, type ConfigStore} from '@hawthorncleat/platform';
+import type {Finding} from '@hawthorncleat/schema';
+import type {Peer} from '@hawthorncleat/wire';
+import type {ApplyResult, Publisher} from '../deps.js';
+
+const witnessTimeoutMs = 1000;
+/** New witnesses rely on writers with an older host list having finished by then. */
+const confirmLimitMs = 5000;
+const retryAfterMs = 2000;
+
+export type PublisherOptions = {
+	readonly clock: Clock;
+	readonly makeId: MakeId;
+	readonly entryId: string;
+	readonly inForce: InForce;
+	readonly store: ConfigStore;
+	readonly witness: Witness;
+	readonly ownGroup: () => WitnessGroup | undefined;
+	readonly peers: () => ReadonlyMap<string, Peer>;
+};
+
+type Announcement = {
+	readonly announceId: string;
+	readonly group: WitnessGroup;
+	readonly startedAtMs: number;
+};
+
+const witnessesUnavailable = (group: WitnessGroup | undefined): Error => createRequestError(
+	`no majority of the witnesses of ${group?.name ?? 'this data centre'} can be reached`,
+	{
+		code: 'witnesses-unavailable', ran: 'not-run', status: 503, retryAfterMs,
+	},
+);
+
+/** Publishes with announcements to the witnesses. */
+export class WitnessedPublisher implements Publisher {
+	readonly #options: PublisherOptions;
+
+	constructor(options: PublisherOptions) {
+		this.#options = options;
+	}
+
+	validate(change: unknown): readonly Finding[] {
+		const result = checkChange(this.#options.inForce.view().snapshot, change);
+		return result.ok ? [] : result.findings;
+	}
+
+	async apply(change: unknown): Promise<ApplyResult> {
+		try {
+			return await this.#publish(change);
+		} catch (error) {
+			if (!isStoreError(error)) {
+				throw error;
+			}
+
+			const code = error.outcome === 'unknown' ? 'publication-in-doubt' : 'store-unavailable';
+			return {kind: 'unavailable', code, retryAfterMs};
+		}
+	}
+
+	async #publish(change: unknown): Promise<ApplyResult> {
+		const {inForce, store} = this.#options;
+		let announcement: Announcement | undefined;
+		const result = await store.publish({
+			base: inForce.view().snapshot,
+			change,
+			announce: async version => {
+				announcement = this.#createAnnouncement();
+				await this.#announce(announcement, version);
+			},
+			finish: async (outcome, version) => announcement ? this.#finish(announcement, outcome, version) : false,
+		});
+		if (result.kind === 'findings') {
+			return {kind: 'invalid', findings: result.findings};
+		}
+
+		if (result.kind === 'conflict') {
+			return result;
+		}
+
+		inForce.install({snapshot: result.snapshot});
+		return {kind: 'published', version: result.snapshot.version, confirmed: result.confirmed};
+	}
+
+	#createAnnouncement(): Announcement {
+		const {makeId, ownGroup, clock} = this.#options;
+		const group = ownGroup();
+		if (!group) {
+			throw witnessesUnavailable(group);
+		}
+
+		return {announceId: makeId(), group, startedAtMs: clock.nowMs()};
+	}
+
+	async #announce({announceId, group}: Announcement, version: number): Promise<void> {
+		const {witness} = this.#options;
+		const params = {announceId, version, view: group.view};
+		const noted = await this.#count(
+			group,
+			() => witness.announce(announceId, version, group.view).noted,
+			async peer => {
+				const answer = await peer.call('publish.announce', params, {timeoutMs: witnessTimeoutMs});
+				return answer.noted;
+			},
+		);
+		if (!isMajority(noted, group)) {
+			throw witnessesUnavailable(group);
+		}
+	}
+
+	/** Every witness that hears of an accepted version holds back attestations until it has it, also after a restart. */
+	async #finish({announceId, group, startedAtMs}: Announcement, outcome: AnnouncedOutcome, version: number): Promise<boolean> {
+		const {witness, ownGroup, clock} = this.#options;
+		const informed = await this.#count(
+			group,
+			() => {
+				witness.finish(announceId, outcome, version);
+				return true;
+			},
+			async peer => {
+				await peer.call('publish.finish', {announceId, outcome, version}, {timeoutMs: witnessTimeoutMs});
+				return true;
+			},
+		);
+		const isInTime = clock.nowMs() - startedAtMs <= confirmLimitMs;
+		return isMajority(informed, group) && isInTime && ownGroup()?.view === group.view;
+	}
+
+	async #count(group: WitnessGroup, askSelf: () => boolean, askPeer: (peer: Peer) => Promise<boolean>): Promise<number> {
+		const {entryId, peers} = this.#options;
+		const open = peers();
+		const answers = await Promise.all(group.witnesses.map(async ({hostId}) => {
+			if (hostId === entryId) {
+				return askSelf();
+			}
+
+			const peer = open.get(hostId);
+			return peer ? askPeer(peer).catch(() => false) : false;
+		}));
+		return answers.filter(Boolean).length;
+	}
+}
--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -21,6 +21,7 @@
 } from '@hawthorncleat/schema';
 import type {ObjectStore} from '@hawthorncleat/platform';
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
+import type {Peer} from '@hawthorncleat/wire';
 
 /** The configuration in force. */
 export type ConfigSource = {current(): ConfigView};
@@ -66,6 +67,10 @@
 	finishPublish?(params: PublishFinishParams): PublishFinishResult | Promise<PublishFinishResult>;
 	/** Hears the configuration version in each heartbeat. */
 	onPeerVersion?(version: number): void;
+	/** Host ids of entries to which a connection is needed, besides the chosen ones. */
+	requiredEntries?(): ReadonlySet<string>;
+	/** Receives the source of the open connections to other entries, by host id. */
+	usePeers?(peers: () => ReadonlyMap<string, Peer>): void;
 };
 
 /** One endpoint as the choice sees it. */
@@ -103,6 +108,8 @@
 	readonly makeId: MakeId;
 	readonly config: ConfigSource;
 	readonly hosts: HostSource;
+	/** The entries of the whole fleet, where they differ from those of `hosts`. */
+	readonly entryHosts?: HostSource;
 	readonly claims: Claims;
 	readonly freshness: FreshnessCheck;
 	readonly publisher: Publisher;
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -102,7 +102,7 @@
 		const hosts = this.deps.hosts.current();
 		this.#liveEntries = hosts.filter(host => host.kind === 'entry' && host.state === 'live').length;
 		this.#pool.update(hosts);
-		this.#entryPeers?.update(hosts);
+		this.#entryPeers?.update(this.deps.entryHosts?.current() ?? hosts, this.deps.peerServices?.requiredEntries?.());
 		this.#metrics.configVersion.set(this.#configVersion);
 		this.#metrics.crashSuspects.set(this.#suspects.size);
 	};
@@ -116,7 +116,9 @@
 				this.learn(fingerprints);
 			},
 		};
-		this.#entryPeers = new EntryPeers({entryId: this.#entryId, address, port}, handlers, this.#connectionOptions);
+		const entryPeers = new EntryPeers({entryId: this.#entryId, address, port}, handlers, this.#connectionOptions);
+		this.#entryPeers = entryPeers;
+		this.deps.peerServices?.usePeers?.(() => entryPeers.peers);
 	}
 
 	async drain(): Promise<void> {
--- a/packages/entry/src/entry-peers.ts
+++ b/packages/entry/src/entry-peers.ts
@@ -1,5 +1,5 @@
 /**
- * Connections to other entries of the region, over which crash marks are passed on.
+ * Connections to other entries: to some of the region, over which crash marks are passed on, and to all witnesses.
  */
 import {chooseByRendezvous} from '@hawthorncleat/core';
 import type {HostRecord} from '@hawthorncleat/schema';
@@ -37,13 +37,14 @@
 		return open;
 	}
 
-	/** Follows the host list. */
-	update(hosts: readonly HostRecord[]): void {
+	/** Follows the host list. Connections to the required entries come on top of the chosen ones. */
+	update(hosts: readonly HostRecord[], required: ReadonlySet<string> = new Set()): void {
 		const {entryId, address, port} = this.#self;
 		const others = hosts.filter(host => host.kind === 'entry' && host.hostId !== entryId
 			&& !(host.address === address && host.port === port));
 		const chosen = chooseByRendezvous(entryId, others, maxEntryPeers, host => host.hostId);
-		const wanted = new Map(chosen.map(host => [JSON.stringify([host.hostId, host.address, host.port]), host]));
+		const needed = others.filter(host => required.has(host.hostId));
+		const wanted = new Map([...chosen, ...needed].map(host => [JSON.stringify([host.hostId, host.address, host.port]), host]));
 		for (const [key, host] of wanted) {
 			if (!this.#connections.has(key)) {
 				this.#connections.set(key, this.#connect(host));
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -16,3 +16,4 @@
 } from './deps.js';
 export {chooseLeastWait} from './choose-endpoint.js';
 export {startEntry, type Entry} from './start.js';
+export {startEntryDaemon, type EntryDaemonDeps} from './start-daemon.js';
--- a/packages/hawthorncleat/src/daemons/agent.ts
+++ b/packages/hawthorncleat/src/daemons/agent.ts
@@ -6,6 +6,6 @@
 
 /** Starts an agent. */
 export const startAgent: StartDaemon<AgentSettings> = async (settings, deps, signal) => {
-	const start = await loadFunction<StartDaemon<AgentSettings>>('@hawthorncleat/agent', 'startAgent');
+	const start = await loadFunction<StartDaemon<AgentSettings>>('@hawthorncleat/agent', 'startAgentDaemon');
 	return start(settings, deps, signal);
 };
--- a/packages/hawthorncleat/src/daemons/local-fleet.ts
+++ b/packages/hawthorncleat/src/daemons/local-fleet.ts
@@ -108,6 +108,7 @@
 	hostPollMs: 500,
 	usageFlushMs: 5000,
 	usageWindowMs: 60_000,
+	witnessSettleMs: 60_000,
 	drainLimitMs: 0,
 	traceFile: '',
 });
--- a/packages/hawthorncleat/src/daemons/run.ts
+++ b/packages/hawthorncleat/src/daemons/run.ts
@@ -1,6 +1,7 @@
 /**
  * Runs a daemon in this process: settings, log, and the two stop signals.
  */
+import {setMaxListeners} from 'node:events';
 import {
 	formatSettingFinding, readSettings, type SettingsByKind, type SettingsKind,
 } from '@hawthorncleat/core';
@@ -34,6 +35,8 @@
 export const runUntilStopped = async (context: CommandContext, deps: DaemonDeps, start: StartAll): Promise<ExitCode> => {
 	const running = new AbortController();
 	const listening = new AbortController();
+	// Every part of a daemon hangs its clean-up on this one signal.
+	setMaxListeners(0, running.signal);
 	const stopped = waitForStop(context, listening.signal);
 	try {
 		const daemon = await start(deps, running.signal);
