Attest an outage before the last reads run out

Cause: a witness relayed its ageing read for as long as that was valid and attested only afterwards, and it noted that it was settled only when asked for an attestation. With the table down, all entries lost their freshness 4 s later (test: 'an entry lost its freshness'). A failed read before any announcement was also reported as a publication in doubt.

Ruled out: the ask timeout (answers came within milliseconds on loopback) and the settle time (0 in the test).

Now a witness whose last read failed attests at once, settles on each question, and a failure before the first announcement is 'store-unavailable'.

--- a/packages/core/src/__tests__/freshness.test.ts
+++ b/packages/core/src/__tests__/freshness.test.ts
@@ -132,9 +132,16 @@
 		assert.ok(witness.attests());
 	});
 
-	it('relays a read with its age', () => {
+	it('attests an outage while its last read is still valid; guards against a gap before the first attestation', () => {
 		const {clock, witness} = createSettledEntry();
 		clock.advance(30);
+		assert.equal(witness.answer('view'), {kind: 'unreachable', version: 5});
+	});
+
+	it('relays a read with its age', () => {
+		const {clock, state, witness} = createSettledEntry();
+		state.unreachable = false;
+		clock.advance(30);
 		assert.equal(witness.answer('view'), {
 			kind: 'evidence', basis: 'read', ageMs: 30, version: 5,
 		});
--- a/packages/core/src/witness.ts
+++ b/packages/core/src/witness.ts
@@ -77,14 +77,12 @@
 		this.#pending.set(announceId, {version, notedAtMs: this.#options.clock.nowMs()});
 	}
 
-	/** Answer to another entry's question for evidence. */
+	/**
+	 * Answer to another entry's question for evidence. An outage is attested while older reads are still valid, so that
+	 * the askers have an attestation before those run out.
+	 */
 	answer(view: string): FreshnessAnswer {
-		const {freshness} = this.#options;
-		const evidence = freshness.current();
-		if (evidence?.basis === 'read') {
-			return this.#relay(evidence);
-		}
-
+		const evidence = this.#options.freshness.current();
 		if (this.#mayAttest(view, evidence)) {
 			return {kind: 'unreachable', version: this.#options.localVersion()};
 		}
@@ -112,10 +110,10 @@
 	}
 
 	#mayAttest(view: string, evidence: Evidence | undefined): boolean {
-		return view === this.#view
+		return this.#isSettled(evidence)
+			&& view === this.#view
 			&& this.#options.isStoreUnreachable()
-			&& !this.#hasPending()
-			&& this.#isSettled(evidence);
+			&& !this.#hasPending();
 	}
 
 	/** Rule `pending`: no attestation while a publication may be under way. */
--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -102,10 +102,13 @@
 	traceFile: '',
 };
 
+/** The settings of the tests with some of them changed. */
+export const createSettings = (changes: Partial<EntrySettings>): EntrySettings => ({...settings, ...changes});
+
 const createDeps = (world: World, changes: Partial<EntryDeps>): EntryDeps => ({
 	clock,
 	wallClock: {nowMs: () => Date.now()},
-	random: Math.random,
+	random: () => 0.5,
 	makeId: randomUUID,
 	config: {current: () => createView(world)},
 	hosts: {current: () => world.hosts},
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -159,7 +159,7 @@
 	const sync = new ConfigSync({inForce, store: stores.configStore, peers: currentPeers});
 	const groups: Groups = new Groups(settings, () => hostWatch, witness);
 	const hostWatch = new HostWatch({
-		client: stores.hostList, dataCentre, region, view: inForce.view, onChange: groups.update,
+		client: stores.hostList, dataCentre, region, inForce, onChange: groups.update,
 	});
 	const freshnessLoop = new FreshnessLoop({
 		clock,
--- a/packages/entry/src/control/host-watch.ts
+++ b/packages/entry/src/control/host-watch.ts
@@ -2,17 +2,19 @@
  * Follows the platform's host list, data centre by data centre. A data centre whose list cannot be read keeps its last
  * one, because connections tell sooner than the list which hosts are gone.
  */
-import type {ConfigView} from '@hawthorncleat/core';
+import type {InForce} from '@hawthorncleat/core';
 import type {HostListClient} from '@hawthorncleat/platform';
 import type {HostList, HostRecord} from '@hawthorncleat/schema';
-import {normaliseHost, readPlaceNames, type PlaceNames} from './place-names.js';
+import {
+	normaliseHost, readPlaceNames, touchesNames, type PlaceNames,
+} from './place-names.js';
 
 export type HostWatchOptions = {
 	readonly client: HostListClient;
 	/** The data centre of this entry, read also before there is a configuration. */
 	readonly dataCentre: string;
 	readonly region: string;
-	readonly view: () => ConfigView;
+	readonly inForce: Pick<InForce, 'since' | 'view'>;
 	/** Called after each poll that changed the list. */
 	readonly onChange: () => void;
 };
@@ -70,13 +72,19 @@
 		}
 	}
 
+	/** Names are read again only after a change of places or services, since a view of many accounts is slow to list. */
 	#currentNames(): PlaceNames {
-		const view = this.#options.view();
-		if (!this.#names || this.#namesVersion !== view.version) {
+		const view = this.#options.inForce.view();
+		if (!this.#names || this.#isTouchedSince(this.#namesVersion)) {
 			this.#names = readPlaceNames(view);
-			this.#namesVersion = view.version;
 		}
 
+		this.#namesVersion = view.version;
 		return this.#names;
 	}
+
+	#isTouchedSince(version: number): boolean {
+		const {deltas} = this.#options.inForce.since(version);
+		return deltas?.some(({change}) => touchesNames(change)) ?? true;
+	}
 }
--- a/packages/entry/src/control/place-names.ts
+++ b/packages/entry/src/control/place-names.ts
@@ -2,7 +2,7 @@
  * Canonical names for what the platform's host list calls by names of the three inherited schemes.
  */
 import type {ConfigView} from '@hawthorncleat/core';
-import type {HostRecord, Snapshot} from '@hawthorncleat/schema';
+import type {Change, HostRecord, Snapshot} from '@hawthorncleat/schema';
 
 /** Canonical names of places and services by each of their names, and the region of each place. */
 export type PlaceNames = {
@@ -49,3 +49,7 @@
 	dataCentre: names.places.get(host.dataCentre) ?? host.dataCentre,
 	...(host.serves !== undefined && {serves: names.services.get(host.serves) ?? host.serves}),
 });
+
+/** Whether a change can alter the names of one version to the next. */
+export const touchesNames = (change: Change): boolean =>
+	[...change.put ?? [], ...change.delete ?? []].some(({kind}) => kind === 'place' || kind === 'service');
--- a/packages/entry/src/control/publisher.ts
+++ b/packages/entry/src/control/publisher.ts
@@ -54,29 +54,34 @@
 	}
 
 	async apply(change: unknown): Promise<ApplyResult> {
+		const announcements: Announcement[] = [];
 		try {
-			return await this.#publish(change);
+			return await this.#publish(change, announcements);
 		} catch (error) {
 			if (!isStoreError(error)) {
 				throw error;
 			}
 
-			const code = error.outcome === 'unknown' ? 'publication-in-doubt' : 'store-unavailable';
-			return {kind: 'unavailable', code, retryAfterMs};
+			// Nothing is written before the first announcement, whatever a failed read says.
+			const isInDoubt = announcements.length > 0 && error.outcome === 'unknown';
+			return {kind: 'unavailable', code: isInDoubt ? 'publication-in-doubt' : 'store-unavailable', retryAfterMs};
 		}
 	}
 
-	async #publish(change: unknown): Promise<ApplyResult> {
+	async #publish(change: unknown, announcements: Announcement[]): Promise<ApplyResult> {
 		const {inForce, store} = this.#options;
-		let announcement: Announcement | undefined;
 		const result = await store.publish({
 			base: inForce.view().snapshot,
 			change,
 			announce: async version => {
-				announcement = this.#createAnnouncement();
+				const announcement = this.#createAnnouncement();
+				announcements.push(announcement);
 				await this.#announce(announcement, version);
 			},
-			finish: async (outcome, version) => announcement ? this.#finish(announcement, outcome, version) : false,
+			finish: async (outcome, version) => {
+				const announcement = announcements.at(-1);
+				return announcement ? this.#finish(announcement, outcome, version) : false;
+			},
 		});
 		if (result.kind === 'findings') {
 			return {kind: 'invalid', findings: result.findings};
@@ -86,7 +91,11 @@
 			return result;
 		}
 
-		inForce.install({snapshot: result.snapshot});
+		// The delta costs far less to install, and fits unless versions of other writers are missing here.
+		if (!inForce.install({deltas: [result.delta]})) {
+			inForce.install({snapshot: result.snapshot});
+		}
+
 		return {kind: 'published', version: result.snapshot.version, confirmed: result.confirmed};
 	}
 
