Require routes to say whether their calls are actions

Cause: 'action' defaulted to false, so a forgotten field on a POST route made its calls count as idempotent, and an order could be sent twice after a lost connection. Open action routes would also let callers without an account share idempotency keys. Both are findings now; three inputs of existing tests say 'action: false', with the same findings expected as before.

The status of an entry shows whether it may attest an outage.

A listener that is stopped before it listens frees its port.

--- a/packages/core/src/config/__tests__/check-change.test.ts
+++ b/packages/core/src/config/__tests__/check-change.test.ts
@@ -91,10 +91,10 @@
 					kind: 'route', name: 'c', service: 'desk', path: '/c', methods: ['GET'], action: true,
 				},
 				{
-					kind: 'route', name: 'd', service: 'desk', path: '/d', access: 'open', accounts: ['planning'],
+					kind: 'route', name: 'd', service: 'desk', path: '/d', access: 'open', accounts: ['planning'], action: false,
 				},
 				{
-					kind: 'route', name: 'e', service: 'desk', path: '/e/../orders',
+					kind: 'route', name: 'e', service: 'desk', path: '/e/../orders', action: false,
 				},
 			],
 		});
@@ -108,9 +108,35 @@
 		]);
 	});
 
+	it('finds actions that are open or left unsaid; guards against orders that are repeated or share keys', () => {
+		const route = {kind: 'route', service: 'desk', path: '/desk'};
+		assert.equal(findingsOf({
+			put: [
+				desk,
+				{
+					...route, name: 'unsaid', path: '/a', methods: ['GET', 'POST'],
+				},
+				{...route, name: 'all-methods', path: '/b'},
+				{
+					...route, name: 'open-action', path: '/c', methods: ['POST'], action: true, access: 'open',
+				},
+				{
+					...route, name: 'said', path: '/d', action: false,
+				},
+				{
+					...route, name: 'reads', path: '/e', methods: ['GET', 'HEAD'],
+				},
+			],
+		}), [
+			'route all-methods action undefined',
+			'route open-action action true',
+			'route unsaid action undefined',
+		]);
+	});
+
 	it('finds equal paths only where methods meet; guards against a request with two routes', () => {
 		const route = {
-			kind: 'route', name: 'more', service: 'desk', path: '/stock/',
+			kind: 'route', name: 'more', service: 'desk', path: '/stock/', action: false,
 		};
 		assert.equal(findingsOf({put: [{...route, methods: ['PUT']}]}), []);
 		assert.is(findingsOf({put: [route]}).length, 2);
--- a/packages/core/src/config/rules.ts
+++ b/packages/core/src/config/rules.ts
@@ -50,6 +50,8 @@
 	}
 };
 
+const allowsUnsafeMethod = ({methods}: Route): boolean => !methods || methods.some(method => !safeMethods.has(method));
+
 const checkRouteFields = (route: Route, report: Report): void => {
 	if (route.action && route.methods?.every(method => safeMethods.has(method))) {
 		report(route, 'methods', route.methods, 'an action route must allow a method other than GET and HEAD');
@@ -59,6 +61,16 @@
 		report(route, 'accounts', route.accounts, 'not allowed on an open route, which anyone may use');
 	}
 
+	if (route.access === 'open' && route.action) {
+		// Idempotency keys of callers without an account would meet.
+		report(route, 'action', true, 'not allowed on an open route');
+	}
+
+	if (route.path !== undefined && route.action === undefined && allowsUnsafeMethod(route)) {
+		// A default would let a forgotten field repeat an order.
+		report(route, 'action', undefined, 'must be true or false on a route that allows methods other than GET and HEAD');
+	}
+
 	if (route.path !== undefined && !isUnambiguousPath(route.path)) {
 		report(route, 'path', route.path, 'must not contain the segments . and ..');
 	}
--- a/packages/core/src/witness.ts
+++ b/packages/core/src/witness.ts
@@ -90,6 +90,11 @@
 		return evidence ? this.#relay(evidence) : {kind: 'none'};
 	}
 
+	/** Whether evidence after the start or joining has been seen; until then an outage is not attested. */
+	get isSettled(): boolean {
+		return this.#checkSettled(this.#options.freshness.current());
+	}
+
 	/** Own part of an attestation, under the same conditions as towards others. */
 	attests(): boolean {
 		return this.#mayAttest(this.#view, this.#options.freshness.current());
@@ -110,7 +115,7 @@
 	}
 
 	#mayAttest(view: string, evidence: Evidence | undefined): boolean {
-		return this.#isSettled(evidence)
+		return this.#checkSettled(evidence)
 			&& view === this.#view
 			&& this.#options.isStoreUnreachable()
 			&& !this.#hasPending();
@@ -132,7 +137,7 @@
 	}
 
 	/** Rule `settled`: after a restart or joining, evidence that does not rest on this witness comes first. */
-	#isSettled(evidence: Evidence | undefined): boolean {
+	#checkSettled(evidence: Evidence | undefined): boolean {
 		if (this.#attestsFromMs === Number.NEGATIVE_INFINITY) {
 			return true;
 		}
--- a/packages/entry/src/__tests__/control.test.ts
+++ b/packages/entry/src/__tests__/control.test.ts
@@ -42,6 +42,8 @@
 
 		await waitFor(async () => allReady(entries), 5000);
 		await waitFor(async () => allConnected(entries), 5000);
+		// Witnesses that have not read since they joined attest nothing, by rule.
+		await waitFor(async () => allMayAttest(entries), 5000);
 		await body({platform, entries});
 	} finally {
 		controller.abort();
@@ -76,6 +78,11 @@
 	return answers.every(({body}) => (body.entries as string[]).length === entries.length - 1);
 };
 
+const allMayAttest = async (entries: readonly Entry[]): Promise<boolean> => {
+	const answers = await Promise.all(entries.map(async entry => ask(entry, '/admin/status')));
+	return answers.every(({body}) => body.mayAttest === true);
+};
+
 const versionOf = async (entry: Entry): Promise<unknown> => {
 	const {body} = await ask(entry, '/admin/status');
 	return body.configVersion;
@@ -99,9 +106,11 @@
 	it('serves on while the store is down for all; guards against an outage that stops keyed requests', async () =>
 		withFleet(async ({platform, entries}) => {
 			platform.setFaults({tableDown: true});
-			const endMs = performance.now() + (2 * freshnessLimitMs);
+			const startedAtMs = performance.now();
+			const endMs = startedAtMs + (2 * freshnessLimitMs);
 			while (performance.now() < endMs) {
-				assert.ok(await allReady(entries), 'an entry lost its freshness');
+				const ready = await allReady(entries);
+				assert.ok(ready, `an entry lost its freshness ${Math.round(performance.now() - startedAtMs)} ms after the table`);
 				await sleep(100);
 			}
 		}));
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -36,7 +36,7 @@
 	readonly log: Log;
 };
 
-type PartOfDeps = 'claims' | 'config' | 'entryHosts' | 'freshness' | 'hosts' | 'peerServices' | 'publisher' | 'usageStore';
+type PartOfDeps = 'claims' | 'config' | 'controlStatus' | 'entryHosts' | 'freshness' | 'hosts' | 'peerServices' | 'publisher' | 'usageStore';
 
 /** What the control side gives to the rest of the entry. */
 export type EntryControl = Pick<EntryDeps, PartOfDeps> & {
@@ -203,6 +203,11 @@
 			clock, makeId, entryId, inForce, store: stores.configStore, witness, ownGroup: groups.own, peers: currentPeers,
 		}),
 		usageStore: stores.objects,
+		controlStatus: () => ({
+			storeReachable: !freshnessLoop.isStoreUnreachable,
+			witnesses: groups.own()?.witnesses.map(({hostId}) => hostId) ?? [],
+			mayAttest: witness.isSettled,
+		}),
 		peerServices: createPeerServices({
 			inForce, witness, groups, sync,
 		}, source => {
--- a/packages/entry/src/control/host-watch.ts
+++ b/packages/entry/src/control/host-watch.ts
@@ -25,6 +25,7 @@
 	readonly #lists = new Map<string, HostList>();
 	#names: PlaceNames | undefined;
 	#namesVersion = -1;
+	#namesOfHosts: PlaceNames | undefined;
 	#hosts: readonly HostRecord[] = [];
 
 	constructor(options: HostWatchOptions) {
@@ -52,24 +53,26 @@
 
 	/** Reads all lists once. */
 	async poll(): Promise<void> {
-		const dataCentres = new Set([this.#options.dataCentre, ...this.#currentNames().regions.keys()]);
-		await Promise.all([...dataCentres].map(async dataCentre => this.#read(dataCentre)));
-		const hosts = [...this.#lists.values()]
-			.flatMap(list => list.hosts)
-			.map(host => normaliseHost(host, this.#currentNames()));
-		const isChanged = JSON.stringify(hosts) !== JSON.stringify(this.#hosts);
-		this.#hosts = hosts;
-		if (isChanged) {
+		const names = this.#currentNames();
+		const dataCentres = new Set([this.#options.dataCentre, ...names.regions.keys()]);
+		const results = await Promise.all([...dataCentres].map(async dataCentre => this.#read(dataCentre)));
+		if (results.includes(true) || names !== this.#namesOfHosts) {
+			this.#namesOfHosts = names;
+			this.#hosts = [...this.#lists.values()].flatMap(list => list.hosts).map(host => normaliseHost(host, names));
 			this.#options.onChange();
 		}
 	}
 
-	async #read(dataCentre: string): Promise<void> {
+	/** Returns whether the list of the data centre has changed. */
+	async #read(dataCentre: string): Promise<boolean> {
 		const known = this.#lists.get(dataCentre);
 		const list = await this.#options.client.read(dataCentre, known?.version).catch(() => undefined);
-		if (list) {
-			this.#lists.set(dataCentre, list);
+		if (!list) {
+			return false;
 		}
+
+		this.#lists.set(dataCentre, list);
+		return list.version !== known?.version;
 	}
 
 	/** Names are read again only after a change of places or services, since a view of many accounts is slow to list. */
--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -116,6 +116,8 @@
 	/** The usage parts are written here. */
 	readonly usageStore: Pick<ObjectStore, 'write'>;
 	readonly peerServices?: PeerServices;
+	/** Further fields of the status that operators see. */
+	readonly controlStatus?: () => Readonly<Record<string, unknown>>;
 	readonly chooseEndpoint?: ChooseEndpoint;
 	readonly log?: Log;
 	readonly tracing?: Tracing;
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -95,6 +95,7 @@
 		unflushedWindows: this.#usage.windows,
 		crashSuspects: this.#suspects.size,
 		entries: [...this.#entryPeers?.peers.keys() ?? []],
+		...this.deps.controlStatus?.(),
 		endpoints: this.#pool.endpoints.map(endpoint => describeEndpoint(endpoint)),
 	});
 
--- a/packages/wire/src/__tests__/peer.test.ts
+++ b/packages/wire/src/__tests__/peer.test.ts
@@ -18,6 +18,14 @@
 	}
 };
 
+const findFreePort = async (): Promise<number> => {
+	const controller = new AbortController();
+	const listener = await listen({...base, port: 0, handlers: {}}, controller.signal);
+	controller.abort();
+	await listener.closed;
+	return listener.port;
+};
+
 const refuse = (): never => {
 	const details = {
 		code: 'overloaded', ran: 'not-run', retryAfterMs: 70, status: 429,
@@ -52,6 +60,18 @@
 		}));
 	});
 
+	it('frees the port when it is stopped before it listens; guards against a restart that finds its port taken', async () => {
+		const controller = new AbortController();
+		const port = await findFreePort();
+		const listening = listen({...base, port, handlers: {}}, controller.signal);
+		controller.abort();
+		await listening.catch(() => {/* Aborted on purpose. */});
+		await withAbort(async signal => {
+			const listener = await listen({...base, port, handlers: {}}, signal);
+			assert.is(listener.port, port);
+		});
+	});
+
 	describe('lost connections', () => {
 		it('answers unknown to a call that was under way', async () => withAbort(async signal => {
 			const handlers = {
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -2,7 +2,7 @@
  * Opens and accepts connections between the system's processes.
  */
 import {
-	createServer, connect, type AddressInfo, type Socket,
+	createServer, connect, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {once} from 'node:events';
 import {createRequestError, type RequestError} from '@hawthorncleat/core';
@@ -71,6 +71,17 @@
 	readonly closed: Promise<void>;
 };
 
+/** An abort before the socket listens must not leave it open. */
+const startListening = async (server: Server, {address, port}: ListenOptions, signal: AbortSignal): Promise<void> => {
+	server.listen({host: address, port});
+	try {
+		await once(server, 'listening', {signal});
+	} catch (error) {
+		server.close();
+		throw error;
+	}
+};
+
 /** Listens for other processes until `signal` aborts. */
 export const listen = async (options: ListenOptions, signal: AbortSignal): Promise<Listener> => {
 	const peers = new Set<Peer>();
@@ -83,8 +94,7 @@
 		});
 		options.onPeer?.(peer);
 	});
-	server.listen({host: options.address, port: options.port});
-	await once(server, 'listening', {signal});
+	await startListening(server, options, signal);
 	const closed = once(server, 'close').then(() => {/* Only the moment matters. */});
 	signal.addEventListener('abort', () => {
 		server.close();
