Add the decisions on endpoint choice, admission, queueing, roles and endpoints

Pure functions under packages/core/src/policy. Load reports lag, so the view of an entry adds its own dispatches since the report and drains the queue at the engine's rate. Rates of engines are an input of every estimate.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,3 +23,5 @@
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
+export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
+export * from './policy/index.js';
--- /dev/null
+++ b/packages/core/src/policy/__tests__/admission.test.ts
@@ -0,0 +1,73 @@
+import {describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {
+	admit, defaultTarget, firstTokenLimitMs, isOnTime,
+} from '../index.js';
+
+const rates = {
+	prefillTokensPerSecond: 10_000, stepMs: 20, stepMsPerRequest: 0.4, chunkTokens: 256, maxRunning: 64,
+};
+const prefill = {
+	distanceMs: 1, rates, role: 'prefill', running: 0, waitingTokens: 0,
+} as const;
+const decode = {
+	rates, role: 'decode', running: 10, waitingTokens: 0,
+} as const;
+const request = {
+	target: defaultTarget, promptTokens: 1000, uncachedTokens: 1000, outputTokens: 100, elapsedMs: 0,
+};
+
+describe('admit', () => {
+	it('guards against queueing a request whose first token would be late', () => {
+		const admission = admit({prefill: {...prefill, waitingTokens: 6000}, decode: [decode]}, request);
+		assert.not(admission.accepted);
+		assert.is(!admission.accepted && admission.reason, 'first-token');
+	});
+
+	it('guards against refusing what can be met', () => {
+		assert.ok(admit({prefill: {...prefill, waitingTokens: 4000}, decode: [decode]}, request).accepted);
+	});
+
+	it('guards against accepting where no decode endpoint can hold the pace', () => {
+		const admission = admit({prefill, decode: [{...decode, running: 64}]}, request);
+		assert.is(!admission.accepted && admission.reason, 'pace');
+	});
+
+	it('guards against a mixed engine whose prompt work breaks the pace of its running requests', () => {
+		const slow = {...rates, chunkTokens: 300, stepMsPerRequest: 0.5};
+		const mixed = {...prefill, role: 'mixed', rates: slow} as const;
+		assert.ok(admit({prefill: mixed, decode: [{...mixed, running: 40}]}, request).accepted);
+		assert.not(admit({prefill: mixed, decode: [{...mixed, running: 40, waitingTokens: 100}]}, request).accepted);
+	});
+
+	it('guards against a retry time after which the request would be refused again', () => {
+		const waiting = fc.integer({min: 0, max: 60_000});
+		fc.assert(fc.property(waiting, fc.integer({min: 1, max: 4000}), (waitingTokens, promptTokens) => {
+			const sized = {...request, promptTokens, uncachedTokens: promptTokens};
+			const first = admit({prefill: {...prefill, waitingTokens}, decode: [decode]}, sized);
+			if (!first.accepted) {
+				const drained = Math.max(0, waitingTokens - ((first.retryAfterMs + 1) * 10));
+				assert.ok(admit({prefill: {...prefill, waitingTokens: drained}, decode: [decode]}, sized).accepted);
+			}
+		}), {seed: 12});
+	});
+
+	it('guards against a call without endpoints that waits instead of being refused', () => {
+		const admission = admit({prefill: undefined, decode: []}, request);
+		assert.is(!admission.accepted && admission.reason, 'no-endpoint');
+	});
+});
+
+describe('isOnTime', () => {
+	it('guards against a limit that ignores the prompt allowance or the pace', () => {
+		const limit = firstTokenLimitMs(defaultTarget, 1000);
+		const answer = {
+			promptTokens: 1000, outputTokens: 101, firstTokenMs: limit, lastTokenMs: limit + 6600,
+		};
+		assert.is(limit, 545);
+		assert.ok(isOnTime(defaultTarget, answer));
+		assert.not(isOnTime(defaultTarget, {...answer, lastTokenMs: limit + 6601}));
+		assert.not(isOnTime(defaultTarget, {...answer, firstTokenMs: limit + 1}));
+	});
+});
--- /dev/null
+++ b/packages/core/src/policy/__tests__/choose-endpoint.test.ts
@@ -0,0 +1,112 @@
+import {describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {
+	chooseEndpoint, LoadView, type ChoiceRequest, type LoadReading,
+} from '../index.js';
+
+const rates = {
+	prefillTokensPerSecond: 10_000, stepMs: 20, stepMsPerRequest: 0.4, chunkTokens: 256, maxRunning: 64,
+};
+const idle: LoadReading = {
+	role: 'prefill', running: 0, waiting: 0, waitingTokens: 0, freeTokens: 100_000, prefixes: [], leaving: false,
+};
+const request: ChoiceRequest = {
+	stage: 'prefill', promptTokens: 1000, prefixes: [], excluded: new Set(), kvTokens: 1200,
+};
+const dispatch = {
+	prefillTokens: 1000, decodes: 0, kvTokens: 1000, prefixes: [],
+};
+
+const createView = (readings: Record<string, Partial<LoadReading>>, nowMs = 0): LoadView => {
+	const view = new LoadView({reportLagMs: 2000, entries: 1});
+	for (const [id, reading] of Object.entries(readings)) {
+		view.add({
+			id, dataCentre: 'a', distanceMs: 0.5, rates,
+		});
+		view.report(id, {...idle, ...reading}, nowMs);
+	}
+
+	return view;
+};
+
+const seededRandom = (seed: number) => {
+	let state = seed;
+	return () => {
+		state = ((state * 1_664_525) + 1_013_904_223) % 4_294_967_296;
+		return state / 4_294_967_296;
+	};
+};
+
+describe('chooseEndpoint', () => {
+	it('guards against choosing an endpoint again before its report shows the own dispatches', () => {
+		const view = createView({busy: {waitingTokens: 30_000}, idle: {}}, 0);
+		for (let sent = 0; sent < 12; sent++) {
+			view.dispatched('idle', dispatch, 100);
+		}
+
+		assert.is(chooseEndpoint(view.states(100), request, () => 0)?.endpoint.id, 'busy');
+	});
+
+	it('guards against all entries choosing the endpoint that has just reported idle', () => {
+		const chosen = new Set(Array.from({length: 20}, (_, seed) => {
+			const view = createView({a: {waitingTokens: 21_000}, b: {waitingTokens: 20_500}, c: {waitingTokens: 20_000}});
+			return chooseEndpoint(view.states(0), request, seededRandom(seed * 7919))?.endpoint.id;
+		}));
+		assert.is(chosen.size, 3);
+	});
+
+	it('guards against a cached prefix that costs more waiting than it saves', () => {
+		const withPrefix = {...request, prefixes: [{prefix: 'p', tokens: 900}]};
+		const choose = (waitingTokens: number) => {
+			const view = createView({cached: {prefixes: ['p'], waitingTokens}, empty: {}}, 0);
+			view.answered('cached', waitingTokens, 0);
+			view.answered('empty', 0, 0);
+			return chooseEndpoint(view.states(0), withPrefix, () => 0)?.endpoint.id;
+		};
+
+		assert.is(choose(300), 'cached');
+		assert.is(choose(3000), 'empty');
+	});
+
+	it('guards against a missing cache event that hides a prefix just dispatched', () => {
+		const view = createView({a: {}, b: {}}, 0);
+		view.dispatched('b', {...dispatch, prefillTokens: 0, prefixes: ['p']}, 10);
+		view.report('b', idle, 3000);
+		const withPrefix = {...request, prefixes: [{prefix: 'p', tokens: 900}]};
+		assert.is(chooseEndpoint(view.states(3000), withPrefix, () => 0)?.endpoint.id, 'b');
+	});
+
+	it('guards against a far endpoint taken although a near one is as free', () => {
+		const view = createView({near: {}}, 0);
+		view.add({
+			id: 'far', dataCentre: 'b', distanceMs: 30, rates,
+		});
+		view.report('far', idle, 0);
+		view.answered('near', 0, 0);
+		view.answered('far', 0, 0);
+		assert.is(chooseEndpoint(view.states(0), request, () => 0.99)?.endpoint.id, 'near');
+	});
+
+	it('guards against an endpoint that leaves, serves another stage or has refused', () => {
+		const view = createView({leaving: {leaving: true}, decode: {role: 'decode'}, refused: {}});
+		assert.is(chooseEndpoint(view.states(0), {...request, excluded: new Set(['refused'])}, () => 0), undefined);
+	});
+
+	it('guards against an estimate below zero or above what was reported and dispatched', () => {
+		const steps = fc.array(fc.record({afterMs: fc.nat(500), tokens: fc.nat(4000)}), {maxLength: 20});
+		fc.assert(fc.property(fc.nat(50_000), steps, (waitingTokens, dispatches) => {
+			const view = createView({a: {waitingTokens}});
+			let nowMs = 0;
+			let total = waitingTokens;
+			for (const {afterMs, tokens} of dispatches) {
+				nowMs += afterMs;
+				total += tokens;
+				view.dispatched('a', {...dispatch, prefillTokens: tokens}, nowMs);
+			}
+
+			const estimate = view.states(nowMs)[0]!.waitingTokens;
+			assert.ok(estimate >= 0 && estimate <= total);
+		}), {seed: 11});
+	});
+});
--- /dev/null
+++ b/packages/core/src/policy/__tests__/plan-endpoints.test.ts
@@ -0,0 +1,83 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {
+	defaultEndpointPlanOptions, planEndpoints, type DataCentreSupply, type EndpointPlanInput, type EndpointPlanMemory,
+} from '../index.js';
+
+const dataCentre = (name: string, live: number, changes: Partial<DataCentreSupply> = {}): DataCentreSupply => ({
+	name,
+	pricePerHour: 4,
+	live: Array.from({length: live}, (_, index) => `${name}${index}`),
+	outstandingAdds: 0,
+	outstandingReleases: [],
+	canOrder: true,
+	...changes,
+});
+const input: EndpointPlanInput = {
+	nowMs: 0,
+	dataCentres: [dataCentre('a', 2), dataCentre('b', 2), dataCentre('c', 2)],
+	load: 5,
+	loadPerMinute: 0,
+	memory: {},
+	options: defaultEndpointPlanOptions,
+};
+
+describe('planEndpoints', () => {
+	it('guards against an endpoint that is ordered twice', () => {
+		const busy = {...input, load: 6.5};
+		const {orders} = planEndpoints(busy);
+		assert.equal(orders.map(({kind}) => kind), ['add', 'add']);
+		const ordered = busy.dataCentres.map(supply =>
+			({...supply, outstandingAdds: orders.filter(({dataCentre}) => dataCentre === supply.name).length}));
+		assert.equal(planEndpoints({...busy, dataCentres: ordered}).orders, []);
+	});
+
+	it('guards against ordering too late for the lead time', () => {
+		assert.is(planEndpoints({...input, loadPerMinute: 0.5}).orders.length, 2);
+	});
+
+	it('guards against an order that costs more than the late answers', () => {
+		const dear = input.dataCentres.map(supply => ({...supply, pricePerHour: 11}));
+		assert.equal(planEndpoints({...input, load: 6, dataCentres: dear}).orders, []);
+	});
+
+	it('guards against an order to a data centre that is cut off', () => {
+		const dataCentres = [dataCentre('a', 1, {canOrder: false, pricePerHour: 1}), ...input.dataCentres.slice(1)];
+		assert.ok(planEndpoints({...input, load: 5, dataCentres}).orders.every(({dataCentre}) => dataCentre !== 'a'));
+	});
+
+	it('guards against giving back sooner than ordering, and more than one at a time', () => {
+		const clock = createManualClock();
+		let memory: EndpointPlanMemory = {};
+		while (clock.nowMs() < defaultEndpointPlanOptions.releaseAfterMs) {
+			const plan = planEndpoints({
+				...input, load: 2, nowMs: clock.nowMs(), memory,
+			});
+			assert.equal(plan.orders, []);
+			memory = plan.memory;
+			clock.advance(60_000);
+		}
+
+		const {orders} = planEndpoints({
+			...input, load: 2, nowMs: clock.nowMs(), memory,
+		});
+		assert.equal(orders.map(({kind}) => kind), ['release']);
+	});
+
+	it('guards against giving back the last endpoints of a data centre or below the need', () => {
+		const sizes = fc.array(fc.integer({min: 0, max: 4}), {minLength: 1, maxLength: 4});
+		fc.assert(fc.property(sizes, fc.double({min: 0, max: 12, noNaN: true}), (counts, load) => {
+			const dataCentres = counts.map((live, index) => dataCentre(`d${index}`, live));
+			const nowMs = defaultEndpointPlanOptions.releaseAfterMs;
+			const {orders} = planEndpoints({
+				...input, dataCentres, load, nowMs, memory: {surplusSinceMs: 0},
+			});
+			const total = counts.reduce((sum, count) => sum + count, 0);
+			for (const order of orders.filter(({kind}) => kind === 'release')) {
+				assert.ok(total - 1 >= load / defaultEndpointPlanOptions.usableLoad);
+				assert.ok(dataCentres.find(({name}) => name === order.dataCentre)!.live.length > 1);
+			}
+		}), {seed: 15});
+	});
+});
--- /dev/null
+++ b/packages/core/src/policy/__tests__/plan-roles.test.ts
@@ -0,0 +1,79 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {
+	coversBothStages, defaultRolePlanOptions, planRoles, type EngineRole, type RolePlanInput, type TokenDemand,
+} from '../index.js';
+
+const rates = {
+	prefillTokensPerSecond: 12_000, stepMs: 20, stepMsPerRequest: 0.4, chunkTokens: 256, maxRunning: 64,
+};
+const promptHeavy = {promptTokensPerSecond: 40_000, outputTokensPerSecond: 1000};
+const outputHeavy = {promptTokensPerSecond: 5000, outputTokensPerSecond: 5000};
+
+const createInput = (roles: readonly EngineRole[], demand: TokenDemand): RolePlanInput => ({
+	nowMs: 0,
+	model: {rates, paceMs: 66},
+	engines: roles.map((role, index) => ({
+		id: `e${index}`, role, changing: false, cachedTokens: 0, runningTokens: 0,
+	})),
+	elsewhere: {mixed: 0, prefill: 0, decode: 0},
+	demand,
+	rank: 0,
+	memory: {},
+	options: defaultRolePlanOptions,
+});
+
+/** Calls the planner each second and applies its changes at once. */
+const runPlanner = (start: RolePlanInput, seconds: number, demandAt: (second: number) => TokenDemand) => {
+	const clock = createManualClock();
+	const changes: EngineRole[] = [];
+	let input = start;
+	for (let second = 0; second < seconds; second++) {
+		const plan = planRoles({...input, nowMs: clock.nowMs(), demand: demandAt(second)});
+		const {change} = plan;
+		const engines = input.engines.map(engine => engine.id === change?.endpoint ? {...engine, role: change.role} : engine);
+		input = {...input, engines, memory: plan.memory};
+		changes.push(...change ? [change.role] : []);
+		clock.advance(1000);
+	}
+
+	return {changes, roles: input.engines.map(({role}) => role)};
+};
+
+describe('planRoles', () => {
+	it('guards against roles that do not follow the work', () => {
+		const {roles} = runPlanner(createInput(['mixed', 'mixed', 'mixed', 'mixed'], promptHeavy), 120, () => promptHeavy);
+		assert.ok(roles.filter(role => role === 'prefill').length >= 2, roles.join(','));
+	});
+
+	it('guards against flapping while the demand alternates faster than a change pays', () => {
+		const start = createInput(['prefill', 'prefill', 'mixed', 'decode'], promptHeavy);
+		const {changes} = runPlanner(start, 300, second => Math.floor(second / 3) % 2 === 0 ? promptHeavy : outputHeavy);
+		assert.is(changes.length, 0);
+	});
+
+	it('guards against a second change while one is running', () => {
+		const input = createInput(['decode', 'decode', 'decode', 'mixed'], promptHeavy);
+		const engines = input.engines.map((engine, index) => ({...engine, changing: index === 0}));
+		assert.is(planRoles({...input, engines, nowMs: 100_000}).reason, 'changing');
+	});
+
+	it('guards against a change that costs more cache than it gains', () => {
+		const input = createInput(['decode', 'decode', 'decode', 'mixed'], promptHeavy);
+		const engines = input.engines.map(engine => ({...engine, cachedTokens: 10_000_000}));
+		assert.is(planRoles({...input, engines}).reason, 'no-gain');
+	});
+
+	it('guards against taking away the last endpoint of a stage, even for the time of the change', () => {
+		const role = fc.constantFrom<EngineRole>('mixed', 'prefill', 'decode');
+		const demand = fc.record({promptTokensPerSecond: fc.nat(80_000), outputTokensPerSecond: fc.nat(8000)});
+		const options = {...defaultRolePlanOptions, dwellMs: 0};
+		fc.assert(fc.property(fc.array(role, {minLength: 1, maxLength: 6}), demand, (roles, demand) => {
+			const input = {...createInput(roles, demand), options};
+			const {change} = planRoles(input);
+			const others = input.engines.filter(({id}) => id !== change?.endpoint).map(({role}) => role);
+			assert.ok(!change || coversBothStages(others));
+		}), {seed: 14, numRuns: 300});
+	});
+});
--- /dev/null
+++ b/packages/core/src/policy/admission.ts
@@ -0,0 +1,82 @@
+/**
+ * Admission before queueing. What cannot meet its first token or its pace is refused at once, with the time after which
+ * the estimate would allow it. The entry calls this with its estimates, the agent with the state of its own queue.
+ */
+import {
+	estimatePaceMs, estimatePrefillRate, maxRunningAtPace, serves,
+} from './engine-model.js';
+import type {EndpointState} from './load-view.js';
+import {firstTokenLimitMs, type ServiceTarget} from './targets.js';
+
+export type AdmissionRequest = {
+	readonly target: ServiceTarget;
+	readonly promptTokens: number;
+	/** Prompt tokens that need work at the chosen endpoint. */
+	readonly uncachedTokens: number;
+	/** Expected output; decides how long a full engine takes to free a place. */
+	readonly outputTokens: number;
+	/** Time since the request arrived at the entry. */
+	readonly elapsedMs: number;
+};
+
+/** Endpoints that the request would use. The agent leaves out what it does not know. */
+export type AdmissionView = {
+	readonly prefill: Pick<EndpointState, 'distanceMs' | 'rates' | 'role' | 'running' | 'waitingTokens'> | undefined;
+	/** All endpoints that could decode the request: the same mixed endpoint, or decode endpoints. */
+	readonly decode: ReadonlyArray<Pick<EndpointState, 'rates' | 'role' | 'running' | 'waitingTokens'>>;
+};
+
+export type Admission
+	= | {readonly accepted: true; readonly firstTokenInMs: number}
+		| {readonly accepted: false; readonly reason: 'first-token' | 'no-endpoint' | 'pace'; readonly retryAfterMs: number};
+
+const minRetryAfterMs = 50;
+// Estimates further ahead than this are worth nothing while the mix shifts.
+const maxRetryAfterMs = 10_000;
+// Time after which a caller tries again when no endpoint serves the model at all.
+const noEndpointRetryMs = 2000;
+
+const refuse = (reason: 'first-token' | 'no-endpoint' | 'pace', afterMs: number): Admission => ({
+	accepted: false,
+	reason,
+	retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, afterMs))),
+});
+
+type DecodeState = AdmissionView['decode'][number];
+
+const placesLeft = ({rates, role, running, waitingTokens}: DecodeState, paceMs: number): number =>
+	maxRunningAtPace(rates, paceMs, role === 'mixed' && waitingTokens > 0) - running;
+
+/** Time until one running request of a full engine ends, with the running ones evenly spread over their output. */
+const placeFreedMs = ({rates, running}: DecodeState, outputTokens: number, excess: number): number =>
+	estimatePaceMs(rates, running, false) * outputTokens * excess / Math.max(1, running);
+
+const admitDecode = (view: AdmissionView, request: AdmissionRequest): Admission | undefined => {
+	const {paceMs} = request.target;
+	const best = view.decode
+		.filter(({role}) => serves(role, 'decode'))
+		.toSorted((a, b) => placesLeft(b, paceMs) - placesLeft(a, paceMs))[0];
+	if (!best) {
+		return refuse('no-endpoint', noEndpointRetryMs);
+	}
+
+	const left = placesLeft(best, paceMs);
+	return left >= 1 ? undefined : refuse('pace', placeFreedMs(best, request.outputTokens, 1 - left));
+};
+
+/** Accepts a request whose first token and pace can be met, and refuses any other at once. */
+export const admit = (view: AdmissionView, request: AdmissionRequest): Admission => {
+	const {prefill} = view;
+	if (!prefill) {
+		return refuse('no-endpoint', noEndpointRetryMs);
+	}
+
+	const rate = estimatePrefillRate(prefill.rates, prefill.role, prefill.running);
+	const firstTokenInMs = prefill.distanceMs + ((prefill.waitingTokens + request.uncachedTokens) / rate);
+	const remainingMs = firstTokenLimitMs(request.target, request.promptTokens) - request.elapsedMs;
+	if (firstTokenInMs > remainingMs) {
+		return refuse('first-token', firstTokenInMs - remainingMs);
+	}
+
+	return admitDecode(view, request) ?? {accepted: true, firstTokenInMs};
+};
--- /dev/null
+++ b/packages/core/src/policy/role-capacity.ts
@@ -0,0 +1,67 @@
+/**
+ * How much of a demand for prefill and decode a set of engines in given roles can serve.
+ */
+import {
+	decodeTokensPerSecond, mixedCanServe, serves, type EngineRates, type EngineRole, type Stage, type TokenRates,
+} from './engine-model.js';
+
+/** Engines by role; a changing engine counts as its new role. */
+export type RoleCounts = {readonly mixed: number; readonly prefill: number; readonly decode: number};
+
+/** Work that callers ask for; prompt tokens that are expected in a cache do not count. */
+export type TokenDemand = TokenRates;
+
+export type CapacityModel = {readonly rates: EngineRates; readonly paceMs: number};
+
+/** Counts the engines of each role. */
+export const countRoles = (roles: readonly EngineRole[]): RoleCounts => ({
+	mixed: roles.filter(role => role === 'mixed').length,
+	prefill: roles.filter(role => role === 'prefill').length,
+	decode: roles.filter(role => role === 'decode').length,
+});
+
+/** Engines that the demand needs for each stage when no engine is mixed. */
+export const enginesNeeded = (model: CapacityModel, demand: TokenDemand): Record<Stage, number> => ({
+	prefill: demand.promptTokensPerSecond / model.rates.prefillTokensPerSecond,
+	decode: demand.outputTokensPerSecond / decodeTokensPerSecond(model.rates, model.paceMs),
+});
+
+/** Whether the mixed engines can do what the specialised ones leave of a part of the demand. */
+const isServable = (model: CapacityModel, demand: TokenDemand, counts: RoleCounts, part: number): boolean => {
+	const {rates, paceMs} = model;
+	const prefill = counts.prefill * rates.prefillTokensPerSecond;
+	const decode = counts.decode * decodeTokensPerSecond(rates, paceMs);
+	const promptLeft = Math.max(0, (demand.promptTokensPerSecond * part) - prefill);
+	const outputLeft = Math.max(0, (demand.outputTokensPerSecond * part) - decode);
+	if (counts.mixed === 0) {
+		return promptLeft + outputLeft === 0;
+	}
+
+	return mixedCanServe(rates, paceMs, {
+		promptTokensPerSecond: promptLeft / counts.mixed,
+		outputTokensPerSecond: outputLeft / counts.mixed,
+	});
+};
+
+const bisectionSteps = 30;
+
+/** Part of the demand, above 1 where there is room, that the engines can serve with the mixed ones filling gaps. */
+export const servablePart = (model: CapacityModel, demand: TokenDemand, counts: RoleCounts): number => {
+	const needed = enginesNeeded(model, demand);
+	let low = 0;
+	let high = 2 * (counts.mixed + counts.prefill + counts.decode) / Math.max(1e-9, needed.prefill + needed.decode);
+	for (let step = 0; step < bisectionSteps; step++) {
+		const middle = (low + high) / 2;
+		if (isServable(model, demand, counts, middle)) {
+			low = middle;
+		} else {
+			high = middle;
+		}
+	}
+
+	return low;
+};
+
+/** Whether both stages have an endpoint among the roles. */
+export const coversBothStages = (roles: readonly EngineRole[]): boolean =>
+	roles.some(role => serves(role, 'prefill')) && roles.some(role => serves(role, 'decode'));
--- /dev/null
+++ b/packages/core/src/policy/targets.ts
@@ -0,0 +1,35 @@
+/**
+ * The one definition of an answer that is on time. Admission, endpoint choice and the benchmark all use it.
+ */
+
+/** What a caller is promised for one request. */
+export type ServiceTarget = {
+	/** Limit of the first token before the prompt allowance, in milliseconds from arrival. */
+	readonly firstTokenMs: number;
+	/** Prompt allowance: added to the first token's limit for each prompt token, in milliseconds. */
+	readonly promptMsPerToken: number;
+	/** Limit of the mean time between two tokens, in milliseconds. */
+	readonly paceMs: number;
+};
+
+/** Allows 125 ms for each thousand prompt tokens, which is a prefill rate of 8,000 tokens/s. */
+export const defaultTarget: ServiceTarget = {firstTokenMs: 420, promptMsPerToken: 0.125, paceMs: 66};
+
+/** Latest time of the first token, in milliseconds from arrival. */
+export const firstTokenLimitMs = (target: ServiceTarget, promptTokens: number): number =>
+	target.firstTokenMs + (target.promptMsPerToken * promptTokens);
+
+/** Times of a complete answer, in milliseconds from the request's arrival. */
+export type AnswerTimes = {
+	readonly promptTokens: number;
+	readonly outputTokens: number;
+	readonly firstTokenMs: number;
+	readonly lastTokenMs: number;
+};
+
+/** An answer is on time when its first token and its mean pace are both within the target. */
+export const isOnTime = (target: ServiceTarget, answer: AnswerTimes): boolean => {
+	const gaps = Math.max(0, answer.outputTokens - 1);
+	const pacedMs = answer.lastTokenMs - answer.firstTokenMs;
+	return answer.firstTokenMs <= firstTokenLimitMs(target, answer.promptTokens) && pacedMs <= gaps * target.paceMs;
+};
