--- a/packages/core/src/policy/admission.ts
+++ b/packages/core/src/policy/admission.ts
@@ -22,8 +22,8 @@
 /** Endpoints that the request would use. The agent leaves out what it does not know. */
 export type AdmissionView = {
 	readonly prefill: Pick<EndpointState, 'distanceMs' | 'rates' | 'role' | 'running' | 'waitingTokens'> | undefined;
-	/** All endpoints that could decode the request: the same mixed endpoint, or decode endpoints. */
-	readonly decode: ReadonlyArray<Pick<EndpointState, 'rates' | 'role' | 'running' | 'waitingTokens'>>;
+	/** Endpoints that could decode the request: the same mixed endpoint, or decode endpoints; absent if unknown. */
+	readonly decode?: ReadonlyArray<Pick<EndpointState, 'rates' | 'role' | 'running' | 'waitingTokens'>>;
 };
 
 export type Admission
@@ -42,7 +42,7 @@
 	retryAfterMs: Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, afterMs))),
 });
 
-type DecodeState = AdmissionView['decode'][number];
+type DecodeState = NonNullable<AdmissionView['decode']>[number];
 
 const placesLeft = ({rates, role, running, waitingTokens}: DecodeState, paceMs: number): number =>
 	maxRunningAtPace(rates, paceMs, role === 'mixed' && waitingTokens > 0) - running;
@@ -52,6 +52,10 @@
 	estimatePaceMs(rates, running, false) * outputTokens * excess / Math.max(1, running);
 
 const admitDecode = (view: AdmissionView, request: AdmissionRequest): Admission | undefined => {
+	if (!view.decode) {
+		return undefined;
+	}
+
 	const {paceMs} = request.target;
 	const best = view.decode
 		.filter(({role}) => serves(role, 'decode'))
--- a/packages/core/src/policy/choose-endpoint.ts
+++ b/packages/core/src/policy/choose-endpoint.ts
@@ -65,10 +65,10 @@
 
 /** Scores one endpoint for a request. */
 export const scoreEndpoint = (endpoint: EndpointState, request: ChoiceRequest): Choice => {
-	const uncachedTokens = request.stage === 'prefill' ? estimateUncachedTokens(endpoint, request) : 0;
-	const scoreMs = request.stage === 'prefill'
-		? scorePrefill(endpoint, uncachedTokens)
-		: scoreDecode(endpoint, request.kvTokens);
+	const uncachedTokens = request.stage === 'decode' ? 0 : estimateUncachedTokens(endpoint, request);
+	const scoreMs = request.stage === 'decode'
+		? scoreDecode(endpoint, request.kvTokens)
+		: scorePrefill(endpoint, uncachedTokens);
 	return {endpoint, scoreMs, uncachedTokens};
 };
 
--- a/packages/core/src/policy/engine-model.ts
+++ b/packages/core/src/policy/engine-model.ts
@@ -6,8 +6,8 @@
 /** What an engine does. `service` is an endpoint that is not a model engine. */
 export type EngineRole = 'mixed' | 'prefill' | 'decode' | 'service';
 
-/** Stages of a model request: the prompt is processed, then tokens are produced. */
-export type Stage = 'prefill' | 'decode';
+/** Stages of a model request: the prompt is processed, then tokens are produced. A plain service has one stage. */
+export type Stage = 'prefill' | 'decode' | 'service';
 
 /** Measured speeds of one kind of engine. */
 export type EngineRates = {
@@ -24,7 +24,8 @@
 };
 
 /** Whether an engine of that role does work of that stage. */
-export const serves = (role: EngineRole, stage: Stage): boolean => role === 'mixed' || role === stage;
+export const serves = (role: EngineRole, stage: Stage): boolean =>
+	role === stage || (role === 'mixed' && stage !== 'service');
 
 /** Time of one prefill chunk on a mixed engine. */
 export const chunkMs = (rates: EngineRates): number => rates.chunkTokens * 1000 / rates.prefillTokensPerSecond;
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -1,3 +1,4 @@
+export {DemandMeter, type DemandMeterOptions} from './demand-meter.js';
 export {
 	defaultTarget, firstTokenLimitMs, isOnTime, type AnswerTimes, type ServiceTarget,
 } from './targets.js';
--- a/packages/core/src/policy/load-view.ts
+++ b/packages/core/src/policy/load-view.ts
@@ -64,6 +64,8 @@
 const prefixHalfLifeMs = 20_000;
 
 type Sent = Dispatch & {readonly atMs: number};
+/** The end of a request that this entry dispatched. */
+type Ended = {readonly atMs: number; readonly kvTokens: number};
 type Known = {
 	readonly info: EndpointInfo;
 	reading: LoadReading | undefined;
@@ -74,10 +76,14 @@
 	queueAtMs: number;
 	queueTokens: number;
 	sent: Sent[];
+	ended: Ended[];
 	readonly dispatchedPrefixes: Map<string, number>;
 };
 
-const forgetBefore = (sent: readonly Sent[], timeMs: number): Sent[] => sent.filter(({atMs}) => atMs > timeMs);
+const forgetBefore = <Event extends {readonly atMs: number}>(events: readonly Event[], timeMs: number): Event[] =>
+	events.filter(({atMs}) => atMs > timeMs);
+
+const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
 
 /** Queue length now: the reading, drained at the engine's rate, with the later dispatches added when they were made. */
 const estimateQueue = (known: Known, reading: LoadReading, nowMs: number, entries: number): number => {
@@ -108,7 +114,7 @@
 	/** Adds an endpoint; it is chosen only after its first report. */
 	add(info: EndpointInfo): void {
 		this.#known.set(info.id, {
-			info, reading: undefined, reported: new Set(), describesMs: 0, queueAtMs: 0, queueTokens: 0, sent: [], dispatchedPrefixes: new Map(),
+			info, reading: undefined, reported: new Set(), describesMs: 0, queueAtMs: 0, queueTokens: 0, sent: [], ended: [], dispatchedPrefixes: new Map(),
 		});
 	}
 
@@ -127,6 +133,7 @@
 		known.reported = new Set(reading.prefixes);
 		known.describesMs = nowMs - this.#options.reportLagMs;
 		known.sent = forgetBefore(known.sent, known.describesMs);
+		known.ended = forgetBefore(known.ended, known.describesMs);
 		if (known.describesMs >= known.queueAtMs) {
 			known.queueAtMs = known.describesMs;
 			known.queueTokens = reading.waitingTokens;
@@ -142,6 +149,11 @@
 		}
 	}
 
+	/** Notes the end of a request in decode at the endpoint. */
+	ended(id: string, kvTokens: number, nowMs: number): void {
+		this.#known.get(id)?.ended.push({atMs: nowMs, kvTokens});
+	}
+
 	/** Takes in the queue length that came with the answer to a dispatch, accepted or refused. */
 	answered(id: string, queuedTokens: number, nowMs: number): void {
 		const known = this.#known.get(id);
@@ -157,16 +169,17 @@
 	}
 
 	#estimate(known: Known, reading: LoadReading, nowMs: number): EndpointState {
-		const unreported = known.sent.filter(({atMs}) => atMs > known.describesMs);
-		const kvTokens = unreported.reduce((sum, {kvTokens}) => sum + kvTokens, 0);
-		const decodes = unreported.reduce((sum, {decodes}) => sum + decodes, 0);
-		const running = reading.running + reading.waiting + (decodes * this.#options.entries);
+		const {entries} = this.#options;
+		const sent = forgetBefore(known.sent, known.describesMs);
+		const ended = forgetBefore(known.ended, known.describesMs);
+		const decodes = sum(sent.map(({decodes}) => decodes)) - ended.length;
+		const kvTokens = sum(sent.map(({kvTokens}) => kvTokens)) - sum(ended.map(({kvTokens}) => kvTokens));
 		return {
 			...known.info,
 			role: reading.role,
-			running,
-			waitingTokens: estimateQueue(known, reading, nowMs, this.#options.entries),
-			freeTokens: reading.freeTokens - (kvTokens * this.#options.entries),
+			running: Math.max(0, reading.running + reading.waiting + (decodes * entries)),
+			waitingTokens: estimateQueue(known, reading, nowMs, entries),
+			freeTokens: reading.freeTokens - (kvTokens * entries),
 			leaving: reading.leaving,
 			readingAgeMs: nowMs - Math.max(known.describesMs, known.queueAtMs),
 			holdsPrefix: prefix => holdsPrefix(known, prefix, nowMs),
--- a/packages/core/src/policy/plan-roles.ts
+++ b/packages/core/src/policy/plan-roles.ts
@@ -65,7 +65,7 @@
 	changeMs: 6000,
 	gainMargin: 1.5,
 	dwellMs: 4000,
-	dwellMsPerRank: 3000,
+	dwellMsPerRank: 3500,
 	minIntervalMs: 20_000,
 	kvTokensPerSecond: 200_000,
 };
--- a/packages/core/src/policy/role-capacity.ts
+++ b/packages/core/src/policy/role-capacity.ts
@@ -2,7 +2,7 @@
  * How much of a demand for prefill and decode a set of engines in given roles can serve.
  */
 import {
-	decodeTokensPerSecond, mixedCanServe, serves, type EngineRates, type EngineRole, type Stage, type TokenRates,
+	decodeTokensPerSecond, mixedCanServe, serves, type EngineRates, type EngineRole, type TokenRates,
 } from './engine-model.js';
 
 /** Engines by role; a changing engine counts as its new role. */
@@ -21,7 +21,7 @@
 });
 
 /** Engines that the demand needs for each stage when no engine is mixed. */
-export const enginesNeeded = (model: CapacityModel, demand: TokenDemand): Record<Stage, number> => ({
+export const enginesNeeded = (model: CapacityModel, demand: TokenDemand): Record<'decode' | 'prefill', number> => ({
 	prefill: demand.promptTokensPerSecond / model.rates.prefillTokensPerSecond,
 	decode: demand.outputTokensPerSecond / decodeTokensPerSecond(model.rates, model.paceMs),
 });
