--- a/packages/core/src/policy/load-view.ts
+++ b/packages/core/src/policy/load-view.ts
@@ -75,6 +75,7 @@
 	/** Time that the queue length describes; later than `describesMs` after an answer to a dispatch. */
 	queueAtMs: number;
 	queueTokens: number;
+	/** Dispatches and ends that the newest report does not contain yet. */
 	sent: Sent[];
 	ended: Ended[];
 	readonly dispatchedPrefixes: Map<string, number>;
@@ -83,8 +84,6 @@
 const forgetBefore = <Event extends {readonly atMs: number}>(events: readonly Event[], timeMs: number): Event[] =>
 	events.filter(({atMs}) => atMs > timeMs);
 
-const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
-
 /** Queue length now: the reading, drained at the engine's rate, with the later dispatches added when they were made. */
 const estimateQueue = (known: Known, reading: LoadReading, nowMs: number, entries: number): number => {
 	const rate = estimatePrefillRate(known.info.rates, reading.role, reading.running);
@@ -170,12 +169,24 @@
 
 	#estimate(known: Known, reading: LoadReading, nowMs: number): EndpointState {
 		const {entries} = this.#options;
-		const sent = forgetBefore(known.sent, known.describesMs);
-		const ended = forgetBefore(known.ended, known.describesMs);
-		const decodes = sum(sent.map(({decodes}) => decodes)) - ended.length;
-		const kvTokens = sum(sent.map(({kvTokens}) => kvTokens)) - sum(ended.map(({kvTokens}) => kvTokens));
+		let decodes = -known.ended.length;
+		let kvTokens = 0;
+		for (const dispatch of known.sent) {
+			decodes += dispatch.decodes;
+			kvTokens += dispatch.kvTokens;
+		}
+
+		for (const ended of known.ended) {
+			kvTokens -= ended.kvTokens;
+		}
+
+		// Spreading `info` here costs more than the rest of the estimate.
+		const {id, dataCentre, distanceMs, rates} = known.info;
 		return {
-			...known.info,
+			id,
+			dataCentre,
+			distanceMs,
+			rates,
 			role: reading.role,
 			running: Math.max(0, reading.running + reading.waiting + (decodes * entries)),
 			waitingTokens: estimateQueue(known, reading, nowMs, entries),
