--- /dev/null
+++ b/packages/bench/src/strategies/hawthorncleat.ts
@@ -0,0 +1,258 @@
+/**
+ * The strategy under test: the decisions of `@hawthorncleat/core` as the daemons call them.
+ */
+import {
+	AccountShares,
+	admit,
+	chooseEndpoint,
+	countRoles,
+	defaultRolePlanOptions,
+	decodeTokensPerSecond,
+	DemandMeter,
+	LoadView,
+	planRoles,
+	servablePart,
+	PolicyFairQueue,
+	type Choice,
+	type ChoiceRequest,
+	type EndpointState,
+	type EngineRole,
+	type RolePlanMemory,
+	type RolePlanOptions,
+} from '@hawthorncleat/core';
+import {engineRates} from '../deployments.js';
+import {kvTokens, type Job, type SimRequest} from '../sim/job.js';
+import type {
+	AgentAnswer, EntryContext, MeteringEntry, Placement, Planner, PlannerView, Strategy,
+} from './strategy.js';
+
+// Long enough to average out single requests, short against a swing of the mix.
+const demandWindowMs = 10_000;
+// Time after which a held back account may ask again.
+const heldBackRetryMs = 1000;
+// Size of a prefix in the cache where only its name is reported.
+const assumedPrefixTokens = 1000;
+
+const createRequest = (job: Job, excluded: ReadonlySet<string>): ChoiceRequest => ({
+	stage: job.request.kind === 'desk' ? 'service' : 'prefill',
+	promptTokens: job.request.promptTokens,
+	prefixes: job.request.prefix ? [job.request.prefix] : [],
+	excluded,
+	kvTokens: job.request.promptTokens + job.request.maxTokens,
+});
+
+/** The decisions of an entry, on its own view of the load. */
+class Entry implements MeteringEntry {
+	/** One view for each service, as in the entry daemon. */
+	readonly #views: Readonly<Record<SimRequest['kind'], LoadView>>;
+	readonly #viewOf = new Map<string, LoadView>();
+	readonly #meter: DemandMeter;
+	readonly #shares = new AccountShares();
+	readonly #unreachable = new Set<string>();
+
+	constructor(private readonly context: EntryContext) {
+		this.#views = {desk: new LoadView(context), model: new LoadView(context)};
+		this.#meter = new DemandMeter({windowMs: demandWindowMs, entries: context.entries});
+		for (const info of context.endpoints) {
+			const view = this.#views[info.rates.maxRunning === 1 ? 'desk' : 'model'];
+			view.add(info);
+			this.#viewOf.set(info.id, view);
+		}
+	}
+
+	report(...[endpoint, reading, nowMs]: Parameters<MeteringEntry['report']>): void {
+		this.#viewOf.get(endpoint)?.report(endpoint, reading, nowMs);
+	}
+
+	arrived(...[request, nowMs]: Parameters<MeteringEntry['arrived']>): void {
+		if (request.kind === 'model') {
+			const uncachedTokens = this.#expectUncached(request, nowMs);
+			this.#meter.arrived(uncachedTokens, request.maxTokens, nowMs);
+			const work = (uncachedTokens / engineRates.prefillTokensPerSecond)
+				+ (this.#meter.expectOutput(request.maxTokens) / decodeTokensPerSecond(engineRates, this.context.target.paceMs));
+			this.#shares.arrived(String(request.account), request.weight, work, nowMs);
+		}
+	}
+
+	start(job: Job, excluded: ReadonlySet<string>, nowMs: number): Placement {
+		if (job.attempts === 0 && job.request.kind === 'model' && !this.#isWithinShare(job, nowMs)) {
+			return {refusedForMs: heldBackRetryMs};
+		}
+
+		const states = this.#states(job.request.kind, nowMs);
+		const choice = chooseEndpoint(states, createRequest(job, excluded), this.context.random);
+		const admission = admit({prefill: choice?.endpoint, decode: this.#decodeStates(job, choice, states)}, {
+			target: this.context.target,
+			promptTokens: job.request.promptTokens,
+			uncachedTokens: choice?.uncachedTokens ?? job.request.promptTokens,
+			outputTokens: this.#meter.expectOutput(job.request.maxTokens),
+			elapsedMs: nowMs - job.request.arrivedMs,
+		});
+		if (!admission.accepted || !choice) {
+			return {refusedForMs: admission.accepted ? 0 : admission.retryAfterMs};
+		}
+
+		this.#noteStart(job, choice, nowMs);
+		return {endpoint: choice.endpoint.id, uncachedTokens: choice.uncachedTokens};
+	}
+
+	decode(job: Job, nowMs: number): string | undefined {
+		const request = {...createRequest(job, new Set<string>()), stage: 'decode'} as const;
+		const choice = chooseEndpoint(this.#states('model', nowMs), request, this.context.random);
+		if (choice) {
+			this.#views.model.dispatched(choice.endpoint.id, {
+				prefillTokens: 0, decodes: 1, kvTokens: kvTokens(job.request), prefixes: [],
+			}, nowMs);
+		}
+
+		return choice?.endpoint.id;
+	}
+
+	answered(...[endpoint, queuedTokens, nowMs]: Parameters<MeteringEntry['answered']>): void {
+		this.#viewOf.get(endpoint)?.answered(endpoint, queuedTokens, nowMs);
+	}
+
+	ended(job: Job, endpoint: string, nowMs: number): void {
+		if (job.request.kind === 'model') {
+			this.#views.model.ended(endpoint, kvTokens(job.request), nowMs);
+			this.#meter.answered(job.request.outputTokens, job.request.maxTokens);
+		}
+	}
+
+	setReachable(endpoint: string, reachable: boolean): void {
+		if (reachable) {
+			this.#unreachable.delete(endpoint);
+		} else {
+			this.#unreachable.add(endpoint);
+		}
+	}
+
+	demand(nowMs: number) {
+		return this.#meter.measure(nowMs);
+	}
+
+	#isWithinShare(job: Job, nowMs: number): boolean {
+		const part = this.#shares.admittedPart(job.account, () => this.#servablePart(nowMs), nowMs);
+		return part >= 1 || this.context.random() < part;
+	}
+
+	#servablePart(nowMs: number): number {
+		const roles = this.#states('model', nowMs).filter(({leaving}) => !leaving).map(({role}) => role);
+		return servablePart(
+			{rates: engineRates, paceMs: this.context.target.paceMs},
+			this.#meter.measure(nowMs),
+			countRoles(roles),
+		);
+	}
+
+	/** Prompt tokens that need work at the endpoint that most likely holds the prefix. */
+	#expectUncached(request: SimRequest, nowMs: number): number {
+		const {prefix} = request;
+		const held = prefix ? Math.max(0, ...this.#states('model', nowMs).map(state => state.holdsPrefix(prefix.prefix))) : 0;
+		return request.promptTokens - (held * (prefix?.tokens ?? 0));
+	}
+
+	#states(kind: SimRequest['kind'], nowMs: number): EndpointState[] {
+		return this.#views[kind].states(nowMs).filter(({id}) => !this.#unreachable.has(id));
+	}
+
+	#decodeStates(job: Job, choice: Choice | undefined, states: readonly EndpointState[]): readonly EndpointState[] | undefined {
+		if (job.request.kind === 'desk' || !choice) {
+			return undefined;
+		}
+
+		return choice.endpoint.role === 'mixed' ? [choice.endpoint] : states.filter(({leaving}) => !leaving);
+	}
+
+	#noteStart(job: Job, choice: Choice, nowMs: number): void {
+		const mixed = choice.endpoint.role === 'mixed';
+		this.#views[job.request.kind].dispatched(choice.endpoint.id, {
+			prefillTokens: choice.uncachedTokens,
+			decodes: mixed ? 1 : 0,
+			kvTokens: mixed ? kvTokens(job.request) : 0,
+			prefixes: job.request.prefix ? [job.request.prefix.prefix] : [],
+		}, nowMs);
+	}
+}
+
+/** The agent knows its own queue exactly and the decode endpoints not at all. */
+const accept: Strategy['accept'] = (job, engine, nowMs, target): AgentAnswer => {
+	const {rates} = engine.spec;
+	const state = {
+		distanceMs: 0, rates, role: engine.role, running: engine.running,
+	};
+	const prefill = {...state, waitingTokens: engine.promptAhead(job.account)};
+	const decode = {...state, running: engine.decodeLoad, waitingTokens: prefill.waitingTokens};
+	const admission = admit({prefill, decode: engine.role === 'mixed' ? [decode] : undefined}, {
+		target,
+		promptTokens: job.request.promptTokens,
+		uncachedTokens: job.tokens,
+		outputTokens: job.request.maxTokens,
+		elapsedMs: nowMs - job.request.arrivedMs,
+	});
+	return admission.accepted ? admission : {accepted: false, retryAfterMs: admission.retryAfterMs};
+};
+
+/** Plans the roles of one data centre with the reports that one of its entries has. */
+export const createRolePlanner = (options: RolePlanOptions = defaultRolePlanOptions): Planner => {
+	const memories = new Map<string, RolePlanMemory>();
+	return (view: PlannerView) => {
+		const known = view.endpoints.flatMap(endpoint => endpoint.reading && endpoint.reading.role !== 'service'
+			? [{...endpoint, reading: endpoint.reading}]
+			: []);
+		const local = known.filter(({dataCentre}) => dataCentre === view.dataCentre);
+		const elsewhere = known.filter(({dataCentre, reachable}) => dataCentre !== view.dataCentre && reachable);
+		const rates = local[0]?.rates;
+		if (!rates) {
+			return [];
+		}
+
+		const plan = planRoles({
+			nowMs: view.nowMs,
+			model: {rates, paceMs: view.target.paceMs},
+			engines: local.map(({id, reading}) => ({
+				id,
+				role: reading.role,
+				changing: view.changing.has(id),
+				cachedTokens: reading.prefixes.length * assumedPrefixTokens,
+				runningTokens: view.kvCapacityTokens - reading.freeTokens,
+			})),
+			elsewhere: countRoles(elsewhere.map(({reading}) => reading.role)),
+			demand: (view.entry as MeteringEntry).demand(view.nowMs),
+			rank: view.dataCentres.indexOf(view.dataCentre),
+			memory: memories.get(view.dataCentre) ?? {},
+			options,
+		});
+		memories.set(view.dataCentre, plan.memory);
+		return plan.change ? [plan.change] : [];
+	};
+};
+
+const base = {
+	createEntry: (context: EntryContext) => new Entry(context),
+	createQueue: () => new PolicyFairQueue<Job>(),
+	accept,
+	dropsLate: true,
+};
+
+/** All decisions, starting from mixed engines. */
+export const hawthorncleat: Strategy = {
+	...base,
+	name: 'hawthorncleat',
+	initialRole: () => 'mixed',
+	createPlanner: () => createRolePlanner(),
+};
+
+/** The same without a planner, with fixed numbers of prefill and decode engines and the rest mixed. */
+export const createFixedSplit = (prefill: number, decode: number): Strategy => ({
+	...base,
+	name: `split ${prefill}p ${decode}d`,
+	initialRole(index: number): EngineRole {
+		if (index < prefill) {
+			return 'prefill';
+		}
+
+		return index < prefill + decode ? 'decode' : 'mixed';
+	},
+});
+
--- /dev/null
+++ b/packages/core/src/policy/demand-meter.ts
@@ -0,0 +1,67 @@
+/**
+ * Measures the work that callers ask for over a short window, refused requests included. Output is not known at arrival:
+ * it is taken as the caller's limit times the mean part of the limit that recent answers used.
+ */
+import type {TokenDemand} from './role-capacity.js';
+
+type Arrival = {readonly atMs: number; readonly promptTokens: number; readonly outputTokens: number};
+
+export type DemandMeterOptions = {
+	/** Length of the window; shorter follows the mix faster and is noisier. */
+	readonly windowMs: number;
+	/** Entries among which the load balancer spreads the requests evenly. */
+	readonly entries: number;
+};
+
+// Part of the token limit that an answer is taken to use before any has ended.
+const initialUsedPart = 0.5;
+// Each finished answer moves the mean by this part.
+const smoothing = 0.02;
+
+/** Demand on the fleet, extrapolated from the arrivals at one entry. */
+export class DemandMeter {
+	readonly #options: DemandMeterOptions;
+	#arrivals: Arrival[] = [];
+	#usedPart = initialUsedPart;
+	#startedMs: number | undefined;
+
+	constructor(options: DemandMeterOptions) {
+		this.#options = options;
+	}
+
+	/** Expected output of a request with that limit. */
+	expectOutput(maxTokens: number): number {
+		return Math.max(1, maxTokens * this.#usedPart);
+	}
+
+	/** Notes a request, with the prompt tokens that are not expected in a cache. */
+	arrived(uncachedTokens: number, maxTokens: number, nowMs: number): void {
+		this.#startedMs ??= nowMs;
+		this.#forget(nowMs);
+		this.#arrivals.push({atMs: nowMs, promptTokens: uncachedTokens, outputTokens: this.expectOutput(maxTokens)});
+	}
+
+	/** Notes a complete answer. */
+	answered(outputTokens: number, maxTokens: number): void {
+		this.#usedPart += smoothing * ((outputTokens / maxTokens) - this.#usedPart);
+	}
+
+	/** Demand over the last window. */
+	measure(nowMs: number): TokenDemand {
+		const {entries, windowMs} = this.#options;
+		this.#forget(nowMs);
+		const spanMs = Math.max(1000, Math.min(windowMs, nowMs - (this.#startedMs ?? nowMs)));
+		const perSecond = (tokens: number): number => tokens * entries * 1000 / spanMs;
+		return {
+			promptTokensPerSecond: perSecond(this.#arrivals.reduce((sum, {promptTokens}) => sum + promptTokens, 0)),
+			outputTokensPerSecond: perSecond(this.#arrivals.reduce((sum, {outputTokens}) => sum + outputTokens, 0)),
+		};
+	}
+
+	#forget(nowMs: number): void {
+		const keptFrom = this.#arrivals.findIndex(({atMs}) => atMs > nowMs - this.#options.windowMs);
+		if (keptFrom !== 0) {
+			this.#arrivals = keptFrom < 0 ? [] : this.#arrivals.slice(keptFrom);
+		}
+	}
+}
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -1,3 +1,4 @@
+export {AccountShares, divideCapacity, type AccountDemand} from './account-shares.js';
 export {DemandMeter, type DemandMeterOptions} from './demand-meter.js';
 export {
 	defaultTarget, firstTokenLimitMs, isOnTime, type AnswerTimes, type ServiceTarget,
--- a/packages/core/src/policy/plan-roles.ts
+++ b/packages/core/src/policy/plan-roles.ts
@@ -33,7 +33,10 @@
 	readonly model: CapacityModel;
 	/** Engines of the model in this data centre. */
 	readonly engines: readonly PlannedEngine[];
-	/** Roles of the model's engines in the other data centres that entries can use. */
+	/**
+	 * Roles of the model's engines in the other data centres that entries can use, taken from their order rows: reports
+	 * lag, and planners that do not see each other's orders all answer the same swing.
+	 */
 	readonly elsewhere: RoleCounts;
 	/** Demand on all of these engines, averaged over a few seconds. */
 	readonly demand: TokenDemand;
@@ -52,12 +55,14 @@
 	readonly gainMargin: number;
 	/** The change must have been worth it for this long. */
 	readonly dwellMs: number;
-	/** Added to the dwell time for each rank, longer than a report's lag, so that planners see each other's changes. */
+	/** Added to the dwell time for each rank, so that planners do not act in the same moment. */
 	readonly dwellMsPerRank: number;
 	/** Time between two changes in one data centre. */
 	readonly minIntervalMs: number;
 	/** Rate at which KV cache is moved to another engine. */
 	readonly kvTokensPerSecond: number;
+	/** Smallest gain of a change, in engines over the horizon. */
+	readonly minGainEngines: number;
 };
 
 export const defaultRolePlanOptions: RolePlanOptions = {
@@ -65,9 +70,10 @@
 	changeMs: 6000,
 	gainMargin: 1.5,
 	dwellMs: 4000,
-	dwellMsPerRank: 3500,
+	dwellMsPerRank: 500,
 	minIntervalMs: 20_000,
 	kvTokensPerSecond: 200_000,
+	minGainEngines: 0.5,
 };
 
 export type RoleChange = {
@@ -118,10 +124,13 @@
 
 const net = ({gain, cost}: RoleChange): number => gain - cost;
 
+const isWorthIt = ({gain, cost}: RoleChange, {gainMargin, horizonMs, minGainEngines}: RolePlanOptions): boolean =>
+	gain > cost * gainMargin && gain > minGainEngines * horizonMs / 1000;
+
 const findBest = (input: RolePlanInput): RoleChange | undefined => input.engines
 	.flatMap(engine => roles.filter(role => role !== engine.role).map(role => evaluate(input, engine, role)))
 	.filter(change => change !== undefined)
-	.filter(({gain, cost}) => gain > 0 && gain > cost * input.options.gainMargin)
+	.filter(change => isWorthIt(change, input.options))
 	.toSorted((a, b) => net(b) - net(a))[0];
 
 /** Proposes the next role change of the data centre, or none. */
