--- a/packages/bench/src/generate.ts
+++ b/packages/bench/src/generate.ts
@@ -28,7 +28,7 @@
 		endMs += durationMs;
 		return atMs < endMs;
 	});
-	return index < 0 ? workload.phases.length - 1 : index;
+	return index === -1 ? workload.phases.length - 1 : index;
 };
 
 /** Mean sizes at a time; the first seconds of a phase still lead from the phase before. */
--- a/packages/bench/src/sim/engine.ts
+++ b/packages/bench/src/sim/engine.ts
@@ -32,9 +32,17 @@
 	changed(engine: FakeEngine): void;
 };
 
+export type EngineParts = {
+	readonly queue: JobQueue;
+	readonly cache: PrefixCache;
+	readonly scheduler: Scheduler;
+	readonly hooks: EngineHooks;
+};
+
 export type EngineStatus = 'away' | 'draining' | 'lost' | 'up';
 
 export class FakeEngine {
+	readonly queue: JobQueue;
 	status: EngineStatus = 'up';
 	/** The role, or the target of a running change. */
 	role: EngineRole;
@@ -48,15 +56,9 @@
 	/** Invalidates scheduled events after a crash. */
 	#epoch = 0;
 
-	constructor(
-		readonly spec: EngineSpec,
-		readonly queue: JobQueue,
-		readonly cache: PrefixCache,
-		private readonly scheduler: Scheduler,
-		private readonly hooks: EngineHooks,
-		role: EngineRole,
-	) {
+	constructor(readonly spec: EngineSpec, role: EngineRole, private readonly parts: EngineParts) {
 		this.role = role;
+		this.queue = parts.queue;
 	}
 
 	get accepts(): boolean {
@@ -85,7 +87,7 @@
 			waiting: this.decodeLoad - this.running,
 			waitingTokens: this.waitingTokens,
 			freeTokens: this.spec.kvCapacityTokens - this.kvUsed,
-			prefixes: this.cache.advertised,
+			prefixes: this.parts.cache.advertised,
 			leaving: !this.accepts,
 		};
 	}
@@ -108,7 +110,7 @@
 		this.role = role;
 		this.status = 'draining';
 		for (let job = this.queue.pop(); job; job = this.queue.pop()) {
-			this.hooks.returned(job, this);
+			this.parts.hooks.returned(job, this);
 		}
 
 		if (!this.#stepping) {
@@ -121,23 +123,23 @@
 		this.status = 'lost';
 		this.#stepping = false;
 		for (let job = this.queue.pop(); job; job = this.queue.pop()) {
-			this.hooks.returned(job, this);
+			this.parts.hooks.returned(job, this);
 		}
 
 		for (const job of this.#takeAll()) {
-			this.hooks.crashed(job, this);
+			this.parts.hooks.crashed(job, this);
 		}
 	}
 
 	restart(): void {
 		this.#epoch++;
 		this.status = 'up';
-		this.cache.clear();
+		this.parts.cache.clear();
 	}
 
 	#later(delayMs: number, run: () => void): void {
 		const epoch = this.#epoch;
-		this.scheduler.after(delayMs, () => {
+		this.parts.scheduler.after(delayMs, () => {
 			if (epoch === this.#epoch) {
 				run();
 			}
@@ -169,18 +171,18 @@
 		const unfinished = this.#prefilling;
 		this.#prefilling = undefined;
 		for (const job of this.#takeAll()) {
-			this.hooks.decodeElsewhere(job, this);
+			this.parts.hooks.decodeElsewhere(job, this);
 		}
 
 		if (unfinished) {
-			this.hooks.returned(unfinished, this);
+			this.parts.hooks.returned(unfinished, this);
 		}
 
 		this.status = 'away';
-		this.cache.clear();
+		this.parts.cache.clear();
 		this.#later(this.spec.changeMs, () => {
 			this.status = 'up';
-			this.hooks.changed(this);
+			this.parts.hooks.changed(this);
 		});
 	}
 
@@ -219,9 +221,9 @@
 		}
 
 		for (let job = this.queue.pop(); job; job = this.queue.pop()) {
-			if (this.hooks.mayStart(job, this)) {
+			if (this.parts.hooks.mayStart(job, this)) {
 				const {prefix, promptTokens} = job.request;
-				const cached = prefix ? this.cache.lookUp(prefix.prefix) : 0;
+				const cached = prefix ? this.parts.cache.lookUp(prefix.prefix) : 0;
 				job.promptLeft = Math.max(1, promptTokens - cached);
 				return job;
 			}
@@ -254,7 +256,7 @@
 		for (const job of this.#ends.get(this.#step) ?? []) {
 			this.running--;
 			this.kvUsed -= kvTokens(job.request);
-			this.hooks.finished(job, this);
+			this.parts.hooks.finished(job, this);
 		}
 
 		this.#ends.delete(this.#step);
@@ -280,17 +282,17 @@
 		this.#prefilling = undefined;
 		const {prefix} = job.request;
 		if (prefix) {
-			this.cache.insert(prefix.prefix, prefix.tokens);
+			this.parts.cache.insert(prefix.prefix, prefix.tokens);
 		}
 
 		job.outputLeft--;
-		this.hooks.firstToken(job, this);
+		this.parts.hooks.firstToken(job, this);
 		if (job.outputLeft <= 0) {
-			this.hooks.finished(job, this);
+			this.parts.hooks.finished(job, this);
 		} else if (serves(this.role, 'decode') && this.status === 'up') {
 			this.#decodeWaiting.push(job);
 		} else {
-			this.hooks.decodeElsewhere(job, this);
+			this.parts.hooks.decodeElsewhere(job, this);
 		}
 	}
 }
--- a/packages/bench/src/sim/fleet.ts
+++ b/packages/bench/src/sim/fleet.ts
@@ -112,7 +112,9 @@
 			changeMs: platform.roleChangeMs,
 		};
 		const cache = new PrefixCache(platform.prefixCacheTokens, platform.lostCacheEvents, random);
-		return new FakeEngine(spec, strategy.createQueue(), cache, scheduler, this.#hooks(), role);
+		return new FakeEngine(spec, role, {
+			queue: strategy.createQueue(), cache, scheduler, hooks: this.#hooks(),
+		});
 	}
 
 	#createEntry(dataCentre: string): SimEntry {
--- a/packages/bench/src/sim/job.ts
+++ b/packages/bench/src/sim/job.ts
@@ -48,7 +48,7 @@
 
 /** First-in first-out queue of the baselines. */
 export class FifoQueue implements JobQueue {
-	#jobs: Job[] = [];
+	readonly #jobs: Job[] = [];
 	waitingTokens = 0;
 
 	get size(): number {
--- a/packages/bench/src/sim/prefix-cache.ts
+++ b/packages/bench/src/sim/prefix-cache.ts
@@ -34,7 +34,9 @@
 
 		this.#held.set(prefix, tokens);
 		this.#tokens += tokens;
-		this.#event(() => this.#advertised.add(prefix));
+		this.#event(() => {
+			this.#advertised.add(prefix);
+		});
 		this.#evict();
 	}
 
@@ -52,7 +54,9 @@
 
 			this.#held.delete(prefix);
 			this.#tokens -= tokens;
-			this.#event(() => this.#advertised.delete(prefix));
+			this.#event(() => {
+				this.#advertised.delete(prefix);
+			});
 		}
 	}
 
--- a/packages/bench/src/strategies/strategy.ts
+++ b/packages/bench/src/strategies/strategy.ts
@@ -9,9 +9,9 @@
 import type {Job, JobQueue, SimRequest} from '../sim/job.js';
 
 /** Where a request goes, or why it is refused. */
-export type Placement =
-	| {readonly endpoint: string; readonly uncachedTokens: number}
-	| {readonly refusedForMs: number};
+export type Placement
+	= | {readonly endpoint: string; readonly uncachedTokens: number}
+		| {readonly refusedForMs: number};
 
 /** The decisions of one entry. */
 export type EntryPolicy = {
@@ -59,14 +59,14 @@
 
 export type Strategy = {
 	readonly name: string;
+	/** Whether queued jobs that can no longer be on time are refused when they would start. */
+	readonly dropsLate: boolean;
 	/** Role of the model engine at that position. */
 	initialRole(index: number, count: number): EngineRole;
 	createEntry(context: EntryContext): EntryPolicy;
 	createQueue(): JobQueue;
 	/** Decides on a new job, or again on a queued one when it would start. */
 	accept(job: Job, engine: FakeEngine, nowMs: number, target: ServiceTarget): AgentAnswer;
-	/** Whether queued jobs that can no longer be on time are refused when they would start. */
-	readonly dropsLate: boolean;
 	createPlanner?(): Planner;
 };
 
--- a/packages/core/src/policy/account-shares.ts
+++ b/packages/core/src/policy/account-shares.ts
@@ -18,7 +18,7 @@
 		const satisfied = open.filter(index => demands[index]!.work <= demands[index]!.weight * perWeight);
 		for (const index of satisfied.length > 0 ? satisfied : open) {
 			shares[index] = Math.min(demands[index]!.work, demands[index]!.weight * perWeight);
-			left -= shares[index]!;
+			left -= shares[index];
 		}
 
 		open = satisfied.length > 0 ? open.filter(index => !satisfied.includes(index)) : [];
@@ -60,7 +60,7 @@
 
 	#compute(servable: number, nowMs: number): void {
 		const keptFrom = this.#arrivals.findIndex(({atMs}) => atMs > nowMs - windowMs);
-		this.#arrivals = keptFrom < 0 ? [] : this.#arrivals.slice(keptFrom);
+		this.#arrivals = keptFrom === -1 ? [] : this.#arrivals.slice(keptFrom);
 		this.#parts = new Map();
 		if (servable >= 1) {
 			return;
