Take the cached part of prompts from the end frames of answers

Cause: with shared prefixes the demand was estimated from the endpoint that most likely holds the prefix, which counts hits that do not happen, so the planner saw no gain in prefill engines.

--- a/packages/bench/src/sim/engine.ts
+++ b/packages/bench/src/sim/engine.ts
@@ -224,6 +224,7 @@
 			if (this.parts.hooks.mayStart(job, this)) {
 				const {prefix, promptTokens} = job.request;
 				const cached = prefix ? this.parts.cache.lookUp(prefix.prefix) : 0;
+				job.cachedTokens = cached;
 				job.promptLeft = Math.max(1, promptTokens - cached);
 				return job;
 			}
--- a/packages/bench/src/sim/job.ts
+++ b/packages/bench/src/sim/job.ts
@@ -29,6 +29,8 @@
 	readonly request: SimRequest;
 	/** Prompt tokens that still need work; set when the prefill starts. */
 	promptLeft: number;
+	/** Prompt tokens that the engine found in its cache. */
+	cachedTokens: number;
 	/** Output tokens still to come. */
 	outputLeft: number;
 	attempts: number;
@@ -48,26 +50,30 @@
 
 /** First-in first-out queue of the baselines. */
 export class FifoQueue implements JobQueue {
+	#tokens = 0;
 	readonly #jobs: Job[] = [];
-	waitingTokens = 0;
 
 	get size(): number {
 		return this.#jobs.length;
 	}
 
+	get waitingTokens(): number {
+		return this.#tokens;
+	}
+
 	push(job: Job): void {
 		this.#jobs.push(job);
-		this.waitingTokens += job.tokens;
+		this.#tokens += job.tokens;
 	}
 
 	pop(): Job | undefined {
 		const job = this.#jobs.shift();
-		this.waitingTokens -= job?.tokens ?? 0;
+		this.#tokens -= job?.tokens ?? 0;
 		return job;
 	}
 
 	waitingAhead(): number {
-		return this.waitingTokens;
+		return this.#tokens;
 	}
 }
 
--- a/packages/core/src/policy/demand-meter.ts
+++ b/packages/core/src/policy/demand-meter.ts
@@ -1,11 +1,20 @@
 /**
- * Measures the work that callers ask for over a short window, refused requests included. Output is not known at arrival:
- * it is taken as the caller's limit times the mean part of the limit that recent answers used.
+ * Measures the work that callers ask for over a short window, refused requests included. Neither the output nor the cached
+ * part of the prompt is known at arrival: both are taken from the mean of recent answers, the output as a part of the
+ * caller's limit.
  */
 import type {TokenDemand} from './role-capacity.js';
 
 type Arrival = {readonly atMs: number; readonly promptTokens: number; readonly outputTokens: number};
 
+/** Counts of a complete answer. */
+export type AnswerCounts = {
+	readonly promptTokens: number;
+	readonly cachedTokens: number;
+	readonly outputTokens: number;
+	readonly maxTokens: number;
+};
+
 export type DemandMeterOptions = {
 	/** Length of the window; shorter follows the mix faster and is noisier. */
 	readonly windowMs: number;
@@ -23,6 +32,7 @@
 	readonly #options: DemandMeterOptions;
 	#arrivals: Arrival[] = [];
 	#usedPart = initialUsedPart;
+	#cachedPart = 0;
 	#startedMs: number | undefined;
 
 	constructor(options: DemandMeterOptions) {
@@ -34,16 +44,26 @@
 		return Math.max(1, maxTokens * this.#usedPart);
 	}
 
-	/** Notes a request, with the prompt tokens that are not expected in a cache. */
-	arrived(uncachedTokens: number, maxTokens: number, nowMs: number): void {
+	/** Expected prompt tokens that need work. */
+	expectUncached(promptTokens: number): number {
+		return promptTokens * (1 - this.#cachedPart);
+	}
+
+	/** Notes a request, admitted or not. */
+	arrived(promptTokens: number, maxTokens: number, nowMs: number): void {
 		this.#startedMs ??= nowMs;
 		this.#forget(nowMs);
-		this.#arrivals.push({atMs: nowMs, promptTokens: uncachedTokens, outputTokens: this.expectOutput(maxTokens)});
+		this.#arrivals.push({
+			atMs: nowMs,
+			promptTokens: this.expectUncached(promptTokens),
+			outputTokens: this.expectOutput(maxTokens),
+		});
 	}
 
-	/** Notes a complete answer. */
-	answered(outputTokens: number, maxTokens: number): void {
-		this.#usedPart += smoothing * ((outputTokens / maxTokens) - this.#usedPart);
+	/** Notes a complete answer with the counts of its end frame. */
+	answered(counts: AnswerCounts): void {
+		this.#usedPart += smoothing * ((counts.outputTokens / counts.maxTokens) - this.#usedPart);
+		this.#cachedPart += smoothing * ((counts.cachedTokens / counts.promptTokens) - this.#cachedPart);
 	}
 
 	/** Demand over the last window. */
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -1,5 +1,5 @@
 export {AccountShares, divideCapacity, type AccountDemand} from './account-shares.js';
-export {DemandMeter, type DemandMeterOptions} from './demand-meter.js';
+export {DemandMeter, type AnswerCounts, type DemandMeterOptions} from './demand-meter.js';
 export {
 	defaultTarget, firstTokenLimitMs, isOnTime, type AnswerTimes, type ServiceTarget,
 } from './targets.js';
