--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -83,7 +83,9 @@
 takes the best of these splits for each phase with hindsight:
 ${Object.entries(result.ceilingSplits).map(([deployment, splits]) => `${deployment}: ${splits.join(', ')}`).join('; ')}.
 An account's entitlement is its weighted max-min fair part of the work served on time, at most what it asked for; the
-accounts are compared during the burst where there is one.
+accounts are compared during the burst where there is one. Each phase of the swinging mix counts as one swing, the first
+one as the swing from the initial roles. The fleets keep their sizes, so endpoint-hours are equal; \`planEndpoints\` does
+not run here.
 
 ${formatResult(result)}
 
--- a/packages/bench/src/sim/fleet.ts
+++ b/packages/bench/src/sim/fleet.ts
@@ -265,16 +265,26 @@
 		const id = entry.policy.decode(job, this.#nowMs);
 		const engine = id === undefined ? undefined : this.#byId.get(id);
 		const transferMs = job.request.promptTokens / platform.kvTransferTokensPerMs;
-		const delayMs = engine ? transferMs + this.#distance(job, engine) : placeAgainMs;
-		this.options.scheduler.after(delayMs, () => {
-			if (engine?.accepts && engine.role !== 'prefill') {
+		if (!engine) {
+			this.#placeAgain(job, from);
+			return;
+		}
+
+		this.options.scheduler.after(transferMs + this.#distance(job, engine), () => {
+			if (engine.accepts && engine.role !== 'prefill') {
 				engine.enqueueDecode(job);
 			} else {
-				this.#decodeElsewhere(job, from);
+				this.#placeAgain(job, from);
 			}
 		});
 	}
 
+	#placeAgain(job: Job, from: FakeEngine): void {
+		this.options.scheduler.after(placeAgainMs, () => {
+			this.#decodeElsewhere(job, from);
+		});
+	}
+
 	#finished(job: Job, engine: FakeEngine): void {
 		const entry = this.#entryOf(job);
 		entry.policy.ended(job, engine.spec.id, this.#nowMs);
--- a/packages/core/src/policy/plan-roles.ts
+++ b/packages/core/src/policy/plan-roles.ts
@@ -69,11 +69,11 @@
 	horizonMs: 60_000,
 	changeMs: 6000,
 	gainMargin: 1.5,
-	dwellMs: 4000,
+	dwellMs: 3000,
 	dwellMsPerRank: 500,
-	minIntervalMs: 20_000,
+	minIntervalMs: 10_000,
 	kvTokensPerSecond: 200_000,
-	minGainEngines: 0.5,
+	minGainEngines: 0.4,
 };
 
 export type RoleChange = {
