--- a/packages/bench/src/run.ts
+++ b/packages/bench/src/run.ts
@@ -7,7 +7,8 @@
 import {
 	engineSeconds, generateRequests, phaseAt, runMs,
 } from './generate.js';
-import {Fleet, type Recorder} from './sim/fleet.js';
+import {Fleet} from './sim/fleet.js';
+import type {Recorder} from './sim/fleet-options.js';
 import type {SimRequest} from './sim/job.js';
 import {createRandom} from './sim/random.js';
 import {Scheduler} from './sim/scheduler.js';
--- a/packages/bench/src/sim/engine.ts
+++ b/packages/bench/src/sim/engine.ts
@@ -29,7 +29,6 @@
 	crashed(job: Job, engine: FakeEngine): void;
 	firstToken(job: Job, engine: FakeEngine): void;
 	finished(job: Job, engine: FakeEngine): void;
-	changed(engine: FakeEngine): void;
 };
 
 export type EngineParts = {
@@ -182,7 +181,6 @@
 		this.parts.cache.clear();
 		this.#later(this.spec.changeMs, () => {
 			this.status = 'up';
-			this.parts.hooks.changed(this);
 		});
 	}
 
--- a/packages/bench/src/sim/fleet.ts
+++ b/packages/bench/src/sim/fleet.ts
@@ -2,42 +2,23 @@
  * The simulated fleet: entries, agents with their engines, planners and faults, wired to one strategy.
  */
 import {
-	estimatePrefillMs, type EndpointInfo, type EngineRole, type LoadReading, type Random, type ServiceTarget,
+	estimatePrefillMs, firstTokenLimitMs, type EndpointInfo, type EngineRole, type LoadReading,
 } from '@hawthorncleat/core';
-import {
-	deskRates, engineRates, platform, type Deployment,
-} from '../deployments.js';
-import type {EntryPolicy, Planner, Strategy} from '../strategies/strategy.js';
-import type {Faults} from '../workloads.js';
-import {FakeEngine, type EngineHooks} from './engine.js';
-import type {Job, SimRequest} from './job.js';
+import {platform} from '../deployments.js';
+import type {Planner} from '../strategies/strategy.js';
+import {createEngines, listDataCentres} from './build.js';
+import type {EngineHooks, EngineParts, FakeEngine} from './engine.js';
+import {FaultInjector} from './fault-injector.js';
+import type {FleetOptions} from './fleet-options.js';
+import {createJob, type Job, type SimRequest} from './job.js';
 import {PrefixCache} from './prefix-cache.js';
-import type {Scheduler} from './scheduler.js';
-
-/** What a run records. */
-export type Recorder = {
-	refused(request: SimRequest, nowMs: number): void;
-	lost(request: SimRequest): void;
-	finished(request: SimRequest, firstTokenMs: number, lastTokenMs: number): void;
-	roleChanged(nowMs: number): void;
-};
-
-export type FleetOptions = {
-	readonly deployment: Deployment;
-	readonly strategy: Strategy;
-	readonly faults: Faults;
-	readonly scheduler: Scheduler;
-	readonly random: Random;
-	readonly recorder: Recorder;
-	readonly target: ServiceTarget;
-};
+import {
+	createPlannerView, distanceMs, noteReachability, type SimEntry,
+} from './sim-entry.js';
 
 const maxAttempts = 3;
 // A request whose KV cache has nowhere to go is placed again after this time.
 const placeAgainMs = 250;
-const crashAfterChangeMs = 2000;
-
-type SimEntry = {readonly dataCentre: string; readonly policy: EntryPolicy; readonly readings: Map<string, LoadReading>};
 
 export class Fleet {
 	readonly engines: FakeEngine[];
@@ -45,19 +26,21 @@
 	readonly #entries: SimEntry[];
 	readonly #dataCentres: string[];
 	readonly #planner: Planner | undefined;
-	#cut = false;
-	#lossArmed = false;
+	readonly #faults: FaultInjector;
 
 	constructor(private readonly options: FleetOptions) {
 		const {deployment, strategy} = options;
-		this.#dataCentres = deployment.runners.map((_, index) => `dc${index}`);
-		this.engines = this.#createEngines();
+		this.#dataCentres = listDataCentres(deployment);
+		this.#faults = new FaultInjector(options.faults, options.scheduler, this.#dataCentres.at(-1)!);
+		this.engines = createEngines(deployment, strategy.initialRole, () => this.#createParts());
 		this.#byId = new Map(this.engines.map(engine => [engine.spec.id, engine]));
 		this.#entries = this.#dataCentres.flatMap(dataCentre =>
 			Array.from({length: deployment.entriesPerDataCentre}, () => this.#createEntry(dataCentre)));
 		this.#planner = strategy.createPlanner?.();
 		this.#startReports();
-		this.#startFaults();
+		this.#faults.start(this.engines[0]!, () => {
+			noteReachability(this.#entries, this.engines, (dataCentre, engine) => this.#reaches(dataCentre, engine));
+		});
 		options.scheduler.every(1000, 1000, () => {
 			this.#plan();
 		});
@@ -65,17 +48,7 @@
 
 	/** Handles a new request. */
 	submit(request: SimRequest): void {
-		const job: Job = {
-			id: request.id,
-			account: String(request.account),
-			weight: request.weight,
-			tokens: request.promptTokens,
-			request,
-			promptLeft: 0,
-			cachedTokens: 0,
-			outputLeft: request.outputTokens,
-			attempts: 0,
-		};
+		const job = createJob(request);
 		this.#entryOf(job).policy.arrived(request, this.#nowMs);
 		this.#start(job, new Set());
 	}
@@ -88,42 +61,22 @@
 		return this.#entries[job.request.entry]!;
 	}
 
-	#createEngines(): FakeEngine[] {
-		const {deployment, strategy} = this.options;
-		const total = deployment.runners.reduce((sum, count) => sum + count, 0);
-		// Roles are dealt out across the data centres, so that each gets its part of a split.
-		const places = this.#dataCentres
-			.flatMap((dataCentre, index) => Array.from({length: deployment.runners[index]!}, (_, rank) => ({dataCentre, rank})))
-			.toSorted((a, b) => a.rank - b.rank);
-		const runners = places.map(({dataCentre, rank}, index) =>
-			this.#createEngine(`${dataCentre}-runner${rank}`, dataCentre, strategy.initialRole(index, total)));
-		const desks = this.#dataCentres.flatMap((dataCentre, index) =>
-			Array.from({length: deployment.desks[index]!}, (_, rank) =>
-				this.#createEngine(`${dataCentre}-desk${rank}`, dataCentre, 'service')));
-		return [...runners, ...desks];
-	}
-
-	#createEngine(id: string, dataCentre: string, role: EngineRole): FakeEngine {
+	#createParts(): EngineParts {
 		const {random, scheduler, strategy} = this.options;
-		const spec = {
-			id,
-			dataCentre,
-			rates: role === 'service' ? deskRates : engineRates,
-			kvCapacityTokens: platform.kvCapacityTokens,
-			changeMs: platform.roleChangeMs,
+		return {
+			queue: strategy.createQueue(),
+			cache: new PrefixCache(platform.prefixCacheTokens, platform.lostCacheEvents, random),
+			scheduler,
+			hooks: this.#hooks(),
 		};
-		const cache = new PrefixCache(platform.prefixCacheTokens, platform.lostCacheEvents, random);
-		return new FakeEngine(spec, role, {
-			queue: strategy.createQueue(), cache, scheduler, hooks: this.#hooks(),
-		});
 	}
 
 	#createEntry(dataCentre: string): SimEntry {
-		const endpoints = this.engines.map(({spec}): EndpointInfo => ({
-			id: spec.id,
-			dataCentre: spec.dataCentre,
-			distanceMs: spec.dataCentre === dataCentre ? platform.localDistanceMs : platform.betweenDataCentresMs,
-			rates: spec.rates,
+		const endpoints = this.engines.map((engine): EndpointInfo => ({
+			id: engine.spec.id,
+			dataCentre: engine.spec.dataCentre,
+			distanceMs: distanceMs(dataCentre, engine),
+			rates: engine.spec.rates,
 		}));
 		const policy = this.options.strategy.createEntry({
 			endpoints,
@@ -161,21 +114,15 @@
 			finished: (job, engine) => {
 				this.#finished(job, engine);
 			},
-			changed() {
-				// Entries learn the new role from the next report.
-			},
 		};
 	}
 
 	#distance(job: Job, engine: FakeEngine): number {
-		return this.#entryOf(job).dataCentre === engine.spec.dataCentre
-			? platform.localDistanceMs
-			: platform.betweenDataCentresMs;
+		return distanceMs(this.#entryOf(job).dataCentre, engine);
 	}
 
 	#reaches(dataCentre: string, engine: FakeEngine): boolean {
-		const last = this.#dataCentres.at(-1);
-		return !this.#cut || (dataCentre === last) === (engine.spec.dataCentre === last);
+		return this.#faults.reaches(dataCentre, engine);
 	}
 
 	#start(job: Job, excluded: ReadonlySet<string>): void {
@@ -246,8 +193,7 @@
 		}
 
 		const needsMs = estimatePrefillMs(engine.spec.rates, engine.role, engine.running, job.tokens);
-		const limitMs = target.firstTokenMs + (target.promptMsPerToken * job.request.promptTokens);
-		if (this.#nowMs + needsMs <= job.request.arrivedMs + limitMs) {
+		if (this.#nowMs + needsMs <= job.request.arrivedMs + firstTokenLimitMs(target, job.request.promptTokens)) {
 			return true;
 		}
 
@@ -318,44 +264,25 @@
 	}
 
 	#plan(): void {
-		const {faults, target} = this.options;
-		const down = faults.tableDown;
-		if (!this.#planner || (down && this.#nowMs >= down.fromMs && this.#nowMs < down.toMs)) {
+		const planner = this.#planner;
+		if (!planner || this.#faults.isTableDown()) {
 			return;
 		}
 
 		for (const dataCentre of this.#dataCentres) {
-			const entry = this.#entries.find(entry => entry.dataCentre === dataCentre)!;
-			const runners = this.engines.filter(({role}) => role !== 'service');
-			const changes = this.#planner({
-				dataCentre,
+			const changes = planner(createPlannerView(this.#entries.find(entry => entry.dataCentre === dataCentre)!, {
 				dataCentres: this.#dataCentres,
-				endpoints: runners.map(engine => this.#plannerEndpoint(entry, engine)),
-				changing: new Set(runners.filter(({accepts}) => !accepts).map(({spec}) => spec.id)),
-				kvCapacityTokens: platform.kvCapacityTokens,
-				entry: entry.policy,
+				runners: this.engines.filter(({role}) => role !== 'service'),
 				nowMs: this.#nowMs,
-				target,
-			});
+				target: this.options.target,
+				reaches: (dataCentre, engine) => this.#reaches(dataCentre, engine),
+			}));
 			for (const {endpoint, role} of changes) {
 				this.#changeRole(this.#byId.get(endpoint)!, role, dataCentre);
 			}
 		}
 	}
 
-	/** The planner reads the order rows, so the role is the ordered one; the rest of the reading lags. */
-	#plannerEndpoint(entry: SimEntry, engine: FakeEngine) {
-		const reading = entry.readings.get(engine.spec.id);
-		return {
-			id: engine.spec.id,
-			dataCentre: engine.spec.dataCentre,
-			distanceMs: 0,
-			rates: engine.spec.rates,
-			reading: reading ? {...reading, role: engine.role} : undefined,
-			reachable: this.#reaches(entry.dataCentre, engine),
-		};
-	}
-
 	#changeRole(engine: FakeEngine, role: EngineRole, dataCentre: string): void {
 		if (!engine.accepts || engine.role === role || !this.#reaches(dataCentre, engine)) {
 			return;
@@ -363,60 +290,6 @@
 
 		this.options.recorder.roleChanged(this.#nowMs);
 		engine.changeRole(role);
-		if (this.#lossArmed) {
-			this.#lossArmed = false;
-			this.#loseLater(engine, crashAfterChangeMs);
-		}
-	}
-
-	#loseLater(engine: FakeEngine, delayMs: number): void {
-		const {faults, scheduler} = this.options;
-		scheduler.after(delayMs, () => {
-			engine.crash();
-			scheduler.after(faults.engineLost!.backAfterMs, () => {
-				engine.restart();
-			});
-		});
-	}
-
-	#startFaults(): void {
-		const {faults: {cutOff, engineLost}, scheduler} = this.options;
-		if (engineLost) {
-			scheduler.after(engineLost.fromMs, () => {
-				this.#lossArmed = true;
-			});
-			scheduler.after(engineLost.latestMs, () => {
-				if (this.#lossArmed) {
-					this.#lossArmed = false;
-					this.#loseLater(this.engines[0]!, 0);
-				}
-			});
-		}
-
-		if (cutOff) {
-			this.#scheduleCut(cutOff.fromMs, cutOff.toMs);
-		}
-	}
-
-	#scheduleCut(fromMs: number, toMs: number): void {
-		const {scheduler} = this.options;
-		scheduler.after(fromMs, () => {
-			this.#cut = true;
-		});
-		scheduler.after(fromMs + platform.silenceLimitMs, () => {
-			this.#updateReachable();
-		});
-		scheduler.after(toMs, () => {
-			this.#cut = false;
-			this.#updateReachable();
-		});
-	}
-
-	#updateReachable(): void {
-		for (const entry of this.#entries) {
-			for (const engine of this.engines) {
-				entry.policy.setReachable(engine.spec.id, this.#reaches(entry.dataCentre, engine));
-			}
-		}
+		this.#faults.changeStarted(engine);
 	}
 }
--- a/packages/bench/src/sim/job.ts
+++ b/packages/bench/src/sim/job.ts
@@ -39,6 +39,19 @@
 	endpoint?: string;
 };
 
+/** Starts the state of a request that has arrived. */
+export const createJob = (request: SimRequest): Job => ({
+	id: request.id,
+	account: String(request.account),
+	weight: request.weight,
+	tokens: request.promptTokens,
+	request,
+	promptLeft: 0,
+	cachedTokens: 0,
+	outputLeft: request.outputTokens,
+	attempts: 0,
+});
+
 /** The queue of an agent. */
 export type JobQueue = {
 	readonly size: number;
