Forget dispatched prefixes after 200 s

Cause: the view kept the name of every prefix that was ever dispatched, without a bound. After 200 s a dispatch counted for less than a thousandth of its tokens, so the choice does not change.

--- a/packages/core/src/policy/__tests__/choose-endpoint.test.ts
+++ b/packages/core/src/policy/__tests__/choose-endpoint.test.ts
@@ -77,6 +77,14 @@
 		assert.is(chooseEndpoint(view.states(3000), withPrefix, () => 0)?.endpoint.id, 'b');
 	});
 
+	it('guards against a cache that is believed in for ever after one dispatch', () => {
+		const view = createView({a: {}}, 0);
+		view.dispatched('a', {...dispatch, prefixes: ['p']}, 0);
+		assert.ok(view.states(1000)[0]!.holdsPrefix('p') > 0.7);
+		view.report('a', idle, 300_000);
+		assert.is(view.states(300_000)[0]!.holdsPrefix('p'), 0);
+	});
+
 	it('guards against a far endpoint taken although a near one is as free', () => {
 		const view = createView({near: {}}, 0);
 		view.add({
--- a/packages/core/src/policy/load-view.ts
+++ b/packages/core/src/policy/load-view.ts
@@ -62,6 +62,8 @@
 const dispatchedPrefixConfidence = 0.8;
 // After this time half of the unreported prefixes of a loaded engine are taken to be evicted.
 const prefixHalfLifeMs = 20_000;
+// A dispatch this long ago says nothing about the cache any more; forgetting it bounds the memory.
+const prefixMemoryMs = 10 * prefixHalfLifeMs;
 
 type Sent = Dispatch & {readonly atMs: number};
 /** The end of a request that this entry dispatched. */
@@ -84,6 +86,16 @@
 const forgetBefore = <Event extends {readonly atMs: number}>(events: readonly Event[], timeMs: number): Event[] =>
 	events.filter(({atMs}) => atMs > timeMs);
 
+const forgetPrefixes = (dispatched: Map<string, number>, timeMs: number): void => {
+	for (const [prefix, atMs] of dispatched) {
+		if (atMs > timeMs) {
+			return;
+		}
+
+		dispatched.delete(prefix);
+	}
+};
+
 /** Queue length now: the reading, drained at the engine's rate, with the later dispatches added when they were made. */
 const estimateQueue = (known: Known, reading: LoadReading, nowMs: number, entries: number): number => {
 	const rate = estimatePrefillRate(known.info.rates, reading.role, reading.running);
@@ -133,6 +145,7 @@
 		known.describesMs = nowMs - this.#options.reportLagMs;
 		known.sent = forgetBefore(known.sent, known.describesMs);
 		known.ended = forgetBefore(known.ended, known.describesMs);
+		forgetPrefixes(known.dispatchedPrefixes, nowMs - prefixMemoryMs);
 		if (known.describesMs >= known.queueAtMs) {
 			known.queueAtMs = known.describesMs;
 			known.queueTokens = reading.waitingTokens;
@@ -144,6 +157,8 @@
 		const known = this.#known.get(id);
 		known?.sent.push({...dispatch, atMs: nowMs});
 		for (const prefix of dispatch.prefixes) {
+			// Deleted first, so that the map stays in order of time.
+			known?.dispatchedPrefixes.delete(prefix);
 			known?.dispatchedPrefixes.set(prefix, nowMs);
 		}
 	}
