--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -122,3 +122,5 @@
 	type EngineRole,
 	type OrderDecision,
 } from './engine-orders.js';
+export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
+export * from './policy/index.js';
