--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -8,7 +8,7 @@
 	estimateWork,
 	FairQueue,
 	initialRates,
-	type EngineRates,
+	type MeasuredRates,
 	type QueueDecision,
 	type WorkEstimate,
 } from '@hawthorncleat/core';
@@ -24,7 +24,7 @@
 	readonly running = new Set<Stream>();
 	readonly #queue = new FairQueue<Stream>();
 	#waiting: WorkEstimate = {prefillTokens: 0, decodeTokens: 0};
-	#rates: EngineRates = initialRates;
+	#rates: MeasuredRates = initialRates;
 
 	constructor(private readonly limits: SchedulerLimits) {}
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -99,7 +99,7 @@
 	estimateFirstTokenMs,
 	estimateWork,
 	initialRates,
-	type EngineRates,
+	type EngineRates as MeasuredRates,
 	type QueueDecision,
 	type QueueView,
 	type RateSample,
