--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -119,7 +119,7 @@
 	parseOrderRow,
 	type EngineOrderRow,
 	type EngineOrders,
-	type EngineRole,
+	type EngineRole as EngineOrderRole,
 	type OrderDecision,
 } from './engine-orders.js';
 export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
