Keep the note of a written version until the witness holds it

A witness forgot an announcement 30 s after it was told that the version had been written. With the writer and the store out of reach, two such witnesses attested at the older version and withdrawn keys worked again.

--- a/packages/core/src/__tests__/freshness.test.ts
+++ b/packages/core/src/__tests__/freshness.test.ts
@@ -105,6 +105,16 @@
 		assert.ok(witness.attests());
 	});
 
+	it('never forgets a version that was written, because its writer and the store may stay out of reach', () => {
+		const {clock, state, witness} = createSettledEntry();
+		witness.announce('p1', 6, 'view');
+		witness.finish('p1', 'accepted', 6);
+		clock.advance(10 * announcementLimitMs);
+		assert.not(witness.attests());
+		state.version = 6;
+		assert.ok(witness.attests());
+	});
+
 	it('changes its incarnation when it forgets an announcement, so that a slow writer does not count on it', () => {
 		const {clock, witness} = createSettledEntry();
 		const {incarnation} = witness.announce('p1', 6, 'view');
--- a/packages/core/src/witness.ts
+++ b/packages/core/src/witness.ts
@@ -1,17 +1,21 @@
 /**
  * The part of an entry as a witness: it notes publications that are about to be written and attests an outage of the
- * store only while none is pending. Rules are named as in `models/freshness.pml`.
+ * store only while none is pending.
  */
 import type {FreshnessAnswer} from '@hawthorncleat/schema';
 import type {Clock} from './clock.js';
 import type {Evidence, Freshness} from './freshness.js';
 
-/** A writer that has not finished by then has died; forgetting it changes the incarnation, so it cannot count on it. */
+/**
+ * Rule `limit` of models/freshness.pml: a writer that has reported nothing by then is taken for dead. Once it has reported
+ * the write, its announcement is kept until the version is in force, however long that takes.
+ */
 export const announcementLimitMs = 30_000;
 
 /**
- * An entry that has started or has become a witness attests only on evidence dated this much later, when writers with
- * an older host list have finished. A new host and a restarted one cannot be told apart from inside.
+ * Rule `settle-time` of models/freshness.pml: an entry that has started or has become a witness attests only on evidence
+ * dated this much later, when the writers of that moment, also those with an older host list, have finished. A new host
+ * and a restarted one cannot be told apart from inside.
  */
 export const witnessSettleMs = 60_000;
 
@@ -25,7 +29,7 @@
 	readonly witnessSettleMs?: number;
 };
 
-type Announcement = {readonly version: number; readonly notedAtMs: number};
+type Announcement = {readonly version: number; readonly forgetAtMs: number};
 
 /** What a writer learns about this witness. */
 export type Noted = {readonly noted: boolean; readonly incarnation: string};
@@ -57,11 +61,11 @@
 		this.#view = view;
 	}
 
-	/** Rule `announce`: a writer announces to a majority before it writes. */
+	/** Rule `announce` of models/freshness.pml: a writer announces to a majority before it writes. */
 	announce(announceId: string, version: number, view: string): Noted {
 		const noted = view === this.#view;
 		if (noted) {
-			this.#pending.set(announceId, {version, notedAtMs: this.#options.clock.nowMs()});
+			this.#pending.set(announceId, {version, forgetAtMs: this.#forgetAtMs()});
 		}
 
 		return {noted, incarnation: this.incarnation};
@@ -74,7 +78,8 @@
 			return;
 		}
 
-		this.#pending.set(announceId, {version, notedAtMs: this.#options.clock.nowMs()});
+		const forgetAtMs = outcome === 'accepted' ? Number.POSITIVE_INFINITY : this.#forgetAtMs();
+		this.#pending.set(announceId, {version, forgetAtMs});
 	}
 
 	/** Answer to another entry's question for evidence. */
@@ -97,6 +102,10 @@
 		return this.#mayAttest(this.#view, this.#options.freshness.current());
 	}
 
+	#forgetAtMs(): number {
+		return this.#options.clock.nowMs() + announcementLimitMs;
+	}
+
 	#settledAtMs(): number {
 		return this.#options.clock.nowMs() + (this.#options.witnessSettleMs ?? witnessSettleMs);
 	}
@@ -118,13 +127,13 @@
 			&& this.#isSettled(evidence);
 	}
 
-	/** Rule `pending`: no attestation while a publication may be under way. */
+	/** Rule `pending` of models/freshness.pml: no attestation while a publication may be under way. */
 	#hasPending(): boolean {
 		const nowMs = this.#options.clock.nowMs();
-		for (const [announceId, {version, notedAtMs}] of this.#pending) {
+		for (const [announceId, {version, forgetAtMs}] of this.#pending) {
 			if (version <= this.#options.localVersion()) {
 				this.#pending.delete(announceId);
-			} else if (nowMs - notedAtMs > announcementLimitMs) {
+			} else if (nowMs > forgetAtMs) {
 				this.#pending.delete(announceId);
 				this.#forgotten += 1;
 			}
@@ -133,7 +142,10 @@
 		return this.#pending.size > 0;
 	}
 
-	/** Rule `settled`: after a restart or joining, evidence that does not rest on this witness comes first. */
+	/**
+	 * Rule `settled` of models/freshness.pml: after a restart or joining, evidence that does not rest on this witness comes
+	 * first. Rule `dated` of models/freshness.pml: evidence of an earlier date, for instance relayed by a peer, does not do.
+	 */
 	#isSettled(evidence: Evidence | undefined): boolean {
 		if (this.#attestsFromMs === Number.NEGATIVE_INFINITY) {
 			return true;
