Let a process take its own lapsed lease again

After a takeover whose answer was lost and that had lapsed when the row could be read again, the runner recognised its own write id on every read and never waited for the lease again. A single candidate then left the duty undone.

--- a/packages/platform/src/__tests__/lease-runner.test.ts
+++ b/packages/platform/src/__tests__/lease-runner.test.ts
@@ -137,6 +137,34 @@
 		await candidate.stop();
 	}));
 
+	it('takes the lease again after its own takeover lapsed before the answer came', async () => withPlatform(async fixture => {
+		const inCharge = new Set<string>();
+		let failUntilMs = 0;
+		const table: Table = {
+			...fixture.table,
+			async read(key) {
+				if (performance.now() < failUntilMs) {
+					throw createStoreError('table down', 'not-written');
+				}
+
+				return fixture.table.read(key);
+			},
+			async transact(transaction) {
+				const result = await fixture.table.transact(transaction);
+				if (failUntilMs === 0) {
+					failUntilMs = performance.now() + durations.leaseTtlMs;
+					throw createStoreError('answer lost', 'unknown');
+				}
+
+				return result;
+			},
+		};
+		const candidate = startCandidate(fixture, 'e1', inCharge, {table});
+		await waitUntil(() => inCharge.has('e1'));
+		assert.equal(candidate.epochs, [2]);
+		await candidate.stop();
+	}));
+
 	it('is not held any more by the clock of a holder that was paused', async () => withPlatform(async fixture => {
 		const inCharge = new Set<string>();
 		let pausedMs = 0;
--- a/packages/platform/src/claim-writer.ts
+++ b/packages/platform/src/claim-writer.ts
@@ -104,6 +104,7 @@
 		return this.#update(claimId, this.#claims, releaseClaimRow);
 	}
 
+	/** Rule `claim` of models/action-claim.pml: a durable row, on the version read, before the first byte. */
 	async #insert(request: ClaimRequest, version: number | null, deadlineMs: number): Promise<ClaimResult> {
 		const claimId = brandAs<ClaimId>(this.#options.makeId());
 		const row: ClaimRow = {
@@ -159,6 +160,7 @@
 		});
 	}
 
+	/** Rule `release` of models/action-claim.pml: only the version that this claim wrote is completed or released. */
 	async #update(claimId: ClaimId, group: GroupWriter, change: (row: ClaimRow) => ClaimRow): Promise<boolean> {
 		const own = this.#granted.get(claimId);
 		if (!own) {
@@ -182,7 +184,7 @@
 	}
 
 	/**
-	 * Writes the row as released, whether or not the claim was written. Both writes have the same check, so the claim
+	 * Rule `late-claim` of models/action-claim.pml: writes the row as released, whether or not the claim was written. Both writes have the same check, so the claim
 	 * cannot arrive after the release.
 	 */
 	async #releaseUnsettled(claim: OwnClaim | Insert): Promise<void> {
--- a/packages/platform/src/lease-runner.ts
+++ b/packages/platform/src/lease-runner.ts
@@ -108,7 +108,11 @@
 		const row = await this.#options.table.read(this.#key);
 		const value = readLeaseRow(row?.value);
 		if (row && value && value.writeId === this.#lastAttempt?.writeId) {
-			return this.#createTenure(row.version, value, this.#lastAttempt.sentMs);
+			const tenure = await this.#createTenure(row.version, value, this.#lastAttempt.sentMs);
+			// A takeover that has lapsed before its answer was known is waited for like any other.
+			if (tenure) {
+				return tenure;
+			}
 		}
 
 		const observation = {version: row?.version ?? null, released: value?.holder === ''};
@@ -116,6 +120,7 @@
 		return mayTake && !this.#signal.aborted ? this.#writeTakeover(row, value) : undefined;
 	}
 
+	/** Rule `takeover` of models/lease.pml: one transaction checks the lease row and writes both rows. */
 	async #writeTakeover(row: TableRow | undefined, previous: LeaseRow | undefined): Promise<Tenure | undefined> {
 		const epoch = brandAs<LeaseEpoch>((previous?.epoch ?? 0) + 1);
 		const value = this.#createRow(epoch, previous?.state ?? null);
@@ -124,6 +129,7 @@
 		return result.kind === 'written' ? this.#createTenure(result.version, value, this.#lastAttempt!.sentMs) : undefined;
 	}
 
+	/** Rule `own-epoch` of models/lease.pml: the epoch row is read after the takeover and must show the own epoch. */
 	async #createTenure(version: number, value: LeaseRow, sentMs: number): Promise<Tenure | undefined> {
 		const holder = new LeaseHolder(this.#durations, sentMs);
 		const epochRow = await this.#options.table.read(leaseEpochKey(this.#options.duty));
@@ -239,6 +245,7 @@
 		}
 	}
 
+	/** Rule `renewal` of models/lease.pml: checks the lease row and leaves the epoch row alone. */
 	async #renew(tenure: Tenure): Promise<'renewed' | 'retry' | 'lost'> {
 		const result = await this.#write(tenure.version, this.#createRow(tenure.epoch, tenure.state));
 		if (result.kind === 'written') {
@@ -250,7 +257,10 @@
 		return result.kind === 'refused' ? this.#adoptVersion(tenure) : 'retry';
 	}
 
-	/** An earlier renewal with a lost answer may have changed the version; only this process writes its epoch. */
+	/**
+	 * Rule `adopt` of models/lease.pml: an earlier renewal with a lost answer may have changed the version; only this
+	 * process writes its epoch.
+	 */
 	async #adoptVersion(tenure: Tenure): Promise<'retry' | 'lost'> {
 		try {
 			const row = await this.#options.table.read(this.#key);
@@ -266,7 +276,10 @@
 		}
 	}
 
-	/** Lets others take the lease at once. If this fails, they wait for its expiry. */
+	/**
+	 * Rule `give-back` of models/lease.pml: once the duty has stopped, lets others take the lease at once. If this fails,
+	 * they wait for its expiry.
+	 */
 	async #giveBack(tenure: Tenure): Promise<void> {
 		if (tenure.holder.isHeld(this.#options.clock.nowMs())) {
 			await this.#write(tenure.version, this.#createRow(tenure.epoch, tenure.state, '')).catch(() => undefined);
