--- a/models/action-claim.pml
+++ b/models/action-claim.pml
@@ -3,13 +3,22 @@
 /* fault: FAULT_REFUSAL_PROVES */
 /* fault: FAULT_BLIND_RELEASE */
 /* fault: FAULT_FORGET_REFUSAL */
+/* fault: FAULT_UNCHECKED_LATE_CLAIM */
+/* code: packages/platform/src/claim-writer.ts */
+/* code: packages/agent/src/refusals.ts */
+/* code: packages/agent/src/action-memory.ts */
 /*
- * The claim of one action (packages/core/src/claims.ts). A caller sends the same action through several entries; each
+ * The claim of one action. A caller sends the same action through several entries; each
  * entry may crash at any step; the answer of the table may be lost; messages to the agent may be delayed and come twice;
  * the agent may restart and forget what it has seen.
  *
  * Properties: the action runs at most once, and a caller that was told "not run" is told the truth for its request,
  * also later.
+ *
+ * Bounds: three requests, of which each claims once, and one restart of the agent. Two requests conflict over the row and
+ * a third one claims it after a release; the row's version rises at most three times per request. A second restart
+ * only refuses more. A dispatch to a second agent is not modelled: it follows only after a refusal that proves that the
+ * first one did not run it, which is the same as a release and a new claim.
  */
 #define REQUESTS 3
 #define NOBODY 255
@@ -21,6 +30,7 @@
 
 byte rowState = ABSENT;
 byte rowOwner = NOBODY;
+byte rowVersion;
 
 byte runs;
 bool ran[REQUESTS];
@@ -51,46 +61,72 @@
 	atomic {
 		if
 #ifdef FAULT_BLIND_RELEASE
-		:: true -> rowState = RELEASED
+		:: true -> rowState = RELEASED; rowVersion++
 #else
-		:: rowOwner == i && rowState == CLAIMED -> rowState = RELEASED
+		:: rowOwner == i && rowState == CLAIMED -> rowState = RELEASED; rowVersion++
 		:: else -> skip
 #endif
 		fi
 	}
 }
 
+/* Writes a claim on the version that was read. */
+inline writeClaim(i, expected) {
+	rowState = CLAIMED;
+	rowOwner = i;
+	rowVersion++
+}
+
+/* A claim that takes effect after its request was given up. */
+proctype LateClaim(byte i; byte expected) {
+#ifdef FAULT_UNCHECKED_LATE_CLAIM
+	atomic { rowVersion >= expected -> writeClaim(i, expected) }
+#else
+	atomic { rowVersion == expected -> writeClaim(i, expected) }
+#endif
+}
+
+/* Rule `late-claim`: the release checks the same version as the claim, so that the claim cannot come after it. */
+inline releaseUnsettled(i, expected) {
+	atomic {
+		if
+		:: rowVersion == expected -> rowState = RELEASED; rowOwner = i; rowVersion++
+		:: rowVersion != expected && rowOwner == i && rowState == CLAIMED -> rowState = RELEASED; rowVersion++
+		:: else -> skip
+		fi
+	}
+}
+
 proctype Request(byte self) {
-	bool mine = false;
-	bool unavailable = false;
-	/* Rule `claim`: a durable row before the first byte. */
+	byte expected;
+	/* Rule `claim`: a durable row, on the version read, before the first byte. */
+judge:
 	atomic {
 		if
-#ifdef FAULT_NO_CLAIM
-		:: true -> mine = true
-#else
-		:: rowState == ABSENT || rowState == RELEASED ->
-			rowState = CLAIMED;
-			rowOwner = self;
-			mine = true
-		:: else -> mine = false
+		:: rowState == ABSENT || rowState == RELEASED -> expected = rowVersion
+		:: else ->
+#ifndef FAULT_NO_CLAIM
+			goto finished /* In doubt or already done: no promise is made. */
 #endif
-		:: unavailable = true
 		fi
 	};
 	if
-	:: mine ->
-		/* The answer may be lost; reading the row shows the own claim. Without it the entry gives up. */
+	:: atomic {
+#ifdef FAULT_NO_CLAIM
+			true ->
+#else
+			rowVersion == expected ->
+#endif
+			writeClaim(self, expected)
+		}
+	:: rowVersion != expected -> goto judge
+	:: run LateClaim(self, expected);
+		tellNotRun(self);
 		if
-		:: skip
-		:: mine = false; unavailable = true
-		fi
-	:: else -> skip
-	fi;
-	if
-	:: unavailable -> tellNotRun(self); goto finished
-	:: !unavailable && !mine -> goto finished /* In doubt or already done: no promise is made. */
-	:: else -> skip
+		:: releaseUnsettled(self, expected)
+		:: skip /* The entry crashes. */
+		fi;
+		goto finished
 	fi;
 	if
 	:: goto finished /* The entry crashes before the dispatch. */
@@ -98,7 +134,7 @@
 	fi;
 	if
 	:: goto finished /* The entry crashes, or the connection is lost: unknown. */
-	:: reply[self] == ANSWERED -> atomic { if :: rowOwner == self -> rowState = DONE :: else -> skip fi }
+	:: reply[self] == ANSWERED -> atomic { if :: rowOwner == self && rowState == CLAIMED -> rowState = DONE; rowVersion++ :: else -> skip fi }
 	:: reply[self] == REFUSED ->
 		/* Rule `release`: only the owner of the row, and only after a proof that nothing ran. */
 		release(self);
@@ -155,7 +191,7 @@
 				seen[i] = false
 #endif
 			fi
-		:: else -> skip /* A duplicate gets no second run. */
+		:: else -> skip /* Rule `duplicate`: it gets no second run. */
 		fi
 	}
 	:: atomic {
--- a/models/engine-orders.pml
+++ b/models/engine-orders.pml
@@ -2,13 +2,19 @@
 /* fault: FAULT_NO_SLOT */
 /* fault: FAULT_NO_SETTLE */
 /* fault: FAULT_NO_MARK */
+/* code: packages/core/src/engine-orders.ts */
+/* code: packages/agent/src/slot.ts */
 /*
- * Orders to an engine that ignores order numbers (packages/core/src/engine-orders.ts). Two planners, each of which may
+ * Orders to an engine that ignores order numbers. Two planners, each of which may
  * be a former holder of the lease that has not noticed; two lives of the agent on one host, of which the older may be
- * paused at any step; lost answers of the table.
+ * paused at any step. A write with a lost answer is repeated until a read shows its write id, so it is one step here.
  *
- * Properties: orders do not overlap at the engine, their numbers never fall, and no order takes effect that was written
- * without the lease.
+ * Properties: orders do not overlap at the engine, their numbers never fall, no order takes effect that was written
+ * without the lease, and none that a planner has superseded.
+ *
+ * Bounds: three orders, two epochs and three lives of the agent; versions rise by at most three with each order. Every
+ * rule compares neighbouring numbers, epochs or versions only, and a third order comes after one that was superseded and
+ * one that was executed.
  */
 #define MAX_ORDERS 3
 #define NO_AGENT 255
@@ -76,27 +82,29 @@
 #ifndef FAULT_NO_SLOT
 	atomic { slot == NO_AGENT -> slot = self };
 #endif
-	/* Rule `highest`: learnt from the table before the first order; an unfinished order is settled first. */
+	/* Rule `highest`: learnt from the table before the first order. */
+learn:
 	atomic { number = orderNumber; state = orderState; version = orderVersion };
+	highest = number;
 	if
-	:: state == STARTED ->
+	:: state != SETTLED ->
+		/* Rule `settle`: an order that is not settled, started or not, is settled once the engine changes nothing. */
 #ifndef FAULT_NO_SETTLE
 		!engineBusy;
 #endif
 		atomic {
 			if
 			:: orderVersion == version -> orderState = SETTLED; orderVersion++
-			:: else -> skip
+			:: else -> goto learn
 			fi
-		};
-		highest = number
-	:: state == SETTLED -> highest = number
-	:: else -> highest = 0
+		}
+	:: else -> skip
 	fi;
 	do
 	:: atomic { number = orderNumber; epoch = orderEpoch; state = orderState; version = orderVersion };
 		if
 		:: number > highest && state == WRITTEN ->
+			/* Rule `row`: only a new and unstarted row is executed, whatever the message said. */
 			/* Rule `mark`: started in the table before the engine gets the order. */
 #ifndef FAULT_NO_MARK
 			atomic {
@@ -114,6 +122,7 @@
 				atomic {
 					assert(!engineBusy);
 					assert(number > engineLast);
+					assert(number == orderNumber);
 					assert(epoch >= engineEpoch);
 					engineBusy = true;
 					engineLast = number;
@@ -158,6 +167,7 @@
 		:: atomic {
 				assert(!engineBusy);
 				assert(number > engineLast);
+				assert(number == orderNumber);
 				assert(epoch >= engineEpoch);
 				engineBusy = true;
 				engineLast = number;
--- a/models/usage-window.pml
+++ b/models/usage-window.pml
@@ -1,12 +1,16 @@
 /* fault: FAULT_NO_FREEZE */
 /* fault: FAULT_BLIND_FREEZE */
 /* fault: FAULT_NO_READ_BACK */
+/* code: packages/core/src/usage.ts */
 /*
- * Freezing and reporting one usage window (packages/core/src/usage.ts). Two reporters, of which one may be a former
+ * Freezing and reporting one usage window. Two reporters, of which one may be a former
  * holder of the lease that has not noticed; parts arrive late; answers of the table may be lost.
  *
  * Property: all reports of the window carry the same figure. That two reporters do not both believe that they are in
  * charge is shown by lease.pml.
+ *
+ * Bounds: each reporter tries twice and two parts arrive late. The frozen row never changes again, so a third try adds
+ * only one more report of the same row.
  */
 #define NOT_FROZEN 255
 #define NO_REPORT 255
--- a/packages/agent/src/action-memory.ts
+++ b/packages/agent/src/action-memory.ts
@@ -1,5 +1,6 @@
 /**
- * The actions that this agent received in its life. A message that arrives twice does not run a second time.
+ * The actions that this agent received in its life. Rule `duplicate` of models/action-claim.pml: a message that arrives
+ * twice does not run a second time.
  */
 import {createRequestError} from '@hawthorncleat/core';
 import type {ActionRef} from '@hawthorncleat/schema';
--- a/packages/agent/src/refusals.ts
+++ b/packages/agent/src/refusals.ts
@@ -16,7 +16,10 @@
 		code, ran: 'not-run', status: 503, retryAfterMs: unavailableRetryAfterMs,
 	});
 
-/** A message that another incarnation was meant to get. An action may have run there. */
+/**
+ * Rule `other-incarnation` of models/action-claim.pml: a message that another incarnation was meant to get. An action may
+ * have run there.
+ */
 export const otherIncarnation = (isAction: boolean): RequestError =>
 	createRequestError('addressed to another incarnation of this agent', {
 		code: 'other-incarnation', ran: isAction ? 'unknown' : 'not-run', status: 503,
--- a/packages/agent/src/slot.ts
+++ b/packages/agent/src/slot.ts
@@ -1,5 +1,5 @@
 /**
- * The exclusive bind of the slot port, by which two agents on one host exclude each other: a paused process keeps the
+ * Rule `slot` of models/engine-orders.pml: the exclusive bind of the slot port, by which two agents on one host exclude each other: a paused process keeps the
  * port, and the kernel releases it when the process ends.
  */
 import {createServer, type Server} from 'node:net';
--- a/packages/core/src/engine-orders.ts
+++ b/packages/core/src/engine-orders.ts
@@ -1,6 +1,8 @@
 /**
  * The rules for orders to an engine, as a state machine without I/O. The numbers in the comments are those of the list
- * under "Orders to an engine" in docs/design.md. Rule 1, the exclusive bind of the slot port, is outside this module.
+ * under "Orders to an engine" in docs/design.md. Rule 1, the exclusive bind of the slot port, is outside this module; so
+ * is rule `order-write` of models/engine-orders.pml: the planner writes an order in one transaction that checks its lease
+ * and that no order is started.
  */
 
 export type EngineRole = 'mixed' | 'prefill' | 'decode';
@@ -46,7 +48,7 @@
 /** An agent that has just started knows nothing and sends nothing. */
 export const initialOrders: EngineOrders = {phase: 'unknown'};
 
-/** Rules 2 and 3: takes the row's number as the highest known; an unfinished order has to be settled first. */
+/** Rules 2 and 3, rule `highest` of models/engine-orders.pml: takes the row's number as the highest known; an unfinished order has to be settled first. */
 export const learnRow = (row: EngineOrderRow | undefined): EngineOrders => {
 	if (!row) {
 		return {phase: 'idle', highest: 0};
@@ -55,7 +57,7 @@
 	return {phase: row.state === 'settled' ? 'idle' : 'settling', highest: row.number};
 };
 
-/** Rule 3: an unfinished order is settled only while the engine changes nothing. */
+/** Rule 3, rule `settle` of models/engine-orders.pml: an unfinished order is settled only while the engine changes nothing. */
 export const maySettle = (engine: {readonly changing: boolean} | undefined): boolean => engine?.changing === false;
 
 export type OrderDecision = 'not-ready' | 'running' | 'settled' | 'ignored' | 'read-row';
@@ -78,7 +80,7 @@
 	return orderNumber === orders.highest ? 'settled' : 'ignored';
 };
 
-/** Rule 5: only the row counts, and only if it is new and not yet started. */
+/** Rule 5, rule `row` of models/engine-orders.pml: only the row counts, and only if it is new and not yet started. */
 export const mayExecute = (orders: EngineOrders, row: EngineOrderRow | undefined): boolean =>
 	orders.phase === 'idle' && row !== undefined && row.number > orders.highest && row.state === 'written';
 
@@ -95,7 +97,7 @@
 export const finishOrder = (orders: EngineOrders): EngineOrders =>
 	orders.phase === 'unknown' ? orders : {phase: 'idle', highest: orders.highest};
 
-/** Rule 6: the row before the engine gets the order. */
+/** Rule 6, rule `mark` of models/engine-orders.pml: the row before the engine gets the order. */
 export const markStarted = (row: EngineOrderRow, startedBy: string, writeId: string): EngineOrderRow => ({
 	...row, state: 'started', startedBy, writeId,
 });
--- a/packages/core/src/freshness.ts
+++ b/packages/core/src/freshness.ts
@@ -63,7 +63,7 @@
 		return this.#best && this.#remainingMs(this.#best) >= 0 ? this.#best : undefined;
 	}
 
-	/** Rule `freshness`: keyed requests are admitted only on valid evidence. */
+	/** Rule `freshness` of models/freshness.pml: keyed requests are admitted only on valid evidence. */
 	mayServe(): boolean {
 		return this.current() !== undefined;
 	}
--- a/packages/core/src/lease.ts
+++ b/packages/core/src/lease.ts
@@ -25,7 +25,10 @@
 /** Key of the row that each renewal changes. */
 export const leaseKey = (duty: string): string => `lease/${duty}`;
 
-/** Key of the row that only a takeover changes, so that checks of it do not collide with renewals. */
+/**
+ * Key of the row that only a takeover changes, so that checks of it do not collide with renewals. Rule `effect` of
+ * models/lease.pml: every transaction of a duty checks this row after the own clock.
+ */
 export const leaseEpochKey = (duty: string): string => `lease-epoch/${duty}`;
 
 /** Reads the value of a lease row; undefined if it has another form. */
@@ -36,7 +39,7 @@
 		: undefined;
 };
 
-/** When the holder of a lease has to renew it and when it has to stop. */
+/** Rule `expiry` of models/lease.pml: when the holder of a lease has to renew it and when it has to stop. */
 export class LeaseHolder {
 	readonly #durations: LeaseDurations;
 	#sentMs: number;
@@ -56,7 +59,7 @@
 	}
 
 	/**
-	 * Records a successful renewal. One whose answer comes after the lease has lapsed does not count: the duty has been
+	 * Rule `renewal` of models/lease.pml: records a successful renewal. One whose answer comes after the lease has lapsed does not count: the duty has been
 	 * stopped by then, and a lapsed lease must not come back to life under the same epoch.
 	 */
 	renewed(sentMs: number, receivedMs: number): void {
@@ -73,7 +76,7 @@
 /** What the taker saw in the lease row; version null means that there is no row. */
 export type LeaseObservation = {readonly version: number | null; readonly released: boolean};
 
-/** When another process may take a lease. */
+/** Rule `take` of models/lease.pml: when another process may take a lease. */
 export class LeaseTaker {
 	readonly #durations: LeaseDurations;
 	#version: number | null | undefined;
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -94,7 +94,10 @@
 	}
 }
 
-/** Adds up the parts of one window; of several states of one part only the newest counts. */
+/**
+ * Rule `freeze` of models/usage-window.pml: what is written as the frozen row while that is absent; every report then
+ * carries the figures of the row, read back. Adds up the parts of one window; of several states of one part only the newest counts.
+ */
 export const freezeWindow = (parts: readonly UsagePart[]): UsageFigure[] => {
 	const newest = new Map<string, UsagePart>();
 	for (const part of parts) {
--- a/packages/core/src/witness-groups.ts
+++ b/packages/core/src/witness-groups.ts
@@ -71,8 +71,8 @@
 export const isMajority = (count: number, group: WitnessGroup): boolean => count * 2 > group.witnesses.length;
 
 /**
- * Rule `attestation`: a majority of every group must answer "unreachable". Returns the highest version that they hold,
- * or undefined when there is no attestation.
+ * Rule `attestation` of models/freshness.pml: a majority of every group must answer "unreachable". Returns the highest
+ * version that they hold, or undefined when there is no attestation.
  */
 export const combineAnswers = (
 	groups: readonly WitnessGroup[],
--- a/packages/entry/src/control/publisher.ts
+++ b/packages/entry/src/control/publisher.ts
@@ -1,5 +1,5 @@
 /**
- * Checks and publishes changes for operators. Rules `announce` and `confirm` of `models/freshness.pml`: a majority of the
+ * Checks and publishes changes for operators. Rules `announce` and `confirm` of models/freshness.pml: a majority of the
  * own witness group hears of a version before it is written, and the change counts as confirmed once a majority has heard
  * that it was.
  */
@@ -12,7 +12,7 @@
 import type {ApplyResult, Publisher} from '../deps.js';
 
 const witnessTimeoutMs = 1000;
-/** New witnesses rely on writers with an older host list having finished by then. */
+/** Rule `in-time` of models/freshness.pml: new and restarted witnesses rely on earlier writers having finished by then. */
 const confirmLimitMs = 5000;
 const retryAfterMs = 2000;
 
