--- /dev/null
+++ b/packages/platform/src/__tests__/claim-schedules.test.ts
@@ -0,0 +1,152 @@
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	brandAs, type ActionId, type ClaimId, type EntryId,
+} from '@hawthorncleat/core';
+import type {TableRow, Transaction} from '@hawthorncleat/schema';
+import {describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {
+	createClaimWriter, createStoreError, type ClaimWriter, type Table, type TransactResult,
+} from '../index.js';
+
+const clock = {nowMs: () => performance.now()};
+const actionId = brandAs<ActionId>('a');
+const answer = {status: 200, headers: {}, bodyBase64: 'b2s='};
+// Longer than the time in which claims are collected, shorter than the slowest answer.
+const claimWaitMs = 60;
+const lateMs = 90;
+
+type Fault = 'none' | 'answer-lost' | 'request-lost' | 'late';
+
+/** A table in memory whose requests fail as a list says; the requests after its end succeed. */
+class FaultyTable implements Table {
+	readonly #rows = new Map<string, TableRow>();
+	readonly #faults: Fault[];
+	readonly #checksLateWrites: boolean;
+
+	constructor(faults: readonly Fault[], checksLateWrites: boolean) {
+		this.#faults = [...faults];
+		this.#checksLateWrites = checksLateWrites;
+	}
+
+	async read(key: string): Promise<TableRow | undefined> {
+		return this.#rows.get(key);
+	}
+
+	async scan(): Promise<TableRow[]> {
+		return [...this.#rows.values()];
+	}
+
+	async transact(transaction: Transaction): Promise<TransactResult> {
+		const fault = this.#faults.shift() ?? 'none';
+		if (fault === 'request-lost') {
+			throw createStoreError('request lost', 'unknown');
+		}
+
+		if (fault === 'late') {
+			await delay(5);
+			setTimeout(() => {
+				this.#apply(transaction, this.#checksLateWrites);
+			}, lateMs);
+			throw createStoreError('no answer in time', 'unknown');
+		}
+
+		await delay(1);
+		const result = this.#apply(transaction, true);
+		if (fault === 'answer-lost') {
+			throw createStoreError('answer lost', 'unknown');
+		}
+
+		return result;
+	}
+
+	#apply({checks, puts}: Transaction, isChecked: boolean): TransactResult {
+		const failed = checks.filter(({key, version}) => (this.#rows.get(key)?.version ?? null) !== version).map(({key}) => key);
+		if (failed.length > 0 && isChecked) {
+			return {ok: false, failed};
+		}
+
+		const versions = puts.map(({key, value}) => {
+			const version = (this.#rows.get(key)?.version ?? 0) + 1;
+			this.#rows.set(key, {key, version, value});
+			return [key, version] as const;
+		});
+		return {ok: true, versions: Object.fromEntries(versions)};
+	}
+}
+
+type Call = {readonly entry: number; readonly afterMs: number; readonly isRefused: boolean};
+type Schedule = {readonly faults: readonly Fault[]; readonly calls: readonly Call[]};
+
+/** What happened: which claims ran, and which calls were told that they did not. */
+type History = {readonly ran: ClaimId[]; readonly outcomes: string[]};
+
+const runCall = async (writer: ClaimWriter, {afterMs, isRefused}: Call, history: History): Promise<void> => {
+	await delay(afterMs);
+	const result = await writer.claim({actionId, digest: 'd'});
+	if (result.kind !== 'granted') {
+		history.outcomes.push(result.kind);
+		return;
+	}
+
+	if (isRefused) {
+		history.outcomes.push('refused');
+		await writer.release(result.claimId);
+		return;
+	}
+
+	history.ran.push(result.claimId);
+	history.outcomes.push('ran');
+	await writer.complete(result.claimId, answer);
+};
+
+const runSchedule = async ({faults, calls}: Schedule, checksLateWrites: boolean): Promise<History> => {
+	const controller = new AbortController();
+	const table = new FaultyTable(faults, checksLateWrites);
+	let ids = 0;
+	const makeId = (): string => {
+		ids += 1;
+		return `id${ids}`;
+	};
+
+	const writers = [0, 1].map(entry => createClaimWriter({
+		table, clock, makeId, entryId: brandAs<EntryId>(`e${entry}`), claimWaitMs, completionBatchMs: 1, releaseRetryMs: 5,
+	}, controller.signal));
+	const history: History = {ran: [], outcomes: []};
+	await Promise.all(calls.map(async call => runCall(writers[call.entry]!, call, history)));
+	// A late write may still arrive; the next caller must not be granted an action that ran.
+	await delay(lateMs);
+	await runCall(writers[0]!, {entry: 0, afterMs: 0, isRefused: false}, history);
+	controller.abort();
+	return history;
+};
+
+const schedules = fc.record({
+	faults: fc.array(fc.constantFrom<Fault>('none', 'answer-lost', 'request-lost', 'late', 'late'), {maxLength: 8}),
+	calls: fc.array(
+		fc.record({entry: fc.nat({max: 1}), afterMs: fc.constantFrom(0, 1, 30, 80), isRefused: fc.boolean()}),
+		{minLength: 1, maxLength: 5},
+	),
+});
+
+/** Runs the schedules side by side, since they mostly wait, and returns those with more than one run. */
+const findDoubleRuns = async (checksLateWrites: boolean): Promise<History[]> => {
+	const generated = fc.sample(schedules, {seed: 20_265, numRuns: 400});
+	const histories = await Promise.all(generated.map(async schedule => runSchedule(schedule, checksLateWrites)));
+	assert.ok(histories.some(({outcomes}) => outcomes.includes('unavailable')), 'no claim came too late');
+	assert.ok(histories.some(({outcomes}) => outcomes.includes('refused')), 'no claim was released');
+	return histories.filter(({ran}) => ran.length > 1);
+};
+
+describe('claims under random schedules', () => {
+	it('runs an action at most once through lost answers, late writes, releases and repeated calls', async () => {
+		assert.equal(await findDoubleRuns(true), []);
+	});
+
+	it('would notice a late claim that overwrites a row', async () => {
+		const found = await findDoubleRuns(false);
+		assert.ok(found.length > 0);
+	});
+});
