Keep every claim that an agent received, not only the newest of an action

A message of an older claim that came again was run after the newer claim had been refused, although the caller of the older one had been told that it did not run.

--- a/packages/agent/src/action-memory.ts
+++ b/packages/agent/src/action-memory.ts
@@ -5,14 +5,21 @@
 import {createRequestError} from '@hawthorncleat/core';
 import type {ActionRef} from '@hawthorncleat/schema';
 
-/** Actions by id with the claim that brought each. */
+type Received = {
+	/** All claims that brought the action; a message of an older one may still come a second time. */
+	readonly claimIds: Set<string>;
+	newest: string;
+	isNotRun: boolean;
+};
+
+/** Actions by id with the claims that brought each. */
 export class ActionMemory {
-	readonly #claims = new Map<string, {claimId: string; isNotRun: boolean}>();
+	readonly #received = new Map<string, Received>();
 
 	/** Refuses a duplicate. Another claim for the same action is taken only after the earlier one certainly did not run. */
 	check({actionId, claimId}: ActionRef): void {
-		const earlier = this.#claims.get(actionId);
-		if (earlier && (earlier.claimId === claimId || !earlier.isNotRun)) {
+		const earlier = this.#received.get(actionId);
+		if (earlier && (earlier.claimIds.has(claimId) || !earlier.isNotRun)) {
 			throw createRequestError('this action was already received', {code: 'duplicate-action', ran: 'unknown', status: 409});
 		}
 	}
@@ -21,14 +28,16 @@
 	begin(action: ActionRef): void {
 		this.check(action);
 		const {actionId, claimId} = action;
-		this.#claims.set(actionId, {claimId, isNotRun: false});
+		const claimIds = this.#received.get(actionId)?.claimIds ?? new Set<string>();
+		claimIds.add(claimId);
+		this.#received.set(actionId, {claimIds, newest: claimId, isNotRun: false});
 	}
 
 	/** Notes that the connection to the service was refused before the first byte. */
 	noteNotRun({actionId, claimId}: ActionRef): void {
-		const claim = this.#claims.get(actionId);
-		if (claim?.claimId === claimId) {
-			claim.isNotRun = true;
+		const received = this.#received.get(actionId);
+		if (received?.newest === claimId) {
+			received.isNotRun = true;
 		}
 	}
 }
