Report usage windows under the lease of their shard

An entry that holds usage/<shard> freezes each window 15 s after its end in one transaction that checks the lease, the progress row, the absence of the frozen row and the versions of the counted parts. Reports send what was read back from the frozen row, with the last check of the lease at the send. Usage flushed later is added to a later window, exactly once. A drain gives the leases back.

The meter no longer goes back to a window that it has flushed and forgotten when the time of day goes back; it would have overwritten the part with lower figures.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -92,6 +92,20 @@
 export {
 	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
 } from './usage.js';
+export {
+	countParts,
+	isWindowDue,
+	lateCheckAges,
+	nextWindowStart,
+	shardOfAccount,
+	sumFigures,
+	usageGraceMs,
+	usageShards,
+	windowsToCheck,
+	type Count,
+	type CountedParts,
+	type KeyedPart,
+} from './usage-ledger.js';
 export {FairQueue, type QueuedWork} from './fair-queue.js';
 export {
 	addSample,
--- a/packages/entry/src/__tests__/parts.test.ts
+++ b/packages/entry/src/__tests__/parts.test.ts
@@ -76,5 +76,28 @@
 			assert.equal([...written.keys()], ['usage/60000/e/i', 'usage/61000/e/i']);
 			assert.equal([failures, recorder.windows], [1, 1]);
 		});
+
+		it('meters no earlier window when the time of day goes back; guards against a part overwritten with lower figures', async () => {
+			let timeMs = 60_000;
+			const written: string[] = [];
+			const recorder = new UsageRecorder({
+				owner: () => ({entryId: 'e', incarnation: 'i'}),
+				windowMs: 1000,
+				wallClock: {nowMs: () => timeMs},
+				log: silentLog,
+				store: {
+					async write(key) {
+						written.push(key);
+					},
+				},
+				onFailure() {/* Not used. */},
+			});
+			for (timeMs of [60_000, 61_000, 60_500]) {
+				recorder.record(account, {promptTokens: 1, outputTokens: 2, serviceCalls: 0});
+				await recorder.flush();
+			}
+
+			assert.equal(written, ['usage/60000/e/i', 'usage/61000/e/i', 'usage/61000/e/i']);
+		});
 	});
 });
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -16,7 +16,7 @@
 	type WitnessGroup,
 } from '@hawthorncleat/core';
 import {
-	createClaimWriter, createConfigStore, createHostList, createHttpClient, createObjectStore, createTable, type ObjectStore, type Table,
+	createClaimWriter, createConfigStore, createHostList, createHttpClient, createObjectStore, createTable, createUsageReports, type ObjectStore, type Table, type UsageReportsClient,
 } from '@hawthorncleat/platform';
 import type {EntrySettings, HostRecord} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
@@ -42,6 +42,7 @@
 export type EntryControl = Pick<EntryDeps, PartOfDeps> & {
 	readonly table: Table;
 	readonly objects: ObjectStore;
+	readonly usageReports: UsageReportsClient;
 	readonly inForce: InForce;
 	readonly hostWatch: HostWatch;
 	readonly peers: () => ReadonlyMap<string, Peer>;
@@ -58,6 +59,7 @@
 		table,
 		objects,
 		hostList: createHostList(http),
+		usageReports: createUsageReports(http),
 		configStore: createConfigStore({table, objects, makeId}),
 		headStore: createConfigStore({table: createTable(quickHttp), objects, makeId}),
 	};
@@ -188,6 +190,7 @@
 	return {
 		table: stores.table,
 		objects: stores.objects,
+		usageReports: stores.usageReports,
 		inForce,
 		hostWatch,
 		peers: currentPeers,
--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -22,6 +22,7 @@
 import type {ObjectStore} from '@hawthorncleat/platform';
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
 import type {Peer} from '@hawthorncleat/wire';
+import type {Registry} from 'prom-client';
 
 /** The configuration in force. */
 export type ConfigSource = {current(): ConfigView};
@@ -117,6 +118,8 @@
 	readonly usageStore: Pick<ObjectStore, 'write'>;
 	readonly peerServices?: PeerServices;
 	readonly chooseEndpoint?: ChooseEndpoint;
+	/** Runs the leased duties until its signal aborts, which is at the start of a drain. */
+	readonly runDuties?: (registry: Registry, signal: AbortSignal) => Promise<void>;
 	readonly log?: Log;
 	readonly tracing?: Tracing;
 	/** Shorter times for tests. */
--- /dev/null
+++ b/packages/entry/src/duties/duties.ts
@@ -0,0 +1,47 @@
+/**
+ * The leased duties of an entry.
+ */
+import {setMaxListeners} from 'node:events';
+import {usageShards, type Clock, type MakeId} from '@hawthorncleat/core';
+import type {ObjectStore, Table, UsageReportsClient} from '@hawthorncleat/platform';
+import type {EntrySettings} from '@hawthorncleat/schema';
+import type {Log} from '@hawthorncleat/telemetry';
+import type {Registry} from 'prom-client';
+import type {HostSource} from '../deps.js';
+import {createDutyMetrics} from './duty-metrics.js';
+import {runDuty, type Duty, type DutyContext} from './run-duty.js';
+import {UsageReporter} from './usage-reporter.js';
+
+export type DutiesDeps = {
+	readonly clock: Clock;
+	readonly wallClock: Clock;
+	readonly makeId: MakeId;
+	readonly log: Log;
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly usageReports: UsageReportsClient;
+	readonly entryHosts?: HostSource;
+};
+
+const createUsageDuty = (shard: number, settings: EntrySettings, deps: DutiesDeps, context: DutyContext): Duty => {
+	const reporter = new UsageReporter({
+		...deps, shard, windowMs: settings.usageWindowMs, reports: deps.usageReports, metrics: context.metrics,
+	});
+	return {name: `usage/${shard}`, kind: 'usage', run: reporter.run};
+};
+
+/** Creates the function that runs all duties until its signal aborts. */
+export const createDuties = (settings: EntrySettings, deps: DutiesDeps) =>
+	async (registry: Registry, signal: AbortSignal): Promise<void> => {
+		setMaxListeners(0, signal);
+		const context: DutyContext = {
+			...deps,
+			entryId: settings.entryId,
+			entries: () => deps.entryHosts?.current() ?? [],
+			hostPollMs: settings.hostPollMs,
+			metrics: createDutyMetrics(registry),
+		};
+		const shards = Array.from({length: usageShards}, (_, shard) => shard);
+		const duties = shards.map(shard => createUsageDuty(shard, settings, deps, context));
+		await Promise.all(duties.map(async duty => runDuty(duty, context, signal)));
+	};
--- a/packages/entry/src/start-daemon.ts
+++ b/packages/entry/src/start-daemon.ts
@@ -6,6 +6,7 @@
 import type {EntrySettings} from '@hawthorncleat/schema';
 import {createJsonLineExporter, createTracer, type Log} from '@hawthorncleat/telemetry';
 import {createEntryControl} from './control/entry-control.js';
+import {createDuties} from './duties/duties.js';
 import {startEntry, type Entry} from './start.js';
 
 export type EntryDaemonDeps = {
@@ -36,7 +37,7 @@
 		const tracing = createTracer('hawthorncleat-entry', settings.traceFile ? createJsonLineExporter(settings.traceFile) : undefined);
 		const wallClock = {nowMs: () => Date.now()};
 		const entry = await startEntry(settings, {
-			...deps, ...control, wallClock, tracing,
+			...deps, ...control, wallClock, tracing, runDuties: createDuties(settings, {...deps, ...control, wallClock}),
 		}, combined);
 		const closed = Promise.all([entry.closed, control.closed]).then(async () => tracing.shutdown());
 		return {...entry, closed};
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -71,15 +71,30 @@
 	}, {once: true});
 };
 
+/** Starts the leased duties. They stop first in a drain, while the table can still be told that their leases are free. */
+const startDuties = (parts: EntryParts, signal: AbortSignal): {readonly closed: Promise<void>; stop(): Promise<void>} => {
+	const controller = new AbortController();
+	const {registry} = parts.context.metrics;
+	const closed = Promise.resolve(parts.deps.runDuties?.(registry, AbortSignal.any([signal, controller.signal])));
+	return {
+		closed,
+		async stop() {
+			controller.abort();
+			await closed;
+		},
+	};
+};
+
 const startParts = async (parts: EntryParts, signal: AbortSignal): Promise<Entry> => {
 	const internal = await listenInternally(parts, signal);
 	parts.setInternalPort(internal.port);
 	parts.followHosts();
 	startTimers(parts, signal);
 	const callers = await listenForCallers(parts, signal);
+	const duties = startDuties(parts, signal);
 	let draining: Promise<void> | undefined;
 	const drain = async (): Promise<void> => {
-		draining ??= parts.drain();
+		draining ??= Promise.all([duties.stop(), parts.drain()]).then(() => {/* Both have ended. */});
 		return draining;
 	};
 
@@ -87,7 +102,7 @@
 		void drain();
 	}, signal);
 	const released = once(signal, 'abort').then(async () => parts.close());
-	const closed = Promise.all([internal.closed, callers.closed, admin.closed, released]).then(() => {/* All released. */});
+	const closed = Promise.all([internal.closed, callers.closed, admin.closed, duties.closed, released]).then(() => {/* All released. */});
 	return {
 		callerPort: callers.port, internalPort: internal.port, adminPort: admin.port, drain, closed,
 	};
--- a/packages/entry/src/usage-flush.ts
+++ b/packages/entry/src/usage-flush.ts
@@ -27,6 +27,7 @@
 	readonly #meter: UsageMeter;
 	#flushing: Promise<void> | undefined;
 	#isFailing = false;
+	#newestWindowMs = 0;
 
 	constructor(options: UsageOptions) {
 		this.#options = options;
@@ -63,9 +64,14 @@
 		this.#options.log.warn('usage was not written before the end', {parts: this.#meter.unflushedParts().length});
 	}
 
+	/**
+	 * Never goes back with the time of day: an earlier window may have been flushed and forgotten, and metering it anew would
+	 * overwrite its part with lower figures.
+	 */
 	#currentWindow(): WindowId {
 		const {windowMs, wallClock} = this.#options;
-		return brandAs<WindowId>(String(Math.floor(wallClock.nowMs() / windowMs) * windowMs));
+		this.#newestWindowMs = Math.max(this.#newestWindowMs, Math.floor(wallClock.nowMs() / windowMs) * windowMs);
+		return brandAs<WindowId>(String(this.#newestWindowMs));
 	}
 
 	async #flushAll(): Promise<void> {
