--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -136,3 +136,5 @@
 	type EngineRole,
 	type OrderDecision,
 } from './engine-orders.js';
+export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
+export * from './policy/index.js';
