Choose engines by estimated time and report cached prefixes

The entry keeps a load view of its engines, chooses by estimated time to first token with cached prefixes, and refuses at once what would come too late.

The core exports the engine role of orders as EngineOrderRole and the agent's averages as MeasuredRates, because the policy's types hid behind the same names.

Without its own dispatches in the view: "counts its own dispatches until a report contains them" fails. Refusing on unmeasured rates: "refuses only a queue that is measured and too long" fails. Without the check of the role: "keeps prefill engines out" fails. With the newest blocks first in reports: "put prefixes that prompts share first" fails.

--- a/packages/agent/src/endpoint.ts
+++ b/packages/agent/src/endpoint.ts
@@ -20,7 +20,8 @@
 	open(): void;
 	/** Why the endpoint takes no work; empty when it does. */
 	problems(): string[];
-	load(): Omit<LoadSnapshot, 'leaving'>;
+	/** Load now, with as many cached prefixes as fit into that many bytes. */
+	load(prefixBytes: number): Omit<LoadSnapshot, 'leaving'>;
 	startRequest(params: RequestStartParams, listener: FrameTarget): RequestStartResult;
 	resumeRequest(params: RequestResumeParams, listener: FrameTarget): {resumed: true};
 	cancelRequest(params: RequestCancel): void;
--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -6,6 +6,7 @@
 import {
 	check,
 	validators,
+	type CacheEvent,
 	type EngineOrder,
 	type EngineState,
 	type FrameEnd,
@@ -47,6 +48,8 @@
 	generate(params: GenerateParams, traceparent: string, signal: AbortSignal): AsyncGenerator<EngineBatch, void>;
 	cancel(requestId: string): Promise<void>;
 	state(): Promise<EngineState>;
+	/** The engine's cache events until the stream ends; rejects when it fails or an event is invalid. */
+	events(signal: AbortSignal): AsyncGenerator<CacheEvent, void>;
 	/** Returns the HTTP status; rejects when the connection failed, after which the order may have been received. */
 	order(order: EngineOrder): Promise<number>;
 	close(): Promise<void>;
@@ -172,6 +175,25 @@
 	}
 }
 
+async function * readEvents(response: Dispatcher.ResponseData): AsyncGenerator<CacheEvent, void> {
+	if (response.statusCode !== 200) {
+		await response.body.dump();
+		throw invalidResponse(`the events with status ${response.statusCode}`);
+	}
+
+	const reader = new LineReader();
+	for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
+		for (const line of readLines(reader, chunk)) {
+			const checked = check<CacheEvent>(validators.validateCacheEvent, JSON.parse(line));
+			if (!checked.ok) {
+				throw invalidResponse('a cache event');
+			}
+
+			yield checked.value;
+		}
+	}
+}
+
 const readLines = (reader: LineReader, chunk: Uint8Array): string[] => {
 	try {
 		return reader.push(chunk);
@@ -188,6 +210,7 @@
 export const createEngineClient = (baseUrl: string, maxRunning: number): EngineClient => {
 	// Each stream has a connection of its own: a reused one that the engine just closed would look like a crash.
 	const streams = new Agent({connections: maxRunning + 1, pipelining: 0, connect: {timeout: connectTimeoutMs}});
+	const events = new Agent({connections: 1, connect: {timeout: connectTimeoutMs}});
 	const control = new Agent({connections: controlConnections, pipelining: 1, connect: {timeout: connectTimeoutMs}});
 	const post = async (path: string, body: unknown): Promise<Dispatcher.ResponseData> => request(new URL(path, baseUrl), {
 		method: 'POST',
@@ -240,13 +263,19 @@
 
 			return checked.value;
 		},
+		async * events(signal) {
+			const response = await request(new URL('/events', baseUrl), {
+				dispatcher: events, signal, headersTimeout: controlTimeoutMs, bodyTimeout: 0,
+			});
+			yield * readEvents(response);
+		},
 		async order(order) {
 			const response = await post('/orders', order);
 			await response.body.dump();
 			return response.statusCode;
 		},
 		async close() {
-			await Promise.all([streams.destroy(), control.destroy()]);
+			await Promise.all([streams.destroy(), control.destroy(), events.destroy()]);
 		},
 	};
 };
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -1,16 +1,18 @@
 /**
  * A model engine as an agent's endpoint.
  */
-import type {EngineRole, MakeId} from '@hawthorncleat/core';
+import type {EngineOrderRole, MakeId} from '@hawthorncleat/core';
 import type {Table} from '@hawthorncleat/platform';
 import type {Endpoint} from './endpoint.js';
 import type {EngineClient} from './engine-client.js';
+import {followCacheEvents} from './cache-events.js';
+import {CachedPrefixes} from './cached-prefixes.js';
 import {EngineMonitor} from './engine-monitor.js';
 import {OrderExecutor} from './order-executor.js';
 import {unavailable} from './refusals.js';
 import {RequestRunner, type RequestRunnerOptions} from './request-runner.js';
 
-export type EngineEndpointOptions = Omit<RequestRunnerOptions, 'isEngineAlive' | 'mayStart'> & {
+export type EngineEndpointOptions = Omit<RequestRunnerOptions, 'isEngineAlive' | 'mayStart' | 'notePrompt'> & {
 	readonly endpoint: string;
 	readonly incarnation: string;
 	readonly engine: EngineClient;
@@ -23,8 +25,10 @@
 /** Creates the endpoint of a model engine. */
 export const createEngineEndpoint = (options: EngineEndpointOptions): Endpoint => {
 	const {engine, log, metrics, signal, onRoleChange} = options;
+	const stopped = new AbortController();
+	const closed = AbortSignal.any([signal, stopped.signal]);
 	// An engine that restarts keeps its last known role until it answers.
-	let role: EngineRole = 'mixed';
+	let role: EngineOrderRole = 'mixed';
 	const monitor: EngineMonitor = new EngineMonitor(engine, {
 		onDown(isGone) {
 			log.warn('engine does not answer', {isGone});
@@ -48,6 +52,7 @@
 			runner.pump();
 		},
 	});
+	const prefixes = new CachedPrefixes();
 	const runner: RequestRunner = new RequestRunner({
 		...options,
 		async isEngineAlive() {
@@ -55,6 +60,9 @@
 			return state !== undefined;
 		},
 		mayStart: () => monitor.state?.changing === false,
+		notePrompt(prompt) {
+			prefixes.notePrompt(prompt);
+		},
 	});
 	const orders = new OrderExecutor({
 		...options,
@@ -69,6 +77,7 @@
 	return {
 		open() {
 			monitor.start();
+			void followCacheEvents(abort => engine.events(abort), prefixes, closed);
 			void orders.initialise().catch((error: unknown) => {
 				if (!signal.aborted) {
 					log.error('engine orders cannot be initialised', {error: String(error)});
@@ -76,13 +85,15 @@
 			});
 		},
 		problems,
-		load: () => ({
+		load: prefixBytes => ({
 			role,
 			running: runner.scheduler.running.size,
 			waiting: runner.scheduler.waitingCount,
-			waitingTokens: runner.scheduler.waitingTokens,
+			waitingTokens: runner.scheduler.waitingPromptTokens,
 			freeTokens: monitor.state?.kvFreeTokens ?? 0,
-			prefixes: [],
+			prefixes: prefixes.list(prefixBytes),
+			maxRunning: options.limits.maxRunning,
+			...runner.scheduler.measuredRates,
 		}),
 		startRequest: (params, listener) => runner.start(params, listener),
 		resumeRequest: (params, listener) => runner.resume(params, listener),
@@ -104,6 +115,7 @@
 		whenIdle: async () => runner.whenIdle(),
 		isDelivered: () => runner.scheduler.isIdle && runner.isDelivered,
 		async close() {
+			stopped.abort();
 			monitor.stop();
 			runner.close();
 			await engine.close();
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -31,6 +31,8 @@
 	readonly isEngineAlive: () => Promise<boolean>;
 	/** Whether requests may be sent to the engine at the moment. */
 	readonly mayStart: () => boolean;
+	/** Hears every prompt that an entry sends here. */
+	readonly notePrompt: (prompt: string) => void;
 	/** Tells all entries that these requests ran when the engine crashed. */
 	readonly onCrash: (fingerprints: string[]) => void;
 };
@@ -56,6 +58,7 @@
 
 	/** Takes a request into the queue, or refuses it. */
 	start(params: RequestStartParams, listener: FrameTarget): RequestStartResult {
+		this.options.notePrompt(params.prompt);
 		this.#replaceEarlierAttempt(params);
 		const work = this.scheduler.estimate(params);
 		const decision = this.scheduler.decide(work, params.firstTokenInMs);
@@ -72,7 +75,7 @@
 		this.#streams.add(stream);
 		this.scheduler.add(stream);
 		this.pump();
-		return {accepted: true, queuedTokens: this.scheduler.waitingTokens};
+		return {accepted: true, queuedTokens: this.scheduler.waitingPromptTokens};
 	}
 
 	/** Sends a stream again from a position, on the connection that asks. */
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -8,7 +8,7 @@
 	estimateWork,
 	FairQueue,
 	initialRates,
-	type EngineRates,
+	type MeasuredRates,
 	type QueueDecision,
 	type WorkEstimate,
 } from '@hawthorncleat/core';
@@ -19,12 +19,17 @@
 
 const totalTokens = ({prefillTokens, decodeTokens}: WorkEstimate): number => prefillTokens + decodeTokens;
 
+// Averages are no better than that, and each digit is sent with each report.
+const rateDigits = 3;
+
+const roundRate = (rate: number): number => Number(rate.toPrecision(rateDigits));
+
 /** The queue of one engine. */
 export class RequestScheduler {
 	readonly running = new Set<Stream>();
 	readonly #queue = new FairQueue<Stream>();
 	#waiting: WorkEstimate = {prefillTokens: 0, decodeTokens: 0};
-	#rates: EngineRates = initialRates;
+	#rates: MeasuredRates = initialRates;
 
 	constructor(private readonly limits: SchedulerLimits) {}
 
@@ -36,6 +41,24 @@
 		return this.#queue.waitingTokens;
 	}
 
+	/** Prompt tokens that wait. Entries estimate the time until a first token from them. */
+	get waitingPromptTokens(): number {
+		return this.#waiting.prefillTokens;
+	}
+
+	/** What the engine has shown so far, for the estimates of entries; nothing before the first sample. */
+	get measuredRates(): {prefillTokensPerSecond?: number; decodeMsPerToken?: number} {
+		const {prefillTokens, prefillMs, decodeTokens, decodeMs} = this.#rates;
+		if (!prefillTokens || !prefillMs || !decodeTokens || decodeMs === undefined) {
+			return {};
+		}
+
+		return {
+			prefillTokensPerSecond: roundRate(1000 * prefillTokens / prefillMs),
+			decodeMsPerToken: roundRate(decodeMs / decodeTokens),
+		};
+	}
+
 	get isIdle(): boolean {
 		return this.running.size === 0 && this.#queue.size === 0;
 	}
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -208,8 +208,8 @@
 		reporter.reportAll();
 	});
 	const availability = new Availability(() => endpoint);
-	const reporter: LoadReporter = new LoadReporter(() => ({
-		...endpoint.load(), leaving: availability.isLeaving,
+	const reporter: LoadReporter = new LoadReporter(prefixBytes => ({
+		...endpoint.load(prefixBytes), leaving: availability.isLeaving,
 	}), () => context.peers);
 	const release = async (): Promise<void> => {
 		reporter.close();
@@ -252,9 +252,9 @@
 
 const addAgentGauges = ({metrics, peers}: Context, endpoint: Endpoint, availability: Availability): void => {
 	addGauges(metrics, {
-		running: () => endpoint.load().running,
-		waiting: () => endpoint.load().waiting,
-		waitingTokens: () => endpoint.load().waitingTokens,
+		running: () => endpoint.load(0).running,
+		waiting: () => endpoint.load(0).waiting,
+		waitingTokens: () => endpoint.load(0).waitingTokens,
 		connections: () => peers.size,
 		ready: () => availability.read().ready,
 	});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -84,6 +84,7 @@
 } from './settings.js';
 export {createNameIndex, type NameIndex} from './config/names.js';
 export {chooseByRendezvous} from './rendezvous.js';
+export {namePrefixes, prefixCharacters, prefixName} from './prompt-prefix.js';
 export {
 	decideRetry, maxAttempts, RetryBudget, type FailureKind, type RetryDecision, type RetryState,
 } from './retry.js';
@@ -113,7 +114,7 @@
 	estimateFirstTokenMs,
 	estimateWork,
 	initialRates,
-	type EngineRates,
+	type EngineRates as MeasuredRates,
 	type QueueDecision,
 	type QueueView,
 	type RateSample,
@@ -133,7 +134,7 @@
 	parseOrderRow,
 	type EngineOrderRow,
 	type EngineOrders,
-	type EngineRole,
+	type EngineRole as EngineOrderRole,
 	type OrderDecision,
 } from './engine-orders.js';
 export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
--- a/packages/entry/src/endpoint.ts
+++ b/packages/entry/src/endpoint.ts
@@ -20,6 +20,9 @@
 	readonly onCrashSuspects: (fingerprints: readonly string[], source: string) => void;
 	readonly onConnected?: (endpoint: Endpoint) => void;
 	readonly onDisconnected?: (endpoint: Endpoint, reason: string) => void;
+	readonly onReport?: (endpoint: Endpoint, report: LoadReport) => void;
+	/** Hears the queue length that came with the answer to a request. */
+	readonly onQueue?: (endpoint: Endpoint, queuedTokens: number) => void;
 };
 
 /** A connection to one agent with all that is known of its endpoint. */
@@ -92,6 +95,7 @@
 
 	/** Takes over the queue length that an answer to `request.start` gave between two load reports. */
 	noteQueue(queuedTokens: number): void {
+		this.#options.onQueue?.(this, queuedTokens);
 		if (this.#report) {
 			this.#report = {...this.#report, waitingTokens: queuedTokens};
 			this.dispatchedTokens = 0;
@@ -147,5 +151,6 @@
 		this.#report = report;
 		this.dispatchedTokens = 0;
 		this.#hasAnnouncedLeaving ||= report.leaving;
+		this.#options.onReport?.(this, report);
 	}
 }
--- /dev/null
+++ b/packages/entry/src/engine-choice.ts
@@ -0,0 +1,238 @@
+/**
+ * Feeds the load view with what the entry hears from its agents, and applies the decisions on endpoint and admission to
+ * model requests.
+ */
+import {
+	admit,
+	chooseEndpoint,
+	defaultTarget,
+	LoadView,
+	namePrefixes,
+	prefixCharacters,
+	type Choice,
+	type ChoiceRequest,
+	type Clock,
+	type EndpointState,
+	type EngineRates,
+	type PromptPrefix,
+	type Random,
+} from '@hawthorncleat/core';
+import type {LoadReport} from '@hawthorncleat/schema';
+import {estimateTokens} from './completion-format.js';
+import type {Endpoint} from './endpoint.js';
+
+// Agents report their own queue, so that a report is only as old as its way here.
+const reportLagMs = 10;
+const localDistanceMs = 1;
+const remoteDistanceMs = 4;
+// Prefill rate that the allowance for long prompts is made for; used until an engine has shown its own.
+const unmeasuredPrefillRate = 8000;
+const unmeasuredDecodeMs = 0.4;
+const unmeasuredMaxRunning = 16;
+// Usual chunk of engines with continuous batching; the interface does not tell it.
+const chunkTokens = 256;
+/** Lengths at which a prompt is hashed. Each costs about a microsecond, and few prefixes are shared by many prompts. */
+const maxPrefixLengths = 64;
+
+/** What the choice knows of a model request. */
+export type EngineRequest = {
+	readonly prompt: string;
+	readonly maxTokens: number;
+	readonly isSuspect: boolean;
+	/** Limit of the first token before the allowance for long prompts. */
+	readonly firstTokenMs: number;
+	readonly elapsedMs: number;
+	/** Whether the request may be refused because it would be late. */
+	readonly mayRefuse: boolean;
+};
+
+export type EngineChoiceOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly dataCentre: string;
+	readonly liveEntries: () => number;
+};
+
+/** The chosen endpoint, or a refusal with the time after which to retry. */
+export type EngineChoiceResult = {readonly endpoint: Endpoint} | {readonly retryAfterMs: number};
+
+type Engine = {readonly view: LoadView; rates: EngineRates; isMeasured: boolean; prefixes: readonly string[]};
+
+const ratesOf = (report: LoadReport): EngineRates => ({
+	prefillTokensPerSecond: report.prefillTokensPerSecond ?? unmeasuredPrefillRate,
+	// The agent measures the engine's time for a token, in which the fixed part of a step is contained.
+	stepMs: 0,
+	stepMsPerRequest: report.decodeMsPerToken ?? unmeasuredDecodeMs,
+	chunkTokens,
+	maxRunning: report.maxRunning ?? unmeasuredMaxRunning,
+});
+
+/** The lengths at which most engines have a prefix cached, in rising order. */
+const commonLengths = (engines: readonly Engine[]): number[] => {
+	const counts = new Map<number, number>();
+	for (const characters of engines.flatMap(({prefixes}) => prefixes.map(name => prefixCharacters(name)))) {
+		counts.set(characters, (counts.get(characters) ?? 0) + 1);
+	}
+
+	return [...counts]
+		.toSorted(([, a], [, b]) => b - a)
+		.slice(0, maxPrefixLengths)
+		.map(([characters]) => characters)
+		.toSorted((a, b) => a - b);
+};
+
+/** Chooses engines for one entry. */
+export class EngineChoice {
+	readonly #options: EngineChoiceOptions;
+	readonly #views = new Map<string, LoadView>();
+	readonly #engines = new Map<Endpoint, Engine>();
+
+	constructor(options: EngineChoiceOptions) {
+		this.#options = options;
+	}
+
+	/** Takes in a load report. */
+	reported(endpoint: Endpoint, report: LoadReport): void {
+		const engine = this.#engines.get(endpoint) ?? this.#add(endpoint, report);
+		engine.rates = ratesOf(report);
+		engine.isMeasured = report.prefillTokensPerSecond !== undefined;
+		engine.prefixes = report.prefixes;
+		engine.view.report(endpoint.host.hostId, report, this.#options.clock.nowMs());
+	}
+
+	/** Takes in the queue length in an answer. */
+	answered(endpoint: Endpoint, queuedTokens: number): void {
+		this.#engines.get(endpoint)?.view.answered(endpoint.host.hostId, queuedTokens, this.#options.clock.nowMs());
+	}
+
+	/** Forgets an endpoint whose connection has ended. */
+	removed(endpoint: Endpoint): void {
+		this.#engines.get(endpoint)?.view.remove(endpoint.host.hostId);
+		this.#engines.delete(endpoint);
+	}
+
+	/** Notes a dispatch and returns the function that notes its end. */
+	dispatched(endpoint: Endpoint, {prompt, maxTokens}: {readonly prompt: string; readonly maxTokens: number}): () => void {
+		const engine = this.#engines.get(endpoint);
+		if (!engine) {
+			return () => {/* Nothing was noted. */};
+		}
+
+		const {clock} = this.#options;
+		const {hostId} = endpoint.host;
+		const promptTokens = estimateTokens(prompt);
+		const kvTokens = promptTokens + maxTokens;
+		const state = engine.view.states(clock.nowMs()).find(({id}) => id === hostId);
+		const prefixes = namePrefixes(prompt, commonLengths([engine]));
+		const cached = Math.max(0, ...prefixes.map(name => (state?.holdsPrefix(name) ?? 0) * prefixCharacters(name)));
+		engine.view.dispatched(hostId, {
+			prefillTokens: promptTokens * (1 - (cached / Math.max(1, prompt.length))), decodes: 1, kvTokens, prefixes,
+		}, clock.nowMs());
+		return () => {
+			engine.view.ended(hostId, kvTokens, clock.nowMs());
+		};
+	}
+
+	/** Chooses among endpoints of one service; undefined if none of them takes the request. */
+	choose(endpoints: readonly Endpoint[], request: EngineRequest): EngineChoiceResult | undefined {
+		const usable = endpoints.filter(endpoint => !(request.isSuspect && endpoint.runningSuspects > 0));
+		const local = usable.filter(({host}) => host.dataCentre === this.#options.dataCentre);
+		const first = this.#chooseAmong(local, request);
+		if (first && 'endpoint' in first) {
+			return first;
+		}
+
+		// Endpoints of other data centres are a fallback.
+		const remote = usable.filter(endpoint => !local.includes(endpoint));
+		return this.#chooseAmong(remote, request) ?? first;
+	}
+
+	#chooseAmong(endpoints: readonly Endpoint[], request: EngineRequest): EngineChoiceResult | undefined {
+		const byHost = new Map(endpoints.map(endpoint => [endpoint.host.hostId, endpoint]));
+		const view = endpoints[0] && this.#views.get(endpoints[0].host.serves ?? '');
+		const states = view?.states(this.#options.clock.nowMs()).filter(({id}) => byHost.has(id)) ?? [];
+		const choice = this.#decide(states, this.#describe(endpoints, request));
+		if (!choice) {
+			// An agent reports as soon as it is connected; until then nothing speaks against it.
+			const silent = endpoints.find(endpoint => !this.#engines.has(endpoint));
+			return silent && {endpoint: silent};
+		}
+
+		const endpoint = byHost.get(choice.endpoint.id)!;
+		const retryAfterMs = this.#refuse(endpoint, choice, request);
+		return retryAfterMs === undefined ? {endpoint} : {retryAfterMs};
+	}
+
+	/** A whole request goes to a mixed engine; a decode engine, which computes the prompt itself, is the fallback. */
+	#decide(states: readonly EndpointState[], request: ChoiceRequest): Choice | undefined {
+		const {random} = this.#options;
+		const mixed = states.filter(({role}) => role === 'mixed');
+		return chooseEndpoint(mixed, request, random)
+			?? chooseEndpoint(states.filter(({role}) => role === 'decode'), {...request, stage: 'decode'}, random);
+	}
+
+	#describe(endpoints: readonly Endpoint[], {prompt, maxTokens}: EngineRequest): ChoiceRequest {
+		const engines = endpoints.map(endpoint => this.#engines.get(endpoint)).filter(engine => engine !== undefined);
+		const promptTokens = estimateTokens(prompt);
+		const toPrefix = (prefix: string): PromptPrefix => ({
+			prefix, tokens: promptTokens * prefixCharacters(prefix) / Math.max(1, prompt.length),
+		});
+		return {
+			stage: 'prefill',
+			promptTokens,
+			prefixes: namePrefixes(prompt, commonLengths(engines)).map(name => toPrefix(name)).toReversed(),
+			excluded: new Set(),
+			kvTokens: promptTokens + maxTokens,
+		};
+	}
+
+	/**
+	 * An engine without a queue takes any request, as its agent does, and an engine that has shown no rates leaves the
+	 * decision to its agent.
+	 */
+	#refuse(endpoint: Endpoint, {endpoint: state, uncachedTokens}: Choice, request: EngineRequest): number | undefined {
+		if (!request.mayRefuse || !this.#engines.get(endpoint)?.isMeasured || state.waitingTokens === 0) {
+			return undefined;
+		}
+
+		const admission = admit({prefill: state}, {
+			target: {...defaultTarget, firstTokenMs: request.firstTokenMs},
+			promptTokens: estimateTokens(request.prompt),
+			uncachedTokens,
+			outputTokens: request.maxTokens,
+			elapsedMs: request.elapsedMs,
+		});
+		return admission.accepted ? undefined : admission.retryAfterMs;
+	}
+
+	#add(endpoint: Endpoint, report: LoadReport): Engine {
+		const view = this.#viewOf(endpoint.host.serves ?? '');
+		const engine: Engine = {
+			view, rates: ratesOf(report), isMeasured: false, prefixes: [],
+		};
+		const {hostId, dataCentre} = endpoint.host;
+		view.add({
+			id: hostId,
+			dataCentre,
+			distanceMs: dataCentre === this.#options.dataCentre ? localDistanceMs : remoteDistanceMs,
+			get rates() {
+				return engine.rates;
+			},
+		});
+		this.#engines.set(endpoint, engine);
+		return engine;
+	}
+
+	#viewOf(service: string): LoadView {
+		const {liveEntries} = this.#options;
+		const view = this.#views.get(service) ?? new LoadView({
+			reportLagMs,
+			// The other entries see the same load and send about as much as this one.
+			get entries() {
+				return Math.max(1, liveEntries());
+			},
+		});
+		this.#views.set(service, view);
+		return view;
+	}
+}
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -10,6 +10,7 @@
 import {learnSuspects, markCrash} from './crash-notices.js';
 import {defaultTimings, type EntryDeps, type Timings} from './deps.js';
 import {EndpointPool} from './endpoint-pool.js';
+import {EngineChoice} from './engine-choice.js';
 import type {Endpoint} from './endpoint.js';
 import {EntryPeers} from './entry-peers.js';
 import type {ConnectionOptions} from './kept-connection.js';
@@ -31,6 +32,7 @@
 	readonly #running: RunningRequests;
 	readonly #usage: UsageRecorder;
 	readonly #limits: AccountLimits;
+	readonly #engineChoice: EngineChoice;
 	readonly #pool: EndpointPool;
 	readonly #connectionOptions: ConnectionOptions;
 	#entryId: string;
@@ -51,6 +53,9 @@
 		this.#connectionOptions = this.#createConnectionOptions();
 		this.#usage = this.#createUsage();
 		this.#limits = this.#createLimits();
+		this.#engineChoice = new EngineChoice({
+			clock: deps.clock, random: deps.random, dataCentre: settings.dataCentre, liveEntries: () => this.#liveEntries,
+		});
 		this.#pool = this.#createPool();
 		this.context = this.#createContext();
 	}
@@ -190,7 +195,14 @@
 				this.#metrics.connections.inc();
 				log.info('endpoint connected', {endpoint: endpoint.id, incarnation: endpoint.incarnation});
 			},
+			onReport: (endpoint, report) => {
+				this.#engineChoice.reported(endpoint, report);
+			},
+			onQueue: (endpoint, queuedTokens) => {
+				this.#engineChoice.answered(endpoint, queuedTokens);
+			},
 			onDisconnected: (endpoint, reason) => {
+				this.#engineChoice.removed(endpoint);
 				this.#metrics.connections.dec();
 				log.warn('endpoint disconnected', {endpoint: endpoint.id, reason});
 			},
@@ -217,6 +229,7 @@
 			budget: new RetryBudget(),
 			suspects: this.#suspects,
 			choose: chooseEndpoint ?? chooseLeastWait,
+			...(!chooseEndpoint && {engineChoice: this.#engineChoice}),
 			timings: this.#timings,
 			metrics: this.#metrics,
 			telemetry: this.#telemetry,
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -30,6 +30,9 @@
 		retries: new Counter({
 			name: name('retries_total'), help: 'Further attempts (count) by the failure before them', labelNames: ['failure'], registers,
 		}),
+		refusedByEstimate: new Counter({
+			name: name('refused_by_estimate_total'), help: 'Model requests refused because no first token was expected in time (count)', registers,
+		}),
 		running: new Gauge({name: name('running_requests'), help: 'Requests running now (count)', registers}),
 		connections: new Gauge({name: name('endpoint_connections'), help: 'Open connections to agents (count)', registers}),
 		configVersion: new Gauge({name: name('config_version'), help: 'Version of the configuration in force (number)', registers}),
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -11,6 +11,7 @@
 } from './attempt-failure.js';
 import {callerError} from './caller-errors.js';
 import type {AnswerEnd} from './completion-format.js';
+import type {EngineChoice} from './engine-choice.js';
 import {pickEndpoint} from './endpoint-pool.js';
 import type {Endpoint} from './endpoint.js';
 import type {AdmittedRequest, RequestContext} from './request-context.js';
@@ -56,7 +57,7 @@
 	}
 
 	#chooseEndpoint(): Endpoint {
-		const {suspects, pool, timings} = this.#context;
+		const {suspects, pool, timings, engineChoice} = this.#context;
 		const {fingerprint, route, tokens, prompt} = this.#request;
 		const suspicion = suspects.judge(fingerprint);
 		if (suspicion === 'quarantined') {
@@ -67,9 +68,11 @@
 
 		const available = pool.available(route.service.name, this.#tried);
 		const isSuspect = suspicion === 'suspect';
-		const endpoint = pickEndpoint(available, {
-			kind: 'model', tokens, prompt, isSuspect,
-		}, this.#context);
+		const endpoint = engineChoice
+			? this.#chooseEngine(engineChoice, available, isSuspect)
+			: pickEndpoint(available, {
+				kind: 'model', tokens, prompt, isSuspect,
+			}, this.#context);
 		if (!endpoint) {
 			throw giveUp(this.#lastFailure, this.#ran, timings.retryAfterMs);
 		}
@@ -77,6 +80,25 @@
 		return endpoint;
 	}
 
+	#chooseEngine(engineChoice: EngineChoice, available: readonly Endpoint[], isSuspect: boolean): Endpoint | undefined {
+		const {prompt, maxTokens, route, admittedMs} = this.#request;
+		const choice = engineChoice.choose(available, {
+			prompt,
+			maxTokens,
+			isSuspect,
+			firstTokenMs: route.route.firstTokenMs,
+			elapsedMs: this.#context.clock.nowMs() - admittedMs,
+			// Work that has begun is finished even if it is late.
+			mayRefuse: this.#tried.size === 0,
+		});
+		if (choice && 'retryAfterMs' in choice) {
+			this.#context.metrics.refusedByEstimate.inc();
+			throw callerError('overloaded', 'the first token would come too late', {retryAfterMs: choice.retryAfterMs});
+		}
+
+		return choice?.endpoint;
+	}
+
 	async #attempt(endpoint: Endpoint, signal: AbortSignal): Promise<AttemptOutcome> {
 		const {telemetry, timings, suspects} = this.#context;
 		const isSuspect = suspects.judge(this.#request.fingerprint) === 'suspect';
@@ -86,6 +108,7 @@
 		this.#refuseLongLine(params);
 		endpoint.dispatchedTokens += this.#request.tokens;
 		endpoint.runningSuspects += isSuspect ? 1 : 0;
+		const noteEnd = this.#context.engineChoice?.dispatched(endpoint, this.#request);
 		try {
 			const {progressLimitMs, resumeWaitMs} = timings;
 			const outcome = await new StreamAttempt({
@@ -94,6 +117,7 @@
 			this.#noteCrash(endpoint, outcome);
 			return outcome;
 		} finally {
+			noteEnd?.();
 			endpoint.runningSuspects -= isSuspect ? 1 : 0;
 			span.end();
 		}
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -5,6 +5,7 @@
 	ClientAccountName, Clock, CrashSuspects, Fingerprint, Random, ResolvedRoute, RetryBudget,
 } from '@hawthorncleat/core';
 import type {ChooseEndpoint, Timings} from './deps.js';
+import type {EngineChoice} from './engine-choice.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import type {Metrics} from './metrics.js';
 import type {Telemetry} from './telemetry.js';
@@ -18,6 +19,8 @@
 	readonly budget: RetryBudget;
 	readonly suspects: CrashSuspects;
 	readonly choose: ChooseEndpoint;
+	/** Chooses engines by estimated time; absent where another choice is injected. */
+	readonly engineChoice?: EngineChoice;
 	readonly timings: Timings;
 	readonly metrics: Metrics;
 	readonly telemetry: Telemetry;
