Serve requests over a prefill and a decode engine

request.prefill runs in the agent's queue like request.start and ends with a handle of the KV cache; the entry passes it to a decode engine.

--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -254,6 +254,7 @@
 	slotPort: 0,
 	endpoint: 'endpoint-1',
 	endpointUrl: 'http://127.0.0.1:1',
+	kvUrl: '',
 	endpointKind: 'engine',
 	serves: 'model-1',
 	maxRunning: 2,
--- a/packages/agent/src/endpoint.ts
+++ b/packages/agent/src/endpoint.ts
@@ -11,7 +11,7 @@
 	ServiceCallParams,
 	ServiceCallResult,
 } from '@hawthorncleat/schema';
-import type {FrameTarget} from './stream.js';
+import type {FrameTarget, RequestKind} from './stream.js';
 import type {LoadSnapshot} from './load-reporter.js';
 
 /** The endpoint behind an agent. */
@@ -22,7 +22,7 @@
 	problems(): string[];
 	/** Load now, with as many cached prefixes as fit into that many bytes. */
 	load(prefixBytes: number): Omit<LoadSnapshot, 'leaving'>;
-	startRequest(params: RequestStartParams, listener: FrameTarget): RequestStartResult;
+	startRequest(params: RequestStartParams, listener: FrameTarget, kind: RequestKind): RequestStartResult;
 	resumeRequest(params: RequestResumeParams, listener: FrameTarget): {resumed: true};
 	cancelRequest(params: RequestCancel): void;
 	/** Refuses an action that was already received, whether or not the agent takes work now. */
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -10,7 +10,8 @@
 import {EngineMonitor} from './engine-monitor.js';
 import {OrderExecutor} from './order-executor.js';
 import {unavailable} from './refusals.js';
-import {RequestRunner, type RequestRunnerOptions} from './request-runner.js';
+import {RequestRunner} from './request-runner.js';
+import type {RequestRunnerOptions} from './request-runner-options.js';
 
 export type EngineEndpointOptions = Omit<RequestRunnerOptions, 'isEngineAlive' | 'mayStart' | 'notePrompt'> & {
 	readonly endpoint: string;
@@ -95,7 +96,7 @@
 			maxRunning: options.limits.maxRunning,
 			...runner.scheduler.measuredRates,
 		}),
-		startRequest: (params, listener) => runner.start(params, listener),
+		startRequest: (params, listener, kind) => runner.start(params, listener, kind),
 		resumeRequest: (params, listener) => runner.resume(params, listener),
 		cancelRequest(params) {
 			runner.cancel(params);
--- a/packages/agent/src/handlers.ts
+++ b/packages/agent/src/handlers.ts
@@ -50,7 +50,12 @@
 		'request.start'(params, peer) {
 			checkIncarnation(params.incarnation, false);
 			checkReady();
-			return endpoint.startRequest(params, peer);
+			return endpoint.startRequest(params, peer, 'answer');
+		},
+		'request.prefill'(params, peer) {
+			checkIncarnation(params.incarnation, false);
+			checkReady();
+			return endpoint.startRequest(params, peer, 'prefill');
 		},
 		'request.resume': (params, peer) => endpoint.resumeRequest(params, peer),
 		'request.cancel'(params) {
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -2,41 +2,21 @@
  * Runs model requests: takes them from entries, starts them at the engine, keeps their streams and reports how each
  * one ends.
  */
-import {createRequestError, type Clock} from '@hawthorncleat/core';
+import {createRequestError} from '@hawthorncleat/core';
 import type {
 	FrameEnd, RequestCancel, RequestResumeParams, RequestStartParams, RequestStartResult,
 } from '@hawthorncleat/schema';
-import type {Log, Tracing} from '@hawthorncleat/telemetry';
-import type {CrashMarks} from './crash-marks.js';
-import {
-	invalidResponse, isEngineFailure, type EngineClient, type EngineFailure,
-} from './engine-client.js';
+import {invalidResponse, isEngineFailure, type EngineFailure} from './engine-answer.js';
 import {IdleSignal} from './idle-signal.js';
-import type {AgentMetrics} from './metrics.js';
 import {overloaded, unknownRequest} from './refusals.js';
-import {RequestScheduler, type SchedulerLimits} from './request-scheduler.js';
-import {Stream, type FrameTarget, type StreamOutcome} from './stream.js';
+import type {RequestRunnerOptions} from './request-runner-options.js';
+import {RequestScheduler} from './request-scheduler.js';
+import {
+	Stream, type FrameTarget, type RequestKind, type StreamOutcome,
+} from './stream.js';
 import {StreamStore} from './stream-store.js';
 
 const sweepIntervalMs = 100;
-export type RequestRunnerOptions = {
-	readonly limits: SchedulerLimits;
-	readonly engine: EngineClient;
-	readonly clock: Clock;
-	readonly log: Log;
-	readonly tracing: Tracing;
-	readonly metrics: AgentMetrics;
-	readonly marks: CrashMarks;
-	/** Asks the engine whether it still answers, after a connection broke. */
-	readonly isEngineAlive: () => Promise<boolean>;
-	/** Whether requests may be sent to the engine at the moment. */
-	readonly mayStart: () => boolean;
-	/** Hears every prompt that an entry sends here. */
-	readonly notePrompt: (prompt: string) => void;
-	/** Tells all entries that these requests ran when the engine crashed. */
-	readonly onCrash: (fingerprints: string[]) => void;
-};
-
 /** All model requests of one agent. */
 export class RequestRunner {
 	readonly scheduler: RequestScheduler;
@@ -57,10 +37,10 @@
 	}
 
 	/** Takes a request into the queue, or refuses it. */
-	start(params: RequestStartParams, listener: FrameTarget): RequestStartResult {
+	start(params: RequestStartParams, listener: FrameTarget, kind: RequestKind): RequestStartResult {
 		this.options.notePrompt(params.prompt);
 		this.#replaceEarlierAttempt(params);
-		const work = this.scheduler.estimate(params);
+		const work = this.scheduler.estimate(params, kind);
 		const decision = this.scheduler.decide(work, params.firstTokenInMs);
 		if (!decision.accepted) {
 			this.options.metrics.refused.inc({code: 'overloaded'});
@@ -71,6 +51,7 @@
 		const span = this.options.tracing.startSpan('agent.request', traceparent, {requestId, attempt, model: params.model});
 		const isSuspect = suspect === true || this.options.marks.has(fingerprint);
 		const stream = new Stream(params, work, isSuspect, span);
+		stream.kind = kind;
 		stream.attach(listener);
 		this.#streams.add(stream);
 		this.scheduler.add(stream);
@@ -198,7 +179,7 @@
 		const {clock, metrics} = this.options;
 		stream.startedMs = clock.nowMs();
 		try {
-			await this.#readAnswer(stream);
+			await (stream.kind === 'prefill' ? this.#prefill(stream) : this.#readAnswer(stream));
 		} catch (error) {
 			await this.#handleFailure(stream, error);
 		}
@@ -211,9 +192,9 @@
 
 	async #readAnswer(stream: Stream): Promise<void> {
 		const {engine, clock, metrics} = this.options;
-		const {clientAccount, prompt, maxTokens, priority, delivered} = stream.params;
+		const {clientAccount, prompt, maxTokens, priority, delivered, kv} = stream.params;
 		const params = {
-			requestId: stream.engineRequestId, clientAccount, prompt, maxTokens, priority, delivered,
+			requestId: stream.engineRequestId, clientAccount, prompt, maxTokens, priority, delivered, ...(kv && {kv}),
 		};
 		for await (const batch of engine.generate(params, stream.span.traceparent, stream.abort.signal)) {
 			stream.firstTokenMs ??= clock.nowMs();
@@ -228,6 +209,22 @@
 		}
 	}
 
+	/** Only names and counts pass through the agent; the KV cache goes from engine to engine. */
+	async #prefill(stream: Stream): Promise<void> {
+		const {engine, clock, kvUrl} = this.options;
+		const {clientAccount, prompt, priority} = stream.params;
+		const {handle, promptTokens, cachedTokens} = await engine.prefill({
+			requestId: stream.engineRequestId, clientAccount, prompt, priority,
+		}, stream.span.traceparent, stream.abort.signal);
+		stream.firstTokenMs = clock.nowMs();
+		this.#end(stream, {
+			end: {
+				reason: 'prefilled', promptTokens, cachedTokens, outputTokens: 0, kv: {source: kvUrl, handle},
+			},
+		});
+		stream.flush();
+	}
+
 	#noteEnd(stream: Stream, end: FrameEnd): void {
 		if (end.reason !== 'cancelled') {
 			this.#end(stream, {end});
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -13,7 +13,7 @@
 	type WorkEstimate,
 } from '@hawthorncleat/core';
 import type {FrameEnd, RequestStartParams} from '@hawthorncleat/schema';
-import type {Stream} from './stream.js';
+import type {RequestKind, Stream} from './stream.js';
 
 export type SchedulerLimits = {readonly maxRunning: number; readonly maxWaitingTokens: number};
 
@@ -49,13 +49,10 @@
 	/** What the engine has shown so far, for the estimates of entries; nothing before the first sample. */
 	get measuredRates(): {prefillTokensPerSecond?: number; decodeMsPerToken?: number} {
 		const {prefillTokens, prefillMs, decodeTokens, decodeMs} = this.#rates;
-		if (!prefillTokens || !prefillMs || !decodeTokens || decodeMs === undefined) {
-			return {};
-		}
-
 		return {
-			prefillTokensPerSecond: roundRate(1000 * prefillTokens / prefillMs),
-			decodeMsPerToken: roundRate(decodeMs / decodeTokens),
+			...(prefillTokens && prefillMs && {prefillTokensPerSecond: roundRate(1000 * prefillTokens / prefillMs)}),
+			// A prefill engine decodes nothing.
+			...(decodeTokens && decodeMs && {decodeMsPerToken: roundRate(decodeMs / decodeTokens)}),
 		};
 	}
 
@@ -63,9 +60,13 @@
 		return this.running.size === 0 && this.#queue.size === 0;
 	}
 
-	estimate({prompt, delivered, maxTokens}: RequestStartParams): WorkEstimate {
+	estimate({prompt, delivered, maxTokens, kv}: RequestStartParams, kind: RequestKind): WorkEstimate {
 		const deliveredCharacters = delivered.reduce((sum, token) => sum + token.length, 0);
-		return estimateWork(this.#rates, prompt.length + deliveredCharacters, maxTokens);
+		const work = estimateWork(this.#rates, prompt.length + deliveredCharacters, maxTokens);
+		return {
+			prefillTokens: kv ? 0 : work.prefillTokens,
+			decodeTokens: kind === 'prefill' ? 0 : work.decodeTokens,
+		};
 	}
 
 	decide(work: WorkEstimate, firstTokenInMs: number): QueueDecision {
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -75,6 +75,7 @@
 	return createEngineEndpoint({
 		endpoint,
 		incarnation,
+		kvUrl: settings.kvUrl || endpointUrl,
 		limits: {maxRunning, maxWaitingTokens},
 		engine: createEngineClient(endpointUrl, maxRunning),
 		table,
--- a/packages/agent/src/stream.ts
+++ b/packages/agent/src/stream.ts
@@ -20,8 +20,12 @@
 
 export type StreamOutcome = {readonly end: FrameEnd} | {readonly failed: Omit<RequestFailed, 'requestId' | 'attempt'>};
 
+/** Whether the engine gives the whole answer or only computes the KV cache of the prompt. */
+export type RequestKind = 'answer' | 'prefill';
+
 /** A queued, running or ended request. */
 export class Stream {
+	kind: RequestKind = 'answer';
 	outcome: StreamOutcome | undefined;
 	endedMs: number | undefined;
 	listenerLostMs: number | undefined;
--- a/packages/entry/src/engine-choice.ts
+++ b/packages/entry/src/engine-choice.ts
@@ -9,6 +9,7 @@
 	LoadView,
 	namePrefixes,
 	prefixCharacters,
+	serves,
 	type Choice,
 	type ChoiceRequest,
 	type Clock,
@@ -44,8 +45,12 @@
 	readonly elapsedMs: number;
 	/** Whether the request may be refused because it would be late. */
 	readonly mayRefuse: boolean;
+	/** Whether a prefill engine may compute the prompt for another engine. */
+	readonly maySplit: boolean;
 };
 
+type PromptSize = Pick<EngineRequest, 'maxTokens' | 'prompt'>;
+
 export type EngineChoiceOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
@@ -54,7 +59,9 @@
 };
 
 /** The chosen endpoint, or a refusal with the time after which to retry. */
-export type EngineChoiceResult = {readonly endpoint: Endpoint} | {readonly retryAfterMs: number};
+export type EngineChoiceResult
+	= | {readonly endpoint: Endpoint; readonly stage: 'prefill' | 'whole'}
+		| {readonly retryAfterMs: number};
 
 type Engine = {readonly view: LoadView; rates: EngineRates; isMeasured: boolean; prefixes: readonly string[]};
 
@@ -112,7 +119,7 @@
 	}
 
 	/** Notes a dispatch and returns the function that notes its end. */
-	dispatched(endpoint: Endpoint, {prompt, maxTokens}: {readonly prompt: string; readonly maxTokens: number}): () => void {
+	dispatched(endpoint: Endpoint, {prompt, maxTokens}: PromptSize, stage: 'decode' | 'prefill' | 'whole'): () => void {
 		const engine = this.#engines.get(endpoint);
 		if (!engine) {
 			return () => {/* Nothing was noted. */};
@@ -125,12 +132,32 @@
 		const state = engine.view.states(clock.nowMs()).find(({id}) => id === hostId);
 		const prefixes = namePrefixes(prompt, commonLengths([engine]));
 		const cached = Math.max(0, ...prefixes.map(name => (state?.holdsPrefix(name) ?? 0) * prefixCharacters(name)));
+		const uncachedTokens = promptTokens * (1 - (cached / Math.max(1, prompt.length)));
 		engine.view.dispatched(hostId, {
-			prefillTokens: promptTokens * (1 - (cached / Math.max(1, prompt.length))), decodes: 1, kvTokens, prefixes,
+			prefillTokens: stage === 'decode' ? 0 : uncachedTokens,
+			decodes: stage === 'prefill' ? 0 : 1,
+			kvTokens: stage === 'prefill' ? 0 : kvTokens,
+			prefixes,
 		}, clock.nowMs());
 		return () => {
-			engine.view.ended(hostId, kvTokens, clock.nowMs());
+			if (stage !== 'prefill') {
+				engine.view.ended(hostId, kvTokens, clock.nowMs());
+			}
+		};
+	}
+
+	/** Chooses the engine that continues after a prefill engine. */
+	chooseDecode(endpoints: readonly Endpoint[], request: EngineRequest): Endpoint | undefined {
+		const usable = endpoints.filter(endpoint => !(request.isSuspect && endpoint.runningSuspects > 0));
+		const {dataCentre, random} = this.#options;
+		const decodeRequest = {...this.#describe(usable, request), stage: 'decode'} as const;
+		const best = (isLocal: boolean): Choice | undefined => {
+			const states = this.#statesOf(usable.filter(({host}) => (host.dataCentre === dataCentre) === isLocal));
+			return chooseEndpoint(states, decodeRequest, random);
 		};
+
+		const choice = best(true) ?? best(false);
+		return usable.find(({host}) => host.hostId === choice?.endpoint.id);
 	}
 
 	/** Chooses among endpoints of one service; undefined if none of them takes the request. */
@@ -148,26 +175,34 @@
 	}
 
 	#chooseAmong(endpoints: readonly Endpoint[], request: EngineRequest): EngineChoiceResult | undefined {
-		const byHost = new Map(endpoints.map(endpoint => [endpoint.host.hostId, endpoint]));
-		const view = endpoints[0] && this.#views.get(endpoints[0].host.serves ?? '');
-		const states = view?.states(this.#options.clock.nowMs()).filter(({id}) => byHost.has(id)) ?? [];
-		const choice = this.#decide(states, this.#describe(endpoints, request));
+		const choice = this.#decide(this.#statesOf(endpoints), this.#describe(endpoints, request), request.maySplit);
 		if (!choice) {
 			// An agent reports as soon as it is connected; until then nothing speaks against it.
 			const silent = endpoints.find(endpoint => !this.#engines.has(endpoint));
-			return silent && {endpoint: silent};
+			return silent && {endpoint: silent, stage: 'whole'};
 		}
 
-		const endpoint = byHost.get(choice.endpoint.id)!;
+		const endpoint = endpoints.find(({host}) => host.hostId === choice.endpoint.id)!;
 		const retryAfterMs = this.#refuse(endpoint, choice, request);
-		return retryAfterMs === undefined ? {endpoint} : {retryAfterMs};
+		const stage = choice.endpoint.role === 'prefill' ? 'prefill' : 'whole';
+		return retryAfterMs === undefined ? {endpoint, stage} : {retryAfterMs};
+	}
+
+	#statesOf(endpoints: readonly Endpoint[]): EndpointState[] {
+		const hostIds = new Set(endpoints.map(({host}) => host.hostId));
+		const view = endpoints[0] && this.#views.get(endpoints[0].host.serves ?? '');
+		return view?.states(this.#options.clock.nowMs()).filter(({id}) => hostIds.has(id)) ?? [];
 	}
 
-	/** A whole request goes to a mixed engine; a decode engine, which computes the prompt itself, is the fallback. */
-	#decide(states: readonly EndpointState[], request: ChoiceRequest): Choice | undefined {
+	/**
+	 * The prompt goes to a mixed engine, which also answers, or to a prefill engine if another engine can continue. A decode
+	 * engine, which computes the prompt itself, is the fallback.
+	 */
+	#decide(states: readonly EndpointState[], request: ChoiceRequest, maySplit: boolean): Choice | undefined {
 		const {random} = this.#options;
-		const mixed = states.filter(({role}) => role === 'mixed');
-		return chooseEndpoint(mixed, request, random)
+		const canContinue = states.some(({role, leaving}) => serves(role, 'decode') && !leaving);
+		const first = states.filter(({role}) => role === 'mixed' || (role === 'prefill' && maySplit && canContinue));
+		return chooseEndpoint(first, request, random)
 			?? chooseEndpoint(states.filter(({role}) => role === 'decode'), {...request, stage: 'decode'}, random);
 	}
 
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -33,6 +33,8 @@
 	readonly endpoint: Endpoint;
 	readonly params: RequestStartParams;
 	readonly delivery: Delivery;
+	/** `request.prefill` ends with a handle instead of tokens. */
+	readonly method?: 'request.prefill' | 'request.start';
 	readonly progressLimitMs: number;
 	readonly resumeWaitMs: number;
 };
@@ -59,6 +61,10 @@
 		});
 	}
 
+	get #method(): 'request.prefill' | 'request.start' {
+		return this.#options.method ?? 'request.start';
+	}
+
 	async run(signal: AbortSignal): Promise<AttemptOutcome> {
 		const {endpoint, params} = this.#options;
 		const abort = (): void => {
@@ -125,7 +131,7 @@
 		}
 
 		try {
-			const answer = await peer.call('request.start', params, {timeoutMs: startTimeoutMs});
+			const answer = await peer.call(this.#method, params, {timeoutMs: startTimeoutMs});
 			this.#started(answer);
 		} catch (error) {
 			const failure = classifyCallError(error);
@@ -195,6 +201,12 @@
 			return;
 		}
 
+		const isPrefill = this.#method === 'request.prefill';
+		if (isPrefill !== (end.reason === 'prefilled') || isPrefill !== (end.kv !== undefined)) {
+			this.#fail({kind: 'invalid-response', ran: 'ran', code: 'wrong-end'});
+			return;
+		}
+
 		this.#settle({kind: 'end', end});
 	}
 
--- a/packages/hawthorncleat/src/daemons/local-fleet.ts
+++ b/packages/hawthorncleat/src/daemons/local-fleet.ts
@@ -68,6 +68,7 @@
 		slotPort: 0,
 		endpoint,
 		endpointUrl,
+		kvUrl: '',
 		endpointKind: kind,
 		serves,
 		maxRunning: 64,
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -33,6 +33,8 @@
 export type Calls = {
 	hello: {params: HelloParams; result: HelloResult};
 	'request.start': {params: RequestStartParams; result: RequestStartResult};
+	/** Ends with the reason `prefilled` and the handle of the KV cache. */
+	'request.prefill': {params: RequestStartParams; result: RequestStartResult};
 	'request.resume': {params: RequestResumeParams; result: {resumed: true}};
 	'service.call': {params: ServiceCallParams; result: ServiceCallResult};
 	'engine.order': {params: EngineOrderParams; result: EngineOrderResult};
@@ -68,6 +70,7 @@
 	hello: validators.validateHelloParams,
 	heartbeat: validators.validateHeartbeat,
 	'request.start': validators.validateRequestStartParams,
+	'request.prefill': validators.validateRequestStartParams,
 	'request.resume': validators.validateRequestResumeParams,
 	'request.cancel': validators.validateRequestCancel,
 	'request.frame': validators.validateRequestFrame,
