Plan engine roles under a lease per service and data centre

The planner writes the next order in a transaction that checks its lease and the version of the order row, and then sends the number. An order whose message or planner was lost is sent again by whoever holds the lease. Model versions may give engineRates in the configuration; roles are planned only where they do.

--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -23,6 +23,8 @@
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
 import type {Peer} from '@hawthorncleat/wire';
 import type {Registry} from 'prom-client';
+import type {Endpoint} from './endpoint.js';
+import type {ModelDemand} from './model-demand.js';
 
 /** The configuration in force. */
 export type ConfigSource = {current(): ConfigView};
@@ -100,6 +102,14 @@
 	random: Random,
 ) => EndpointCandidate | undefined;
 
+/** What the duties see of the entry. */
+export type DutySources = {
+	readonly registry: Registry;
+	/** The connections to agents. */
+	readonly endpoints: () => readonly Endpoint[];
+	readonly demand: ModelDemand;
+};
+
 /** Everything that the entry is given at its start. */
 export type EntryDeps = {
 	readonly clock: Clock;
@@ -119,7 +129,7 @@
 	readonly peerServices?: PeerServices;
 	readonly chooseEndpoint?: ChooseEndpoint;
 	/** Runs the leased duties until its signal aborts, which is at the start of a drain. */
-	readonly runDuties?: (registry: Registry, signal: AbortSignal) => Promise<void>;
+	readonly runDuties?: (sources: DutySources, signal: AbortSignal) => Promise<void>;
 	readonly log?: Log;
 	readonly tracing?: Tracing;
 	/** Shorter times for tests. */
--- /dev/null
+++ b/packages/entry/src/duties/__tests__/role-duties.test.ts
@@ -0,0 +1,77 @@
+import {randomUUID} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ConfigView} from '@hawthorncleat/core';
+import type {EntrySettings} from '@hawthorncleat/schema';
+import {silentLog} from '@hawthorncleat/telemetry';
+import {describe, it} from '@hawthorncleat/test-kit';
+import {Registry} from 'prom-client';
+import * as assert from 'uvu/assert';
+import type {DutySources} from '../../deps.js';
+import type {Endpoint} from '../../endpoint.js';
+import {createDutyMetrics} from '../duty-metrics.js';
+import {runRoleDuties} from '../role-duties.js';
+import {withWorld, type World} from './usage-world.js';
+
+const engineRates = {
+	prefillTokensPerSecond: 12_000, stepMs: 20, stepMsPerRequest: 0.4, chunkTokens: 256, maxRunning: 64,
+};
+
+const createEndpoint = (id: string, role: string, orders: string[]): Endpoint => ({
+	id, host: {hostId: id, dataCentre: 'dc-1', serves: 'planner'}, isLeaving: false,
+	report: {role, running: 0, prefixes: []},
+	peer: {
+		async call(method: string, {orderNumber}: {orderNumber: number}) {
+			orders.push(`${method} ${id} ${orderNumber}`);
+		},
+	},
+}) as unknown as Endpoint;
+
+const start = (world: World, endpoints: () => Endpoint[]) => {
+	const controller = new AbortController();
+	const registry = new Registry();
+	const done = runRoleDuties({
+		settings: {dataCentre: 'dc-1'} as unknown as EntrySettings,
+		context: {
+			entryId: 'e1', table: world.table, clock: {nowMs: () => performance.now()}, makeId: randomUUID, entries: () => [], hostPollMs: 10,
+			metrics: createDutyMetrics(registry), log: silentLog, durations: {leaseTtlMs: 60_000, leaseRenewMs: 50, leaseMarginMs: 100},
+		},
+		sources: {
+			registry, endpoints, demand: {measure: () => ({promptTokensPerSecond: 1000, outputTokensPerSecond: 4000})},
+		} as unknown as DutySources,
+		config: {
+			current: () => ({listModelRoutes: () => [{service: {name: 'planner'}, modelVersion: {engineRates}}]}) as unknown as ConfigView,
+		},
+		hosts: {current: () => []},
+	}, AbortSignal.any([world.signal, controller.signal]));
+	return async (): Promise<void> => {
+		controller.abort();
+		await done;
+	};
+};
+
+const holderOf = async (world: World): Promise<string | undefined> => {
+	const row = await world.table.read('lease/roles/planner/dc-1');
+	return (row?.value as {holder: string} | undefined)?.holder;
+};
+
+const waitUntil = async (condition: () => Promise<boolean> | boolean): Promise<void> => {
+	for (let waitedMs = 0; !await condition(); waitedMs += 20) {
+		assert.ok(waitedMs < 9000, 'condition not met in time');
+		await sleep(20);
+	}
+};
+
+describe('role duties', () => {
+	it('order roles of connected engines and end with the service; guards against planners that are not started or never end', async () => withWorld(async world => {
+		const orders: string[] = [];
+		const roles = ['prefill', 'prefill', 'prefill', 'decode'];
+		let endpoints = roles.map((role, index) => createEndpoint(`engine-${index}`, role, orders));
+		const stop = start(world, () => endpoints);
+		await waitUntil(() => orders.length > 0);
+		assert.match(orders[0]!, /^engine\.order engine-\d 1$/);
+		endpoints = [];
+		await waitUntil(async () => await holderOf(world) === '');
+		await stop();
+	}));
+});
--- a/packages/entry/src/duties/duties.ts
+++ b/packages/entry/src/duties/duties.ts
@@ -6,9 +6,9 @@
 import type {ObjectStore, Table, UsageReportsClient} from '@hawthorncleat/platform';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
-import type {Registry} from 'prom-client';
-import type {HostSource} from '../deps.js';
+import type {ConfigSource, DutySources, HostSource} from '../deps.js';
 import {createDutyMetrics} from './duty-metrics.js';
+import {runRoleDuties} from './role-duties.js';
 import {runDuty, type Duty, type DutyContext} from './run-duty.js';
 import {UsageReporter} from './usage-reporter.js';
 
@@ -20,6 +20,9 @@
 	readonly table: Table;
 	readonly objects: ObjectStore;
 	readonly usageReports: UsageReportsClient;
+	readonly config: ConfigSource;
+	/** The hosts of the region. */
+	readonly hosts: HostSource;
 	readonly entryHosts?: HostSource;
 };
 
@@ -32,16 +35,21 @@
 
 /** Creates the function that runs all duties until its signal aborts. */
 export const createDuties = (settings: EntrySettings, deps: DutiesDeps) =>
-	async (registry: Registry, signal: AbortSignal): Promise<void> => {
+	async (sources: DutySources, signal: AbortSignal): Promise<void> => {
 		setMaxListeners(0, signal);
 		const context: DutyContext = {
 			...deps,
 			entryId: settings.entryId,
 			entries: () => deps.entryHosts?.current() ?? [],
 			hostPollMs: settings.hostPollMs,
-			metrics: createDutyMetrics(registry),
+			metrics: createDutyMetrics(sources.registry),
 		};
 		const shards = Array.from({length: usageShards}, (_, shard) => shard);
 		const duties = shards.map(shard => createUsageDuty(shard, settings, deps, context));
-		await Promise.all(duties.map(async duty => runDuty(duty, context, signal)));
+		await Promise.all([
+			...duties.map(async duty => runDuty(duty, context, signal)),
+			runRoleDuties({
+				settings, context, sources, config: deps.config, hosts: deps.hosts,
+			}, signal),
+		]);
 	};
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -15,6 +15,7 @@
 import {EntryPeers} from './entry-peers.js';
 import type {ConnectionOptions} from './kept-connection.js';
 import {createMetrics, type Metrics} from './metrics.js';
+import {ModelDemand} from './model-demand.js';
 import {RunningRequests} from './running-requests.js';
 import {createTelemetry, type Telemetry} from './telemetry.js';
 import {UsageRecorder} from './usage-flush.js';
@@ -230,6 +231,7 @@
 			suspects: this.#suspects,
 			choose: chooseEndpoint ?? chooseLeastWait,
 			...(!chooseEndpoint && {engineChoice: this.#engineChoice}),
+			demand: new ModelDemand(clock, () => this.#liveEntries),
 			timings: this.#timings,
 			metrics: this.#metrics,
 			telemetry: this.#telemetry,
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -49,11 +49,15 @@
 	}
 
 	async run(signal: AbortSignal): Promise<AnswerEnd> {
-		this.#context.budget.countFirstAttempt();
+		const {budget, demand} = this.#context;
+		const {route, prompt, maxTokens} = this.#request;
+		budget.countFirstAttempt();
+		demand.arrived(route.service.name, prompt, maxTokens);
 		for (;;) {
 			const {endpoint, stage} = this.#chooseEndpoint();
 			const outcome = await (stage === 'prefill' ? this.#runSplit(endpoint, signal) : this.#attempt(endpoint, signal));
 			if (outcome.kind === 'end') {
+				demand.answered(route.service.name, {...outcome.end, maxTokens});
 				// The entry's own count covers the tokens of all attempts.
 				return {...outcome.end, outputTokens: this.#delivery.tokens.length};
 			}
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -8,6 +8,7 @@
 import type {EngineChoice} from './engine-choice.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import type {Metrics} from './metrics.js';
+import type {ModelDemand} from './model-demand.js';
 import type {Telemetry} from './telemetry.js';
 
 /** What a running request uses of the entry. */
@@ -21,6 +22,8 @@
 	readonly choose: ChooseEndpoint;
 	/** Chooses engines by estimated time; absent where another choice is injected. */
 	readonly engineChoice?: EngineChoice;
+	/** Measures what callers ask for, for the role planner. */
+	readonly demand: ModelDemand;
 	readonly timings: Timings;
 	readonly metrics: Metrics;
 	readonly telemetry: Telemetry;
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -74,8 +74,9 @@
 /** Starts the leased duties. They stop first in a drain, while the table can still be told that their leases are free. */
 const startDuties = (parts: EntryParts, signal: AbortSignal): {readonly closed: Promise<void>; stop(): Promise<void>} => {
 	const controller = new AbortController();
-	const {registry} = parts.context.metrics;
-	const closed = Promise.resolve(parts.deps.runDuties?.(registry, AbortSignal.any([signal, controller.signal])));
+	const {pool, demand, metrics} = parts.context;
+	const sources = {registry: metrics.registry, demand, endpoints: () => pool.endpoints};
+	const closed = Promise.resolve(parts.deps.runDuties?.(sources, AbortSignal.any([signal, controller.signal])));
 	return {
 		closed,
 		async stop() {
