Order endpoints under a lease per data centre

An intent row and the row of open orders are written in one transaction that checks the lease, before the send. What became of a send is read from the platform's list of orders: listed orders are confirmed, others are sent again under their id. Places may give endpointPricePerHour; endpoints are ordered only where it and the speeds of the engines are configured.

Without the check of the lease, or without the check at the send: "writes nothing after another holder has taken the lease and sends nothing after a pause" fails. Without reading the list: "orders what is missing once" and three more fail. Without sending again: "sends an order that did not arrive again under its id" and one more fail.

--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -16,7 +16,18 @@
 	type WitnessGroup,
 } from '@hawthorncleat/core';
 import {
-	createClaimWriter, createConfigStore, createHostList, createHttpClient, createObjectStore, createTable, createUsageReports, type ObjectStore, type Table, type UsageReportsClient,
+	createClaimWriter,
+	createConfigStore,
+	createEndpointOrders,
+	createHostList,
+	createHttpClient,
+	createObjectStore,
+	createTable,
+	createUsageReports,
+	type EndpointOrdersClient,
+	type ObjectStore,
+	type Table,
+	type UsageReportsClient,
 } from '@hawthorncleat/platform';
 import type {EntrySettings, HostRecord} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
@@ -43,6 +54,7 @@
 	readonly table: Table;
 	readonly objects: ObjectStore;
 	readonly usageReports: UsageReportsClient;
+	readonly endpointOrders: EndpointOrdersClient;
 	readonly inForce: InForce;
 	readonly hostWatch: HostWatch;
 	readonly peers: () => ReadonlyMap<string, Peer>;
@@ -60,6 +72,7 @@
 		objects,
 		hostList: createHostList(http),
 		usageReports: createUsageReports(http),
+		endpointOrders: createEndpointOrders(http),
 		configStore: createConfigStore({table, objects, makeId}),
 		headStore: createConfigStore({table: createTable(quickHttp), objects, makeId}),
 	};
@@ -191,6 +204,7 @@
 		table: stores.table,
 		objects: stores.objects,
 		usageReports: stores.usageReports,
+		endpointOrders: stores.endpointOrders,
 		inForce,
 		hostWatch,
 		peers: currentPeers,
--- a/packages/entry/src/duties/duties.ts
+++ b/packages/entry/src/duties/duties.ts
@@ -3,11 +3,14 @@
  */
 import {setMaxListeners} from 'node:events';
 import {usageShards, type Clock, type MakeId} from '@hawthorncleat/core';
-import type {ObjectStore, Table, UsageReportsClient} from '@hawthorncleat/platform';
+import type {
+	EndpointOrdersClient, ObjectStore, Table, UsageReportsClient,
+} from '@hawthorncleat/platform';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {ConfigSource, DutySources, HostSource} from '../deps.js';
 import {createDutyMetrics} from './duty-metrics.js';
+import {runEndpointDuty} from './endpoint-duty.js';
 import {runRoleDuties} from './role-duties.js';
 import {runDuty, type Duty, type DutyContext} from './run-duty.js';
 import {UsageReporter} from './usage-reporter.js';
@@ -20,6 +23,7 @@
 	readonly table: Table;
 	readonly objects: ObjectStore;
 	readonly usageReports: UsageReportsClient;
+	readonly endpointOrders: EndpointOrdersClient;
 	readonly config: ConfigSource;
 	/** The hosts of the region. */
 	readonly hosts: HostSource;
@@ -46,10 +50,12 @@
 		};
 		const shards = Array.from({length: usageShards}, (_, shard) => shard);
 		const duties = shards.map(shard => createUsageDuty(shard, settings, deps, context));
+		const planning = {
+			settings, context, sources, config: deps.config, hosts: deps.hosts,
+		};
 		await Promise.all([
 			...duties.map(async duty => runDuty(duty, context, signal)),
-			runRoleDuties({
-				settings, context, sources, config: deps.config, hosts: deps.hosts,
-			}, signal),
+			runRoleDuties(planning, signal),
+			runEndpointDuty({...planning, endpointOrders: deps.endpointOrders}, signal),
 		]);
 	};
--- a/packages/entry/src/duties/duty-metrics.ts
+++ b/packages/entry/src/duties/duty-metrics.ts
@@ -18,6 +18,9 @@
 		reportedWindows: new Counter({name: name('usage_reports_total'), help: 'Usage reports confirmed by the platform (count)', registers}),
 		usageFailures: new Counter({name: name('usage_failed_rounds_total'), help: 'Rounds of the usage reporter that failed (count)', registers}),
 		lateParts: new Counter({name: name('usage_late_parts_total'), help: 'Parts with usage added to a later window (count)', registers}),
+		endpointOrders: new Counter({
+			name: name('endpoint_orders_total'), help: 'Endpoint orders written (count) by kind', labelNames: ['kind'], registers,
+		}),
 		roleOrders: new Counter({
 			name: name('role_orders_total'), help: 'Role orders written (count) by the new role', labelNames: ['role'], registers,
 		}),
