--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -13,12 +13,17 @@
 	type WorkEstimate,
 } from '@hawthorncleat/core';
 import type {FrameEnd, RequestStartParams} from '@hawthorncleat/schema';
-import type {Stream} from './stream.js';
+import type {RequestKind, Stream} from './stream.js';
 
 export type SchedulerLimits = {readonly maxRunning: number; readonly maxWaitingTokens: number};
 
 const totalTokens = ({prefillTokens, decodeTokens}: WorkEstimate): number => prefillTokens + decodeTokens;
 
+// Averages are no better than that, and each digit is sent with each report.
+const rateDigits = 3;
+
+const roundRate = (rate: number): number => Number(rate.toPrecision(rateDigits));
+
 /** The queue of one engine. */
 export class RequestScheduler {
 	readonly running = new Set<Stream>();
@@ -36,13 +41,32 @@
 		return this.#queue.waitingTokens;
 	}
 
+	/** Prompt tokens that wait. Entries estimate the time until a first token from them. */
+	get waitingPromptTokens(): number {
+		return this.#waiting.prefillTokens;
+	}
+
+	/** What the engine has shown so far, for the estimates of entries; nothing before the first sample. */
+	get measuredRates(): {prefillTokensPerSecond?: number; decodeMsPerToken?: number} {
+		const {prefillTokens, prefillMs, decodeTokens, decodeMs} = this.#rates;
+		return {
+			...(prefillTokens && prefillMs && {prefillTokensPerSecond: roundRate(1000 * prefillTokens / prefillMs)}),
+			// A prefill engine decodes nothing.
+			...(decodeTokens && decodeMs && {decodeMsPerToken: roundRate(decodeMs / decodeTokens)}),
+		};
+	}
+
 	get isIdle(): boolean {
 		return this.running.size === 0 && this.#queue.size === 0;
 	}
 
-	estimate({prompt, delivered, maxTokens}: RequestStartParams): WorkEstimate {
+	estimate({prompt, delivered, maxTokens, kv}: RequestStartParams, kind: RequestKind): WorkEstimate {
 		const deliveredCharacters = delivered.reduce((sum, token) => sum + token.length, 0);
-		return estimateWork(this.#rates, prompt.length + deliveredCharacters, maxTokens);
+		const work = estimateWork(this.#rates, prompt.length + deliveredCharacters, maxTokens);
+		return {
+			prefillTokens: kv ? 0 : work.prefillTokens,
+			decodeTokens: kind === 'prefill' ? 0 : work.decodeTokens,
+		};
 	}
 
 	decide(work: WorkEstimate, firstTokenInMs: number): QueueDecision {
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -75,6 +75,7 @@
 	return createEngineEndpoint({
 		endpoint,
 		incarnation,
+		kvUrl: settings.kvUrl || endpointUrl,
 		limits: {maxRunning, maxWaitingTokens},
 		engine: createEngineClient(endpointUrl, maxRunning),
 		table,
@@ -208,8 +209,8 @@
 		reporter.reportAll();
 	});
 	const availability = new Availability(() => endpoint);
-	const reporter: LoadReporter = new LoadReporter(() => ({
-		...endpoint.load(), leaving: availability.isLeaving,
+	const reporter: LoadReporter = new LoadReporter(prefixBytes => ({
+		...endpoint.load(prefixBytes), leaving: availability.isLeaving,
 	}), () => context.peers);
 	const release = async (): Promise<void> => {
 		reporter.close();
@@ -252,9 +253,9 @@
 
 const addAgentGauges = ({metrics, peers}: Context, endpoint: Endpoint, availability: Availability): void => {
 	addGauges(metrics, {
-		running: () => endpoint.load().running,
-		waiting: () => endpoint.load().waiting,
-		waitingTokens: () => endpoint.load().waitingTokens,
+		running: () => endpoint.load(0).running,
+		waiting: () => endpoint.load(0).waiting,
+		waitingTokens: () => endpoint.load(0).waitingTokens,
 		connections: () => peers.size,
 		ready: () => availability.read().ready,
 	});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -84,6 +84,7 @@
 } from './settings.js';
 export {createNameIndex, type NameIndex} from './config/names.js';
 export {chooseByRendezvous} from './rendezvous.js';
+export {namePrefixes, prefixCharacters, prefixName} from './prompt-prefix.js';
 export {
 	decideRetry, maxAttempts, RetryBudget, type FailureKind, type RetryDecision, type RetryState,
 } from './retry.js';
@@ -92,6 +93,20 @@
 export {
 	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
 } from './usage.js';
+export {
+	countParts,
+	isWindowDue,
+	lateCheckAges,
+	nextWindowStart,
+	shardOfAccount,
+	sumFigures,
+	usageGraceMs,
+	usageShards,
+	windowsToCheck,
+	type Count,
+	type CountedParts,
+	type KeyedPart,
+} from './usage-ledger.js';
 export {FairQueue, type QueuedWork} from './fair-queue.js';
 export {
 	addSample,
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -16,7 +16,18 @@
 	type WitnessGroup,
 } from '@hawthorncleat/core';
 import {
-	createClaimWriter, createConfigStore, createHostList, createHttpClient, createObjectStore, createTable, type ObjectStore, type Table,
+	createClaimWriter,
+	createConfigStore,
+	createEndpointOrders,
+	createHostList,
+	createHttpClient,
+	createObjectStore,
+	createTable,
+	createUsageReports,
+	type EndpointOrdersClient,
+	type ObjectStore,
+	type Table,
+	type UsageReportsClient,
 } from '@hawthorncleat/platform';
 import type {EntrySettings, HostRecord} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
@@ -42,6 +53,8 @@
 export type EntryControl = Pick<EntryDeps, PartOfDeps> & {
 	readonly table: Table;
 	readonly objects: ObjectStore;
+	readonly usageReports: UsageReportsClient;
+	readonly endpointOrders: EndpointOrdersClient;
 	readonly inForce: InForce;
 	readonly hostWatch: HostWatch;
 	readonly peers: () => ReadonlyMap<string, Peer>;
@@ -58,6 +71,8 @@
 		table,
 		objects,
 		hostList: createHostList(http),
+		usageReports: createUsageReports(http),
+		endpointOrders: createEndpointOrders(http),
 		configStore: createConfigStore({table, objects, makeId}),
 		headStore: createConfigStore({table: createTable(quickHttp), objects, makeId}),
 	};
@@ -188,6 +203,8 @@
 	return {
 		table: stores.table,
 		objects: stores.objects,
+		usageReports: stores.usageReports,
+		endpointOrders: stores.endpointOrders,
 		inForce,
 		hostWatch,
 		peers: currentPeers,
