--- a/models/engine-orders.pml
+++ b/models/engine-orders.pml
@@ -4,6 +4,7 @@
 /* fault: FAULT_NO_MARK */
 /* code: packages/core/src/engine-orders.ts */
 /* code: packages/agent/src/slot.ts */
+/* code: packages/entry/src/duties/role-planner.ts */
 /*
  * Orders to an engine that ignores order numbers. Two planners, each of which may
  * be a former holder of the lease that has not noticed; two lives of the agent on one host, of which the older may be
--- a/models/usage-window.pml
+++ b/models/usage-window.pml
@@ -1,7 +1,7 @@
 /* fault: FAULT_NO_FREEZE */
 /* fault: FAULT_BLIND_FREEZE */
 /* fault: FAULT_NO_READ_BACK */
-/* code: packages/core/src/usage.ts */
+/* code: packages/entry/src/duties/usage-reporter.ts */
 /*
  * Freezing and reporting one usage window. Two reporters, of which one may be a former
  * holder of the lease that has not noticed; parts arrive late; answers of the table may be lost.
--- a/packages/core/src/engine-orders.ts
+++ b/packages/core/src/engine-orders.ts
@@ -1,8 +1,6 @@
 /**
  * The rules for orders to an engine, as a state machine without I/O. The numbers in the comments are those of the list
- * under "Orders to an engine" in docs/design.md. Rule 1, the exclusive bind of the slot port, is outside this module; so
- * is rule `order-write` of models/engine-orders.pml: the planner writes an order in one transaction that checks its lease
- * and that no order is started.
+ * under "Orders to an engine" in docs/design.md. Rule 1, the exclusive bind of the slot port, is outside this module.
  */
 
 export type EngineRole = 'mixed' | 'prefill' | 'decode';
--- a/packages/entry/src/duties/usage-reporter.ts
+++ b/packages/entry/src/duties/usage-reporter.ts
@@ -140,8 +140,8 @@
 			{key: frozenKey(startMs, shard), value: frozen},
 			...count.rows.map(({startMs: countedMs, counted}) => ({key: countedKey(countedMs, shard), value: counted})),
 		];
-		// Rule `freeze`: the row is written only while it is absent. The counted rows are checked and written together with
-		// it, so that usage is counted exactly once.
+		// Rule `freeze` of models/usage-window.pml: the row is written only while it is absent. The counted
+		// rows are checked and written together with it, so that usage is counted exactly once.
 		const checks = [
 			{key: frozenKey(startMs, shard), version: null},
 			...count.rows.map(({startMs: countedMs, version}) => ({key: countedKey(countedMs, shard), version})),
