--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,2 @@
+export {runMeasure} from './main.js';
+export {fitLine, splitRequestCost} from './line-fit.js';
