--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -6,7 +6,7 @@
 import yargs from 'yargs';
 import {measureScript, runToJson} from './child-process.js';
 import {measurePath, type Report} from './path-measurements.js';
-import {measureRest} from './rest-measurements.js';
+import {measureAccounts, measureRest} from './rest-measurements.js';
 import {slopes, slopeSizes, type Figures} from './slopes.js';
 import {runStandIns} from './stand-ins.js';
 import {formatTable, writeReport} from './table.js';
@@ -36,7 +36,12 @@
 	process.stdout.write(`${JSON.stringify(await measureSlope(size))}\n`);
 };
 
-const measurements: Readonly<Record<string, () => Promise<Report>>> = {path: measurePath, rest: measureRest, slopes: measureSlopes};
+const measurements: Readonly<Record<string, () => Promise<Report>>> = {
+	path: measurePath, rest: measureRest, slopes: measureSlopes, accounts: measureAccounts,
+};
+
+// The accounts are a part of rest.
+const allMeasurements = ['path', 'rest', 'slopes'] as const;
 
 const measureAndReport = async (names: readonly string[], directory: string): Promise<void> => {
 	for (const name of names) {
@@ -58,9 +63,10 @@
 	let exitCode = 0;
 	await yargs(args)
 		.scriptName('measure')
-		.command('all', 'Measure everything', parser => parser.options(outOption), async ({out}) => measureAndReport(Object.keys(measurements), out))
+		.command('all', 'Measure everything', parser => parser.options(outOption), async ({out}) => measureAndReport(allMeasurements, out))
 		.command('path', 'Latency, cost of requests, open streams, actions', parser => parser.options(outOption), async ({out}) => measureAndReport(['path'], out))
 		.command('rest', 'Daemons at rest and the growth of their cost', parser => parser.options(outOption), async ({out}) => measureAndReport(['rest'], out))
+		.command('accounts', 'Publication and rest at growing numbers of accounts', parser => parser.options(outOption), async ({out}) => measureAndReport(['accounts'], out))
 		.command('slopes', 'Memory and processor time of the pure parts', parser => parser.options(outOption), async ({out}) => measureAndReport(['slopes'], out))
 		.command('slope <name> <size>', 'One slope at one size; needs node --expose-gc', parser => parser
 			.positional('name', {type: 'string', demandOption: true})
--- a/packages/measure/src/path-measurements.ts
+++ b/packages/measure/src/path-measurements.ts
@@ -2,6 +2,7 @@
  * What the path adds to an answer and what it costs: latency, processor time per request and token, open streams, and
  * writes per action.
  */
+import {setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {build, type Histogram} from 'hdr-histogram-js';
 import {
@@ -167,6 +168,7 @@
 	await sleep(settleMs);
 	const idle = await readMemory(fleet);
 	const controller = new AbortController();
+	setMaxListeners(0, controller.signal);
 	const started = new Set<number>();
 	const streams = Array.from({length: openStreams}, async (_, index) => {
 		await streamAnswer(path, {maxTokens: 120, promptWords: 500}, () => {
--- a/packages/measure/src/rest-measurements.ts
+++ b/packages/measure/src/rest-measurements.ts
@@ -121,6 +121,10 @@
 	return {'node without a program': {residentMegabytes}};
 };
 
+/** Publication and rest at growing numbers of accounts. */
+export const measureAccounts = async (): Promise<Report> =>
+	withFleet(idleShape, async fleet => growAccounts(fleet, [480, 4800, 48_000]));
+
 /** Everything at rest. */
 export const measureRest = async (): Promise<Report> => {
 	const agents = await growAgents(1000, [4, 64, 256]);
@@ -132,7 +136,7 @@
 	const fleetState = await withFleet(idleShape, async fleet => ({
 		...await growHostList(fleet, [1, 980, 9800]),
 	}));
-	const accounts = await withFleet(idleShape, async fleet => growAccounts(fleet, [480, 4800, 48_000]));
+	const accounts = await measureAccounts();
 	return {
 		...await measureEmptyNode(), ...agents, ...silentAgents, ...entries, ...fleetState, ...accounts,
 	};
