--- a/packages/measure/src/__tests__/parsing.test.ts
+++ b/packages/measure/src/__tests__/parsing.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {countRequests, noPlatformCounts, subtractCounts} from '../platform-traffic.js';
-import {parseCpuMs, parseResidentBytes} from '../process-usage.js';
+import {parseCpuMs, parsePeakBytes, parseResidentBytes} from '../process-usage.js';
 import {formatFigure, formatTable} from '../table.js';
 import {countTokenLines} from '../token-lines.js';
 
@@ -11,6 +11,10 @@
 			assert.is(parseResidentBytes('VmHWM:\t  900 kB\nVmRSS:\t   128 kB\nThreads:\t7\n'), 131_072);
 		});
 
+		it('reads the peak of a command; guards against the memory left just before it ends', () => {
+			assert.is(parsePeakBytes('VmHWM:\t  900 kB\nVmRSS:\t   128 kB\n'), 921_600);
+		});
+
 		it('reads processor time and not waiting time; guards against a busy machine raising the figure', () => {
 			assert.is(parseCpuMs('2500000 9000000 17\n'), 2.5);
 		});
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -14,7 +14,8 @@
 import {baseObjects, callerKey, measuredPlace} from './example-fleet-config.js';
 
 const loopback = '127.0.0.1';
-const adminToken = 'measure-token';
+/** The token of the entry's admin API. */
+export const adminToken = 'measure-token';
 
 /** How the stand-in engine behaves. */
 export type EngineShape = {readonly stepMs: number; readonly maxRunning: number};
@@ -24,6 +25,7 @@
 
 export type Fleet = {
 	readonly callerUrl: string;
+	readonly adminUrl: string;
 	readonly engineUrl: string;
 	readonly entry: MeasuredDaemon;
 	readonly agent: MeasuredDaemon;
@@ -144,10 +146,11 @@
 	}, signal);
 	const ports = {callerPort: await findFreePort(), adminPort: await findFreePort()};
 	const callerUrl = `http://${loopback}:${ports.callerPort}`;
+	const adminUrl = `http://${loopback}:${ports.adminPort}`;
 	const putHost = async (host: HostRecord): Promise<void> => send('PUT', `${platformUrl}/hosts/${host.hostId}`, host);
 	const apply = async (change: Change): Promise<number> => {
 		const startedAt = performance.now();
-		await send('POST', `http://${loopback}:${ports.adminPort}/admin/config/apply`, change);
+		await send('POST', `${adminUrl}/admin/config/apply`, change);
 		return performance.now() - startedAt;
 	};
 
@@ -161,6 +164,7 @@
 	await waitForRequest(callerUrl);
 	return {
 		callerUrl,
+		adminUrl,
 		engineUrl,
 		entry,
 		agent,
--- a/packages/measure/src/process-usage.ts
+++ b/packages/measure/src/process-usage.ts
@@ -2,6 +2,7 @@
  * Processor time and memory of another process, as Linux reports them.
  */
 import {readdir, readFile} from 'node:fs/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 const kibibyte = 1024;
 const nsPerMs = 1e6;
@@ -12,6 +13,12 @@
 	return match ? Number(match[1]) * kibibyte : 0;
 };
 
+/** The largest resident memory so far in bytes. */
+export const parsePeakBytes = (status: string): number => {
+	const match = /^VmHWM:\s+(\d+) kB$/m.exec(status);
+	return match ? Number(match[1]) * kibibyte : 0;
+};
+
 /** Processor time in milliseconds from the text of a `schedstat` file. */
 export const parseCpuMs = (schedstat: string): number => {
 	const cpuNs = Number(schedstat.split(' ')[0]);
@@ -33,3 +40,19 @@
 /** Resident memory in bytes. */
 export const readResidentBytes = async (pid: number): Promise<number> =>
 	parseResidentBytes(await readFile(`/proc/${pid}/status`, 'utf8'));
+
+/** What a short command used, read just before it ended. */
+export type CommandUsage = {readonly cpuMs: number; readonly peakBytes: number};
+
+/** Reads the usage of a process again and again until it has ended. */
+export const watchUsage = async (pid: number, pollMs: number, hasEnded: () => boolean): Promise<CommandUsage> => {
+	let usage: CommandUsage = {cpuMs: 0, peakBytes: 0};
+	while (!hasEnded()) {
+		const status = await readFile(`/proc/${pid}/status`, 'utf8').catch(() => '');
+		const cpuMs = await readCpuMs(pid).catch(() => 0);
+		usage = {cpuMs: Math.max(usage.cpuMs, cpuMs), peakBytes: Math.max(usage.peakBytes, parsePeakBytes(status))};
+		await sleep(pollMs);
+	}
+
+	return usage;
+};
--- a/packages/measure/src/rest-measurements.ts
+++ b/packages/measure/src/rest-measurements.ts
@@ -10,6 +10,7 @@
 import {connectFakeEntries, startFakeAgents, sumPeerBytes} from './fake-peers.js';
 import {withFleet, type Fleet, type MeasuredDaemon} from './fleet.js';
 import {fitLine} from './line-fit.js';
+import {measureOperatorTool} from './operator-tool.js';
 import type {Report} from './path-measurements.js';
 import {subtractCounts} from './platform-traffic.js';
 import {readCpuMs, readResidentBytes} from './process-usage.js';
@@ -108,7 +109,10 @@
 		const cpuBefore = await readCpuMs(fleet.entry.pid);
 		const answerMs = await fleet.apply(createWithdrawal(0));
 		const publicationCpuMs = await readCpuMs(fleet.entry.pid) - cpuBefore;
-		return {...await measureWindow(fleet.entry, () => []), publicationCpuMs, publicationAnswerMs: answerMs};
+		const rest = await measureWindow(fleet.entry, () => []);
+		return {
+			...rest, publicationCpuMs, publicationAnswerMs: answerMs, ...await measureOperatorTool(fleet),
+		};
 	});
 
 /** A Node process that does nothing, to tell Node's share from ours. */
