--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -4,7 +4,7 @@
 import {
 	createServer, connect, type AddressInfo, type Socket,
 } from 'node:net';
-import {once} from 'node:events';
+import {once, setMaxListeners} from 'node:events';
 import {createRequestError, type RequestError} from '@hawthorncleat/core';
 import {Peer, type PeerOptions} from './peer.js';
 
@@ -74,6 +74,8 @@
 /** Listens for other processes until `signal` aborts. */
 export const listen = async (options: ListenOptions, signal: AbortSignal): Promise<Listener> => {
 	const peers = new Set<Peer>();
+	// Each accepted connection waits for the signal; Node would warn of a leak from the eleventh on.
+	setMaxListeners(0, signal);
 	const server = createServer(socket => {
 		const peer = new Peer({...options, socket});
 		peers.add(peer);
