--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -95,8 +95,7 @@
 }
 
 /**
- * Rule `freeze` of models/usage-window.pml: what is written as the frozen row while that is absent; every report then
- * carries the figures of the row, read back. Adds up the parts of one window; of several states of one part only the newest counts.
+ * Adds up the parts of one window; of several states of one part only the newest counts.
  */
 export const freezeWindow = (parts: readonly UsagePart[]): UsageFigure[] => {
 	const newest = new Map<string, UsagePart>();
--- a/packages/entry/src/control/publisher.ts
+++ b/packages/entry/src/control/publisher.ts
@@ -91,11 +91,7 @@
 			return result;
 		}
 
-		// The delta costs far less to install, and fits unless versions of other writers are missing here.
-		if (!inForce.install({deltas: [result.delta]})) {
-			inForce.install({snapshot: result.snapshot});
-		}
-
+		inForce.install({deltas: [result.delta], snapshot: result.snapshot});
 		return {kind: 'published', version: result.snapshot.version, confirmed: result.confirmed};
 	}
 
--- a/packages/entry/src/duties/role-planner.ts
+++ b/packages/entry/src/duties/role-planner.ts
@@ -185,7 +185,10 @@
 		}
 	}
 
-	/** Whatever becomes of the write, the next round reads the row again. */
+	/**
+	 * Rule `order-write` of models/engine-orders.pml: one transaction checks the lease and that the row is still as read.
+	 * Whatever becomes of the write, the next round reads the row again.
+	 */
 	async #write(lease: Lease, endpoint: string, {version}: KnownRow, row: EngineOrderRow): Promise<boolean> {
 		const key = engineOrderKey(endpoint);
 		this.#rows.delete(endpoint);
