--- a/packages/entry/src/control/config-sync.ts
+++ b/packages/entry/src/control/config-sync.ts
@@ -30,6 +30,23 @@
 	return {deltas: deltas as Delta[], snapshot: result.snapshot as Snapshot | undefined};
 };
 
+/** Asks for the further parts of a snapshot. A version that changes meanwhile ends the attempt. */
+const fetchWhole = async (peer: Peer, first: ConfigSinceResult): Promise<ConfigSinceResult> => {
+	const objects: unknown[] = [];
+	let part = first;
+	for (;;) {
+		objects.push(...(part.snapshot)?.objects ?? []);
+		if (part.nextOffset === undefined) {
+			return first.snapshot ? {...first, snapshot: {...first.snapshot, objects}} : first;
+		}
+
+		part = await peer.call('config.since', {version: 0, offset: part.nextOffset}, {timeoutMs: peerTimeoutMs});
+		if (part.version !== first.version) {
+			throw new Error('the peer has a newer version than at the first part');
+		}
+	}
+};
+
 /** Installs newer versions; one attempt runs at a time. */
 export class ConfigSync {
 	readonly #options: ConfigSyncOptions;
@@ -76,7 +93,7 @@
 		try {
 			const result = await peer.call('config.since', {version: this.#localVersion}, {timeoutMs: peerTimeoutMs});
 			if (result.version > this.#localVersion) {
-				this.#options.inForce.install(readUpdate(result));
+				this.#options.inForce.install(readUpdate(await fetchWhole(peer, result)));
 			}
 		} catch {
 			// Another peer or the next round brings it.
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -33,6 +33,7 @@
 import type {Log} from '@hawthorncleat/telemetry';
 import type {Peer} from '@hawthorncleat/wire';
 import type {EntryDeps, PeerServices} from '../deps.js';
+import {answerConfigSince} from './config-parts.js';
 import {ConfigSync} from './config-sync.js';
 import {FreshnessLoop} from './freshness-loop.js';
 import {HostWatch} from './host-watch.js';
@@ -116,14 +117,7 @@
 	{inForce, witness, groups, sync}: {inForce: InForce; witness: Witness; groups: Groups; sync: ConfigSync},
 	setPeers: (peers: () => ReadonlyMap<string, Peer>) => void,
 ): PeerServices => ({
-	configSince({version}) {
-		const {version: newest, deltas, snapshot} = inForce.since(version);
-		return {
-			version: newest,
-			...(deltas && {deltas: deltas as unknown as Array<Record<string, unknown>>}),
-			...(snapshot && {snapshot: snapshot as unknown as Record<string, unknown>}),
-		};
-	},
+	configSince: params => answerConfigSince(inForce, params),
 	askFreshness: ({view}) => witness.answer(view),
 	announcePublish: ({announceId, version, view}) => witness.announce(announceId, version, view),
 	finishPublish({announceId, outcome, version}) {
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -21,14 +21,20 @@
 
 const openSocket = async (options: DialOptions, signal: AbortSignal): Promise<Socket> => {
 	const socket = connect({host: options.address, port: options.port});
-	const timeout = AbortSignal.timeout(options.timeoutMs ?? defaultDialTimeoutMs);
+	// A timeout signal that only a combined signal refers to may be collected before it fires (seen on Node 20).
+	const limit = new AbortController();
+	const timer = setTimeout(() => {
+		limit.abort();
+	}, options.timeoutMs ?? defaultDialTimeoutMs);
 	try {
-		await once(socket, 'connect', {signal: AbortSignal.any([signal, timeout])});
+		await once(socket, 'connect', {signal: AbortSignal.any([signal, limit.signal])});
 		return socket;
 	} catch (error) {
 		socket.on('error', () => {/* The socket is given up. */});
 		socket.destroy();
 		throw connectionRefused(options, error);
+	} finally {
+		clearTimeout(timer);
 	}
 };
 
