Histories: start a fleet of real processes with faults and recorded callers

A private package for tests that run the built command line against the stand-ins and check the whole history afterwards.

--- /dev/null
+++ b/packages/histories/src/index.ts
@@ -0,0 +1,29 @@
+export {
+	startChild, type Child, type ChildExit, type ChildOptions,
+} from './child.js';
+export {
+	createCaller, promptTag, type Caller, type CallerAnswer, type CallerOptions,
+} from './caller.js';
+export {Daemon, type DaemonPlan} from './daemon.js';
+export {adminToken} from './daemon-plans.js';
+export {
+	createFleetConfig, fleetAccounts, fleetRegion, fleetServices, hashKey, keyNameOf, keyOf, requestIdHeader, type FleetAccount,
+} from './fleet-config.js';
+export type {
+	EndpointPlan, EntryPlan, FleetOptions, FleetPlan, FleetSettings,
+} from './fleet-plan.js';
+export {Fleet, startFleet, withFleet} from './fleet.js';
+export {
+	createHistory,
+	joinHistories,
+	type History,
+	type HistoryEvent,
+	type HistoryParts,
+	type HistoryRecord,
+	type RequestKind,
+	type RunEvent,
+	type RunRecord,
+	type SentRequest,
+} from './history.js';
+export {findFreePort, loopback} from './ports.js';
+export {createSeededRandom, type SeededRandom} from './random.js';
