--- a/packages/histories/src/index.ts
+++ b/packages/histories/src/index.ts
@@ -27,3 +27,14 @@
 } from './history.js';
 export {findFreePort, loopback} from './ports.js';
 export {createSeededRandom, type SeededRandom} from './random.js';
+export {
+	checkHistory, describeViolations, type Rule, type Violation,
+} from './rules/rule.js';
+export {actionsRunOnce} from './rules/actions-run-once.js';
+export {endpointOrdersOnce} from './rules/endpoint-orders-once.js';
+export {engineOrdersRise} from './rules/engine-orders-rise.js';
+export {listExecutions, type Execution} from './rules/executions.js';
+export {
+	inChargeNote, leasesExclude, listTenures, type InCharge, type Tenure,
+} from './rules/leases-exclude.js';
+export {refusalsAreTrue} from './rules/refusals-are-true.js';
