Histories: check that actions run once and that refusals are true

AbortSignal.any over a timeout signal of Node 20 never aborted in the load generator, because the timeout signal had been collected; abort-after.ts uses a timer.

--- a/packages/histories/src/caller.ts
+++ b/packages/histories/src/caller.ts
@@ -7,6 +7,7 @@
 import {
 	fleetServices, keyNameOf, keyOf, requestIdHeader,
 } from './fleet-config.js';
+import {abortAfter} from './abort-after.js';
 import type {Fleet} from './fleet.js';
 import type {SentRequest} from './history.js';
 
@@ -84,7 +85,7 @@
 					...call.headers,
 				},
 				body: call.body,
-				signal: AbortSignal.timeout(timeoutMs),
+				signal: abortAfter(timeoutMs, signal),
 			});
 			const text = await body.text();
 			return {
--- a/packages/histories/src/fleet.ts
+++ b/packages/histories/src/fleet.ts
@@ -116,12 +116,14 @@
 	}
 
 	/** Starts a process again under the same host id and on the same ports; one that still runs is killed first. */
-	async restart(name: string): Promise<void> {
+	async restart(name: string, isWaiting = true): Promise<void> {
 		const daemon = this.daemon(name);
 		await this.kill(name);
 		this.#note('restart', name);
 		await this.#startDaemon(daemon);
-		await daemon.waitUntilReady();
+		if (isWaiting) {
+			await daemon.waitUntilReady();
+		}
 	}
 
 	/** Kills a process and starts another in its place on a new host. */
--- a/packages/histories/src/index.ts
+++ b/packages/histories/src/index.ts
@@ -38,3 +38,9 @@
 	inChargeNote, leasesExclude, listTenures, type InCharge, type Tenure,
 } from './rules/leases-exclude.js';
 export {refusalsAreTrue} from './rules/refusals-are-true.js';
+export {
+	injectFaults, type FaultOptions, type ProcessFault, type TableFault,
+} from './faults.js';
+export {runLoad, sendAllAgain, type LoadOptions} from './load.js';
+export {expectNoViolations, summarize, type Summary} from './rules/expect.js';
+export {createServiceOptions} from './service-behaviour.js';
