--- a/packages/histories/src/fleet.ts
+++ b/packages/histories/src/fleet.ts
@@ -214,7 +214,13 @@
 	const plan = planFleet(options);
 	const standIns = await startStandIns(plan, options, signal);
 	const fleet = new Fleet(options, plan, standIns, signal);
-	await fleet.startAll();
+	try {
+		await fleet.startAll();
+	} catch (error) {
+		await Promise.all([...fleet.daemons.values()].map(async daemon => daemon.kill()));
+		throw error;
+	}
+
 	return fleet;
 };
 
--- a/packages/histories/src/index.ts
+++ b/packages/histories/src/index.ts
@@ -44,3 +44,4 @@
 export {runLoad, sendAllAgain, type LoadOptions} from './load.js';
 export {expectNoViolations, summarize, type Summary} from './rules/expect.js';
 export {createServiceOptions} from './service-behaviour.js';
+export {usageWindowsOnce} from './rules/usage-windows-once.js';
