Ask peers independently of a silent one and attest before the last read expires

Each peer is now asked on its own, and the rounds do not wait for the version. - A witness relayed its last read until that expired, and an entry that relies on its witnesses read the head itself only then, so that the first attestation came after the evidence had ended. A witness now attests, and an entry asks, once the read lasts no longer than an attestation does.

--- a/packages/core/src/__tests__/freshness.test.ts
+++ b/packages/core/src/__tests__/freshness.test.ts
@@ -139,6 +139,14 @@
 			kind: 'evidence', basis: 'read', ageMs: 30, version: 5,
 		});
 	});
+
+	it('attests before its last read expires; guards against entries that refuse valid keys 4 s into an outage', () => {
+		const {clock, witness} = createSettledEntry();
+		clock.advance(1999);
+		assert.is(witness.answer('view').kind, 'evidence');
+		clock.advance(1);
+		assert.equal(witness.answer('view'), {kind: 'unreachable', version: 5});
+	});
 });
 
 describe('witness groups', () => {
--- a/packages/core/src/freshness.ts
+++ b/packages/core/src/freshness.ts
@@ -60,7 +60,7 @@
 	/** The evidence that lasts longest and whose version is in force here, if it is still valid. */
 	current(): Evidence | undefined {
 		this.#promote();
-		return this.#best && this.#remainingMs(this.#best) >= 0 ? this.#best : undefined;
+		return this.#best && this.remainingMs(this.#best) >= 0 ? this.#best : undefined;
 	}
 
 	/** Rule `freshness`: keyed requests are admitted only on valid evidence. */
@@ -73,6 +73,14 @@
 		return Math.max(0, this.#options.clock.nowMs() - evidence.atMs);
 	}
 
+	/** Time for which the evidence stays valid; negative when it has expired. */
+	remainingMs({basis, atMs}: Evidence): number {
+		const limitMs = basis === 'read'
+			? this.#options.freshnessLimitMs ?? freshnessLimitMs
+			: this.#options.attestationMs ?? attestationMs;
+		return atMs + limitMs - this.#options.clock.nowMs();
+	}
+
 	#note(evidence: Evidence): void {
 		this.#waiting.push(evidence);
 		if (this.#waiting.length > maxWaiting) {
@@ -95,13 +103,6 @@
 	}
 
 	#lastsLonger(evidence: Evidence): boolean {
-		return this.#best === undefined || this.#remainingMs(evidence) > this.#remainingMs(this.#best);
-	}
-
-	#remainingMs({basis, atMs}: Evidence): number {
-		const limitMs = basis === 'read'
-			? this.#options.freshnessLimitMs ?? freshnessLimitMs
-			: this.#options.attestationMs ?? attestationMs;
-		return atMs + limitMs - this.#options.clock.nowMs();
+		return this.#best === undefined || this.remainingMs(evidence) > this.remainingMs(this.#best);
 	}
 }
--- a/packages/core/src/witness.ts
+++ b/packages/core/src/witness.ts
@@ -4,7 +4,7 @@
  */
 import type {FreshnessAnswer} from '@hawthorncleat/schema';
 import type {Clock} from './clock.js';
-import type {Evidence, Freshness} from './freshness.js';
+import {attestationMs, type Evidence, type Freshness} from './freshness.js';
 
 /** A writer that has not finished by then has died; forgetting it changes the incarnation, so it cannot count on it. */
 export const announcementLimitMs = 30_000;
@@ -81,7 +81,8 @@
 	answer(view: string): FreshnessAnswer {
 		const {freshness} = this.#options;
 		const evidence = freshness.current();
-		if (evidence?.basis === 'read') {
+		// An attestation lasts longer than a read that is older than this, so that there is no gap when the store goes down.
+		if (evidence?.basis === 'read' && freshness.remainingMs(evidence) > attestationMs) {
 			return this.#relay(evidence);
 		}
 
--- a/packages/entry/src/control/config-sync.ts
+++ b/packages/entry/src/control/config-sync.ts
@@ -30,10 +30,11 @@
 	return {deltas: deltas as Delta[], snapshot: result.snapshot as Snapshot | undefined};
 };
 
-/** Installs newer versions; one attempt runs at a time. */
+/** Installs newer versions. One read of the store and one question to each peer run at a time. */
 export class ConfigSync {
 	readonly #options: ConfigSyncOptions;
-	#running: Promise<void> | undefined;
+	#fetching: Promise<void> | undefined;
+	readonly #askedPeers = new Set<Peer>();
 
 	constructor(options: ConfigSyncOptions) {
 		this.#options = options;
@@ -45,31 +46,38 @@
 			return;
 		}
 
-		this.#running ??= this.#catchUpOnce(version).finally(() => {
-			this.#running = undefined;
+		this.#fetching ??= this.#fetch().finally(() => {
+			this.#fetching = undefined;
 		});
-		await this.#running;
+		await this.#fetching;
+		if (this.#localVersion < version) {
+			await this.askPeers();
+		}
 	}
 
-	/** Takes the newest version of any peer, for a start while the store is down. */
+	/**
+	 * Takes the newest version of any peer, for a start while the store is down. A peer that has not answered the last
+	 * question yet is left out: one silent peer would otherwise keep the others from being asked until its time is up.
+	 */
 	async askPeers(): Promise<void> {
-		await Promise.all([...this.#options.peers().values()].map(async peer => this.#askPeer(peer)));
+		const peers = [...this.#options.peers().values()].filter(peer => !this.#askedPeers.has(peer));
+		await Promise.all(peers.map(async peer => {
+			this.#askedPeers.add(peer);
+			await this.#askPeer(peer);
+			this.#askedPeers.delete(peer);
+		}));
 	}
 
 	get #localVersion(): number {
 		return this.#options.inForce.view().version;
 	}
 
-	async #catchUpOnce(version: number): Promise<void> {
+	async #fetch(): Promise<void> {
 		try {
 			this.#options.inForce.install(await this.#options.store.fetchSince(this.#localVersion));
 		} catch {
 			// The store is out of reach or lags; the peers may have what is missing.
 		}
-
-		if (this.#localVersion < version) {
-			await this.askPeers();
-		}
 	}
 
 	async #askPeer(peer: Peer): Promise<void> {
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -179,7 +179,7 @@
 		log.info('configuration in force', {version: view.version});
 	}, signal);
 	await hostWatch.poll();
-	await freshnessLoop.readRound();
+	await freshnessLoop.readFirst();
 	await hostWatch.poll();
 	const closed = Promise.all([
 		freshnessLoop.run(signal),
--- a/packages/entry/src/control/freshness-loop.ts
+++ b/packages/entry/src/control/freshness-loop.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	combineAnswers, type Clock, type Freshness, type Witness, type WitnessGroup,
+	attestationMs, combineAnswers, type Clock, type Freshness, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
 import type {ConfigStore} from '@hawthorncleat/platform';
 import type {FreshnessAnswer} from '@hawthorncleat/schema';
@@ -51,17 +51,25 @@
 		]);
 	}
 
-	/** Gets evidence that rests on a read of the head. */
+	/**
+	 * Gets evidence that rests on a read of the head. It does not wait for a newer version to arrive, because a silent
+	 * peer would then delay the next round beyond the validity of the evidence.
+	 */
 	async readRound(): Promise<void> {
 		const isRelayed = !this.#isWitness && await this.#askOwnGroup();
 		if (!isRelayed) {
-			await this.#readHead();
+			void this.#options.sync.catchUp(await this.#readHead());
 		}
 	}
 
-	/** Asks for an attestation while the head cannot be read. */
+	/** Reads the head and the configuration, for a start. */
+	async readFirst(): Promise<void> {
+		await this.#options.sync.catchUp(await this.#readHead());
+	}
+
+	/** Asks for an attestation while the head cannot be read, or when the evidence would not outlast the next rounds. */
 	async attestRound(): Promise<void> {
-		if (!this.#isStoreUnreachable) {
+		if (!this.#isStoreUnreachable && this.#hasLastingEvidence()) {
 			return;
 		}
 
@@ -71,7 +79,7 @@
 		const version = combineAnswers(current, await this.#askAll(current));
 		if (version !== undefined) {
 			freshness.noteAttestation(sentAtMs, version);
-			await sync.catchUp(version);
+			void sync.catchUp(version);
 		}
 	}
 
@@ -80,6 +88,13 @@
 		return ownGroup()?.witnesses.some(({hostId}) => hostId === entryId) ?? true;
 	}
 
+	/** An entry that relies on its witnesses sees the age of their reads before it fails to read the head itself. */
+	#hasLastingEvidence(): boolean {
+		const {freshness} = this.#options;
+		const evidence = freshness.current();
+		return evidence !== undefined && freshness.remainingMs(evidence) > attestationMs;
+	}
+
 	async #repeat(round: () => Promise<void>, signal: AbortSignal): Promise<void> {
 		const {clock, pollMs} = this.#options;
 		while (!signal.aborted) {
@@ -90,16 +105,18 @@
 		}
 	}
 
-	async #readHead(): Promise<void> {
-		const {clock, store, freshness, sync} = this.#options;
+	/** Returns the version of the head, 0 if it cannot be read. */
+	async #readHead(): Promise<number> {
+		const {clock, store, freshness} = this.#options;
 		const sentAtMs = clock.nowMs();
 		try {
 			const {head} = await store.readHead();
 			this.#isStoreUnreachable = false;
 			freshness.noteRead(sentAtMs, head.version);
-			await sync.catchUp(head.version);
+			return head.version;
 		} catch {
 			this.#isStoreUnreachable = true;
+			return 0;
 		}
 	}
 
