--- a/packages/histories/src/__tests__/request-rules.test.ts
+++ b/packages/histories/src/__tests__/request-rules.test.ts
@@ -8,7 +8,7 @@
 } from '../rules/key-rules.js';
 import type {CallObservation, EndpointRequest} from '../rules/observations.js';
 import {
-	findCutCalls, findPoisonCost, findSlowCalls, findWorkAtLeaving, findWrongAnswers,
+	findCutCalls, findPoisonCost, findSilentEnds, findSlowCalls, findWorkAtLeaving, findWrongAnswers,
 } from '../rules/request-rules.js';
 
 const call = (fields: Partial<CallObservation> = {}): CallObservation => ({
@@ -99,6 +99,12 @@
 			assert.equal(findWrongAnswers([call(), call({text: ' a', isWhole: false})]), []);
 		});
 
+		it('findSilentEnds guards against a part of an answer that passes for a whole one', () => {
+			assert.is(findSilentEnds([call({isWhole: false})]).length, 1);
+			assert.is(findSilentEnds([call({isWhole: false, status: 0, code: 'UND_ERR_SOCKET'})]).length, 1);
+			assert.equal(findSilentEnds([call(), call({isWhole: false, code: 'endpoint-failed', ran: 'ran'})]), []);
+		});
+
 		it('findCutCalls guards against a request that a planned change cut off', () => {
 			assert.is(findCutCalls([call({isWhole: false})]).length, 1);
 			assert.is(findCutCalls([call({status: 502, ran: 'ran'})]).length, 1);
--- a/packages/histories/src/rules/request-rules.ts
+++ b/packages/histories/src/rules/request-rules.ts
@@ -25,6 +25,11 @@
 	return expected.startsWith(text) ? [] : [`${id}: the delivered part is not the beginning of the expected answer`];
 });
 
+/** An answer that is not whole says so: the entry, which stays alive, ends it with an error and not with a lost connection. */
+export const findSilentEnds = (calls: readonly CallObservation[]): Violation[] => calls
+	.filter(({isWhole, ran}) => !isWhole && ran === undefined)
+	.map(({id, entry, status, code}) => `${id}: ${entry} ended the answer with status ${status} and no error (${code ?? 'no code'})`);
+
 /** Refusals that a caller may get at any time, because nothing ran. */
 const isRefusal = ({status, ran}: CallObservation): boolean => status >= 400 && ran === 'not-run';
 
