--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -2,7 +2,9 @@
  * Starts an entry and releases everything that it holds when its signal aborts.
  */
 import {once} from 'node:events';
+import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import {startAdminServer} from '@hawthorncleat/telemetry';
 import {listen} from '@hawthorncleat/wire';
@@ -12,6 +14,12 @@
 import {createEntryParts, type EntryParts} from './entry-parts.js';
 import {createInternalHandlers} from './internal-handlers.js';
 
+/** Callers whose last answer came at the end of a drain hear of it from a refusal before their connections close. */
+const lingerMs = 300;
+/** Refusals are short; a caller that does not take one in this time has gone. */
+const lastAnswersMs = 500;
+const sweepMs = 20;
+
 /** A running entry. */
 export type Entry = {
 	readonly callerPort: number;
@@ -34,14 +42,28 @@
 	},
 }, signal);
 
+/** Closes at once what is idle and lets answers that are being written, such as refusals after a drain, be finished. */
+const closeGently = (server: Server): void => {
+	server.close();
+	const sweep = setInterval(() => {
+		server.closeIdleConnections();
+	}, sweepMs);
+	const limit = setTimeout(() => {
+		server.closeAllConnections();
+	}, lastAnswersMs);
+	server.once('close', () => {
+		clearInterval(sweep);
+		clearTimeout(limit);
+	});
+};
+
 const listenForCallers = async (parts: EntryParts, signal: AbortSignal): Promise<{port: number; closed: Promise<void>}> => {
 	const server = createCallerServer(parts.context, parts.deps.makeId);
 	server.listen({host: parts.settings.address, port: parts.settings.callerPort});
 	await once(server, 'listening', {signal});
 	const closed = once(server, 'close').then(() => {/* Only the moment matters. */});
 	signal.addEventListener('abort', () => {
-		server.close();
-		server.closeAllConnections();
+		closeGently(server);
 	}, {once: true});
 	return {port: (server.address() as AddressInfo).port, closed};
 };
@@ -79,7 +101,9 @@
 	const callers = await listenForCallers(parts, signal);
 	let draining: Promise<void> | undefined;
 	const drain = async (): Promise<void> => {
-		draining ??= parts.drain();
+		draining ??= parts.drain().then(async () => {
+			await sleep(lingerMs, undefined, {signal}).catch(() => {/* Aborted. */});
+		});
 		return draining;
 	};
 
