--- a/packages/core/src/__tests__/freshness.test.ts
+++ b/packages/core/src/__tests__/freshness.test.ts
@@ -144,8 +144,10 @@
 
 	it('attests an outage while its last read is still valid; guards against a gap before the first attestation', () => {
 		const {clock, witness} = createSettledEntry();
-		clock.advance(30);
-		assert.equal(witness.answer('view'), {kind: 'unreachable', version: 5});
+		for (const passedMs of [30, 1969, 1, 2000]) {
+			clock.advance(passedMs);
+			assert.equal(witness.answer('view'), {kind: 'unreachable', version: 5});
+		}
 	});
 
 	it('relays a read with its age', () => {
--- a/packages/entry/src/control/config-parts.ts
+++ b/packages/entry/src/control/config-parts.ts
@@ -45,7 +45,7 @@
 	const nextOffset = (offset ?? 0) + part.length;
 	return {
 		version: newest,
-		snapshot: {version: newest, objects: part},
+		snapshot: {version: newest, objects: [...part]},
 		...(nextOffset < objects.length && {nextOffset}),
 	};
 };
--- a/packages/entry/src/control/config-sync.ts
+++ b/packages/entry/src/control/config-sync.ts
@@ -32,10 +32,10 @@
 
 /** Asks for the further parts of a snapshot. A version that changes meanwhile ends the attempt. */
 const fetchWhole = async (peer: Peer, first: ConfigSinceResult): Promise<ConfigSinceResult> => {
-	const objects: unknown[] = [];
+	const objects: Array<Record<string, unknown>> = [];
 	let part = first;
 	for (;;) {
-		objects.push(...(part.snapshot)?.objects ?? []);
+		objects.push(...(part.snapshot?.objects ?? []) as Array<Record<string, unknown>>);
 		if (part.nextOffset === undefined) {
 			return first.snapshot ? {...first, snapshot: {...first.snapshot, objects}} : first;
 		}
@@ -47,10 +47,11 @@
 	}
 };
 
-/** Installs newer versions; one attempt runs at a time. */
+/** Installs newer versions. One read of the store and one question to each peer run at a time. */
 export class ConfigSync {
 	readonly #options: ConfigSyncOptions;
-	#running: Promise<void> | undefined;
+	#fetching: Promise<void> | undefined;
+	readonly #askedPeers = new Set<Peer>();
 
 	constructor(options: ConfigSyncOptions) {
 		this.#options = options;
@@ -62,31 +63,38 @@
 			return;
 		}
 
-		this.#running ??= this.#catchUpOnce(version).finally(() => {
-			this.#running = undefined;
+		this.#fetching ??= this.#fetch().finally(() => {
+			this.#fetching = undefined;
 		});
-		await this.#running;
+		await this.#fetching;
+		if (this.#localVersion < version) {
+			await this.askPeers();
+		}
 	}
 
-	/** Takes the newest version of any peer, for a start while the store is down. */
+	/**
+	 * Takes the newest version of any peer, for a start while the store is down. A peer that has not answered the last
+	 * question yet is left out: one silent peer would otherwise keep the others from being asked until its time is up.
+	 */
 	async askPeers(): Promise<void> {
-		await Promise.all([...this.#options.peers().values()].map(async peer => this.#askPeer(peer)));
+		const peers = [...this.#options.peers().values()].filter(peer => !this.#askedPeers.has(peer));
+		await Promise.all(peers.map(async peer => {
+			this.#askedPeers.add(peer);
+			await this.#askPeer(peer);
+			this.#askedPeers.delete(peer);
+		}));
 	}
 
 	get #localVersion(): number {
 		return this.#options.inForce.view().version;
 	}
 
-	async #catchUpOnce(version: number): Promise<void> {
+	async #fetch(): Promise<void> {
 		try {
 			this.#options.inForce.install(await this.#options.store.fetchSince(this.#localVersion));
 		} catch {
 			// The store is out of reach or lags; the peers may have what is missing.
 		}
-
-		if (this.#localVersion < version) {
-			await this.askPeers();
-		}
 	}
 
 	async #askPeer(peer: Peer): Promise<void> {
