--- a/packages/core/src/__tests__/proof-status.test.ts
+++ b/packages/core/src/__tests__/proof-status.test.ts
@@ -35,6 +35,13 @@
 		.map(match => match[1]!)
 		.filter(file => !existsSync(path.join(root, file)));
 
+/** A seed stands in a test as `seed: 1`, in a list `seeds = [1, 2]` or in a constant such as `killSeed = 1`. */
+const findSeeds = (text: string): Set<string> => {
+	const single = [...text.matchAll(/seed(?::| =) (\d+)/gi)].map(match => match[1]!);
+	const listed = [...text.matchAll(/seeds = \[([^\]]*)]/gi)].flatMap(match => match[1]!.split(',').map(seed => seed.trim()));
+	return new Set([...single, ...listed]);
+};
+
 /** Seeds in the table that no test in the same row uses. */
 const findSeedProblems = async (rows: Iterable<string[]>): Promise<string[]> => {
 	const problems: string[] = [];
@@ -42,8 +49,8 @@
 		const seeds = cells[4] ?? '';
 		const files = [...(cells[3] ?? '').matchAll(/`([^`]+\.ts)`/g)].map(match => match[1]!);
 		const texts = await Promise.all(files.map(async file => readFile(path.join(root, file), 'utf8')));
-		const used = texts.join('\n').replaceAll('_', '');
-		problems.push(...[...seeds.matchAll(/\d+/g)].filter(([seed]) => !used.includes(`seed: ${seed}`)).map(([seed]) => `${cells[0]}: ${seed}`));
+		const used = findSeeds(texts.join('\n').replaceAll('_', ''));
+		problems.push(...[...seeds.matchAll(/\d+/g)].filter(([seed]) => !used.has(seed)).map(([seed]) => `${cells[0]}: ${seed}`));
 	}
 
 	return problems;
--- a/packages/histories/src/__tests__/engine-orders-rise.test.ts
+++ b/packages/histories/src/__tests__/engine-orders-rise.test.ts
@@ -9,6 +9,8 @@
 import {runPlanner} from '../planner.js';
 
 const seeds = [301, 302];
+const killSeed = 311;
+const pauseSeed = 321;
 const durationMs = 6000;
 const settleMs = 1500;
 const longChangeMs = 2000;
@@ -125,8 +127,8 @@
 });
 
 describe('engine orders rise', () => {
-	it('with an agent killed in mid-change, seed 311; guards against an order that overlaps the unfinished one', async () => killInChange(311));
-	it('with an agent paused before it sends its order, seed 321; guards against the late order of a former agent', async () => pauseBeforeOrder(321));
+	it('with an agent killed in mid-change, seed 311; guards against an order that overlaps the unfinished one', async () => killInChange(killSeed));
+	it('with an agent paused before it sends its order, seed 321; guards against the late order of a former agent', async () => pauseBeforeOrder(pauseSeed));
 	for (const seed of seeds) {
 		it(`with two agents on a host, two planners, kills, pauses and a failing table, seed ${seed}; guards against an order of a former agent or planner`, async () => run(seed));
 	}
