Answer a repetition while the answer of its action is being recorded

Cause: the row of an action says 'claimed' until the batch of completions is written, up to 200 ms later, so a quick repetition through the same entry was told 'action-in-doubt' although the entry knew the answer (seen by hand with npm start). Ruled out: waiting for the completion before the first answer, which would add the batch time to each action.

Before: 409 action-in-doubt; now the recorded answer. Through another entry the repetition is still in doubt until the row is written.

--- a/packages/platform/src/__tests__/claim-writer.test.ts
+++ b/packages/platform/src/__tests__/claim-writer.test.ts
@@ -63,6 +63,15 @@
 		assert.equal(await createWriter(fixture, 'e2').claim(request('a')), {kind: 'done', answer});
 	}));
 
+	it('returns an answer that is still being recorded; guards against "in doubt" for a quick repetition', async () => withPlatform(async fixture => {
+		const writer = createWriter(fixture);
+		const recording = writer.complete(claimIdOf(await writer.claim(request('a'))), answer);
+		assert.equal(await writer.claim(request('a')), {kind: 'done', answer});
+		assert.equal(await writer.claim(request('a', 'd2')), {kind: 'key-reused'});
+		assert.ok(await recording);
+		assert.equal(await writer.claim(request('a')), {kind: 'done', answer});
+	}));
+
 	it('lets a released action be claimed again, once', async () => withPlatform(async fixture => {
 		const writer = createWriter(fixture);
 		const first = claimIdOf(await writer.claim(request('a')));
--- a/packages/platform/src/claim-writer.ts
+++ b/packages/platform/src/claim-writer.ts
@@ -60,12 +60,16 @@
 
 type Insert = {readonly key: string; readonly version: number | null; readonly row: ClaimRow; readonly deadlineMs: number};
 
+type Completion = {readonly digest: string; readonly answer: ActionAnswer};
+
 class Writer {
 	readonly #options: ClaimWriterOptions;
 	readonly #signal: AbortSignal;
 	readonly #claims: GroupWriter;
 	readonly #completions: GroupWriter;
 	readonly #granted = new Map<ClaimId, OwnClaim>();
+	/** Answers whose rows are being written, by row key; until then the row alone would say "in doubt". */
+	readonly #completing = new Map<string, Completion>();
 	readonly #unavailable: ClaimResult = {kind: 'unavailable', retryAfterMs: defaultRetryAfterMs};
 	/** Claims that are being released in the background. */
 	#unsettled = 0;
@@ -82,6 +86,11 @@
 			return this.#unavailable;
 		}
 
+		const completion = this.#completing.get(claimKey(request.actionId));
+		if (completion?.digest === request.digest) {
+			return {kind: 'done', answer: completion.answer};
+		}
+
 		const waitMs = this.#options.claimWaitMs ?? claimWaitMs;
 		const deadlineMs = this.#options.clock.nowMs() + waitMs;
 		const attempt = this.#insert(request, null, deadlineMs);
@@ -97,7 +106,17 @@
 	}
 
 	async complete(claimId: ClaimId, answer: ActionAnswer): Promise<boolean> {
-		return this.#update(claimId, this.#completions, row => completeClaimRow(row, answer));
+		const own = this.#granted.get(claimId);
+		if (!own) {
+			return false;
+		}
+
+		this.#completing.set(own.key, {digest: own.row.digest, answer});
+		try {
+			return await this.#update(claimId, this.#completions, row => completeClaimRow(row, answer));
+		} finally {
+			this.#completing.delete(own.key);
+		}
 	}
 
 	async release(claimId: ClaimId): Promise<boolean> {
