--- a/packages/entry/src/duties/endpoint-orderer.ts
+++ b/packages/entry/src/duties/endpoint-orderer.ts
@@ -13,6 +13,7 @@
 import {
 	intentKey, orderStateKey, readOpenOrders, type OpenOrders, type OrderIntent,
 } from './order-intents.js';
+import {ProgressLog} from './progress-log.js';
 
 // Endpoints take minutes to arrive, so that faster rounds would only repeat reads.
 const roundPauseMs = 10_000;
@@ -43,10 +44,14 @@
 	readonly #options: EndpointOrdererOptions;
 	/** When this process first saw an intent; no other host's clock is compared. */
 	readonly #seenMs = new Map<string, number>();
-	#isFailing = false;
+	readonly #progress: ProgressLog;
 
 	constructor(options: EndpointOrdererOptions) {
 		this.#options = options;
+		const {log, dataCentre} = options;
+		this.#progress = new ProgressLog({
+			log, fields: {dataCentre}, failing: 'endpoint orders are delayed', recovered: 'endpoint orders continue',
+		});
 	}
 
 	/** Runs rounds until `signal` aborts. */
@@ -78,13 +83,13 @@
 	async #tryRound(lease: Lease): Promise<void> {
 		try {
 			await this.round(lease);
-			this.#noteState(undefined);
+			this.#progress.succeeded();
 		} catch (error) {
 			if (!isStoreError(error)) {
 				throw error;
 			}
 
-			this.#noteState(error.message);
+			this.#progress.failed(error.message);
 		}
 	}
 
@@ -183,18 +188,4 @@
 			log.info('endpoint ordered', {...order});
 		}
 	}
-
-	#noteState(failure: string | undefined): void {
-		const {log, dataCentre} = this.#options;
-		if ((failure !== undefined) === this.#isFailing) {
-			return;
-		}
-
-		this.#isFailing = failure !== undefined;
-		if (failure === undefined) {
-			log.info('endpoint orders continue', {dataCentre});
-		} else {
-			log.warn('endpoint orders are delayed', {dataCentre, reason: failure});
-		}
-	}
 }
--- a/packages/entry/src/duties/role-planner.ts
+++ b/packages/entry/src/duties/role-planner.ts
@@ -24,6 +24,7 @@
 } from '@hawthorncleat/platform';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
+import {ProgressLog} from './progress-log.js';
 
 // Plans rest on load reports, which come once a second.
 const roundPauseMs = 1000;
@@ -67,10 +68,14 @@
 	/** Settled rows stay as they are until this planner writes again, so that they are read only once. */
 	#rows = new Map<string, KnownRow>();
 	#memory: RolePlanMemory = {};
-	#isFailing = false;
+	readonly #progress: ProgressLog;
 
 	constructor(options: RolePlannerOptions) {
 		this.#options = options;
+		const {log, service} = options;
+		this.#progress = new ProgressLog({
+			log, fields: {service}, failing: 'roles are not planned', recovered: 'roles are planned again',
+		});
 	}
 
 	/** Runs rounds until `signal` aborts. */
@@ -114,13 +119,13 @@
 	async #tryRound(lease: Lease): Promise<void> {
 		try {
 			await this.round(lease);
-			this.#noteState(undefined);
+			this.#progress.succeeded();
 		} catch (error) {
 			if (!isStoreError(error)) {
 				throw error;
 			}
 
-			this.#noteState(error.message);
+			this.#progress.failed(error.message);
 		}
 	}
 
@@ -201,18 +206,4 @@
 
 		return result.kind === 'written';
 	}
-
-	#noteState(failure: string | undefined): void {
-		const {log, service} = this.#options;
-		if ((failure !== undefined) === this.#isFailing) {
-			return;
-		}
-
-		this.#isFailing = failure !== undefined;
-		if (failure === undefined) {
-			log.info('roles are planned again', {service});
-		} else {
-			log.warn('roles are not planned', {service, reason: failure});
-		}
-	}
 }
--- a/packages/entry/src/duties/usage-reporter.ts
+++ b/packages/entry/src/duties/usage-reporter.ts
@@ -16,6 +16,7 @@
 import {
 	countedKey, findFirstWindow, frozenKey, progressKey, progressPrefix, readFrozen, readProgress, type Progress,
 } from './usage-rows.js';
+import {ProgressLog} from './progress-log.js';
 
 // Windows are a minute long; a shorter pause only repeats reads of the progress row.
 const roundPauseMs = 2000;
@@ -48,10 +49,14 @@
 /** The duty of one shard. */
 export class UsageReporter {
 	readonly #options: UsageReporterOptions;
-	#failure: string | undefined;
+	readonly #progress: ProgressLog;
 
 	constructor(options: UsageReporterOptions) {
 		this.#options = options;
+		const {log, shard} = options;
+		this.#progress = new ProgressLog({
+			log, fields: {shard}, failing: 'usage reports are delayed', recovered: 'usage reports continue',
+		});
 	}
 
 	/** Runs rounds until `signal` aborts. */
@@ -80,7 +85,7 @@
 	async #tryRound(lease: Lease, signal: AbortSignal): Promise<void> {
 		try {
 			await this.round(lease, signal);
-			this.#noteState(undefined);
+			this.#progress.succeeded();
 		} catch (error) {
 			if (!isStoreError(error) && !(error instanceof RefusedError)) {
 				throw error;
@@ -88,7 +93,7 @@
 
 			if (!signal.aborted) {
 				this.#options.metrics.usageFailures.inc();
-				this.#noteState(error.message);
+				this.#progress.failed(error.message);
 			}
 		}
 	}
@@ -201,19 +206,5 @@
 			throw result.error;
 		}
 	}
-
-	#noteState(failure: string | undefined): void {
-		const {log, shard} = this.#options;
-		if ((failure === undefined) === (this.#failure === undefined)) {
-			return;
-		}
-
-		this.#failure = failure;
-		if (failure === undefined) {
-			log.info('usage reports continue', {shard});
-		} else {
-			log.warn('usage reports are delayed', {shard, reason: failure});
-		}
-	}
 }
 
