--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -91,7 +91,7 @@
 export {CrashSuspects, type Suspicion} from './crash-suspects.js';
 export {TokenBucket} from './rate-limit.js';
 export {
-	freezeWindow, UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
+	UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
 } from './usage.js';
 export {
 	countParts,
--- a/packages/core/src/usage.ts
+++ b/packages/core/src/usage.ts
@@ -93,24 +93,3 @@
 		}
 	}
 }
-
-/**
- * Adds up the parts of one window; of several states of one part only the newest counts.
- */
-export const freezeWindow = (parts: readonly UsagePart[]): UsageFigure[] => {
-	const newest = new Map<string, UsagePart>();
-	for (const part of parts) {
-		const key = usagePartKey(part);
-		const known = newest.get(key);
-		if (!known || known.sequence < part.sequence) {
-			newest.set(key, part);
-		}
-	}
-
-	const sums = new Map<string, UsageFigure>();
-	for (const figure of [...newest.values()].flatMap(part => part.figures)) {
-		addTo(sums, figure.clientAccount, figure);
-	}
-
-	return [...sums.values()].toSorted(byAccount);
-};
