End the entry after a drain that an operator asked for

Cause: POST /admin/drain finished the running requests but left the process listening, and 'hawthorncleat drain' promises a stop. In dev the fleet also waited for agents that close only on the signal. Found by hand with npm start; the new test failed before with 'the entry was not closed 5 s after the drain'.

Ruled out: leaving the end to the operator's supervisor, since the drained entry would never be replaced.

control.test.ts: 4 passed, 1 failed before, 5 passed after. npm start followed by 'hawthorncleat drain': exit 0.

--- a/packages/entry/src/__tests__/control.test.ts
+++ b/packages/entry/src/__tests__/control.test.ts
@@ -123,6 +123,14 @@
 			assert.is((body.error as {code: string}).code, 'store-unavailable');
 		}));
 
+	it('ends after a drain that an operator asked for; guards against a drained process that stays', async () =>
+		withFleet(async ({entries}) => {
+			const [entry] = entries;
+			await ask(entry!, '/admin/drain', {});
+			const isClosed = await Promise.race([entry!.closed.then(() => true), sleep(5000, false)]);
+			assert.ok(isClosed, 'the entry was not closed 5 s after the drain');
+		}));
+
 	it('writes nothing without a majority of witnesses; guards against a withdrawal that an attestation could miss', async () =>
 		withFleet(async ({platform, entries}) => {
 			platform.putHost({
--- a/packages/entry/src/start-daemon.ts
+++ b/packages/entry/src/start-daemon.ts
@@ -29,8 +29,8 @@
 	signal: AbortSignal,
 ): Promise<Entry> => {
 	const settings = completeSettings(givenSettings);
-	const failed = new AbortController();
-	const combined = AbortSignal.any([signal, failed.signal]);
+	const own = new AbortController();
+	const combined = AbortSignal.any([signal, own.signal]);
 	setMaxListeners(0, combined);
 	try {
 		const control = await createEntryControl(settings, deps, combined);
@@ -39,10 +39,14 @@
 		const entry = await startEntry(settings, {
 			...deps, ...control, wallClock, tracing, runDuties: createDuties(settings, {...deps, ...control, wallClock}),
 		}, combined);
-		const closed = Promise.all([entry.closed, control.closed]).then(async () => tracing.shutdown());
+		const closed = entry.closed.then(async () => {
+			own.abort();
+			await control.closed;
+			await tracing.shutdown();
+		});
 		return {...entry, closed};
 	} catch (error) {
-		failed.abort();
+		own.abort();
 		throw error;
 	}
 };
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -108,7 +108,7 @@
 	};
 };
 
-const startParts = async (parts: EntryParts, signal: AbortSignal): Promise<Entry> => {
+const startParts = async (parts: EntryParts, stop: () => void, signal: AbortSignal): Promise<Entry> => {
 	const internal = await listenInternally(parts, signal);
 	parts.setInternalPort(internal.port);
 	parts.followHosts();
@@ -123,8 +123,9 @@
 		return draining;
 	};
 
+	// A drain that an operator asked for ends the entry; after a stop signal its owner does.
 	const admin = await startAdmin(parts, () => {
-		void drain();
+		void drain().then(stop);
 	}, signal);
 	const released = once(signal, 'abort').then(async () => parts.close());
 	const closed = Promise.all([internal.closed, callers.closed, admin.closed, duties.closed, released]).then(() => {/* All released. */});
@@ -136,12 +137,16 @@
 /** Starts an entry. A failed start releases what had been started. */
 export const startEntry = async (settings: EntrySettings, deps: EntryDeps, signal: AbortSignal): Promise<Entry> => {
 	signal.throwIfAborted();
-	const failed = new AbortController();
+	const own = new AbortController();
+	const stop = (): void => {
+		own.abort();
+	};
+
 	const parts = createEntryParts(settings, deps);
 	try {
-		return await startParts(parts, AbortSignal.any([signal, failed.signal]));
+		return await startParts(parts, stop, AbortSignal.any([signal, own.signal]));
 	} catch (error) {
-		failed.abort();
+		stop();
 		await parts.close();
 		throw error;
 	}
--- a/packages/hawthorncleat/src/daemons/local-fleet.ts
+++ b/packages/hawthorncleat/src/daemons/local-fleet.ts
@@ -128,7 +128,7 @@
 
 /**
  * The entry drains first, since its running requests need the agents. The agents also drain when the entry has closed
- * after a drain through its admin API, so that the process ends.
+ * after a drain through its admin API. They close only when the signal aborts, which follows, so that is not awaited.
  */
 const combineDaemons = (entry: RunningDaemon, agents: readonly RunningDaemon[]): RunningDaemon => {
 	const drainAgents = async (): Promise<void> => {
@@ -138,7 +138,6 @@
 	const closeAll = async (): Promise<void> => {
 		await entry.closed;
 		await drainAgents();
-		await Promise.all(agents.map(async ({closed}) => closed));
 	};
 
 	return {
