Share the rounds of the leased duties

The loop with its pause, and the rule that a failed store delays a duty while any other error ends it, stood in three duties; only the usage reporter's refused writes differ, and it passes them in. Behaviour stays.

--- a/packages/entry/src/duties/endpoint-orderer.ts
+++ b/packages/entry/src/duties/endpoint-orderer.ts
@@ -2,10 +2,9 @@
  * Sends the endpoint orders of one data centre while its lease is held. An order is written as an intent under the check of
  * the lease before it is sent; what became of a send is read from the platform's list of orders.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, MakeId} from '@hawthorncleat/core';
 import {
-	isStoreError, transactOnce, type EndpointOrdersClient, type Lease, type Table,
+	transactOnce, type EndpointOrdersClient, type Lease, type Table,
 } from '@hawthorncleat/platform';
 import type {EndpointOrder} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
@@ -14,6 +13,7 @@
 	intentKey, orderStateKey, readOpenOrders, type OpenOrders, type OrderIntent,
 } from './order-intents.js';
 import {ProgressLog} from './progress-log.js';
+import {runRounds} from './run-rounds.js';
 
 // Endpoints take minutes to arrive, so that faster rounds would only repeat reads.
 const roundPauseMs = 10_000;
@@ -56,10 +56,16 @@
 
 	/** Runs rounds until `signal` aborts. */
 	readonly run = async (lease: Lease, signal: AbortSignal): Promise<void> => {
-		while (!signal.aborted) {
-			await this.#tryRound(lease);
-			await sleep(this.#options.pauseMs ?? roundPauseMs, undefined, {signal}).catch(() => {/* The loop ends. */});
-		}
+		await runRounds({
+			round: async () => this.round(lease),
+			pauseMs: this.#options.pauseMs ?? roundPauseMs,
+			onSuccess: () => {
+				this.#progress.succeeded();
+			},
+			onFailure: reason => {
+				this.#progress.failed(reason);
+			},
+		}, signal);
 	};
 
 	/** Settles what was ordered before, then orders what is missing. */
@@ -80,19 +86,6 @@
 		}
 	}
 
-	async #tryRound(lease: Lease): Promise<void> {
-		try {
-			await this.round(lease);
-			this.#progress.succeeded();
-		} catch (error) {
-			if (!isStoreError(error)) {
-				throw error;
-			}
-
-			this.#progress.failed(error.message);
-		}
-	}
-
 	#createIntent(order: NewOrder, number: number, lease: Lease): OrderIntent {
 		const {dataCentre, live} = this.#options;
 		const orderId = `${dataCentre}-${String(number).padStart(orderIdDigits, '0')}`;
--- a/packages/entry/src/duties/role-planner.ts
+++ b/packages/entry/src/duties/role-planner.ts
@@ -2,7 +2,6 @@
  * Plans the roles of the engines of one service in one data centre while its lease is held. An order is a table row, written
  * in a transaction that checks the lease; the message to the agent carries only its number.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	defaultRolePlanOptions,
 	engineOrderKey,
@@ -20,11 +19,12 @@
 	type TokenDemand,
 } from '@hawthorncleat/core';
 import {
-	isStoreError, transactOnce, type Lease, type Table,
+	transactOnce, type Lease, type Table,
 } from '@hawthorncleat/platform';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
 import {ProgressLog} from './progress-log.js';
+import {runRounds} from './run-rounds.js';
 
 // Plans rest on load reports, which come once a second.
 const roundPauseMs = 1000;
@@ -83,10 +83,16 @@
 		// Another planner may have written since the last tenure.
 		this.#rows = new Map();
 		this.#memory = {};
-		while (!signal.aborted) {
-			await this.#tryRound(lease);
-			await sleep(this.#options.pauseMs ?? roundPauseMs, undefined, {signal}).catch(() => {/* The loop ends. */});
-		}
+		await runRounds({
+			round: async () => this.round(lease),
+			pauseMs: this.#options.pauseMs ?? roundPauseMs,
+			onSuccess: () => {
+				this.#progress.succeeded();
+			},
+			onFailure: reason => {
+				this.#progress.failed(reason);
+			},
+		}, signal);
 	};
 
 	/** Reads the orders under way, sends them again if their message was lost, and writes at most one new order. */
@@ -116,19 +122,6 @@
 		this.#memory = memory;
 	}
 
-	async #tryRound(lease: Lease): Promise<void> {
-		try {
-			await this.round(lease);
-			this.#progress.succeeded();
-		} catch (error) {
-			if (!isStoreError(error)) {
-				throw error;
-			}
-
-			this.#progress.failed(error.message);
-		}
-	}
-
 	async #refresh(endpoint: string): Promise<void> {
 		const known = this.#rows.get(endpoint);
 		if (known && !isUnsettled(known)) {
--- a/packages/entry/src/duties/usage-reporter.ts
+++ b/packages/entry/src/duties/usage-reporter.ts
@@ -2,12 +2,11 @@
  * Freezes and reports the usage windows of one shard while its lease is held. The figures of a window are decided once, by
  * the write of its frozen row; every report sends what was read back from that row.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	isWindowDue, nextWindowStart, usageShards, type Clock, type MakeId,
 } from '@hawthorncleat/core';
 import {
-	isStoreError, transactOnce, type Lease, type ObjectStore, type Table, type UsageReportsClient,
+	transactOnce, type Lease, type ObjectStore, type Table, type UsageReportsClient,
 } from '@hawthorncleat/platform';
 import type {TableCheck, TablePut} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
@@ -17,6 +16,7 @@
 	countedKey, findFirstWindow, frozenKey, progressKey, progressPrefix, readFrozen, readProgress, type Progress,
 } from './usage-rows.js';
 import {ProgressLog} from './progress-log.js';
+import {runRounds} from './run-rounds.js';
 
 // Windows are a minute long; a shorter pause only repeats reads of the progress row.
 const roundPauseMs = 2000;
@@ -61,10 +61,20 @@
 
 	/** Runs rounds until `signal` aborts. */
 	readonly run = async (lease: Lease, signal: AbortSignal): Promise<void> => {
-		while (!signal.aborted) {
-			await this.#tryRound(lease, signal);
-			await sleep(this.#options.pauseMs ?? roundPauseMs, undefined, {signal}).catch(() => {/* The loop ends. */});
-		}
+		await runRounds({
+			round: async () => this.round(lease, signal),
+			pauseMs: this.#options.pauseMs ?? roundPauseMs,
+			onSuccess: () => {
+				this.#progress.succeeded();
+			},
+			onFailure: reason => {
+				if (!signal.aborted) {
+					this.#options.metrics.usageFailures.inc();
+					this.#progress.failed(reason);
+				}
+			},
+			mayPass: error => error instanceof RefusedError,
+		}, signal);
 	};
 
 	/** Freezes the windows that are due, then reports those whose report is not confirmed. */
@@ -82,22 +92,6 @@
 		}
 	}
 
-	async #tryRound(lease: Lease, signal: AbortSignal): Promise<void> {
-		try {
-			await this.round(lease, signal);
-			this.#progress.succeeded();
-		} catch (error) {
-			if (!isStoreError(error) && !(error instanceof RefusedError)) {
-				throw error;
-			}
-
-			if (!signal.aborted) {
-				this.#options.metrics.usageFailures.inc();
-				this.#progress.failed(error.message);
-			}
-		}
-	}
-
 	/** Where the shard stands; undefined while no usage was ever written. */
 	async #readPosition(): Promise<Position | undefined> {
 		const {table, shard} = this.#options;
