Give every test process its own range of ports

Between the probe of a free port and its use by a daemon, another file's probe also found it free; a port whose daemon was being restarted was free as well.

Ruled out: an outgoing connection that took the port (22125 is below the kernel's ephemeral range, 32768 to 60999) and a process left over from an earlier test (each file ends its own).

Change: a test process holds the lowest port of a range of 500 while it runs, so no other test process gives out a port of that range, and gives its ports out in order. The port test of the wire package uses it too.

--- a/packages/histories/src/daemon-plans.ts
+++ b/packages/histories/src/daemon-plans.ts
@@ -2,12 +2,12 @@
  * Settings of the entries and agents of a fleet.
  */
 import type {AgentSettings, EntrySettings} from '@hawthorncleat/schema';
+import {findFreePort, loopback} from '@hawthorncleat/test-kit';
 import type {DaemonPlan} from './daemon.js';
 import {fleetRegion, fleetServices} from './fleet-config.js';
 import {
 	agentDefaults, entryDefaults, type EntryPlan, type FleetPlan, type FleetSettings,
 } from './fleet-plan.js';
-import {findFreePort, loopback} from './ports.js';
 import type {StandInSet} from './stand-in-set.js';
 
 /** The admin token of every entry. */
--- a/packages/histories/src/daemon.ts
+++ b/packages/histories/src/daemon.ts
@@ -5,8 +5,8 @@
 import {fileURLToPath} from 'node:url';
 import process from 'node:process';
 import {request} from 'undici';
+import {loopback} from '@hawthorncleat/test-kit';
 import {startChild, type Child, type ChildExit} from './child.js';
-import {loopback} from './ports.js';
 
 const binPath = fileURLToPath(new URL('../../hawthorncleat/bin/hawthorncleat.js', import.meta.url));
 const readyPollMs = 50;
--- a/packages/histories/src/fleet.ts
+++ b/packages/histories/src/fleet.ts
@@ -5,6 +5,7 @@
 import {setMaxListeners} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Change, Faults, HostRecord} from '@hawthorncleat/schema';
+import {loopback} from '@hawthorncleat/test-kit';
 import type {ChildExit} from './child.js';
 import {applyChange} from './apply-change.js';
 import {Daemon} from './daemon.js';
@@ -14,7 +15,6 @@
 import {
 	createHistory, joinHistories, type History, type HistoryRecord,
 } from './history.js';
-import {loopback} from './ports.js';
 import {createSeededRandom, type SeededRandom} from './random.js';
 import {startStandIns, type StandInSet} from './stand-in-set.js';
 
--- a/packages/histories/src/index.ts
+++ b/packages/histories/src/index.ts
@@ -25,7 +25,6 @@
 	type RunRecord,
 	type SentRequest,
 } from './history.js';
-export {findFreePort, loopback} from './ports.js';
 export {createSeededRandom, type SeededRandom} from './random.js';
 export {
 	checkHistory, describeViolations, type Rule, type Violation,
--- a/packages/histories/src/planner.ts
+++ b/packages/histories/src/planner.ts
@@ -5,6 +5,7 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
+import {loopback} from '@hawthorncleat/test-kit';
 import {
 	engineOrderKey, leaseEpochKey, parseOrderRow, type EngineOrderRow,
 } from '@hawthorncleat/core';
@@ -13,7 +14,6 @@
 } from '@hawthorncleat/platform';
 import {dial, type Peer} from '@hawthorncleat/wire';
 import type {Fleet} from './fleet.js';
-import {loopback} from './ports.js';
 import type {SeededRandom} from './random.js';
 
 const duty = 'roles/restock/dc-1';
--- a/packages/wire/src/__tests__/peer.test.ts
+++ b/packages/wire/src/__tests__/peer.test.ts
@@ -1,7 +1,7 @@
 import {connect} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {createRequestError, isRequestError, type RequestError} from '@hawthorncleat/core';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, findFreePort, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {dial, listen, type Peer} from '../index.js';
 
@@ -18,14 +18,6 @@
 	}
 };
 
-const findFreePort = async (): Promise<number> => {
-	const controller = new AbortController();
-	const listener = await listen({...base, port: 0, handlers: {}}, controller.signal);
-	controller.abort();
-	await listener.closed;
-	return listener.port;
-};
-
 const refuse = (): never => {
 	const details = {
 		code: 'overloaded', ran: 'not-run', retryAfterMs: 70, status: 429,
