Resume a request whose start was not answered

Two faults together: 1. The wire layer never produced `call-timeout`. The JSON-RPC library reports a timeout as an error of its own kind, which counted as an answer that makes no sense, so the request was not resumed. 2. The time limit of a start (3 s) and the silence limit (3 s) end at about the same moment. A resume that was sent on the silent connection failed with it and was not tried on the next connection.

Ruled out: lost frames (none had been sent), an agent that had forgotten the request (it keeps streams for 10 s), a port or a restart (the agent's incarnation is the same before and after).

--- a/packages/entry/src/__tests__/model.test.ts
+++ b/packages/entry/src/__tests__/model.test.ts
@@ -98,6 +98,31 @@
 			assert.is(await textOf(await complete(world)), 'one two three');
 		}));
 
+		it('resumes again when the connection is lost during a resume; guards against a request that fails when a silence is noticed late', async () => withEntry(async world => {
+			let resumes = 0;
+			await addAgent(world, 'planner-engines', {
+				async 'request.start'(_params, peer) {
+					setTimeout(() => {
+						peer.close();
+					}, 10);
+					return new Promise(() => {/* The answer is lost. */});
+				},
+				async 'request.resume'(params, peer) {
+					resumes += 1;
+					if (resumes === 1) {
+						peer.close();
+						return {resumed: true};
+					}
+
+					sendTokens(peer, params, 0, ['one ', 'two ', 'three']);
+					sendEnd(peer, params, 3);
+					return {resumed: true};
+				},
+			});
+			assert.is(await textOf(await complete(world)), 'one two three');
+			assert.is(resumes, 2);
+		}));
+
 		it('does not pass off an answer as whole whose end counts other tokens', async () => withEntry(async world => {
 			await addEngine(world, (params, peer) => {
 				sendTokens(peer, params, 0, ['one ']);
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -29,6 +29,10 @@
 /** The tokens that the caller has been given, over all attempts. */
 export type Delivery = {readonly tokens: string[]; bytes: number; onTokens(tokens: readonly string[]): void};
 
+const lossCodes: ReadonlySet<string> = new Set(['connection-lost', 'connection-closed']);
+
+const isConnectionLoss = (err: unknown): boolean => lossCodes.has(classifyCallError(err).code);
+
 type AttemptOptions = {
 	readonly endpoint: Endpoint;
 	readonly params: RequestStartParams;
@@ -217,9 +221,8 @@
 		}
 
 		this.#isRecovering = true;
-		this.#resumes += 1;
 		try {
-			await this.#resumeOnce();
+			await this.#resumeUntilAnswered();
 		} catch (error) {
 			const {code} = classifyCallError(error);
 			this.#fail({kind: 'connection-lost', ran: 'unknown', code});
@@ -228,6 +231,24 @@
 		}
 	}
 
+	/**
+	 * The resume itself may meet a connection that has gone silent but is not yet known to be lost: a call without an answer
+	 * times out about when the silence is noticed.
+	 */
+	async #resumeUntilAnswered(): Promise<void> {
+		for (;;) {
+			this.#resumes += 1;
+			try {
+				await this.#resumeOnce();
+				return;
+			} catch (error) {
+				if (this.#isSettled || !isConnectionLoss(error)) {
+					throw error;
+				}
+			}
+		}
+	}
+
 	async #resumeOnce(): Promise<void> {
 		const {endpoint, params, delivery, resumeWaitMs} = this.#options;
 		if (this.#resumes > maxResumes) {
--- a/packages/histories/src/__tests__/silent-connection.test.ts
+++ b/packages/histories/src/__tests__/silent-connection.test.ts
@@ -14,10 +14,18 @@
 import type {LostBytes} from '../relay.js';
 import {findCutCalls, findSlowCalls, findWrongAnswers} from '../rules/request-rules.js';
 
-type Scenario = {readonly seed: number; readonly lost: LostBytes};
+type Scenario = {
+	readonly seed: number;
+	readonly lost: LostBytes;
+	/** The connection is silent before the requests are sent, so that none of them is answered as accepted. */
+	readonly isSilentBefore?: boolean;
+};
 
 const scenarios: readonly Scenario[] = [
-	{seed: 131, lost: 'both'}, {seed: 132, lost: 'to-dialer'}, {seed: 133, lost: 'to-target'},
+	{seed: 131, lost: 'both'},
+	{seed: 132, lost: 'to-dialer'},
+	{seed: 133, lost: 'to-target'},
+	{seed: 134, lost: 'to-dialer', isSilentBefore: true},
 ];
 /** Silence limit of 3 s, found at the next heartbeat, and the first reconnection. */
 const resumeLimitMs = 5000;
@@ -31,20 +39,25 @@
  */
 const engineNames = (lost: LostBytes): string[] => lost === 'to-target' ? ['engine-1', 'engine-2'] : ['engine-1'];
 
-const runScenario = async ({seed, lost}: Scenario): Promise<void> => {
+const runScenario = async ({seed, lost, isSilentBefore = false}: Scenario): Promise<void> => {
 	const random = createSeededRandom(seed);
 	const key = createCallerKey(random, 'caller', 'planning');
 	await withLinkedFleet({
 		seed, entries: 1, engines: engineNames(lost).map(name => ({name, dataCentre: 'dc-1', options: {stepMs}})),
 	}, async (fleet, links) => {
 		await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
+		const silence = (): number => {
+			links.host(fleet, 'agent-engine-1').silenceOpen(lost);
+			return performance.now();
+		};
+
+		const earlySilentMs = isSilentBefore ? silence() : undefined;
 		const callers = Array.from({length: streamCount}, () => new KeptCaller(fleet, 'entry-1', key));
 		const calls = callers.map(async (caller, index) => caller.call({
 			id: `s${index}`, prompt: `${promptTag(`s${index}`)} stream`, maxTokens, stream: true,
 		}));
 		await sleep(random.integer(150, 500));
-		links.host(fleet, 'agent-engine-1').silenceOpen(lost);
-		const silentMs = performance.now();
+		const silentMs = earlySilentMs ?? silence();
 		const ended = await Promise.all(calls);
 		assert.equal(findCutCalls(ended, false), []);
 		assert.equal(findWrongAnswers(ended), []);
@@ -64,7 +77,7 @@
 
 describe('a stream survives a connection that goes silent for good', () => {
 	for (const scenario of scenarios) {
-		it(`seed ${scenario.seed}: bytes lost ${scenario.lost}; guards against a stream that hangs, loses tokens or runs twice`, async () => {
+		it(`seed ${scenario.seed}: bytes lost ${scenario.lost}${scenario.isSilentBefore ? ' before the start' : ''}; guards against a stream that hangs, loses tokens or runs twice`, async () => {
 			await runScenario(scenario);
 		});
 	}
--- a/packages/wire/src/__tests__/peer.test.ts
+++ b/packages/wire/src/__tests__/peer.test.ts
@@ -43,6 +43,15 @@
 			assert.equal([code, ran, retryAfterMs, status], ['overloaded', 'not-run', 70, 429]);
 		}));
 
+		it('tells a call without an answer in time from an error; guards against a late answer that counts as nonsense', async () => withAbort(async signal => {
+			const handlers = {'config.since': async () => new Promise<never>(() => {/* No answer. */})};
+			const listener = await listen({...base, port: 0, handlers}, signal);
+			const peer = await dial({...base, port: listener.port, handlers: {}}, signal);
+			const error = await peer.call('config.since', {version: 1}, {timeoutMs: 20}).catch((error: unknown) => error);
+			assert.ok(isRequestError(error), String(error));
+			assert.equal([error.code, error.ran, error.status], ['call-timeout', 'unknown', 504]);
+		}));
+
 		it('rejects parameters that do not match the schema', async () => withAbort(async signal => {
 			const handlers = {'config.since': () => ({version: 0})};
 			const listener = await listen({...base, port: 0, handlers}, signal);
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -11,11 +11,14 @@
 	check, type Finding, type Heartbeat, type Refusal,
 } from '@hawthorncleat/schema';
 import {
+	createJSONRPCErrorResponse,
 	JSONRPCClient,
 	JSONRPCErrorCode,
 	JSONRPCErrorException,
 	JSONRPCServer,
 	JSONRPCServerAndClient,
+	type JSONRPCErrorResponse,
+	type JSONRPCID,
 	type JSONRPCParams,
 } from 'json-rpc-2.0';
 import {LineReader} from './line-reader.js';
@@ -27,6 +30,8 @@
 /** Three missed heartbeats; one late heartbeat must not cost a connection. */
 export const silenceLimitMs = 3000;
 const refusalErrorCode = -32_000;
+/** Only made on this side, to tell a missing answer from an error that the other side reported. */
+const callTimeoutErrorCode = -32_001;
 const defaultCallTimeoutMs = 10_000;
 
 /** Why a connection ended. */
@@ -54,6 +59,9 @@
 		JSONRPCErrorCode.InvalidParams,
 	);
 
+const createTimeoutResponse = (id: JSONRPCID): JSONRPCErrorResponse =>
+	createJSONRPCErrorResponse(id, callTimeoutErrorCode, 'no answer in time');
+
 const toWireError = (err: unknown): Error => {
 	if (!isRequestError(err)) {
 		return err instanceof Error ? err : new Error(String(err));
@@ -85,6 +93,7 @@
 
 	readonly #options: PeerOptions;
 	readonly #reader = new LineReader();
+	readonly #client: JSONRPCClient;
 	readonly #rpc: JSONRPCServerAndClient;
 	readonly #timer: NodeJS.Timeout;
 	readonly #resolveClosed: (reason: CloseReason) => void;
@@ -97,11 +106,12 @@
 		const {promise, resolve} = createDeferred<CloseReason>();
 		this.closed = promise;
 		this.#resolveClosed = resolve;
+		this.#client = new JSONRPCClient(async payload => {
+			this.#send(payload);
+		});
 		this.#rpc = new JSONRPCServerAndClient(
 			this.#createServer(),
-			new JSONRPCClient(async payload => {
-				this.#send(payload);
-			}),
+			this.#client,
 			{errorListener() {/* Errors travel to the caller; a log line per failed call would flood. */}},
 		);
 		this.#attachSocket();
@@ -138,7 +148,7 @@
 
 		try {
 			const timeoutMs = options.timeoutMs ?? defaultCallTimeoutMs;
-			return await this.#rpc.timeout(timeoutMs).request(name, params as JSONRPCParams) as Calls[Name]['result'];
+			return await this.#client.timeout(timeoutMs, createTimeoutResponse).request(name, params as JSONRPCParams) as Calls[Name]['result'];
 		} catch (error) {
 			throw this.#explain(error);
 		}
@@ -238,14 +248,12 @@
 			return connectionLost(this.#closeReason);
 		}
 
-		const explained = fromWireError(err);
-		if (isRequestError(explained) || explained instanceof JSONRPCErrorException) {
-			return explained;
+		if (err instanceof JSONRPCErrorException && err.code === callTimeoutErrorCode) {
+			return createRequestError(err.message, {code: 'call-timeout', ran: 'unknown', status: 504});
 		}
 
-		return createRequestError('no answer in time', {
-			code: 'call-timeout', ran: 'unknown', status: 504,
-		});
+		const explained = fromWireError(err);
+		return explained instanceof Error ? explained : new Error(String(explained));
 	}
 }
 
