--- a/packages/histories/src/__tests__/whole-answer.test.ts
+++ b/packages/histories/src/__tests__/whole-answer.test.ts
@@ -18,6 +18,9 @@
 const engineNames = ['engine-1', 'engine-2', 'engine-3'];
 const stepMs = 8;
 const faultRounds = 8;
+const crossingSeeds = [93, 94];
+const crossingRounds = 12;
+const minCrossedFrames = 200;
 /** Longer than the silence limit, so that the agent comes back with streams that were given up. */
 const pauseMs = 3600;
 /** The answers with a fault, by number: every one of these meets a retry. */
@@ -56,7 +59,25 @@
 const startCallers = (fleet: Fleet, key: CallerKey): KeptCaller[] => fleet.entryNames
 	.flatMap(entry => Array.from({length: callersPerEntry}, () => new KeptCaller(fleet, entry, key)));
 
-const runSeed = async (seed: number): Promise<void> => {
+/** Crosses the frames of all agents again and again, since new connections pass them on as they are. */
+const crossFrames = async (fleet: Fleet, links: FleetLinks, random: SeededRandom): Promise<number> => {
+	for (let round = 0; round < crossingRounds; round += 1) {
+		for (const agent of fleet.agentNames) {
+			links.host(fleet, agent).crossFrames(random);
+		}
+
+		await sleep(random.integer(200, 500));
+		if (round % 4 === 3) {
+			links.host(fleet, random.pick(fleet.agentNames)).cut();
+		}
+	}
+
+	return fleet.agentNames.reduce((sum, agent) => sum + links.host(fleet, agent).crossedFrames, 0);
+};
+
+type Disturbance = (fleet: Fleet, links: FleetLinks, random: SeededRandom) => Promise<unknown>;
+
+const runSeed = async (seed: number, disturb: Disturbance, minWholeShare: number): Promise<void> => {
 	const random = createSeededRandom(seed);
 	const key = createCallerKey(random, 'caller', 'planning');
 	const options = {stepMs, chooseFault: (answer: number) => answerFaults[answer % faultPeriod]};
@@ -69,14 +90,14 @@
 		const load = Promise.all(callers.map(async (caller, index) => caller.repeat(number => ({
 			id: `w${index}-${number}`, prompt: `answer ${seed} ${index} ${number}`, maxTokens: 20 + ((index * 17) % 80), stream: index % 3 > 0,
 		}), 20, controller.signal)));
-		await injectFaults(fleet, links, random);
+		await disturb(fleet, links, random);
 		controller.abort();
 		await load;
 		const calls = callers.flatMap(({observations}) => observations);
 		assert.equal(findWrongAnswers(calls), []);
 		assert.equal(findSilentEnds(calls), []);
 		const whole = calls.filter(({isWhole}) => isWhole).length;
-		assert.ok(whole > calls.length / 2, `only ${whole} of ${calls.length} answers were whole`);
+		assert.ok(whole > calls.length * minWholeShare, `only ${whole} of ${calls.length} answers were whole`);
 		await Promise.all(callers.map(async caller => caller.close()));
 	});
 };
@@ -84,7 +105,16 @@
 describe('a caller gets the whole answer to its own request', () => {
 	for (const seed of seeds) {
 		it(`seed ${seed}: killed and paused agents, cut and silent links, engine faults; guards against short, doubled and crossed answers`, async () => {
-			await runSeed(seed);
+			await runSeed(seed, injectFaults, 0.5);
+		});
+	}
+
+	for (const seed of crossingSeeds) {
+		it(`seed ${seed}: frames repeated, late and crossed on purpose; guards against a frame taken at the wrong position`, async () => {
+			await runSeed(seed, async (fleet, links, random) => {
+				const crossed = await crossFrames(fleet, links, random);
+				assert.ok(crossed >= minCrossedFrames, `only ${crossed} frames were crossed`);
+			}, 0.5);
 		});
 	}
 });
--- a/packages/histories/src/relay.ts
+++ b/packages/histories/src/relay.ts
@@ -6,8 +6,10 @@
 import {
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import {findFreePort, loopback} from '@hawthorncleat/test-kit';
+import {LineShuffler} from './line-shuffler.js';
+import type {SeededRandom} from './random.js';
 
-const loopback = '127.0.0.1';
 /** The first line of an internal connection names its dialer, which is how a relay tells dialers apart. */
 const helloId = /"id":"([^"]+)"/;
 
@@ -22,12 +24,16 @@
 	readonly port: number;
 	/** Number of connections that are open on the dialer's side. */
 	readonly openCount: number;
+	/** Frames that were repeated or delayed so far. */
+	readonly crossedFrames: number;
 	/** Settles after the signal aborted and all sockets were closed. */
 	readonly closed: Promise<void>;
 	/** Makes the open connections silent for good; new ones work. */
 	silenceOpen(lost?: LostBytes): void;
 	/** Makes open and new connections of these dialers silent until `heal`. */
 	partition(isAffected?: DialerFilter): void;
+	/** Repeats and delays frames on their way to the dialers of open connections, for as long as these last. */
+	crossFrames(random: SeededRandom): void;
 	/** Closes the open connections. */
 	cut(): void;
 	/** Closes the open connections and refuses new ones until `heal`. */
@@ -41,6 +47,7 @@
 	readonly #dialerSocket: Socket;
 	readonly #targetSocket: Socket;
 	readonly #lost = {toTarget: false, toDialer: false};
+	#shuffler: LineShuffler | undefined;
 
 	constructor(dialerSocket: Socket, targetPort: number, onFirstBytes: (link: Link) => void) {
 		this.#dialerSocket = dialerSocket;
@@ -58,6 +65,14 @@
 		return this.#dialerSocket.destroyed && this.#targetSocket.destroyed;
 	}
 
+	get crossedFrames(): number {
+		return this.#shuffler?.touched ?? 0;
+	}
+
+	crossFrames(random: SeededRandom): void {
+		this.#shuffler ??= new LineShuffler(random);
+	}
+
 	silence(lost: LostBytes): void {
 		this.#lost.toTarget ||= lost !== 'to-dialer';
 		this.#lost.toDialer ||= lost !== 'to-target';
@@ -70,7 +85,8 @@
 
 	#forward(from: Socket, to: Socket, direction: 'toTarget' | 'toDialer'): void {
 		from.on('data', (chunk: Uint8Array) => {
-			if (!this.#lost[direction] && !to.destroyed && !to.write(chunk)) {
+			const shuffler = direction === 'toDialer' ? this.#shuffler : undefined;
+			if (!this.#lost[direction] && !to.destroyed && !to.write(shuffler ? shuffler.push(chunk) : chunk)) {
 				from.pause();
 				to.once('drain', () => {
 					from.resume();
@@ -95,6 +111,7 @@
 	#server: Server;
 	#isPartitioned: DialerFilter | undefined;
 	#openCount = 0;
+	#earlierCrossed = 0;
 
 	constructor(server: Server, targetPort: number, signal: AbortSignal) {
 		this.#server = server;
@@ -121,6 +138,16 @@
 		}
 	}
 
+	get crossedFrames(): number {
+		return this.#earlierCrossed + [...this.#links].reduce((sum, link) => sum + link.crossedFrames, 0);
+	}
+
+	crossFrames(random: SeededRandom): void {
+		for (const link of this.#links) {
+			link.crossFrames(random);
+		}
+	}
+
 	cut(): void {
 		for (const link of this.#links) {
 			link.destroy();
@@ -163,6 +190,7 @@
 	#forgetClosed(): void {
 		for (const link of this.#links) {
 			if (link.isClosed) {
+				this.#earlierCrossed += link.crossedFrames;
 				this.#links.delete(link);
 			}
 		}
@@ -182,8 +210,8 @@
 	return server;
 };
 
-/** Starts a relay to a port on loopback. `port` is its own; 0 takes a free one. */
+/** Starts a relay to a port on loopback. It keeps its own port while it refuses connections, so that no ephemeral port will do. */
 export const startRelay = async (
-	{targetPort, port = 0}: {readonly targetPort: number; readonly port?: number},
+	{targetPort, port}: {readonly targetPort: number; readonly port?: number},
 	signal: AbortSignal,
-): Promise<Relay> => new TcpRelay(await listenOn(port), targetPort, signal);
+): Promise<Relay> => new TcpRelay(await listenOn(port ?? await findFreePort()), targetPort, signal);
