Check only what a change of the configuration can affect

Cause: `checkChange` built the name tables of all objects and sorted them for each change, although the base was checked when it was accepted. At 48,000 accounts that held the event loop of the publishing entry for half a second, which delays the tokens of all of its streams.

Ruled out: the schema check (the same few objects as before), the store (its stand-in answers in milliseconds), and building the view, which a publication already takes from the version before.

Change: the check works on the view in force. It looks at the changed objects, the keys of deleted accounts, keys with the same hash, and all objects but accounts and keys, and finds other accounts and keys by name. A base from a file is still checked whole, because it may have been edited.

--- a/packages/core/src/config/__tests__/check-change.test.ts
+++ b/packages/core/src/config/__tests__/check-change.test.ts
@@ -1,13 +1,16 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {checkChange} from '../check-change.js';
+import {createConfigView} from '../create-view.js';
 import {emptySnapshot} from '../delta.js';
 import {hashKey} from '../objects.js';
 import {base, objects, place} from './fixture.js';
 
+const baseView = createConfigView(base);
+
 /** `place of the finding: value` for each finding, in order. */
 const findingsOf = (change: unknown): string[] => {
-	const checked = checkChange(base, change);
+	const checked = checkChange(baseView, change);
 	return checked.ok
 		? []
 		: checked.findings.map(({kind, name, field, value}) =>
@@ -18,10 +21,10 @@
 
 describe('checkChange', () => {
 	it('accepts a valid configuration; guards against rules that refuse correct files', () => {
-		const checked = checkChange(emptySnapshot, {put: objects});
+		const checked = checkChange(createConfigView(emptySnapshot), {put: objects});
 		assert.ok(checked.ok);
-		assert.is(checked.snapshot.version, 1);
-		assert.is(checked.snapshot.objects.length, objects.length);
+		assert.is(checked.next.version, 1);
+		assert.is(checked.next.snapshot.objects.length, objects.length);
 	});
 
 	it('reports everything at once; guards against fixing one finding per attempt', () => {
@@ -45,7 +48,7 @@
 	});
 
 	it('gives the place in the change; guards against findings that cannot be located in the file', () => {
-		const checked = checkChange(base, {put: [{...desk, places: ['bergen-1', 'nowhere']}]});
+		const checked = checkChange(baseView, {put: [{...desk, places: ['bergen-1', 'nowhere']}]});
 		assert.ok(!checked.ok);
 		assert.equal(checked.findings.map(finding => finding.place), ['/put/0/places/1']);
 	});
--- a/packages/core/src/config/__tests__/view.test.ts
+++ b/packages/core/src/config/__tests__/view.test.ts
@@ -102,7 +102,7 @@
 		fc.assert(fc.property(fc.array(change, {minLength: 1, maxLength: 6}), changes => {
 			const inForce = createInForce(base);
 			for (const [index, given] of changes.entries()) {
-				const checked = checkChange(inForce.view().snapshot, given);
+				const checked = checkChange(inForce.view(), given);
 				inForce.install({deltas: [{version: base.version + 1 + index, change: checked.ok ? checked.delta.change : {}}]});
 			}
 
--- a/packages/core/src/config/check-change.ts
+++ b/packages/core/src/config/check-change.ts
@@ -1,20 +1,25 @@
 /**
- * Checks a change as a whole against the version that it is to follow, and reports all findings together.
+ * Checks a change as a whole against the version that it is to follow, and reports all findings together. The version was
+ * checked when it was accepted, so only what the change can affect is checked again: the changed objects, the accounts
+ * and keys that depend on them, and all other objects, of which there are few.
  */
 import {
-	check, validators, type Change, type ConfigObject, type Delta, type Finding, type ObjectId, type ObjectKind, type Snapshot,
-	type Validator,
+	check, validators, type Change, type ConfigObject, type Delta, type Finding, type ObjectId, type ObjectKind, type Validator,
 } from '@hawthorncleat/schema';
-import {applyChange} from './delta.js';
+import {brandAs, type KeyHash} from '../ids.js';
+import type {AdvancingView} from './create-view.js';
 import {createReport, type ConfigFinding, type Report} from './findings.js';
-import {objectKey} from './objects.js';
+import {objectKey, sortObjects} from './objects.js';
 import {checkRules} from './rules.js';
 
 /** The next version, or every reason why the change cannot become one. */
 export type ChangeCheck
-	= | {readonly ok: true; readonly snapshot: Snapshot; readonly delta: Delta}
+	= | {readonly ok: true; readonly next: AdvancingView; readonly delta: Delta}
 		| {readonly ok: false; readonly findings: readonly ConfigFinding[]};
 
+/** What is checked: all that the change can affect, or everything, for a base that nobody has checked. */
+export type CheckScope = 'affected' | 'whole';
+
 const objectValidators: Record<ObjectKind, Validator> = {
 	'client-account': validators.validateClientAccount as Validator,
 	key: validators.validateKey as Validator,
@@ -105,16 +110,15 @@
 	}
 };
 
-const checkDeletions = (base: Snapshot, change: Change, report: Report): void => {
-	const existing = new Set(base.objects.map(object => objectKey(object)));
+const checkDeletions = (base: AdvancingView, change: Change, report: Report): void => {
 	for (const id of change.delete ?? []) {
-		if (!existing.has(objectKey(id))) {
+		if (!base.findObject(id)) {
 			report(id, 'name', id.name, 'cannot be deleted because it does not exist');
 		}
 	}
 };
 
-const checkBaseVersion = (base: Snapshot, change: Change, findings: ConfigFinding[]): void => {
+const checkBaseVersion = (base: AdvancingView, change: Change, findings: ConfigFinding[]): void => {
 	const {baseVersion} = change;
 	if (baseVersion !== undefined && baseVersion > base.version) {
 		const problem = `the newest version is ${base.version}`;
@@ -124,38 +128,61 @@
 	}
 };
 
-const checkWhole = (base: Snapshot, change: Change, valid: Change, objects: readonly ConfigObject[]): ConfigFinding[] => {
+/** Keys whose account the change deletes. Deletions of accounts are rare, so there is no index for them. */
+const keysOfDeletedAccounts = (base: AdvancingView, next: AdvancingView, change: Change): ConfigObject[] => {
+	const deleted = new Set((change.delete ?? [])
+		.filter(id => id.kind === 'client-account' && !next.findObject(id))
+		.map(({name}) => name));
+	return deleted.size === 0 ? [] : [...base.allObjects()].filter(object => object.kind === 'key' && deleted.has(object.account));
+};
+
+/** Keys of the base that have the hash of a key in the change. */
+const keysWithSameHash = (base: AdvancingView, change: Change): ConfigObject[] => (change.put ?? [])
+	.flatMap(object => object.kind === 'key' ? [base.findKey(brandAs<KeyHash>(object.hash))?.key] : [])
+	.filter(key => key !== undefined);
+
+/** The objects of the next version that can violate a rule because of the change. */
+const affectedObjects = (base: AdvancingView, next: AdvancingView, change: Change): ConfigObject[] => {
+	const affected = [
+		...next.fleetObjects(),
+		...(change.put ?? []),
+		...keysOfDeletedAccounts(base, next, change),
+		...keysWithSameHash(base, change),
+	];
+	const ids = new Map(affected.map(object => [objectKey(object), object]));
+	return sortObjects([...ids.values()].map(object => next.findObject(object)).filter(object => object !== undefined));
+};
+
+type CheckedParts = {readonly base: AdvancingView; readonly next: AdvancingView; readonly given: Change; readonly valid: Change};
+
+const checkAgainstRules = ({base, next, given, valid}: CheckedParts, scope: CheckScope): ConfigFinding[] => {
 	const findings: ConfigFinding[] = [];
-	const ids = placedIds(change);
+	const ids = placedIds(given);
 	const report = createReport(findings, new Map(ids.map(({id, place}) => [objectKey(id), place])));
-	checkBaseVersion(base, change, findings);
+	checkBaseVersion(base, given, findings);
 	checkDuplicates(ids, findings);
-	checkDeletions(base, change, report);
-	const invalid = namesOfInvalid((change.put ?? []).filter(object => !valid.put?.includes(object)));
-	checkRules(objects, invalid, report);
+	checkDeletions(base, given, report);
+	const objects = scope === 'whole' ? sortObjects(next.allObjects()) : affectedObjects(base, next, valid);
+	const ignored = namesOfInvalid((given.put ?? []).filter(object => !valid.put?.includes(object)));
+	checkRules({objects, findOther: next.findObject, ignored}, report);
 	return findings;
 };
 
 /** Checks a change against a base. Objects with findings of the schema are not checked against the rules. */
-export const checkChange = (base: Snapshot, change: unknown): ChangeCheck => {
+export const checkChange = (base: AdvancingView, change: unknown, scope: CheckScope = 'affected'): ChangeCheck => {
 	const schemaFindings = checkSchema(change);
 	if (checkEnvelope(change).length > 0) {
 		return {ok: false, findings: schemaFindings};
 	}
 
-	const {baseVersion: _, ...given} = change as Change;
-	const valid = {...given, put: (given.put ?? []).filter(object => checkObject(object, '').length === 0)};
-	// Without findings the valid objects are all that were given, so this is also the next version.
-	const objects = applyChange(base.objects, valid);
-	const findings = [...schemaFindings, ...checkWhole(base, change as Change, valid, objects)];
-	if (findings.length > 0) {
-		return {ok: false, findings};
-	}
-
+	const {baseVersion: _, ...content} = change as Change;
+	const valid = {...content, put: (content.put ?? []).filter(object => checkObject(object, '').length === 0)};
 	const version = base.version + 1;
-	return {
-		ok: true,
-		snapshot: {version, objects},
-		delta: {version, change: given},
-	};
+	// Without findings the valid objects are all that were given, so this is also the next version.
+	const next = base.advance({version, change: valid});
+	const ruleFindings = checkAgainstRules({
+		base, next, given: change as Change, valid,
+	}, scope);
+	const findings = [...schemaFindings, ...ruleFindings];
+	return findings.length > 0 ? {ok: false, findings} : {ok: true, next, delta: {version, change: content}};
 };
--- a/packages/core/src/config/create-view.ts
+++ b/packages/core/src/config/create-view.ts
@@ -2,7 +2,7 @@
  * Builds the view in which daemons look up keys and routes, from a checked snapshot or from the view before it.
  */
 import type {
-	Change, ConfigObject, Delta, Key, Snapshot,
+	Change, ConfigObject, Delta, Key, ObjectId, Snapshot,
 } from '@hawthorncleat/schema';
 import {brandAs, type ConfigVersion} from '../ids.js';
 import {createLayeredMap, type LayeredMap} from './layered-map.js';
@@ -15,8 +15,13 @@
 /** The schema's default weight of a client account. */
 export const defaultWeight = 1;
 
-/** A view that knows how to become the next one. */
+/** A view that knows how to become the next one, with the lookups that a check of the next change needs. */
 export type AdvancingView = ConfigView & {
+	findObject(id: ObjectId): ConfigObject | undefined;
+	/** All objects but accounts and keys, in no order. */
+	fleetObjects(): Iterable<ConfigObject>;
+	/** All objects, in no order. */
+	allObjects(): Iterable<ConfigObject>;
 	/** The view after the delta of the next version. */
 	advance(delta: Delta): AdvancingView;
 };
@@ -114,6 +119,9 @@
 			return snapshot;
 		},
 		findKey: hash => findKey(parts, hash),
+		findObject: id => parts.objects.get(objectKey(id)),
+		fleetObjects: () => parts.fleet.values(),
+		allObjects: () => parts.objects.values(),
 		...parts.routes,
 		advance: delta => createView(advanceParts(parts, delta)),
 	};
--- a/packages/core/src/config/in-force.ts
+++ b/packages/core/src/config/in-force.ts
@@ -15,7 +15,7 @@
 
 /** Holder of the version in force. */
 export type InForce = {
-	view(): ConfigView;
+	view(): AdvancingView;
 	/** Installs what is newer and follows without a gap. Returns whether the version has risen. */
 	install(update: ConfigUpdate): boolean;
 	/** What a peer at the given version needs; deltas where they are still held, else the snapshot. */
--- a/packages/core/src/config/names.ts
+++ b/packages/core/src/config/names.ts
@@ -3,8 +3,8 @@
  * disjoint syntaxes, so one table per kind holds all of them. A canonical name is unique among objects of its kind; an
  * inherited name is unique among all objects.
  */
-import type {ConfigObject, ObjectKind} from '@hawthorncleat/schema';
-import {objectKey, type ObjectOf} from './objects.js';
+import type {ConfigObject, ObjectId, ObjectKind} from '@hawthorncleat/schema';
+import {objectKey, sortObjects, type ObjectOf} from './objects.js';
 
 /** A name of an object with the field in which it stands. */
 export type NameEntry = {readonly field: string; readonly name: string};
@@ -35,8 +35,19 @@
 const claimsSameName = (entry: NameEntry, object: ConfigObject, other: ConfigObject): boolean =>
 	objectKey(object) !== objectKey(other) && (!isCanonical(entry.field) || object.kind === other.kind);
 
-/** Builds the name tables of a set of objects and reports names that are claimed twice. */
-export const createNameIndex = (objects: readonly ConfigObject[]): NameIndex => {
+/** Finds an object by kind and canonical name. */
+export type FindObject = (id: ObjectId) => ConfigObject | undefined;
+
+/** Kinds without inherited names, of which there are many objects. */
+const manyKinds = ['client-account', 'key'] as const satisfies readonly ObjectKind[];
+
+const findNothing: FindObject = () => undefined;
+
+/**
+ * Builds the name tables of a set of objects and reports names that are claimed twice. Accounts and keys that are not in
+ * the set are found by `findOther`: they have canonical names only, which never clash.
+ */
+export const createNameIndex = (objects: readonly ConfigObject[], findOther: FindObject = findNothing): NameIndex => {
 	const byName = new Map<string, ConfigObject[]>();
 	const clashes: NameClash[] = [];
 	const add = (object: ConfigObject, entry: NameEntry): void => {
@@ -60,10 +71,19 @@
 		}
 	}
 
+	const resolveAnyKind = (name: string): readonly ConfigObject[] => {
+		const holders = byName.get(name) ?? [];
+		const others = manyKinds
+			.filter(kind => !holders.some(holder => holder.kind === kind))
+			.map(kind => findOther({kind, name}))
+			.filter(object => object !== undefined);
+		return others.length === 0 ? holders : sortObjects([...others, ...holders]);
+	};
+
 	return {
 		resolve: <Kind extends ObjectKind>(kind: Kind, name: string) =>
-			byName.get(name)?.find((object): object is ObjectOf<Kind> => object.kind === kind),
-		resolveAnyKind: name => byName.get(name) ?? [],
+			resolveAnyKind(name).find((object): object is ObjectOf<Kind> => object.kind === kind),
+		resolveAnyKind,
 		clashes,
 	};
 };
--- a/packages/core/src/config/rules.ts
+++ b/packages/core/src/config/rules.ts
@@ -3,7 +3,7 @@
  */
 import type {ConfigObject, Route} from '@hawthorncleat/schema';
 import {describeObject, type Report} from './findings.js';
-import {createNameIndex, type NameIndex} from './names.js';
+import {createNameIndex, type FindObject, type NameIndex} from './names.js';
 import {objectsOfKind} from './objects.js';
 import {isUnambiguousPath, normalizePrefix} from './paths.js';
 import {referencesOf} from './references.js';
@@ -137,9 +137,19 @@
 	}
 };
 
-/** Checks all rules and reports every violation, except dangling references to one of the ignored names. */
-export const checkRules = (objects: readonly ConfigObject[], ignored: ReadonlySet<string>, report: Report): void => {
-	const names = createNameIndex(objects);
+/** What the rules are applied to. */
+export type RuleInput = {
+	/** In order, and with all objects but accounts and keys. */
+	readonly objects: readonly ConfigObject[];
+	/** Finds the accounts and keys that are not among the objects. */
+	readonly findOther: FindObject;
+	/** Names that a dangling reference may have without a finding. */
+	readonly ignored: ReadonlySet<string>;
+};
+
+/** Checks all rules and reports every violation. */
+export const checkRules = ({objects, findOther, ignored}: RuleInput, report: Report): void => {
+	const names = createNameIndex(objects, findOther);
 	const routes = objectsOfKind(objects, 'route');
 	for (const object of objects) {
 		checkReferences(object, names, ignored, report);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -60,8 +60,8 @@
 	type ClaimResult,
 	type ClaimRow,
 } from './claims.js';
-export {createConfigView} from './config/create-view.js';
-export {checkChange, type ChangeCheck} from './config/check-change.js';
+export {createConfigView, type AdvancingView} from './config/create-view.js';
+export {checkChange, type ChangeCheck, type CheckScope} from './config/check-change.js';
 export type {ConfigFinding} from './config/findings.js';
 export {hashKey, objectKey, touchedObjects} from './config/objects.js';
 export {
--- a/packages/entry/src/control/publisher.ts
+++ b/packages/entry/src/control/publisher.ts
@@ -49,7 +49,7 @@
 	}
 
 	validate(change: unknown): readonly Finding[] {
-		const result = checkChange(this.#options.inForce.view().snapshot, change);
+		const result = checkChange(this.#options.inForce.view(), change);
 		return result.ok ? [] : result.findings;
 	}
 
@@ -71,7 +71,7 @@
 	async #publish(change: unknown, announcements: Announcement[]): Promise<ApplyResult> {
 		const {inForce, store} = this.#options;
 		const result = await store.publish({
-			base: inForce.view().snapshot,
+			base: inForce.view(),
 			change,
 			announce: async version => {
 				const announcement = this.#createAnnouncement();
@@ -91,8 +91,8 @@
 			return result;
 		}
 
-		inForce.install({deltas: [result.delta], snapshot: result.snapshot});
-		return {kind: 'published', version: result.snapshot.version, confirmed: result.confirmed};
+		inForce.install(result.update);
+		return {kind: 'published', version: result.view.version, confirmed: result.confirmed};
 	}
 
 	#createAnnouncement(): Announcement {
--- a/packages/hawthorncleat/src/__tests__/main.test.ts
+++ b/packages/hawthorncleat/src/__tests__/main.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {
-	checkChange, emptySnapshot, hashKey, variableOf,
+	checkChange, createConfigView, emptySnapshot, hashKey, variableOf,
 } from '@hawthorncleat/core';
 import type {Snapshot} from '@hawthorncleat/schema';
 import {describe, it} from '@hawthorncleat/test-kit';
@@ -137,7 +137,7 @@
 	});
 
 	it('ships a valid example configuration; guards against npm start failing on its own example', () => {
-		assert.ok(checkChange(emptySnapshot, createExampleConfig(hashKey('x'))).ok);
+		assert.ok(checkChange(createConfigView(emptySnapshot), createExampleConfig(hashKey('x'))).ok);
 	});
 });
 
--- a/packages/hawthorncleat/src/commands/change.ts
+++ b/packages/hawthorncleat/src/commands/change.ts
@@ -1,7 +1,7 @@
 /**
  * `validate`, `apply` and `diff`: the commands that take a change file.
  */
-import {checkChange, type ConfigFinding} from '@hawthorncleat/core';
+import {checkChange, createConfigView, type ConfigFinding} from '@hawthorncleat/core';
 import type {Change, Snapshot} from '@hawthorncleat/schema';
 import {parseSnapshot, type AdminClient, type ChangeAnswer} from '../admin-client.js';
 import {formatFileFinding, parseChangeFile, type ChangeFile} from '../change-file.js';
@@ -86,10 +86,11 @@
 	return exitCodes.failed;
 };
 
+/** A base from a file may have been edited, so the whole result is checked. */
 const validateLocally = (base: Snapshot, change: unknown): ChangeAnswer => {
-	const checked = checkChange(base, change);
+	const checked = checkChange(createConfigView(base), change, 'whole');
 	return checked.ok
-		? {kind: 'done', version: checked.snapshot.version, confirmed: true}
+		? {kind: 'done', version: checked.delta.version, confirmed: true}
 		: {kind: 'findings', findings: checked.findings};
 };
 
@@ -138,7 +139,7 @@
 	}
 
 	const base = args.base === undefined ? await args.connect().getConfig() : await readBase(context, args.base);
-	const checked = checkChange(base, file.content);
+	const checked = checkChange(createConfigView(base), file.content, 'whole');
 	if (!checked.ok) {
 		return printFindings(context, file, checked.findings);
 	}
--- a/packages/measure/src/slopes.ts
+++ b/packages/measure/src/slopes.ts
@@ -87,9 +87,10 @@
 
 const measureCheckChange = async (size: number): Promise<Figures> => {
 	const snapshot = createSnapshot(size);
+	const view = createConfigView(snapshot);
 	const cpuMs = await measureCpuMs(() => {
 		for (let index = 0; index < checkCount; index++) {
-			checkChange(snapshot, createWithdrawal(index));
+			checkChange(view, createWithdrawal(index));
 		}
 	});
 	const buildCpuMs = await measureCpuMs(() => {
--- a/packages/platform/src/__tests__/config-store.test.ts
+++ b/packages/platform/src/__tests__/config-store.test.ts
@@ -1,5 +1,5 @@
-import {emptySnapshot} from '@hawthorncleat/core';
-import type {Snapshot, Transaction} from '@hawthorncleat/schema';
+import {createConfigView, emptySnapshot, type AdvancingView} from '@hawthorncleat/core';
+import type {Transaction} from '@hawthorncleat/schema';
 import {describe, it} from '@hawthorncleat/test-kit';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
@@ -52,44 +52,46 @@
 	};
 };
 
+const emptyView = createConfigView(emptySnapshot);
+
 const putAccount = (name: string, weight = 1) => ({put: [{kind: 'client-account', name, weight}]});
 
-const publish = async (store: ConfigStore, base: Snapshot, change: unknown): Promise<Snapshot> => {
+const publish = async (store: ConfigStore, base: AdvancingView, change: unknown): Promise<AdvancingView> => {
 	const result = await store.publish({base, change});
 	assert.is(result.kind, 'published');
-	return result.kind === 'published' ? result.snapshot : base;
+	return result.kind === 'published' ? result.view : base;
 };
 
-const publishMany = async (store: ConfigStore, count: number): Promise<Snapshot> => {
-	let snapshot = emptySnapshot;
+const publishMany = async (store: ConfigStore, count: number): Promise<AdvancingView> => {
+	let view = emptyView;
 	for (let index = 1; index <= count; index += 1) {
-		snapshot = await publish(store, snapshot, putAccount(`a${index % 7}`, index));
+		view = await publish(store, view, putAccount(`a${index % 7}`, index));
 	}
 
-	return snapshot;
+	return view;
 };
 
-const namesIn = ({objects}: Snapshot): string[] => objects.map(({name}) => name);
+const namesIn = ({snapshot}: AdvancingView): string[] => snapshot.objects.map(({name}) => name);
 
 describe('configuration store', () => {
 	it('rebases a change of other objects; guards against a lost change of a racing operator', async () => {
 		const {store} = createFakes();
-		await publish(store, emptySnapshot, putAccount('a'));
-		const second = await publish(store, emptySnapshot, putAccount('b'));
+		await publish(store, emptyView, putAccount('a'));
+		const second = await publish(store, emptyView, putAccount('b'));
 		assert.is(second.version, 2);
 		assert.equal(namesIn(second), ['a', 'b']);
 	});
 
 	it('names overlapping objects; guards against silently overwriting a racing operator', async () => {
 		const {store} = createFakes();
-		await publish(store, emptySnapshot, putAccount('a'));
-		const late = await store.publish({base: emptySnapshot, change: putAccount('a', 5)});
+		await publish(store, emptyView, putAccount('a'));
+		const late = await store.publish({base: emptyView, change: putAccount('a', 5)});
 		assert.equal(late, {kind: 'conflict', conflicts: [{kind: 'client-account', name: 'a'}], version: 1});
 	});
 
 	it('compares with the version that the file names; guards against a stale file applied through a fresh entry', async () => {
 		const {store} = createFakes();
-		const first = await publish(store, emptySnapshot, putAccount('a'));
+		const first = await publish(store, emptyView, putAccount('a'));
 		const second = await publish(store, first, putAccount('a', 2));
 		const stale = await store.publish({base: second, change: {baseVersion: 1, ...putAccount('a', 3)}});
 		assert.is(stale.kind, 'conflict');
@@ -97,7 +99,7 @@
 
 	it('checks the rebased change as a whole; guards against a key of an account that was just deleted', async () => {
 		const {store} = createFakes();
-		const first = await publish(store, emptySnapshot, putAccount('a'));
+		const first = await publish(store, emptyView, putAccount('a'));
 		await publish(store, first, {delete: [{kind: 'client-account', name: 'a'}]});
 		const key = {
 			kind: 'key', name: 'k', account: 'a', hash: '0'.repeat(64), state: 'active',
@@ -108,7 +110,7 @@
 
 	it('returns findings for a value that is no change', async () => {
 		const {store} = createFakes();
-		const result = await store.publish({base: emptySnapshot, change: {put: 4}});
+		const result = await store.publish({base: emptyView, change: {put: 4}});
 		assert.is(result.kind, 'findings');
 	});
 
@@ -116,7 +118,7 @@
 		for (const sequence of [['lost-answer'], ['lost-write'], ['lost-write', 'lost-answer']] as Fault[][]) {
 			const {store, faults} = createFakes();
 			faults.push(...sequence);
-			const snapshot = await publish(store, emptySnapshot, putAccount('a'));
+			const snapshot = await publish(store, emptyView, putAccount('a'));
 			assert.is(snapshot.version, 1);
 		}
 	});
@@ -130,7 +132,7 @@
 			return true;
 		};
 
-		const request = store.publish({base: emptySnapshot, change: putAccount('a'), finish});
+		const request = store.publish({base: emptyView, change: putAccount('a'), finish});
 		const error = await request.catch((error: unknown) => error as {outcome: string});
 		assert.is('outcome' in error && error.outcome, 'unknown');
 		assert.equal(outcomes, ['unknown']);
@@ -145,13 +147,13 @@
 				return await transact(transaction);
 			} catch (error) {
 				others += 1;
-				await publish(store, emptySnapshot, putAccount('other'));
+				await publish(store, emptyView, putAccount('other'));
 				throw error;
 			}
 		};
 
 		faults.push('lost-answer');
-		const snapshot = await publish(store, emptySnapshot, putAccount('a'));
+		const snapshot = await publish(store, emptyView, putAccount('a'));
 		assert.is(snapshot.version, 1);
 		assert.is(others, 1);
 		const {head} = await store.readHead();
@@ -162,7 +164,7 @@
 		const {store} = createFakes();
 		const outcomes: string[] = [];
 		const request = store.publish({
-			base: emptySnapshot,
+			base: emptyView,
 			change: putAccount('a'),
 			async announce() {
 				throw new Error('witnesses-unavailable');
@@ -181,7 +183,7 @@
 	it('reports a published change whose witnesses fail as not confirmed', async () => {
 		const {store} = createFakes();
 		const result = await store.publish({
-			base: emptySnapshot,
+			base: emptyView,
 			change: putAccount('a'),
 			async finish() {
 				throw new Error('cut');
@@ -206,9 +208,9 @@
 
 		const old = await store.publish({base: newest, change: {baseVersion: 3, ...putAccount('z')}});
 		assert.is(old.kind, 'conflict');
-		const lagging = await publish(store, emptySnapshot, putAccount('z'));
+		const lagging = await publish(store, emptyView, putAccount('z'));
 		assert.is(lagging.version, 231);
-		const overlapping = await store.publish({base: emptySnapshot, change: putAccount('a1')});
+		const overlapping = await store.publish({base: emptyView, change: putAccount('a1')});
 		assert.is(overlapping.kind, 'conflict');
 	});
 
@@ -218,7 +220,7 @@
 			const {store, faults} = createFakes();
 			faults.push(...sequence);
 			const names = Array.from({length: writers}, (_, index) => `w${index}`);
-			const results = await Promise.allSettled(names.map(async name => store.publish({base: emptySnapshot, change: putAccount(name)})));
+			const results = await Promise.allSettled(names.map(async name => store.publish({base: emptyView, change: putAccount(name)})));
 			const {deltas = []} = await store.fetchSince(0);
 			const inForce = deltas.flatMap(({change}) => change.put?.map(({name}) => name) ?? []);
 			for (const [index, result] of results.entries()) {
--- a/packages/platform/src/config-publish.ts
+++ b/packages/platform/src/config-publish.ts
@@ -3,13 +3,14 @@
  * conflict checked again against the newer head, unless the newer versions touch the same objects.
  */
 import {
-	checkChange, diffSnapshots, overlappingObjects, touchedObjects, type ChangeCheck, type ConfigFinding,
+	checkChange, diffSnapshots, overlappingObjects, touchedObjects, type AdvancingView, type ChangeCheck, type ConfigFinding,
+	type ConfigUpdate,
 } from '@hawthorncleat/core';
 import {
-	check, validators, type Change, type Delta, type Head, type ObjectId, type Snapshot, type Validator,
+	check, validators, type Change, type Head, type ObjectId, type Validator,
 } from '@hawthorncleat/schema';
 import {
-	completeSnapshot, createContentError, headKey, type ConfigReader, type ConfigStoreOptions, type FetchedConfig, type HeadRow,
+	completeView, createContentError, headKey, type ConfigReader, type ConfigStoreOptions, type FetchedConfig, type HeadRow,
 } from './config-reader.js';
 import {createStoreError, isStoreError} from './store.js';
 
@@ -17,8 +18,9 @@
 export type PublishResult
 	= | {
 		readonly kind: 'published';
-		readonly snapshot: Snapshot;
-		readonly delta: Delta;
+		readonly view: AdvancingView;
+		/** What leads from the base of the request to the view. */
+		readonly update: ConfigUpdate;
 		/** False when the change is in the store but too few witnesses have confirmed it. */
 		readonly confirmed: boolean;
 	}
@@ -31,7 +33,7 @@
 /** A change to publish. */
 export type PublishRequest = {
 	/** The version that the publisher has in force. */
-	readonly base: Snapshot;
+	readonly base: AdvancingView;
 	readonly change: unknown;
 	/** Runs before the head row is written. A rejection ends the publication with nothing in force. */
 	readonly announce?: (version: number) => Promise<void>;
@@ -67,11 +69,11 @@
 };
 
 /** Writes the objects of a version and returns the head that refers to them. */
-const writeObjects = async ({objects, makeId}: ConfigStoreOptions, {head}: HeadRow, next: Accepted): Promise<Head> => {
-	const {version} = next.snapshot;
+const writeObjects = async ({objects, makeId}: ConfigStoreOptions, {head}: HeadRow, {next, delta}: Accepted): Promise<Head> => {
+	const {version} = delta;
 	const part = makeId();
 	const deltaKey = `config/delta/${version}-${part}`;
-	await objects.write(deltaKey, next.delta);
+	await objects.write(deltaKey, delta);
 	const isSnapshotDue = version % snapshotInterval === 0;
 	const snapshotKey = isSnapshotDue ? `config/snapshot/${version}-${part}` : head.snapshotKey;
 	if (isSnapshotDue) {
@@ -141,9 +143,9 @@
 };
 
 /** What happened after a version, as one change; undefined when the store no longer lists the versions between. */
-const mergeChangesAfter = (since: number, base: Snapshot, newest: Snapshot, fetched: FetchedConfig): Change | undefined => {
+const mergeChangesAfter = (since: number, base: AdvancingView, newest: AdvancingView, fetched: FetchedConfig): Change | undefined => {
 	if (fetched.snapshot) {
-		return since === base.version ? diffSnapshots(base, newest) : undefined;
+		return since === base.version ? diffSnapshots(base.snapshot, newest.snapshot) : undefined;
 	}
 
 	const newer: Change[] = (fetched.deltas ?? []).filter(({version}) => version > since).map(({change}) => change);
@@ -158,7 +160,7 @@
 	{reader}: Context,
 	{base}: PublishRequest,
 	change: Change,
-	{head, newest}: {readonly head: Head; readonly newest: Snapshot},
+	{head, newest}: {readonly head: Head; readonly newest: AdvancingView},
 ): Promise<ObjectId[]> => {
 	const since = change.baseVersion ?? base.version;
 	if (since >= newest.version) {
@@ -192,46 +194,52 @@
 	}
 };
 
+/** The newest version with what led there from the base. */
+type Newest = {readonly row: HeadRow; readonly view: AdvancingView; readonly fetched: ConfigUpdate};
+
 /** Announces and writes one version. */
 const tryWrite = async (
 	context: Context,
 	request: PublishRequest,
-	row: HeadRow,
-	next: Accepted,
+	{row, fetched}: Newest,
+	accepted: Accepted,
 ): Promise<PublishResult | undefined> => {
-	const {snapshot, delta} = next;
-	const head = await writeObjects(context.options, row, next);
+	const {next, delta} = accepted;
+	const head = await writeObjects(context.options, row, accepted);
 	const won = await announceAndWrite(context, request, {row, head});
-	const confirmed = await finish(request, won ? 'accepted' : 'abandoned', snapshot.version);
+	const confirmed = await finish(request, won ? 'accepted' : 'abandoned', delta.version);
+	const update = {snapshot: fetched.snapshot, deltas: [...fetched.deltas ?? [], delta]};
 	return won
 		? {
-			kind: 'published', snapshot, delta, confirmed,
+			kind: 'published', view: next, update, confirmed,
 		}
 		: undefined;
 };
 
-const fetchNewest = async ({reader}: Context, base: Snapshot, {head}: HeadRow): Promise<Snapshot> => {
-	const newest = completeSnapshot(base, await reader.fetchTo(head, base.version));
-	if (newest.version !== head.version) {
-		throw createContentError(`the store is at version ${head.version}, behind the base version ${newest.version}`);
+const fetchNewest = async ({reader}: Context, base: AdvancingView): Promise<Newest> => {
+	const row = await reader.readHead();
+	const fetched = await reader.fetchTo(row.head, base.version);
+	const view = completeView(base, fetched);
+	if (view.version !== row.head.version) {
+		throw createContentError(`the store is at version ${row.head.version}, behind the base version ${view.version}`);
 	}
 
-	return newest;
+	return {row, view, fetched};
 };
 
 const attemptPublish = async (context: Context, request: PublishRequest): Promise<PublishResult | undefined> => {
 	const checked = check<Change>(validators.validateChange as Validator, request.change);
-	const row = await context.reader.readHead();
-	const newest = await fetchNewest(context, request.base, row);
+	const newest = await fetchNewest(context, request.base);
+	const {view, row: {head}} = newest;
 	const conflicts = checked.ok
-		? await findConflicts(context, request, checked.value, {head: row.head, newest})
+		? await findConflicts(context, request, checked.value, {head, newest: view})
 		: [];
 	if (conflicts.length > 0) {
-		return {kind: 'conflict', conflicts, version: newest.version};
+		return {kind: 'conflict', conflicts, version: view.version};
 	}
 
-	const next = checkChange(newest, request.change);
-	return next.ok ? tryWrite(context, request, row, next) : {kind: 'findings', findings: next.findings};
+	const accepted = checkChange(view, request.change);
+	return accepted.ok ? tryWrite(context, request, newest, accepted) : {kind: 'findings', findings: accepted.findings};
 };
 
 /** Creates the publishing function of a store. */
--- a/packages/platform/src/config-reader.ts
+++ b/packages/platform/src/config-reader.ts
@@ -2,7 +2,7 @@
  * Reading of the configuration from the platform's store: the head row, deltas and snapshots.
  */
 import {
-	applyDeltas, BaseError, emptySnapshot, type ConfigUpdate, type MakeId,
+	BaseError, createConfigView, emptySnapshot, type AdvancingView, type ConfigUpdate, type MakeId,
 } from '@hawthorncleat/core';
 import {
 	check, validators, type Delta, type Head, type Snapshot, type Validator,
@@ -83,6 +83,12 @@
 	},
 });
 
-/** The newest snapshot from a fetched update; the base is the snapshot that the update starts from. */
-export const completeSnapshot = (base: Snapshot, {snapshot, deltas = []}: ConfigUpdate): Snapshot =>
-	deltas.length > 0 ? applyDeltas(snapshot ?? base, deltas) : snapshot ?? base;
+/** The newest view from a fetched update; the base is the view that the update starts from. */
+export const completeView = (base: AdvancingView, {snapshot, deltas = []}: ConfigUpdate): AdvancingView => {
+	let view = snapshot ? createConfigView(snapshot) : base;
+	for (const delta of deltas) {
+		view = view.advance(delta);
+	}
+
+	return view;
+};
