Stop an entry without resetting its callers

Cause: callers that ignore readiness opened connections until the moment when the entry closed its listening socket. The kernel resets the connections that wait in the accept queue of a closing socket, with the requests already sent on them. A refusal sent while the body is still arriving closes the connection with unread data, which resets it as well.

The entry now refuses on connections that stay open until nobody opens one for 300 ms, stops listening after a turn of the event loop in which nothing arrived, and then ends each connection after its next refusal. It reads the body before it refuses.

Not covered: callers that open a connection for each call and ignore Retry-After may still connect in the turn in which listening ends.

--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -144,6 +144,7 @@
 export const withEntry = async (
 	body: (world: World) => Promise<void>,
 	changes: Partial<EntryDeps> = {},
+	settingChanges: Partial<EntrySettings> = {},
 ): Promise<void> => {
 	const controller = new AbortController();
 	const world = {
@@ -155,7 +156,7 @@
 		hosts: [],
 		signal: controller.signal,
 	} as unknown as World;
-	world.entry = await startEntry(settings, createDeps(world, changes), controller.signal);
+	world.entry = await startEntry(createSettings(settingChanges), createDeps(world, changes), controller.signal);
 	try {
 		await body(world);
 	} finally {
--- /dev/null
+++ b/packages/entry/src/answer-connections.ts
@@ -0,0 +1,37 @@
+/**
+ * Decides whether a caller's connection stays open after an answer.
+ */
+import type {ServerResponse} from 'node:http';
+
+/** The answers that are under way and what becomes of their connections. */
+export class AnswerConnections {
+	readonly #answers = new Set<ServerResponse>();
+	#isEnding = false;
+
+	add(res: ServerResponse): void {
+		this.#answers.add(res);
+		res.once('close', () => {
+			this.#answers.delete(res);
+		});
+		this.#mark(res);
+	}
+
+	/** From now on each connection ends after its answer, also after those that are under way and have not begun. */
+	endAfterAnswers(): void {
+		this.#isEnding = true;
+		for (const res of this.#answers) {
+			this.#mark(res);
+		}
+	}
+
+	/** Connections stay open after the answers to further requests. */
+	keep(): void {
+		this.#isEnding = false;
+	}
+
+	#mark(res: ServerResponse): void {
+		if (this.#isEnding && !res.headersSent) {
+			res.setHeader('connection', 'close');
+		}
+	}
+}
--- a/packages/entry/src/caller-connection.ts
+++ b/packages/entry/src/caller-connection.ts
@@ -82,7 +82,7 @@
 		headers['www-authenticate'] = 'Bearer';
 	}
 
-	if (!req.complete || err.code === 'draining') {
+	if (!req.complete) {
 		headers.connection = 'close';
 	}
 
--- a/packages/entry/src/caller-context.ts
+++ b/packages/entry/src/caller-context.ts
@@ -3,6 +3,7 @@
  */
 import type {HopSpan} from '@hawthorncleat/telemetry';
 import type {AccountLimits} from './account-limits.js';
+import type {AnswerConnections} from './answer-connections.js';
 import type {CallerConnection} from './caller-connection.js';
 import type {
 	Claims, ConfigSource, EntryDeps, FreshnessCheck,
@@ -19,6 +20,7 @@
 	readonly limits: AccountLimits;
 	readonly usage: UsageRecorder;
 	readonly running: RunningRequests;
+	readonly connections: AnswerConnections;
 	readonly retryAfterMs: number;
 	readonly bodyLimits: {readonly maxBodyBytes: number; readonly bodyTimeoutMs: number};
 };
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -10,6 +10,7 @@
 import type {CallerContext, IncomingCall} from './caller-context.js';
 import {bearerKey, refuseKeyInUrl} from './caller-headers.js';
 import {answerFailure, handleCompletion, handleModelList} from './model-handler.js';
+import {readBody} from './request-body.js';
 import {handleServiceCall} from './service-handler.js';
 
 type Handler = (call: IncomingCall, context: CallerContext) => Promise<void>;
@@ -36,6 +37,7 @@
 
 const receive = (req: IncomingMessage, res: ServerResponse, context: CallerContext, makeId: () => string): IncomingCall => {
 	const connection = watchCaller(req, res);
+	context.connections.add(res);
 	const span = context.telemetry.startSpan('entry.request', String(req.headers.traceparent ?? ''));
 	const receivedMs = context.clock.nowMs();
 	const key = bearerKey(req.headers.authorization);
@@ -44,11 +46,19 @@
 	};
 };
 
+/** A connection that closes while its request is still arriving is reset, and the refusal is lost; so the body is read first. */
+const refuseWhileDraining = async (req: IncomingMessage, {running, bodyLimits}: CallerContext): Promise<void> => {
+	if (running.isDraining) {
+		await readBody(req, bodyLimits).catch(() => {/* The refusal follows all the same. */});
+		running.refuseWhileDraining();
+	}
+};
+
 const serve = async (kind: CallKind, call: IncomingCall, context: CallerContext): Promise<void> => {
 	const {connection, key, span, receivedMs} = call;
 	let code = 'ok';
 	try {
-		context.running.refuseWhileDraining();
+		await refuseWhileDraining(connection.req, context);
 		const url = parseUrl(connection.req.url);
 		refuseKeyInUrl(url, key);
 		await handlers[kind]({...call, url}, context);
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -5,6 +5,7 @@
 import type {EntrySettings, Heartbeat, HelloResult} from '@hawthorncleat/schema';
 import type {Readiness} from '@hawthorncleat/telemetry';
 import {AccountLimits} from './account-limits.js';
+import {AnswerConnections} from './answer-connections.js';
 import type {CallerContext} from './caller-context.js';
 import {chooseLeastWait} from './choose-endpoint.js';
 import {learnSuspects, markCrash} from './crash-notices.js';
@@ -131,6 +132,7 @@
 	async drain(): Promise<void> {
 		const {log} = this.#telemetry;
 		this.#running.startDrain();
+		this.context.connections.endAfterAnswers();
 		log.info('draining', {running: this.#running.count});
 		const isIdle = await this.#running.idle(this.settings.drainLimitMs);
 		await this.#usage.flushFinally();
@@ -240,6 +242,7 @@
 			limits: this.#limits,
 			usage: this.#usage,
 			running: this.#running,
+			connections: new AnswerConnections(),
 			retryAfterMs: this.#timings.retryAfterMs,
 			bodyLimits: {maxBodyBytes: this.settings.maxBodyBytes, bodyTimeoutMs: this.#timings.bodyTimeoutMs},
 		};
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -2,24 +2,16 @@
  * Starts an entry and releases everything that it holds when its signal aborts.
  */
 import {once} from 'node:events';
-import type {Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import {startAdminServer} from '@hawthorncleat/telemetry';
 import {listen} from '@hawthorncleat/wire';
 import {createAdminRoutes} from './admin-routes.js';
+import {listenForCallers, type CallerListener} from './caller-listener.js';
 import {createCallerServer} from './caller-server.js';
 import type {EntryDeps} from './deps.js';
 import {createEntryParts, type EntryParts} from './entry-parts.js';
 import {createInternalHandlers} from './internal-handlers.js';
 
-/** Callers whose last answer came at the end of a drain hear of it from a refusal before their connections close. */
-const lingerMs = 300;
-/** Refusals are short; a caller that does not take one in this time has gone. */
-const lastAnswersMs = 500;
-const sweepMs = 20;
-
 /** A running entry. */
 export type Entry = {
 	readonly callerPort: number;
@@ -27,7 +19,7 @@
 	readonly adminPort: number;
 	/** Settles after `signal` aborted and everything was released. */
 	readonly closed: Promise<void>;
-	/** Refuses new requests and settles when the running ones have ended and their usage is written. */
+	/** Refuses new requests; settles when the running ones have ended, their usage is written and no caller connects any more. */
 	drain(): Promise<void>;
 };
 
@@ -42,31 +34,13 @@
 	},
 }, signal);
 
-/** Closes at once what is idle and lets answers that are being written, such as refusals after a drain, be finished. */
-const closeGently = (server: Server): void => {
-	server.close();
-	const sweep = setInterval(() => {
-		server.closeIdleConnections();
-	}, sweepMs);
-	const limit = setTimeout(() => {
-		server.closeAllConnections();
-	}, lastAnswersMs);
-	server.once('close', () => {
-		clearInterval(sweep);
-		clearTimeout(limit);
-	});
-};
-
-const listenForCallers = async (parts: EntryParts, signal: AbortSignal): Promise<{port: number; closed: Promise<void>}> => {
-	const server = createCallerServer(parts.context, parts.deps.makeId);
-	server.listen({host: parts.settings.address, port: parts.settings.callerPort});
-	await once(server, 'listening', {signal});
-	const closed = once(server, 'close').then(() => {/* Only the moment matters. */});
-	signal.addEventListener('abort', () => {
-		closeGently(server);
-	}, {once: true});
-	return {port: (server.address() as AddressInfo).port, closed};
-};
+const startCallerListener = async (parts: EntryParts, signal: AbortSignal): Promise<CallerListener> => listenForCallers({
+	server: createCallerServer(parts.context, parts.deps.makeId),
+	address: parts.settings.address,
+	port: parts.settings.callerPort,
+	clock: parts.deps.clock,
+	connections: parts.context.connections,
+}, signal);
 
 const startAdmin = async (parts: EntryParts, drain: () => void, signal: AbortSignal) => startAdminServer({
 	address: parts.settings.address,
@@ -113,13 +87,11 @@
 	parts.setInternalPort(internal.port);
 	parts.followHosts();
 	startTimers(parts, signal);
-	const callers = await listenForCallers(parts, signal);
+	const callers = await startCallerListener(parts, signal);
 	const duties = startDuties(parts, signal);
 	let draining: Promise<void> | undefined;
 	const drain = async (): Promise<void> => {
-		draining ??= Promise.all([duties.stop(), parts.drain()]).then(async () => {
-			await sleep(lingerMs, undefined, {signal}).catch(() => {/* Aborted. */});
-		});
+		draining ??= Promise.all([duties.stop(), parts.drain()]).then(async () => callers.stopListening());
 		return draining;
 	};
 
--- a/packages/histories/src/__tests__/planned-change.test.ts
+++ b/packages/histories/src/__tests__/planned-change.test.ts
@@ -1,6 +1,6 @@
 /**
  * Invariants I2 and I13: no accepted request is cut off or shortened by a planned change: a rolling restart of all agents
- * and entries under load.
+ * and entries under load, with callers behind a load balancer and with callers that ignore readiness.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {describe, it} from '@hawthorncleat/test-kit';
@@ -10,10 +10,13 @@
 import type {Fleet} from '../fleet.js';
 import {KeptCaller, type ModelCall} from '../kept-caller.js';
 import {createSeededRandom, type SeededRandom} from '../random.js';
-import {findCutCalls, findWrongAnswers} from '../rules/request-rules.js';
+import {findCutCalls, findWrongAnswers, isRefusedConnection} from '../rules/request-rules.js';
 
 const seeds = [101, 102];
+const seedsOfDirectCallers = [103, 104];
 const callersPerEntry = 5;
+const directCallersPerEntry = 12;
+const entryRestarts = 3;
 const stepMs = 10;
 const balancerPollMs = 50;
 
@@ -47,8 +50,8 @@
 }
 
 /** Stops each process gracefully, one after the other, and starts it again. Each must end by itself with 0. */
-const restartAll = async (fleet: Fleet, random: SeededRandom): Promise<void> => {
-	for (const name of [...fleet.agentNames, ...fleet.entryNames]) {
+const restartAll = async (fleet: Fleet, names: readonly string[], random: SeededRandom): Promise<void> => {
+	for (const name of names) {
 		await sleep(random.integer(100, 500));
 		const {code, signal} = await fleet.stop(name);
 		assert.equal({code, signal}, {code: 0, signal: null}, name);
@@ -57,11 +60,13 @@
 	}
 };
 
+const createEngines = () => ['engine-1', 'engine-2', 'engine-3'].map(name => ({name, dataCentre: 'dc-1', options: {stepMs}}));
+
 const runSeed = async (seed: number): Promise<void> => {
 	const random = createSeededRandom(seed);
 	const key = createCallerKey(random, 'caller', 'planning');
 	await withLinkedFleet({
-		seed, entries: 2, engines: ['engine-1', 'engine-2', 'engine-3'].map(name => ({name, dataCentre: 'dc-1', options: {stepMs}})),
+		seed, entries: 2, engines: createEngines(),
 	}, async fleet => {
 		await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
 		const controller = new AbortController();
@@ -71,7 +76,7 @@
 		const load = Promise.all(callers.map(async (caller, index) => balancer.send(caller, fleet.entryNames[Math.floor(index / callersPerEntry)]!, number => ({
 			id: `r${index}-${number}`, prompt: `roll ${seed} ${index} ${number}`, maxTokens: 30 + (index * 7), stream: index % 2 === 0,
 		}), controller.signal)));
-		await restartAll(fleet, random);
+		await restartAll(fleet, [...fleet.agentNames, ...fleet.entryNames], random);
 		controller.abort();
 		await Promise.all([load, balancing]);
 		const calls = callers.flatMap(({observations}) => observations);
@@ -83,10 +88,44 @@
 	});
 };
 
+/**
+ * Callers at fixed entries that go on calling whatever readiness says, each after a pause of its own. An entry that has
+ * stopped refuses their connections; any other call is answered whole or refused as not run.
+ */
+const runDirectCallers = async (seed: number): Promise<void> => {
+	const random = createSeededRandom(seed);
+	const key = createCallerKey(random, 'caller', 'planning');
+	await withLinkedFleet({seed, entries: 2, engines: createEngines()}, async fleet => {
+		await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
+		const controller = new AbortController();
+		const callers = fleet.entryNames.flatMap(entry => Array.from({length: directCallersPerEntry}, () => new KeptCaller(fleet, entry, key)));
+		const load = Promise.all(callers.map(async (caller, index) => caller.repeat(number => ({
+			id: `d${index}-${number}`, prompt: `direct ${seed} ${index} ${number}`, maxTokens: 1 + index, stream: index % 2 === 0,
+		}), index, controller.signal)));
+		for (let round = 0; round < entryRestarts; round += 1) {
+			await restartAll(fleet, fleet.entryNames, random);
+		}
+
+		controller.abort();
+		await load;
+		const calls = callers.flatMap(({observations}) => observations);
+		assert.equal(findCutCalls(calls.filter(call => !isRefusedConnection(call))), []);
+		assert.equal(findWrongAnswers(calls), []);
+		assert.ok(calls.some(({code}) => code === 'draining'), 'no caller met an entry that was shutting down');
+		await Promise.all(callers.map(async caller => caller.close()));
+	});
+};
+
 describe('no accepted request is cut off by a planned change', () => {
 	for (const seed of seeds) {
 		it(`seed ${seed}: rolling restart of agents and entries; guards against a drain that cuts or shortens answers`, async () => {
 			await runSeed(seed);
 		});
 	}
+
+	for (const seed of seedsOfDirectCallers) {
+		it(`seed ${seed}: restarts of entries under callers that ignore readiness; guards against reset connections`, async () => {
+			await runDirectCallers(seed);
+		});
+	}
 });
--- a/packages/histories/src/rules/request-rules.ts
+++ b/packages/histories/src/rules/request-rules.ts
@@ -33,6 +33,9 @@
 /** Refusals that a caller may get at any time, because nothing ran. */
 const isRefusal = ({status, ran}: CallObservation): boolean => status >= 400 && ran === 'not-run';
 
+/** The caller could not connect, so it sent nothing. */
+export const isRefusedConnection = ({status, code}: CallObservation): boolean => status === 0 && code === 'ECONNREFUSED';
+
 /** A call during planned changes is answered whole or refused as not run; `mayRefuse` false also forbids refusals. */
 export const findCutCalls = (calls: readonly CallObservation[], mayRefuse = true): Violation[] => calls
 	.filter(call => !(call.status === 200 && call.isWhole) && !(mayRefuse && isRefusal(call)))
