Use one fair queue in the agent and the benchmark

Cause: the agent's queue kept virtual times of accounts, the benchmark's kept a start tag for each request. What the benchmark measured was not what ran, and priorities had no effect in either.

One queue in packages/core/src/policy now has weights, priorities within an account, cancellation, a bound, corrections to the actual work, the list of the work ahead of a new request, and no credit for idle accounts. All tests of both queues are kept and use it.

Ruled out: priorities across accounts (one account could starve the others) and a start tag for each request (a later charge or a higher priority could not change it).

A fault of the agent's queue came out on the way: what an account was served while nobody waited was held against it later. The accounts now start anew when the queue is empty. Without it the new unit test "guards against an account that pays later" printed 2 pieces of work ahead where 1 was expected.

Test over the daemon: "serves the priorities of an account in order"; with the earlier queue the second request to start was r2/1, the one of the lower priority.

--- a/packages/agent/src/__tests__/requests.test.ts
+++ b/packages/agent/src/__tests__/requests.test.ts
@@ -72,6 +72,20 @@
 		assert.ok(retryAfterMs! > 0);
 	}));
 
+	// Guards against a queue that ignores priorities, and against one account that passes another by its priority.
+	it('serves the priorities of an account in order and the accounts in turn', async () => withAgent({maxRunning: 1}, async ({entry, engine}) => {
+		holdAll(engine);
+		await entry.start('r1');
+		await entry.start('r2');
+		await entry.start('r3', {priority: 5});
+		await entry.start('r4', {clientAccount: 'account-2'});
+		for (const [index, requestId] of ['r1', 'r3', 'r4', 'r2'].entries()) {
+			await until(() => engine.started.length === index + 1);
+			assert.is(engine.started[index]?.requestId, `${requestId}/1`);
+			writeEnd(engine.open.get(`${requestId}/1`)!, 1);
+		}
+	}));
+
 	// Guards against two requests that each may crash an engine and hide which of them did.
 	it('never runs two suspects together', async () => withAgent({maxRunning: 3}, async ({entry, engine}) => {
 		holdAll(engine);
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -27,11 +27,13 @@
 /** The queue of one engine. */
 export class RequestScheduler {
 	readonly running = new Set<Stream>();
-	readonly #queue = new FairQueue<Stream>();
+	readonly #queue: FairQueue<Stream>;
 	#waiting: WorkEstimate = {prefillTokens: 0, decodeTokens: 0};
 	#rates: MeasuredRates = initialRates;
 
-	constructor(private readonly limits: SchedulerLimits) {}
+	constructor(private readonly limits: SchedulerLimits) {
+		this.#queue = new FairQueue({maxTokens: limits.maxWaitingTokens});
+	}
 
 	get waitingCount(): number {
 		return this.#queue.size;
@@ -80,10 +82,10 @@
 	}
 
 	add(stream: Stream): void {
-		const {clientAccount, weight} = stream.params;
+		const {clientAccount, weight, priority} = stream.params;
 		this.#count(stream.work, 1);
 		this.#queue.push({
-			account: clientAccount, weight, tokens: totalTokens(stream.work), item: stream,
+			account: clientAccount, weight, priority, tokens: totalTokens(stream.work), item: stream,
 		});
 	}
 
--- a/packages/bench/src/strategies/hawthorncleat.ts
+++ b/packages/bench/src/strategies/hawthorncleat.ts
@@ -9,10 +9,10 @@
 	defaultRolePlanOptions,
 	decodeTokensPerSecond,
 	DemandMeter,
+	FairQueue,
 	LoadView,
 	planRoles,
 	servablePart,
-	PolicyFairQueue,
 	type Choice,
 	type ChoiceRequest,
 	type EndpointState,
@@ -21,7 +21,9 @@
 	type RolePlanOptions,
 } from '@hawthorncleat/core';
 import {engineRates} from '../deployments.js';
-import {kvTokens, type Job, type SimRequest} from '../sim/job.js';
+import {
+	kvTokens, type Job, type JobQueue, type SimRequest,
+} from '../sim/job.js';
 import type {
 	AgentAnswer, EntryContext, MeteringEntry, Placement, Planner, PlannerView, Strategy,
 } from './strategy.js';
@@ -167,6 +169,34 @@
 	}
 }
 
+/** The fair queue of an agent; a simulated engine works on prompts one after the other, so only they count. */
+class FairJobQueue implements JobQueue {
+	readonly #queue = new FairQueue<Job>();
+
+	get size(): number {
+		return this.#queue.size;
+	}
+
+	get waitingTokens(): number {
+		return this.#queue.waitingTokens;
+	}
+
+	push(job: Job): void {
+		const {account, weight, tokens} = job;
+		this.#queue.push({
+			account, weight, tokens, item: job,
+		});
+	}
+
+	pop(): Job | undefined {
+		return this.#queue.pop();
+	}
+
+	waitingAhead(account: string): number {
+		return this.#queue.ahead(account).reduce((sum, {tokens}) => sum + tokens, 0);
+	}
+}
+
 /** The agent knows its own queue exactly and the decode endpoints not at all. */
 const accept: Strategy['accept'] = (job, engine, nowMs, target): AgentAnswer => {
 	const {rates} = engine.spec;
@@ -222,7 +252,7 @@
 
 const base = {
 	createEntry: (context: EntryContext) => new Entry(context),
-	createQueue: () => new PolicyFairQueue<Job>(),
+	createQueue: () => new FairJobQueue(),
 	accept,
 	dropsLate: true,
 };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -107,7 +107,6 @@
 	type CountedParts,
 	type KeyedPart,
 } from './usage-ledger.js';
-export {FairQueue, type QueuedWork} from './fair-queue.js';
 export {
 	addSample,
 	decideQueueing,
@@ -137,5 +136,4 @@
 	type EngineRole as EngineOrderRole,
 	type OrderDecision,
 } from './engine-orders.js';
-export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
 export * from './policy/index.js';
--- a/packages/core/src/policy/__tests__/fair-queue.test.ts
+++ b/packages/core/src/policy/__tests__/fair-queue.test.ts
@@ -1,23 +1,28 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
-import {FairQueue, type FairQueueItem} from '../fair-queue.js';
+import {FairQueue} from '../fair-queue.js';
 
-let nextId = 0;
-const item = (account: string, tokens = 100, weight = 1): FairQueueItem => ({
-	id: String(nextId++), account, weight, tokens,
-});
+type Work = {readonly account: string; readonly weight: number; readonly tokens: number; readonly priority?: number};
+
+const item = (account: string, tokens = 100, weight = 1): Work => ({account, weight, tokens});
+
+const add = (queue: FairQueue<Work>, work: Work): void => {
+	queue.push({...work, item: work});
+};
 
-const createQueue = (...items: FairQueueItem[]): FairQueue<FairQueueItem> => {
-	const queue = new FairQueue<FairQueueItem>();
+const sum = (works: readonly Work[]): number => works.reduce((total, {tokens}) => total + tokens, 0);
+
+const createQueue = (...items: Work[]): FairQueue<Work> => {
+	const queue = new FairQueue<Work>();
 	for (const each of items) {
-		queue.push(each);
+		add(queue, each);
 	}
 
 	return queue;
 };
 
-const serve = (queue: FairQueue<FairQueueItem>, count: number): Map<string, number> => {
+const serve = (queue: FairQueue<Work>, count: number): Map<string, number> => {
 	const served = new Map<string, number>();
 	for (let index = 0; index < count; index++) {
 		const next = queue.pop();
@@ -33,22 +38,22 @@
 	it('guards against a burst of one account that delays another', () => {
 		const queue = createQueue();
 		for (let index = 0; index < 50; index++) {
-			queue.push(item('large'));
+			add(queue, item('large'));
 		}
 
-		queue.push(item('small'));
+		add(queue, item('small'));
 		assert.is(serve(queue, 2).get('small'), 100);
 	});
 
 	it('guards against credit saved up by an idle account', () => {
 		const queue = createQueue();
 		for (let index = 0; index < 100; index++) {
-			queue.push(item('steady'));
+			add(queue, item('steady'));
 		}
 
 		serve(queue, 50);
 		for (let index = 0; index < 50; index++) {
-			queue.push(item('returning'));
+			add(queue, item('returning'));
 		}
 
 		assert.ok((serve(queue, 20).get('returning') ?? 0) <= 1100);
@@ -57,8 +62,8 @@
 	it('guards against a cancelled request that is served or still counted', () => {
 		const cancelled = item('a', 5000);
 		const queue = createQueue(cancelled, item('b'));
-		assert.is(queue.remove(cancelled.id)?.id, cancelled.id);
-		assert.equal([queue.size, queue.waitingTokens, queue.waitingAhead('a')], [1, 100, 100]);
+		assert.ok(queue.remove('a', cancelled));
+		assert.equal([queue.size, queue.waitingTokens, sum(queue.ahead('a'))], [1, 100, 100]);
 		assert.is(queue.pop()?.account, 'b');
 		assert.is(queue.pop(), undefined);
 	});
@@ -74,4 +79,44 @@
 			assert.ok(Math.abs(difference) <= (10 / first) + (10 / second));
 		}), {seed: 13});
 	});
+
+	it('guards against a priority that lets one account pass another', () => {
+		const queue = createQueue(item('a'), item('b'), {...item('a'), priority: 5}, {...item('a'), priority: 5});
+		const order = Array.from({length: 4}, () => queue.pop()).map(work => `${work?.account}${work?.priority ?? 0}`);
+		assert.equal(order, ['b0', 'a5', 'a5', 'a0']);
+	});
+
+	it('guards against estimates of the work ahead that differ from the order of service', () => {
+		const work = fc.record({
+			account: fc.constantFrom('a', 'b', 'c'), weight: fc.constantFrom(1, 2), tokens: fc.integer({min: 1, max: 50}), priority: fc.nat({max: 2}),
+		});
+		fc.assert(fc.property(fc.array(work, {maxLength: 20}), work, fc.nat({max: 10}), (works, last, served) => {
+			const queue = createQueue(...works.map(each => ({...each, weight: each.account === 'a' ? 1 : 2})));
+			serve(queue, served);
+			const added = {...last, weight: last.account === 'a' ? 1 : 2};
+			const ahead = new Set(queue.ahead(added.account, added.priority));
+			add(queue, added);
+			const before: Work[] = [];
+			for (let next = queue.pop(); next && next !== added; next = queue.pop()) {
+				before.push(next);
+			}
+
+			assert.equal(new Set(before), ahead);
+		}), {seed: 14});
+	});
+
+	it('guards against an account that pays later for what it was served while nobody waited', () => {
+		const queue = createQueue(item('a', 1000));
+		queue.pop();
+		add(queue, item('b', 300));
+		assert.equal(queue.ahead('a').length, 1);
+		add(queue, item('b', 300));
+		assert.equal(queue.ahead('a').length, 1);
+	});
+
+	it('guards against a queue without a bound', () => {
+		const queue = new FairQueue<Work>({maxTokens: 250});
+		add(queue, item('a', 200));
+		assert.equal([queue.hasRoom(50), queue.hasRoom(51)], [true, false]);
+	});
 });
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -1,4 +1,5 @@
 export {AccountShares, divideCapacity, type AccountDemand} from './account-shares.js';
+export {FairQueue, type FairQueueOptions, type QueuedWork} from './fair-queue.js';
 export {DemandMeter, type AnswerCounts, type DemandMeterOptions} from './demand-meter.js';
 export {
 	defaultTarget, firstTokenLimitMs, isOnTime, type AnswerTimes, type ServiceTarget,
