Admit by pace in the agent and the entry

The agent measures the time of a decode step, splits it into a fixed part and a part for each running request, and reports both as stepMs and stepMsPerRequest (they replace decodeMsPerToken). It gives the engine only as many requests as keep 66 ms, and decides with admit() on what waits. The entry applies admit() to the engines that could decode, from the reports and its own dispatches. Refusals are immediate, not-run, with a retry time.

Ruled out: one time for each token as the agents reported it (an engine with few requests looks slow and would be refused); refusing whenever the batch is full (the fair queue would never be used); own dispatches multiplied by the number of entries (a refusal has to rest on what is known); a limit for an engine that misses the pace alone (it could never show that it became faster).

Tests over the daemons, without the change: "runs no more requests than keep the pace" printed 2 running requests where 1 was expected; in the entry's "answers a refusal as not run" printed 504 endpoint-timeout where 429 overloaded not-run was expected.

--- a/packages/agent/src/__tests__/requests.test.ts
+++ b/packages/agent/src/__tests__/requests.test.ts
@@ -86,6 +86,40 @@
 		}
 	}));
 
+	// Guards against a batch that grows until no answer in it keeps the pace, and against requests held to their deadline.
+	it('runs no more requests than keep the pace and refuses what would wait too long for a place', async () => withAgent({maxRunning: 3}, async ({entry, engine}) => {
+		const stepMsPerRequest = 40;
+		const answer = async (res: Parameters<FakeEngine['generate']>[1]): Promise<void> => {
+			for (let position = 0; position < 6; position += 1) {
+				writeToken(res, position);
+				await delay(stepMsPerRequest * engine.running);
+			}
+
+			writeEnd(res, 6);
+		};
+
+		engine.generate = (_params, res) => {
+			void answer(res);
+		};
+
+		const run = async (...requestIds: string[]): Promise<void> => {
+			await Promise.all(requestIds.map(async requestId => entry.start(requestId)));
+			await until(() => requestIds.every(requestId => entry.hasEnd(requestId)));
+			await until(() => engine.running === 0);
+		};
+
+		await run('r1');
+		await run('r2', 'r3');
+		engine.maxRunning = 0;
+		await run('r4', 'r5');
+		// Two requests would take 80 ms for a token, and 66 ms are promised.
+		assert.is(engine.maxRunning, 1);
+		await entry.start('r6');
+		const {code, ran, retryAfterMs} = await readError(entry.start('r7', {firstTokenInMs: 20}));
+		assert.equal([code, ran], ['overloaded', 'not-run']);
+		assert.ok(retryAfterMs! > 0);
+	}));
+
 	// Guards against two requests that each may crash an engine and hide which of them did.
 	it('never runs two suspects together', async () => withAgent({maxRunning: 3}, async ({entry, engine}) => {
 		holdAll(engine);
--- a/packages/agent/src/request-runner-options.ts
+++ b/packages/agent/src/request-runner-options.ts
@@ -1,7 +1,7 @@
 /**
  * What the requests of an agent are run with.
  */
-import type {Clock} from '@hawthorncleat/core';
+import type {Clock, EngineOrderRole} from '@hawthorncleat/core';
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
 import type {CrashMarks} from './crash-marks.js';
 import type {EngineClient} from './engine-client.js';
@@ -10,6 +10,8 @@
 
 export type RequestRunnerOptions = {
 	readonly limits: SchedulerLimits;
+	/** The engine's role. */
+	readonly role: () => EngineOrderRole;
 	readonly engine: EngineClient;
 	readonly clock: Clock;
 	readonly log: Log;
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -25,7 +25,7 @@
 	readonly #idle = new IdleSignal(() => this.scheduler.isIdle);
 
 	constructor(private readonly options: RequestRunnerOptions) {
-		this.scheduler = new RequestScheduler(options.limits);
+		this.scheduler = new RequestScheduler(options.limits, options.role);
 		this.#timer = setInterval(() => {
 			this.sweep();
 		}, sweepIntervalMs);
@@ -41,7 +41,7 @@
 		this.options.notePrompt(params.prompt);
 		this.#replaceEarlierAttempt(params);
 		const work = this.scheduler.estimate(params, kind);
-		const decision = this.scheduler.decide(work, params.firstTokenInMs);
+		const decision = this.scheduler.decide(work, params);
 		if (!decision.accepted) {
 			this.options.metrics.refused.inc({code: 'overloaded'});
 			throw overloaded(decision.retryAfterMs);
@@ -89,7 +89,7 @@
 	/** Starts waiting requests while there are places. */
 	pump(): void {
 		while (this.options.mayStart()) {
-			const stream = this.scheduler.takeNext();
+			const stream = this.scheduler.takeNext(this.options.clock.nowMs());
 			if (!stream) {
 				return;
 			}
@@ -197,7 +197,7 @@
 			requestId: stream.engineRequestId, clientAccount, prompt, maxTokens, priority, delivered, ...(kv && {kv}),
 		};
 		for await (const batch of engine.generate(params, stream.span.traceparent, stream.abort.signal)) {
-			stream.firstTokenMs ??= clock.nowMs();
+			this.scheduler.noteFirstToken(stream, clock.nowMs());
 			metrics.outputTokens.inc(batch.tokens.length);
 			stream.append(batch.tokens);
 			if (batch.end) {
@@ -216,7 +216,7 @@
 		const {handle, promptTokens, cachedTokens} = await engine.prefill({
 			requestId: stream.engineRequestId, clientAccount, prompt, priority,
 		}, stream.span.traceparent, stream.abort.signal);
-		stream.firstTokenMs = clock.nowMs();
+		this.scheduler.noteFirstToken(stream, clock.nowMs());
 		this.#end(stream, {
 			end: {
 				reason: 'prefilled', promptTokens, cachedTokens, outputTokens: 0, kv: {source: kvUrl, handle},
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -8,11 +8,15 @@
 	estimateWork,
 	FairQueue,
 	initialRates,
+	placesOf,
+	toEngineRates,
+	type EngineOrderRole,
 	type MeasuredRates,
 	type QueueDecision,
 	type WorkEstimate,
 } from '@hawthorncleat/core';
 import type {FrameEnd, RequestStartParams} from '@hawthorncleat/schema';
+import {RunningMeter} from './running-meter.js';
 import type {RequestKind, Stream} from './stream.js';
 
 export type SchedulerLimits = {readonly maxRunning: number; readonly maxWaitingTokens: number};
@@ -31,7 +35,9 @@
 	#waiting: WorkEstimate = {prefillTokens: 0, decodeTokens: 0};
 	#rates: MeasuredRates = initialRates;
 
-	constructor(private readonly limits: SchedulerLimits) {
+	readonly #meter = new RunningMeter();
+
+	constructor(private readonly limits: SchedulerLimits, private readonly role: () => EngineOrderRole) {
 		this.#queue = new FairQueue({maxTokens: limits.maxWaitingTokens});
 	}
 
@@ -49,15 +55,21 @@
 	}
 
 	/** What the engine has shown so far, for the estimates of entries; nothing before the first sample. */
-	get measuredRates(): {prefillTokensPerSecond?: number; decodeMsPerToken?: number} {
-		const {prefillTokens, prefillMs, decodeTokens, decodeMs} = this.#rates;
+	get measuredRates(): {prefillTokensPerSecond?: number; stepMs?: number; stepMsPerRequest?: number} {
+		const {prefillTokens, prefillMs, step} = this.#rates;
+		const rates = toEngineRates(this.#rates, this.limits.maxRunning);
 		return {
-			...(prefillTokens && prefillMs && {prefillTokensPerSecond: roundRate(1000 * prefillTokens / prefillMs)}),
+			...(rates && prefillTokens && prefillMs && {prefillTokensPerSecond: roundRate(rates.prefillTokensPerSecond)}),
 			// A prefill engine decodes nothing.
-			...(decodeTokens && decodeMs && {decodeMsPerToken: roundRate(decodeMs / decodeTokens)}),
+			...(rates && step && {stepMs: roundRate(rates.stepMs), stepMsPerRequest: roundRate(rates.stepMsPerRequest)}),
 		};
 	}
 
+	/** Requests that run at a time: as many as keep the pace. */
+	get #places(): number {
+		return placesOf({role: this.role(), maxRunning: this.limits.maxRunning, rates: this.#rates});
+	}
+
 	get isIdle(): boolean {
 		return this.running.size === 0 && this.#queue.size === 0;
 	}
@@ -71,12 +83,19 @@
 		};
 	}
 
-	decide(work: WorkEstimate, firstTokenInMs: number): QueueDecision {
+	/** Decides on a new request of the account. */
+	decide(work: WorkEstimate, {clientAccount, priority, firstTokenInMs}: RequestStartParams): QueueDecision {
+		const ahead = this.#queue.ahead(clientAccount, priority);
 		return decideQueueing({
-			...this.limits,
+			role: this.role(),
 			running: this.running.size,
-			waitingTokens: this.waitingTokens,
-			waiting: this.#waiting,
+			maxRunning: this.limits.maxRunning,
+			hasRoom: this.#queue.hasRoom(totalTokens(work)),
+			waiting: this.#queue.size,
+			ahead: {
+				requests: ahead.length,
+				promptTokens: ahead.reduce((sum, stream) => sum + stream.work.prefillTokens, 0),
+			},
 			rates: this.#rates,
 		}, work, firstTokenInMs);
 	}
@@ -106,8 +125,8 @@
 	}
 
 	/** Takes the next request to run, if there is a place. A suspect never runs together with another suspect. */
-	takeNext(): Stream | undefined {
-		if (this.running.size >= this.limits.maxRunning) {
+	takeNext(nowMs: number): Stream | undefined {
+		if (this.running.size >= this.#places) {
 			return undefined;
 		}
 
@@ -115,15 +134,26 @@
 		const next = this.#queue.pop(stream => !(hasSuspect && stream.isSuspect));
 		if (next) {
 			this.#count(next.work, -1);
+			this.#meter.change(this.running.size, nowMs);
 			this.running.add(next);
 		}
 
 		return next;
 	}
 
+	/** Notes that the first token of a request has arrived. */
+	noteFirstToken(stream: Stream, nowMs: number): void {
+		if (stream.firstTokenMs === undefined) {
+			this.#meter.change(this.running.size, nowMs);
+			stream.firstTokenMs = nowMs;
+			stream.runningMsAtFirstToken = this.#meter.runningMs;
+		}
+	}
+
 	/** Frees the place of a request; one that reached its end gives a sample of the engine's rates. */
 	finish(stream: Stream, nowMs: number): void {
 		const sharedBy = Math.max(1, this.running.size);
+		this.#meter.change(this.running.size, nowMs);
 		if (!this.running.delete(stream)) {
 			return;
 		}
@@ -138,18 +168,24 @@
 		this.#queue.correct(params.clientAccount, params.weight, prefillTokens + stream.tokenCount - totalTokens(work));
 	}
 
-	#measure({startedMs, firstTokenMs, promptCharacters, tokenCount}: Stream, end: FrameEnd, nowMs: number, sharedBy: number): void {
+	#measure(stream: Stream, end: FrameEnd, nowMs: number, sharedBy: number): void {
+		const {startedMs, firstTokenMs, promptCharacters, tokenCount} = stream;
 		if (startedMs === undefined || firstTokenMs === undefined) {
 			return;
 		}
 
+		const decodeMs = nowMs - firstTokenMs;
+		const step = tokenCount > 1 && decodeMs > 0 && {
+			running: (this.#meter.runningMs - stream.runningMsAtFirstToken) / decodeMs,
+			stepMs: decodeMs / (tokenCount - 1),
+		};
 		this.#rates = addSample(this.#rates, {
 			promptCharacters,
 			promptTokens: end.promptTokens,
 			cachedTokens: end.cachedTokens,
 			outputTokens: tokenCount,
 			prefillMs: (firstTokenMs - startedMs) / sharedBy,
-			decodeMs: (nowMs - firstTokenMs) / sharedBy,
+			...(step && {step}),
 		});
 	}
 
--- a/packages/agent/src/stream.ts
+++ b/packages/agent/src/stream.ts
@@ -31,6 +31,8 @@
 	listenerLostMs: number | undefined;
 	startedMs: number | undefined;
 	firstTokenMs: number | undefined;
+	/** Reading of the scheduler's meter at the first token. */
+	runningMsAtFirstToken = 0;
 	readonly abort = new AbortController();
 	readonly promptCharacters: number;
 
--- a/packages/bench/src/sim/engine.ts
+++ b/packages/bench/src/sim/engine.ts
@@ -36,6 +36,8 @@
 	readonly cache: PrefixCache;
 	readonly scheduler: Scheduler;
 	readonly hooks: EngineHooks;
+	/** Requests that the agent gives to the engine at a time. */
+	readonly places: (engine: FakeEngine) => number;
 };
 
 export type EngineStatus = 'away' | 'draining' | 'lost' | 'up';
@@ -213,8 +215,7 @@
 	}
 
 	#nextJob(): Job | undefined {
-		const {maxRunning} = this.spec.rates;
-		if (this.role === 'mixed' && this.running + this.#decodeWaiting.length >= maxRunning) {
+		if (this.role === 'mixed' && this.running + this.#decodeWaiting.length >= this.parts.places(this)) {
 			return undefined;
 		}
 
--- a/packages/bench/src/sim/fleet.ts
+++ b/packages/bench/src/sim/fleet.ts
@@ -62,8 +62,9 @@
 	}
 
 	#createParts(): EngineParts {
-		const {random, scheduler, strategy} = this.options;
+		const {random, scheduler, strategy, target} = this.options;
 		return {
+			places: engine => strategy.places?.(engine, target) ?? engine.spec.rates.maxRunning,
 			queue: strategy.createQueue(),
 			cache: new PrefixCache(platform.prefixCacheTokens, platform.lostCacheEvents, random),
 			scheduler,
--- a/packages/bench/src/strategies/hawthorncleat.ts
+++ b/packages/bench/src/strategies/hawthorncleat.ts
@@ -11,6 +11,7 @@
 	DemandMeter,
 	FairQueue,
 	LoadView,
+	placesAtPace,
 	planRoles,
 	servablePart,
 	type Choice,
@@ -19,11 +20,13 @@
 	type EngineRole,
 	type RolePlanMemory,
 	type RolePlanOptions,
+	type ServiceTarget,
 } from '@hawthorncleat/core';
 import {engineRates} from '../deployments.js';
 import {
 	kvTokens, type Job, type JobQueue, type SimRequest,
 } from '../sim/job.js';
+import type {FakeEngine} from '../sim/engine.js';
 import type {
 	AgentAnswer, EntryContext, MeteringEntry, Placement, Planner, PlannerView, Strategy,
 } from './strategy.js';
@@ -88,6 +91,7 @@
 			uncachedTokens: choice?.uncachedTokens ?? job.request.promptTokens,
 			outputTokens: this.#meter.expectOutput(job.request.maxTokens),
 			elapsedMs: nowMs - job.request.arrivedMs,
+			waitsForPlace: choice?.endpoint.role === 'mixed',
 		});
 		if (!admission.accepted || !choice) {
 			return {refusedForMs: admission.accepted ? 0 : admission.retryAfterMs};
@@ -155,7 +159,8 @@
 			return undefined;
 		}
 
-		return choice.endpoint.role === 'mixed' ? [choice.endpoint] : states.filter(({leaving}) => !leaving);
+		const decoders = choice.endpoint.role === 'mixed' ? [choice.endpoint] : states.filter(({leaving}) => !leaving);
+		return decoders.map(state => ({...state, running: state.knownRunning}));
 	}
 
 	#noteStart(job: Job, choice: Choice, nowMs: number): void {
@@ -211,6 +216,7 @@
 		uncachedTokens: job.tokens,
 		outputTokens: job.request.maxTokens,
 		elapsedMs: nowMs - job.request.arrivedMs,
+		waitsForPlace: true,
 	});
 	return admission.accepted ? admission : {accepted: false, retryAfterMs: admission.retryAfterMs};
 };
@@ -254,6 +260,8 @@
 	createEntry: (context: EntryContext) => new Entry(context),
 	createQueue: () => new FairJobQueue(),
 	accept,
+	places: ({role, spec, waitingTokens}: FakeEngine, {paceMs}: ServiceTarget) =>
+		placesAtPace(spec.rates, paceMs, role === 'mixed' && waitingTokens > 0),
 	dropsLate: true,
 };
 
--- a/packages/bench/src/strategies/strategy.ts
+++ b/packages/bench/src/strategies/strategy.ts
@@ -67,6 +67,8 @@
 	createQueue(): JobQueue;
 	/** Decides on a new job, or again on a queued one when it would start. */
 	accept(job: Job, engine: FakeEngine, nowMs: number, target: ServiceTarget): AgentAnswer;
+	/** Requests that an agent gives to its engine at a time; as many as the engine takes if left out. */
+	places?(engine: FakeEngine, target: ServiceTarget): number;
 	createPlanner?(): Planner;
 };
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -109,11 +109,13 @@
 } from './usage-ledger.js';
 export {
 	addSample,
+	assumedChunkTokens,
 	decideQueueing,
-	estimateFirstTokenMs,
 	estimateWork,
 	initialRates,
-	type EngineRates as MeasuredRates,
+	placesOf,
+	toEngineRates,
+	type MeasuredRates,
 	type QueueDecision,
 	type QueueView,
 	type RateSample,
--- a/packages/core/src/policy/admission.ts
+++ b/packages/core/src/policy/admission.ts
@@ -3,7 +3,7 @@
  * the estimate would allow it. The entry calls this with its estimates, the agent with the state of its own queue.
  */
 import {
-	estimatePaceMs, estimatePrefillMs, maxRunningAtPace, serves,
+	estimatePaceMs, estimatePrefillMs, placesAtPace, serves,
 } from './engine-model.js';
 import type {EndpointState} from './load-view.js';
 import {firstTokenLimitMs, type ServiceTarget} from './targets.js';
@@ -17,6 +17,8 @@
 	readonly outputTokens: number;
 	/** Time since the request arrived at the entry. */
 	readonly elapsedMs: number;
+	/** Whether the agent starts the request only when a place is free, so that it can wait for one before its first token. */
+	readonly waitsForPlace?: boolean;
 };
 
 /** Endpoints that the request would use. The agent leaves out what it does not know. */
@@ -44,14 +46,20 @@
 
 type DecodeState = NonNullable<AdmissionView['decode']>[number];
 
-const placesLeft = ({rates, role, running, waitingTokens}: DecodeState, paceMs: number): number =>
-	maxRunningAtPace(rates, paceMs, role === 'mixed' && waitingTokens > 0) - running;
+const places = ({rates, role, waitingTokens}: DecodeState, paceMs: number): number =>
+	placesAtPace(rates, paceMs, role === 'mixed' && waitingTokens > 0);
 
-/** Time until one running request of a full engine ends, with the running ones evenly spread over their output. */
-const placeFreedMs = ({rates, running}: DecodeState, outputTokens: number, excess: number): number =>
-	estimatePaceMs(rates, running, false) * outputTokens * excess / Math.max(1, running);
+const placesLeft = (state: DecodeState, paceMs: number): number => places(state, paceMs) - state.running;
 
-const admitDecode = (view: AdmissionView, request: AdmissionRequest): Admission | undefined => {
+/** Time until so many requests of a full engine have ended, with the running ones evenly spread over their output. */
+const placesFreedMs = (state: DecodeState, {outputTokens, target}: AdmissionRequest, count: number): number => {
+	// What exceeds the places waits and slows nothing.
+	const running = Math.min(state.running, places(state, target.paceMs));
+	return estimatePaceMs(state.rates, running, false) * outputTokens * count / Math.max(1, running);
+};
+
+/** Refuses a request that finds no place in decode, unless it can wait for one for `slackMs`. */
+const admitDecode = (view: AdmissionView, request: AdmissionRequest, slackMs: number): Admission | undefined => {
 	if (!view.decode) {
 		return undefined;
 	}
@@ -65,7 +73,13 @@
 	}
 
 	const left = placesLeft(best, paceMs);
-	return left >= 1 ? undefined : refuse('pace', placeFreedMs(best, request.outputTokens, 1 - left));
+	if (left >= 1) {
+		return undefined;
+	}
+
+	const waitMs = placesFreedMs(best, request, 1 - left);
+	const allowedMs = request.waitsForPlace ? slackMs : 0;
+	return waitMs <= allowedMs ? undefined : refuse('pace', waitMs - allowedMs);
 };
 
 /** Accepts a request whose first token and pace can be met, and refuses any other at once. */
@@ -83,5 +97,5 @@
 		return refuse('first-token', firstTokenInMs - remainingMs);
 	}
 
-	return admitDecode(view, request) ?? {accepted: true, firstTokenInMs};
+	return admitDecode(view, request, remainingMs - firstTokenInMs) ?? {accepted: true, firstTokenInMs};
 };
--- a/packages/core/src/policy/engine-model.ts
+++ b/packages/core/src/policy/engine-model.ts
@@ -64,6 +64,15 @@
 	return Math.max(0, Math.min(rates.maxRunning, allowed));
 };
 
+/**
+ * Requests that an engine is given at a time. One that misses the pace even alone gets as many as it takes: fewer would not
+ * bring it within the pace, and without work its speeds could not be measured again.
+ */
+export const placesAtPace = (rates: EngineRates, paceMs: number, prefillBusy: boolean): number => {
+	const places = maxRunningAtPace(rates, paceMs, prefillBusy);
+	return places < 1 ? rates.maxRunning : places;
+};
+
 /** Output tokens a second of a decode engine with a full batch that still meets the pace. */
 export const decodeTokensPerSecond = (rates: EngineRates, paceMs: number): number => {
 	const running = maxRunningAtPace(rates, paceMs, false);
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -12,6 +12,7 @@
 	estimatePrefillRate,
 	maxRunningAtPace,
 	mixedCanServe,
+	placesAtPace,
 	serves,
 	type EngineRates,
 	type EngineRole,
--- a/packages/core/src/policy/load-view.ts
+++ b/packages/core/src/policy/load-view.ts
@@ -26,6 +26,8 @@
 	readonly rates: EngineRates;
 	/** Requests in decode or on their way to it. */
 	readonly running: number;
+	/** The same with only the entry's own dispatches added to the reading, not those that other entries are assumed to make. */
+	readonly knownRunning: number;
 	/** Prompt tokens that wait ahead of a new request. */
 	readonly waitingTokens: number;
 	readonly freeTokens: number;
@@ -204,6 +206,7 @@
 			rates,
 			role: reading.role,
 			running: Math.max(0, reading.running + reading.waiting + (decodes * entries)),
+			knownRunning: Math.max(0, reading.running + reading.waiting + decodes),
 			waitingTokens: estimateQueue(known, reading, nowMs, entries),
 			freeTokens: reading.freeTokens - (kvTokens * entries),
 			leaving: reading.leaving,
--- a/packages/entry/src/__tests__/engine-choice.test.ts
+++ b/packages/entry/src/__tests__/engine-choice.test.ts
@@ -15,11 +15,11 @@
 
 const createReport = (changes: Partial<LoadReport> = {}): LoadReport => ({
 	sequence: 1, role: 'mixed', running: 0, waiting: 0, waitingTokens: 0, freeTokens: 100_000, prefixes: [], leaving: false,
-	prefillTokensPerSecond: 10_000, decodeMsPerToken: 1, maxRunning: 16, ...changes,
+	prefillTokensPerSecond: 10_000, stepMs: 0, stepMsPerRequest: 1, maxRunning: 16, ...changes,
 });
 
 const createRequest = (changes: Partial<EngineRequest> = {}): EngineRequest => ({
-	prompt: 'x'.repeat(4000), maxTokens: 10, isSuspect: false, firstTokenMs: 420, elapsedMs: 0, mayRefuse: true, maySplit: true, ...changes,
+	prompt: 'x'.repeat(4000), maxTokens: 10, expectedOutput: 10, isSuspect: false, firstTokenMs: 420, elapsedMs: 0, mayRefuse: true, maySplit: true, ...changes,
 });
 
 const createChoice = (liveEntries = 1) => {
@@ -31,11 +31,11 @@
 };
 
 /** Waits until the report has reached the entry. */
-const untilReported = async (adminPort: number): Promise<void> => {
+const untilReported = async (adminPort: number, waitingTokens: number): Promise<void> => {
 	for (let tries = 0; tries < 200; tries++) {
 		const response = await fetch(`http://127.0.0.1:${adminPort}/admin/status`, {headers: {authorization: `Bearer ${adminToken}`}});
 		const {endpoints} = await response.json() as {endpoints: Array<{waitingTokens?: number}>};
-		if (endpoints[0]?.waitingTokens !== undefined) {
+		if (endpoints[0]?.waitingTokens === waitingTokens) {
 			return;
 		}
 
@@ -102,6 +102,21 @@
 		assert.equal(choice.choose([far, a], createRequest()), {endpoint: far, stage: 'whole'});
 	});
 
+	it('refuses where no engine keeps the pace; guards against admission that checks only the first token', () => {
+		const {choice} = createChoice();
+		const full = {
+			running: 12, stepMs: 60, stepMsPerRequest: 1,
+		};
+		choice.reported(a, createReport(full));
+		const request = createRequest({expectedOutput: 100});
+		const refusal = choice.choose([a], request);
+		assert.ok(refusal && 'retryAfterMs' in refusal && refusal.retryAfterMs > 0);
+		// Seven of twelve requests have to end: at 66 ms for each of 4 tokens and six at a time that takes 308 ms.
+		assert.equal(choice.choose([a], createRequest({expectedOutput: 4, firstTokenMs: 800})), {endpoint: a, stage: 'whole'});
+		choice.reported(b, createReport({running: 12}));
+		assert.equal(choice.choose([a, b], request), {endpoint: b, stage: 'whole'});
+	});
+
 	it('answers a refusal as not run with a time to come back; guards against a request that waits for its deadline (I10)', async () => withEntry(async world => {
 		let starts = 0;
 		const agent = await addAgent(world, 'planner-engines', {
@@ -111,12 +126,15 @@
 			},
 		});
 		await until(() => agent.peers.size > 0, 'the connection');
-		for (const peer of agent.peers) {
-			peer.notify('load.report', createReport({waitingTokens: 100_000}));
+		for (const report of [createReport({waitingTokens: 100_000}), createReport({running: 40, stepMs: 60, waitingTokens: 1})]) {
+			for (const peer of agent.peers) {
+				peer.notify('load.report', report);
+			}
+
+			await untilReported(world.entry.adminPort, report.waitingTokens);
+			assert.is(await describeError(await complete(world)), '429 overloaded not-run retry');
 		}
 
-		await untilReported(world.entry.adminPort);
-		assert.is(await describeError(await complete(world)), '429 overloaded not-run retry');
 		assert.is(starts, 0);
 	}));
 });
--- a/packages/entry/src/engine-choice.ts
+++ b/packages/entry/src/engine-choice.ts
@@ -4,10 +4,12 @@
  */
 import {
 	admit,
+	assumedChunkTokens,
 	chooseEndpoint,
 	defaultTarget,
 	LoadView,
 	namePrefixes,
+	placesAtPace,
 	prefixCharacters,
 	serves,
 	type Choice,
@@ -28,10 +30,8 @@
 const remoteDistanceMs = 4;
 // Prefill rate that the allowance for long prompts is made for; used until an engine has shown its own.
 const unmeasuredPrefillRate = 8000;
-const unmeasuredDecodeMs = 0.4;
+const unmeasuredStepMsPerRequest = 0.4;
 const unmeasuredMaxRunning = 16;
-// Usual chunk of engines with continuous batching; the interface does not tell it.
-const chunkTokens = 256;
 /** Lengths at which a prompt is hashed. Each costs about a microsecond, and few prefixes are shared by many prompts. */
 const maxPrefixLengths = 64;
 
@@ -39,6 +39,8 @@
 export type EngineRequest = {
 	readonly prompt: string;
 	readonly maxTokens: number;
+	/** Output that requests with that limit had lately. */
+	readonly expectedOutput: number;
 	readonly isSuspect: boolean;
 	/** Limit of the first token before the allowance for long prompts. */
 	readonly firstTokenMs: number;
@@ -67,10 +69,9 @@
 
 const ratesOf = (report: LoadReport): EngineRates => ({
 	prefillTokensPerSecond: report.prefillTokensPerSecond ?? unmeasuredPrefillRate,
-	// The agent measures the engine's time for a token, in which the fixed part of a step is contained.
-	stepMs: 0,
-	stepMsPerRequest: report.decodeMsPerToken ?? unmeasuredDecodeMs,
-	chunkTokens,
+	stepMs: report.stepMs ?? 0,
+	stepMsPerRequest: report.stepMsPerRequest ?? unmeasuredStepMsPerRequest,
+	chunkTokens: assumedChunkTokens,
 	maxRunning: report.maxRunning ?? unmeasuredMaxRunning,
 });
 
@@ -88,6 +89,17 @@
 		.toSorted((a, b) => a - b);
 };
 
+/**
+ * The engines that may decode the request, with the requests that are known to run there: own dispatches are not multiplied,
+ * since the others are only assumed, and a refusal rests on what is certain. Their measured step contains prompts.
+ */
+const decodersOf = ({endpoint}: Choice, states: readonly EndpointState[]): EndpointState[] => {
+	const decoders = endpoint.role === 'prefill'
+		? states.filter(({role, leaving}) => serves(role, 'decode') && !leaving)
+		: [endpoint];
+	return decoders.map(state => ({...state, running: state.knownRunning, waitingTokens: 0}));
+};
+
 /** Chooses engines for one entry. */
 export class EngineChoice {
 	readonly #options: EngineChoiceOptions;
@@ -175,7 +187,8 @@
 	}
 
 	#chooseAmong(endpoints: readonly Endpoint[], request: EngineRequest): EngineChoiceResult | undefined {
-		const choice = this.#decide(this.#statesOf(endpoints), this.#describe(endpoints, request), request.maySplit);
+		const states = this.#statesOf(endpoints);
+		const choice = this.#decide(states, this.#describe(endpoints, request), request.maySplit);
 		if (!choice) {
 			// An agent reports as soon as it is connected; until then nothing speaks against it.
 			const silent = endpoints.find(endpoint => !this.#engines.has(endpoint));
@@ -183,7 +196,7 @@
 		}
 
 		const endpoint = endpoints.find(({host}) => host.hostId === choice.endpoint.id)!;
-		const retryAfterMs = this.#refuse(endpoint, choice, request);
+		const retryAfterMs = this.#refuse(endpoint, choice, states, request);
 		const stage = choice.endpoint.role === 'prefill' ? 'prefill' : 'whole';
 		return retryAfterMs === undefined ? {endpoint, stage} : {retryAfterMs};
 	}
@@ -222,20 +235,29 @@
 	}
 
 	/**
-	 * An engine without a queue takes any request, as its agent does, and an engine that has shown no rates leaves the
-	 * decision to its agent.
+	 * An engine with a free place and no queue takes any request, as its agent does, and an engine that has shown no rates
+	 * leaves the decision to its agent.
 	 */
-	#refuse(endpoint: Endpoint, {endpoint: state, uncachedTokens}: Choice, request: EngineRequest): number | undefined {
-		if (!request.mayRefuse || !this.#engines.get(endpoint)?.isMeasured || state.waitingTokens === 0) {
+	#refuse(endpoint: Endpoint, choice: Choice, states: readonly EndpointState[], request: EngineRequest): number | undefined {
+		if (!request.mayRefuse || !this.#engines.get(endpoint)?.isMeasured) {
+			return undefined;
+		}
+
+		const {endpoint: state, uncachedTokens} = choice;
+		const target = {...defaultTarget, firstTokenMs: request.firstTokenMs};
+		const decode = decodersOf(choice, states);
+		const hasPlace = decode.some(({rates, running}) => running < placesAtPace(rates, target.paceMs, false));
+		if (state.waitingTokens === 0 && hasPlace) {
 			return undefined;
 		}
 
-		const admission = admit({prefill: state}, {
-			target: {...defaultTarget, firstTokenMs: request.firstTokenMs},
+		const admission = admit({prefill: state, decode}, {
+			target,
 			promptTokens: estimateTokens(request.prompt),
 			uncachedTokens,
-			outputTokens: request.maxTokens,
+			outputTokens: request.expectedOutput,
 			elapsedMs: request.elapsedMs,
+			waitsForPlace: true,
 		});
 		return admission.accepted ? undefined : admission.retryAfterMs;
 	}
--- a/packages/entry/src/model-demand.ts
+++ b/packages/entry/src/model-demand.ts
@@ -32,6 +32,11 @@
 		}
 	}
 
+	/** Expected output of a request with that limit. */
+	expectOutput(service: string, maxTokens: number): number {
+		return this.#meterOf(service).expectOutput(maxTokens);
+	}
+
 	/** Demand of the region over the last seconds. */
 	measure(service: string): TokenDemand {
 		return this.#meterOf(service).measure(this.#clock.nowMs());
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -97,7 +97,7 @@
 		const choice = engineChoice.choose(available, this.#describe(isSuspect));
 		if (choice && 'retryAfterMs' in choice) {
 			this.#context.metrics.refusedByEstimate.inc();
-			throw callerError('overloaded', 'the first token would come too late', {retryAfterMs: choice.retryAfterMs});
+			throw callerError('overloaded', 'the answer would come too late', {retryAfterMs: choice.retryAfterMs});
 		}
 
 		if (!choice) {
@@ -113,6 +113,7 @@
 		return {
 			prompt,
 			maxTokens,
+			expectedOutput: this.#context.demand.expectOutput(route.service.name, maxTokens),
 			isSuspect,
 			firstTokenMs: route.route.firstTokenMs,
 			elapsedMs: this.#context.clock.nowMs() - admittedMs,
