Hold back accounts over their share at the entry

Cause: the daemons were fair only in the queue of an agent. A burst of one account filled the places before the queue had anything to order, and admission then refused all accounts alike.

FairAdmission notes each new model request and refuses one of an account over its share at once (overloaded, not-run, one second to come back). The capacity comes from the configured engineRates and the reported roles; an entry that connects to a part of a data centre's engines takes the listed others to have the same roles. No counter is shared between entries.

Ruled out: measured speeds as the capacity (they come from one way of running, and a guess would refuse callers without need); a shared counter for each account (a message on the path of each request).

Test over the daemon: "hold back the account over its share only".

--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -4,7 +4,7 @@
 import {createHash, randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {
-	brandAs, type ClaimId, type ConfigVersion, type ConfigView, type KeyHash, type ResolvedRoute,
+	brandAs, type ClaimId, type ConfigVersion, type ConfigView, type EngineRates, type KeyHash, type ResolvedRoute,
 } from '@hawthorncleat/core';
 import type {
 	ClientAccount, EntrySettings, HostRecord, Key, RequestStartParams, Route, ServiceCallParams,
@@ -57,6 +57,9 @@
 	entry: Entry;
 	account: ClientAccount;
 	keys: Map<string, Key['state']>;
+	/** Accounts of keys that do not belong to `account`. */
+	otherAccounts: Map<string, ClientAccount>;
+	engineRates: EngineRates | undefined;
 	isFresh: boolean;
 	claim: ClaimResult;
 	/** What happened at the claims and at the usage store, in order. */
@@ -73,11 +76,14 @@
 		const key = found && {
 			kind: 'key', name: 'k', account: 'haugland', hash: keyHash, state: found[1],
 		} as const;
-		return key && {key, account: world.account};
+		return key && {key, account: world.otherAccounts.get(found[0]) ?? world.account};
 	},
 	findModelRoute: name => name === 'planner' ? modelRoute : undefined,
 	findServiceRoute: (_method, path) => serviceRoutes.find(({route}) => path.startsWith(route.path!)),
-	listModelRoutes: () => [modelRoute],
+	listModelRoutes: () => [{
+		...modelRoute,
+		...(modelRoute.modelVersion && {modelVersion: {...modelRoute.modelVersion, ...(world.engineRates && {engineRates: world.engineRates})}}),
+	}],
 });
 
 const settings: EntrySettings = {
@@ -149,6 +155,7 @@
 	const world = {
 		account: {kind: 'client-account', name: 'haugland'},
 		keys: new Map([[goodKey, 'active'], [withdrawnKey, 'withdrawn']]),
+		otherAccounts: new Map(),
 		isFresh: true,
 		claim: {kind: 'granted', claimId: brandAs<ClaimId>('claim-1')},
 		events: [],
--- a/packages/entry/src/duties/role-duties.ts
+++ b/packages/entry/src/duties/role-duties.ts
@@ -3,11 +3,12 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	countRoles, defaultTarget, prefixCharacters, type CapacityModel, type EngineOrderRole,
+	countRoles, prefixCharacters, type EngineOrderRole,
 } from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {ConfigSource, DutySources, HostSource} from '../deps.js';
 import type {Endpoint} from '../endpoint.js';
+import {capacityModelOf, roleOf} from '../fleet-capacity.js';
 import {RolePlanner, type ManagedEngine} from './role-planner.js';
 import {runDuty, type DutyContext} from './run-duty.js';
 
@@ -24,9 +25,6 @@
 	readonly hosts: HostSource;
 };
 
-const roleOf = ({report}: Endpoint): EngineOrderRole | undefined =>
-	report === undefined || report.role === 'service' ? undefined : report.role;
-
 const toManaged = (endpoint: Endpoint, role: EngineOrderRole): ManagedEngine => ({
 	endpoint: endpoint.id,
 	role,
@@ -35,16 +33,8 @@
 	sendOrder: async orderNumber => endpoint.peer?.call('engine.order', {orderNumber}, {timeoutMs: orderTimeoutMs}),
 });
 
-/** The capacity of a service's engines, where the configuration gives their speeds. */
-const modelOf = (config: ConfigSource, service: string): CapacityModel | undefined => {
-	const route = config.current().listModelRoutes().find(candidate => candidate.service.name === service);
-	const rates = route?.modelVersion?.engineRates;
-	return rates && {rates, paceMs: defaultTarget.paceMs};
-};
-
 const enginesOf = ({settings, sources}: RoleDutiesOptions, service: string, isLocal: boolean): ManagedEngine[] => sources.endpoints()
-	.filter(({host, peer, isLeaving}) => host.serves === service && peer !== undefined && !isLeaving
-		&& (host.dataCentre === settings.dataCentre) === isLocal)
+	.filter(({host}) => host.serves === service && (host.dataCentre === settings.dataCentre) === isLocal)
 	.flatMap(endpoint => {
 		const role = roleOf(endpoint);
 		return role ? [toManaged(endpoint, role)] : [];
@@ -61,7 +51,7 @@
 		service,
 		engines: () => enginesOf(options, service, true),
 		elsewhere: () => countRoles(enginesOf(options, service, false).map(({role}) => role)),
-		model: () => modelOf(config, service),
+		model: () => capacityModelOf(config, service),
 		demand: () => sources.demand.measure(service),
 		rank: () => Math.max(0, rankOf(options)),
 	});
@@ -73,7 +63,7 @@
 const servicesOf = ({settings, sources, config}: RoleDutiesOptions): Set<string> => {
 	const local = sources.endpoints().filter(({host}) => host.dataCentre === settings.dataCentre);
 	const services = new Set(local.map(({host}) => host.serves ?? ''));
-	return new Set([...services].filter(service => modelOf(config, service) !== undefined));
+	return new Set([...services].filter(service => capacityModelOf(config, service) !== undefined));
 };
 
 /** Runs the planners, following the services that the data centre has, until `signal` aborts. */
--- a/packages/entry/src/endpoint-pool.ts
+++ b/packages/entry/src/endpoint-pool.ts
@@ -12,6 +12,9 @@
 /** Agents per service in each other data centre of the region, as a fallback. */
 const fallbackSize = 4;
 
+/** Agents of a service that an entry connects to in its own or in each other data centre. */
+export const subsetLimit = (isLocal: boolean): number => isLocal ? subsetSize : fallbackSize;
+
 const groupBy = <Value>(values: readonly Value[], keyOf: (value: Value) => string): Map<string, Value[]> => {
 	const groups = new Map<string, Value[]>();
 	for (const value of values) {
@@ -33,7 +36,7 @@
 	const endpoints = hosts.filter(host => host.kind === 'endpoint' && host.serves !== undefined);
 	const groups = groupBy(endpoints, host => JSON.stringify([host.serves, host.dataCentre]));
 	return [...groups.values()].flatMap(group => {
-		const size = group[0]!.dataCentre === entry.dataCentre ? subsetSize : fallbackSize;
+		const size = subsetLimit(group[0]!.dataCentre === entry.dataCentre);
 		return chooseByRendezvous(entry.entryId, group, size, host => host.hostId);
 	});
 };
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -13,6 +13,7 @@
 import {EngineChoice} from './engine-choice.js';
 import type {Endpoint} from './endpoint.js';
 import {EntryPeers} from './entry-peers.js';
+import {FairAdmission} from './fair-admission.js';
 import type {ConnectionOptions} from './kept-connection.js';
 import {createMetrics, type Metrics} from './metrics.js';
 import {ModelDemand} from './model-demand.js';
@@ -218,7 +219,9 @@
 	};
 
 	#createContext(): CallerContext {
-		const {clock, random, wallClock, config, freshness, claims, chooseEndpoint} = this.deps;
+		const {clock, random, wallClock, config, hosts, freshness, claims, chooseEndpoint} = this.deps;
+		const {dataCentre} = this.settings;
+		const demand = new ModelDemand(clock, () => this.#liveEntries);
 		return {
 			clock,
 			random,
@@ -226,13 +229,16 @@
 			config,
 			freshness,
 			claims,
-			dataCentre: this.settings.dataCentre,
+			dataCentre,
 			pool: this.#pool,
 			budget: new RetryBudget(),
 			suspects: this.#suspects,
 			choose: chooseEndpoint ?? chooseLeastWait,
 			...(!chooseEndpoint && {engineChoice: this.#engineChoice}),
-			demand: new ModelDemand(clock, () => this.#liveEntries),
+			demand,
+			fairAdmission: new FairAdmission({
+				clock, random, dataCentre, demand, config, hosts, endpoints: () => this.#pool.endpoints,
+			}),
 			timings: this.#timings,
 			metrics: this.#metrics,
 			telemetry: this.#telemetry,
--- /dev/null
+++ b/packages/entry/src/fleet-capacity.ts
@@ -0,0 +1,68 @@
+/**
+ * What the engines of a model service can do, from the configuration, the host list and the load reports.
+ */
+import {
+	countRoles, defaultTarget, type CapacityModel, type EngineOrderRole, type RoleCounts,
+} from '@hawthorncleat/core';
+import type {HostRecord} from '@hawthorncleat/schema';
+import type {ConfigSource} from './deps.js';
+import {subsetLimit} from './endpoint-pool.js';
+import type {Endpoint} from './endpoint.js';
+
+/** The capacity of a service's engines, where the configuration gives their speeds. */
+export const capacityModelOf = (config: ConfigSource, service: string): CapacityModel | undefined => {
+	const route = config.current().listModelRoutes().find(candidate => candidate.service.name === service);
+	const rates = route?.modelVersion?.engineRates;
+	return rates && {rates, paceMs: defaultTarget.paceMs};
+};
+
+/** The role of a connected engine that takes work. */
+export const roleOf = ({report, peer, isLeaving}: Endpoint): EngineOrderRole | undefined =>
+	report === undefined || report.role === 'service' || peer === undefined || isLeaving ? undefined : report.role;
+
+export type FleetView = {
+	readonly service: string;
+	/** The data centre of the entry. */
+	readonly dataCentre: string;
+	readonly endpoints: readonly Endpoint[];
+	readonly hosts: readonly HostRecord[];
+};
+
+/** Engines of a data centre that the host list names, for each one that the entry connects to. */
+const listedPerConnected = ({service, dataCentre, hosts}: FleetView, place: string): number => {
+	const listed = hosts.filter(host => host.kind === 'endpoint' && host.state === 'live'
+		&& host.serves === service && host.dataCentre === place).length;
+	return Math.max(1, listed / subsetLimit(place === dataCentre));
+};
+
+/**
+ * Roles of all engines of the service by data centre. An entry connects to a part of the engines of a large data centre,
+ * and the others are taken to have the same roles.
+ */
+export const rolesByDataCentre = (view: FleetView): Map<string, RoleCounts> => {
+	const roles = new Map<string, EngineOrderRole[]>();
+	for (const endpoint of view.endpoints) {
+		const role = endpoint.host.serves === view.service ? roleOf(endpoint) : undefined;
+		if (role) {
+			roles.set(endpoint.host.dataCentre, [...roles.get(endpoint.host.dataCentre) ?? [], role]);
+		}
+	}
+
+	return new Map([...roles].map(([place, known]) => {
+		const factor = listedPerConnected(view, place);
+		const {mixed, prefill, decode} = countRoles(known);
+		return [place, {mixed: mixed * factor, prefill: prefill * factor, decode: decode * factor}];
+	}));
+};
+
+/** Sum of the engines of several data centres. */
+export const sumRoles = (counts: Iterable<RoleCounts>): RoleCounts => {
+	const sum = {mixed: 0, prefill: 0, decode: 0};
+	for (const {mixed, prefill, decode} of counts) {
+		sum.mixed += mixed;
+		sum.prefill += prefill;
+		sum.decode += decode;
+	}
+
+	return sum;
+};
--- a/packages/entry/src/metrics.ts
+++ b/packages/entry/src/metrics.ts
@@ -31,7 +31,10 @@
 			name: name('retries_total'), help: 'Further attempts (count) by the failure before them', labelNames: ['failure'], registers,
 		}),
 		refusedByEstimate: new Counter({
-			name: name('refused_by_estimate_total'), help: 'Model requests refused because no first token was expected in time (count)', registers,
+			name: name('refused_by_estimate_total'), help: 'Model requests refused because no first token or pace was expected in time (count)', registers,
+		}),
+		refusedOverShare: new Counter({
+			name: name('refused_over_share_total'), help: 'Model requests refused because their account asked for more than its share (count)', registers,
 		}),
 		running: new Gauge({name: name('running_requests'), help: 'Requests running now (count)', registers}),
 		connections: new Gauge({name: name('endpoint_connections'), help: 'Open connections to agents (count)', registers}),
--- a/packages/entry/src/model-demand.ts
+++ b/packages/entry/src/model-demand.ts
@@ -32,6 +32,11 @@
 		}
 	}
 
+	/** Prompt tokens of a request that are expected to need work. */
+	expectUncached(service: string, prompt: string): number {
+		return this.#meterOf(service).expectUncached(estimateTokens(prompt));
+	}
+
 	/** Expected output of a request with that limit. */
 	expectOutput(service: string, maxTokens: number): number {
 		return this.#meterOf(service).expectOutput(maxTokens);
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -53,6 +53,7 @@
 		const {route, prompt, maxTokens} = this.#request;
 		budget.countFirstAttempt();
 		demand.arrived(route.service.name, prompt, maxTokens);
+		this.#refuseOverShare();
 		for (;;) {
 			const {endpoint, stage} = this.#chooseEndpoint();
 			const outcome = await (stage === 'prefill' ? this.#runSplit(endpoint, signal) : this.#attempt(endpoint, signal));
@@ -67,6 +68,18 @@
 		}
 	}
 
+	#refuseOverShare(): void {
+		const {fairAdmission, metrics} = this.#context;
+		const {clientAccount, route, weight, prompt, maxTokens} = this.#request;
+		const retryAfterMs = fairAdmission.hold({
+			service: route.service.name, account: clientAccount, weight, prompt, maxTokens,
+		});
+		if (retryAfterMs !== undefined) {
+			metrics.refusedOverShare.inc();
+			throw callerError('overloaded', 'the account asks for more than its share of the engines', {retryAfterMs});
+		}
+	}
+
 	#chooseEndpoint(): {readonly endpoint: Endpoint; readonly stage: 'prefill' | 'whole'} {
 		const {suspects, pool, timings, engineChoice} = this.#context;
 		const {fingerprint, route, tokens, prompt} = this.#request;
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -7,6 +7,7 @@
 import type {ChooseEndpoint, Timings} from './deps.js';
 import type {EngineChoice} from './engine-choice.js';
 import type {EndpointPool} from './endpoint-pool.js';
+import type {FairAdmission} from './fair-admission.js';
 import type {Metrics} from './metrics.js';
 import type {ModelDemand} from './model-demand.js';
 import type {Telemetry} from './telemetry.js';
@@ -24,6 +25,8 @@
 	readonly engineChoice?: EngineChoice;
 	/** Measures what callers ask for, for the role planner. */
 	readonly demand: ModelDemand;
+	/** Holds back accounts that are over their share. */
+	readonly fairAdmission: FairAdmission;
 	readonly timings: Timings;
 	readonly metrics: Metrics;
 	readonly telemetry: Telemetry;
