Tell the queue length in a refusal

A refusal left the entry with the last report, so each request of the next second tried the full engine first and used up an attempt. The trend itself, reported work drained at the engine's rate with the own dispatches added, was already in use through LoadView in EngineChoice; a test now holds it there.

The refusal of an agent carries queuedTokens, and the entry's view takes it.

Ruled out: leaving the refused dispatch in the view as if it waited there (it understates a long queue and is forgotten with the next report).

Test over the daemon: "learns the queue from a refusal"; without the change it printed 3 requests at the full engine where 1 was expected.

--- a/packages/agent/src/__tests__/requests.test.ts
+++ b/packages/agent/src/__tests__/requests.test.ts
@@ -115,8 +115,8 @@
 		// Two requests would take 80 ms for a token, and 66 ms are promised.
 		assert.is(engine.maxRunning, 1);
 		await entry.start('r6');
-		const {code, ran, retryAfterMs} = await readError(entry.start('r7', {firstTokenInMs: 20}));
-		assert.equal([code, ran], ['overloaded', 'not-run']);
+		const {code, ran, retryAfterMs, queuedTokens} = await readError(entry.start('r7', {firstTokenInMs: 20}));
+		assert.equal([code, ran, queuedTokens], ['overloaded', 'not-run', 0]);
 		assert.ok(retryAfterMs! > 0);
 	}));
 
--- a/packages/agent/src/refusals.ts
+++ b/packages/agent/src/refusals.ts
@@ -6,9 +6,9 @@
 /** Time after which an endpoint that is changing or not answering may be tried again. */
 export const unavailableRetryAfterMs = 1000;
 
-export const overloaded = (retryAfterMs: number): RequestError =>
+export const overloaded = (retryAfterMs: number, queuedTokens?: number): RequestError =>
 	createRequestError('the endpoint is full', {
-		code: 'overloaded', ran: 'not-run', status: 429, retryAfterMs,
+		code: 'overloaded', ran: 'not-run', status: 429, retryAfterMs, ...(queuedTokens !== undefined && {queuedTokens}),
 	});
 
 export const unavailable = (code: string, message: string): RequestError =>
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -44,7 +44,7 @@
 		const decision = this.scheduler.decide(work, params);
 		if (!decision.accepted) {
 			this.options.metrics.refused.inc({code: 'overloaded'});
-			throw overloaded(decision.retryAfterMs);
+			throw overloaded(decision.retryAfterMs, this.scheduler.waitingPromptTokens);
 		}
 
 		const {requestId, attempt, traceparent, fingerprint, suspect} = params;
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -19,6 +19,8 @@
 	readonly status?: number;
 	/** Present where a later try can succeed. */
 	readonly retryAfterMs?: number;
+	/** Prompt tokens that wait at the agent that refused. */
+	readonly queuedTokens?: number;
 };
 
 /** A request that got no answer from its endpoint, with what the caller has to know. */
--- a/packages/entry/src/__tests__/engine-choice.test.ts
+++ b/packages/entry/src/__tests__/engine-choice.test.ts
@@ -1,12 +1,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {namePrefixes} from '@hawthorncleat/core';
+import {createRequestError, namePrefixes} from '@hawthorncleat/core';
 import type {LoadReport} from '@hawthorncleat/schema';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {EngineChoice, type EngineRequest} from '../engine-choice.js';
 import type {Endpoint} from '../endpoint.js';
 import {
-	addAgent, adminToken, complete, describeError, until, withEntry,
+	addAgent, adminToken, complete, describeError, sendEnd, until, withEntry,
 } from './fixtures.js';
 
 const createEndpoint = (hostId: string, dataCentre = 'dc-1', runningSuspects = 0): Endpoint => ({
@@ -35,7 +35,7 @@
 	for (let tries = 0; tries < 200; tries++) {
 		const response = await fetch(`http://127.0.0.1:${adminPort}/admin/status`, {headers: {authorization: `Bearer ${adminToken}`}});
 		const {endpoints} = await response.json() as {endpoints: Array<{waitingTokens?: number}>};
-		if (endpoints[0]?.waitingTokens === waitingTokens) {
+		if (endpoints.some(endpoint => endpoint.waitingTokens === waitingTokens)) {
 			return;
 		}
 
@@ -117,6 +117,47 @@
 		assert.equal(choice.choose([a, b], request), {endpoint: b, stage: 'whole'});
 	});
 
+	it('drains a reported queue over time; guards against a choice that takes old reports for the present', () => {
+		const {clock, choice} = createChoice();
+		choice.reported(a, createReport({waitingTokens: 4000}));
+		choice.reported(b, createReport({waitingTokens: 50, prefillTokensPerSecond: 3000}));
+		assert.equal(choice.choose([a, b], createRequest()), {endpoint: b, stage: 'whole'});
+		clock.advance(400);
+		assert.equal(choice.choose([a, b], createRequest()), {endpoint: a, stage: 'whole'});
+	});
+
+	it('learns the queue from a refusal; guards against every request trying the full engine first', async () => withEntry(async world => {
+		const full = await addAgent(world, 'planner-engines', {
+			'request.start'() {
+				throw createRequestError('full', {
+					code: 'overloaded', ran: 'not-run', status: 429, retryAfterMs: 50, queuedTokens: 50_000,
+				});
+			},
+		});
+		const free = await addAgent(world, 'planner-engines', {
+			'request.start'(params, peer) {
+				setImmediate(() => {
+					sendEnd(peer, params, 0);
+				});
+				return {accepted: true, queuedTokens: 3000};
+			},
+		});
+		for (const [agent, waitingTokens] of [[full, 1], [free, 3000]] as const) {
+			for (const peer of agent.peers) {
+				peer.notify('load.report', createReport({waitingTokens}));
+			}
+		}
+
+		await untilReported(world.entry.adminPort, 1);
+		await untilReported(world.entry.adminPort, 3000);
+		for (const _ of [1, 2, 3]) {
+			const {status} = await complete(world);
+			assert.is(status, 200);
+		}
+
+		assert.equal([full.starts.length, free.starts.length], [1, 3]);
+	}));
+
 	it('answers a refusal as not run with a time to come back; guards against a request that waits for its deadline (I10)', async () => withEntry(async world => {
 		let starts = 0;
 		const agent = await addAgent(world, 'planner-engines', {
--- a/packages/entry/src/attempt-failure.ts
+++ b/packages/entry/src/attempt-failure.ts
@@ -15,6 +15,8 @@
 	/** Code of the agent's refusal, or of the failure. */
 	readonly code: string;
 	readonly retryAfterMs?: number;
+	/** Prompt tokens that wait at the agent that refused. */
+	readonly queuedTokens?: number;
 };
 
 /** Room in a line for the method, the id and the punctuation around the parameters. */
@@ -28,17 +30,19 @@
 		return {kind: 'invalid-response', ran: 'unknown', code: 'invalid-response'};
 	}
 
-	const {code, ran, retryAfterMs} = err;
+	const {code, ran, retryAfterMs, queuedTokens} = err;
 	if (code === 'connection-closed') {
 		return {kind: 'not-connected', ran: 'not-run', code};
 	}
 
 	if (ran === 'not-run') {
-		return retryAfterMs === undefined
-			? {kind: 'refused', ran, code}
-			: {
-				kind: 'refused', ran, code, retryAfterMs,
-			};
+		return {
+			kind: 'refused',
+			ran,
+			code,
+			...(retryAfterMs !== undefined && {retryAfterMs}),
+			...(queuedTokens !== undefined && {queuedTokens}),
+		};
 	}
 
 	// An agent's own words are not checked by the wire layer.
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -135,6 +135,7 @@
 			this.#started(answer);
 		} catch (error) {
 			const failure = classifyCallError(error);
+			this.#noteQueueOf(failure);
 			this.#isStarted = failure.kind === 'connection-lost';
 			if (this.#isStarted) {
 				await this.#recover();
@@ -159,6 +160,13 @@
 		}
 	}
 
+	/** A refusal shows the queue as well as an acceptance does, and the next request should know of it. */
+	#noteQueueOf({queuedTokens}: AttemptFailure): void {
+		if (queuedTokens !== undefined && queuedTokens >= 0) {
+			this.#options.endpoint.noteQueue(queuedTokens);
+		}
+	}
+
 	#failStart(failure: AttemptFailure): void {
 		// A refused request left nothing at the agent that would have to be cancelled.
 		this.#hasListener = failure.kind === 'invalid-response';
--- a/packages/wire/src/__tests__/peer.test.ts
+++ b/packages/wire/src/__tests__/peer.test.ts
@@ -20,7 +20,7 @@
 
 const refuse = (): never => {
 	const details = {
-		code: 'overloaded', ran: 'not-run', retryAfterMs: 70, status: 429,
+		code: 'overloaded', ran: 'not-run', retryAfterMs: 70, status: 429, queuedTokens: 9,
 	} as const;
 	throw createRequestError('full', details);
 };
@@ -34,13 +34,13 @@
 			assert.equal(await peer.call('config.since', {version: 4}), {version: 5});
 		}));
 
-		it('carries code, ran and retry time of a refusal', async () => withAbort(async signal => {
+		it('carries code, ran, retry time and queue length of a refusal', async () => withAbort(async signal => {
 			const listener = await listen({...base, port: 0, handlers: {'config.since': refuse}}, signal);
 			const peer = await dial({...base, port: listener.port, handlers: {}}, signal);
 			const error = await peer.call('config.since', {version: 1}).catch((error: unknown) => error);
 			assert.ok(isRequestError(error));
-			const {code, ran, retryAfterMs, status} = error;
-			assert.equal([code, ran, retryAfterMs, status], ['overloaded', 'not-run', 70, 429]);
+			const {code, ran, retryAfterMs, status, queuedTokens} = error;
+			assert.equal([code, ran, retryAfterMs, status, queuedTokens], ['overloaded', 'not-run', 70, 429, 9]);
 		}));
 
 		it('rejects parameters that do not match the schema', async () => withAbort(async signal => {
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -64,6 +64,10 @@
 		data.retryAfterMs = err.retryAfterMs;
 	}
 
+	if (err.queuedTokens !== undefined) {
+		data.queuedTokens = err.queuedTokens;
+	}
+
 	return new JSONRPCErrorException(err.message, refusalErrorCode, {...data, status: err.status});
 };
 
