--- a/packages/bench/src/strategies/hawthorncleat.ts
+++ b/packages/bench/src/strategies/hawthorncleat.ts
@@ -9,19 +9,24 @@
 	defaultRolePlanOptions,
 	decodeTokensPerSecond,
 	DemandMeter,
+	FairQueue,
 	LoadView,
+	placesAtPace,
 	planRoles,
 	servablePart,
-	PolicyFairQueue,
 	type Choice,
 	type ChoiceRequest,
 	type EndpointState,
 	type EngineRole,
 	type RolePlanMemory,
 	type RolePlanOptions,
+	type ServiceTarget,
 } from '@hawthorncleat/core';
 import {engineRates} from '../deployments.js';
-import {kvTokens, type Job, type SimRequest} from '../sim/job.js';
+import {
+	kvTokens, type Job, type JobQueue, type SimRequest,
+} from '../sim/job.js';
+import type {FakeEngine} from '../sim/engine.js';
 import type {
 	AgentAnswer, EntryContext, MeteringEntry, Placement, Planner, PlannerView, Strategy,
 } from './strategy.js';
@@ -86,6 +91,7 @@
 			uncachedTokens: choice?.uncachedTokens ?? job.request.promptTokens,
 			outputTokens: this.#meter.expectOutput(job.request.maxTokens),
 			elapsedMs: nowMs - job.request.arrivedMs,
+			waitsForPlace: choice?.endpoint.role === 'mixed',
 		});
 		if (!admission.accepted || !choice) {
 			return {refusedForMs: admission.accepted ? 0 : admission.retryAfterMs};
@@ -153,7 +159,8 @@
 			return undefined;
 		}
 
-		return choice.endpoint.role === 'mixed' ? [choice.endpoint] : states.filter(({leaving}) => !leaving);
+		const decoders = choice.endpoint.role === 'mixed' ? [choice.endpoint] : states.filter(({leaving}) => !leaving);
+		return decoders.map(state => ({...state, running: state.knownRunning}));
 	}
 
 	#noteStart(job: Job, choice: Choice, nowMs: number): void {
@@ -167,6 +174,34 @@
 	}
 }
 
+/** The fair queue of an agent; a simulated engine works on prompts one after the other, so only they count. */
+class FairJobQueue implements JobQueue {
+	readonly #queue = new FairQueue<Job>();
+
+	get size(): number {
+		return this.#queue.size;
+	}
+
+	get waitingTokens(): number {
+		return this.#queue.waitingTokens;
+	}
+
+	push(job: Job): void {
+		const {account, weight, tokens} = job;
+		this.#queue.push({
+			account, weight, tokens, item: job,
+		});
+	}
+
+	pop(): Job | undefined {
+		return this.#queue.pop();
+	}
+
+	waitingAhead(account: string): number {
+		return this.#queue.ahead(account).reduce((sum, {tokens}) => sum + tokens, 0);
+	}
+}
+
 /** The agent knows its own queue exactly and the decode endpoints not at all. */
 const accept: Strategy['accept'] = (job, engine, nowMs, target): AgentAnswer => {
 	const {rates} = engine.spec;
@@ -181,6 +216,7 @@
 		uncachedTokens: job.tokens,
 		outputTokens: job.request.maxTokens,
 		elapsedMs: nowMs - job.request.arrivedMs,
+		waitsForPlace: true,
 	});
 	return admission.accepted ? admission : {accepted: false, retryAfterMs: admission.retryAfterMs};
 };
@@ -222,8 +258,10 @@
 
 const base = {
 	createEntry: (context: EntryContext) => new Entry(context),
-	createQueue: () => new PolicyFairQueue<Job>(),
+	createQueue: () => new FairJobQueue(),
 	accept,
+	places: ({role, spec, waitingTokens}: FakeEngine, {paceMs}: ServiceTarget) =>
+		placesAtPace(spec.rates, paceMs, role === 'mixed' && waitingTokens > 0),
 	dropsLate: true,
 };
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -107,14 +107,15 @@
 	type CountedParts,
 	type KeyedPart,
 } from './usage-ledger.js';
-export {FairQueue, type QueuedWork} from './fair-queue.js';
 export {
 	addSample,
+	assumedChunkTokens,
 	decideQueueing,
-	estimateFirstTokenMs,
 	estimateWork,
 	initialRates,
-	type EngineRates as MeasuredRates,
+	placesOf,
+	toEngineRates,
+	type MeasuredRates,
 	type QueueDecision,
 	type QueueView,
 	type RateSample,
@@ -137,5 +138,4 @@
 	type EngineRole as EngineOrderRole,
 	type OrderDecision,
 } from './engine-orders.js';
-export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
 export * from './policy/index.js';
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -53,6 +53,7 @@
 		const {route, prompt, maxTokens} = this.#request;
 		budget.countFirstAttempt();
 		demand.arrived(route.service.name, prompt, maxTokens);
+		this.#refuseOverShare();
 		for (;;) {
 			const {endpoint, stage} = this.#chooseEndpoint();
 			const outcome = await (stage === 'prefill' ? this.#runSplit(endpoint, signal) : this.#attempt(endpoint, signal));
@@ -67,6 +68,18 @@
 		}
 	}
 
+	#refuseOverShare(): void {
+		const {fairAdmission, metrics} = this.#context;
+		const {clientAccount, route, weight, prompt, maxTokens} = this.#request;
+		const retryAfterMs = fairAdmission.hold({
+			service: route.service.name, account: clientAccount, weight, prompt, maxTokens,
+		});
+		if (retryAfterMs !== undefined) {
+			metrics.refusedOverShare.inc();
+			throw callerError('overloaded', 'the account asks for more than its share of the engines', {retryAfterMs});
+		}
+	}
+
 	#chooseEndpoint(): {readonly endpoint: Endpoint; readonly stage: 'prefill' | 'whole'} {
 		const {suspects, pool, timings, engineChoice} = this.#context;
 		const {fingerprint, route, tokens, prompt} = this.#request;
@@ -97,7 +110,7 @@
 		const choice = engineChoice.choose(available, this.#describe(isSuspect));
 		if (choice && 'retryAfterMs' in choice) {
 			this.#context.metrics.refusedByEstimate.inc();
-			throw callerError('overloaded', 'the first token would come too late', {retryAfterMs: choice.retryAfterMs});
+			throw callerError('overloaded', 'the answer would come too late', {retryAfterMs: choice.retryAfterMs});
 		}
 
 		if (!choice) {
@@ -113,6 +126,7 @@
 		return {
 			prompt,
 			maxTokens,
+			expectedOutput: this.#context.demand.expectOutput(route.service.name, maxTokens),
 			isSuspect,
 			firstTokenMs: route.route.firstTokenMs,
 			elapsedMs: this.#context.clock.nowMs() - admittedMs,
