--- a/packages/histories/src/__tests__/planned-change.test.ts
+++ b/packages/histories/src/__tests__/planned-change.test.ts
@@ -13,7 +13,7 @@
 import {findCutCalls, findWrongAnswers, isRefusedConnection} from '../rules/request-rules.js';
 
 const seeds = [101, 102];
-const seedsOfDirectCallers = [103, 104];
+const directCallerSeeds = [103, 104];
 const callersPerEntry = 5;
 const directCallersPerEntry = 12;
 const entryRestarts = 3;
@@ -123,7 +123,7 @@
 		});
 	}
 
-	for (const seed of seedsOfDirectCallers) {
+	for (const seed of directCallerSeeds) {
 		it(`seed ${seed}: restarts of entries under callers that ignore readiness; guards against reset connections`, async () => {
 			await runDirectCallers(seed);
 		});
