Write each flush of a usage part to its own object

Cause: a flush overwrote the object of its window, entry and incarnation. A write whose answer was lost could take effect after a later one and put a lower state back; after the last flush nothing corrected it.

Ruled out: reading back (the write may come later still), slots in turn (a delay has no bound), a final object only (a crash loses more), table rows (no flush during table outages, 460 transactions/s), deleting old objects (the platform has no call for it, and it would double the writes).

By calculation at 2,300 entries: writes stay 460/s, reads of parts fall from 537/s to 77/s because the sequence stands in the key; a window's list has 29,900 keys.

Conclusion: no write of a part lowers what is counted.

--- a/models/usage-window.pml
+++ b/models/usage-window.pml
@@ -1,12 +1,15 @@
 /* fault: FAULT_NO_FREEZE */
 /* fault: FAULT_BLIND_FREEZE */
 /* fault: FAULT_NO_READ_BACK */
+/* fault: FAULT_OVERWRITE */
 /* code: packages/entry/src/duties/usage-reporter.ts */
+/* code: packages/core/src/usage.ts */
 /*
  * Freezing and reporting one usage window. Two reporters, of which one may be a former
  * holder of the lease that has not noticed; parts arrive late; answers of the table may be lost.
  *
- * Property: all reports of the window carry the same figure. That two reporters do not both believe that they are in
+ * Properties: all reports of the window carry the same figure, and a look after the last confirmed flush of an entry sees
+ * that flush, although an older write takes effect after it. That two reporters do not both believe that they are in
  * charge is shown by lease.pml.
  *
  * Bounds: each reporter tries twice and two parts arrive late. The frozen row never changes again, so a third try adds
@@ -73,8 +76,38 @@
 	od
 }
 
+/* Three flushes of one part in order; only the last one has to be confirmed before the entry ends. */
+byte newestState;
+bool isLastConfirmed;
+
+proctype Write(byte state) {
+	atomic {
+		/* Rule `state-object`: each state has an object of its own, and the highest one counts. */
+		if
+#ifdef FAULT_OVERWRITE
+		:: true -> newestState = state
+#else
+		:: state > newestState -> newestState = state
+		:: else -> skip
+#endif
+		fi;
+		if
+		:: state == 3 -> isLastConfirmed = true
+		:: else -> skip
+		fi
+	}
+}
+
+proctype LastLook() {
+	atomic { isLastConfirmed -> assert(newestState == 3) }
+}
+
 init {
 	atomic {
+		run Write(1);
+		run Write(2);
+		run Write(3);
+		run LastLook();
 		run Reporter();
 		run Reporter()
 	}
--- a/packages/core/src/__tests__/usage-ledger.test.ts
+++ b/packages/core/src/__tests__/usage-ledger.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import {
-	countParts, isWindowDue, lateCheckAges, nextWindowStart, shardOfAccount, usageGraceMs, usageShards, windowsToCheck, type CountedParts,
+	countParts, isWindowDue, lateCheckAges, nextWindowStart, parsePartKey, shardOfAccount, statesToRead, usageGraceMs, usageShards, windowsToCheck, type CountedParts,
 } from '../index.js';
 
 const accounts = Array.from({length: 12}, (_, index) => `account-${index}`);
@@ -47,6 +47,13 @@
 		}), {seed: 18});
 	});
 
+	it('reads the newest state of each part, and none that is counted; guards against reads of each state of each flush', () => {
+		const objectKeys = ['usage/0/e/i/9', 'usage/0/e/i/10', 'usage/0/e/j/3', 'usage/0/f/i/2', 'usage/0/f/i', 'usage/0/f/i/x'];
+		const states = objectKeys.map(key => parsePartKey(key)).filter(state => state !== undefined);
+		const read = statesToRead({'usage/0/e/j': {sequence: 3, figures: []}}, states);
+		assert.equal(read.map(({objectKey}) => objectKey), ['usage/0/e/i/10', 'usage/0/f/i/2']);
+	});
+
 	it('gives every account one shard; guards against accounts that no reporter bills', () => {
 		const shards = new Set(accounts.map(account => shardOfAccount(account)));
 		assert.equal([...shards].toSorted((a, b) => a - b), Array.from({length: usageShards}, (_, shard) => shard));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -91,7 +91,7 @@
 export {CrashSuspects, type Suspicion} from './crash-suspects.js';
 export {TokenBucket} from './rate-limit.js';
 export {
-	UsageMeter, usagePartKey, type Usage, type UsageOwner, type UsagePart,
+	parsePartKey, UsageMeter, usagePartKey, type PartState, type Usage, type UsageOwner, type UsagePart,
 } from './usage.js';
 export {
 	countParts,
@@ -99,6 +99,7 @@
 	lateCheckAges,
 	nextWindowStart,
 	shardOfAccount,
+	statesToRead,
 	sumFigures,
 	usageGraceMs,
 	usageShards,
--- a/packages/core/src/usage-ledger.ts
+++ b/packages/core/src/usage-ledger.ts
@@ -4,6 +4,7 @@
  */
 import {createHash} from 'node:crypto';
 import type {UsageFigure} from '@hawthorncleat/schema';
+import type {PartState} from './usage.js';
 
 /**
  * Number of shards of client accounts. A change of this number moves accounts to other shards, whose rows do not say what
@@ -23,7 +24,7 @@
  */
 export const lateCheckAges: readonly number[] = [1, 4, 16, 64, 256, 1024];
 
-/** A part as the reporter reads it; `key` is the key of its object. */
+/** A state of a part as the reporter reads it; `key` names the part, whatever its state. */
 export type KeyedPart = {readonly key: string; readonly sequence: number; readonly figures: readonly UsageFigure[]};
 
 /** The state of a window's parts up to which their usage is in frozen windows, for one shard. */
@@ -81,9 +82,24 @@
 	return {added, counted: sumFigures([...before, ...added])};
 };
 
+/**
+ * The newest state of each part that is beyond its counted state. The others need not be read, because states are
+ * cumulative.
+ */
+export const statesToRead = (counted: CountedParts, states: readonly PartState[]): PartState[] => {
+	const newest = new Map<string, PartState>();
+	for (const state of states) {
+		if (state.sequence > (newest.get(state.partKey)?.sequence ?? counted[state.partKey]?.sequence ?? 0)) {
+			newest.set(state.partKey, state);
+		}
+	}
+
+	return [...newest.values()];
+};
+
 /**
  * Counts what the parts of one window hold beyond the counted state. A part at a lower or equal sequence than counted adds
- * nothing: a delayed write of the object store can put an older state back.
+ * nothing, so that a list of objects from before the last count does no harm.
  */
 export const countParts = (before: CountedParts, parts: readonly KeyedPart[], shard: number, shards: number = usageShards): Count => {
 	const newer = parts.filter(part => part.sequence > (before[part.key]?.sequence ?? 0));
--- a/packages/entry/src/__tests__/parts.test.ts
+++ b/packages/entry/src/__tests__/parts.test.ts
@@ -73,11 +73,11 @@
 			recorder.record(account, {promptTokens: 3, outputTokens: 4, serviceCalls: 0});
 			isDown = false;
 			await recorder.flush();
-			assert.equal([...written.keys()], ['usage/60000/e/i', 'usage/61000/e/i']);
+			assert.equal([...written.keys()], ['usage/60000/e/i/1', 'usage/61000/e/i/1']);
 			assert.equal([failures, recorder.windows], [1, 1]);
 		});
 
-		it('meters no earlier window when the time of day goes back; guards against a part overwritten with lower figures', async () => {
+		it('meters no earlier window when the time of day goes back; guards against two contents under one object key', async () => {
 			let timeMs = 60_000;
 			const written: string[] = [];
 			const recorder = new UsageRecorder({
@@ -97,7 +97,7 @@
 				await recorder.flush();
 			}
 
-			assert.equal(written, ['usage/60000/e/i', 'usage/61000/e/i', 'usage/61000/e/i']);
+			assert.equal(written, ['usage/60000/e/i/1', 'usage/61000/e/i/1', 'usage/61000/e/i/2']);
 		});
 	});
 });
--- a/packages/entry/src/duties/__tests__/usage-reporter.test.ts
+++ b/packages/entry/src/duties/__tests__/usage-reporter.test.ts
@@ -1,10 +1,12 @@
-import {usageGraceMs} from '@hawthorncleat/core';
+import {brandAs, usageGraceMs, type ClientAccountName} from '@hawthorncleat/core';
 import {isStoreError, type Lease, type Table} from '@hawthorncleat/platform';
+import {silentLog} from '@hawthorncleat/telemetry';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
+import {UsageRecorder} from '../../usage-flush.js';
 import {frozenKey} from '../usage-rows.js';
 import {
-	endWindow as endWindowAfter, shard, windowMs, withWorld, type World,
+	endWindow as endWindowAfter, own, shard, windowMs, withWorld, type World,
 } from './usage-world.js';
 
 const endWindow = (world: World, window: number): void => {
@@ -38,7 +40,46 @@
 	};
 };
 
+/** An entry whose first write fails and takes effect only when `deliver` is called. */
+const createDelayedEntry = (world: World) => {
+	let delayed: (() => Promise<void>) | undefined;
+	const recorder = new UsageRecorder({
+		owner: () => ({entryId: 'e1', incarnation: 'i1'}),
+		windowMs,
+		wallClock: world.wallClock,
+		log: silentLog,
+		store: {
+			async write(key, value) {
+				if (delayed) {
+					await world.objects.write(key, value);
+					return;
+				}
+
+				delayed = async () => world.objects.write(key, value);
+				throw new Error('no answer in time');
+			},
+		},
+		onFailure() {/* Not used. */},
+	});
+	const serve = async (promptTokens: number): Promise<void> => {
+		recorder.record(brandAs<ClientAccountName>(own), {promptTokens, outputTokens: 0, serviceCalls: 0});
+		await recorder.flush();
+	};
+
+	return {serve, deliver: async () => delayed?.()};
+};
+
 describe('usage reporter', () => {
+	it('counts the last flush although an older write takes effect after it; guards against usage that is served and not billed', async () => withWorld(async world => {
+		const entry = createDelayedEntry(world);
+		await entry.serve(10);
+		await entry.serve(5);
+		await entry.deliver();
+		endWindow(world, 0);
+		await world.createReporter().round(await takeLease(world), world.signal);
+		assert.equal(world.accepted(), [[0, 15]]);
+	}));
+
 	it('waits for the end of the grace time; guards against windows frozen while entries still flush', async () => withWorld(async world => {
 		const {lease} = await world.takeLease();
 		await world.putPart(0, 'e1', 1, 10);
--- a/packages/entry/src/duties/__tests__/usage-world.ts
+++ b/packages/entry/src/duties/__tests__/usage-world.ts
@@ -4,7 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import {shardOfAccount, type LeaseEpoch} from '@hawthorncleat/core';
 import {
-	createHttpClient, createObjectStore, createStoreError, createTable, createUsageReports, type Lease, type Table, type UsageReportsClient,
+	createHttpClient, createObjectStore, createStoreError, createTable, createUsageReports, type Lease, type ObjectStore, type Table, type UsageReportsClient,
 } from '@hawthorncleat/platform';
 import type {UsageReport} from '@hawthorncleat/schema';
 import {startPlatform, type PlatformStandIn} from '@hawthorncleat/stand-ins';
@@ -24,6 +24,7 @@
 export type World = {
 	readonly platform: PlatformStandIn;
 	readonly table: Table;
+	readonly objects: ObjectStore;
 	readonly wallClock: ManualClock;
 	readonly reports: UsageReportsClient;
 	/** Reports whose answer is lost after the platform has accepted them. */
@@ -51,9 +52,9 @@
 	const wallClock = createManualClock();
 	let epoch = 0;
 	return {
-		platform, table, wallClock, reports, signal,
+		platform, table, objects, wallClock, reports, signal,
 		async putPart(window, entry, sequence, tokens) {
-			await objects.write(`usage/${window * windowMs}/${entry}/i1`, {
+			await objects.write(`usage/${window * windowMs}/${entry}/i1/${sequence}`, {
 				window: String(window * windowMs), entryId: entry, incarnation: 'i1', sequence, figures: [figure(own, tokens), figure(other, 1000)],
 			});
 		},
--- a/packages/entry/src/duties/usage-count.ts
+++ b/packages/entry/src/duties/usage-count.ts
@@ -2,7 +2,7 @@
  * Reads the parts of a window and of the earlier windows that are looked at again, and counts what is new in them.
  */
 import {
-	countParts, sumFigures, windowsToCheck, type CountedParts, type KeyedPart,
+	countParts, parsePartKey, statesToRead, sumFigures, windowsToCheck, type CountedParts, type KeyedPart, type PartState,
 } from '@hawthorncleat/core';
 import type {ObjectStore, Table} from '@hawthorncleat/platform';
 import type {UsageFigure} from '@hawthorncleat/schema';
@@ -37,18 +37,36 @@
 	readonly lateParts: number;
 };
 
-const readParts = async ({objects, metrics, log}: CountOptions, startMs: number): Promise<KeyedPart[]> => {
-	const keys = await objects.list(partsPrefix(startMs));
+const noteInvalid = ({metrics, log}: CountOptions, key: string): void => {
+	metrics.invalidParts.inc();
+	log.warn('usage part is not readable', {key});
+};
+
+const listStates = async (options: CountOptions, startMs: number): Promise<PartState[]> => {
+	const keys = await options.objects.list(partsPrefix(startMs));
+	return keys.flatMap(key => {
+		const state = parsePartKey(key);
+		if (!state) {
+			noteInvalid(options, key);
+		}
+
+		return state ?? [];
+	});
+};
+
+const readNewParts = async (options: CountOptions, startMs: number, counted: CountedParts): Promise<KeyedPart[]> => {
+	const states = statesToRead(counted, await listStates(options, startMs));
 	const parts: KeyedPart[] = [];
-	for (let first = 0; first < keys.length; first += readsAtOnce) {
-		const batch = keys.slice(first, first + readsAtOnce);
-		const values = await Promise.all(batch.map(async key => ({key, part: readPart(key, await objects.read(key))})));
-		for (const {key, part} of values) {
+	for (let first = 0; first < states.length; first += readsAtOnce) {
+		const batch = states.slice(first, first + readsAtOnce);
+		const values = await Promise.all(batch.map(async state => ({
+			state, part: readPart(state, await options.objects.read(state.objectKey)),
+		})));
+		for (const {state, part} of values) {
 			if (part) {
 				parts.push(part);
 			} else {
-				metrics.invalidParts.inc();
-				log.warn('usage part is not readable', {key});
+				noteInvalid(options, state.objectKey);
 			}
 		}
 	}
@@ -58,8 +76,9 @@
 
 const countOne = async (options: CountOptions, startMs: number) => {
 	const row = await options.table.read(countedKey(startMs, options.shard));
-	const parts = await readParts(options, startMs);
-	const {added, counted, changedKeys} = countParts(readCounted(row), parts, options.shard);
+	const before = readCounted(row);
+	const parts = await readNewParts(options, startMs, before);
+	const {added, counted, changedKeys} = countParts(before, parts, options.shard);
 	return {
 		startMs, version: row?.version ?? null, counted, added, changedKeys,
 	};
--- a/packages/entry/src/duties/usage-rows.ts
+++ b/packages/entry/src/duties/usage-rows.ts
@@ -4,7 +4,7 @@
 import {
 	check, validators, type TableRow, type UsageFigure, type Validator,
 } from '@hawthorncleat/schema';
-import type {CountedParts, KeyedPart} from '@hawthorncleat/core';
+import type {CountedParts, KeyedPart, PartState} from '@hawthorncleat/core';
 
 /** Where the reporter of a shard stands. Windows are frozen and reported in order, without gaps. */
 export type Progress = {
@@ -19,7 +19,7 @@
 	readonly writeId: string;
 };
 
-/** A state of a part whose usage a frozen window counts; the key names window, entry and incarnation. */
+/** A state of a part whose usage a frozen window counts; the key names window, entry and incarnation, not the object. */
 export type CountedState = {readonly key: string; readonly sequence: number};
 
 /** The figures of a window, written once and never changed. */
@@ -76,14 +76,10 @@
 	return isValid ? row.value as CountedParts : fail(row);
 };
 
-/** Reads the part in an object; undefined if it has another form. */
-export const readPart = (key: string, value: unknown): KeyedPart | undefined => {
-	if (!isRecord(value)) {
-		return undefined;
-	}
-
-	const {sequence, figures} = value;
-	return isNatural(sequence) && isFigures(figures) ? {key, sequence, figures} : undefined;
+/** Reads a state of a part from its object; undefined if it has another form or is not the state that the key names. */
+export const readPart = ({partKey, sequence}: PartState, value: unknown): KeyedPart | undefined => {
+	const isState = isRecord(value) && value.sequence === sequence && isFigures(value.figures);
+	return isState ? {key: partKey, sequence, figures: value.figures as UsageFigure[]} : undefined;
 };
 
 const windowOfPart = (key: string): number | undefined => {
--- a/packages/entry/src/usage-flush.ts
+++ b/packages/entry/src/usage-flush.ts
@@ -42,7 +42,7 @@
 		this.#meter.record(this.#currentWindow(), account, usage);
 	}
 
-	/** Writes what has not been written yet. One flush runs at a time, so that parts are written in order. */
+	/** Writes what has not been written yet. One flush runs at a time, so that a state is not written twice. */
 	async flush(): Promise<void> {
 		this.#flushing ??= this.#flushAll().finally(() => {
 			this.#flushing = undefined;
@@ -66,7 +66,7 @@
 
 	/**
 	 * Never goes back with the time of day: an earlier window may have been flushed and forgotten, and metering it anew would
-	 * overwrite its part with lower figures.
+	 * give two contents to one object.
 	 */
 	#currentWindow(): WindowId {
 		const {windowMs, wallClock} = this.#options;
