Compare the bill with the answers while entries are killed

Cause: the sums of reported usage were compared only while the table failed, and no history failed when a report counted a window anew instead of reading its frozen row.

--- a/packages/histories/src/rules/executions.ts
+++ b/packages/histories/src/rules/executions.ts
@@ -25,6 +25,9 @@
 
 const promptTagPattern = /\[request (?<requestId>[^\]]+)]/;
 
+/** The caller's id of the request that a prompt belongs to. */
+export const readPromptTag = (prompt: string): string | undefined => promptTagPattern.exec(prompt)?.groups?.requestId;
+
 /** Maps the entry's request ids, which engines know, to the callers' ids, which stand in the prompt. */
 const mapEngineRequests = (history: readonly HistoryRecord[]): Map<string, string> => {
 	const callers = new Map<string, string>();
@@ -34,7 +37,7 @@
 		}
 
 		const {requestId, prompt} = JSON.parse(event.body) as {requestId: string; prompt: string};
-		const tag = promptTagPattern.exec(prompt)?.groups?.requestId;
+		const tag = readPromptTag(prompt);
 		if (tag !== undefined) {
 			callers.set(requestId, tag);
 		}
--- a/packages/stand-ins/src/platform/platform.ts
+++ b/packages/stand-ins/src/platform/platform.ts
@@ -127,6 +127,7 @@
 	const repeated = state.usageReports.has(id);
 	state.history.append({kind: 'usage-report', report, repeated});
 	state.usageReports.set(id, report);
+	state.options.onUsageReport?.(report);
 	sendJson(res, 200, {});
 };
 
--- a/packages/stand-ins/src/platform/state.ts
+++ b/packages/stand-ins/src/platform/state.ts
@@ -35,6 +35,8 @@
 	readonly tableDownAs?: 'reset' | 'unavailable';
 	/** Called once for each new order id, after it was recorded. */
 	readonly onEndpointOrder?: (order: EndpointOrder) => void;
+	/** Called for each usage report after it was recorded and before it is answered. */
+	readonly onUsageReport?: (report: UsageReport) => void;
 };
 
 /** Everything that the platform stand-in holds. */
