Number the actions on each connection instead of keeping them all

Change: the agent names each connection in its answer to hello, and the entry numbers the actions on it. A message is accepted only over the connection that it names and above all numbers received there. The number counts before anything else can refuse the message.

Ruled out: a limit on the age of a message (the agent's clock does not show how long it was under way, and a pause would decide), numbers of an entry over all its connections (a late message of an old connection), a shorter memory by action alone (a copy may come after it).

Conclusion: memory is bounded by connections, and every duplicate is refused, however late it comes. No rule uses a clock, so a pause changes nothing.

--- a/models/action-claim.pml
+++ b/models/action-claim.pml
@@ -4,18 +4,22 @@
 /* fault: FAULT_BLIND_RELEASE */
 /* fault: FAULT_FORGET_REFUSAL */
 /* fault: FAULT_UNCHECKED_LATE_CLAIM */
+/* fault: FAULT_NO_NUMBER */
+/* fault: FAULT_NO_CONNECTION */
 /* code: packages/platform/src/claim-writer.ts */
 /* code: packages/agent/src/refusals.ts */
-/* code: packages/agent/src/action-memory.ts */
+/* code: packages/agent/src/action-messages.ts */
 /*
  * The claim of one action. A caller sends the same action through several entries; each
  * entry may crash at any step; the answer of the table may be lost; messages to the agent may be delayed and come twice;
- * the agent may restart and forget what it has seen.
+ * the agent may restart, and the connection over which the messages come may be replaced. The agent keeps nothing of the
+ * actions themselves: only the highest number that it received on the connection.
  *
  * Properties: the action runs at most once, and a caller that was told "not run" is told the truth for its request,
  * also later.
  *
- * Bounds: three requests, of which each claims once, and one restart of the agent. Two requests conflict over the row and
+ * Bounds: three requests, of which each claims once, one restart of the agent and one replaced connection, which the
+ * requests share; with a connection each, a message is compared with fewer others. Two requests conflict over the row and
  * a third one claims it after a release; the row's version rises at most three times per request. A second restart
  * only refuses more. A dispatch to a second agent is not modelled: it follows only after a refusal that proves that the
  * first one did not run it, which is the same as a release and a new claim.
@@ -38,11 +42,17 @@
 
 byte incarnation;
 byte restarts;
-bool seen[REQUESTS];
+/* The connection, named anew by each incarnation of the agent, and what both ends count on it. */
+byte connection;
+byte replacements;
+byte lastSent;
+byte highestReceived;
 
 /* What is on its way: a message stays until it is taken twice, or for ever. */
 byte copies[REQUESTS];
 byte addressed[REQUESTS];
+byte sentOver[REQUESTS];
+byte number[REQUESTS];
 
 #define NONE 0
 #define REFUSED 1
@@ -130,7 +140,13 @@
 	fi;
 	if
 	:: goto finished /* The entry crashes before the dispatch. */
-	:: atomic { addressed[self] = incarnation; copies[self] = 2 }
+	:: atomic {
+			addressed[self] = incarnation;
+			sentOver[self] = connection;
+			lastSent++;
+			number[self] = lastSent;
+			copies[self] = 2
+		}
 	fi;
 	if
 	:: goto finished /* The entry crashes, or the connection is lost: unknown. */
@@ -156,6 +172,22 @@
 	skip
 }
 
+#ifdef FAULT_NO_INCARNATION
+#define IS_ADDRESSED(i) true
+#else
+#define IS_ADDRESSED(i) (addressed[i] == incarnation)
+#endif
+#ifdef FAULT_NO_CONNECTION
+#define IS_OF_CONNECTION(i) true
+#else
+#define IS_OF_CONNECTION(i) (sentOver[i] == connection)
+#endif
+#ifdef FAULT_NO_NUMBER
+#define IS_NEW(i) true
+#else
+#define IS_NEW(i) (number[i] > highestReceived)
+#endif
+
 active proctype Agent() {
 	byte i;
 end:
@@ -173,12 +205,10 @@
 #ifndef FAULT_NO_INCARNATION
 		:: addressed[i] != incarnation -> if :: reply[i] == NONE -> reply[i] = OTHER_INCARNATION :: else -> skip fi
 #endif
-#ifdef FAULT_NO_INCARNATION
-		:: !seen[i] ->
-#else
-		:: addressed[i] == incarnation && !seen[i] ->
-#endif
-			seen[i] = true;
+		/* Rule `message-number`: over the connection on which it was sent, and above all numbers received there. */
+		:: IS_ADDRESSED(i) && IS_OF_CONNECTION(i) && IS_NEW(i) ->
+			/* The number counts as received before anything can refuse the message. */
+			highestReceived = number[i];
 			if
 			:: runs++;
 				ran[i] = true;
@@ -188,21 +218,26 @@
 				if :: reply[i] = ANSWERED :: skip fi
 			:: reply[i] = REFUSED;
 #ifdef FAULT_FORGET_REFUSAL
-				seen[i] = false
+				highestReceived = number[i] - 1
 #endif
 			fi
-		:: else -> skip /* Rule `duplicate`: it gets no second run. */
+		:: else -> skip /* It gets no run; the refusal says "unknown". */
 		fi
 	}
 	:: atomic {
 		restarts < 1;
 		restarts++;
 		incarnation++;
-		i = 0;
-		do
-		:: i < REQUESTS -> seen[i] = false; i++
-		:: else -> break
-		od
+		connection = 0;
+		lastSent = 0;
+		highestReceived = 0
+	}
+	:: atomic {
+		replacements < 1;
+		replacements++;
+		connection++;
+		lastSent = 0;
+		highestReceived = 0
 	}
 	od
 }
--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -10,7 +10,17 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Table} from '@hawthorncleat/platform';
 import type {
-	AgentSettings, CrashSuspect, EngineState, GenerateParams, LoadReport, RequestFailed, RequestFrame, RequestStartParams, TableRow,
+	ActionMessage,
+	ActionRef,
+	AgentSettings,
+	CrashSuspect,
+	EngineState,
+	GenerateParams,
+	LoadReport,
+	RequestFailed,
+	RequestFrame,
+	RequestStartParams,
+	TableRow,
 } from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {dial, type Peer} from '@hawthorncleat/wire';
@@ -180,7 +190,9 @@
 	readonly reports: LoadReport[] = [];
 	readonly suspects: CrashSuspect[] = [];
 	incarnation = '';
+	connection = 0;
 	peer!: Peer;
+	#lastActionNumber = 0;
 
 	async connect(port: number, signal: AbortSignal): Promise<this> {
 		const handlers = {
@@ -204,9 +216,20 @@
 			protocol: 1, role: 'entry', id: 'entry-1', dataCentre: 'dc-1', configVersion: 0,
 		});
 		this.incarnation = hello.incarnation;
+		this.connection = hello.connection!;
 		return this;
 	}
 
+	/** Gives an action the next number on this connection; a message that has a number keeps it. */
+	addressAction(action: ActionRef | ActionMessage): ActionMessage {
+		if ('number' in action) {
+			return action;
+		}
+
+		this.#lastActionNumber += 1;
+		return {...action, connection: this.connection, number: this.#lastActionNumber};
+	}
+
 	async start(requestId: string, changes: Partial<RequestStartParams> = {}): Promise<unknown> {
 		return this.peer.call('request.start', {
 			requestId,
--- a/packages/agent/src/__tests__/services.test.ts
+++ b/packages/agent/src/__tests__/services.test.ts
@@ -4,7 +4,9 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import type {RequestError} from '@hawthorncleat/core';
-import type {ServiceCallParams, ServiceCallResult} from '@hawthorncleat/schema';
+import type {
+	ActionMessage, ActionRef, ServiceCallParams, ServiceCallResult,
+} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
@@ -13,13 +15,15 @@
 	clock, createSettings, FakeEntry, makeId, traceparent, until, untilReady,
 } from './fakes.js';
 
+type Changes = Partial<Omit<ServiceCallParams, 'action'>> & {readonly action?: ActionRef | ActionMessage};
+
 type Setting = {
 	readonly agent: Agent;
 	readonly received: IncomingMessage[];
 	readonly server: Server;
 	readonly stop: () => void;
-	readonly call: (changes?: Partial<ServiceCallParams>) => Promise<ServiceCallResult>;
-	readonly fail: (changes?: Partial<ServiceCallParams>) => Promise<[string, string]>;
+	readonly call: (changes?: Changes) => Promise<ServiceCallResult>;
+	readonly fail: (changes?: Changes) => Promise<[string, string]>;
 };
 
 const withService = async (
@@ -40,7 +44,7 @@
 	}, controller.signal);
 	const entry = await new FakeEntry().connect(agent.internalPort, controller.signal);
 	await untilReady(agent);
-	const call: Setting['call'] = async (changes = {}) => entry.peer.call('service.call', {
+	const call: Setting['call'] = async ({action: given, ...changes} = {}) => entry.peer.call('service.call', {
 		requestId: 'r1',
 		attempt: 1,
 		incarnation: entry.incarnation,
@@ -53,6 +57,7 @@
 		timeoutMs: 2000,
 		traceparent,
 		...changes,
+		...(given && {action: entry.addressAction(given)}),
 	});
 	const fail: Setting['fail'] = async changes => {
 		const error: unknown = await call(changes).catch((error: unknown) => error);
@@ -103,6 +108,39 @@
 		assert.is(received.length, 1);
 	}));
 
+	// Guards against an action that runs although its caller was told that it did not.
+	it('refuses a message that comes again after it was refused', async () => withService((req, res) => {
+		setTimeout(() => {
+			answerOk(req, res);
+		}, 200);
+	}, async ({call, fail, received}) => {
+		const slow = [call(), call()];
+		const message = {action: {...action, connection: 1, number: 1}};
+		assert.equal(await fail(message), ['overloaded', 'not-run']);
+		await Promise.all(slow);
+		assert.equal(await fail(message), ['duplicate-action', 'unknown']);
+		assert.is(received.length, 2);
+	}));
+
+	// Guards against a copy of a message that arrives over the connection that replaced its own.
+	it('refuses an action that was sent over another connection', async () => withService(answerOk, async ({call, fail, received}) => {
+		await call({action});
+		const other = {
+			actionId: 'a2', claimId: 'c2', connection: 2, number: 9,
+		};
+		assert.equal(await fail({action: other}), ['other-connection', 'unknown']);
+		assert.is(received.length, 1);
+	}));
+
+	// Guards against messages that overtake one another between the connection and the check of their numbers.
+	it('takes actions that are sent one right after the other for no duplicates', async () => withService(answerOk, async ({fail}) => {
+		const codes = await Promise.all(Array.from({length: 200}, async (_, index) => {
+			const [code] = await fail({action: {actionId: `a${index}`, claimId: 'c'}});
+			return code;
+		}));
+		assert.equal(new Set(codes), new Set([undefined, 'overloaded']));
+	}));
+
 	// Guards against a message that outlived the agent that it was meant for.
 	it('refuses a message for another incarnation', async () => withService(answerOk, async ({fail, received}) => {
 		assert.equal(await fail({incarnation: 'old', action}), ['other-incarnation', 'unknown']);
--- a/packages/agent/src/handlers.ts
+++ b/packages/agent/src/handlers.ts
@@ -4,6 +4,7 @@
 import type {HelloResult} from '@hawthorncleat/schema';
 import type {Readiness} from '@hawthorncleat/telemetry';
 import type {Handlers, Peer} from '@hawthorncleat/wire';
+import {ActionMessages} from './action-messages.js';
 import type {Endpoint} from './endpoint.js';
 import type {AgentMetrics} from './metrics.js';
 import {otherIncarnation, unavailable} from './refusals.js';
@@ -23,6 +24,7 @@
 /** Creates the handlers of one agent. */
 export const createHandlers = (options: HandlerOptions): Handlers<Peer> => {
 	const {endpoint, metrics, identity, onHello} = options;
+	const actionMessages = new ActionMessages();
 	const checkIncarnation = (incarnation: string, isAction: boolean): void => {
 		if (incarnation !== options.incarnation) {
 			metrics.refused.inc({code: 'other-incarnation'});
@@ -45,7 +47,7 @@
 			setImmediate(() => {
 				onHello(peer);
 			});
-			return identity;
+			return {...identity, connection: actionMessages.open(peer)};
 		},
 		'request.start'(params, peer) {
 			checkIncarnation(params.incarnation, false);
@@ -61,10 +63,11 @@
 		'request.cancel'(params) {
 			endpoint.cancelRequest(params);
 		},
-		async 'service.call'(params) {
+		async 'service.call'(params, peer) {
 			checkIncarnation(params.incarnation, params.action !== undefined);
 			// First, because a refusal as not ready says that the action did not run.
 			if (params.action) {
+				actionMessages.receive(peer, params.action);
 				endpoint.checkAction(params.action);
 			}
 
--- a/packages/entry/src/endpoint.ts
+++ b/packages/entry/src/endpoint.ts
@@ -3,7 +3,7 @@
  */
 import {brandAs, type EndpointId} from '@hawthorncleat/core';
 import type {
-	HelloResult, HostRecord, LoadReport, RequestFailed, RequestFrame,
+	ActionMessage, ActionRef, HelloResult, HostRecord, LoadReport, RequestFailed, RequestFrame,
 } from '@hawthorncleat/schema';
 import type {Handlers, Peer} from '@hawthorncleat/wire';
 import {KeptConnection, type ConnectionOptions} from './kept-connection.js';
@@ -46,6 +46,7 @@
 	#hello: HelloResult | undefined;
 	#report: LoadReport | undefined;
 	#hasAnnouncedLeaving = false;
+	#lastActionNumber = 0;
 
 	constructor(host: HostRecord, options: EndpointOptions) {
 		this.id = brandAs<EndpointId>(host.endpoint ?? host.hostId);
@@ -76,6 +77,12 @@
 		return this.#hello?.incarnation ?? '';
 	}
 
+	/** Addresses an action to the open connection, whose agent accepts each number once and only there. */
+	addressAction(action: ActionRef): ActionMessage {
+		this.#lastActionNumber += 1;
+		return {...action, connection: this.#hello?.connection ?? 0, number: this.#lastActionNumber};
+	}
+
 	get report(): LoadReport | undefined {
 		return this.#report;
 	}
@@ -118,6 +125,7 @@
 		}
 
 		this.#hello = hello;
+		this.#lastActionNumber = 0;
 		this.#options.onConnected?.(this);
 	}
 
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -145,7 +145,7 @@
 			bodyBase64: body.toString('base64'),
 			timeoutMs: Math.max(1, this.#remainingMs),
 			fingerprint,
-			...(action ? {action} : {}),
+			...(action && {action: endpoint.addressAction(action)}),
 			traceparent,
 		};
 	}
