--- a/packages/agent/src/__tests__/lifecycle.test.ts
+++ b/packages/agent/src/__tests__/lifecycle.test.ts
@@ -139,6 +139,27 @@
 			await drained;
 			await until(() => entry.hasEnd('r1'));
 		}));
+
+		// Guards against a planned stop that never ends because of one stream, and against a limit of 0 that cuts off at once.
+		it('waits for running work at most for the limit, and without end if it is 0', async () => {
+			const drainLimitMs = 200;
+			for (const limitMs of [drainLimitMs, 0]) {
+				await withAgent({drainLimitMs: limitMs}, async ({agent, entry, engine}) => {
+					engine.generate = (_params, res) => {
+						writeToken(res, 0);
+					};
+
+					await entry.start('r1');
+					await until(() => entry.frames.length > 0);
+					const startMs = clock.nowMs();
+					const isDrained = await Promise.race([agent.drain().then(() => true), delay(10 * drainLimitMs, false)]);
+					assert.is(isDrained, limitMs > 0);
+					// A timer of Node may fire a millisecond early.
+					assert.ok(clock.nowMs() - startMs >= drainLimitMs - 1, 'the drain ended before its limit');
+					assert.not(entry.hasEnd('r1'));
+				});
+			}
+		});
 	});
 
 	// Guards against a metric without unit or with a name that dashboards do not find.
--- a/packages/agent/src/__tests__/requests.test.ts
+++ b/packages/agent/src/__tests__/requests.test.ts
@@ -72,6 +72,32 @@
 		assert.ok(retryAfterMs! > 0);
 	}));
 
+	// Guards against a request that waits although its first token is already bound to be late.
+	it('refuses a request whose first token would be late, and takes it with more time', async () => withAgent({maxRunning: 1}, async ({entry, engine}) => {
+		const prefillMs = 100;
+		engine.generate = (_params, res) => {
+			setTimeout(() => {
+				writeToken(res, 0);
+				writeEnd(res, 1);
+			}, prefillMs);
+		};
+
+		// An engine with a free place takes any request, and its answer shows how long a prefill takes.
+		await entry.start('r1', {firstTokenInMs: 0});
+		await until(() => entry.hasEnd('r1'));
+		holdAll(engine);
+		await entry.start('r2');
+		await until(() => engine.started.length === 2);
+		// The prompt of r3 is as long as that of r1, and r3 also waits for the place of r2.
+		const {code, ran, retryAfterMs} = await readError(entry.start('r3', {firstTokenInMs: prefillMs / 2}));
+		assert.equal([code, ran], ['overloaded', 'not-run']);
+		assert.ok(retryAfterMs! > 0);
+		await entry.start('r4', {firstTokenInMs: 100 * prefillMs});
+		writeEnd(engine.open.get('r2/1')!, 1);
+		await until(() => engine.started.length === 3);
+		assert.equal(engine.started.map(({requestId}) => requestId), ['r1/1', 'r2/1', 'r4/1']);
+	}));
+
 	// Guards against two requests that each may crash an engine and hide which of them did.
 	it('never runs two suspects together', async () => withAgent({maxRunning: 3}, async ({entry, engine}) => {
 		holdAll(engine);
--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -165,8 +165,8 @@
 };
 
 /** Starts a second entry beside the first one, with other settings. */
-export const startAgain = async (world: World, changes: Partial<EntrySettings>): Promise<Entry> =>
-	startEntry({...settings, ...changes}, createDeps(world, {}), world.signal);
+export const startAgain = async (world: World, changes: Partial<EntrySettings>, deps: Partial<EntryDeps> = {}): Promise<Entry> =>
+	startEntry({...settings, ...changes}, createDeps(world, deps), world.signal);
 
 /** Polls until a condition holds. */
 export const until = async (condition: () => boolean, what: string): Promise<void> => {
--- a/packages/entry/src/__tests__/model.test.ts
+++ b/packages/entry/src/__tests__/model.test.ts
@@ -5,7 +5,7 @@
 import {createRequestError} from '@hawthorncleat/core';
 import * as assert from 'uvu/assert';
 import {
-	addAgent, complete, describeError, sendEnd, sendTokens, until, withEntry, type FakeAgent, type World,
+	addAgent, complete, describeError, sendEnd, sendTokens, startAgain, until, withEntry, type FakeAgent, type World,
 } from './fixtures.js';
 
 const nonsense: unknown = {nonsense: true};
@@ -253,5 +253,44 @@
 			const [figures] = world.events;
 			assert.is(figures, '[{"clientAccount":"haugland","promptTokens":3,"outputTokens":3,"serviceCalls":0}]');
 		}));
+
+		it('drains at most for the limit, without which one endless answer would keep the entry', async () => withEntry(async world => {
+			const drainLimitMs = 200;
+			const entry = await startAgain(world, {drainLimitMs}, {timings: {progressLimitMs: 60_000, firstReconnectMs: 10}});
+			const agent = await addEngine(world, () => {/* Never answers. */}, {'request.resume': () => ({resumed: true})});
+			await until(() => agent.peers.size === 2, 'both entries to connect');
+			const caller = new AbortController();
+			let isAnswered = false;
+			const running = complete({...world, entry}, {}, {signal: caller.signal}).catch(() => undefined).finally(() => {
+				isAnswered = true;
+			});
+			await until(() => agent.starts.length > 0, 'the request');
+			const startMs = performance.now();
+			const limit = new Promise(resolve => {
+				setTimeout(resolve, 10 * drainLimitMs, false);
+			});
+			assert.ok(await Promise.race([entry.drain().then(() => true), limit]), 'the drain did not end');
+			assert.not(isAnswered);
+			// A timer of Node may fire a millisecond early.
+			assert.ok(performance.now() - startMs >= drainLimitMs - 1, 'the drain ended before its limit');
+			caller.abort();
+			await running;
+		}));
+
+		it('sends a request that one agent refuses on with the time that is left for its first token', async () => withEntry(async world => {
+			const waitMs = 60;
+			const refusing = await addAgent(world, 'planner-engines', {
+				async 'request.start'() {
+					await new Promise(resolve => {
+						setTimeout(resolve, waitMs);
+					});
+					throw createRequestError('the first token would be late', {code: 'overloaded', ran: 'not-run', retryAfterMs: 100});
+				},
+			});
+			const taking = await addEngine(world, answerRest);
+			assert.is(await textOf(await complete(world)), 'one two three');
+			const [before, after] = [refusing.starts[0]!, taking.starts[0]!].map(({firstTokenInMs}) => firstTokenInMs);
+			assert.ok(before! - after! >= waitMs - 1, `${before} ms, then ${after} ms`);
+		}, inOrder));
 	});
 });
