Tell a duty what its authority rests on

Role planners are to go on during a table outage, for which a duty needs to know more than whether it holds the lease. Lease gets authority() ('table', 'outage' or 'none') and authorityMs(), the time left by the own clock after the margin. isHeld() keeps its meaning and is true exactly when authority() is 'table'.

This commit fixes the interface only: 'outage' is not returned yet, so nothing changes for any duty. An own method per kind of evidence was ruled out, because callers would have to combine them.

--- a/packages/entry/src/duties/__tests__/usage-world.ts
+++ b/packages/entry/src/duties/__tests__/usage-world.ts
@@ -66,7 +66,14 @@
 			const version = epoch;
 			let isPaused = false;
 			const lease: Lease = {
-				duty: `usage/${shard}`, epoch: epoch as LeaseEpoch, state: null, check: () => ({key, version}), isHeld: () => !isPaused, setState() {/* Not used. */},
+				duty: `usage/${shard}`,
+				epoch: epoch as LeaseEpoch,
+				state: null,
+				check: () => ({key, version}),
+				isHeld: () => !isPaused,
+				authority: () => isPaused ? 'none' : 'table',
+				authorityMs: () => isPaused ? 0 : 1000,
+				setState() {/* Not used. */},
 			};
 			return {
 				lease,
--- a/packages/platform/src/__tests__/lease-runner.test.ts
+++ b/packages/platform/src/__tests__/lease-runner.test.ts
@@ -133,7 +133,8 @@
 		await delay(120);
 		fixture.platform.setFaults({});
 		await delay(durations.leaseTtlMs);
-		assert.equal([candidate.epochs, candidate.lease!.isHeld()], [[1], true]);
+		assert.equal([candidate.epochs, candidate.lease!.isHeld(), candidate.lease!.authority()], [[1], true, 'table']);
+		assert.ok(candidate.lease!.authorityMs() <= durations.leaseTtlMs - durations.leaseMarginMs);
 		await candidate.stop();
 	}));
 
@@ -174,6 +175,7 @@
 		const lease = candidate.lease!;
 		pausedMs = durations.leaseTtlMs;
 		assert.not.ok(lease.isHeld());
+		assert.equal([lease.authority(), lease.authorityMs()], ['none', 0]);
 		await waitUntil(() => inCharge.size === 0);
 		await candidate.stop();
 	}));
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -22,7 +22,9 @@
 	type UsageReportsClient,
 } from './services.js';
 export {transactOnce, type OnceResult, type Settle} from './transact-once.js';
-export {runLease, type Lease, type LeaseRunnerOptions} from './lease-runner.js';
+export {
+	runLease, type Authority, type Lease, type LeaseRunnerOptions,
+} from './lease-runner.js';
 export {createClaimWriter, type ClaimWriter, type ClaimWriterOptions} from './claim-writer.js';
 export {createConfigStore, type ConfigStore} from './config-store.js';
 export {
--- a/packages/platform/src/lease-runner.ts
+++ b/packages/platform/src/lease-runner.ts
@@ -12,6 +12,9 @@
 // A renewal that failed is tried again soon, since the lease lasts for only two more renewals.
 const renewRetryMs = 500;
 
+/** What the authority of a duty rests on. */
+export type Authority = 'table' | 'outage' | 'none';
+
 /** A held lease, as the duty sees it. */
 export type Lease = {
 	readonly duty: string;
@@ -21,8 +24,12 @@
 	readonly state: unknown;
 	/** The check that makes a transaction fail once another process has taken the lease. */
 	check(): TableCheck;
-	/** Whether this process is in charge by its own clock. */
+	/** Whether this process is in charge by its own clock, on the evidence of the table. */
 	isHeld(): boolean;
+	/** What the authority rests on: the lease, or evidence that nobody else can take it during a table outage. */
+	authority(): Authority;
+	/** Time for which the authority lasts by the own clock, after the margin; 0 without authority. */
+	authorityMs(): number;
 	/** Sets the state that the next renewal writes to the row. */
 	setState(state: unknown): void;
 };
@@ -207,6 +214,8 @@
 			epoch: tenure.epoch,
 			check: () => ({key: leaseEpochKey(duty), version: tenure.epochVersion}),
 			isHeld: () => tenure.holder.isHeld(clock.nowMs()),
+			authority: () => tenure.holder.isHeld(clock.nowMs()) ? 'table' : 'none',
+			authorityMs: () => Math.max(0, tenure.holder.stopAtMs - clock.nowMs()),
 			get state() {
 				return tenure.state;
 			},
