Check and implement the authority of a duty during a table outage

A role planner stops when its lease lapses, although nobody can take the lease while the table is down. The section in docs/design.md lets it go on while witnesses attest that no takeover is under way.

The section's unlimited announcements without an id were unsafe as well: of two takers of one epoch, the one that lost would have cleared the announcement of the other. New are the window in which the notes must come (without it FAULT_LATE_MAJORITY overlaps), settling when a group shrinks (unit test), and announcements to the groups of older host lists. Ruled out: an id for each announcement with reads by the witnesses, which has the same guarantee and lets a dead taker block later outages.

The lease runner takes an optional pair of functions, announce and attest. Without it a duty behaves as before.

--- a/packages/core/src/__tests__/freshness-world.ts
+++ b/packages/core/src/__tests__/freshness-world.ts
@@ -49,6 +49,7 @@
 
 const createGroup = (members: readonly number[]): WitnessGroup => ({
 	name: 'g',
+	dataCentres: ['d'],
 	view: members.join(','),
 	witnesses: members.map((member): HostRecord => ({
 		hostId: String(member), dataCentre: 'd', kind: 'entry', address: '127.0.0.1', port: 1, state: 'live',
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,12 @@
 export {
 	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type WitnessGroup, type WitnessGroupInput,
 } from './witness-groups.js';
+export {
+	announceWindowMs, dutyRefusalMs, dutyView, DutyWitness, isBlocking, type DutyEpoch, type DutyWitnessOptions,
+} from './duty-witness.js';
+export {
+	attestPauseMs, isAnnounced, OutageAuthority, RecentGroups, takeoverWaitMs,
+} from './outage-authority.js';
 export {
 	LeaseHolder,
 	leaseDefaults,
--- a/packages/core/src/witness-groups.ts
+++ b/packages/core/src/witness-groups.ts
@@ -12,6 +12,8 @@
 /** Entries that answer for one data centre, or for the small data centres of one region. */
 export type WitnessGroup = {
 	readonly name: string;
+	/** Those that the group answers for, sorted. */
+	readonly dataCentres: readonly string[];
 	readonly witnesses: readonly HostRecord[];
 	/** Ids of the witnesses in one string, to be compared between hosts. */
 	readonly view: string;
@@ -36,7 +38,10 @@
 
 const createGroup = (name: string, entries: readonly HostRecord[], size: number): WitnessGroup => {
 	const witnesses = chooseByRendezvous(name, entries, size, host => host.hostId);
-	return {name, witnesses, view: witnesses.map(witness => witness.hostId).join(',')};
+	const dataCentres = [...new Set(entries.map(({dataCentre}) => dataCentre))].toSorted((a, b) => a < b ? -1 : 1);
+	return {
+		name, dataCentres, witnesses, view: witnesses.map(witness => witness.hostId).join(','),
+	};
 };
 
 /** Divides the live entries into witness groups. */
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -22,9 +22,10 @@
 	type UsageReportsClient,
 } from './services.js';
 export {transactOnce, type OnceResult, type Settle} from './transact-once.js';
+export {runLease, type LeaseRunnerOptions} from './lease-runner.js';
 export {
-	runLease, type Authority, type Lease, type LeaseRunnerOptions,
-} from './lease-runner.js';
+	type Attestation, type Authority, type Lease, type OutageEvidence,
+} from './lease-tenure.js';
 export {createClaimWriter, type ClaimWriter, type ClaimWriterOptions} from './claim-writer.js';
 export {createConfigStore, type ConfigStore} from './config-store.js';
 export {
--- a/packages/platform/src/lease-runner.ts
+++ b/packages/platform/src/lease-runner.ts
@@ -1,39 +1,19 @@
 /**
  * Runs one duty while its lease is held. Losing the lease aborts the duty; the runner then waits for its next turn.
  */
-import {setTimeout as delay} from 'node:timers/promises';
 import {
 	brandAs, LeaseHolder, leaseDefaults, leaseEpochKey, leaseKey, LeaseTaker, readLeaseRow, type Clock, type LeaseDurations, type LeaseEpoch, type LeaseRow, type MakeId,
 } from '@hawthorncleat/core';
-import type {TableCheck, TablePut, TableRow} from '@hawthorncleat/schema';
+import type {TablePut, TableRow} from '@hawthorncleat/schema';
+import {
+	createLease, keepAttested, sleep, Tenure, type Lease, type OutageEvidence,
+} from './lease-tenure.js';
 import {isStoreError, type Table} from './store.js';
 import {transactOnce, type OnceResult} from './transact-once.js';
 
 // A renewal that failed is tried again soon, since the lease lasts for only two more renewals.
 const renewRetryMs = 500;
 
-/** What the authority of a duty rests on. */
-export type Authority = 'table' | 'outage' | 'none';
-
-/** A held lease, as the duty sees it. */
-export type Lease = {
-	readonly duty: string;
-	/** The fencing token; rises with each takeover. */
-	readonly epoch: LeaseEpoch;
-	/** State that the lease row had at the takeover or that was set since. */
-	readonly state: unknown;
-	/** The check that makes a transaction fail once another process has taken the lease. */
-	check(): TableCheck;
-	/** Whether this process is in charge by its own clock, on the evidence of the table. */
-	isHeld(): boolean;
-	/** What the authority rests on: the lease, or evidence that nobody else can take it during a table outage. */
-	authority(): Authority;
-	/** Time for which the authority lasts by the own clock, after the margin; 0 without authority. */
-	authorityMs(): number;
-	/** Sets the state that the next renewal writes to the row. */
-	setState(state: unknown): void;
-};
-
 export type LeaseRunnerOptions = {
 	readonly duty: string;
 	readonly holder: string;
@@ -45,23 +25,12 @@
 	/** Receives the error of a failed duty; without it `runLease` rejects. */
 	readonly onError?: (error: unknown) => void;
 	readonly durations?: LeaseDurations;
-};
-
-type Tenure = {
-	readonly holder: LeaseHolder;
-	readonly epoch: LeaseEpoch;
-	/** Version of the epoch row. */
-	readonly epochVersion: number;
-	version: number;
-	state: unknown;
+	/** Without it the duty stops when its lease lapses, also during a table outage. */
+	readonly outage?: OutageEvidence;
 };
 
 type Attempt = {readonly writeId: string; readonly sentMs: number};
 
-const sleep = async (durationMs: number, signal: AbortSignal): Promise<void> => {
-	await delay(Math.max(0, durationMs), undefined, {signal}).catch(() => undefined);
-};
-
 const ignoreStoreError = (error: unknown): undefined => {
 	if (!isStoreError(error)) {
 		throw error;
@@ -127,15 +96,30 @@
 		return mayTake && !this.#signal.aborted ? this.#writeTakeover(row, value) : undefined;
 	}
 
-	/** Rule `takeover` of models/lease.pml: one transaction checks the lease row and writes both rows. */
+	/**
+	 * Rule `takeover` of models/lease.pml: one transaction checks the lease row and writes both rows. Rule `write` of
+	 * models/duty-outage.pml: it checks the version that was seen before the announcement, so that a holder that has renewed
+	 * meanwhile keeps the lease.
+	 */
 	async #writeTakeover(row: TableRow | undefined, previous: LeaseRow | undefined): Promise<Tenure | undefined> {
 		const epoch = brandAs<LeaseEpoch>((previous?.epoch ?? 0) + 1);
+		if (!await this.#mayWrite(epoch, row, previous)) {
+			return undefined;
+		}
+
 		const value = this.#createRow(epoch, previous?.state ?? null);
 		const epochRow = {key: leaseEpochKey(this.#options.duty), value: {epoch}};
 		const result = await this.#write(row?.version ?? null, value, [epochRow]);
 		return result.kind === 'written' ? this.#createTenure(result.version, value, this.#lastAttempt!.sentMs) : undefined;
 	}
 
+	/** A lease that nobody has held or that was given back has no holder that the witnesses might attest. */
+	async #mayWrite(epoch: LeaseEpoch, row: TableRow | undefined, previous: LeaseRow | undefined): Promise<boolean> {
+		const {outage} = this.#options;
+		const isFree = row === undefined || previous?.holder === '';
+		return outage === undefined || isFree || (await outage.announce(epoch, this.#signal) && !this.#signal.aborted);
+	}
+
 	/** Rule `own-epoch` of models/lease.pml: the epoch row is read after the takeover and must show the own epoch. */
 	async #createTenure(version: number, value: LeaseRow, sentMs: number): Promise<Tenure | undefined> {
 		const holder = new LeaseHolder(this.#durations, sentMs);
@@ -144,9 +128,9 @@
 		// Another process may have taken the lease between the write and this read.
 		const isOwn = (epochRow?.value as {epoch?: number} | undefined)?.epoch === epoch;
 		return epochRow && isOwn && holder.isHeld(this.#options.clock.nowMs())
-			? {
+			? new Tenure({
 				holder, epoch, epochVersion: epochRow.version, version, state,
-			}
+			})
 			: undefined;
 	}
 
@@ -177,18 +161,21 @@
 			controller.abort();
 		};
 
+		const {duty, clock, outage} = this.#options;
 		const upkeep = Promise.all([
 			this.#keepRenewing(tenure, signal).finally(stop),
 			this.#watchExpiry(tenure, signal).finally(stop),
+			outage && keepAttested(tenure, outage, {clock, leaseRenewMs: this.#durations.leaseRenewMs}, signal).finally(stop),
 		]);
 		// Awaited below, when the duty has stopped; until then a rejection must not count as unhandled.
 		upkeep.catch(() => undefined);
 		try {
-			await this.#options.onHeld(this.#createLease(tenure), signal);
+			await this.#options.onHeld(createLease(tenure, duty, clock), signal);
 		} catch (error) {
 			this.#fail(error, signal);
 		} finally {
 			stop();
+			tenure.hasEnded = true;
 			await upkeep;
 			await this.#giveBack(tenure);
 		}
@@ -207,30 +194,12 @@
 		this.#options.onError(error);
 	}
 
-	#createLease(tenure: Tenure): Lease {
-		const {duty, clock} = this.#options;
-		return {
-			duty,
-			epoch: tenure.epoch,
-			check: () => ({key: leaseEpochKey(duty), version: tenure.epochVersion}),
-			isHeld: () => tenure.holder.isHeld(clock.nowMs()),
-			authority: () => tenure.holder.isHeld(clock.nowMs()) ? 'table' : 'none',
-			authorityMs: () => Math.max(0, tenure.holder.stopAtMs - clock.nowMs()),
-			get state() {
-				return tenure.state;
-			},
-			setState(state) {
-				tenure.state = state;
-			},
-		};
-	}
-
 	/** Ends at expiry, also while a renewal waits for its answer. */
 	async #watchExpiry(tenure: Tenure, signal: AbortSignal): Promise<void> {
 		const {clock} = this.#options;
-		while (!signal.aborted && tenure.holder.isHeld(clock.nowMs())) {
+		while (!signal.aborted && clock.nowMs() < tenure.endsAtMs) {
 			// Short steps, because a paused process must notice soon after it resumes.
-			const remainingMs = tenure.holder.stopAtMs - clock.nowMs();
+			const remainingMs = tenure.endsAtMs - clock.nowMs();
 			await sleep(Math.min(remainingMs, this.#durations.leaseMarginMs), signal);
 		}
 	}
@@ -239,10 +208,14 @@
 		let waitMs = tenure.holder.renewAtMs - this.#options.clock.nowMs();
 		while (!signal.aborted) {
 			await sleep(waitMs, signal);
-			if (signal.aborted || !tenure.holder.isHeld(this.#options.clock.nowMs())) {
+			if (signal.aborted) {
 				return;
 			}
 
+			if (!tenure.holder.isHeld(this.#options.clock.nowMs())) {
+				return this.#awaitTable(tenure, signal);
+			}
+
 			const renewed = await this.#renew(tenure);
 			if (renewed === 'lost') {
 				return;
@@ -254,6 +227,24 @@
 		}
 	}
 
+	/** A lapsed lease is not renewed. The duty goes on under outage authority, if it has any, until the table can be read. */
+	async #awaitTable(tenure: Tenure, signal: AbortSignal): Promise<void> {
+		while (!signal.aborted && tenure.authority(this.#options.clock.nowMs()) === 'outage') {
+			tenure.isTableBack = await this.#readBack(tenure);
+			if (tenure.isTableBack) {
+				return;
+			}
+
+			await sleep(renewRetryMs, signal);
+		}
+	}
+
+	/** Returns whether the table can be read. */
+	async #readBack(tenure: Tenure): Promise<boolean> {
+		const adopted = await this.#adoptVersion(tenure);
+		return adopted !== 'unread';
+	}
+
 	/** Rule `renewal` of models/lease.pml: checks the lease row and leaves the epoch row alone. */
 	async #renew(tenure: Tenure): Promise<'renewed' | 'retry' | 'lost'> {
 		const result = await this.#write(tenure.version, this.#createRow(tenure.epoch, tenure.state));
@@ -263,14 +254,18 @@
 			return 'renewed';
 		}
 
-		return result.kind === 'refused' ? this.#adoptVersion(tenure) : 'retry';
+		if (result.kind !== 'refused') {
+			return 'retry';
+		}
+
+		return await this.#adoptVersion(tenure) === 'lost' ? 'lost' : 'retry';
 	}
 
 	/**
 	 * Rule `adopt` of models/lease.pml: an earlier renewal with a lost answer may have changed the version; only this
 	 * process writes its epoch.
 	 */
-	async #adoptVersion(tenure: Tenure): Promise<'retry' | 'lost'> {
+	async #adoptVersion(tenure: Tenure): Promise<'adopted' | 'unread' | 'lost'> {
 		try {
 			const row = await this.#options.table.read(this.#key);
 			const value = readLeaseRow(row?.value);
@@ -279,9 +274,9 @@
 			}
 
 			tenure.version = row.version;
-			return 'retry';
+			return 'adopted';
 		} catch {
-			return 'retry';
+			return 'unread';
 		}
 	}
 
@@ -290,7 +285,7 @@
 	 * they wait for its expiry.
 	 */
 	async #giveBack(tenure: Tenure): Promise<void> {
-		if (tenure.holder.isHeld(this.#options.clock.nowMs())) {
+		if (tenure.isTableBack || tenure.holder.isHeld(this.#options.clock.nowMs())) {
 			await this.#write(tenure.version, this.#createRow(tenure.epoch, tenure.state, '')).catch(() => undefined);
 		}
 
