Let role planners keep their authority during a table outage

The lease runner can go on during an outage, but no duty told it how. Role duties now announce a takeover of a lapsed lease to the witnesses of their data centre and ask them while a renewal is overdue, by the wire messages duty.announce and duty.attest.

An entry keeps connections also to the witnesses of older lists, which a takeover is announced to. The groups of an entry have a module of their own, because three parts depend on them now. Witnesses of duties settle for six seconds at least, also with a shorter setting, because a restarted one has forgotten what it noted.

Operators see hawthorncleat_duty_outage_authority and a line on each change of state.

--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -5,15 +5,16 @@
 import {
 	brandAs,
 	createInForce,
-	createWitnessGroups,
-	findOwnGroup,
+	dutyRefusalMs,
+	DutyWitness,
 	Freshness,
+	RecentGroups,
 	Witness,
 	type Clock,
 	type EntryId,
 	type InForce,
+	type LeaseEpoch,
 	type MakeId,
-	type WitnessGroup,
 } from '@hawthorncleat/core';
 import {
 	createClaimWriter,
@@ -35,7 +36,9 @@
 import type {EntryDeps, PeerServices} from '../deps.js';
 import {answerConfigSince} from './config-parts.js';
 import {ConfigSync} from './config-sync.js';
+import {createOutageEvidence, type CreateOutageEvidence} from './duty-evidence.js';
 import {FreshnessLoop} from './freshness-loop.js';
+import {Groups} from './groups.js';
 import {HostWatch} from './host-watch.js';
 import {WitnessedPublisher} from './publisher.js';
 
@@ -59,6 +62,8 @@
 	readonly inForce: InForce;
 	readonly hostWatch: HostWatch;
 	readonly peers: () => ReadonlyMap<string, Peer>;
+	/** Evidence for duties that go on while the table is down. */
+	readonly outageEvidence: CreateOutageEvidence;
 	/** Settles after the signal aborted. */
 	readonly closed: Promise<void>;
 };
@@ -79,42 +84,8 @@
 	};
 };
 
-/** The witness groups by the current host list. */
-class Groups {
-	#groups: readonly WitnessGroup[] = [];
-	readonly #settings: EntrySettings;
-	readonly #hostWatch: () => HostWatch;
-	readonly #witness: Witness;
-
-	constructor(settings: EntrySettings, hostWatch: () => HostWatch, witness: Witness) {
-		this.#settings = settings;
-		this.#hostWatch = hostWatch;
-		this.#witness = witness;
-	}
-
-	readonly all = (): readonly WitnessGroup[] => this.#groups;
-
-	readonly own = (): WitnessGroup | undefined => findOwnGroup(this.#groups, this.#settings);
-
-	/** Host ids of all witnesses. */
-	readonly members = (): ReadonlySet<string> =>
-		new Set(this.#groups.flatMap(group => group.witnesses.map(({hostId}) => hostId)));
-
-	readonly update = (): void => {
-		const {entryId} = this.#settings;
-		const wasWitness = this.#includes(entryId);
-		const {entries: hosts, regionOf} = this.#hostWatch();
-		this.#groups = createWitnessGroups({hosts, regionOf});
-		this.#witness.setView(this.own()?.view ?? '', !wasWitness && this.#includes(entryId));
-	};
-
-	#includes(hostId: string): boolean {
-		return this.own()?.witnesses.some(witness => witness.hostId === hostId) ?? false;
-	}
-}
-
 const createPeerServices = (
-	{inForce, witness, groups, sync}: {inForce: InForce; witness: Witness; groups: Groups; sync: ConfigSync},
+	{inForce, witness, dutyWitness, groups, sync}: {inForce: InForce; witness: Witness; dutyWitness: DutyWitness; groups: Groups; sync: ConfigSync},
 	setPeers: (peers: () => ReadonlyMap<string, Peer>) => void,
 ): PeerServices => ({
 	configSince: params => answerConfigSince(inForce, params),
@@ -128,6 +99,11 @@
 
 		return {version: inForce.view().version, incarnation: witness.incarnation};
 	},
+	announceDuty({duty, epoch}) {
+		dutyWitness.announce({duty, epoch: brandAs<LeaseEpoch>(epoch)});
+		return {noted: true};
+	},
+	attestDuty: ({duty, epoch, view}) => ({attested: dutyWitness.attest({duty, epoch: brandAs<LeaseEpoch>(epoch)}, view)}),
 	onPeerVersion(version) {
 		void sync.catchUp(version);
 	},
@@ -155,18 +131,21 @@
 	const localVersion = (): number => inForce.view().version;
 	const freshness = new Freshness({clock, localVersion});
 	const loops: {freshness?: FreshnessLoop} = {};
+	const isStoreUnreachable = (): boolean => loops.freshness?.isStoreUnreachable ?? false;
+	const {witnessSettleMs} = settings;
 	const witness = new Witness({
-		clock,
-		freshness,
-		localVersion,
-		incarnation: makeId(),
-		isStoreUnreachable: () => loops.freshness?.isStoreUnreachable ?? false,
-		witnessSettleMs: settings.witnessSettleMs,
+		clock, freshness, localVersion, incarnation: makeId(), isStoreUnreachable, witnessSettleMs,
+	});
+	const dutyWitness = new DutyWitness({
+		clock, entryId, isStoreUnreachable, witnessSettleMs: Math.max(witnessSettleMs, dutyRefusalMs),
 	});
+	const recentGroups = new RecentGroups(clock, witnessSettleMs);
 	let peers = (): ReadonlyMap<string, Peer> => new Map<string, Peer>();
 	const currentPeers = (): ReadonlyMap<string, Peer> => peers();
 	const sync = new ConfigSync({inForce, store: stores.configStore, peers: currentPeers});
-	const groups: Groups = new Groups(settings, () => hostWatch, witness);
+	const groups: Groups = new Groups({
+		settings, hostWatch: () => hostWatch, witness, dutyWitness, recent: recentGroups,
+	});
 	const hostWatch = new HostWatch({
 		client: stores.hostList, dataCentre, region, inForce, onChange: groups.update,
 	});
@@ -202,6 +181,9 @@
 		inForce,
 		hostWatch,
 		peers: currentPeers,
+		outageEvidence: createOutageEvidence({
+			clock, entryId, witness: dutyWitness, ownGroup: groups.own, recentGroups, peers: currentPeers,
+		}),
 		closed,
 		config: {current: inForce.view},
 		hosts: {current: (): readonly HostRecord[] => hostWatch.region},
@@ -220,7 +202,7 @@
 			mayAttest: witness.isSettled,
 		}),
 		peerServices: createPeerServices({
-			inForce, witness, groups, sync,
+			inForce, witness, dutyWitness, groups, sync,
 		}, source => {
 			peers = source;
 		}),
--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -8,6 +8,10 @@
 import type {
 	ConfigSinceParams,
 	ConfigSinceResult,
+	DutyAnnounceParams,
+	DutyAnnounceResult,
+	DutyAttestParams,
+	DutyAttestResult,
 	Finding,
 	FreshnessAnswer,
 	FreshnessAskParams,
@@ -68,6 +72,8 @@
 	askFreshness?(params: FreshnessAskParams): FreshnessAnswer | Promise<FreshnessAnswer>;
 	announcePublish?(params: PublishAnnounceParams): PublishAnnounceResult | Promise<PublishAnnounceResult>;
 	finishPublish?(params: PublishFinishParams): PublishFinishResult | Promise<PublishFinishResult>;
+	announceDuty?(params: DutyAnnounceParams): DutyAnnounceResult | Promise<DutyAnnounceResult>;
+	attestDuty?(params: DutyAttestParams): DutyAttestResult | Promise<DutyAttestResult>;
 	/** Hears the configuration version in each heartbeat. */
 	onPeerVersion?(version: number): void;
 	/** Host ids of entries to which a connection is needed, besides the chosen ones. */
--- a/packages/entry/src/duties/duties.ts
+++ b/packages/entry/src/duties/duties.ts
@@ -9,6 +9,7 @@
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {ConfigSource, DutySources, HostSource} from '../deps.js';
+import type {CreateOutageEvidence} from '../control/duty-evidence.js';
 import {createDutyMetrics} from './duty-metrics.js';
 import {runEndpointDuty} from './endpoint-duty.js';
 import {runRoleDuties} from './role-duties.js';
@@ -28,6 +29,7 @@
 	/** The hosts of the region. */
 	readonly hosts: HostSource;
 	readonly entryHosts?: HostSource;
+	readonly outageEvidence?: CreateOutageEvidence;
 };
 
 const createUsageDuty = (shard: number, settings: EntrySettings, deps: DutiesDeps, context: DutyContext): Duty => {
@@ -51,7 +53,7 @@
 		const shards = Array.from({length: usageShards}, (_, shard) => shard);
 		const duties = shards.map(shard => createUsageDuty(shard, settings, deps, context));
 		const planning = {
-			settings, context, sources, config: deps.config, hosts: deps.hosts,
+			settings, context, sources, config: deps.config, hosts: deps.hosts, outageEvidence: deps.outageEvidence,
 		};
 		await Promise.all([
 			...duties.map(async duty => runDuty(duty, context, signal)),
--- a/packages/entry/src/duties/duty-metrics.ts
+++ b/packages/entry/src/duties/duty-metrics.ts
@@ -11,6 +11,9 @@
 		held: new Gauge({
 			name: name('held'), help: 'Leases that this entry holds (count) by kind of duty', labelNames: ['kind'], registers,
 		}),
+		outageAuthority: new Gauge({
+			name: name('outage_authority'), help: 'Duties that this entry goes on with during a table outage (count) by kind of duty', labelNames: ['kind'], registers,
+		}),
 		failures: new Counter({
 			name: name('failures_total'), help: 'Duties that ended with an error (count) by kind of duty', labelNames: ['kind'], registers,
 		}),
--- a/packages/entry/src/duties/role-duties.ts
+++ b/packages/entry/src/duties/role-duties.ts
@@ -7,6 +7,7 @@
 } from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {ConfigSource, DutySources, HostSource} from '../deps.js';
+import type {CreateOutageEvidence} from '../control/duty-evidence.js';
 import type {Endpoint} from '../endpoint.js';
 import {RolePlanner, type ManagedEngine} from './role-planner.js';
 import {runDuty, type DutyContext} from './run-duty.js';
@@ -22,6 +23,8 @@
 	readonly sources: DutySources;
 	readonly config: ConfigSource;
 	readonly hosts: HostSource;
+	/** Without it the planners stop when the table is down for longer than a lease. */
+	readonly outageEvidence?: CreateOutageEvidence;
 };
 
 const roleOf = ({report}: Endpoint): EngineOrderRole | undefined =>
@@ -67,7 +70,11 @@
 	});
 	// Only entries of the data centre are connected to its engines.
 	const local = {...context, entries: () => context.entries().filter(host => host.dataCentre === dataCentre)};
-	await runDuty({name: `roles/${service}/${dataCentre}`, kind: 'roles', run: planner.run}, local, signal);
+	const name = `roles/${service}/${dataCentre}`;
+	const outage = options.outageEvidence?.(name, context.durations);
+	await runDuty({
+		name, kind: 'roles', run: planner.run, outage,
+	}, local, signal);
 };
 
 const servicesOf = ({settings, sources, config}: RoleDutiesOptions): Set<string> => {
--- a/packages/entry/src/duties/run-duty.ts
+++ b/packages/entry/src/duties/run-duty.ts
@@ -6,10 +6,13 @@
 import {
 	chooseByRendezvous, type Clock, type LeaseDurations, type MakeId,
 } from '@hawthorncleat/core';
-import {runLease, type Lease, type Table} from '@hawthorncleat/platform';
+import {
+	runLease, type Lease, type OutageEvidence, type Table,
+} from '@hawthorncleat/platform';
 import type {HostRecord} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
+import {watchAuthority} from './watch-authority.js';
 
 /**
  * Entries that watch the lease of one duty. With three, the duty goes on without a change of the host list when two of
@@ -36,6 +39,8 @@
 	readonly name: string;
 	readonly kind: string;
 	readonly run: (lease: Lease, signal: AbortSignal) => Promise<void>;
+	/** Lets the duty go on while the table is down. */
+	readonly outage?: OutageEvidence | undefined;
 };
 
 /** Whether this entry watches the lease. Without a host list every entry does. */
@@ -45,12 +50,17 @@
 		|| chooseByRendezvous(duty, live, dutyCandidates, host => host.hostId).some(host => host.hostId === entryId);
 };
 
-const hold = (duty: Duty, {metrics, log}: DutyContext) => async (lease: Lease, signal: AbortSignal): Promise<void> => {
+const hold = (duty: Duty, context: DutyContext) => async (lease: Lease, signal: AbortSignal): Promise<void> => {
+	const {metrics, log} = context;
 	metrics.held.inc({kind: duty.kind});
 	log.info('duty taken', {duty: duty.name, epoch: lease.epoch});
+	const ending = new AbortController();
+	const watched = duty.outage && watchAuthority(duty, context, lease, ending.signal);
 	try {
 		await duty.run(lease, signal);
 	} finally {
+		ending.abort();
+		await watched;
 		metrics.held.dec({kind: duty.kind});
 		log.info('duty ended', {duty: duty.name, epoch: lease.epoch});
 	}
@@ -94,7 +104,7 @@
 	const watch = watchCandidacy(duty, context, controller);
 	try {
 		await runLease({
-			duty: duty.name, holder: entryId, table, clock, makeId, durations, onHeld: hold(duty, context), onError,
+			duty: duty.name, holder: entryId, table, clock, makeId, durations, onHeld: hold(duty, context), onError, outage: duty.outage,
 		}, controller.signal);
 	} finally {
 		stop();
--- a/packages/entry/src/internal-handlers.ts
+++ b/packages/entry/src/internal-handlers.ts
@@ -11,7 +11,9 @@
 	hello: () => HelloResult,
 	learn: (fingerprints: readonly string[]) => void,
 ): Handlers<Peer> => {
-	const {configSince, askFreshness, announcePublish, finishPublish} = services;
+	const {
+		configSince, askFreshness, announcePublish, finishPublish, announceDuty, attestDuty,
+	} = services;
 	return {
 		hello(params, peer) {
 			peer.remoteId = params.id;
@@ -25,5 +27,7 @@
 		...(askFreshness && {'freshness.ask': async params => askFreshness(params)}),
 		...(announcePublish && {'publish.announce': async params => announcePublish(params)}),
 		...(finishPublish && {'publish.finish': async params => finishPublish(params)}),
+		...(announceDuty && {'duty.announce': async params => announceDuty(params)}),
+		...(attestDuty && {'duty.attest': async params => attestDuty(params)}),
 	};
 };
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -7,6 +7,10 @@
 	type ConfigSinceParams,
 	type ConfigSinceResult,
 	type CrashSuspect,
+	type DutyAnnounceParams,
+	type DutyAnnounceResult,
+	type DutyAttestParams,
+	type DutyAttestResult,
 	type EngineOrderParams,
 	type EngineOrderResult,
 	type FreshnessAnswer,
@@ -42,6 +46,8 @@
 	'freshness.ask': {params: FreshnessAskParams; result: FreshnessAnswer};
 	'publish.announce': {params: PublishAnnounceParams; result: PublishAnnounceResult};
 	'publish.finish': {params: PublishFinishParams; result: PublishFinishResult};
+	'duty.announce': {params: DutyAnnounceParams; result: DutyAnnounceResult};
+	'duty.attest': {params: DutyAttestParams; result: DutyAttestResult};
 };
 
 /** Notifications, which have none. `heartbeat` is handled by the peer itself. */
@@ -81,6 +87,8 @@
 	'freshness.ask': validators.validateFreshnessAskParams,
 	'publish.announce': validators.validatePublishAnnounceParams,
 	'publish.finish': validators.validatePublishFinishParams,
+	'duty.announce': validators.validateDutyAnnounceParams,
+	'duty.attest': validators.validateDutyAttestParams,
 	'load.report': validators.validateLoadReport,
 	'crash.suspect': validators.validateCrashSuspect,
 };
