--- a/packages/histories/src/__tests__/planned-change.test.ts
+++ b/packages/histories/src/__tests__/planned-change.test.ts
@@ -10,6 +10,7 @@
 import type {Fleet} from '../fleet.js';
 import {KeptCaller, type ModelCall} from '../kept-caller.js';
 import {createSeededRandom, type SeededRandom} from '../random.js';
+import {findCutWork} from '../rules/engine-work-rules.js';
 import {findCutCalls, findWrongAnswers, isRefusedConnection} from '../rules/request-rules.js';
 
 const seeds = [101, 102];
@@ -60,6 +61,8 @@
 	}
 };
 
+const listCutWork = (fleet: Fleet): string[] => [...fleet.standIns.engines].flatMap(([name, {history}]) => findCutWork(name, history));
+
 const createEngines = () => ['engine-1', 'engine-2', 'engine-3'].map(name => ({name, dataCentre: 'dc-1', options: {stepMs}}));
 
 const runSeed = async (seed: number): Promise<void> => {
@@ -82,6 +85,7 @@
 		const calls = callers.flatMap(({observations}) => observations);
 		assert.equal(findCutCalls(calls), []);
 		assert.equal(findWrongAnswers(calls), []);
+		assert.equal(listCutWork(fleet), []);
 		const whole = calls.filter(({isWhole}) => isWhole).length;
 		assert.ok(whole > 100, `only ${whole} of ${calls.length} calls were answered`);
 		await Promise.all(callers.map(async caller => caller.close()));
@@ -111,6 +115,7 @@
 		const calls = callers.flatMap(({observations}) => observations);
 		assert.equal(findCutCalls(calls.filter(call => !isRefusedConnection(call))), []);
 		assert.equal(findWrongAnswers(calls), []);
+		assert.equal(listCutWork(fleet), []);
 		assert.ok(calls.some(({code}) => code === 'draining'), 'no caller met an entry that was shutting down');
 		await Promise.all(callers.map(async caller => caller.close()));
 	});
