Test the numbers that an entry gives to actions

Cause: the agent's side of the numbers was tested, and the entry's side only through the histories.

The test sends four actions over two connections and expects 1, 2, 1, 2.

Ruled out: waiting for the agent's connection alone, because the entry takes new work only after the answer to hello.

Conclusion: no fault was found.

--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -218,7 +218,7 @@
 			hello() {
 				greetings += 1;
 				return {
-					id, role: 'agent', incarnation: 'i1', dataCentre: 'dc-1', endpoint: id, configVersion: 1,
+					id, role: 'agent', incarnation: 'i1', dataCentre: 'dc-1', endpoint: id, configVersion: 1, connection: greetings,
 				};
 			},
 			...handlers,
--- a/packages/entry/src/__tests__/service.test.ts
+++ b/packages/entry/src/__tests__/service.test.ts
@@ -89,6 +89,20 @@
 			assert.is(desk.calls[0]!.action!.claimId, 'claim-1');
 		}));
 
+		it('numbers the actions on each connection; guards against an agent that takes a new action for a copy', async () => withEntry(async world => {
+			const desk = await addDesk(world, (_params, peer) => desk.calls.length === 2 ? disconnect(_params, peer) : answer(201));
+			// While the entry connects again it refuses.
+			for (let tries = 0; tries < 200 && desk.calls.length < 4; tries++) {
+				await order(world);
+				await new Promise(resolve => {
+					setTimeout(resolve, 5);
+				});
+			}
+
+			const numbers = desk.calls.map(({action}) => [action!.connection, action!.number]);
+			assert.equal(numbers, [[1, 1], [1, 2], [2, 1], [2, 2]]);
+		}));
+
 		it('refuses an action without a key, which could not be recognised when it is repeated', async () => withEntry(async world => {
 			const res = await send(world, '/orders', {method: 'POST'});
 			assert.is(await describeError(res), '400 idempotency-key-missing not-run');
