Accept "unknown" only with a fault that explains it

Cause: the rule took any earlier fault in the run as a reason for "unknown", so after the first fault it accepted every such answer, and it took any earlier call as a reason for "in doubt".

Change: a fault explains "unknown" only while it is in force, or within a heartbeat of its end, and only if it hit the entry or an agent that may have had the request, or if the service dropped the call. Faults of the table explain only doubts. A doubt needs another call of the action whose claim may be unsettled: under way, unknown itself, without an answer, or disturbed while its claim was completed or released.

Ruled out: the silence limit as the time after a fault; a process that runs again notices a lost connection by its next heartbeat, and faults follow one another within 50 to 400 ms, so a longer time would explain more than needed.

--- a/packages/histories/src/__fixtures__/planted.ts
+++ b/packages/histories/src/__fixtures__/planted.ts
@@ -9,6 +9,10 @@
 export const plant = (...events: readonly HistoryEvent[]): HistoryRecord[] =>
 	events.map((event, index) => ({...event, sequence: index + 1, atMs: index + 1}));
 
+/** Dates events in milliseconds, in the order in which they are written. */
+export const plantAt = (...events: ReadonlyArray<readonly [number, HistoryEvent]>): HistoryRecord[] =>
+	events.map(([atMs, event], index) => ({...event, sequence: index + 1, atMs}));
+
 /** A request as sent by a caller. */
 export const sent = (requestId: string, fields: Partial<SentRequest> = {}): HistoryEvent => ({
 	source: 'run',
@@ -28,7 +32,7 @@
 });
 
 /** A fault of the injector. */
-export const fault = (name: string): HistoryEvent => ({source: 'run', name: 'run', event: {kind: 'fault', fault: name, target: 'agent'}});
+export const fault = (name: string, target = 'agent-service-1'): HistoryEvent => ({source: 'run', name: 'run', event: {kind: 'fault', fault: name, target}});
 
 /** A note of a process. */
 export const note = (name: string, value: unknown): HistoryEvent => ({source: 'run', name: 'run', event: {kind: 'note', name, value}});
--- a/packages/histories/src/rules/__tests__/rules.test.ts
+++ b/packages/histories/src/rules/__tests__/rules.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
-	engine, fault, note, order, plant, platform, refused, sent,
+	engine, fault, note, order, plant, plantAt, platform, refused, sent,
 } from '../../__fixtures__/planted.js';
 import type {HistoryEvent} from '../../history.js';
 import {actionsRunOnce} from '../actions-run-once.js';
@@ -102,6 +102,58 @@
 		});
 	});
 
+	describe('causes of "unknown"', () => {
+		const problemsAt = (...events: ReadonlyArray<readonly [number, HistoryEvent]>): string[] =>
+			refusalsAreTrue(plantAt(...events)).map(({problem}) => problem);
+		const unknownCall = (request: 'action' | 'completion', ...others: ReadonlyArray<readonly [number, HistoryEvent]>): string[] => problemsAt(
+			[0, engine({kind: 'restart'})],
+			[0, order('c.0')],
+			...others,
+			[20_000, sent('c.1', {request})],
+			[20_020, refused('c.1', 'endpoint-failed', 'unknown')],
+		);
+		const unexplained = ['c.1: the outcome is unknown although nothing failed'];
+
+		it('takes a fault of a process that can have had the request, until a heartbeat after its end; guards against faults that explain everything', () => {
+			assert.equal(unknownCall('action', [1, fault('kill', 'entry-1')]), []);
+			assert.equal(unknownCall('action', [1, fault('kill', 'entry-2')]), unexplained);
+			assert.equal(unknownCall('action', [1, fault('stop')], [19_001, fault('restart')]), []);
+			assert.equal(unknownCall('action', [1, fault('stop')], [18_999, fault('restart')]), unexplained);
+			assert.equal(unknownCall('action', [1, fault('pause')], [2, fault('resume', 'entry-1')]), []);
+			assert.equal(unknownCall('action', [1, fault('pause')], [2, fault('resume')]), unexplained);
+			assert.equal(unknownCall('action', [1, fault('kill', 'agent-engine-1')]), unexplained);
+			assert.equal(unknownCall('completion', [1, fault('kill', 'agent-engine-1')]), []);
+			assert.equal(unknownCall('completion', [1, fault('kill')]), unexplained);
+		});
+		it('takes no fault of the table for a lost answer of an endpoint; guards against a table that explains everything', () => {
+			assert.equal(unknownCall('action', [1, fault('platform-faults', '{"tableDown":true}')]), unexplained);
+		});
+
+		const doubt = (...others: ReadonlyArray<readonly [number, HistoryEvent]>): string[] => problemsAt(
+			[0, sent('c.1')],
+			...others,
+			[20_000, sent('c.2')],
+			[20_010, refused('c.2', 'action-in-doubt', 'unknown')],
+		);
+		const undue = ['c.2: the action is in doubt without another call'];
+		const notRun = refused('c.1', 'overloaded', 'not-run');
+
+		it('takes a call whose claim may be unsettled; guards against an action that stays in doubt for no reason', () => {
+			const down = fault('platform-faults', '{"tableDown":true}');
+			assert.equal(doubt(), []);
+			assert.equal(doubt([10, notRun]), undue);
+			assert.equal(doubt([5, down], [10, notRun]), []);
+			assert.equal(doubt([10, notRun], [5000, down]), undue);
+			assert.equal(doubt([10, notRun], [1500, fault('kill', 'entry-1')]), []);
+			assert.equal(doubt([10, notRun], [1500, fault('kill', 'entry-2')]), undue);
+			assert.equal(doubt([18_500, notRun]), []);
+		});
+		it('takes no call that was itself told that the action is in doubt; guards against doubts that explain one another', () => {
+			const earlier = 'c.1: the action is in doubt without another call';
+			assert.equal(doubt([10, refused('c.1', 'action-in-doubt', 'unknown')]), [earlier, ...undue]);
+		});
+	});
+
 	describe('engine-orders-rise', () => {
 		it('refuses a number that falls or is repeated; guards against an order of a former planner', () => {
 			assert.equal(problems(engineOrdersRise, start(2), end(2), start(1), end(1), start(2), end(2)), [
--- a/packages/histories/src/rules/refusals-are-true.ts
+++ b/packages/histories/src/rules/refusals-are-true.ts
@@ -1,10 +1,11 @@
 /**
  * I10: a refusal that says "not run" is true, also for whatever happens later, and the other statements of error answers
- * hold as far as the history can tell.
+ * hold as far as the history can tell. An answer that says "unknown" needs a fault that explains it.
  */
 import type {HistoryEvent, HistoryRecord, SentRequest} from '../history.js';
-import {listExecutions, readServiceRequestId, type Execution} from './executions.js';
+import {listExecutions, type Execution} from './executions.js';
 import type {Rule, Violation} from './rule.js';
+import {readCauses, type Causes} from './unknown-causes.js';
 
 const rule = 'refusals-are-true';
 
@@ -15,7 +16,7 @@
 
 /** What is known of the run when an answer is judged. */
 type Context = {
-	readonly history: readonly HistoryRecord[];
+	readonly causes: Causes;
 	readonly sent: ReadonlyMap<string, SentRequest & {readonly sequence: number}>;
 	readonly executions: ReadonlyMap<string, Execution>;
 };
@@ -26,39 +27,21 @@
 const isSameAction = (a: SentRequest, b: SentRequest): boolean =>
 	a.request === 'action' && a.actionKey === b.actionKey && a.account === b.account;
 
-/** The records that may have left another call of the same action in doubt. */
-const hasEarlierCall = ({sent}: Context, request: SentRequest, before: number): boolean => [...sent.values()].some(other =>
-	other.requestId !== request.requestId && other.sequence < before && isSameAction(other, request));
-
-/** A process or the table was disturbed before, or the service received the call and has not answered it. */
-const hasCause = ({history}: Context, {requestId}: SentRequest, before: number): boolean => {
-	const earlier = history.filter(({sequence}) => sequence < before);
-	if (earlier.some(({source, event}) => source === 'run' && event.kind === 'fault')) {
-		return true;
-	}
-
-	const own = earlier.filter(record => readServiceRequestId(record) === requestId).map(({event}) => event.kind);
-	const count = (kind: string): number => own.filter(other => other === kind).length;
-	return count('received') > count('answered');
-};
-
 const findActionExecution = ({sent, executions}: Context, request: SentRequest): Execution | undefined => {
 	const calls = [...sent.values()].filter(other => isSameAction(other, request));
 	return calls.map(({requestId}) => executions.get(requestId)).find(execution => execution !== undefined);
 };
 
-const judgeUnknown = (context: Context, request: SentRequest, answer: Answer, sequence: number): string | undefined => {
+const judgeUnknown = (context: Context, request: SentRequest, answer: Answer): string | undefined => {
 	if (!unknownCodes.has(answer.code ?? '')) {
 		return `the code ${answer.code} never means "unknown"`;
 	}
 
 	if (answer.code === 'action-in-doubt') {
-		return request.request === 'action' && hasEarlierCall(context, request, sequence)
-			? undefined
-			: 'the action is in doubt without another call';
+		return context.causes.explainsDoubt(request.requestId) ? undefined : 'the action is in doubt without another call';
 	}
 
-	return hasCause(context, request, sequence) ? undefined : 'the outcome is unknown although nothing failed';
+	return context.causes.explainsUnknown(request.requestId) ? undefined : 'the outcome is unknown although nothing failed';
 };
 
 const judgeRan = (context: Context, request: SentRequest): string | undefined =>
@@ -66,14 +49,14 @@
 		? 'the action is said to have run and did not'
 		: undefined;
 
-const judge = (context: Context, request: SentRequest, answer: Answer, sequence: number): string | undefined => {
+const judge = (context: Context, request: SentRequest, answer: Answer): string | undefined => {
 	switch (answer.ran) {
 		case 'not-run': {
 			return context.executions.has(request.requestId) ? 'a request that is said not to have run was executed' : undefined;
 		}
 
 		case 'unknown': {
-			return judgeUnknown(context, request, answer, sequence);
+			return judgeUnknown(context, request, answer);
 		}
 
 		case 'ran': {
@@ -89,11 +72,11 @@
 /** Finds error answers whose `ran` is refuted by the rest of the history. */
 export const refusalsAreTrue: Rule = history => {
 	const executions = new Map(listExecutions(history).map(execution => [execution.requestId, execution]));
-	const context = {history, sent: indexSent(history), executions};
+	const context = {causes: readCauses(history), sent: indexSent(history), executions};
 	const violations: Violation[] = [];
 	for (const {source, event, sequence} of history) {
 		const request = source === 'run' && event.kind === 'answered' ? context.sent.get(event.requestId) : undefined;
-		const problem = request && judge(context, request, event as Answer, sequence);
+		const problem = request && judge(context, request, event as Answer);
 		if (request && problem !== undefined) {
 			const execution = executions.get(request.requestId);
 			violations.push({
