Choose service endpoints by running calls and distance

Cause: plain services were chosen by chooseLeastWait, which compared two random endpoints of the own data centre by waiting tokens, which services do not report, and counted calls that had long ended until the next report. The only desk of a data centre kept all its calls while others were idle.

chooseService scores distance plus running calls, each at the mean duration of a call. ServiceView counts the entry's own calls exactly, lets the reported calls of others end over that duration, and takes the other entries to begin as many as this one. Agents of services report maxRunning, and a full endpoint is the last choice.

A far endpoint is no longer only a fallback for services, because the score counts distance.

Test over the daemon: "weighs own running calls against distance"; with the earlier code it printed 4 calls at the near and 0 at the far desk, where 2 and 2 were expected.

--- a/packages/agent/src/service-endpoint.ts
+++ b/packages/agent/src/service-endpoint.ts
@@ -17,6 +17,7 @@
 		problems: () => [],
 		load: () => ({
 			role: 'service', running: calls.running, waiting: 0, waitingTokens: 0, freeTokens: 0, prefixes: [],
+			maxRunning: options.maxRunning,
 		}),
 		startRequest: refuseModelRequest,
 		resumeRequest() {
--- a/packages/core/src/policy/choose-endpoint.ts
+++ b/packages/core/src/policy/choose-endpoint.ts
@@ -80,10 +80,10 @@
 	return Math.min(maxToleranceMs, minToleranceMs + (tolerancePerAge * best.endpoint.readingAgeMs));
 };
 
-const pickBetterOfTwo = (choices: readonly Choice[], random: Random): Choice | undefined => {
+/** Takes the better of two random ones of a list in order of score. */
+export const pickBetterOfTwo = <Item>(choices: readonly Item[], random: Random): Item | undefined => {
 	const first = Math.floor(random() * choices.length);
 	const second = Math.floor(random() * choices.length);
-	// The list is in order of score.
 	return choices[Math.min(first, second)];
 };
 
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -25,6 +25,14 @@
 export {
 	chooseEndpoint, estimateUncachedTokens, scoreEndpoint, type Choice, type ChoiceRequest, type PromptPrefix,
 } from './choose-endpoint.js';
+export {
+	chooseService,
+	ServiceView,
+	type ServiceEndpoint,
+	type ServiceReading,
+	type ServiceState,
+	type ServiceViewOptions,
+} from './choose-service.js';
 export {
 	admit, type Admission, type AdmissionRequest, type AdmissionView,
 } from './admission.js';
--- a/packages/entry/src/__tests__/engine-choice.test.ts
+++ b/packages/entry/src/__tests__/engine-choice.test.ts
@@ -96,6 +96,7 @@
 		choice.reported(far, createReport());
 		assert.equal(choice.choose([far, a], createRequest()), {endpoint: a, stage: 'whole'});
 		assert.equal(choice.choose([far, createEndpoint('c', 'dc-1', 1)], createRequest({isSuspect: true})), {endpoint: far, stage: 'whole'});
+		assert.is(choice.choose([createEndpoint('c', 'dc-1', 1)], createRequest({isSuspect: true})), undefined);
 		choice.removed(far);
 		choice.reported(a, createReport({waitingTokens: 9000}));
 		choice.reported(far, createReport());
--- a/packages/entry/src/endpoint-pool.ts
+++ b/packages/entry/src/endpoint-pool.ts
@@ -123,9 +123,10 @@
 export const pickEndpoint = (
 	endpoints: readonly Endpoint[],
 	request: ChoiceRequest,
-	choice: {readonly dataCentre: string; readonly choose: ChooseEndpoint; readonly random: () => number},
+	choose: ChooseEndpoint,
+	{dataCentre, random}: {readonly dataCentre: string; readonly random: () => number},
 ): Endpoint | undefined => {
-	const candidates = endpoints.map(endpoint => toCandidate(endpoint, choice.dataCentre));
-	const chosen = choice.choose(candidates, request, choice.random);
+	const candidates = endpoints.map(endpoint => toCandidate(endpoint, dataCentre));
+	const chosen = choose(candidates, request, random);
 	return chosen === undefined ? undefined : endpoints[candidates.indexOf(chosen)];
 };
--- a/packages/entry/src/engine-choice.ts
+++ b/packages/entry/src/engine-choice.ts
@@ -22,12 +22,11 @@
 } from '@hawthorncleat/core';
 import type {LoadReport} from '@hawthorncleat/schema';
 import {estimateTokens} from './completion-format.js';
+import {distanceBetweenMs} from './distance.js';
 import type {Endpoint} from './endpoint.js';
 
 // Agents report their own queue, so that a report is only as old as its way here.
 const reportLagMs = 10;
-const localDistanceMs = 1;
-const remoteDistanceMs = 4;
 // Prefill rate that the allowance for long prompts is made for; used until an engine has shown its own.
 const unmeasuredPrefillRate = 8000;
 const unmeasuredStepMsPerRequest = 0.4;
@@ -271,7 +270,7 @@
 		view.add({
 			id: hostId,
 			dataCentre,
-			distanceMs: dataCentre === this.#options.dataCentre ? localDistanceMs : remoteDistanceMs,
+			distanceMs: distanceBetweenMs(dataCentre, this.#options.dataCentre),
 			get rates() {
 				return engine.rates;
 			},
--- a/packages/entry/src/entry-parts.ts
+++ b/packages/entry/src/entry-parts.ts
@@ -6,7 +6,6 @@
 import type {Readiness} from '@hawthorncleat/telemetry';
 import {AccountLimits} from './account-limits.js';
 import type {CallerContext} from './caller-context.js';
-import {chooseLeastWait} from './choose-endpoint.js';
 import {learnSuspects, markCrash} from './crash-notices.js';
 import {defaultTimings, type EntryDeps, type Timings} from './deps.js';
 import {EndpointPool} from './endpoint-pool.js';
@@ -18,6 +17,7 @@
 import {createMetrics, type Metrics} from './metrics.js';
 import {ModelDemand} from './model-demand.js';
 import {RunningRequests} from './running-requests.js';
+import {ServiceChoice} from './service-choice.js';
 import {createTelemetry, type Telemetry} from './telemetry.js';
 import {UsageRecorder} from './usage-flush.js';
 
@@ -35,6 +35,7 @@
 	readonly #usage: UsageRecorder;
 	readonly #limits: AccountLimits;
 	readonly #engineChoice: EngineChoice;
+	readonly #serviceChoice: ServiceChoice;
 	readonly #pool: EndpointPool;
 	readonly #connectionOptions: ConnectionOptions;
 	#entryId: string;
@@ -55,9 +56,11 @@
 		this.#connectionOptions = this.#createConnectionOptions();
 		this.#usage = this.#createUsage();
 		this.#limits = this.#createLimits();
-		this.#engineChoice = new EngineChoice({
+		const choiceOptions = {
 			clock: deps.clock, random: deps.random, dataCentre: settings.dataCentre, liveEntries: () => this.#liveEntries,
-		});
+		};
+		this.#engineChoice = new EngineChoice(choiceOptions);
+		this.#serviceChoice = new ServiceChoice(choiceOptions);
 		this.#pool = this.#createPool();
 		this.context = this.#createContext();
 	}
@@ -200,12 +203,14 @@
 			},
 			onReport: (endpoint, report) => {
 				this.#engineChoice.reported(endpoint, report);
+				this.#serviceChoice.reported(endpoint, report);
 			},
 			onQueue: (endpoint, queuedTokens) => {
 				this.#engineChoice.answered(endpoint, queuedTokens);
 			},
 			onDisconnected: (endpoint, reason) => {
 				this.#engineChoice.removed(endpoint);
+				this.#serviceChoice.removed(endpoint);
 				this.#metrics.connections.dec();
 				log.warn('endpoint disconnected', {endpoint: endpoint.id, reason});
 			},
@@ -233,8 +238,9 @@
 			pool: this.#pool,
 			budget: new RetryBudget(),
 			suspects: this.#suspects,
-			choose: chooseEndpoint ?? chooseLeastWait,
-			...(!chooseEndpoint && {engineChoice: this.#engineChoice}),
+			...(chooseEndpoint && {choose: chooseEndpoint}),
+			engineChoice: this.#engineChoice,
+			serviceChoice: this.#serviceChoice,
 			demand,
 			fairAdmission: new FairAdmission({
 				clock, random, dataCentre, demand, config, hosts, endpoints: () => this.#pool.endpoints,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -14,6 +14,5 @@
 	type Publisher,
 	type Timings,
 } from './deps.js';
-export {chooseLeastWait} from './choose-endpoint.js';
 export {startEntry, type Entry} from './start.js';
 export {startEntryDaemon, type EntryDaemonDeps} from './start-daemon.js';
--- a/packages/entry/src/model-request.ts
+++ b/packages/entry/src/model-request.ts
@@ -11,7 +11,7 @@
 } from './attempt-failure.js';
 import {callerError} from './caller-errors.js';
 import type {AnswerEnd} from './completion-format.js';
-import type {EngineChoice, EngineRequest} from './engine-choice.js';
+import type {EngineRequest} from './engine-choice.js';
 import {pickEndpoint} from './endpoint-pool.js';
 import type {Endpoint} from './endpoint.js';
 import type {AdmittedRequest, RequestContext} from './request-context.js';
@@ -81,7 +81,7 @@
 	}
 
 	#chooseEndpoint(): {readonly endpoint: Endpoint; readonly stage: 'prefill' | 'whole'} {
-		const {suspects, pool, timings, engineChoice} = this.#context;
+		const {suspects, pool, timings, choose} = this.#context;
 		const {fingerprint, route, tokens, prompt} = this.#request;
 		const suspicion = suspects.judge(fingerprint);
 		if (suspicion === 'quarantined') {
@@ -92,13 +92,13 @@
 
 		const available = pool.available(route.service.name, new Set([...this.#tried, ...this.#prefillers]));
 		const isSuspect = suspicion === 'suspect';
-		if (engineChoice) {
-			return this.#chooseEngine(engineChoice, available, isSuspect);
+		if (!choose) {
+			return this.#chooseEngine(available, isSuspect);
 		}
 
 		const endpoint = pickEndpoint(available, {
 			kind: 'model', tokens, prompt, isSuspect,
-		}, this.#context);
+		}, choose, this.#context);
 		if (!endpoint) {
 			throw giveUp(this.#lastFailure, this.#ran, timings.retryAfterMs);
 		}
@@ -106,8 +106,8 @@
 		return {endpoint, stage: 'whole'};
 	}
 
-	#chooseEngine(engineChoice: EngineChoice, available: readonly Endpoint[], isSuspect: boolean): {readonly endpoint: Endpoint; readonly stage: 'prefill' | 'whole'} {
-		const choice = engineChoice.choose(available, this.#describe(isSuspect));
+	#chooseEngine(available: readonly Endpoint[], isSuspect: boolean): {readonly endpoint: Endpoint; readonly stage: 'prefill' | 'whole'} {
+		const choice = this.#context.engineChoice.choose(available, this.#describe(isSuspect));
 		if (choice && 'retryAfterMs' in choice) {
 			this.#context.metrics.refusedByEstimate.inc();
 			throw callerError('overloaded', 'the answer would come too late', {retryAfterMs: choice.retryAfterMs});
@@ -148,7 +148,7 @@
 
 		const available = pool.available(route.service.name, this.#prefillers);
 		const isSuspect = suspects.judge(fingerprint) === 'suspect';
-		const endpoint = engineChoice?.chooseDecode(available, this.#describe(isSuspect));
+		const endpoint = engineChoice.chooseDecode(available, this.#describe(isSuspect));
 		return endpoint
 			? this.#attempt(endpoint, signal, {stage: 'decode', kv: prefilled.end.kv})
 			: {kind: 'failed', isCrash: false, failure: {kind: 'refused', ran: 'ran', code: 'no-endpoint'}};
@@ -166,7 +166,7 @@
 		this.#refuseLongLine(params);
 		endpoint.dispatchedTokens += this.#request.tokens;
 		endpoint.runningSuspects += isSuspect ? 1 : 0;
-		const noteEnd = this.#context.engineChoice?.dispatched(endpoint, this.#request, stage);
+		const noteEnd = this.#context.engineChoice.dispatched(endpoint, this.#request, stage);
 		try {
 			const {progressLimitMs, resumeWaitMs} = timings;
 			const outcome = await new StreamAttempt({
@@ -180,7 +180,7 @@
 			this.#noteCrash(endpoint, outcome);
 			return outcome;
 		} finally {
-			noteEnd?.();
+			noteEnd();
 			endpoint.runningSuspects -= isSuspect ? 1 : 0;
 			span.end();
 		}
--- a/packages/entry/src/request-context.ts
+++ b/packages/entry/src/request-context.ts
@@ -10,6 +10,7 @@
 import type {FairAdmission} from './fair-admission.js';
 import type {Metrics} from './metrics.js';
 import type {ModelDemand} from './model-demand.js';
+import type {ServiceChoice} from './service-choice.js';
 import type {Telemetry} from './telemetry.js';
 
 /** What a running request uses of the entry. */
@@ -20,9 +21,12 @@
 	readonly pool: EndpointPool;
 	readonly budget: RetryBudget;
 	readonly suspects: CrashSuspects;
-	readonly choose: ChooseEndpoint;
-	/** Chooses engines by estimated time; absent where another choice is injected. */
-	readonly engineChoice?: EngineChoice;
+	/** Replaces the choices of engines and of service endpoints. */
+	readonly choose?: ChooseEndpoint;
+	/** Chooses engines by estimated time. */
+	readonly engineChoice: EngineChoice;
+	/** Chooses endpoints of plain services by their running calls and distance. */
+	readonly serviceChoice: ServiceChoice;
 	/** Measures what callers ask for, for the role planner. */
 	readonly demand: ModelDemand;
 	/** Holds back accounts that are over their share. */
--- a/packages/entry/src/service-request.ts
+++ b/packages/entry/src/service-request.ts
@@ -74,14 +74,8 @@
 	}
 
 	#chooseEndpoint(): Endpoint {
-		const {pool, timings} = this.#context;
-		const {route, path} = this.#request;
-		const available = pool.available(route.service.name, this.#tried);
-		const endpoint = this.#remainingMs > 0
-			? pickEndpoint(available, {
-				kind: 'service', tokens: 1, prompt: path, isSuspect: false,
-			}, this.#context)
-			: undefined;
+		const {timings} = this.#context;
+		const endpoint = this.#remainingMs > 0 ? this.#pick() : undefined;
 		if (!endpoint) {
 			throw this.#final(giveUp(this.#lastFailure, this.#ran, timings.retryAfterMs));
 		}
@@ -89,6 +83,16 @@
 		return endpoint;
 	}
 
+	#pick(): Endpoint | undefined {
+		const {pool, choose, serviceChoice} = this.#context;
+		const {route, path} = this.#request;
+		const available = pool.available(route.service.name, this.#tried);
+		const request = {
+			kind: 'service', tokens: 1, prompt: path, isSuspect: false,
+		} as const;
+		return choose ? pickEndpoint(available, request, choose, this.#context) : serviceChoice.choose(available);
+	}
+
 	async #attempt(endpoint: Endpoint, signal: AbortSignal): Promise<AttemptResult> {
 		const span = this.#context.telemetry.startSpan('entry.service-call', this.#request.traceparent);
 		this.#tried.add(endpoint);
@@ -99,9 +103,13 @@
 
 		endpoint.openCalls += 1;
 		endpoint.dispatchedTokens += 1;
+		const noteEnd = this.#context.serviceChoice.started(endpoint);
+		let result: AttemptResult | undefined;
 		try {
-			return await this.#call(endpoint, params, signal);
+			result = await this.#call(endpoint, params, signal);
+			return result;
 		} finally {
+			noteEnd(result !== undefined && 'answer' in result);
 			endpoint.openCalls -= 1;
 			span.end();
 		}
