Count ordered roles and unconnected engines in role plans

Cause: a planner takes the roles of other data centres from load reports. Two of them stayed wrong for long. While an order waits for running streams the agent reports the old role, so another data centre answered the same swing. And an entry connects to 32 engines of its own and 4 of each other data centre while the demand is that of all, so a plan for a large fleet rested on a fraction of its capacity.

The report carries nextRole from the start of an order, and the listed engines that an entry is not connected to are taken to have the roles of the connected ones of their data centre.

Ruled out as faults: an agent that is cut off is left out after 3 s, and a whole data centre that is cut off makes both stages look short in the same proportion. Ruled out as a correction: reading the order rows of all other data centres (2,000 reads/s are shared by the fleet).

Tests over the daemons: "finishes running work, marks the row and settles it" timed out without nextRole; "count orders under way elsewhere" printed "engine.order engine-0 1" where no order was expected.

--- a/packages/agent/src/__tests__/lifecycle.test.ts
+++ b/packages/agent/src/__tests__/lifecycle.test.ts
@@ -33,6 +33,8 @@
 			assert.equal(await entry.start('r2').catch((error: unknown) => (error as {code: string}).code), 'engine-changing');
 			await delay(50);
 			assert.equal(engine.orders, []);
+			// Planners elsewhere have to count the engine as what it will be, however long the running work takes.
+			await until(() => entry.reports.some(report => report.role === 'mixed' && report.nextRole === 'decode'));
 			writeEnd(engine.open.get('r1/1')!, 1);
 			await until(() => engine.orders.length === 1);
 			assert.ok(entry.hasEnd('r1'));
@@ -40,7 +42,7 @@
 			assert.equal(readStates(table), ['written', 'started']);
 			engine.state = {...engine.state, changing: false};
 			await until(() => readStates(table).at(-1) === 'settled');
-			await until(() => entry.reports.some(report => report.role === 'decode'));
+			await until(() => entry.reports.some(report => report.role === 'decode' && report.nextRole === undefined));
 			assert.equal(await entry.peer.call('engine.order', {orderNumber: 3}), {state: 'settled'});
 			assert.equal(await entry.peer.call('engine.order', {orderNumber: 2}), {state: 'ignored'});
 			assert.is(engine.orders.length, 1);
--- a/packages/agent/src/__tests__/prefixes.test.ts
+++ b/packages/agent/src/__tests__/prefixes.test.ts
@@ -14,7 +14,7 @@
 
 const longestReport = (prefixes: string[]): LoadReport => ({
 	sequence: 1_000_000, role: 'prefill', running: 1000, waiting: 10_000, waitingTokens: 10_000_000, freeTokens: 10_000_000, prefixes, leaving: false,
-	prefillTokensPerSecond: 0.000_012_3, stepMs: 0.000_012_3, stepMsPerRequest: 0.000_012_3, maxRunning: 1000,
+	prefillTokensPerSecond: 0.000_012_3, stepMs: 0.000_012_3, stepMsPerRequest: 0.000_012_3, maxRunning: 1000, nextRole: 'prefill',
 });
 
 describe('cached prefixes', () => {
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -95,6 +95,7 @@
 			freeTokens: monitor.state?.kvFreeTokens ?? 0,
 			prefixes: prefixes.list(prefixBytes),
 			maxRunning: options.limits.maxRunning,
+			...(orders.orderedRole && {nextRole: orders.orderedRole}),
 			...runner.scheduler.measuredRates,
 		}),
 		startRequest: (params, listener, kind) => runner.start(params, listener, kind),
--- a/packages/agent/src/order-executor.ts
+++ b/packages/agent/src/order-executor.ts
@@ -16,6 +16,7 @@
 	mayExecute,
 	maySettle,
 	parseOrderRow,
+	type EngineOrderRole as EngineRole,
 	type EngineOrderRow,
 	type EngineOrders,
 	type MakeId,
@@ -50,6 +51,7 @@
 export class OrderExecutor {
 	#orders: EngineOrders = initialOrders;
 	#isStarting = false;
+	#orderedRole: EngineRole | undefined;
 
 	constructor(private readonly options: OrderExecutorOptions) {}
 
@@ -58,6 +60,11 @@
 		return this.#orders.phase === 'executing';
 	}
 
+	/** The role that the order under way leads to. */
+	get orderedRole(): EngineRole | undefined {
+		return this.isExecuting ? this.#orderedRole : undefined;
+	}
+
 	/** Rules 2 and 3. The slot port has to be held. Work may run meanwhile; orders may not. */
 	async initialise(): Promise<void> {
 		const found = await this.#readUntilAnswered();
@@ -107,6 +114,7 @@
 		}
 
 		this.#orders = beginOrder(this.#orders, found.row);
+		this.#orderedRole = found.row.role;
 		this.options.log.info('engine order started', {number: started.number, role: started.role});
 		void this.#execute({version: found.version + 1, row: started}).catch((error: unknown) => {
 			if (!this.options.signal.aborted) {
--- a/packages/core/src/policy/plan-roles.ts
+++ b/packages/core/src/policy/plan-roles.ts
@@ -34,8 +34,8 @@
 	/** Engines of the model in this data centre. */
 	readonly engines: readonly PlannedEngine[];
 	/**
-	 * Roles of the model's engines in the other data centres that entries can use, taken from their order rows: reports
-	 * lag, and planners that do not see each other's orders all answer the same swing.
+	 * Roles of the model's other engines that entries can use, with orders under way counted as their target: planners that
+	 * do not see each other's orders all answer the same swing.
 	 */
 	readonly elsewhere: RoleCounts;
 	/** Demand on all of these engines, averaged over a few seconds. */
--- a/packages/entry/src/duties/__tests__/role-duties.test.ts
+++ b/packages/entry/src/duties/__tests__/role-duties.test.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {ConfigView} from '@hawthorncleat/core';
+import {defaultRolePlanOptions, type ConfigView} from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {describe, it} from '@hawthorncleat/test-kit';
@@ -17,9 +17,9 @@
 	prefillTokensPerSecond: 12_000, stepMs: 20, stepMsPerRequest: 0.4, chunkTokens: 256, maxRunning: 64,
 };
 
-const createEndpoint = (id: string, role: string, orders: string[]): Endpoint => ({
-	id, host: {hostId: id, dataCentre: 'dc-1', serves: 'planner'}, isLeaving: false,
-	report: {role, running: 0, prefixes: []},
+const createEndpoint = (id: string, report: {role: string; nextRole?: string}, orders: string[], dataCentre = 'dc-1'): Endpoint => ({
+	id, host: {hostId: id, dataCentre, serves: 'planner'}, isLeaving: false,
+	report: {running: 0, prefixes: [], ...report},
 	peer: {
 		async call(method: string, {orderNumber}: {orderNumber: number}) {
 			orders.push(`${method} ${id} ${orderNumber}`);
@@ -66,7 +66,7 @@
 	it('order roles of connected engines and end with the service; guards against planners that are not started or never end', async () => withWorld(async world => {
 		const orders: string[] = [];
 		const roles = ['prefill', 'prefill', 'prefill', 'decode'];
-		let endpoints = roles.map((role, index) => createEndpoint(`engine-${index}`, role, orders));
+		let endpoints = roles.map((role, index) => createEndpoint(`engine-${index}`, {role}, orders));
 		const stop = start(world, () => endpoints);
 		await waitUntil(() => orders.length > 0);
 		assert.match(orders[0]!, /^engine\.order engine-\d 1$/);
@@ -74,4 +74,21 @@
 		await waitUntil(async () => await holderOf(world) === '');
 		await stop();
 	}));
+
+	it('count orders under way elsewhere; guards against several data centres that answer the same swing', async () => withWorld(async world => {
+		const orders: string[] = [];
+		const local = ['prefill', 'prefill', 'prefill', 'decode'].map((role, index) => createEndpoint(`engine-${index}`, {role}, orders));
+		// The engines elsewhere still wait for their running work, and will decode enough for all.
+		const elsewhere = (report: {role: string; nextRole?: string}): Endpoint[] =>
+			Array.from({length: 4}, (_, index) => createEndpoint(`far-${index}`, report, orders, 'dc-2'));
+		let endpoints = [...local, ...elsewhere({role: 'prefill', nextRole: 'decode'})];
+		const stop = start(world, () => endpoints);
+		await waitUntil(async () => await holderOf(world) === 'e1');
+		// Longer than the dwell time and two rounds.
+		await sleep(defaultRolePlanOptions.dwellMs + 2500);
+		assert.equal(orders, []);
+		endpoints = [...local, ...elsewhere({role: 'prefill'})];
+		await waitUntil(() => orders.length > 0);
+		await stop();
+	}));
 });
--- a/packages/entry/src/duties/role-duties.ts
+++ b/packages/entry/src/duties/role-duties.ts
@@ -3,12 +3,12 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	countRoles, prefixCharacters, type EngineOrderRole,
+	prefixCharacters, type EngineOrderRole,
 } from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {ConfigSource, DutySources, HostSource} from '../deps.js';
 import type {Endpoint} from '../endpoint.js';
-import {capacityModelOf, roleOf} from '../fleet-capacity.js';
+import {capacityModelOf, roleOf, rolesBeyondPlan} from '../fleet-capacity.js';
 import {RolePlanner, type ManagedEngine} from './role-planner.js';
 import {runDuty, type DutyContext} from './run-duty.js';
 
@@ -33,8 +33,8 @@
 	sendOrder: async orderNumber => endpoint.peer?.call('engine.order', {orderNumber}, {timeoutMs: orderTimeoutMs}),
 });
 
-const enginesOf = ({settings, sources}: RoleDutiesOptions, service: string, isLocal: boolean): ManagedEngine[] => sources.endpoints()
-	.filter(({host}) => host.serves === service && (host.dataCentre === settings.dataCentre) === isLocal)
+const enginesOf = ({settings, sources}: RoleDutiesOptions, service: string): ManagedEngine[] => sources.endpoints()
+	.filter(({host}) => host.serves === service && host.dataCentre === settings.dataCentre)
 	.flatMap(endpoint => {
 		const role = roleOf(endpoint);
 		return role ? [toManaged(endpoint, role)] : [];
@@ -49,8 +49,10 @@
 	const planner = new RolePlanner({
 		...context,
 		service,
-		engines: () => enginesOf(options, service, true),
-		elsewhere: () => countRoles(enginesOf(options, service, false).map(({role}) => role)),
+		engines: () => enginesOf(options, service),
+		elsewhere: () => rolesBeyondPlan({
+			service, dataCentre, endpoints: sources.endpoints(), hosts: options.hosts.current(),
+		}),
 		model: () => capacityModelOf(config, service),
 		demand: () => sources.demand.measure(service),
 		rank: () => Math.max(0, rankOf(options)),
--- a/packages/entry/src/fleet-capacity.ts
+++ b/packages/entry/src/fleet-capacity.ts
@@ -16,9 +16,14 @@
 	return rates && {rates, paceMs: defaultTarget.paceMs};
 };
 
-/** The role of a connected engine that takes work. */
+/**
+ * The role of a connected engine that stays, or the one that its order under way leads to: an order waits for running
+ * streams, which can take minutes, and planners that do not see each other's orders all answer the same swing.
+ */
 export const roleOf = ({report, peer, isLeaving}: Endpoint): EngineOrderRole | undefined =>
-	report === undefined || report.role === 'service' || peer === undefined || isLeaving ? undefined : report.role;
+	report === undefined || report.role === 'service' || peer === undefined || isLeaving
+		? undefined
+		: report.nextRole ?? report.role;
 
 export type FleetView = {
 	readonly service: string;
@@ -66,3 +71,20 @@
 
 	return sum;
 };
+
+/**
+ * Engines that the plan of the entry's data centre does not change: those of other data centres and, of its own, those that
+ * the entry is not connected to.
+ */
+export const rolesBeyondPlan = (view: FleetView): RoleCounts => {
+	const all = rolesByDataCentre(view);
+	const local = all.get(view.dataCentre);
+	const unconnected = 1 - (1 / listedPerConnected(view, view.dataCentre));
+	if (local) {
+		all.set(view.dataCentre, {
+			mixed: local.mixed * unconnected, prefill: local.prefill * unconnected, decode: local.decode * unconnected,
+		});
+	}
+
+	return sumRoles(all.values());
+};
