Keep slow callers and late ends out of the measured pace

Cause: an agent took the time of a decode step from the first token to the end of an answer. A caller that reads too slowly holds back the engine, so one such caller made the engine look slow and, since the pace limits the running requests, took places from all others. An end that comes a step after the last token doubled the step of answers of two tokens.

Answers that waited for their connection are left out, and the time counts from the first batch of tokens to the last.

Ruled out: a limit on the length of a pause (slow engines would look fast).

Test: "leaves an answer that waited for its connection out of the pace"; with held-back answers included it printed a step of 50 ms where none was expected.

--- a/packages/agent/src/__tests__/stream.test.ts
+++ b/packages/agent/src/__tests__/stream.test.ts
@@ -3,6 +3,7 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {orphanLimitMs, replayMs} from '../index.js';
+import {RequestScheduler} from '../request-scheduler.js';
 import {StreamStore} from '../stream-store.js';
 import {Stream, type FrameTarget} from '../stream.js';
 import {traceparent} from './fakes.js';
@@ -56,6 +57,30 @@
 		assert.ok(stream.isDelivered);
 	});
 
+	// Guards against a slow caller whose answer makes the engine look too slow for more requests.
+	it('leaves an answer that waited for its connection out of the pace', async () => {
+		const measure = async (text: string): Promise<number | undefined> => {
+			const scheduler = new RequestScheduler({maxRunning: 4, maxWaitingTokens: 1000}, () => 'mixed');
+			const stream = createStream();
+			scheduler.add(stream);
+			scheduler.takeNext(0);
+			stream.startedMs = 0;
+			for (const nowMs of [10, 60, 110]) {
+				scheduler.noteTokens(stream, 1, nowMs);
+				stream.append([text]);
+			}
+
+			void stream.waitForRoom();
+			// The end comes late, which must not count as time for tokens either.
+			stream.finish({end}, 500);
+			scheduler.finish(stream, 500);
+			return scheduler.measuredRates.stepMs;
+		};
+
+		assert.is(await measure('a'), 50);
+		assert.is(await measure('a'.repeat(1024 * 1024)), undefined);
+	});
+
 	// Guards against memory that grows while an entry reads slowly.
 	it('pauses on a slow connection and holds back the engine', async () => {
 		const stream = createStream();
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -197,7 +197,10 @@
 			requestId: stream.engineRequestId, clientAccount, prompt, maxTokens, priority, delivered, ...(kv && {kv}),
 		};
 		for await (const batch of engine.generate(params, stream.span.traceparent, stream.abort.signal)) {
-			this.scheduler.noteFirstToken(stream, clock.nowMs());
+			if (batch.tokens.length > 0) {
+				this.scheduler.noteTokens(stream, batch.tokens.length, clock.nowMs());
+			}
+
 			metrics.outputTokens.inc(batch.tokens.length);
 			stream.append(batch.tokens);
 			if (batch.end) {
@@ -216,7 +219,7 @@
 		const {handle, promptTokens, cachedTokens} = await engine.prefill({
 			requestId: stream.engineRequestId, clientAccount, prompt, priority,
 		}, stream.span.traceparent, stream.abort.signal);
-		this.scheduler.noteFirstToken(stream, clock.nowMs());
+		this.scheduler.noteTokens(stream, 0, clock.nowMs());
 		this.#end(stream, {
 			end: {
 				reason: 'prefilled', promptTokens, cachedTokens, outputTokens: 0, kv: {source: kvUrl, handle},
--- a/packages/agent/src/request-scheduler.ts
+++ b/packages/agent/src/request-scheduler.ts
@@ -141,13 +141,17 @@
 		return next;
 	}
 
-	/** Notes that the first token of a request has arrived. */
-	noteFirstToken(stream: Stream, nowMs: number): void {
+	/** Notes that tokens of a request have arrived, or that a prefill has ended. */
+	noteTokens(stream: Stream, count: number, nowMs: number): void {
+		this.#meter.change(this.running.size, nowMs);
 		if (stream.firstTokenMs === undefined) {
-			this.#meter.change(this.running.size, nowMs);
 			stream.firstTokenMs = nowMs;
+			stream.firstTokens = count;
 			stream.runningMsAtFirstToken = this.#meter.runningMs;
 		}
+
+		stream.lastTokenMs = nowMs;
+		stream.runningMsAtLastToken = this.#meter.runningMs;
 	}
 
 	/** Frees the place of a request; one that reached its end gives a sample of the engine's rates. */
@@ -161,23 +165,24 @@
 		const {outcome, params, work} = stream;
 		const end = outcome && 'end' in outcome ? outcome.end : undefined;
 		if (end) {
-			this.#measure(stream, end, nowMs, sharedBy);
+			this.#measure(stream, end, sharedBy);
 		}
 
 		const prefillTokens = end ? Math.max(0, end.promptTokens - end.cachedTokens) : work.prefillTokens;
 		this.#queue.correct(params.clientAccount, params.weight, prefillTokens + stream.tokenCount - totalTokens(work));
 	}
 
-	#measure(stream: Stream, end: FrameEnd, nowMs: number, sharedBy: number): void {
-		const {startedMs, firstTokenMs, promptCharacters, tokenCount} = stream;
+	#measure(stream: Stream, end: FrameEnd, sharedBy: number): void {
+		const {startedMs, firstTokenMs, promptCharacters, tokenCount, firstTokens, lastTokenMs} = stream;
 		if (startedMs === undefined || firstTokenMs === undefined) {
 			return;
 		}
 
-		const decodeMs = nowMs - firstTokenMs;
-		const step = tokenCount > 1 && decodeMs > 0 && {
-			running: (this.#meter.runningMs - stream.runningMsAtFirstToken) / decodeMs,
-			stepMs: decodeMs / (tokenCount - 1),
+		// The end may come later than the last token, which would make short answers look slow.
+		const decodeMs = lastTokenMs - firstTokenMs;
+		const step = tokenCount > firstTokens && decodeMs > 0 && !stream.wasHeldBack && {
+			running: (stream.runningMsAtLastToken - stream.runningMsAtFirstToken) / decodeMs,
+			stepMs: decodeMs / (tokenCount - firstTokens),
 		};
 		this.#rates = addSample(this.#rates, {
 			promptCharacters,
--- a/packages/agent/src/stream.ts
+++ b/packages/agent/src/stream.ts
@@ -31,8 +31,14 @@
 	listenerLostMs: number | undefined;
 	startedMs: number | undefined;
 	firstTokenMs: number | undefined;
-	/** Reading of the scheduler's meter at the first token. */
+	/** Whether the engine had to wait for a slow connection, so that its time for a token shows nothing of the engine. */
+	wasHeldBack = false;
+	/** Tokens that arrived together with the first. */
+	firstTokens = 0;
+	lastTokenMs = 0;
+	/** Readings of the scheduler's meter at the first and the last token. */
 	runningMsAtFirstToken = 0;
+	runningMsAtLastToken = 0;
 	readonly abort = new AbortController();
 	readonly promptCharacters: number;
 
@@ -144,6 +150,7 @@
 			return;
 		}
 
+		this.wasHeldBack = true;
 		await new Promise<void>(resolve => {
 			this.#resolveRoom = resolve;
 		});
