--- a/packages/histories/src/__tests__/duty-outage.test.ts
+++ b/packages/histories/src/__tests__/duty-outage.test.ts
@@ -12,6 +12,8 @@
 
 const outageSeed = 901;
 const cutOffSeed = 902;
+const singleSeed = 903;
+const killSeed = 904;
 const duty = `roles/${fleetServices.model}/dc-1`;
 const witnessSettleMs = 1000;
 /** Witnesses of duties settle for six seconds at least. */
@@ -69,29 +71,42 @@
 	return listEvents(fleet).at(-1)!.entry;
 };
 
-const withPlanner = async (seed: number, body: (fleet: Fleet, links: FleetLinks, holder: string) => Promise<void>): Promise<void> =>
+const withPlanner = async (seed: number, entries: number, body: (fleet: Fleet, links: FleetLinks, holder: string) => Promise<void>): Promise<void> =>
 	withLinkedFleet({
-		seed, entries: 3, engines: 2, settings: {entry: {witnessSettleMs, logFormat: 'json'}},
+		seed, entries, engines: 2, settings: {entry: {witnessSettleMs, logFormat: 'json'}},
 	}, async (fleet, links) => {
 		const holder = await startPlanning(fleet);
 		await body(fleet, links, holder);
-		assertNoOverlap(fleet);
 	});
 
 describe('authority of a role planner during a table outage', () => {
-	it('lasts for longer than a lease when the table is down for all; guards against planning that stops and a second planner', async () => withPlanner(outageSeed, async (fleet, _links, holder) => {
+	it('lasts for longer than a lease when the table is down for all; guards against planning that stops and a second planner', async () => withPlanner(outageSeed, 3, async (fleet, _links, holder) => {
 		fleet.setFaults({tableDown: true});
 		await sleep(outageMs);
 		assert.equal(listEvents(fleet).map(({entry, message}) => [entry, message]), [[holder, taken], [holder, continued]]);
 		fleet.setFaults({});
 		await waitFor('the next planner', () => count(fleet, taken) === 2, passingLimitMs);
+		assertNoOverlap(fleet);
 	}));
 
-	it('passes without overlap when only the holder is cut off from the table; guards against two planners', async () => withPlanner(cutOffSeed, async (fleet, links, holder) => {
+	it('passes when only the holder is cut off from the table; guards against two planners', async () => withPlanner(cutOffSeed, 3, async (fleet, links, holder) => {
 		links.platform(holder).partition();
 		await waitFor('another planner', () => count(fleet, taken) === 2, passingLimitMs);
+		assertNoOverlap(fleet);
 		const events = listEvents(fleet);
 		assert.is.not(events.findLast(({message}) => message === taken)!.entry, holder);
 		assert.not.ok(events.some(({message}) => message === continued), 'witnesses that reach the table do not attest');
 	}));
+
+	it('lasts in a fleet with a single entry, which is its own majority', async () => withPlanner(singleSeed, 1, async (fleet, _links, holder) => {
+		fleet.setFaults({tableDown: true});
+		await sleep(outageMs);
+		assert.equal(listEvents(fleet).map(({entry, message}) => [entry, message]), [[holder, taken], [holder, continued]]);
+	}));
+
+	it('passes to the other of two entries when the holder is killed; guards against waiting for a dead witness', async () => withPlanner(killSeed, 2, async (fleet, _links, holder) => {
+		await fleet.kill(holder);
+		const other = fleet.entryNames.find(name => name !== holder)!;
+		await waitFor('the other planner', () => listEvents(fleet).some(({entry, message}) => entry === other && message === taken), passingLimitMs);
+	}));
 });
