--- a/packages/core/src/__tests__/duty-outage-world.ts
+++ b/packages/core/src/__tests__/duty-outage-world.ts
@@ -203,15 +203,10 @@
 	}
 
 	watchAll(): void {
-		for (const index of this.entries.keys()) {
-			this.watch(index);
-		}
-	}
-
-	watch(index: number): void {
-		const entry = this.entries[index]!;
-		if (entry.takeover?.version !== this.#row.version) {
-			entry.takeover = {version: this.#row.version, seenMs: this.nowMs};
+		for (const entry of this.entries) {
+			if (entry.takeover?.version !== this.#row.version) {
+				entry.takeover = {version: this.#row.version, seenMs: this.nowMs};
+			}
 		}
 	}
 
