Let an agent that was paused refuse what was sent to it meanwhile

Cause: an agent that resumed started requests that had waited in its own queue since before the pause, at a host that had begun to leave more than 5 s earlier (I12). Unread messages could be taken in the same way when input is read before the timers that notice a silent connection.

The agent looks for a gap of more than 2 s in its own clock before each new request, each start at the engine and each accepted connection. After a gap it refuses new work on the connections of that time as "agent-paused", not run, gives back what waits with the same code and closes those connections after 200 ms.

Ruled out: a buffered request.start as the usual way.

--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -8,6 +8,7 @@
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
+import type {Clock} from '@hawthorncleat/core';
 import type {Table} from '@hawthorncleat/platform';
 import type {
 	AgentSettings, CrashSuspect, EngineState, GenerateParams, LoadReport, RequestFailed, RequestFrame, RequestStartParams, TableRow,
@@ -290,6 +291,7 @@
 	changes: Partial<AgentSettings>,
 	body: (setting: Setting) => Promise<void>,
 	prepare: (engine: FakeEngine, table: FakeTable) => void = () => undefined,
+	agentClock: Clock = clock,
 ): Promise<void> => {
 	const controller = new AbortController();
 	const {signal} = controller;
@@ -298,7 +300,7 @@
 	prepare(engine, table);
 	await engine.start();
 	const dependencies = {
-		clock, random: () => 0.5, makeId, log: silentLog, table,
+		clock: agentClock, random: () => 0.5, makeId, log: silentLog, table,
 	};
 	const agent = await startAgent(createSettings({endpointUrl: engine.url, ...changes}), dependencies, signal);
 	try {
--- a/packages/agent/src/endpoint.ts
+++ b/packages/agent/src/endpoint.ts
@@ -30,6 +30,8 @@
 	callService(params: ServiceCallParams): Promise<ServiceCallResult>;
 	receiveOrder(orderNumber: number): Promise<EngineOrderResult>;
 	detach(listener: FrameTarget): void;
+	/** Gives back, as not run, the work that waits, because this process was paused. */
+	dropWaiting(): void;
 	/** Settles when all accepted work has ended. */
 	whenIdle(): Promise<void>;
 	/** Whether the entries that listen were sent everything. */
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -21,6 +21,8 @@
 	readonly makeId: MakeId;
 	readonly signal: AbortSignal;
 	readonly onRoleChange: () => void;
+	/** Looks for a pause of this process before work starts. */
+	readonly checkPause: () => void;
 };
 
 /** Creates the endpoint of a model engine. */
@@ -60,7 +62,10 @@
 			const state = await monitor.probe();
 			return state !== undefined;
 		},
-		mayStart: () => monitor.state?.changing === false,
+		mayStart() {
+			options.checkPause();
+			return monitor.state?.changing === false;
+		},
 		notePrompt(prompt) {
 			prefixes.notePrompt(prompt);
 		},
@@ -110,6 +115,9 @@
 			metrics.orders.inc({result: result.state});
 			return result;
 		},
+		dropWaiting() {
+			runner.failWaiting('agent-paused');
+		},
 		detach(listener) {
 			runner.detach(listener);
 		},
--- a/packages/agent/src/handlers.ts
+++ b/packages/agent/src/handlers.ts
@@ -17,6 +17,8 @@
 	readonly incarnation: string;
 	readonly identity: HelloResult;
 	readonly readiness: () => Readiness;
+	/** Whether a connection was open during a pause of this process, so that its messages may be old. */
+	readonly isStale: (peer: Peer) => boolean;
 	readonly onHello: (peer: Peer) => void;
 };
 
@@ -38,6 +40,15 @@
 		}
 	};
 
+	const checkAvailable = (peer: Peer): void => {
+		if (options.isStale(peer)) {
+			metrics.refused.inc({code: 'agent-paused'});
+			throw unavailable('agent-paused', 'the agent was paused and takes new work on a new connection only');
+		}
+
+		checkReady();
+	};
+
 	return {
 		hello({id}, peer) {
 			peer.remoteId = id;
@@ -49,26 +60,26 @@
 		},
 		'request.start'(params, peer) {
 			checkIncarnation(params.incarnation, false);
-			checkReady();
+			checkAvailable(peer);
 			return endpoint.startRequest(params, peer, 'answer');
 		},
 		'request.prefill'(params, peer) {
 			checkIncarnation(params.incarnation, false);
-			checkReady();
+			checkAvailable(peer);
 			return endpoint.startRequest(params, peer, 'prefill');
 		},
 		'request.resume': (params, peer) => endpoint.resumeRequest(params, peer),
 		'request.cancel'(params) {
 			endpoint.cancelRequest(params);
 		},
-		async 'service.call'(params) {
+		async 'service.call'(params, peer) {
 			checkIncarnation(params.incarnation, params.action !== undefined);
 			// First, because a refusal as not ready says that the action did not run.
 			if (params.action) {
 				endpoint.checkAction(params.action);
 			}
 
-			checkReady();
+			checkAvailable(peer);
 			return endpoint.callService(params);
 		},
 		async 'engine.order'({orderNumber}) {
--- a/packages/agent/src/request-runner.ts
+++ b/packages/agent/src/request-runner.ts
@@ -110,10 +110,10 @@
 		this.failWaiting();
 	}
 
-	/** The engine takes no work: what waits goes elsewhere. */
-	failWaiting(): void {
+	/** No more work may start here: what waits goes elsewhere. */
+	failWaiting(code = 'engine-unreachable'): void {
 		for (const stream of this.scheduler.clearWaiting()) {
-			this.#fail(stream, {code: 'engine-unreachable', ran: 'not-run', crash: false});
+			this.#fail(stream, {code, ran: 'not-run', crash: false});
 		}
 	}
 
--- a/packages/agent/src/service-endpoint.ts
+++ b/packages/agent/src/service-endpoint.ts
@@ -28,6 +28,7 @@
 		},
 		callService: async params => calls.call(params),
 		receiveOrder: async () => ({state: 'ignored'}),
+		dropWaiting() {/* A call starts at once; none waits. */},
 		detach() {/* The answer of a call goes to the connection that asked. */},
 		whenIdle: async () => calls.whenIdle(),
 		isDelivered: () => calls.running === 0,
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -17,6 +17,7 @@
 import {createHandlers} from './handlers.js';
 import {LoadReporter} from './load-reporter.js';
 import {addGauges, createMetrics, type AgentMetrics} from './metrics.js';
+import {Pauses} from './pauses.js';
 import {createServiceEndpoint} from './service-endpoint.js';
 import {holdSlot} from './slot.js';
 
@@ -52,7 +53,7 @@
 	readonly peers: Set<Peer>;
 };
 
-const createEndpoint = (context: Context, onRoleChange: () => void): Endpoint => {
+const createEndpoint = (context: Context, onRoleChange: () => void, checkPause: () => void): Endpoint => {
 	const {settings, dependencies, tracing, metrics, signal, peers, incarnation} = context;
 	const onCrash = (fingerprints: string[]): void => {
 		for (const peer of peers) {
@@ -88,6 +89,7 @@
 		signal,
 		onCrash,
 		onRoleChange,
+		checkPause,
 	});
 };
 
@@ -146,11 +148,12 @@
 	peers: new Set(),
 });
 
+type ListeningParts = {readonly availability: Availability; readonly reporter: LoadReporter; readonly pauses: Pauses};
+
 const listenForEntries = async (
 	context: Context,
 	endpoint: Endpoint,
-	availability: Availability,
-	reporter: LoadReporter,
+	{availability, reporter, pauses}: ListeningParts,
 ): Promise<Listener> => {
 	const {settings, dependencies, incarnation, metrics, peers, signal} = context;
 	const handlers = createHandlers({
@@ -158,6 +161,7 @@
 		metrics,
 		incarnation,
 		readiness: () => availability.read(),
+		isStale: peer => pauses.isStale(peer),
 		identity: {
 			id: settings.agentId === '' ? `agent-${settings.endpoint}` : settings.agentId,
 			role: 'agent',
@@ -177,6 +181,8 @@
 		handlers,
 		heartbeat: () => ({configVersion: 0, leaving: availability.isLeaving}),
 		onPeer(peer) {
+			// A connection that is accepted after a pause is a new one.
+			pauses.check();
 			peers.add(peer);
 			void peer.closed.then(() => {
 				peers.delete(peer);
@@ -207,6 +213,13 @@
 	const context = createContext(settings, dependencies, AbortSignal.any([signal, own.signal]));
 	const endpoint: Endpoint = createEndpoint(context, () => {
 		reporter.reportAll();
+	}, () => {
+		pauses.check();
+	});
+	const pauses: Pauses = new Pauses({
+		clock: dependencies.clock, log: dependencies.log, peers: context.peers, dropWaiting() {
+			endpoint.dropWaiting();
+		},
 	});
 	const availability = new Availability(() => endpoint);
 	const reporter: LoadReporter = new LoadReporter(prefixBytes => ({
@@ -214,13 +227,14 @@
 	}), () => context.peers);
 	const release = async (): Promise<void> => {
 		reporter.close();
+		pauses.close();
 		await endpoint.close();
 		await context.tracing.shutdown();
 	};
 
 	addAgentGauges(context, endpoint, availability);
 	try {
-		const listener = await listenForEntries(context, endpoint, availability, reporter);
+		const listener = await listenForEntries(context, endpoint, {availability, reporter, pauses});
 		const admin = await startAdminServer({
 			address: settings.address,
 			port: settings.adminPort,
--- a/packages/histories/src/__tests__/leaving-endpoint.test.ts
+++ b/packages/histories/src/__tests__/leaving-endpoint.test.ts
@@ -1,6 +1,6 @@
 /**
  * Invariant I12: an endpoint that leaves gets no new work after 5 s, whether only the lagging host list says so or only
- * the agent itself.
+ * the agent itself. An agent that was paused meanwhile does not start afterwards what entries had sent to it.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {HostList, HostRecord} from '@hawthorncleat/schema';
@@ -22,9 +22,10 @@
 /** Load goes on for this long after the limit. */
 const afterLimitMs = 3000;
 const hostListLagMs = 2000;
+const resumeAfterLimitMs = [200, 800] as const;
 
 type Leave = (fleet: Fleet) => Promise<void>;
-type Scenario = {readonly seed: number; readonly name: string; readonly lagMs: number; readonly leave: Leave};
+type Scenario = {readonly seed: number; readonly name: string; readonly lagMs: number; readonly leave: Leave; readonly isPaused?: boolean};
 
 const readHost = async (fleet: Fleet): Promise<HostRecord> => {
 	const answer = await fetch(`${fleet.standIns.platform.url}/hosts?dataCentre=dc-1`);
@@ -49,13 +50,23 @@
 	{
 		seed: 112, name: 'said by the agent alone', lagMs: 0, leave: leaveByDrain,
 	},
+	{
+		seed: 113, name: 'while its agent is paused', lagMs: 0, leave: leaveInHostList, isPaused: true,
+	},
+	{
+		seed: 114, name: 'while its agent is paused, said 2 s late', lagMs: hostListLagMs, leave: leaveInHostList, isPaused: true,
+	},
 ];
 
-const runScenario = async ({seed, lagMs, leave}: Scenario): Promise<void> => {
+const runScenario = async ({seed, lagMs, leave, isPaused = false}: Scenario): Promise<void> => {
 	const random = createSeededRandom(seed);
 	const key = createCallerKey(random, 'caller', 'planning');
 	await withLinkedFleet({
-		seed, entries: 2, engines: [leavingEndpoint, 'engine-2'].map(name => ({name, dataCentre: 'dc-1', options: {stepMs: 10}})),
+		seed,
+		entries: 2,
+		engines: [leavingEndpoint, 'engine-2'].map(name => ({name, dataCentre: 'dc-1', options: {stepMs: 10}})),
+		// With one place, requests wait in the agent when it is paused.
+		settings: isPaused ? {agent: {maxRunning: 1}} : {},
 	}, async fleet => {
 		await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
 		fleet.setFaults({hostListLagMs: lagMs});
@@ -70,9 +81,21 @@
 			}
 		});
 		await sleep(random.integer(800, 1200));
+		if (isPaused) {
+			fleet.pause(`agent-${leavingEndpoint}`);
+			// Calls reach the paused agent before its host leaves.
+			await sleep(random.integer(100, 300));
+		}
+
 		const atMs = performance.now();
 		await leave(fleet);
-		await sleep(leaveLimitMs + afterLimitMs);
+		await sleep(leaveLimitMs);
+		if (isPaused) {
+			await sleep(random.integer(...resumeAfterLimitMs));
+			fleet.resume(`agent-${leavingEndpoint}`);
+		}
+
+		await sleep(afterLimitMs);
 		controller.abort();
 		await Promise.all(load);
 		const work = listWork(fleet);
