Send no request to an engine that changes its role

Cause: role planning with real processes had never been run. The load report of a changing engine said nothing of the change, and an engine without work looks best, so entries kept choosing it. Each refusal took a retry from the budget of a tenth, and once it was used up the refusal went to the caller.

Ruled out: refused work at the agent's queue (it is finished before the order) and the split over a prefill engine (its handle stays valid). A larger retry budget was not considered, because it limits overload.

Change: an agent reports at once when its engine begins or ceases to take work (`unavailable` in load.report), and entries leave it out meanwhile.

--- a/packages/agent/src/__tests__/lifecycle.test.ts
+++ b/packages/agent/src/__tests__/lifecycle.test.ts
@@ -46,6 +46,21 @@
 			assert.is(engine.orders.length, 1);
 		}));
 
+		// Guards against an entry that uses up its retries on an engine that changes its role.
+		it('reports at once that the engine takes no work, until the order is settled', async () => withAgent({}, async ({entry, engine, table}) => {
+			const isUnavailable = (): boolean => entry.reports.at(-1)?.unavailable === true;
+			await until(() => entry.reports.length > 0 && !isUnavailable());
+			table.put(key, written);
+			await entry.peer.call('engine.order', {orderNumber: 3});
+			// The report comes before the answer, on the same connection.
+			assert.ok(isUnavailable(), 'the entry learnt of the order by the next regular report');
+			await until(() => engine.orders.length === 1);
+			const before = entry.reports.length;
+			engine.state = {...engine.state, changing: false};
+			await until(() => entry.reports.length > before && !isUnavailable());
+			assert.is(readStates(table).at(-1), 'settled');
+		}));
+
 		// Guards against an order that runs twice after its agent was killed in the middle.
 		it('settles the order of its predecessor without sending it', async () => {
 			const prepare = (engine: FakeEngine, table: FakeTable): void => {
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -20,16 +20,27 @@
 	readonly table: Table;
 	readonly makeId: MakeId;
 	readonly signal: AbortSignal;
-	readonly onRoleChange: () => void;
+	/** Called when entries must hear of a change before the next regular report. */
+	readonly onReportDue: () => void;
 };
 
 /** Creates the endpoint of a model engine. */
 export const createEngineEndpoint = (options: EngineEndpointOptions): Endpoint => {
-	const {engine, log, metrics, signal, onRoleChange} = options;
+	const {engine, log, metrics, signal, onReportDue} = options;
 	const stopped = new AbortController();
 	const closed = AbortSignal.any([signal, stopped.signal]);
 	// An engine that restarts keeps its last known role until it answers.
 	let role: EngineOrderRole = 'mixed';
+	let wasUnavailable = true;
+	// Entries learn at once that the engine takes no work, because each refused request uses up their retries.
+	const reportAvailability = (): void => {
+		const isUnavailable = problems().length > 0;
+		if (isUnavailable !== wasUnavailable) {
+			wasUnavailable = isUnavailable;
+			onReportDue();
+		}
+	};
+
 	const monitor: EngineMonitor = new EngineMonitor(engine, {
 		onDown(isGone) {
 			log.warn('engine does not answer', {isGone});
@@ -39,6 +50,8 @@
 			} else {
 				runner.failWaiting();
 			}
+
+			reportAvailability();
 		},
 		onState(state, previous) {
 			if (!previous) {
@@ -47,9 +60,11 @@
 
 			if (state.role !== role) {
 				role = state.role;
-				onRoleChange();
+				onReportDue();
 			}
 
+			reportAvailability();
+
 			runner.pump();
 		},
 	});
@@ -69,6 +84,7 @@
 		...options,
 		probe: async () => monitor.probe(),
 		whenIdle: async () => runner.whenIdle(),
+		onExecuting: reportAvailability,
 	});
 	const problems = (): string[] => [
 		...(monitor.state ? [] : ['engine-unreachable']),
@@ -94,6 +110,7 @@
 			freeTokens: monitor.state?.kvFreeTokens ?? 0,
 			prefixes: prefixes.list(prefixBytes),
 			maxRunning: options.limits.maxRunning,
+			...(problems().length > 0 && {unavailable: true}),
 			...runner.scheduler.measuredRates,
 		}),
 		startRequest: (params, listener, kind) => runner.start(params, listener, kind),
--- a/packages/agent/src/load-reporter.ts
+++ b/packages/agent/src/load-reporter.ts
@@ -1,6 +1,6 @@
 /**
- * Sends load reports to the connected entries, at most one a second for each, and at once on a change of role or when
- * the agent begins to leave.
+ * Sends load reports to the connected entries, at most one a second for each, and at once on a change of role, when the
+ * engine begins or ceases to take work, or when the agent begins to leave.
  */
 import type {LoadReport} from '@hawthorncleat/schema';
 import type {Peer} from '@hawthorncleat/wire';
--- a/packages/agent/src/order-executor.ts
+++ b/packages/agent/src/order-executor.ts
@@ -44,6 +44,8 @@
 	readonly probe: () => Promise<EngineState | undefined>;
 	/** Settles when nothing runs or waits at the engine; called after `isExecuting` became true. */
 	readonly whenIdle: () => Promise<void>;
+	/** Called after `isExecuting` has changed. */
+	readonly onExecuting: () => void;
 };
 
 /** The orders of one engine. */
@@ -61,7 +63,7 @@
 	/** Rules 2 and 3. The slot port has to be held. Work may run meanwhile; orders may not. */
 	async initialise(): Promise<void> {
 		const found = await this.#readUntilAnswered();
-		this.#orders = learnRow(found?.row);
+		this.#become(learnRow(found?.row));
 		if (found && this.#orders.phase === 'settling') {
 			this.options.log.info('settling an unfinished engine order', {number: found.row.number, state: found.row.state});
 			await this.#settle(found);
@@ -91,6 +93,14 @@
 		}
 	}
 
+	#become(orders: EngineOrders): void {
+		const wasExecuting = this.isExecuting;
+		this.#orders = orders;
+		if (this.isExecuting !== wasExecuting) {
+			this.options.onExecuting();
+		}
+	}
+
 	async #startOrder(): Promise<EngineOrderResult> {
 		const found = await this.#read().catch((error: unknown) => {
 			throw this.#tableUnavailable(error);
@@ -106,7 +116,7 @@
 			return {state: 'ignored'};
 		}
 
-		this.#orders = beginOrder(this.#orders, found.row);
+		this.#become(beginOrder(this.#orders, found.row));
 		this.options.log.info('engine order started', {number: started.number, role: started.role});
 		void this.#execute({version: found.version + 1, row: started}).catch((error: unknown) => {
 			if (!this.options.signal.aborted) {
@@ -158,7 +168,7 @@
 			return;
 		}
 
-		this.#orders = finishOrder(this.#orders);
+		this.#become(finishOrder(this.#orders));
 	}
 
 	/** Writes until the table tells whether the write took effect. */
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -52,7 +52,7 @@
 	readonly peers: Set<Peer>;
 };
 
-const createEndpoint = (context: Context, onRoleChange: () => void): Endpoint => {
+const createEndpoint = (context: Context, onReportDue: () => void): Endpoint => {
 	const {settings, dependencies, tracing, metrics, signal, peers, incarnation} = context;
 	const onCrash = (fingerprints: string[]): void => {
 		for (const peer of peers) {
@@ -87,7 +87,7 @@
 		marks: new CrashMarks(clock),
 		signal,
 		onCrash,
-		onRoleChange,
+		onReportDue,
 	});
 };
 
--- a/packages/entry/src/endpoint.ts
+++ b/packages/entry/src/endpoint.ts
@@ -86,7 +86,7 @@
 
 	/** Whether new work may be sent here. */
 	get acceptsWork(): boolean {
-		return this.peer !== undefined && !this.isLeaving;
+		return this.peer !== undefined && !this.isLeaving && this.#report?.unavailable !== true;
 	}
 
 	get isIdle(): boolean {
--- /dev/null
+++ b/packages/histories/src/role-load.ts
@@ -0,0 +1,94 @@
+/**
+ * Callers whose ratio of prompt to output tokens changes, for histories in which the planner changes roles.
+ */
+import {setMaxListeners} from 'node:events';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Change} from '@hawthorncleat/schema';
+import type {CallerKey} from './caller-keys.js';
+import type {Fleet} from './fleet.js';
+import {KeptCaller, type ModelCall} from './kept-caller.js';
+import type {CallObservation} from './rules/observations.js';
+
+const pauseMs = 50;
+const promptWords = {prompts: 300, outputs: 10} as const;
+const maxTokens = {prompts: 4, outputs: 60} as const;
+
+/** Which kind of token most of the work consists of. */
+export type TokenMix = keyof typeof promptWords;
+
+/**
+ * Speeds far below those of the stand-ins, so that a few callers are much work for the planner. A chunk of 16 tokens in
+ * 20 ms lets a mixed engine work off 800 prompt tokens a second and a prefill engine 2,000.
+ */
+export const declareEngineRates = (): Change => ({
+	put: [{
+		kind: 'model-version',
+		name: 'restock-v1',
+		model: 'restock',
+		version: '1',
+		engineRates: {
+			prefillTokensPerSecond: 2000, stepMs: 20, stepMsPerRequest: 1, chunkTokens: 16, maxRunning: 16,
+		},
+	}],
+});
+
+/** An order as an engine received it. */
+export type RoleOrder = {readonly engine: string; readonly number: number; readonly role: string | undefined; readonly atMs: number};
+
+/** The orders of all engines in order of time. */
+export const listRoleOrders = (fleet: Fleet): RoleOrder[] => [...fleet.standIns.engines]
+	.flatMap(([engine, {history}]) => history.flatMap(record => record.kind === 'order-start'
+		? [{
+			engine, number: record.order.orderNumber, role: record.order.role, atMs: record.atMs,
+		}]
+		: []))
+	.toSorted((a, b) => a.atMs - b.atMs);
+
+export type MixedLoadOptions = {readonly callersPerEntry: number; readonly key: CallerKey; readonly seed: number};
+
+/** Callers at every entry, each with one call at a time. */
+export class MixedLoad {
+	mix: TokenMix = 'prompts';
+	readonly #callers: KeptCaller[];
+	readonly #seed: number;
+	readonly #stopped = new AbortController();
+
+	constructor(fleet: Fleet, {callersPerEntry, key, seed}: MixedLoadOptions) {
+		this.#seed = seed;
+		this.#callers = fleet.entryNames.flatMap(entry => Array.from({length: callersPerEntry}, () => new KeptCaller(fleet, entry, key)));
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		const ending = AbortSignal.any([signal, this.#stopped.signal]);
+		setMaxListeners(0, ending);
+		await Promise.all(this.#callers.map(async (caller, index) => {
+			for (let number = 1; !ending.aborted; number += 1) {
+				await caller.call(this.#createCall(index, number));
+				await sleep(pauseMs, undefined, {signal: ending}).catch(() => {/* The loop ends. */});
+			}
+
+			await caller.close();
+		}));
+	}
+
+	/** What the callers saw so far. */
+	get calls(): CallObservation[] {
+		return this.#callers.flatMap(({observations}) => observations);
+	}
+
+	/** Lets the calls under way end; `run` then settles. */
+	stop(): void {
+		this.#stopped.abort();
+	}
+
+	#createCall(index: number, number: number): ModelCall {
+		const words = Array.from({length: promptWords[this.mix]}, (_, position) => `word${position}`);
+		// The beginning differs, so that no prompt is found in a prefix cache.
+		return {
+			id: `r${index}-${number}`,
+			prompt: `${this.#seed} ${index} ${number} ${words.join(' ')}`,
+			maxTokens: maxTokens[this.mix],
+			stream: index % 2 === 0,
+		};
+	}
+}
