Order role changes without the table

Cause: a role order was a table row only, so that roles were frozen in an outage, and an order under way when the table went down kept its engine from work until the table was back.

Change: order numbers of epoch e start at e * 2^20. During an outage the planner sends the order itself; the agent finishes running work, asks back with order.confirm on the same connection and sends the order to the engine only while the confirmation is valid. The planner keeps one open order for each engine and confirms its number once. An agent that starts first waits until the engine changes nothing. The row is written when the table is back; the engine works in its new role meanwhile.

A planner's write from before the outage may take effect late, with a number below that of an order that only the engine has seen, and an agent that restarted would execute it. A number that is dropped without a confirmation does not become the highest known, or a row below it would stay unfinished for ever.

--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -8,9 +8,9 @@
 import type {AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Table} from '@hawthorncleat/platform';
+import {createStoreError, type Table} from '@hawthorncleat/platform';
 import type {
-	AgentSettings, CrashSuspect, EngineState, GenerateParams, LoadReport, RequestFailed, RequestFrame, RequestStartParams, TableRow,
+	AgentSettings, CrashSuspect, EngineState, GenerateParams, LoadReport, OrderConfirmParams, OrderConfirmResult, RequestFailed, RequestFrame, RequestStartParams, TableRow,
 } from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {dial, type Peer} from '@hawthorncleat/wire';
@@ -145,6 +145,9 @@
 export class FakeTable implements Table {
 	readonly rows = new Map<string, TableRow>();
 	readonly history: unknown[] = [];
+	isDown = false;
+	/** Reads that were answered. */
+	reads = 0;
 
 	put(key: string, value: unknown): void {
 		this.rows.set(key, {key, value, version: (this.rows.get(key)?.version ?? 0) + 1});
@@ -152,6 +155,8 @@
 	}
 
 	async read(key: string): Promise<TableRow | undefined> {
+		this.#checkUp();
+		this.reads += 1;
 		return this.rows.get(key);
 	}
 
@@ -160,6 +165,7 @@
 	}
 
 	async transact({checks, puts}: Parameters<Table['transact']>[0]): ReturnType<Table['transact']> {
+		this.#checkUp();
 		const failed = checks.filter(({key, version}) => (this.rows.get(key)?.version ?? null) !== version).map(({key}) => key);
 		if (failed.length > 0) {
 			return {ok: false, failed};
@@ -171,6 +177,12 @@
 
 		return {ok: true, versions: {}};
 	}
+
+	#checkUp(): void {
+		if (this.isDown) {
+			throw createStoreError('the table is down', 'not-written');
+		}
+	}
 }
 
 /** A connection of an entry with everything that arrived on it. */
@@ -179,8 +191,12 @@
 	readonly failures: RequestFailed[] = [];
 	readonly reports: LoadReport[] = [];
 	readonly suspects: CrashSuspect[] = [];
+	/** Questions about orders of a table outage. */
+	readonly questions: OrderConfirmParams[] = [];
 	incarnation = '';
 	peer!: Peer;
+	/** What the planner answers to a question. */
+	confirm: () => OrderConfirmResult | Promise<OrderConfirmResult> = () => ({confirmed: true, validForMs: 2000});
 
 	async connect(port: number, signal: AbortSignal): Promise<this> {
 		const handlers = {
@@ -193,6 +209,10 @@
 			'load.report': (report: LoadReport) => {
 				this.reports.push(report);
 			},
+			'order.confirm': async (question: OrderConfirmParams) => {
+				this.questions.push(question);
+				return this.confirm();
+			},
 			'crash.suspect': (suspect: CrashSuspect) => {
 				this.suspects.push(suspect);
 			},
@@ -290,6 +310,7 @@
 	changes: Partial<AgentSettings>,
 	body: (setting: Setting) => Promise<void>,
 	prepare: (engine: FakeEngine, table: FakeTable) => void = () => undefined,
+	mustBeReady = true,
 ): Promise<void> => {
 	const controller = new AbortController();
 	const {signal} = controller;
@@ -303,7 +324,10 @@
 	const agent = await startAgent(createSettings({endpointUrl: engine.url, ...changes}), dependencies, signal);
 	try {
 		const entry = await new FakeEntry().connect(agent.internalPort, signal);
-		await untilReady(agent);
+		if (mustBeReady) {
+			await untilReady(agent);
+		}
+
 		await body({
 			agent, entry, engine, table, signal,
 		});
--- a/packages/agent/src/endpoint.ts
+++ b/packages/agent/src/endpoint.ts
@@ -3,6 +3,7 @@
  */
 import type {
 	ActionRef,
+	EngineOrderParams,
 	EngineOrderResult,
 	RequestCancel,
 	RequestResumeParams,
@@ -12,6 +13,7 @@
 	ServiceCallResult,
 } from '@hawthorncleat/schema';
 import type {FrameTarget, RequestKind} from './stream.js';
+import type {ConfirmOrder} from './order-executor.js';
 import type {LoadSnapshot} from './load-reporter.js';
 
 /** The endpoint behind an agent. */
@@ -28,7 +30,8 @@
 	/** Refuses an action that was already received, whether or not the agent takes work now. */
 	checkAction(action: ActionRef): void;
 	callService(params: ServiceCallParams): Promise<ServiceCallResult>;
-	receiveOrder(orderNumber: number): Promise<EngineOrderResult>;
+	/** `confirm` asks the planner on the connection that the order came on. */
+	receiveOrder(order: EngineOrderParams, confirm: ConfirmOrder): Promise<EngineOrderResult>;
 	detach(listener: FrameTarget): void;
 	/** Settles when all accepted work has ended. */
 	whenIdle(): Promise<void>;
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -122,8 +122,8 @@
 		async callService() {
 			throw unavailable('no-endpoint', 'this endpoint is a model engine');
 		},
-		async receiveOrder(orderNumber) {
-			const result = await orders.receive(orderNumber);
+		async receiveOrder(order, confirm) {
+			const result = await orders.receive(order, confirm);
 			metrics.orders.inc({result: result.state});
 			return result;
 		},
--- a/packages/agent/src/handlers.ts
+++ b/packages/agent/src/handlers.ts
@@ -11,6 +11,9 @@
 // An order may reach an agent whose engine is down or changing; the order rules decide what happens then.
 const reasonsOfEngine = ['engine-unreachable', 'engine-changing'];
 
+// The authority of a planner during a table outage lasts no longer.
+const confirmTimeoutMs = 2000;
+
 export type HandlerOptions = {
 	readonly endpoint: Endpoint;
 	readonly metrics: AgentMetrics;
@@ -71,9 +74,9 @@
 			checkReady();
 			return endpoint.callService(params);
 		},
-		async 'engine.order'({orderNumber}) {
+		async 'engine.order'(order, peer) {
 			checkReady(reasonsOfEngine);
-			return endpoint.receiveOrder(orderNumber);
+			return endpoint.receiveOrder(order, async question => peer.call('order.confirm', question, {timeoutMs: confirmTimeoutMs}));
 		},
 	};
 };
--- a/packages/agent/src/order-executor.ts
+++ b/packages/agent/src/order-executor.ts
@@ -1,45 +1,43 @@
 /**
  * Carries out orders to the engine under the rules in `engine-orders.ts` of core: reads and writes the order row, waits
- * for running work, sends the order and settles it.
+ * for running work, sends the order and settles it. During a table outage the planner's confirmation stands in for the row.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	beginOrder,
+	beginOutageOrder,
 	createRequestError,
 	decideMessage,
-	engineOrderKey,
+	dropOrder,
+	findLastOrder,
 	finishOrder,
 	initialOrders,
 	learnRow,
-	markSettled,
 	markStarted,
 	mayExecute,
+	mayExecuteInOutage,
+	maySendInOutage,
 	maySettle,
-	parseOrderRow,
-	type EngineOrderRow,
+	type Clock,
+	type IssuedOrder,
 	type EngineOrders,
-	type MakeId,
+	type OrderConfirmation,
 } from '@hawthorncleat/core';
-import {isStoreError, type Table} from '@hawthorncleat/platform';
-import type {EngineOrderResult, EngineState} from '@hawthorncleat/schema';
-import type {Log} from '@hawthorncleat/telemetry';
+import type {
+	EngineOrderParams, EngineOrderResult, EngineState, OrderConfirmParams, OutageOrder,
+} from '@hawthorncleat/schema';
 import type {EngineClient} from './engine-client.js';
+import {OrderRow, type OrderRowOptions} from './order-row.js';
 import {unavailable} from './refusals.js';
 
-const retryIntervalMs = 500;
 const statePollMs = 100;
 
-type VersionedRow = {readonly version: number; readonly row: EngineOrderRow};
-type WriteResult = 'written' | 'conflict';
+/** Asks the planner that sent an order whether it still stands. */
+export type ConfirmOrder = (question: OrderConfirmParams) => Promise<OrderConfirmation>;
 
-export type OrderExecutorOptions = {
-	readonly endpoint: string;
-	readonly incarnation: string;
-	readonly table: Table;
+export type OrderExecutorOptions = OrderRowOptions & {
 	readonly engine: EngineClient;
-	readonly makeId: MakeId;
-	readonly log: Log;
-	readonly signal: AbortSignal;
+	readonly clock: Clock;
 	/** Asks the engine for its state; undefined while it does not answer. */
 	readonly probe: () => Promise<EngineState | undefined>;
 	/** Settles when nothing runs or waits at the engine; called after `isExecuting` became true. */
@@ -50,46 +48,66 @@
 
 /** The orders of one engine. */
 export class OrderExecutor {
+	readonly #row: OrderRow;
 	#orders: EngineOrders = initialOrders;
-	#isStarting = false;
+	/** Number of an order whose row is being read or written. */
+	#starting: number | undefined;
+	/** The last order that the engine finished. */
+	#last: IssuedOrder | undefined;
 
-	constructor(private readonly options: OrderExecutorOptions) {}
+	constructor(private readonly options: OrderExecutorOptions) {
+		this.#row = new OrderRow(options);
+	}
 
 	/** Whether new work is refused because of an order. */
 	get isExecuting(): boolean {
 		return this.#orders.phase === 'executing';
 	}
 
-	/** Rules 2 and 3. The slot port has to be held. Work may run meanwhile; orders may not. */
+	/**
+	 * Rules 2 and 3. The slot port has to be held. Work may run meanwhile; orders may not. The engine is asked first, because
+	 * an order of an outage leaves no row.
+	 */
 	async initialise(): Promise<void> {
-		const found = await this.#readUntilAnswered();
-		this.#become(learnRow(found?.row));
-		if (found && this.#orders.phase === 'settling') {
+		const engine = await this.#waitUntilUnchanging();
+		const found = await this.#row.readUntilAnswered();
+		if (found && found.row.state !== 'settled') {
 			this.options.log.info('settling an unfinished engine order', {number: found.row.number, state: found.row.state});
-			await this.#settle(found);
 		}
+
+		this.#become(learnRow(found?.row, engine));
+		this.#last = findLastOrder(found?.row, engine);
+		this.#row.record(this.#last);
 	}
 
-	/** Answers an order message: `started` once the row says so, while the execution goes on. */
-	async receive(orderNumber: number): Promise<EngineOrderResult> {
+	/** Answers an order message: `started` once the row says so or the agent has taken it, while the execution goes on. */
+	async receive({orderNumber, outage}: EngineOrderParams, confirm: ConfirmOrder): Promise<EngineOrderResult> {
 		const decision = decideMessage(this.#orders, orderNumber);
-		if (decision === 'not-ready' || this.#isStarting) {
-			throw unavailable('orders-unavailable', 'the order row has not been read or is being written');
+		if (decision === 'running' || (orderNumber === this.#starting)) {
+			return {state: 'started'};
 		}
 
-		if (decision === 'running') {
-			return {state: 'started'};
+		if (decision === 'not-ready' || this.#starting !== undefined) {
+			throw unavailable('orders-unavailable', 'the order row has not been read or is being written');
 		}
 
 		if (decision !== 'read-row') {
+			this.#recordSuperseded();
 			return {state: decision};
 		}
 
-		this.#isStarting = true;
+		this.#starting = orderNumber;
 		try {
-			return await this.#startOrder();
+			return await (outage ? this.#startInOutage(orderNumber, outage, confirm) : this.#startOrder());
 		} finally {
-			this.#isStarting = false;
+			this.#starting = undefined;
+		}
+	}
+
+	/** A row may have been written late, below the number of an order of an outage; it is never executed. */
+	#recordSuperseded(): void {
+		if (this.#orders.phase === 'idle') {
+			this.#row.record(this.#last);
 		}
 	}
 
@@ -102,8 +120,8 @@
 	}
 
 	async #startOrder(): Promise<EngineOrderResult> {
-		const found = await this.#read().catch((error: unknown) => {
-			throw this.#tableUnavailable(error);
+		const found = await this.#row.read().catch((error: unknown) => {
+			throw createRequestError('the order row cannot be read', {code: 'orders-unavailable', ran: 'not-run', status: 503}, error);
 		});
 		if (!found || !mayExecute(this.#orders, found.row)) {
 			return {state: 'ignored'};
@@ -111,29 +129,58 @@
 
 		const started = markStarted(found.row, this.options.incarnation, this.options.makeId());
 		// A write without an answer may have taken effect, and a started order has to be finished.
-		const result = await this.#write(found.version, started);
+		const result = await this.#row.write(found.version, started);
 		if (result === 'conflict') {
 			return {state: 'ignored'};
 		}
 
 		this.#become(beginOrder(this.#orders, found.row));
 		this.options.log.info('engine order started', {number: started.number, role: started.role});
-		void this.#execute({version: found.version + 1, row: started}).catch((error: unknown) => {
-			if (!this.options.signal.aborted) {
-				this.options.log.error('engine order failed inside the agent', {number: started.number, error: String(error)});
-			}
+		this.#inBackground(started, async () => {
+			await this.options.whenIdle();
+			this.options.signal.throwIfAborted();
+			await this.#send(started);
 		});
 		return {state: 'started'};
 	}
 
-	async #execute(order: VersionedRow): Promise<void> {
-		const {whenIdle, engine, log, signal} = this.options;
-		const {number, role} = order.row;
+	/** Only while the table does not answer: otherwise the planner of the row decides. */
+	async #startInOutage(number: number, {duty, epoch, role}: OutageOrder, confirm: ConfirmOrder): Promise<EngineOrderResult> {
+		const order = {number, epoch, role};
+		if (!mayExecuteInOutage(this.#orders, order) || await this.#row.isReadable()) {
+			return {state: 'ignored'};
+		}
+
+		this.#become(beginOutageOrder(this.#orders, order));
+		this.options.log.info('engine order of a table outage started', {number, role, epoch});
+		this.#inBackground(order, async () => this.#executeInOutage(order, async () => confirm({duty, epoch, orderNumber: number})));
+		return {state: 'started'};
+	}
+
+	/** Rule `confirm` of models/engine-orders.pml. */
+	async #executeInOutage(order: IssuedOrder, confirm: () => Promise<OrderConfirmation>): Promise<void> {
+		const {whenIdle, clock, log, signal} = this.options;
 		await whenIdle();
-		if (signal.aborted) {
+		signal.throwIfAborted();
+		const askedMs = clock.nowMs();
+		const answer = await confirm().catch((error: unknown) => {
+			log.warn('the planner did not answer whether an order stands', {number: order.number, error: String(error)});
+			return {confirmed: false, validForMs: 0};
+		});
+		signal.throwIfAborted();
+		// The order is sent in the same synchronous step as this check.
+		if (maySendInOutage(answer, clock.nowMs() - askedMs)) {
+			await this.#send(order);
 			return;
 		}
 
+		log.warn('engine order dropped because its planner did not confirm it in time', {number: order.number});
+		this.#become(dropOrder(this.#orders));
+	}
+
+	/** Sends the order once, waits for its end and has the row show it. */
+	async #send({number, epoch, role}: IssuedOrder): Promise<void> {
+		const {engine, log} = this.options;
 		try {
 			const status = await engine.order({orderNumber: number, role});
 			if (status !== 200) {
@@ -144,92 +191,31 @@
 			log.warn('engine gave no answer to an order', {number, error: String(error)});
 		}
 
-		await this.#settle(order);
-		if (!signal.aborted) {
-			log.info('engine order settled', {number, role});
-		}
-	}
-
-	/** Waits until the engine changes nothing, then settles the row. */
-	async #settle({version, row}: VersionedRow): Promise<void> {
-		const {probe, signal, makeId, log} = this.options;
-		while (!signal.aborted && !maySettle(await probe())) {
-			await this.#pause(statePollMs);
-		}
-
-		if (signal.aborted) {
-			return;
-		}
-
-		const result = await this.#write(version, markSettled(row, makeId()));
-		if (result === 'conflict' && !signal.aborted) {
-			log.error('the row of a started engine order was changed by another process', {number: row.number});
-			await this.initialise();
-			return;
-		}
-
+		await this.#waitUntilUnchanging();
+		this.#last = {number, epoch, role};
+		this.#row.record(this.#last);
 		this.#become(finishOrder(this.#orders));
 	}
 
-	/** Writes until the table tells whether the write took effect. */
-	async #write(version: number, row: EngineOrderRow): Promise<WriteResult> {
-		const key = engineOrderKey(this.options.endpoint);
-		for (;;) {
-			try {
-				const result = await this.options.table.transact({
-					writeId: row.writeId, checks: [{key, version}], puts: [{key, value: row}], deletes: [],
-				});
-				// After an attempt whose answer was lost, a failed check can mean that the earlier attempt succeeded.
-				return result.ok || await this.#isWritten(row.writeId) ? 'written' : 'conflict';
-			} catch (error) {
-				if (!isStoreError(error) || this.options.signal.aborted) {
-					throw error;
-				}
+	#inBackground({number}: IssuedOrder, work: () => Promise<void>): void {
+		void work().catch((error: unknown) => {
+			if (!this.options.signal.aborted) {
+				this.options.log.error('engine order failed inside the agent', {number, error: String(error)});
 			}
-
-			await this.#pause(retryIntervalMs);
-		}
-	}
-
-	async #isWritten(writeId: string): Promise<boolean> {
-		const found = await this.#readUntilAnswered();
-		return found?.row.writeId === writeId;
+		});
 	}
 
-	async #readUntilAnswered(): Promise<VersionedRow | undefined> {
+	/** Rule `settle` of models/engine-orders.pml. */
+	async #waitUntilUnchanging(): Promise<EngineState> {
+		const {probe, signal} = this.options;
 		for (;;) {
-			try {
-				return await this.#read();
-			} catch (error) {
-				this.options.signal.throwIfAborted();
-				if (!isStoreError(error)) {
-					this.options.log.error('cannot read the engine order row', {error: String(error)});
-				}
+			const state = await probe();
+			signal.throwIfAborted();
+			if (state && maySettle(state)) {
+				return state;
 			}
 
-			await this.#pause(retryIntervalMs);
-		}
-	}
-
-	async #read(): Promise<VersionedRow | undefined> {
-		const found = await this.options.table.read(engineOrderKey(this.options.endpoint));
-		if (!found) {
-			return undefined;
-		}
-
-		const row = parseOrderRow(found.value);
-		if (!row) {
-			throw new Error(`malformed row ${found.key}`);
+			await delay(statePollMs, undefined, {signal});
 		}
-
-		return {version: found.version, row};
-	}
-
-	#tableUnavailable(error: unknown): Error {
-		return createRequestError('the order row cannot be read', {code: 'orders-unavailable', ran: 'not-run', status: 503}, error);
-	}
-
-	async #pause(durationMs: number): Promise<void> {
-		await delay(durationMs, undefined, {signal: this.options.signal});
 	}
 }
--- a/packages/core/src/__tests__/order-schedules.test.ts
+++ b/packages/core/src/__tests__/order-schedules.test.ts
@@ -1,7 +1,24 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
-	beginOrder, decideMessage, finishOrder, initialOrders, learnRow, markSettled, markStarted, mayExecute, maySettle, type EngineOrderRow, type EngineOrders,
+	beginOrder,
+	beginOutageOrder,
+	decideMessage,
+	dropOrder,
+	findLastOrder,
+	finishOrder,
+	initialOrders,
+	learnRow,
+	markStarted,
+	mayExecute,
+	mayExecuteInOutage,
+	maySendInOutage,
+	maySettle,
+	nextOrderNumber,
+	recordOrder,
+	type IssuedOrder as IssuedOrdererence,
+	type EngineOrderRow,
+	type EngineOrders,
 } from '../index.js';
 import {findViolation, stepKind} from './schedules.js';
 
@@ -13,19 +30,34 @@
 	readonly incarnation: string;
 	/** The row as this agent last read or wrote it. */
 	known: VersionedRow | undefined;
+	/** The order of an outage that waits for its confirmation. */
+	asking: IssuedOrdererence | undefined;
+	confirmed: boolean;
 	isMarked: boolean;
 	isSent: boolean;
+	/** The last order that the engine finished, until the row shows it. */
+	unrecorded: IssuedOrdererence | undefined;
 };
 
+type Fault = 'settles-at-once' | 'sends-unconfirmed' | 'ignores-engine-number';
+
 type World = {
 	/** Which agent holds the slot port. */
 	slot: number | undefined;
 	table: VersionedRow | undefined;
 	readonly agents: Agent[];
-	engine: {changing: boolean; lastOrder: number};
+	engine: {changing: boolean; received: number; lastOrder: number; role: 'mixed'};
 	writes: number;
-	/** The planted fault: an agent that has just started does not wait for the engine before it settles the row. */
-	readonly settlesAtOnce: boolean;
+	/** Epoch of the planner in charge; the former one can still send messages and late writes. */
+	epoch: number;
+	highestPlanned: number;
+	/** Orders of outages, whose messages may arrive late and again, and the one that would be confirmed now. */
+	readonly sent: IssuedOrdererence[];
+	unconfirmed: number | undefined;
+	/** Writes of planners that may still take effect. */
+	readonly lateWrites: VersionedRow[];
+	/** The planted fault. */
+	readonly fault: Fault | undefined;
 };
 
 const write = (world: World, version: number, row: EngineOrderRow): boolean => {
@@ -42,35 +74,71 @@
 	return `w${world.writes}`;
 };
 
-/** The planner's write: only while no order is started. */
-const plan = (world: World): void => {
-	const {table} = world;
-	if (table?.row.state !== 'started') {
-		write(world, table?.version ?? 0, {
-			number: (table?.row.number ?? 0) + 1, epoch: 1, role: 'mixed', state: 'written', startedBy: '', writeId: makeWriteId(world),
+const plan = (world: World): IssuedOrdererence => {
+	world.highestPlanned = nextOrderNumber(world.epoch, Math.max(world.highestPlanned, world.table?.row.number ?? 0));
+	return {number: world.highestPlanned, epoch: world.epoch, role: 'mixed'};
+};
+
+/** The planner's write, which takes effect now or later: only while no order is started. */
+const planRow = (world: World): void => {
+	if (world.table?.row.state !== 'started') {
+		world.lateWrites.push({
+			version: world.table?.version ?? 0,
+			row: {
+				...plan(world), state: 'written', startedBy: '', writeId: makeWriteId(world),
+			},
 		});
 	}
 };
 
+const finishWrite = (world: World): void => {
+	const late = world.lateWrites.shift();
+	if (late?.row.epoch === world.epoch) {
+		write(world, late.version, late.row);
+	}
+};
+
+const planInOutage = (world: World): void => {
+	const order = plan(world);
+	world.sent.push(order);
+	world.unconfirmed = order.number;
+};
+
+/** The authority of the former planner and its confirmations have run out by then. */
+const takeOver = (world: World): void => {
+	world.epoch += 1;
+	world.unconfirmed = undefined;
+	for (const agent of world.agents) {
+		agent.confirmed = false;
+	}
+};
+
+/** An agent learns while the engine changes nothing. */
 const learn = (world: World, agent: Agent): void => {
-	agent.known = world.table;
-	agent.orders = learnRow(world.table?.row);
+	const engine = {
+		...world.engine,
+		...world.fault === 'settles-at-once' && {changing: false},
+		...world.fault === 'ignores-engine-number' && {lastOrder: 0},
+	};
+	if (maySettle(engine)) {
+		agent.known = world.table;
+		agent.orders = learnRow(world.table?.row, engine);
+		agent.unrecorded = findLastOrder(world.table?.row, engine);
+	}
 };
 
 const start = (world: World, index: number): void => {
 	const agent = world.agents[index]!;
 	agent.orders ??= initialOrders;
-	if (world.slot === undefined) {
-		world.slot = index;
+	world.slot ??= index;
+
+	if (world.slot === index && agent.orders.phase === 'unknown') {
 		learn(world, agent);
 	}
 };
 
 const kill = (world: World, index: number): void => {
-	const agent = world.agents[index]!;
-	agent.orders = undefined;
-	agent.isMarked = false;
-	agent.isSent = false;
+	world.agents[index] = createAgent(world.agents[index]!.incarnation);
 	if (world.slot === index) {
 		world.slot = undefined;
 	}
@@ -84,19 +152,20 @@
 };
 
 const settle = withAgent((world, agent) => {
-	const isSettling = agent.orders!.phase === 'settling';
-	const isDue = isSettling || (agent.orders!.phase === 'executing' && agent.isSent);
-	const mayWrite = (isSettling && world.settlesAtOnce) || maySettle(world.engine);
-	if (!isDue || !mayWrite) {
-		return;
+	if (agent.orders!.phase === 'executing' && agent.isSent && maySettle(world.engine)) {
+		agent.unrecorded = agent.asking ?? agent.known!.row;
+		agent.orders = finishOrder(agent.orders!);
+		agent.asking = undefined;
+		agent.isSent = false;
+		agent.isMarked = false;
 	}
+});
 
-	agent.isSent = false;
-	agent.isMarked = false;
-	if (write(world, agent.known!.version, markSettled(agent.known!.row, makeWriteId(world)))) {
-		agent.orders = finishOrder(agent.orders!);
-	} else {
-		learn(world, agent);
+const record = withAgent((world, agent) => {
+	const row = agent.unrecorded && recordOrder(world.table?.row, agent.unrecorded, agent.incarnation, makeWriteId(world));
+	agent.unrecorded = undefined;
+	if (row) {
+		write(world, world.table?.version ?? 0, row);
 	}
 });
 
@@ -108,6 +177,23 @@
 	}
 });
 
+const receiveInOutage = (world: World, index: number, message: number): void => {
+	const agent = world.agents[index]!;
+	const order = world.sent[world.sent.length - 1 - message];
+	if (world.slot === index && order && mayExecuteInOutage(agent.orders!, order)) {
+		agent.orders = beginOutageOrder(agent.orders!, order);
+		agent.asking = order;
+		agent.confirmed = false;
+	}
+};
+
+const confirm = withAgent((world, {asking, ...agent}) => {
+	if (asking && world.unconfirmed === asking.number && asking.epoch === world.epoch) {
+		world.unconfirmed = undefined;
+		world.agents[world.slot!]!.confirmed = !agent.isSent;
+	}
+});
+
 const mark = withAgent((world, agent) => {
 	const {known, orders} = agent;
 	if (!known || !mayExecute(orders!, known.row)) {
@@ -123,23 +209,36 @@
 });
 
 const sendToEngine = withAgent((world, agent) => {
-	if (agent.orders!.phase !== 'executing' || !agent.isMarked || agent.isSent) {
+	const {asking, confirmed, known, isSent, isMarked} = agent;
+	if (agent.orders!.phase !== 'executing' || isSent || !(asking ?? isMarked)) {
+		return;
+	}
+
+	if (asking && world.fault !== 'sends-unconfirmed' && !maySendInOutage({confirmed, validForMs: 1}, 0)) {
+		agent.orders = dropOrder(agent.orders!);
+		agent.asking = undefined;
 		return;
 	}
 
-	const {number} = agent.known!.row;
-	assert.not(world.engine.changing, `order ${number} overlaps with ${world.engine.lastOrder}`);
-	assert.ok(number > world.engine.lastOrder, 'an old order');
-	assert.is(number, world.table!.row.number, 'a superseded order');
-	world.engine = {changing: true, lastOrder: number};
+	const {number, epoch} = asking ?? known!.row;
+	assert.not(world.engine.changing, `order ${number} overlaps with ${world.engine.received}`);
+	assert.ok(number > world.engine.received, 'an old order');
+	if (asking) {
+		assert.is(epoch, world.epoch, 'an order without authority');
+	} else {
+		assert.is(number, world.table!.row.number, 'a superseded order');
+	}
+
+	world.engine = {...world.engine, changing: true, received: number};
 	agent.isSent = true;
+	agent.confirmed = false;
 });
 
 const createAgent = (incarnation: string): Agent => ({
-	orders: undefined, incarnation, known: undefined, isMarked: false, isSent: false,
+	orders: undefined, incarnation, known: undefined, asking: undefined, confirmed: false, isMarked: false, isSent: false, unrecorded: undefined,
 });
 
-const search = (settlesAtOnce: boolean): string | undefined => findViolation<World>({
+const search = (fault?: Fault): string | undefined => findViolation<World>({
 	seed: 20_263,
 	runs: 3000,
 	steps: 150,
@@ -147,26 +246,52 @@
 		slot: undefined,
 		table: undefined,
 		agents: [createAgent('a'), createAgent('b')],
-		engine: {changing: false, lastOrder: 0},
+		engine: {
+			changing: false, received: 0, lastOrder: 0, role: 'mixed',
+		},
 		writes: 0,
-		settlesAtOnce,
+		epoch: 1,
+		highestPlanned: 0,
+		sent: [],
+		unconfirmed: undefined,
+		lateWrites: [],
+		fault,
 	}),
 	kinds: [
-		stepKind('plan', [], plan),
+		stepKind('plan', [], planRow),
+		stepKind('write', [], finishWrite),
+		stepKind('plan in an outage', [], planInOutage),
+		stepKind('take over', [8], (world, chance) => {
+			if (chance === 0) {
+				takeOver(world);
+			}
+		}),
 		stepKind('start', [2], start),
 		stepKind('receive', [2], receive),
+		stepKind('receive in an outage', [2, 3], receiveInOutage),
+		stepKind('confirm', [2], confirm),
 		stepKind('mark', [2], mark),
 		stepKind('send', [2], sendToEngine),
 		stepKind('settle', [2], settle),
+		stepKind('record', [2], record),
 		stepKind('kill', [2], kill),
 		stepKind('order', [2], (world, index) => {
 			receive(world, index);
 			mark(world, index);
 			sendToEngine(world, index);
 		}),
+		stepKind('order in an outage', [2], (world, index) => {
+			planInOutage(world);
+			receiveInOutage(world, index, 0);
+			confirm(world, index);
+			sendToEngine(world, index);
+		}),
 		// Engines change slowly, so that much can happen during a change.
-		stepKind('engine finishes', [5], (world, chance) => {
-			world.engine.changing &&= chance !== 0;
+		stepKind('engine finishes', [5], ({engine}, chance) => {
+			if (chance === 0) {
+				engine.changing = false;
+				engine.lastOrder = engine.received;
+			}
 		}),
 	],
 	check(world) {
@@ -177,10 +302,18 @@
 
 describe('engine orders under random schedules', () => {
 	it('sends one order at a time, in order and never a superseded one, through restarts of two agents', () => {
-		assert.is(search(false), undefined);
+		assert.is(search(), undefined);
+	});
+
+	it('would notice an order of an outage that is sent without its confirmation', () => {
+		assert.match(search('sends-unconfirmed') ?? '', /old order|without authority/);
+	});
+
+	it('would notice an agent that does not ask the engine for the number of its last order', () => {
+		assert.match(search('ignores-engine-number') ?? '', 'old order');
 	});
 
 	it('would notice an agent that settles what its predecessor started while the engine still changes', () => {
-		assert.match(search(true) ?? '', 'overlaps');
+		assert.match(search('settles-at-once') ?? '', 'overlaps');
 	});
 });
--- a/packages/core/src/engine-orders.ts
+++ b/packages/core/src/engine-orders.ts
@@ -36,33 +36,66 @@
 	return isValid ? row as EngineOrderRow : undefined;
 };
 
+/**
+ * Numbers of one epoch, so that the numbers of two holders of a lease never meet and those of the later one are always
+ * higher, also when the later one does not know the last orders of an outage. At one order a second an epoch would have
+ * to last twelve days to use them up, and they stay exact integers for 2^33 epochs. Rows with lower numbers come from before
+ * this rule and stay valid.
+ */
+export const orderNumbersPerEpoch = 2 ** 20;
+
+/** Rule `epoch-numbers` of models/engine-orders.pml: above all numbers that are known and within those of the epoch. */
+export const nextOrderNumber = (epoch: number, highest: number): number => Math.max(highest + 1, epoch * orderNumbersPerEpoch);
+
+/** The epoch of an order that only its number is known of; 0 for numbers from before that rule. */
+const epochOfNumber = (number: number): number => Math.floor(number / orderNumbersPerEpoch);
+
+/** An order without the progress that its row shows. */
+export type IssuedOrder = Pick<EngineOrderRow, 'epoch' | 'number' | 'role'>;
+
 /** What an agent knows about the orders to its engine. */
 export type EngineOrders
 	= | {readonly phase: 'unknown'}
-		| {readonly phase: 'settling'; readonly highest: number}
-		| {readonly phase: 'idle'; readonly highest: number}
-		| {readonly phase: 'executing'; readonly highest: number};
+		| {readonly phase: 'idle'; readonly highest: number; readonly epoch: number}
+		| {readonly phase: 'executing'; readonly highest: number; readonly epoch: number; readonly before: number};
+
+/** State of an engine as far as the rules need it. */
+export type OrderedEngine = {readonly changing: boolean; readonly lastOrder: number; readonly role: EngineRole};
 
 /** An agent that has just started knows nothing and sends nothing. */
 export const initialOrders: EngineOrders = {phase: 'unknown'};
 
-/** Rules 2 and 3, rule `highest` of models/engine-orders.pml: takes the row's number as the highest known; an unfinished order has to be settled first. */
-export const learnRow = (row: EngineOrderRow | undefined): EngineOrders => {
-	if (!row) {
-		return {phase: 'idle', highest: 0};
+/** Rule `settle` of models/engine-orders.pml: nothing is settled or ordered before the engine changes nothing, whatever the row says. */
+export const maySettle = (engine: {readonly changing: boolean} | undefined): boolean => engine?.changing === false;
+
+/**
+ * The last order that the engine may have finished. Rule `engine-number` of models/engine-orders.pml: an order of an outage
+ * whose agent ended shows only at the engine, and a row that is written later may have a lower number.
+ */
+export const findLastOrder = (row: EngineOrderRow | undefined, engine: OrderedEngine): IssuedOrder | undefined => {
+	const {lastOrder, role} = engine;
+	if (lastOrder <= (row?.number ?? 0)) {
+		return row && {number: row.number, epoch: row.epoch, role: row.role};
 	}
 
-	return {phase: row.state === 'settled' ? 'idle' : 'settling', highest: row.number};
+	return {number: lastOrder, epoch: Math.max(row?.epoch ?? 0, epochOfNumber(lastOrder)), role};
 };
 
-/** Rule 3, rule `settle` of models/engine-orders.pml: an unfinished order is settled only while the engine changes nothing. */
-export const maySettle = (engine: {readonly changing: boolean} | undefined): boolean => engine?.changing === false;
+/** Rules 2 and 3, rule `highest` of models/engine-orders.pml: the row, read while the engine changes nothing, gives the highest known number. */
+export const learnRow = (row: EngineOrderRow | undefined, engine: OrderedEngine): EngineOrders => {
+	if (!maySettle(engine)) {
+		return initialOrders;
+	}
+
+	const last = findLastOrder(row, engine);
+	return {phase: 'idle', highest: last?.number ?? 0, epoch: last?.epoch ?? 0};
+};
 
 export type OrderDecision = 'not-ready' | 'running' | 'settled' | 'ignored' | 'read-row';
 
 /** What an order message leads to, before the row is read. */
 export const decideMessage = (orders: EngineOrders, orderNumber: number): OrderDecision => {
-	if (orders.phase === 'unknown' || orders.phase === 'settling') {
+	if (orders.phase === 'unknown') {
 		return 'not-ready';
 	}
 
@@ -88,12 +121,47 @@
 		throw new Error(`order ${row.number} may not run in phase ${orders.phase}`);
 	}
 
-	return {phase: 'executing', highest: row.number};
+	return execute(orders, row);
+};
+
+/**
+ * Whether an order of a table outage may begin. The agent has read the row since it started, runs no order, and knows no
+ * higher number and no later epoch.
+ */
+export const mayExecuteInOutage = (orders: EngineOrders, {number, epoch}: IssuedOrder): boolean =>
+	orders.phase === 'idle' && number > orders.highest && epoch >= orders.epoch;
+
+/** Enters execution of an order of a table outage. */
+export const beginOutageOrder = (orders: EngineOrders, order: IssuedOrder): EngineOrders => {
+	if (!mayExecuteInOutage(orders, order)) {
+		throw new Error(`order ${order.number} of an outage may not run in phase ${orders.phase}`);
+	}
+
+	return execute(orders, order);
 };
 
-/** Leaves execution or settling. */
+const execute = (orders: EngineOrders, {number, epoch}: IssuedOrder): EngineOrders =>
+	({
+		phase: 'executing', highest: number, epoch, before: orders.phase === 'unknown' ? 0 : orders.highest,
+	});
+
+/** Leaves execution. */
 export const finishOrder = (orders: EngineOrders): EngineOrders =>
-	orders.phase === 'unknown' ? orders : {phase: 'idle', highest: orders.highest};
+	orders.phase === 'executing' ? {phase: 'idle', highest: orders.highest, epoch: orders.epoch} : orders;
+
+/** Leaves execution of an order that was not confirmed and not sent; a row with a lower number stays executable. */
+export const dropOrder = (orders: EngineOrders): EngineOrders =>
+	orders.phase === 'executing' ? {phase: 'idle', highest: orders.before, epoch: orders.epoch} : orders;
+
+/** The planner's answer to `order.confirm`. */
+export type OrderConfirmation = {readonly confirmed: boolean; readonly validForMs: number};
+
+/**
+ * Rule `confirm` of models/engine-orders.pml: the planner confirms a number once, and the engine gets the order before that
+ * runs out, counted from before the question.
+ */
+export const maySendInOutage = ({confirmed, validForMs}: OrderConfirmation, sinceAskedMs: number): boolean =>
+	confirmed && sinceAskedMs < validForMs;
 
 /** Rule 6, rule `mark` of models/engine-orders.pml: the row before the engine gets the order. */
 export const markStarted = (row: EngineOrderRow, startedBy: string, writeId: string): EngineOrderRow => ({
@@ -102,3 +170,18 @@
 
 /** Rule 6: the row after the engine has finished. */
 export const markSettled = (row: EngineOrderRow, writeId: string): EngineOrderRow => ({...row, state: 'settled', writeId});
+
+/**
+ * Rule `record` of models/engine-orders.pml: the row after the engine has finished `last`, which may be an order of an
+ * outage; undefined if the row stays as it is.
+ */
+export const recordOrder = (row: EngineOrderRow | undefined, last: IssuedOrder, startedBy: string, writeId: string): EngineOrderRow | undefined => {
+	const number = row?.number ?? 0;
+	if (number < last.number) {
+		return {
+			...last, state: 'settled', startedBy, writeId,
+		};
+	}
+
+	return row && number === last.number && row.state !== 'settled' ? markSettled(row, writeId) : undefined;
+};
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -122,20 +122,31 @@
 } from './first-token.js';
 export {
 	beginOrder,
+	beginOutageOrder,
 	decideMessage,
+	dropOrder,
 	engineOrderKey,
+	findLastOrder,
 	finishOrder,
 	initialOrders,
 	learnRow,
 	markSettled,
 	markStarted,
 	mayExecute,
+	mayExecuteInOutage,
+	maySendInOutage,
 	maySettle,
+	nextOrderNumber,
+	orderNumbersPerEpoch,
 	parseOrderRow,
+	recordOrder,
+	type IssuedOrder,
 	type EngineOrderRow,
 	type EngineOrders,
 	type EngineRole as EngineOrderRole,
+	type OrderConfirmation,
 	type OrderDecision,
+	type OrderedEngine,
 } from './engine-orders.js';
 export {FairQueue as PolicyFairQueue, type FairQueueItem as PolicyFairQueueItem} from './policy/fair-queue.js';
 export * from './policy/index.js';
--- a/packages/entry/src/duties/__tests__/role-duties.test.ts
+++ b/packages/entry/src/duties/__tests__/role-duties.test.ts
@@ -69,7 +69,7 @@
 		let endpoints = roles.map((role, index) => createEndpoint(`engine-${index}`, role, orders));
 		const stop = start(world, () => endpoints);
 		await waitUntil(() => orders.length > 0);
-		assert.match(orders[0]!, /^engine\.order engine-\d 1$/);
+		assert.match(orders[0]!, /^engine\.order engine-\d 1048576$/);
 		endpoints = [];
 		await waitUntil(async () => await holderOf(world) === '');
 		await stop();
--- a/packages/entry/src/duties/__tests__/role-planner.test.ts
+++ b/packages/entry/src/duties/__tests__/role-planner.test.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import type {EngineOrderRole, EngineOrderRow} from '@hawthorncleat/core';
+import {orderNumbersPerEpoch, type EngineOrderRole, type EngineOrderRow} from '@hawthorncleat/core';
 import {
 	createHttpClient, createTable, isStoreError, type Lease, type Table,
 } from '@hawthorncleat/platform';
@@ -38,12 +38,13 @@
 		clock,
 		makeId: randomUUID,
 		engines: () => Object.entries(roles).map(([endpoint, role]) => ({
-			endpoint, role, cachedTokens: 0, runningTokens: 0, async sendOrder(orderNumber) {
+			endpoint, role, cachedTokens: 0, runningTokens: 0, async sendOrder({orderNumber}) {
 				if (setting.isCut) {
 					throw new Error('connection closed');
 				}
 
 				setting.sent.push([endpoint, orderNumber]);
+				return undefined;
 			},
 		})),
 		elsewhere: () => ({mixed: 0, prefill: 0, decode: 0}),
@@ -78,6 +79,8 @@
 	return setting;
 };
 
+const firstNumber = ({epoch}: Lease): number => epoch * orderNumbersPerEpoch;
+
 /** A table that calls `before` ahead of each transaction. */
 const beforeWrite = (table: Table, before: () => Promise<void>): Table => ({
 	...table,
@@ -94,11 +97,11 @@
 		await setting.plan(lease);
 		const [endpoint] = setting.sent[0]!;
 		const row = await setting.rowOf(endpoint);
-		assert.equal([row?.number, row?.epoch, row?.state], [1, lease.epoch, 'written']);
+		assert.equal([row?.number, row?.epoch, row?.state], [firstNumber(lease), lease.epoch, 'written']);
 		assert.is.not(row?.role, setting.roles[endpoint]);
 		// The row is not settled, so that nothing new is ordered; the message is sent again.
 		await setting.plan(lease);
-		assert.equal(new Set(setting.sent.map(sent => sent.join(' '))), new Set([`${endpoint} 1`]));
+		assert.equal(new Set(setting.sent.map(sent => sent.join(' '))), new Set([`${endpoint} ${firstNumber(lease)}`]));
 		await setting.settle(endpoint);
 		await setting.plan(lease);
 		const orders = world.platform.history.filter(record => record.kind === 'write' && record.puts.some(({value}) => (value as EngineOrderRow).state === 'written'));
@@ -131,7 +134,7 @@
 		await setting.plan(second.lease);
 		const [endpoint, number] = setting.sent[0]!;
 		const row = await setting.rowOf(endpoint);
-		assert.equal([number, row?.number, row?.epoch], [1, 1, first.lease.epoch]);
+		assert.equal([number, row?.number, row?.epoch], [firstNumber(first.lease), firstNumber(first.lease), first.lease.epoch]);
 	}));
 
 	it('orders once when the answer of the table or the message is lost; guards against a second number for one order', async () => withWorld(async world => {
@@ -142,7 +145,7 @@
 		await setting.plan(lease);
 		setting.isCut = false;
 		await setting.plan(lease);
-		assert.equal(new Set(setting.sent.map(([, number]) => number)), new Set([1]));
+		assert.equal(new Set(setting.sent.map(([, number]) => number)), new Set([firstNumber(lease)]));
 		const rows = await world.table.scan('engine-order/');
 		assert.is(rows.length, 1);
 	}));
--- a/packages/entry/src/duties/role-duties.ts
+++ b/packages/entry/src/duties/role-duties.ts
@@ -32,7 +32,10 @@
 	role,
 	cachedTokens: (endpoint.report?.prefixes ?? []).reduce((sum, name) => sum + prefixCharacters(name), 0) / charactersPerToken,
 	runningTokens: (endpoint.report?.running ?? 0) * tokensPerRunningRequest,
-	sendOrder: async orderNumber => endpoint.peer?.call('engine.order', {orderNumber}, {timeoutMs: orderTimeoutMs}),
+	async sendOrder(order, confirm) {
+		endpoint.confirmOrder = confirm;
+		return endpoint.peer?.call('engine.order', order, {timeoutMs: orderTimeoutMs});
+	},
 });
 
 /** The capacity of a service's engines, where the configuration gives their speeds. */
--- a/packages/entry/src/endpoint.ts
+++ b/packages/entry/src/endpoint.ts
@@ -3,7 +3,7 @@
  */
 import {brandAs, type EndpointId} from '@hawthorncleat/core';
 import type {
-	HelloResult, HostRecord, LoadReport, RequestFailed, RequestFrame,
+	HelloResult, HostRecord, LoadReport, OrderConfirmParams, OrderConfirmResult, RequestFailed, RequestFrame,
 } from '@hawthorncleat/schema';
 import type {Handlers, Peer} from '@hawthorncleat/wire';
 import {KeptConnection, type ConnectionOptions} from './kept-connection.js';
@@ -38,6 +38,8 @@
 	dispatchedTokens = 0;
 	/** The host list says that the host is leaving. */
 	isListedAsLeaving = false;
+	/** Answers the agent's question whether an order of a table outage still stands; set by the planner that sent one. */
+	confirmOrder: ((question: OrderConfirmParams) => OrderConfirmResult) | undefined;
 	/** The entry no longer connects to this host once its work here has ended. */
 	isRetired = false;
 
@@ -141,6 +143,7 @@
 			'load.report': report => {
 				this.#receiveReport(report);
 			},
+			'order.confirm': question => this.confirmOrder?.(question) ?? {confirmed: false, validForMs: 0},
 			'crash.suspect': ({fingerprints}) => {
 				this.#options.onCrashSuspects(fingerprints, this.id);
 			},
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -14,6 +14,8 @@
 	type HelloParams,
 	type HelloResult,
 	type LoadReport,
+	type OrderConfirmParams,
+	type OrderConfirmResult,
 	type PublishAnnounceParams,
 	type PublishAnnounceResult,
 	type PublishFinishParams,
@@ -38,6 +40,8 @@
 	'request.resume': {params: RequestResumeParams; result: {resumed: true}};
 	'service.call': {params: ServiceCallParams; result: ServiceCallResult};
 	'engine.order': {params: EngineOrderParams; result: EngineOrderResult};
+	/** Asked before an order of a table outage is sent to the engine. */
+	'order.confirm': {params: OrderConfirmParams; result: OrderConfirmResult};
 	'config.since': {params: ConfigSinceParams; result: ConfigSinceResult};
 	'freshness.ask': {params: FreshnessAskParams; result: FreshnessAnswer};
 	'publish.announce': {params: PublishAnnounceParams; result: PublishAnnounceResult};
@@ -77,6 +81,7 @@
 	'request.failed': validators.validateRequestFailed,
 	'service.call': validators.validateServiceCallParams,
 	'engine.order': validators.validateEngineOrderParams,
+	'order.confirm': validators.validateOrderConfirmParams,
 	'config.since': validators.validateConfigSinceParams,
 	'freshness.ask': validators.validateFreshnessAskParams,
 	'publish.announce': validators.validatePublishAnnounceParams,
