--- a/packages/bench/src/sim/fault-injector.ts
+++ b/packages/bench/src/sim/fault-injector.ts
@@ -1,12 +1,19 @@
 /**
  * The faults of a run: an engine that crashes in the middle of a change, a data centre that is cut off, a table outage.
  */
+import {leaseDefaults, takeoverWaitMs} from '@hawthorncleat/core';
 import {platform} from '../deployments.js';
 import type {Faults} from '../workloads.js';
 import type {FakeEngine} from './engine.js';
 import type {Scheduler} from './scheduler.js';
 
 const crashAfterChangeMs = 2000;
+// A lease that was renewed just before the failure of the table.
+const leaseHeldMs = leaseDefaults.leaseTtlMs - leaseDefaults.leaseMarginMs;
+// The row is read at each renewal interval, must stay unchanged for the lease time, and the takeover is announced.
+const leaseRetakenMs = (2 * leaseDefaults.leaseRenewMs) + leaseDefaults.leaseTtlMs + takeoverWaitMs(leaseDefaults);
+// The agent first waits for the table until its client gives up, and then asks the planner back.
+const outageOrderMs = 1500 + platform.betweenDataCentresMs;
 
 export class FaultInjector {
 	#cut = false;
@@ -41,10 +48,19 @@
 		return !this.#cut || (dataCentre === this.lastDataCentre) === (engine.spec.dataCentre === this.lastDataCentre);
 	}
 
-	isTableDown(): boolean {
-		const {tableDown} = this.faults;
-		const nowMs = this.scheduler.nowMs();
-		return tableDown !== undefined && nowMs >= tableDown.fromMs && nowMs < tableDown.toMs;
+	/** Whether the planner can order now. */
+	canOrder(): boolean {
+		return this.#orderDelayMs() !== undefined;
+	}
+
+	/** Carries an order out after the time that it needs to reach its engine. */
+	order(carryOut: () => void): void {
+		const delayMs = this.#orderDelayMs() ?? 0;
+		if (delayMs === 0) {
+			carryOut();
+		} else {
+			this.scheduler.after(delayMs, carryOut);
+		}
 	}
 
 	/** Called when an engine begins a change of its role. */
@@ -76,4 +92,20 @@
 			noticed();
 		});
 	}
+
+	/**
+	 * Undefined while the planner cannot order. After the failure of the table it orders by row until its lease ends, which
+	 * fails, and then as long as the witnesses attest it. When the table is back it stops and takes its lease again like any
+	 * other entry.
+	 */
+	#orderDelayMs(): number | undefined {
+		const {tableDown} = this.faults;
+		const nowMs = this.scheduler.nowMs();
+		if (tableDown === undefined || nowMs < tableDown.fromMs || nowMs >= tableDown.toMs + leaseRetakenMs) {
+			return 0;
+		}
+
+		const isAttested = nowMs >= tableDown.fromMs + leaseHeldMs && nowMs < tableDown.toMs;
+		return isAttested ? outageOrderMs : undefined;
+	}
 }
--- a/packages/bench/src/sim/fleet.ts
+++ b/packages/bench/src/sim/fleet.ts
@@ -265,7 +265,7 @@
 
 	#plan(): void {
 		const planner = this.#planner;
-		if (!planner || this.#faults.isTableDown()) {
+		if (!planner || !this.#faults.canOrder()) {
 			return;
 		}
 
@@ -278,7 +278,9 @@
 				reaches: (dataCentre, engine) => this.#reaches(dataCentre, engine),
 			}));
 			for (const {endpoint, role} of changes) {
-				this.#changeRole(this.#byId.get(endpoint)!, role, dataCentre);
+				this.#faults.order(() => {
+					this.#changeRole(this.#byId.get(endpoint)!, role, dataCentre);
+				});
 			}
 		}
 	}
