--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -9,7 +9,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
-import type {Table} from '@hawthorncleat/platform';
+import {createStoreError, type Table} from '@hawthorncleat/platform';
 import type {
 	ActionMessage,
 	ActionRef,
@@ -18,6 +18,8 @@
 	EngineState,
 	GenerateParams,
 	LoadReport,
+	OrderConfirmParams,
+	OrderConfirmResult,
 	RequestFailed,
 	RequestFrame,
 	RequestStartParams,
@@ -156,6 +158,9 @@
 export class FakeTable implements Table {
 	readonly rows = new Map<string, TableRow>();
 	readonly history: unknown[] = [];
+	isDown = false;
+	/** Reads that were answered. */
+	reads = 0;
 
 	put(key: string, value: unknown): void {
 		this.rows.set(key, {key, value, version: (this.rows.get(key)?.version ?? 0) + 1});
@@ -163,6 +168,8 @@
 	}
 
 	async read(key: string): Promise<TableRow | undefined> {
+		this.#checkUp();
+		this.reads += 1;
 		return this.rows.get(key);
 	}
 
@@ -171,6 +178,7 @@
 	}
 
 	async transact({checks, puts}: Parameters<Table['transact']>[0]): ReturnType<Table['transact']> {
+		this.#checkUp();
 		const failed = checks.filter(({key, version}) => (this.rows.get(key)?.version ?? null) !== version).map(({key}) => key);
 		if (failed.length > 0) {
 			return {ok: false, failed};
@@ -182,6 +190,12 @@
 
 		return {ok: true, versions: {}};
 	}
+
+	#checkUp(): void {
+		if (this.isDown) {
+			throw createStoreError('the table is down', 'not-written');
+		}
+	}
 }
 
 /** A connection of an entry with everything that arrived on it. */
@@ -190,11 +204,19 @@
 	readonly failures: RequestFailed[] = [];
 	readonly reports: LoadReport[] = [];
 	readonly suspects: CrashSuspect[] = [];
+	/** Questions about orders of a table outage. */
+	readonly questions: OrderConfirmParams[] = [];
 	incarnation = '';
 	connection = 0;
 	peer!: Peer;
+	/** What the planner answers to a question. */
+	confirm: () => OrderConfirmResult | Promise<OrderConfirmResult>;
 	#lastActionNumber = 0;
 
+	constructor() {
+		this.confirm = () => ({confirmed: true, validForMs: 2000});
+	}
+
 	async connect(port: number, signal: AbortSignal): Promise<this> {
 		const handlers = {
 			'request.frame': (frame: RequestFrame) => {
@@ -206,6 +228,10 @@
 			'load.report': (report: LoadReport) => {
 				this.reports.push(report);
 			},
+			'order.confirm': async (question: OrderConfirmParams) => {
+				this.questions.push(question);
+				return this.confirm();
+			},
 			'crash.suspect': (suspect: CrashSuspect) => {
 				this.suspects.push(suspect);
 			},
@@ -314,7 +340,7 @@
 	changes: Partial<AgentSettings>,
 	body: (setting: Setting) => Promise<void>,
 	prepare: (engine: FakeEngine, table: FakeTable) => void = () => undefined,
-	agentClock: Clock = clock,
+	{agentClock = clock, mustBeReady = true}: {readonly agentClock?: Clock; readonly mustBeReady?: boolean} = {},
 ): Promise<void> => {
 	const controller = new AbortController();
 	const {signal} = controller;
@@ -328,7 +354,10 @@
 	const agent = await startAgent(createSettings({endpointUrl: engine.url, ...changes}), dependencies, signal);
 	try {
 		const entry = await new FakeEntry().connect(agent.internalPort, signal);
-		await untilReady(agent);
+		if (mustBeReady) {
+			await untilReady(agent);
+		}
+
 		await body({
 			agent, entry, engine, table, signal,
 		});
--- a/packages/agent/src/load-reporter.ts
+++ b/packages/agent/src/load-reporter.ts
@@ -1,6 +1,6 @@
 /**
- * Sends load reports to the connected entries, at most one a second for each, and at once on a change of role or when
- * the agent begins to leave.
+ * Sends load reports to the connected entries, at most one a second for each, and at once on a change of role, when the
+ * engine begins or ceases to take work, or when the agent begins to leave.
  */
 import type {LoadReport} from '@hawthorncleat/schema';
 import type {Peer} from '@hawthorncleat/wire';
@@ -12,12 +12,12 @@
  */
 const reportBytesPerSecond = 9500;
 /** Size of a report without its prefixes, with long numbers and the frame of the message. */
-const plainReportBytes = 330;
+const plainReportBytes = 340;
 /**
  * Most bytes of prefixes in a report. An entry with 17 connections, as the users of today have, receives at most
- * 17 x (330 + 220) B/s of reports.
+ * 17 x (340 + 218) B/s of reports.
  */
-const maxPrefixBytes = 220;
+const maxPrefixBytes = 218;
 
 /** A report without its sequence number. */
 export type LoadSnapshot = Omit<LoadReport, 'sequence'>;
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -53,7 +53,7 @@
 	readonly peers: Set<Peer>;
 };
 
-const createEndpoint = (context: Context, onRoleChange: () => void, checkPause: () => void): Endpoint => {
+const createEndpoint = (context: Context, onReportDue: () => void, checkPause: () => void): Endpoint => {
 	const {settings, dependencies, tracing, metrics, signal, peers, incarnation} = context;
 	const onCrash = (fingerprints: string[]): void => {
 		for (const peer of peers) {
@@ -88,7 +88,7 @@
 		marks: new CrashMarks(clock),
 		signal,
 		onCrash,
-		onRoleChange,
+		onReportDue,
 		checkPause,
 	});
 };
--- a/packages/entry/src/endpoint.ts
+++ b/packages/entry/src/endpoint.ts
@@ -3,7 +3,15 @@
  */
 import {brandAs, type EndpointId} from '@hawthorncleat/core';
 import type {
-	ActionMessage, ActionRef, HelloResult, HostRecord, LoadReport, RequestFailed, RequestFrame,
+	ActionMessage,
+	ActionRef,
+	HelloResult,
+	HostRecord,
+	LoadReport,
+	OrderConfirmParams,
+	OrderConfirmResult,
+	RequestFailed,
+	RequestFrame,
 } from '@hawthorncleat/schema';
 import type {Handlers, Peer} from '@hawthorncleat/wire';
 import {KeptConnection, type ConnectionOptions} from './kept-connection.js';
@@ -38,6 +46,8 @@
 	dispatchedTokens = 0;
 	/** The host list says that the host is leaving. */
 	isListedAsLeaving = false;
+	/** Answers the agent's question whether an order of a table outage still stands; set by the planner that sent one. */
+	confirmOrder: ((question: OrderConfirmParams) => OrderConfirmResult) | undefined;
 	/** The entry no longer connects to this host once its work here has ended. */
 	isRetired = false;
 
@@ -93,7 +103,7 @@
 
 	/** Whether new work may be sent here. */
 	get acceptsWork(): boolean {
-		return this.peer !== undefined && !this.isLeaving;
+		return this.peer !== undefined && !this.isLeaving && this.#report?.unavailable !== true;
 	}
 
 	get isIdle(): boolean {
@@ -149,6 +159,7 @@
 			'load.report': report => {
 				this.#receiveReport(report);
 			},
+			'order.confirm': question => this.confirmOrder?.(question) ?? {confirmed: false, validForMs: 0},
 			'crash.suspect': ({fingerprints}) => {
 				this.#options.onCrashSuspects(fingerprints, this.id);
 			},
--- a/packages/entry/src/fleet-capacity.ts
+++ b/packages/entry/src/fleet-capacity.ts
@@ -18,12 +18,16 @@
 
 /**
  * The role of a connected engine that stays, or the one that its order under way leads to: an order waits for running
- * streams, which can take minutes, and planners that do not see each other's orders all answer the same swing.
+ * streams, which can take minutes, and planners that do not see each other's orders all answer the same swing. An engine
+ * that takes no work without an order is down and counts for nothing.
  */
-export const roleOf = ({report, peer, isLeaving}: Endpoint): EngineOrderRole | undefined =>
-	report === undefined || report.role === 'service' || peer === undefined || isLeaving
-		? undefined
-		: report.nextRole ?? report.role;
+export const roleOf = ({report, peer, isLeaving}: Endpoint): EngineOrderRole | undefined => {
+	if (report === undefined || report.role === 'service' || peer === undefined || isLeaving) {
+		return undefined;
+	}
+
+	return report.nextRole ?? (report.unavailable ? undefined : report.role);
+};
 
 export type FleetView = {
 	readonly service: string;
