--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -1,36 +1,17 @@
 /**
- * A small engine, table and entry for the tests of the agent.
+ * An agent with a small engine, table and entry around it.
  */
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
-import {once} from 'node:events';
-import type {AddressInfo} from 'node:net';
-import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
 import {createStoreError, type Table} from '@hawthorncleat/platform';
-import type {
-	ActionMessage,
-	ActionRef,
-	AgentSettings,
-	CrashSuspect,
-	EngineState,
-	GenerateParams,
-	LoadReport,
-	OrderConfirmParams,
-	OrderConfirmResult,
-	RequestFailed,
-	RequestFrame,
-	RequestStartParams,
-	TableRow,
-} from '@hawthorncleat/schema';
+import type {AgentSettings, TableRow} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
-import {dial, type Peer} from '@hawthorncleat/wire';
 import {startAgent, type Agent} from '../index.js';
+import {FakeEngine} from './fake-engine.js';
+import {clock, FakeEntry} from './fake-entry.js';
 
-export const clock = {nowMs: () => performance.now()};
-export const traceparent = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01';
+export {FakeEngine, writeEnd, writeToken} from './fake-engine.js';
+export {clock, FakeEntry, traceparent} from './fake-entry.js';
 
 /** Waits until a condition holds, and fails after some seconds. */
 export const until = async (condition: () => boolean, what = 'condition'): Promise<void> => {
@@ -44,116 +25,6 @@
 	}
 };
 
-type Generate = (params: GenerateParams, res: ServerResponse) => void;
-
-const readJson = async (req: IncomingMessage): Promise<unknown> => {
-	let text = '';
-	for await (const chunk of req) {
-		text += String(chunk);
-	}
-
-	return text === '' ? undefined : JSON.parse(text);
-};
-
-/** Writes one token. */
-export const writeToken = (res: ServerResponse, position: number): void => {
-	res.write(`${JSON.stringify({position, token: `t${position}`})}\n`);
-};
-
-/** Ends an answer after so many tokens in all. */
-export const writeEnd = (res: ServerResponse, outputTokens: number): void => {
-	const end = {
-		reason: 'stop', promptTokens: 2, cachedTokens: 0, outputTokens,
-	};
-	res.end(`${JSON.stringify({end})}\n`);
-};
-
-/** An engine that speaks the interface of section 7 and answers as the test says. */
-export class FakeEngine {
-	readonly started: GenerateParams[] = [];
-	readonly cancelled: string[] = [];
-	readonly orders: unknown[] = [];
-	readonly open = new Map<string, ServerResponse>();
-	running = 0;
-	maxRunning = 0;
-	requests = 0;
-	state: EngineState = {
-		role: 'mixed', changing: false, lastOrder: 0, running: 0, waiting: 0, kvFreeTokens: 1000,
-	};
-
-	#server: Server | undefined;
-	#port = 0;
-
-	generate: Generate = ({delivered, maxTokens}, res) => {
-		for (let position = delivered.length; position < maxTokens; position += 1) {
-			writeToken(res, position);
-		}
-
-		writeEnd(res, maxTokens);
-	};
-
-	get url(): string {
-		return `http://127.0.0.1:${this.#port}`;
-	}
-
-	async start(): Promise<void> {
-		this.#server = createServer((req, res) => {
-			void this.#answer(req, res);
-		});
-		this.#server.listen(this.#port, '127.0.0.1');
-		await once(this.#server, 'listening');
-		this.#port = (this.#server.address() as AddressInfo).port;
-	}
-
-	/** Ends like a killed process. */
-	crash(): void {
-		this.#server?.close();
-		this.#server?.closeAllConnections();
-	}
-
-	async #answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		this.requests += 1;
-		const body = await readJson(req);
-		switch (req.url ?? '') {
-			case '/generate': {
-				this.#begin(body as GenerateParams, res);
-
-				break;
-			}
-
-			case '/cancel': {
-				this.cancelled.push((body as {requestId: string}).requestId);
-				res.end('{}');
-
-				break;
-			}
-
-			case '/orders': {
-				this.orders.push(body);
-				this.state = {...this.state, role: (body as EngineState).role, changing: true};
-				res.end('{}');
-
-				break;
-			}
-
-			default: {
-				res.end(JSON.stringify(this.state));
-			}
-		}
-	}
-
-	#begin(params: GenerateParams, res: ServerResponse): void {
-		this.started.push(params);
-		this.running += 1;
-		this.maxRunning = Math.max(this.maxRunning, this.running);
-		res.on('close', () => {
-			this.running -= 1;
-		});
-		this.open.set(params.requestId, res);
-		this.generate(params, res);
-	}
-}
-
 /** A table in memory; it keeps every value that a row had. */
 export class FakeTable implements Table {
 	readonly rows = new Map<string, TableRow>();
@@ -198,93 +69,6 @@
 	}
 }
 
-/** A connection of an entry with everything that arrived on it. */
-export class FakeEntry {
-	readonly frames: RequestFrame[] = [];
-	readonly failures: RequestFailed[] = [];
-	readonly reports: LoadReport[] = [];
-	readonly suspects: CrashSuspect[] = [];
-	/** Questions about orders of a table outage. */
-	readonly questions: OrderConfirmParams[] = [];
-	incarnation = '';
-	connection = 0;
-	peer!: Peer;
-	/** What the planner answers to a question. */
-	confirm: () => OrderConfirmResult | Promise<OrderConfirmResult>;
-	#lastActionNumber = 0;
-
-	constructor() {
-		this.confirm = () => ({confirmed: true, validForMs: 2000});
-	}
-
-	async connect(port: number, signal: AbortSignal): Promise<this> {
-		const handlers = {
-			'request.frame': (frame: RequestFrame) => {
-				this.frames.push(frame);
-			},
-			'request.failed': (failed: RequestFailed) => {
-				this.failures.push(failed);
-			},
-			'load.report': (report: LoadReport) => {
-				this.reports.push(report);
-			},
-			'order.confirm': async (question: OrderConfirmParams) => {
-				this.questions.push(question);
-				return this.confirm();
-			},
-			'crash.suspect': (suspect: CrashSuspect) => {
-				this.suspects.push(suspect);
-			},
-		};
-		this.peer = await dial({
-			address: '127.0.0.1', port, clock, handlers, heartbeat: () => ({configVersion: 0, leaving: false}),
-		}, signal);
-		const hello = await this.peer.call('hello', {
-			protocol: 1, role: 'entry', id: 'entry-1', dataCentre: 'dc-1', configVersion: 0,
-		});
-		this.incarnation = hello.incarnation;
-		this.connection = hello.connection!;
-		return this;
-	}
-
-	/** Gives an action the next number on this connection; a message that has a number keeps it. */
-	addressAction(action: ActionRef | ActionMessage): ActionMessage {
-		if ('number' in action) {
-			return action;
-		}
-
-		this.#lastActionNumber += 1;
-		return {...action, connection: this.connection, number: this.#lastActionNumber};
-	}
-
-	async start(requestId: string, changes: Partial<RequestStartParams> = {}): Promise<unknown> {
-		return this.peer.call('request.start', {
-			requestId,
-			attempt: 1,
-			incarnation: this.incarnation,
-			clientAccount: 'account-1',
-			weight: 1,
-			priority: 0,
-			model: 'model-1',
-			prompt: 'two words',
-			maxTokens: 3,
-			delivered: [],
-			firstTokenInMs: 10_000,
-			fingerprint: `fingerprint-${requestId}`,
-			traceparent,
-			...changes,
-		});
-	}
-
-	tokens(requestId: string): string[] {
-		return this.frames.filter(frame => frame.requestId === requestId).flatMap(frame => frame.tokens);
-	}
-
-	hasEnd(requestId: string): boolean {
-		return this.frames.some(frame => frame.requestId === requestId && frame.end);
-	}
-}
-
 export type Setting = {
 	readonly agent: Agent;
 	readonly entry: FakeEntry;
--- a/packages/entry/src/attempt-failure.ts
+++ b/packages/entry/src/attempt-failure.ts
@@ -51,6 +51,11 @@
 		: {kind: 'connection-lost', ran: 'unknown', code: String(code)};
 };
 
+const lossCodes: ReadonlySet<string> = new Set(['connection-lost', 'connection-closed']);
+
+/** Whether a call failed because its connection ended, so that it may be made again on the next one. */
+export const isConnectionLoss = (err: unknown): boolean => lossCodes.has(classifyCallError(err).code);
+
 /** What is known after several attempts: one that may have run outweighs those that did not. */
 export const combineRan = (a: Ran, b: Ran): Ran => {
 	if (a === 'ran' || b === 'ran') {
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -11,7 +11,7 @@
 	type RequestStartParams,
 	type RequestStartResult,
 } from '@hawthorncleat/schema';
-import {classifyCallError, type AttemptFailure} from './attempt-failure.js';
+import {classifyCallError, isConnectionLoss, type AttemptFailure} from './attempt-failure.js';
 import type {Endpoint, StreamListener} from './endpoint.js';
 
 const startTimeoutMs = 3000;
@@ -29,10 +29,6 @@
 /** The tokens that the caller has been given, over all attempts. */
 export type Delivery = {readonly tokens: string[]; bytes: number; onTokens(tokens: readonly string[]): void};
 
-const lossCodes: ReadonlySet<string> = new Set(['connection-lost', 'connection-closed']);
-
-const isConnectionLoss = (err: unknown): boolean => lossCodes.has(classifyCallError(err).code);
-
 type AttemptOptions = {
 	readonly endpoint: Endpoint;
 	readonly params: RequestStartParams;
