Settle witnesses whose group changed beyond an announced publication

Cause: a witness settled only when it joined the list. A writer reaches a majority of its group by its own host list; when that group shrinks from three witnesses to one or from five to three, or falls below three entries and is merged, a majority of the new group may lie among witnesses that never heard of the publication. They would attest an outage, and a withdrawn key could stay admitted beyond 5 s (I6).

Change: GroupChange compares the groups of two host lists and has a witness settle when such a majority is possible. A group that only loses a minority goes on attesting, so that an outage does not stop keyed requests at each lost host.

Ruled out: settling at every change of the group (each host replaced during an outage would stop keyed requests), announcing to all recent lists as duties do (a publication would wait a minute after two lost witnesses; it needs the model first).

Left: entries and witnesses on an older list than the writer's, listed in docs/proof-status.md under I6.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -32,6 +32,7 @@
 export {
 	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type WitnessGroup, type WitnessGroupInput,
 } from './witness-groups.js';
+export {GroupChange} from './group-change.js';
 export {
 	announceWindowMs, dutyRefusalMs, dutyView, DutyWitness, isBlocking, type DutyEpoch, type DutyWitnessOptions,
 } from './duty-witness.js';
--- a/packages/core/src/witness.ts
+++ b/packages/core/src/witness.ts
@@ -52,9 +52,9 @@
 		return `${this.#options.incarnation}.${this.#forgotten}`;
 	}
 
-	/** Takes over a new list of witnesses; `joined` says that this entry was not on the list that it knew before. */
-	setView(view: string, joined: boolean): void {
-		if (joined) {
+	/** Takes over a new list of witnesses; `mustSettle` says that an announcement by an older list may be unknown here. */
+	setView(view: string, mustSettle: boolean): void {
+		if (mustSettle) {
 			this.#attestsFromMs = this.#settledAtMs();
 		}
 
--- a/packages/entry/src/control/groups.ts
+++ b/packages/entry/src/control/groups.ts
@@ -2,7 +2,7 @@
  * The witness groups of the fleet by the current host list, for the parts of an entry that depend on them.
  */
 import {
-	createWitnessGroups, findOwnGroup, type DutyWitness, type RecentGroups, type Witness, type WitnessGroup,
+	createWitnessGroups, findOwnGroup, GroupChange, type DutyWitness, type RecentGroups, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {HostWatch} from './host-watch.js';
@@ -23,6 +23,7 @@
 	readonly #witness: Witness;
 	readonly #dutyWitness: DutyWitness;
 	readonly #recent: RecentGroups;
+	readonly #change: GroupChange;
 
 	constructor({settings, hostWatch, witness, dutyWitness, recent}: GroupsOptions) {
 		this.#settings = settings;
@@ -30,6 +31,7 @@
 		this.#witness = witness;
 		this.#dutyWitness = dutyWitness;
 		this.#recent = recent;
+		this.#change = new GroupChange(settings.entryId);
 	}
 
 	readonly all = (): readonly WitnessGroup[] => this.#groups;
@@ -41,16 +43,11 @@
 		new Set([...this.#groups, ...this.#recent.known].flatMap(group => group.witnesses.map(({hostId}) => hostId)));
 
 	readonly update = (): void => {
-		const {entryId} = this.#settings;
-		const wasWitness = this.#includes(entryId);
 		const {entries: hosts, regionOf} = this.#hostWatch();
 		this.#groups = createWitnessGroups({hosts, regionOf});
-		this.#witness.setView(this.own()?.view ?? '', !wasWitness && this.#includes(entryId));
-		this.#dutyWitness.setGroup(this.own());
-		this.#recent.set(this.own());
+		const own = this.own();
+		this.#witness.setView(own?.view ?? '', this.#change.update(this.#groups, own));
+		this.#dutyWitness.setGroup(own);
+		this.#recent.set(own);
 	};
-
-	#includes(hostId: string): boolean {
-		return this.own()?.witnesses.some(witness => witness.hostId === hostId) ?? false;
-	}
 }
