Keep one way to apply a change of the configuration

Found when reading the whole change again: - `applyChange`, `applyDelta` and `applyDeltas` of core did what a view's `advance` does. After the check worked on views only `diff` and a test still called them. `diff` now takes the version that the check has built anyway, and the test compares `advance`. - A publication on the entry's own base read the newer deltas from the object store twice, for the view and for the conflicts. - The entry and the histories hashed keys with copies of core's `hashKey`.

Nothing changes for operators or callers.

--- a/packages/core/src/config/__tests__/delta.test.ts
+++ b/packages/core/src/config/__tests__/delta.test.ts
@@ -2,7 +2,8 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
-import {applyDelta, diffSnapshots, overlappingObjects} from '../delta.js';
+import {createConfigView} from '../create-view.js';
+import {diffSnapshots, overlappingObjects} from '../delta.js';
 import {sortObjects} from '../objects.js';
 
 const seed = 20_260;
@@ -20,7 +21,7 @@
 		fc.assert(fc.property(objects, objects, (before, after) => {
 			const from = {version: 3, objects: before};
 			const to = {version: 4, objects: after};
-			assert.equal(applyDelta(from, {version: 4, change: diffSnapshots(from, to)}), to);
+			assert.equal(createConfigView(from).advance({version: 4, change: diffSnapshots(from, to)}).snapshot, to);
 		}), {seed});
 	});
 
@@ -32,6 +33,6 @@
 	});
 
 	it('do not apply to another version', () => {
-		assert.throws(() => applyDelta({version: 3, objects: []}, {version: 5, change: {}}));
+		assert.throws(() => createConfigView({version: 3, objects: []}).advance({version: 5, change: {}}));
 	});
 });
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -72,7 +72,7 @@
 export type {ConfigFinding} from './config/findings.js';
 export {hashKey, objectKey, touchedObjects} from './config/objects.js';
 export {
-	applyChange, applyDelta, applyDeltas, diffSnapshots, emptySnapshot, overlappingObjects,
+	diffSnapshots, emptySnapshot, overlappingObjects,
 } from './config/delta.js';
 export {
 	createInForce, type ConfigUpdate, type InForce, type InForceListener,
--- a/packages/entry/src/authorize.ts
+++ b/packages/entry/src/authorize.ts
@@ -1,9 +1,8 @@
 /**
  * Decides whether a request may use a route, and for which client account.
  */
-import {createHash} from 'node:crypto';
 import {
-	brandAs, type ClientAccountName, type Clock, type ConfigView, type KeyHash, type ResolvedRoute,
+	brandAs, hashKey, type ClientAccountName, type Clock, type ConfigView, type ResolvedRoute,
 } from '@hawthorncleat/core';
 import type {ClientAccount} from '@hawthorncleat/schema';
 import {callerError} from './caller-errors.js';
@@ -22,8 +21,6 @@
 	readonly retryAfterMs: number;
 };
 
-export const hashKey = (key: string): KeyHash => brandAs<KeyHash>(createHash('sha256').update(key).digest('hex'));
-
 const findAccount = (view: ConfigView, key: string | undefined): ClientAccount => {
 	if (key === undefined) {
 		throw callerError('key-missing', 'send the key as "Authorization: Bearer <key>"');
--- a/packages/hawthorncleat/src/commands/change.ts
+++ b/packages/hawthorncleat/src/commands/change.ts
@@ -144,7 +144,7 @@
 		return printFindings(context, file, checked.findings);
 	}
 
-	const lines = describeDiff(base, file.content as Change);
+	const lines = describeDiff(base, checked.next.snapshot);
 	for (const line of lines.length > 0 ? lines : [`no difference from version ${base.version}`]) {
 		context.print(line);
 	}
--- a/packages/hawthorncleat/src/describe-diff.ts
+++ b/packages/hawthorncleat/src/describe-diff.ts
@@ -2,8 +2,8 @@
  * Describes what a change does to a configuration, for the operator who is about to apply it.
  */
 import {isDeepStrictEqual} from 'node:util';
-import {applyChange, diffSnapshots, objectKey} from '@hawthorncleat/core';
-import type {Change, ConfigObject, Snapshot} from '@hawthorncleat/schema';
+import {diffSnapshots, objectKey} from '@hawthorncleat/core';
+import type {ConfigObject, Snapshot} from '@hawthorncleat/schema';
 
 const describeFields = (before: ConfigObject, after: ConfigObject): string[] => {
 	const old = new Map<string, unknown>(Object.entries(before));
@@ -14,8 +14,7 @@
 };
 
 /** Lines with `+` for created, `~` for changed and `-` for deleted objects; empty when the change does nothing. */
-export const describeDiff = (base: Snapshot, change: Change): string[] => {
-	const next: Snapshot = {version: base.version + 1, objects: applyChange(base.objects, change)};
+export const describeDiff = (base: Snapshot, next: Snapshot): string[] => {
 	const before = new Map(base.objects.map(object => [objectKey(object), object]));
 	const {put = [], delete: deleted = []} = diffSnapshots(base, next);
 	const changed = put.flatMap(object => {
--- a/packages/histories/src/caller-keys.ts
+++ b/packages/histories/src/caller-keys.ts
@@ -2,8 +2,9 @@
  * Keys of a run beside those that every fleet has. Their secrets are random, so that a part of one found at an endpoint
  * can only come from the key.
  */
+import {hashKey} from '@hawthorncleat/core';
 import type {Change, Key} from '@hawthorncleat/schema';
-import {fleetServices, hashKey, type FleetAccount} from './fleet-config.js';
+import {fleetServices, type FleetAccount} from './fleet-config.js';
 import type {SeededRandom} from './random.js';
 
 /** Name of the model route, which callers use as the model. */
--- a/packages/histories/src/fleet-config.ts
+++ b/packages/histories/src/fleet-config.ts
@@ -1,7 +1,7 @@
 /**
  * The configuration of a test fleet: client accounts with a key each, one model and one plain service.
  */
-import {createHash} from 'node:crypto';
+import {hashKey} from '@hawthorncleat/core';
 import type {Change} from '@hawthorncleat/schema';
 
 /** The region of all data centres of a fleet. */
@@ -25,9 +25,6 @@
 /** Name of the key of an account. */
 export const keyNameOf = (account: string): string => `${account}-key`;
 
-/** The hash under which a key is stored. */
-export const hashKey = (key: string): string => createHash('sha256').update(key).digest('hex');
-
 /** The change that a new fleet is configured with. */
 export const createFleetConfig = (dataCentres: readonly string[]): Change => {
 	const [first, ...others] = dataCentres;
--- a/packages/histories/src/index.ts
+++ b/packages/histories/src/index.ts
@@ -7,7 +7,7 @@
 export {Daemon, type DaemonPlan} from './daemon.js';
 export {adminToken} from './daemon-plans.js';
 export {
-	createFleetConfig, fleetAccounts, fleetRegion, fleetServices, hashKey, keyNameOf, keyOf, requestIdHeader, type FleetAccount,
+	createFleetConfig, fleetAccounts, fleetRegion, fleetServices, keyNameOf, keyOf, requestIdHeader, type FleetAccount,
 } from './fleet-config.js';
 export type {
 	EndpointPlan, EntryPlan, FleetOptions, FleetPlan, FleetSettings,
--- a/packages/platform/src/config-publish.ts
+++ b/packages/platform/src/config-publish.ts
@@ -155,19 +155,23 @@
 	};
 };
 
+/** The newest version with what led there from the base of the request. */
+type Newest = {readonly row: HeadRow; readonly view: AdvancingView; readonly fetched: FetchedConfig};
+
 /** Objects of the change that versions after its own base touch; all of them when those versions are not known. */
 const findConflicts = async (
 	{reader}: Context,
 	{base}: PublishRequest,
 	change: Change,
-	{head, newest}: {readonly head: Head; readonly newest: AdvancingView},
+	{row: {head}, view, fetched}: Newest,
 ): Promise<ObjectId[]> => {
 	const since = change.baseVersion ?? base.version;
-	if (since >= newest.version) {
+	if (since >= view.version) {
 		return [];
 	}
 
-	const newer = mergeChangesAfter(since, base, newest, await reader.fetchTo(head, since));
+	const known = since === base.version ? fetched : await reader.fetchTo(head, since);
+	const newer = mergeChangesAfter(since, base, view, known);
 	return newer ? overlappingObjects(change, newer) : touchedObjects(change);
 };
 
@@ -194,9 +198,6 @@
 	}
 };
 
-/** The newest version with what led there from the base. */
-type Newest = {readonly row: HeadRow; readonly view: AdvancingView; readonly fetched: ConfigUpdate};
-
 /** Announces and writes one version. */
 const tryWrite = async (
 	context: Context,
@@ -230,10 +231,8 @@
 const attemptPublish = async (context: Context, request: PublishRequest): Promise<PublishResult | undefined> => {
 	const checked = check<Change>(validators.validateChange as Validator, request.change);
 	const newest = await fetchNewest(context, request.base);
-	const {view, row: {head}} = newest;
-	const conflicts = checked.ok
-		? await findConflicts(context, request, checked.value, {head, newest: view})
-		: [];
+	const {view} = newest;
+	const conflicts = checked.ok ? await findConflicts(context, request, checked.value, newest) : [];
 	if (conflicts.length > 0) {
 		return {kind: 'conflict', conflicts, version: view.version};
 	}
