--- a/packages/bench/src/strategies/hawthorncleat.ts
+++ b/packages/bench/src/strategies/hawthorncleat.ts
@@ -7,21 +7,19 @@
 	chooseEndpoint,
 	chooseService,
 	countRoles,
-	defaultRolePlanOptions,
-	decodeTokensPerSecond,
 	DemandMeter,
+	engineSeconds,
 	FairQueue,
+	heldBackRetryMs,
 	LoadView,
 	placesAtPace,
-	planRoles,
 	servablePart,
 	ServiceView,
+	type CapacityModel,
 	type Choice,
 	type ChoiceRequest,
 	type EndpointState,
 	type EngineRole,
-	type RolePlanMemory,
-	type RolePlanOptions,
 	type ServiceTarget,
 } from '@hawthorncleat/core';
 import {deskRates, engineRates} from '../deployments.js';
@@ -29,16 +27,13 @@
 	kvTokens, type Job, type JobQueue,
 } from '../sim/job.js';
 import type {FakeEngine} from '../sim/engine.js';
+import {createRolePlanner} from './role-planner.js';
 import type {
-	AgentAnswer, EntryContext, MeteringEntry, Placement, Planner, PlannerView, Strategy,
+	AgentAnswer, EntryContext, MeteringEntry, Placement, Strategy,
 } from './strategy.js';
 
 // Long enough to average out single requests, short against a swing of the mix.
 const demandWindowMs = 10_000;
-// Time after which a held back account may ask again.
-const heldBackRetryMs = 1000;
-// Size of a prefix in the cache where only its name is reported.
-const assumedPrefixTokens = 1000;
 
 const createRequest = (job: Job, excluded: ReadonlySet<string>): ChoiceRequest => ({
 	stage: 'prefill',
@@ -74,8 +69,7 @@
 	arrived(...[request, nowMs]: Parameters<MeteringEntry['arrived']>): void {
 		if (request.kind === 'model') {
 			this.#meter.arrived(request.promptTokens, request.maxTokens, nowMs);
-			const work = (this.#meter.expectUncached(request.promptTokens) / engineRates.prefillTokensPerSecond)
-				+ (this.#meter.expectOutput(request.maxTokens) / decodeTokensPerSecond(engineRates, this.context.target.paceMs));
+			const work = engineSeconds(this.#model, this.#meter.expectUncached(request.promptTokens), this.#meter.expectOutput(request.maxTokens));
 			this.#shares.arrived(String(request.account), request.weight, work, nowMs);
 		}
 	}
@@ -144,6 +138,10 @@
 		return this.#meter.measure(nowMs);
 	}
 
+	get #model(): CapacityModel {
+		return {rates: engineRates, paceMs: this.context.target.paceMs};
+	}
+
 	#isWithinShare(job: Job, nowMs: number): boolean {
 		const part = this.#shares.admittedPart(job.account, () => this.#servablePart(nowMs), nowMs);
 		return part >= 1 || this.context.random() < part;
@@ -151,11 +149,7 @@
 
 	#servablePart(nowMs: number): number {
 		const roles = this.#states(nowMs).filter(({leaving}) => !leaving).map(({role}) => role);
-		return servablePart(
-			{rates: engineRates, paceMs: this.context.target.paceMs},
-			this.#meter.measure(nowMs),
-			countRoles(roles),
-		);
+		return servablePart(this.#model, this.#meter.measure(nowMs), countRoles(roles));
 	}
 
 	#startDesk(job: Job, excluded: ReadonlySet<string>, nowMs: number): Placement {
@@ -240,41 +234,6 @@
 	return admission.accepted ? admission : {accepted: false, retryAfterMs: admission.retryAfterMs};
 };
 
-/** Plans the roles of one data centre with the reports that one of its entries has. */
-export const createRolePlanner = (options: RolePlanOptions = defaultRolePlanOptions): Planner => {
-	const memories = new Map<string, RolePlanMemory>();
-	return (view: PlannerView) => {
-		const known = view.endpoints.flatMap(endpoint => endpoint.reading && endpoint.reading.role !== 'service'
-			? [{...endpoint, reading: endpoint.reading}]
-			: []);
-		const local = known.filter(({dataCentre}) => dataCentre === view.dataCentre);
-		const elsewhere = known.filter(({dataCentre, reachable}) => dataCentre !== view.dataCentre && reachable);
-		const rates = local[0]?.rates;
-		if (!rates) {
-			return [];
-		}
-
-		const plan = planRoles({
-			nowMs: view.nowMs,
-			model: {rates, paceMs: view.target.paceMs},
-			engines: local.map(({id, reading}) => ({
-				id,
-				role: reading.role,
-				changing: view.changing.has(id),
-				cachedTokens: reading.prefixes.length * assumedPrefixTokens,
-				runningTokens: view.kvCapacityTokens - reading.freeTokens,
-			})),
-			elsewhere: countRoles(elsewhere.map(({reading}) => reading.role)),
-			demand: (view.entry as MeteringEntry).demand(view.nowMs),
-			rank: view.dataCentres.indexOf(view.dataCentre),
-			memory: memories.get(view.dataCentre) ?? {},
-			options,
-		});
-		memories.set(view.dataCentre, plan.memory);
-		return plan.change ? [plan.change] : [];
-	};
-};
-
 const base = {
 	createEntry: (context: EntryContext) => new Entry(context),
 	createQueue: () => new FairJobQueue(),
--- a/packages/core/src/policy/account-shares.ts
+++ b/packages/core/src/policy/account-shares.ts
@@ -35,6 +35,9 @@
 // Part of the estimated capacity that is divided. With all of it the queues stay full and refuse the small accounts too.
 const usablePart = 0.9;
 
+/** Time after which an account that was held back may ask again; the shares change in seconds. */
+export const heldBackRetryMs = 1000;
+
 /** Parts of the requests of each account that an entry admits; state is kept only for the accounts of the window. */
 export class AccountShares {
 	#arrivals: Arrival[] = [];
--- a/packages/core/src/policy/index.ts
+++ b/packages/core/src/policy/index.ts
@@ -1,4 +1,6 @@
-export {AccountShares, divideCapacity, type AccountDemand} from './account-shares.js';
+export {
+	AccountShares, divideCapacity, heldBackRetryMs, type AccountDemand,
+} from './account-shares.js';
 export {FairQueue, type FairQueueOptions, type QueuedWork} from './fair-queue.js';
 export {DemandMeter, type AnswerCounts, type DemandMeterOptions} from './demand-meter.js';
 export {
@@ -37,7 +39,7 @@
 	admit, type Admission, type AdmissionRequest, type AdmissionView,
 } from './admission.js';
 export {
-	countRoles, coversBothStages, enginesNeeded, servablePart, type CapacityModel, type RoleCounts, type TokenDemand,
+	countRoles, coversBothStages, engineSeconds, enginesNeeded, scaleRoles, servablePart, sumRoles, type CapacityModel, type RoleCounts, type TokenDemand,
 } from './role-capacity.js';
 export {
 	defaultRolePlanOptions,
--- a/packages/core/src/policy/plan-roles.ts
+++ b/packages/core/src/policy/plan-roles.ts
@@ -5,7 +5,7 @@
  */
 import {type EngineRole} from './engine-model.js';
 import {
-	countRoles, coversBothStages, enginesNeeded, servablePart, type CapacityModel, type RoleCounts, type TokenDemand,
+	countRoles, coversBothStages, enginesNeeded, servablePart, sumRoles, type CapacityModel, type RoleCounts, type TokenDemand,
 } from './role-capacity.js';
 
 export type PlannedEngine = {
@@ -92,12 +92,9 @@
 
 const roles: readonly EngineRole[] = ['mixed', 'prefill', 'decode'];
 
-const addCounts = (a: RoleCounts, b: RoleCounts): RoleCounts =>
-	({mixed: a.mixed + b.mixed, prefill: a.prefill + b.prefill, decode: a.decode + b.decode});
-
 /** Work served by the engines in engine-seconds a second; more than the demand counts as the demand. */
 const servedWork = (input: RolePlanInput, localRoles: readonly EngineRole[]): number => {
-	const counts = addCounts(countRoles(localRoles), input.elsewhere);
+	const counts = sumRoles([countRoles(localRoles), input.elsewhere]);
 	const needed = enginesNeeded(input.model, input.demand);
 	return Math.min(1, servablePart(input.model, input.demand, counts)) * (needed.prefill + needed.decode);
 };
--- a/packages/core/src/policy/role-capacity.ts
+++ b/packages/core/src/policy/role-capacity.ts
@@ -20,6 +20,22 @@
 	decode: roles.filter(role => role === 'decode').length,
 });
 
+/** Sum of the engines of several groups. */
+export const sumRoles = (counts: Iterable<RoleCounts>): RoleCounts => {
+	const sum = {mixed: 0, prefill: 0, decode: 0};
+	for (const {mixed, prefill, decode} of counts) {
+		sum.mixed += mixed;
+		sum.prefill += prefill;
+		sum.decode += decode;
+	}
+
+	return sum;
+};
+
+/** A part or a multiple of the engines, in the same proportion of the roles. */
+export const scaleRoles = ({mixed, prefill, decode}: RoleCounts, factor: number): RoleCounts =>
+	({mixed: mixed * factor, prefill: prefill * factor, decode: decode * factor});
+
 /** Engines that the demand needs for each stage when no engine is mixed. */
 export const enginesNeeded = (model: CapacityModel, demand: TokenDemand): Record<'decode' | 'prefill', number> => ({
 	prefill: demand.promptTokensPerSecond / model.rates.prefillTokensPerSecond,
@@ -43,6 +59,10 @@
 	});
 };
 
+/** Time in seconds that engines spend on a request, the prompt's without its cached tokens. */
+export const engineSeconds = ({rates, paceMs}: CapacityModel, uncachedTokens: number, outputTokens: number): number =>
+	(uncachedTokens / rates.prefillTokensPerSecond) + (outputTokens / decodeTokensPerSecond(rates, paceMs));
+
 const bisectionSteps = 30;
 
 /** Part of the demand, above 1 where there is room, that the engines can serve with the mixed ones filling gaps. */
--- a/packages/entry/src/duties/endpoint-orderer.ts
+++ b/packages/entry/src/duties/endpoint-orderer.ts
@@ -59,12 +59,7 @@
 		await runRounds({
 			round: async () => this.round(lease),
 			pauseMs: this.#options.pauseMs ?? roundPauseMs,
-			onSuccess: () => {
-				this.#progress.succeeded();
-			},
-			onFailure: reason => {
-				this.#progress.failed(reason);
-			},
+			progress: this.#progress,
 		}, signal);
 	};
 
--- a/packages/entry/src/duties/role-planner.ts
+++ b/packages/entry/src/duties/role-planner.ts
@@ -8,6 +8,7 @@
 	defaultRolePlanOptions,
 	isRequestError,
 	planRoles,
+	sumRoles,
 	type CapacityModel,
 	type Clock,
 	type EngineOrderRole,
@@ -63,9 +64,6 @@
 	readonly pauseMs?: number;
 };
 
-const addCounts = (a: RoleCounts, b: RoleCounts): RoleCounts =>
-	({mixed: a.mixed + b.mixed, prefill: a.prefill + b.prefill, decode: a.decode + b.decode});
-
 /** The duty of one service in one data centre. */
 export class RolePlanner {
 	readonly #options: RolePlannerOptions;
@@ -90,12 +88,7 @@
 		await runRounds({
 			round: async () => this.round(lease),
 			pauseMs: this.#options.pauseMs ?? roundPauseMs,
-			onSuccess: () => {
-				this.#progress.succeeded();
-			},
-			onFailure: reason => {
-				this.#progress.failed(reason);
-			},
+			progress: this.#progress,
 		}, signal);
 		// Nothing is confirmed after the end of a tenure.
 		this.#outage.clear();
@@ -136,24 +129,32 @@
 		const engines = this.#options.engines();
 		await Promise.all(engines.map(async ({endpoint}) => this.#rows.refresh(endpoint)));
 		await this.#resend(engines, lease);
-		await this.#plan(model, engines, async change => this.#order(lease, engines, change));
+		await this.#plan(model, engines, [], async change => this.#order(lease, engines, change));
 	}
 
 	/** Plans with the rows that are known and the orders that were sent; other engines keep their roles. */
 	async #roundInOutage(lease: Lease, model: CapacityModel): Promise<void> {
 		const engines = this.#options.engines();
 		await Promise.all(engines.map(async engine => this.#followUp(engine, lease)));
-		const planned = engines.filter(({endpoint}) => this.#rows.get(endpoint) !== undefined && !this.#outage.isRefused(endpoint));
-		await this.#plan(model, planned, async change => this.#orderInOutage(lease, planned, change));
+		const mayOrder = ({endpoint}: ManagedEngine): boolean =>
+			this.#rows.get(endpoint) !== undefined && !this.#outage.isRefused(endpoint);
+		const planned = engines.filter(engine => mayOrder(engine));
+		const fixed = engines.filter(engine => !mayOrder(engine));
+		await this.#plan(model, planned, fixed, async change => this.#orderInOutage(lease, planned, change));
 	}
 
-	async #plan(model: CapacityModel, engines: readonly ManagedEngine[], order: (change: RoleChange) => Promise<void>): Promise<void> {
-		const fixed = this.#options.engines().filter(engine => engines.every(({endpoint}) => endpoint !== engine.endpoint));
+	/** `fixed` are engines whose roles count but stay. */
+	async #plan(
+		model: CapacityModel,
+		engines: readonly ManagedEngine[],
+		fixed: readonly ManagedEngine[],
+		order: (change: RoleChange) => Promise<void>,
+	): Promise<void> {
 		const {change, memory} = planRoles({
 			nowMs: this.#options.clock.nowMs(),
 			model,
 			engines: engines.map(engine => this.#describe(engine)),
-			elsewhere: addCounts(this.#options.elsewhere(), countRoles(fixed.map(({role}) => role))),
+			elsewhere: sumRoles([this.#options.elsewhere(), countRoles(fixed.map(({role}) => role))]),
 			demand: this.#options.demand(),
 			rank: this.#options.rank(),
 			memory: this.#memory,
--- a/packages/entry/src/duties/run-rounds.ts
+++ b/packages/entry/src/duties/run-rounds.ts
@@ -4,27 +4,32 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {isStoreError} from '@hawthorncleat/platform';
+import type {ProgressLog} from './progress-log.js';
 
 export type Rounds = {
 	readonly round: () => Promise<void>;
 	readonly pauseMs: number;
-	readonly onSuccess: () => void;
-	/** Hears of each failure after which a later round may succeed. */
-	readonly onFailure: (reason: string) => void;
+	readonly progress: ProgressLog;
+	/** Hears of each failure after which a later round may succeed, in place of `progress`. */
+	readonly onFailure?: (reason: string) => void;
 	/** Further errors after which a later round may succeed, besides those of the store. */
 	readonly mayPass?: (error: unknown) => error is Error;
 };
 
-const tryRound = async ({round, onSuccess, onFailure, mayPass}: Rounds): Promise<void> => {
+const tryRound = async ({round, progress, onFailure, mayPass}: Rounds): Promise<void> => {
 	try {
 		await round();
-		onSuccess();
+		progress.succeeded();
 	} catch (error) {
 		if (!isStoreError(error) && !mayPass?.(error)) {
 			throw error;
 		}
 
-		onFailure(error.message);
+		if (onFailure) {
+			onFailure(error.message);
+		} else {
+			progress.failed(error.message);
+		}
 	}
 };
 
--- a/packages/entry/src/duties/usage-reporter.ts
+++ b/packages/entry/src/duties/usage-reporter.ts
@@ -64,9 +64,7 @@
 		await runRounds({
 			round: async () => this.round(lease, signal),
 			pauseMs: this.#options.pauseMs ?? roundPauseMs,
-			onSuccess: () => {
-				this.#progress.succeeded();
-			},
+			progress: this.#progress,
 			onFailure: reason => {
 				if (!signal.aborted) {
 					this.#options.metrics.usageFailures.inc();
--- a/packages/entry/src/fair-admission.ts
+++ b/packages/entry/src/fair-admission.ts
@@ -4,17 +4,14 @@
  * places among what was admitted.
  */
 import {
-	AccountShares, decodeTokensPerSecond, servablePart, type CapacityModel, type Clock, type Random,
+	AccountShares, engineSeconds, heldBackRetryMs, servablePart, sumRoles, type CapacityModel, type Clock, type Random,
 } from '@hawthorncleat/core';
 import type {HostRecord} from '@hawthorncleat/schema';
 import type {ConfigSource, HostSource} from './deps.js';
 import type {Endpoint} from './endpoint.js';
-import {capacityModelOf, rolesByDataCentre, sumRoles} from './fleet-capacity.js';
+import {capacityModelOf, rolesByDataCentre} from './fleet-capacity.js';
 import type {ModelDemand} from './model-demand.js';
 
-/** Time after which a held back account may ask again; the shares change in seconds. */
-const heldBackRetryMs = 1000;
-
 export type FairAdmissionOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
@@ -62,11 +59,9 @@
 		return part >= 1 || random() < part ? undefined : heldBackRetryMs;
 	}
 
-	/** Work of a request in engine-milliseconds. */
-	#workOf({rates, paceMs}: CapacityModel, {service, prompt, maxTokens}: SharedRequest): number {
+	#workOf(model: CapacityModel, {service, prompt, maxTokens}: SharedRequest): number {
 		const {demand} = this.#options;
-		return (demand.expectUncached(service, prompt) * 1000 / rates.prefillTokensPerSecond)
-			+ (demand.expectOutput(service, maxTokens) * 1000 / decodeTokensPerSecond(rates, paceMs));
+		return engineSeconds(model, demand.expectUncached(service, prompt), demand.expectOutput(service, maxTokens));
 	}
 
 	#servablePart(model: CapacityModel, service: string): number {
--- a/packages/entry/src/fleet-capacity.ts
+++ b/packages/entry/src/fleet-capacity.ts
@@ -2,7 +2,7 @@
  * What the engines of a model service can do, from the configuration, the host list and the load reports.
  */
 import {
-	countRoles, defaultTarget, type CapacityModel, type EngineOrderRole, type RoleCounts,
+	countRoles, defaultTarget, scaleRoles, sumRoles, type CapacityModel, type EngineOrderRole, type RoleCounts,
 } from '@hawthorncleat/core';
 import type {HostRecord} from '@hawthorncleat/schema';
 import type {ConfigSource} from './deps.js';
@@ -57,23 +57,7 @@
 		}
 	}
 
-	return new Map([...roles].map(([place, known]) => {
-		const factor = listedPerConnected(view, place);
-		const {mixed, prefill, decode} = countRoles(known);
-		return [place, {mixed: mixed * factor, prefill: prefill * factor, decode: decode * factor}];
-	}));
-};
-
-/** Sum of the engines of several data centres. */
-export const sumRoles = (counts: Iterable<RoleCounts>): RoleCounts => {
-	const sum = {mixed: 0, prefill: 0, decode: 0};
-	for (const {mixed, prefill, decode} of counts) {
-		sum.mixed += mixed;
-		sum.prefill += prefill;
-		sum.decode += decode;
-	}
-
-	return sum;
+	return new Map([...roles].map(([place, known]) => [place, scaleRoles(countRoles(known), listedPerConnected(view, place))]));
 };
 
 /**
@@ -85,9 +69,7 @@
 	const local = all.get(view.dataCentre);
 	const unconnected = 1 - (1 / listedPerConnected(view, view.dataCentre));
 	if (local) {
-		all.set(view.dataCentre, {
-			mixed: local.mixed * unconnected, prefill: local.prefill * unconnected, decode: local.decode * unconnected,
-		});
+		all.set(view.dataCentre, scaleRoles(local, unconnected));
 	}
 
 	return sumRoles(all.values());
