Ask witnesses in one place

Found when reading the whole change again: publications, freshness and duties each had a loop that asks the witnesses of a group, itself or over its connection, and leaves out those that do not answer. `askWitnesses` does it for all three. Whether a host is a witness, the ids of the witnesses, and grouping by a key were written two to four times and stand in core once (`hasWitness`, `witnessIds`, `groupBy`); the entry's copy of the last one copied each group for every host.

--- a/packages/core/src/duty-witness.ts
+++ b/packages/core/src/duty-witness.ts
@@ -6,7 +6,7 @@
 import {attestationMs} from './freshness.js';
 import type {LeaseEpoch} from './ids.js';
 import {witnessSettleMs} from './witness.js';
-import {isMajority, type WitnessGroup} from './witness-groups.js';
+import {hasWitness, isMajority, type WitnessGroup} from './witness-groups.js';
 
 /** Rule `window` of models/duty-outage.pml: longest time from the first announcement to the answers of enough witnesses. */
 export const announceWindowMs = 1000;
@@ -30,9 +30,6 @@
 
 type Announcement = {readonly epoch: LeaseEpoch; readonly forgetAtMs: number};
 
-const includes = (group: WitnessGroup, entryId: string): boolean =>
-	group.witnesses.some(({hostId}) => hostId === entryId);
-
 /** Names what must be equal at the asker and at the witness. */
 export const dutyView = ({name, dataCentres, view}: WitnessGroup): string => `${name}|${dataCentres.join(',')}|${view}`;
 
@@ -81,7 +78,7 @@
 	attest(held: DutyEpoch, view: string): boolean {
 		const {clock, entryId, isStoreUnreachable} = this.#options;
 		return this.#group !== undefined
-			&& includes(this.#group, entryId)
+			&& hasWitness(this.#group, entryId)
 			&& dutyView(this.#group) === view
 			&& clock.nowMs() >= this.#attestsFromMs
 			&& isStoreUnreachable()
@@ -111,7 +108,7 @@
 		const old = this.#group;
 		return old?.name !== group.name
 			|| group.dataCentres.some(name => !old.dataCentres.includes(name))
-			|| !includes(old, this.#options.entryId)
+			|| !hasWitness(old, this.#options.entryId)
 			|| mayMiss(this.#largestSize, group);
 	}
 
--- a/packages/core/src/group-change.ts
+++ b/packages/core/src/group-change.ts
@@ -2,10 +2,7 @@
  * Which changes of the host list can hide an announced publication from the witnesses of a group. A writer with an older
  * list has announced it to a majority of the group of that list only.
  */
-import {isMajority, type WitnessGroup} from './witness-groups.js';
-
-const includes = (group: WitnessGroup | undefined, entryId: string): boolean =>
-	group?.witnesses.some(({hostId}) => hostId === entryId) ?? false;
+import {hasWitness, isMajority, type WitnessGroup} from './witness-groups.js';
 
 const sharesDataCentre = (a: WitnessGroup, b: WitnessGroup): boolean =>
 	a.dataCentres.some(name => b.dataCentres.includes(name));
@@ -36,7 +33,7 @@
 	}
 
 	#mustSettle(own: WitnessGroup): boolean {
-		const hasJoined = includes(own, this.#entryId) && !includes(this.#own, this.#entryId);
+		const hasJoined = hasWitness(own, this.#entryId) && !(this.#own && hasWitness(this.#own, this.#entryId));
 		return hasJoined || this.#all.some(old => sharesDataCentre(old, own) && this.#mayMiss(old, own));
 	}
 
@@ -46,9 +43,9 @@
 	 */
 	#mayMiss(old: WitnessGroup, own: WitnessGroup): boolean {
 		const size = old.name === this.#own?.name ? this.#largestSize : old.witnesses.length;
-		const inside = own.witnesses.filter(({hostId}) => includes(old, hostId)).length;
+		const inside = own.witnesses.filter(({hostId}) => hasWitness(old, hostId)).length;
 		const outsiders = own.witnesses.filter(({hostId}) =>
-			!includes(old, hostId) && this.#all.some(group => includes(group, hostId))).length;
+			!hasWitness(old, hostId) && this.#all.some(group => hasWitness(group, hostId))).length;
 		return isMajority(outsiders + Math.min(unheardOf(size), inside), own);
 	}
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,8 +30,9 @@
 	announcementLimitMs, Witness, witnessSettleMs, type Noted, type WitnessOptions,
 } from './witness.js';
 export {
-	combineAnswers, createWitnessGroups, findOwnGroup, isMajority, type WitnessGroup, type WitnessGroupInput,
+	combineAnswers, createWitnessGroups, findOwnGroup, hasWitness, isMajority, witnessIds, type WitnessGroup, type WitnessGroupInput,
 } from './witness-groups.js';
+export {groupBy} from './group-by.js';
 export {GroupChange} from './group-change.js';
 export {
 	announceWindowMs, dutyRefusalMs, dutyView, DutyWitness, isBlocking, type DutyEpoch, type DutyWitnessOptions,
--- a/packages/core/src/witness-groups.ts
+++ b/packages/core/src/witness-groups.ts
@@ -2,6 +2,7 @@
  * Which entries are witnesses, and when their answers together show that the store is out of reach for the whole fleet.
  */
 import type {FreshnessAnswer, HostRecord} from '@hawthorncleat/schema';
+import {groupBy} from './group-by.js';
 import {chooseByRendezvous} from './rendezvous.js';
 
 const smallestOwnGroup = 3;
@@ -24,18 +25,6 @@
 	readonly regionOf: (dataCentre: string) => string;
 };
 
-const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> => {
-	const groups = new Map<string, Item[]>();
-	for (const item of items) {
-		const key = keyOf(item);
-		const group = groups.get(key) ?? [];
-		group.push(item);
-		groups.set(key, group);
-	}
-
-	return groups;
-};
-
 const createGroup = (name: string, entries: readonly HostRecord[], size: number): WitnessGroup => {
 	const witnesses = chooseByRendezvous(name, entries, size, host => host.hostId);
 	const dataCentres = [...new Set(entries.map(({dataCentre}) => dataCentre))].toSorted((a, b) => a < b ? -1 : 1);
@@ -72,6 +61,13 @@
 	groups.find(group => group.name === `data-centre/${entry.dataCentre}`)
 	?? groups.find(group => group.name === `region/${entry.region}`);
 
+/** Whether a host is one of the witnesses. */
+export const hasWitness = ({witnesses}: WitnessGroup, id: string): boolean => witnesses.some(({hostId}) => hostId === id);
+
+/** Host ids of the witnesses of all groups. */
+export const witnessIds = (groups: readonly WitnessGroup[]): Set<string> =>
+	new Set(groups.flatMap(({witnesses}) => witnesses.map(({hostId}) => hostId)));
+
 /** True when the count is more than half of the group. */
 export const isMajority = (count: number, group: WitnessGroup): boolean => count * 2 > group.witnesses.length;
 
--- a/packages/entry/src/control/duty-evidence.ts
+++ b/packages/entry/src/control/duty-evidence.ts
@@ -4,47 +4,30 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	announceWindowMs, dutyView, isAnnounced, leaseDefaults, takeoverWaitMs, type Clock, type DutyWitness, type LeaseDurations, type LeaseEpoch, type RecentGroups, type WitnessGroup,
+	announceWindowMs, dutyView, isAnnounced, leaseDefaults, takeoverWaitMs, witnessIds, type Clock, type DutyWitness, type LeaseDurations, type LeaseEpoch, type RecentGroups, type WitnessGroup,
 } from '@hawthorncleat/core';
 import type {Attestation, OutageEvidence} from '@hawthorncleat/platform';
-import type {Peer} from '@hawthorncleat/wire';
+import {askWitnesses, type Asker, type WitnessQuestion} from './ask-witnesses.js';
 
 /** Two rounds of questions fit into the validity of an attestation, also when a witness does not answer. */
 const attestTimeoutMs = 700;
 
-export type DutyEvidenceOptions = {
+export type DutyEvidenceOptions = Asker & {
 	readonly clock: Clock;
-	readonly entryId: string;
 	readonly witness: DutyWitness;
 	readonly ownGroup: () => WitnessGroup | undefined;
 	readonly recentGroups: RecentGroups;
-	readonly peers: () => ReadonlyMap<string, Peer>;
 };
 
 /** Creates the evidence of one duty. */
 export type CreateOutageEvidence = (duty: string, durations?: LeaseDurations) => OutageEvidence;
 
-type Ask = {readonly self: () => boolean; readonly peer: (peer: Peer) => Promise<boolean>};
-
-/** Returns the ids of the witnesses that answer positively. */
-const askWitnesses = async ({entryId, peers}: DutyEvidenceOptions, hostIds: ReadonlySet<string>, ask: Ask): Promise<Set<string>> => {
-	const open = peers();
-	const positive = new Set<string>();
-	await Promise.all([...hostIds].map(async hostId => {
-		const peer = open.get(hostId);
-		const isPositive = hostId === entryId
-			? ask.self()
-			: peer !== undefined && await ask.peer(peer).catch(() => false);
-		if (isPositive) {
-			positive.add(hostId);
-		}
-	}));
-	return positive;
+/** Host ids of the witnesses that answer positively. */
+const findPositive = async (options: DutyEvidenceOptions, groups: readonly WitnessGroup[], question: WitnessQuestion<boolean>): Promise<Set<string>> => {
+	const answers = await askWitnesses(options, witnessIds(groups), question);
+	return new Set([...answers].filter(([, isPositive]) => isPositive).map(([hostId]) => hostId));
 };
 
-const idsOf = (groups: readonly WitnessGroup[]): Set<string> =>
-	new Set(groups.flatMap(({witnesses}) => witnesses.map(({hostId}) => hostId)));
-
 const announce = async (options: DutyEvidenceOptions, duty: string, epoch: LeaseEpoch): Promise<boolean> => {
 	const {clock, witness, recentGroups} = options;
 	const groups = recentGroups.list();
@@ -53,7 +36,7 @@
 	}
 
 	const sentMs = clock.nowMs();
-	const noted = await askWitnesses(options, idsOf(groups), {
+	const noted = await findPositive(options, groups, {
 		self() {
 			witness.announce({duty, epoch});
 			return true;
@@ -75,7 +58,7 @@
 
 	const sentMs = clock.nowMs();
 	const view = dutyView(group);
-	const positive = await askWitnesses(options, idsOf([group]), {
+	const positive = await findPositive(options, [group], {
 		self: () => witness.attest({duty, epoch}, view),
 		async peer(peer) {
 			const answer = await peer.call('duty.attest', {duty, epoch, view}, {timeoutMs: attestTimeoutMs});
--- a/packages/entry/src/control/freshness-loop.ts
+++ b/packages/entry/src/control/freshness-loop.ts
@@ -4,19 +4,19 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	attestationMs, combineAnswers, type Clock, type Freshness, type Witness, type WitnessGroup,
+	attestationMs, combineAnswers, hasWitness, witnessIds, type Clock, type Freshness, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
 import type {ConfigStore} from '@hawthorncleat/platform';
 import type {FreshnessAnswer} from '@hawthorncleat/schema';
 import type {Peer} from '@hawthorncleat/wire';
+import {askWitnesses, type Asker} from './ask-witnesses.js';
 import type {ConfigSync} from './config-sync.js';
 
 /** Leaves time for a second round before evidence of 4 s runs out. */
 const askTimeoutMs = 700;
 
-export type FreshnessLoopOptions = {
+export type FreshnessLoopOptions = Asker & {
 	readonly clock: Clock;
-	readonly entryId: string;
 	readonly pollMs: number;
 	readonly freshness: Freshness;
 	readonly witness: Witness;
@@ -25,7 +25,6 @@
 	readonly sync: ConfigSync;
 	readonly groups: () => readonly WitnessGroup[];
 	readonly ownGroup: () => WitnessGroup | undefined;
-	readonly peers: () => ReadonlyMap<string, Peer>;
 	readonly localVersion: () => number;
 };
 
@@ -85,7 +84,8 @@
 
 	get #isWitness(): boolean {
 		const {ownGroup, entryId} = this.#options;
-		return ownGroup()?.witnesses.some(({hostId}) => hostId === entryId) ?? true;
+		const group = ownGroup();
+		return !group || hasWitness(group, entryId);
 	}
 
 	/** An entry that relies on its witnesses sees the age of their reads before it fails to read the head itself. */
@@ -132,41 +132,28 @@
 	}
 
 	async #askAll(groups: readonly WitnessGroup[]): Promise<Map<string, FreshnessAnswer>> {
-		const questions = groups.flatMap(({view, witnesses}) => witnesses.map(({hostId}) => ({view, hostId})));
-		const answers = new Map<string, FreshnessAnswer>();
-		await Promise.all(questions.map(async ({hostId, view}) => {
-			const answer = await this.#ask(hostId, view);
-			if (answer) {
-				answers.set(hostId, answer);
-			}
-		}));
-		return answers;
+		const answers = await Promise.all(groups.map(async group => askWitnesses(this.#options, witnessIds([group]), {
+			self: () => this.#ownAnswer(),
+			peer: async peer => this.#askPeer(peer, group.view),
+		})));
+		return new Map(answers.flatMap(map => [...map]));
 	}
 
-	async #ask(hostId: string, view: string): Promise<FreshnessAnswer | undefined> {
-		const {entryId, witness, localVersion, peers} = this.#options;
-		if (hostId === entryId) {
-			return witness.attests() ? {kind: 'unreachable', version: localVersion()} : undefined;
-		}
-
-		const peer = peers().get(hostId);
-		return peer ? this.#askPeer(peer, view) : undefined;
+	#ownAnswer(): FreshnessAnswer | undefined {
+		const {witness, localVersion} = this.#options;
+		return witness.attests() ? {kind: 'unreachable', version: localVersion()} : undefined;
 	}
 
-	async #askPeer(peer: Peer, view: string): Promise<FreshnessAnswer | undefined> {
+	async #askPeer(peer: Peer, view: string): Promise<FreshnessAnswer> {
 		const {clock, localVersion, freshness, sync} = this.#options;
 		const sentAtMs = clock.nowMs();
-		try {
-			const answer = await peer.call('freshness.ask', {version: localVersion(), view}, {timeoutMs: askTimeoutMs});
-			const {kind, basis, ageMs, version} = answer;
-			if (kind === 'evidence' && basis !== undefined && ageMs !== undefined && version !== undefined) {
-				freshness.noteRelay(sentAtMs, {basis, ageMs, version});
-				void sync.catchUp(version);
-			}
-
-			return answer;
-		} catch {
-			return undefined;
+		const answer = await peer.call('freshness.ask', {version: localVersion(), view}, {timeoutMs: askTimeoutMs});
+		const {kind, basis, ageMs, version} = answer;
+		if (kind === 'evidence' && basis !== undefined && ageMs !== undefined && version !== undefined) {
+			freshness.noteRelay(sentAtMs, {basis, ageMs, version});
+			void sync.catchUp(version);
 		}
+
+		return answer;
 	}
 }
--- a/packages/entry/src/control/groups.ts
+++ b/packages/entry/src/control/groups.ts
@@ -2,7 +2,7 @@
  * The witness groups of the fleet by the current host list, for the parts of an entry that depend on them.
  */
 import {
-	createWitnessGroups, findOwnGroup, GroupChange, type DutyWitness, type RecentGroups, type Witness, type WitnessGroup,
+	createWitnessGroups, findOwnGroup, GroupChange, witnessIds, type DutyWitness, type RecentGroups, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {HostWatch} from './host-watch.js';
@@ -40,7 +40,7 @@
 
 	/** Host ids of all witnesses, also of those that a takeover is announced to because other entries may have an older list. */
 	readonly members = (): ReadonlySet<string> =>
-		new Set([...this.#groups, ...this.#recent.known].flatMap(group => group.witnesses.map(({hostId}) => hostId)));
+		witnessIds([...this.#groups, ...this.#recent.known]);
 
 	readonly update = (): void => {
 		const {entries: hosts, regionOf} = this.#hostWatch();
--- a/packages/entry/src/control/publisher.ts
+++ b/packages/entry/src/control/publisher.ts
@@ -4,27 +4,25 @@
  * that it was.
  */
 import {
-	checkChange, createRequestError, isMajority, type Clock, type InForce, type MakeId, type Witness, type WitnessGroup,
+	checkChange, createRequestError, isMajority, witnessIds, type Clock, type InForce, type MakeId, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
 import {isStoreError, type AnnouncedOutcome, type ConfigStore} from '@hawthorncleat/platform';
 import type {Finding} from '@hawthorncleat/schema';
-import type {Peer} from '@hawthorncleat/wire';
 import type {ApplyResult, Publisher} from '../deps.js';
+import {askWitnesses, type Asker, type WitnessQuestion} from './ask-witnesses.js';
 
 const witnessTimeoutMs = 1000;
 /** Rule `in-time` of models/freshness.pml: new and restarted witnesses rely on earlier writers having finished by then. */
 const confirmLimitMs = 5000;
 const retryAfterMs = 2000;
 
-export type PublisherOptions = {
+export type PublisherOptions = Asker & {
 	readonly clock: Clock;
 	readonly makeId: MakeId;
-	readonly entryId: string;
 	readonly inForce: InForce;
 	readonly store: ConfigStore;
 	readonly witness: Witness;
 	readonly ownGroup: () => WitnessGroup | undefined;
-	readonly peers: () => ReadonlyMap<string, Peer>;
 };
 
 type Announcement = {
@@ -108,14 +106,13 @@
 	async #announce({announceId, group}: Announcement, version: number): Promise<void> {
 		const {witness} = this.#options;
 		const params = {announceId, version, view: group.view};
-		const noted = await this.#count(
-			group,
-			() => witness.announce(announceId, version, group.view).noted,
-			async peer => {
+		const noted = await this.#count(group, {
+			self: () => witness.announce(announceId, version, group.view).noted,
+			async peer(peer) {
 				const answer = await peer.call('publish.announce', params, {timeoutMs: witnessTimeoutMs});
 				return answer.noted;
 			},
-		);
+		});
 		if (!isMajority(noted, group)) {
 			throw witnessesUnavailable(group);
 		}
@@ -124,32 +121,22 @@
 	/** Every witness that hears of an accepted version holds back attestations until it has it, also after a restart. */
 	async #finish({announceId, group, startedAtMs}: Announcement, outcome: AnnouncedOutcome, version: number): Promise<boolean> {
 		const {witness, ownGroup, clock} = this.#options;
-		const informed = await this.#count(
-			group,
-			() => {
+		const informed = await this.#count(group, {
+			self() {
 				witness.finish(announceId, outcome, version);
 				return true;
 			},
-			async peer => {
+			async peer(peer) {
 				await peer.call('publish.finish', {announceId, outcome, version}, {timeoutMs: witnessTimeoutMs});
 				return true;
 			},
-		);
+		});
 		const isInTime = clock.nowMs() - startedAtMs <= confirmLimitMs;
 		return isMajority(informed, group) && isInTime && ownGroup()?.view === group.view;
 	}
 
-	async #count(group: WitnessGroup, askSelf: () => boolean, askPeer: (peer: Peer) => Promise<boolean>): Promise<number> {
-		const {entryId, peers} = this.#options;
-		const open = peers();
-		const answers = await Promise.all(group.witnesses.map(async ({hostId}) => {
-			if (hostId === entryId) {
-				return askSelf();
-			}
-
-			const peer = open.get(hostId);
-			return peer ? askPeer(peer).catch(() => false) : false;
-		}));
-		return answers.filter(Boolean).length;
+	async #count(group: WitnessGroup, question: WitnessQuestion<boolean>): Promise<number> {
+		const answers = await askWitnesses(this.#options, witnessIds([group]), question);
+		return [...answers.values()].filter(Boolean).length;
 	}
 }
--- a/packages/entry/src/endpoint-pool.ts
+++ b/packages/entry/src/endpoint-pool.ts
@@ -2,7 +2,7 @@
  * The agents that this entry is connected to: for each service some of its own data centre and a few of the others,
  * as many as keep the control traffic within its limit.
  */
-import {chooseByRendezvous} from '@hawthorncleat/core';
+import {chooseByRendezvous, groupBy} from '@hawthorncleat/core';
 import type {HostRecord} from '@hawthorncleat/schema';
 import type {ChooseEndpoint, ChoiceRequest, EndpointCandidate} from './deps.js';
 import {Endpoint, type EndpointOptions} from './endpoint.js';
@@ -15,16 +15,6 @@
 /** Agents of a service that an entry connects to in its own or in each other data centre. */
 export const subsetLimit = (isLocal: boolean): number => isLocal ? subsetSize : fallbackSize;
 
-const groupBy = <Value>(values: readonly Value[], keyOf: (value: Value) => string): Map<string, Value[]> => {
-	const groups = new Map<string, Value[]>();
-	for (const value of values) {
-		const key = keyOf(value);
-		groups.set(key, [...groups.get(key) ?? [], value]);
-	}
-
-	return groups;
-};
-
 /** Which entry connects, and from where. */
 export type EntryPlace = {readonly entryId: string; readonly dataCentre: string};
 
