--- a/packages/agent/src/__tests__/fakes.ts
+++ b/packages/agent/src/__tests__/fakes.ts
@@ -3,9 +3,10 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
-import {createStoreError, type Table} from '@hawthorncleat/platform';
+import {createStoreError, type Table} from '@hawthorncleat/store';
 import type {AgentSettings, TableRow} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
+import {waitUntil} from '@hawthorncleat/test-kit';
 import {startAgent, type Agent} from '../index.js';
 import {FakeEngine} from './fake-engine.js';
 import {clock, FakeEntry} from './fake-entry.js';
@@ -13,17 +14,8 @@
 export {FakeEngine, writeEnd, writeToken} from './fake-engine.js';
 export {clock, FakeEntry, traceparent} from './fake-entry.js';
 
-/** Waits until a condition holds, and fails after some seconds. */
-export const until = async (condition: () => boolean, what = 'condition'): Promise<void> => {
-	const limitMs = clock.nowMs() + 8000;
-	while (!condition()) {
-		if (clock.nowMs() > limitMs) {
-			throw new Error(`timed out: ${what}`);
-		}
-
-		await delay(5);
-	}
-};
+/** Waits until a condition holds. */
+export const until = async (condition: () => boolean, what = 'condition'): Promise<void> => waitUntil(condition, {what, limitMs: 8000});
 
 /** A table in memory; it keeps every value that a row had. */
 export class FakeTable implements Table {
--- a/packages/agent/src/__tests__/lifecycle.test.ts
+++ b/packages/agent/src/__tests__/lifecycle.test.ts
@@ -1,7 +1,7 @@
 import {createServer, type AddressInfo} from 'node:net';
 import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
-import {createStoreError} from '@hawthorncleat/platform';
+import {createStoreError} from '@hawthorncleat/store';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
--- a/packages/agent/src/engine-endpoint.ts
+++ b/packages/agent/src/engine-endpoint.ts
@@ -2,7 +2,7 @@
  * A model engine as an agent's endpoint.
  */
 import type {EngineOrderRole, MakeId} from '@hawthorncleat/core';
-import type {Table} from '@hawthorncleat/platform';
+import type {Table} from '@hawthorncleat/store';
 import type {Endpoint} from './endpoint.js';
 import type {EngineClient} from './engine-client.js';
 import {followCacheEvents} from './cache-events.js';
--- a/packages/agent/src/order-row.ts
+++ b/packages/agent/src/order-row.ts
@@ -5,7 +5,7 @@
 import {
 	engineOrderKey, parseOrderRow, recordOrder, type IssuedOrder, type EngineOrderRow, type MakeId,
 } from '@hawthorncleat/core';
-import {isStoreError, type Table} from '@hawthorncleat/platform';
+import {isStoreError, type Table} from '@hawthorncleat/store';
 import type {Log} from '@hawthorncleat/telemetry';
 
 const retryIntervalMs = 500;
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock, MakeId, Random} from '@hawthorncleat/core';
-import type {Table} from '@hawthorncleat/platform';
+import type {Table} from '@hawthorncleat/store';
 import type {AgentSettings} from '@hawthorncleat/schema';
 import {
 	createJsonLineExporter, createTracer, startAdminServer, type Log, type Readiness, type Tracing,
--- a/packages/agent/src/start-daemon.ts
+++ b/packages/agent/src/start-daemon.ts
@@ -1,7 +1,7 @@
 /**
  * Starts an agent as it runs in production: connected to the platform's table by its settings.
  */
-import {createHttpClient, createTable} from '@hawthorncleat/platform';
+import {createHttpClient, createTable} from '@hawthorncleat/store';
 import type {AgentSettings} from '@hawthorncleat/schema';
 import {startAgent, type Agent, type AgentDependencies} from './start-agent.js';
 
--- a/packages/core/src/policy/load-view.ts
+++ b/packages/core/src/policy/load-view.ts
@@ -179,6 +179,12 @@
 		}
 	}
 
+	/** Estimated state of one endpoint; undefined before its first report. */
+	state(id: string, nowMs: number): EndpointState | undefined {
+		const known = this.#known.get(id);
+		return known?.reading && this.#estimate(known, known.reading, nowMs);
+	}
+
 	/** Estimated state of every endpoint that has reported. */
 	states(nowMs: number): EndpointState[] {
 		return [...this.#known.values()].flatMap(known => known.reading ? [this.#estimate(known, known.reading, nowMs)] : []);
--- a/packages/entry/src/__tests__/config-sync-rounds.test.ts
+++ b/packages/entry/src/__tests__/config-sync-rounds.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createInForce, type InForce} from '@hawthorncleat/core';
-import type {ConfigStore} from '@hawthorncleat/platform';
+import type {ConfigStore} from '@hawthorncleat/store';
 import {describe, it} from '@hawthorncleat/test-kit';
 import type {Peer} from '@hawthorncleat/wire';
 import * as assert from 'uvu/assert';
--- a/packages/entry/src/__tests__/config-sync.test.ts
+++ b/packages/entry/src/__tests__/config-sync.test.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {createInForce, type InForce} from '@hawthorncleat/core';
-import {createStoreError, type ConfigStore} from '@hawthorncleat/platform';
+import {createStoreError, type ConfigStore} from '@hawthorncleat/store';
 import type {ConfigObject, Snapshot} from '@hawthorncleat/schema';
 import {describe, it} from '@hawthorncleat/test-kit';
 import {dial, listen} from '@hawthorncleat/wire';
--- a/packages/entry/src/__tests__/control.test.ts
+++ b/packages/entry/src/__tests__/control.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startPlatform} from '@hawthorncleat/stand-ins';
 import {silentLog} from '@hawthorncleat/telemetry';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {startEntryDaemon, type Entry} from '../index.js';
 import {createSettings} from './fixtures.js';
@@ -51,13 +51,7 @@
 	}
 };
 
-const waitFor = async (condition: () => Promise<boolean>, limitMs: number): Promise<void> => {
-	const endMs = performance.now() + limitMs;
-	while (!await condition()) {
-		assert.ok(performance.now() < endMs, `not reached within ${limitMs} ms`);
-		await sleep(50);
-	}
-};
+const waitFor = async (condition: () => Promise<boolean>, limitMs: number): Promise<void> => waitUntil(condition, {limitMs, pollMs: 50});
 
 const ask = async (entry: Entry, path: string, body?: unknown): Promise<{status: number; body: Record<string, unknown>}> => {
 	const answer = await fetch(`http://127.0.0.1:${entry.adminPort}${path}`, {
--- a/packages/entry/src/__tests__/fixtures.ts
+++ b/packages/entry/src/__tests__/fixtures.ts
@@ -9,6 +9,7 @@
 import type {
 	ClientAccount, EntrySettings, HostRecord, Key, RequestStartParams, Route, ServiceCallParams,
 } from '@hawthorncleat/schema';
+import {waitUntil} from '@hawthorncleat/test-kit';
 import {listen, type Handlers, type Peer} from '@hawthorncleat/wire';
 import {
 	startEntry, type ClaimResult, type Entry, type EntryDeps,
@@ -177,18 +178,7 @@
 	startEntry({...settings, ...changes}, createDeps(world, deps), world.signal);
 
 /** Polls until a condition holds. */
-export const until = async (condition: () => boolean, what: string): Promise<void> => {
-	const startMs = clock.nowMs();
-	while (!condition()) {
-		if (clock.nowMs() - startMs > 3000) {
-			throw new Error(`timed out waiting for ${what}`);
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, 5);
-		});
-	}
-};
+export const until = async (condition: () => boolean, what: string): Promise<void> => waitUntil(condition, {what, limitMs: 3000});
 
 /** An agent under a test's control. */
 export type FakeAgent = {
--- a/packages/entry/src/control/config-sync.ts
+++ b/packages/entry/src/control/config-sync.ts
@@ -3,7 +3,7 @@
  * from another entry.
  */
 import type {ConfigUpdate, InForce} from '@hawthorncleat/core';
-import type {ConfigStore} from '@hawthorncleat/platform';
+import type {ConfigStore} from '@hawthorncleat/store';
 import {
 	check, validators, type ConfigSinceResult, type Delta, type Snapshot,
 } from '@hawthorncleat/schema';
--- a/packages/entry/src/control/entry-control.ts
+++ b/packages/entry/src/control/entry-control.ts
@@ -29,7 +29,7 @@
 	type ObjectStore,
 	type Table,
 	type UsageReportsClient,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {EntrySettings, HostRecord} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {Peer} from '@hawthorncleat/wire';
--- a/packages/entry/src/control/freshness-loop.ts
+++ b/packages/entry/src/control/freshness-loop.ts
@@ -6,7 +6,7 @@
 import {
 	attestationMs, combineAnswers, hasWitness, witnessIds, type Clock, type Freshness, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
-import type {ConfigStore} from '@hawthorncleat/platform';
+import type {ConfigStore} from '@hawthorncleat/store';
 import type {FreshnessAnswer} from '@hawthorncleat/schema';
 import type {Peer} from '@hawthorncleat/wire';
 import {askWitnesses, type Asker} from './ask-witnesses.js';
--- a/packages/entry/src/control/host-watch.ts
+++ b/packages/entry/src/control/host-watch.ts
@@ -3,7 +3,7 @@
  * one, because connections tell sooner than the list which hosts are gone.
  */
 import type {InForce} from '@hawthorncleat/core';
-import type {HostListClient} from '@hawthorncleat/platform';
+import type {HostListClient} from '@hawthorncleat/store';
 import type {HostList, HostRecord} from '@hawthorncleat/schema';
 import {
 	normaliseHost, readPlaceNames, touchesNames, type PlaceNames,
--- a/packages/entry/src/control/publisher.ts
+++ b/packages/entry/src/control/publisher.ts
@@ -6,7 +6,7 @@
 import {
 	checkChange, createRequestError, isMajority, witnessIds, type Clock, type InForce, type MakeId, type Witness, type WitnessGroup,
 } from '@hawthorncleat/core';
-import {isStoreError, type AnnouncedOutcome, type ConfigStore} from '@hawthorncleat/platform';
+import {isStoreError, type AnnouncedOutcome, type ConfigStore} from '@hawthorncleat/store';
 import type {Finding} from '@hawthorncleat/schema';
 import type {ApplyResult, Publisher} from '../deps.js';
 import {askWitnesses, type Asker, type WitnessQuestion} from './ask-witnesses.js';
--- a/packages/entry/src/deps.ts
+++ b/packages/entry/src/deps.ts
@@ -23,7 +23,7 @@
 	PublishFinishResult,
 	ServiceCallResult,
 } from '@hawthorncleat/schema';
-import type {ObjectStore} from '@hawthorncleat/platform';
+import type {ObjectStore} from '@hawthorncleat/store';
 import type {Log, Tracing} from '@hawthorncleat/telemetry';
 import type {Peer} from '@hawthorncleat/wire';
 import type {Registry} from 'prom-client';
--- a/packages/entry/src/duties/__tests__/endpoint-orderer.test.ts
+++ b/packages/entry/src/duties/__tests__/endpoint-orderer.test.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
 import {
 	createEndpointOrders, createHttpClient, createStoreError, isStoreError, type EndpointOrdersClient, type Table,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import {Registry} from 'prom-client';
--- a/packages/entry/src/duties/__tests__/outage-orders.test.ts
+++ b/packages/entry/src/duties/__tests__/outage-orders.test.ts
@@ -4,7 +4,7 @@
 } from '@hawthorncleat/core';
 import {
 	createHttpClient, createTable, type Authority, type Lease,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {EngineOrderParams, EngineOrderResult} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
--- a/packages/entry/src/duties/__tests__/role-duties.test.ts
+++ b/packages/entry/src/duties/__tests__/role-duties.test.ts
@@ -4,7 +4,7 @@
 import {defaultRolePlanOptions, type ConfigView} from '@hawthorncleat/core';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import {Registry} from 'prom-client';
 import * as assert from 'uvu/assert';
 import type {DutySources} from '../../deps.js';
@@ -55,12 +55,7 @@
 	return (row?.value as {holder: string} | undefined)?.holder;
 };
 
-const waitUntil = async (condition: () => Promise<boolean> | boolean): Promise<void> => {
-	for (let waitedMs = 0; !await condition(); waitedMs += 20) {
-		assert.ok(waitedMs < 9000, 'condition not met in time');
-		await sleep(20);
-	}
-};
+const waitLonger = async (condition: () => Promise<boolean> | boolean): Promise<void> => waitUntil(condition, {limitMs: 9000, pollMs: 20});
 
 describe('role duties', () => {
 	it('order roles of connected engines and end with the service; guards against planners that are not started or never end', async () => withWorld(async world => {
@@ -68,10 +63,10 @@
 		const roles = ['prefill', 'prefill', 'prefill', 'decode'];
 		let endpoints = roles.map((role, index) => createEndpoint(`engine-${index}`, {role}, orders));
 		const stop = start(world, () => endpoints);
-		await waitUntil(() => orders.length > 0);
+		await waitLonger(() => orders.length > 0);
 		assert.match(orders[0]!, /^engine\.order engine-\d 1048576$/);
 		endpoints = [];
-		await waitUntil(async () => await holderOf(world) === '');
+		await waitLonger(async () => await holderOf(world) === '');
 		await stop();
 	}));
 
@@ -83,12 +78,12 @@
 			Array.from({length: 4}, (_, index) => createEndpoint(`far-${index}`, report, orders, 'dc-2'));
 		let endpoints = [...local, ...elsewhere({role: 'prefill', nextRole: 'decode'})];
 		const stop = start(world, () => endpoints);
-		await waitUntil(async () => await holderOf(world) === 'e1');
+		await waitLonger(async () => await holderOf(world) === 'e1');
 		// Longer than the dwell time and two rounds.
 		await sleep(defaultRolePlanOptions.dwellMs + 2500);
 		assert.equal(orders, []);
 		endpoints = [...local, ...elsewhere({role: 'prefill'})];
-		await waitUntil(() => orders.length > 0);
+		await waitLonger(() => orders.length > 0);
 		await stop();
 	}));
 });
--- a/packages/entry/src/duties/__tests__/role-planner.test.ts
+++ b/packages/entry/src/duties/__tests__/role-planner.test.ts
@@ -2,7 +2,7 @@
 import {orderNumbersPerEpoch, type EngineOrderRole, type EngineOrderRow} from '@hawthorncleat/core';
 import {
 	createHttpClient, createTable, isStoreError, type Lease, type Table,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import {Registry} from 'prom-client';
--- a/packages/entry/src/duties/__tests__/run-duty.test.ts
+++ b/packages/entry/src/duties/__tests__/run-duty.test.ts
@@ -2,10 +2,10 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {usageShards} from '@hawthorncleat/core';
-import type {Lease} from '@hawthorncleat/platform';
+import type {Lease} from '@hawthorncleat/store';
 import type {EntrySettings, HostRecord} from '@hawthorncleat/schema';
 import {silentLog} from '@hawthorncleat/telemetry';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import {Registry} from 'prom-client';
 import * as assert from 'uvu/assert';
 import {startEntryDaemon} from '../../index.js';
@@ -48,13 +48,6 @@
 	};
 };
 
-const waitUntil = async (condition: () => boolean): Promise<void> => {
-	for (let waitedMs = 0; !condition(); waitedMs += 5) {
-		assert.ok(waitedMs < 5000, 'condition not met in time');
-		await sleep(5);
-	}
-};
-
 const entrySettings = (platformUrl: string): EntrySettings => ({
 	entryId: 'e1',
 	dataCentre: 'd',
--- a/packages/entry/src/duties/__tests__/usage-reporter.test.ts
+++ b/packages/entry/src/duties/__tests__/usage-reporter.test.ts
@@ -1,5 +1,5 @@
 import {brandAs, usageGraceMs, type ClientAccountName} from '@hawthorncleat/core';
-import {isStoreError, type Lease, type Table} from '@hawthorncleat/platform';
+import {isStoreError, type Lease, type Table} from '@hawthorncleat/store';
 import {silentLog} from '@hawthorncleat/telemetry';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
--- a/packages/entry/src/duties/__tests__/usage-world.ts
+++ b/packages/entry/src/duties/__tests__/usage-world.ts
@@ -5,7 +5,7 @@
 import {shardOfAccount, type LeaseEpoch} from '@hawthorncleat/core';
 import {
 	createHttpClient, createObjectStore, createStoreError, createTable, createUsageReports, type Lease, type ObjectStore, type Table, type UsageReportsClient,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {UsageReport} from '@hawthorncleat/schema';
 import {startPlatform, type PlatformStandIn} from '@hawthorncleat/stand-ins';
 import {silentLog} from '@hawthorncleat/telemetry';
--- a/packages/entry/src/duties/duties.ts
+++ b/packages/entry/src/duties/duties.ts
@@ -5,7 +5,7 @@
 import {usageShards, type Clock, type MakeId} from '@hawthorncleat/core';
 import type {
 	EndpointOrdersClient, ObjectStore, Table, UsageReportsClient,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {EntrySettings} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {ConfigSource, DutySources, HostSource} from '../deps.js';
--- a/packages/entry/src/duties/endpoint-duty.ts
+++ b/packages/entry/src/duties/endpoint-duty.ts
@@ -11,7 +11,7 @@
 	type EndpointPlanMemory,
 	type ResolvedRoute,
 } from '@hawthorncleat/core';
-import type {EndpointOrdersClient, Lease} from '@hawthorncleat/platform';
+import type {EndpointOrdersClient, Lease} from '@hawthorncleat/store';
 import type {RoleDutiesOptions} from './role-duties.js';
 import {EndpointOrderer, type NewOrder} from './endpoint-orderer.js';
 import {readOpenOrders, type OrderIntent} from './order-intents.js';
--- a/packages/entry/src/duties/endpoint-orderer.ts
+++ b/packages/entry/src/duties/endpoint-orderer.ts
@@ -5,7 +5,7 @@
 import type {Clock, MakeId} from '@hawthorncleat/core';
 import {
 	transactOnce, type EndpointOrdersClient, type Lease, type Table,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {EndpointOrder} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
--- a/packages/entry/src/duties/order-intents.ts
+++ b/packages/entry/src/duties/order-intents.ts
@@ -5,7 +5,7 @@
 import {
 	check, validators, type EndpointOrder, type TableRow, type Validator,
 } from '@hawthorncleat/schema';
-import type {Table} from '@hawthorncleat/platform';
+import type {Table} from '@hawthorncleat/store';
 
 /** An order to the platform, written before it is sent. */
 export type OrderIntent = {
--- a/packages/entry/src/duties/order-rows.ts
+++ b/packages/entry/src/duties/order-rows.ts
@@ -4,7 +4,7 @@
 import {
 	engineOrderKey, nextOrderNumber, parseOrderRow, type EngineOrderRow,
 } from '@hawthorncleat/core';
-import {transactOnce, type Lease, type Table} from '@hawthorncleat/platform';
+import {transactOnce, type Lease, type Table} from '@hawthorncleat/store';
 
 /** A row, or its absence, with the version that a write has to check. */
 export type KnownRow = {readonly version: number | null; readonly row: EngineOrderRow | undefined};
--- a/packages/entry/src/duties/outage-orders.ts
+++ b/packages/entry/src/duties/outage-orders.ts
@@ -3,7 +3,7 @@
  * asks back before it sends one to its engine, and each number is confirmed once.
  */
 import type {Clock, EngineOrderRole, OrderConfirmation} from '@hawthorncleat/core';
-import type {Lease} from '@hawthorncleat/platform';
+import type {Lease} from '@hawthorncleat/store';
 import type {EngineOrderResult, OrderConfirmParams} from '@hawthorncleat/schema';
 
 // An agent that has not read its row, or whom the table answers, takes no order of an outage. It is asked again after three
--- a/packages/entry/src/duties/role-planner.ts
+++ b/packages/entry/src/duties/role-planner.ts
@@ -20,7 +20,7 @@
 	type RolePlanMemory,
 	type TokenDemand,
 } from '@hawthorncleat/core';
-import type {Lease, Table} from '@hawthorncleat/platform';
+import type {Lease, Table} from '@hawthorncleat/store';
 import type {EngineOrderParams, EngineOrderResult, OrderConfirmParams} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
--- a/packages/entry/src/duties/run-duty.ts
+++ b/packages/entry/src/duties/run-duty.ts
@@ -8,7 +8,7 @@
 } from '@hawthorncleat/core';
 import {
 	runLease, type Lease, type OutageEvidence, type Table,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {HostRecord} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
--- a/packages/entry/src/duties/run-rounds.ts
+++ b/packages/entry/src/duties/run-rounds.ts
@@ -3,7 +3,7 @@
  * of the store is tried again; any other error ends the duty, so that its lease becomes free.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {isStoreError} from '@hawthorncleat/platform';
+import {isStoreError} from '@hawthorncleat/store';
 import type {ProgressLog} from './progress-log.js';
 
 export type Rounds = {
--- a/packages/entry/src/duties/usage-count.ts
+++ b/packages/entry/src/duties/usage-count.ts
@@ -4,7 +4,7 @@
 import {
 	countParts, parsePartKey, statesToRead, sumFigures, windowsToCheck, type CountedParts, type KeyedPart, type PartState,
 } from '@hawthorncleat/core';
-import type {ObjectStore, Table} from '@hawthorncleat/platform';
+import type {ObjectStore, Table} from '@hawthorncleat/store';
 import type {UsageFigure} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
--- a/packages/entry/src/duties/usage-reporter.ts
+++ b/packages/entry/src/duties/usage-reporter.ts
@@ -7,7 +7,7 @@
 } from '@hawthorncleat/core';
 import {
 	transactOnce, type Lease, type ObjectStore, type Table, type UsageReportsClient,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import type {TableCheck, TablePut} from '@hawthorncleat/schema';
 import type {Log} from '@hawthorncleat/telemetry';
 import {countWindow, type WindowCount} from './usage-count.js';
--- a/packages/entry/src/duties/watch-authority.ts
+++ b/packages/entry/src/duties/watch-authority.ts
@@ -2,7 +2,7 @@
  * Shows operators what the authority of a duty rests on.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Authority, Lease} from '@hawthorncleat/platform';
+import type {Authority, Lease} from '@hawthorncleat/store';
 import type {Log} from '@hawthorncleat/telemetry';
 import type {DutyMetrics} from './duty-metrics.js';
 
--- a/packages/entry/src/engine-choice.ts
+++ b/packages/entry/src/engine-choice.ts
@@ -140,7 +140,7 @@
 		const {hostId} = endpoint.host;
 		const promptTokens = estimateTokens(prompt);
 		const kvTokens = promptTokens + maxTokens;
-		const state = engine.view.states(clock.nowMs()).find(({id}) => id === hostId);
+		const state = engine.view.state(hostId, clock.nowMs());
 		const prefixes = namePrefixes(prompt, commonLengths([engine]));
 		const cached = Math.max(0, ...prefixes.map(name => (state?.holdsPrefix(name) ?? 0) * prefixCharacters(name)));
 		const uncachedTokens = promptTokens * (1 - (cached / Math.max(1, prompt.length)));
--- a/packages/entry/src/usage-flush.ts
+++ b/packages/entry/src/usage-flush.ts
@@ -5,7 +5,7 @@
 import {
 	brandAs, usagePartKey, UsageMeter, type ClientAccountName, type Clock, type Usage, type UsagePart, type WindowId,
 } from '@hawthorncleat/core';
-import type {ObjectStore} from '@hawthorncleat/platform';
+import type {ObjectStore} from '@hawthorncleat/store';
 import type {Log} from '@hawthorncleat/telemetry';
 
 const finalTries = 5;
--- a/packages/histories/src/__fixtures__/lease-holder.ts
+++ b/packages/histories/src/__fixtures__/lease-holder.ts
@@ -9,7 +9,7 @@
 import type {LeaseDurations} from '@hawthorncleat/core';
 import {
 	createEndpointOrders, createHttpClient, createTable, isStoreError, runLease, type Lease,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 
 const [platformUrl = '', holder = '', durationsText = ''] = process.argv.slice(2);
 const durations = JSON.parse(durationsText) as LeaseDurations;
--- a/packages/histories/src/__tests__/engine-orders-rise.test.ts
+++ b/packages/histories/src/__tests__/engine-orders-rise.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {engineOrderKey, parseOrderRow} from '@hawthorncleat/core';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {abortAfter} from '../abort-after.js';
 import {
@@ -73,17 +73,12 @@
 	const before = countOrders(fleet, engine);
 	const planning = new AbortController();
 	const planned = runPlanner(fleet, fleet.random.fork(), AbortSignal.any([signal, planning.signal]));
-	await waitUntil(() => countOrders(fleet, engine) > before, 'a new order has begun');
+	await waitFor(() => countOrders(fleet, engine) > before, 'a new order has begun');
 	planning.abort();
 	await planned;
 };
 
-const waitUntil = async (condition: () => boolean, what: string): Promise<void> => {
-	for (let waitedMs = 0; !condition(); waitedMs += pollMs) {
-		assert.ok(waitedMs < limitMs, `waited too long: ${what}`);
-		await delay(pollMs);
-	}
-};
+const waitFor = async (condition: () => boolean, what: string): Promise<void> => waitUntil(condition, {what, limitMs, pollMs});
 
 /** Kills the agent in mid-change; the second one takes the slot and has to wait for the end of the change. */
 const killInChange = async (seed: number): Promise<void> => withFleet(createFleet(seed, longChangeMs), async (fleet, signal) => {
@@ -112,7 +107,7 @@
 	const isStarted = (engine: string): boolean => fleet.standIns.platform.history.some(record => record.kind === 'write'
 		&& record.puts.some(({key, value}) => key === engineOrderKey(engine) && parseOrderRow(value)?.state === 'started'));
 	for (const engine of engines) {
-		await waitUntil(() => isStarted(engine), 'an order row is started');
+		await waitFor(() => isStarted(engine), 'an order row is started');
 		fleet.pause(`agent-${engine}`);
 	}
 
--- a/packages/histories/src/__tests__/role-outage.test.ts
+++ b/packages/histories/src/__tests__/role-outage.test.ts
@@ -3,17 +3,15 @@
  * roles change, and the rows follow when the table is back.
  */
 import {engineOrderKey, orderNumbersPerEpoch, parseOrderRow} from '@hawthorncleat/core';
-import {createHttpClient, createTable} from '@hawthorncleat/platform';
+import {createHttpClient, createTable} from '@hawthorncleat/store';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {createCallerKey, issueKeys} from '../caller-keys.js';
-import {waitFor, waitUntilConnected} from '../fleet-links.js';
+import {waitFor} from '../fleet-links.js';
 import {
 	engineOrdersRise, expectNoViolations, withFleet, type Fleet,
 } from '../index.js';
-import {createSeededRandom} from '../random.js';
 import {
-	declareEngineRates, findBrokenCalls, listRoleOrders, MixedLoad, type RoleOrder,
+	findBrokenCalls, listRoleOrders, startMixedLoad, type RoleOrder,
 } from '../role-load.js';
 import {findWrongAnswers} from '../rules/request-rules.js';
 
@@ -54,18 +52,13 @@
 
 /** `killsAgent` true: the agent is killed while its engine carries out the order of the outage. */
 const run = async (seed: number, killsAgent: boolean): Promise<void> => {
-	const key = createCallerKey(createSeededRandom(seed), 'caller', 'planning');
 	await withFleet({
 		seed,
 		entries: 3,
 		engines: engines.map((name, index) => ({name, dataCentre: 'dc-1', options: {changeMs, checksOrderNumbers: index % 2 === 0}})),
 		settings: {entry: {witnessSettleMs}},
 	}, async (fleet, signal) => {
-		await waitUntilConnected(fleet);
-		await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
-		await fleet.waitForVersion(await fleet.apply(declareEngineRates()));
-		const load = new MixedLoad(fleet, {callersPerEntry, key, seed});
-		const running = load.run(signal);
+		const load = await startMixedLoad(fleet, {callersPerEntry, seed}, signal);
 		const withTable = await waitForOrder(fleet, 'an engine for prompts', ({role}) => role === 'prefill');
 
 		fleet.setFaults({tableDown: true});
@@ -80,8 +73,7 @@
 		fleet.setFaults({});
 		load.mix = 'prompts';
 		const afterwards = await waitForOrder(fleet, 'an order after the outage', ({number}) => number >= withTable.number + orderNumbersPerEpoch);
-		load.stop();
-		await running;
+		await load.stop();
 		await waitForRows(fleet, signal);
 		const {calls} = load;
 		console.log(`seed ${seed}: ${listRoleOrders(fleet).map(order => describeOrder(order)).join(', ')}; ${calls.length} calls`);
--- a/packages/histories/src/__tests__/role-planning.test.ts
+++ b/packages/histories/src/__tests__/role-planning.test.ts
@@ -3,12 +3,10 @@
  */
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {createCallerKey, issueKeys} from '../caller-keys.js';
-import {waitFor, waitUntilConnected} from '../fleet-links.js';
+import {waitFor} from '../fleet-links.js';
 import {engineOrdersRise, expectNoViolations, withFleet} from '../index.js';
-import {createSeededRandom} from '../random.js';
 import {
-	declareEngineRates, findBrokenCalls, listRoleOrders, MixedLoad, type TokenMix,
+	findBrokenCalls, listRoleOrders, startMixedLoad, type TokenMix,
 } from '../role-load.js';
 import {findWrongAnswers} from '../rules/request-rules.js';
 
@@ -26,16 +24,10 @@
 const shiftLimitMs = 45_000;
 
 const run = async (): Promise<void> => {
-	const random = createSeededRandom(seed);
-	const key = createCallerKey(random, 'caller', 'planning');
 	await withFleet({
 		seed, entries: 2, engines: engines.map((name, index) => ({name, dataCentre: 'dc-1', options: {changeMs, checksOrderNumbers: index % 2 === 0}})),
 	}, async (fleet, signal) => {
-		await waitUntilConnected(fleet);
-		await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
-		await fleet.waitForVersion(await fleet.apply(declareEngineRates()));
-		const load = new MixedLoad(fleet, {callersPerEntry, key, seed});
-		const running = load.run(signal);
+		const load = await startMixedLoad(fleet, {callersPerEntry, seed}, signal);
 		for (const {mix, orders, isWanted} of shifts) {
 			const before = listRoleOrders(fleet).length;
 			load.mix = mix;
@@ -43,8 +35,7 @@
 				listRoleOrders(fleet).slice(before).filter(({role}) => isWanted(role)).length === orders, shiftLimitMs);
 		}
 
-		load.stop();
-		await running;
+		await load.stop();
 		const {calls} = load;
 		console.log(`seed ${seed}: ${listRoleOrders(fleet).map(({engine, number, role}) => `${engine} ${number} ${role}`).join(', ')}; ${calls.length} calls`);
 		expectNoViolations(fleet.joinedHistory(), [engineOrdersRise]);
--- a/packages/histories/src/__tests__/usage-windows-once.test.ts
+++ b/packages/histories/src/__tests__/usage-windows-once.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UsageReport} from '@hawthorncleat/schema';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
 	createCaller, expectNoViolations, fleetAccounts, injectFaults, runLoad, usageWindowsOnce, withFleet, type Fleet, type HistoryRecord,
@@ -32,15 +32,7 @@
 const neverMs = 600_000;
 const stepLimitMs = 40_000;
 
-const waitUntil = async (what: string, isTrue: () => boolean): Promise<void> => {
-	for (const endMs = performance.now() + stepLimitMs; !isTrue();) {
-		if (performance.now() > endMs) {
-			throw new Error(`waited too long until ${what}`);
-		}
-
-		await sleep(20);
-	}
-};
+const waitFor = async (what: string, isTrue: () => boolean): Promise<void> => waitUntil(isTrue, {what, limitMs: stepLimitMs, pollMs: 20});
 
 /** Starts an entry again that flushes only when it ends. */
 const restartWithoutFlushes = async (fleet: Fleet, name: string): Promise<void> => {
@@ -90,7 +82,7 @@
 		const late = fleet.entryNames[2]!;
 		await restartWithoutFlushes(fleet, late);
 		await serveInOneWindow(fleet, windowMs, signal);
-		await waitUntil('a window with usage is reported', () => first !== undefined);
+		await waitFor('a window with usage is reported', () => first !== undefined);
 		const {window, shard} = first!;
 		const reports = (): HistoryRecord[] => running.joinedHistory().filter(record => isReportOf(first!)(record));
 		await fleet.stop(late);
@@ -103,7 +95,7 @@
 		}
 
 		fleet.setFaults({});
-		await waitUntil('the next holder has reported the window again', () => reports().length > 1);
+		await waitFor('the next holder has reported the window again', () => reports().length > 1);
 		const epochs = new Set(reports().map(({event}) => (event as unknown as {report: UsageReport}).report.epoch));
 		assert.ok(epochs.size > 1, 'no later holder reported the window');
 		expectNoViolations(fleet.joinedHistory(), [usageWindowsOnce]);
--- a/packages/histories/src/fleet-links.ts
+++ b/packages/histories/src/fleet-links.ts
@@ -2,8 +2,8 @@
  * Relays on every link of a fleet: from each process to the platform, between entries, and from entries to agents.
  */
 import {setMaxListeners} from 'node:events';
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {HostRecord} from '@hawthorncleat/schema';
+import {waitUntil} from '@hawthorncleat/test-kit';
 import {readStatus} from './admin-calls.js';
 import type {FleetOptions} from './fleet-plan.js';
 import {withFleet, type Fleet} from './fleet.js';
@@ -13,16 +13,8 @@
 const pollMs = 50;
 
 /** Waits for a condition, or fails with what was waited for. */
-export const waitFor = async (what: string, condition: () => Promise<boolean> | boolean, limitMs = waitLimitMs): Promise<void> => {
-	const untilMs = performance.now() + limitMs;
-	while (!await condition()) {
-		if (performance.now() > untilMs) {
-			throw new Error(`${what}: not within ${limitMs} ms`);
-		}
-
-		await sleep(pollMs);
-	}
-};
+export const waitFor = async (what: string, condition: () => Promise<boolean> | boolean, limitMs = waitLimitMs): Promise<void> =>
+	waitUntil(condition, {what, limitMs, pollMs});
 
 /** Settles once every entry has evidence, is connected to every other entry and to every agent. */
 export const waitUntilConnected = async (fleet: Fleet): Promise<void> => {
--- a/packages/histories/src/line-shuffler.ts
+++ b/packages/histories/src/line-shuffler.ts
@@ -2,12 +2,12 @@
  * Repeats and delays lines of one direction of an internal connection. TCP itself keeps the order, but a receiver sees the
  * same lines late, twice or crossed when a stream is resumed while frames of its earlier listener are still under way.
  */
+import {LineReader} from '@hawthorncleat/wire';
 import type {SeededRandom} from './random.js';
 
 /** Of each ten frames, this many are touched; more would leave few streams without a resume. */
 const touchedOfTen = 2;
 const maxDelayLines = 6;
-const lineEnd = '\n';
 const framePattern = /"method":"request\.frame"/;
 
 type Held = {readonly line: string; linesLeft: number};
@@ -16,7 +16,7 @@
 export class LineShuffler {
 	readonly #random: SeededRandom;
 	readonly #held: Held[] = [];
-	#rest = '';
+	readonly #reader = new LineReader();
 	#touched = 0;
 
 	constructor(random: SeededRandom) {
@@ -29,10 +29,7 @@
 	}
 
 	push(chunk: Uint8Array): string {
-		// The wire format is ASCII in the tests, so that a chunk never ends inside a character.
-		const lines = `${this.#rest}${String(chunk)}`.split(lineEnd);
-		this.#rest = lines.pop() ?? '';
-		return lines.flatMap(line => this.#pass(line)).map(line => `${line}${lineEnd}`).join('');
+		return this.#reader.push(chunk).flatMap(line => this.#pass(line)).map(line => `${line}\n`).join('');
 	}
 
 	#pass(line: string): string[] {
--- a/packages/histories/src/planner.ts
+++ b/packages/histories/src/planner.ts
@@ -11,7 +11,7 @@
 } from '@hawthorncleat/core';
 import {
 	createHttpClient, createTable, isStoreError, type Table,
-} from '@hawthorncleat/platform';
+} from '@hawthorncleat/store';
 import {dial, type Peer} from '@hawthorncleat/wire';
 import type {Fleet} from './fleet.js';
 import type {SeededRandom} from './random.js';
--- a/packages/histories/src/role-load.ts
+++ b/packages/histories/src/role-load.ts
@@ -4,9 +4,11 @@
 import {setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Change} from '@hawthorncleat/schema';
-import type {CallerKey} from './caller-keys.js';
+import {createCallerKey, issueKeys, type CallerKey} from './caller-keys.js';
+import {waitUntilConnected} from './fleet-links.js';
 import type {Fleet} from './fleet.js';
 import {KeptCaller, type ModelCall} from './kept-caller.js';
+import {createSeededRandom} from './random.js';
 import type {CallObservation, Violation} from './rules/observations.js';
 import {findCutCalls} from './rules/request-rules.js';
 
@@ -23,7 +25,7 @@
  * 10 ms lets a mixed engine work off 2,000 prompt tokens a second and a prefill engine 5,000. Much slower ones would have the
  * entries refuse nearly all calls.
  */
-export const declareEngineRates = (): Change => ({
+const declareEngineRates = (): Change => ({
 	put: [{
 		kind: 'model-version',
 		name: 'restock-v1',
@@ -63,7 +65,7 @@
 		: []))
 	.toSorted((a, b) => a.atMs - b.atMs);
 
-export type MixedLoadOptions = {readonly callersPerEntry: number; readonly key: CallerKey; readonly seed: number};
+export type MixedLoadOptions = {readonly callersPerEntry: number; readonly seed: number};
 
 /** Callers at every entry, each with one call at a time. */
 export class MixedLoad {
@@ -71,13 +73,29 @@
 	readonly #callers: KeptCaller[];
 	readonly #seed: number;
 	readonly #stopped = new AbortController();
+	#running: Promise<void> | undefined;
 
-	constructor(fleet: Fleet, {callersPerEntry, key, seed}: MixedLoadOptions) {
+	constructor(fleet: Fleet, key: CallerKey, {callersPerEntry, seed}: MixedLoadOptions) {
 		this.#seed = seed;
 		this.#callers = fleet.entryNames.flatMap(entry => Array.from({length: callersPerEntry}, () => new KeptCaller(fleet, entry, key)));
 	}
 
-	async run(signal: AbortSignal): Promise<void> {
+	start(signal: AbortSignal): void {
+		this.#running = this.#run(signal);
+	}
+
+	/** Settles when the calls under way have ended. */
+	async stop(): Promise<void> {
+		this.#stopped.abort();
+		await this.#running;
+	}
+
+	/** What the callers saw so far. */
+	get calls(): CallObservation[] {
+		return this.#callers.flatMap(({observations}) => observations);
+	}
+
+	async #run(signal: AbortSignal): Promise<void> {
 		const ending = AbortSignal.any([signal, this.#stopped.signal]);
 		setMaxListeners(0, ending);
 		await Promise.all(this.#callers.map(async (caller, index) => {
@@ -90,16 +108,6 @@
 		}));
 	}
 
-	/** What the callers saw so far. */
-	get calls(): CallObservation[] {
-		return this.#callers.flatMap(({observations}) => observations);
-	}
-
-	/** Lets the calls under way end; `run` then settles. */
-	stop(): void {
-		this.#stopped.abort();
-	}
-
 	#createCall(index: number, number: number): ModelCall {
 		const words = Array.from({length: promptWords[this.mix]}, (_, position) => `word${position}`);
 		// The beginning differs, so that no prompt is found in a prefix cache.
@@ -111,3 +119,14 @@
 		};
 	}
 }
+
+/** Configures the engines' speeds and a key, and starts the load, which runs until `stop` or until `signal` aborts. */
+export const startMixedLoad = async (fleet: Fleet, options: MixedLoadOptions, signal: AbortSignal): Promise<MixedLoad> => {
+	const key = createCallerKey(createSeededRandom(options.seed), 'caller', 'planning');
+	await waitUntilConnected(fleet);
+	await fleet.waitForVersion(await fleet.apply(issueKeys([key])));
+	await fleet.waitForVersion(await fleet.apply(declareEngineRates()));
+	const load = new MixedLoad(fleet, key, options);
+	load.start(signal);
+	return load;
+};
--- a/packages/measure/src/counting-relay.ts
+++ b/packages/measure/src/counting-relay.ts
@@ -6,6 +6,7 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import {loopback} from '@hawthorncleat/test-kit';
 import {countRequests, noPlatformCounts, type PlatformCounts} from './platform-traffic.js';
 
 /** Totals since the relay was opened. */
@@ -13,8 +14,6 @@
 
 export type CountingRelay = {readonly url: string; totals(): RelayTotals};
 
-const loopback = '127.0.0.1';
-
 const join = (near: Socket, far: Socket, onChunk: (chunk: Uint8Array) => void): void => {
 	near.on('data', onChunk);
 	near.pipe(far);
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -2,9 +2,9 @@
  * A fleet of real processes on loopback: the stand-ins in one process, an agent of an engine, an agent of a plain
  * service, and one entry, each daemon with a counting relay in front of the platform.
  */
-import {once, setMaxListeners} from 'node:events';
-import {createServer, type AddressInfo} from 'node:net';
+import {setMaxListeners} from 'node:events';
 import type {Change, HostRecord} from '@hawthorncleat/schema';
+import {findFreePort, loopback} from '@hawthorncleat/test-kit';
 import {request} from 'undici';
 import {
 	daemonScript, measureScript, readFirstLine, retryUntil, startNode,
@@ -13,7 +13,6 @@
 import {openCountingRelay, type CountingRelay} from './counting-relay.js';
 import {baseObjects, callerKey, measuredPlace} from './example-fleet-config.js';
 
-const loopback = '127.0.0.1';
 /** The token of the entry's admin API. */
 export const adminToken = 'measure-token';
 
@@ -38,17 +37,6 @@
 
 type StandInUrls = {readonly platformUrl: string; readonly engineUrl: string; readonly serviceUrl: string};
 
-/** Finds a free port of loopback. */
-export const findFreePort = async (): Promise<number> => {
-	const server = createServer();
-	server.listen(0, loopback);
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-};
-
 const send = async (method: 'PUT' | 'POST' | 'DELETE', url: string, body?: unknown): Promise<void> => {
 	const answer = await request(url, {
 		method,
--- a/packages/measure/src/message-slopes.ts
+++ b/packages/measure/src/message-slopes.ts
@@ -5,9 +5,9 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LoadReport} from '@hawthorncleat/schema';
+import {loopback} from '@hawthorncleat/test-kit';
 import {dial, listen, type Peer} from '@hawthorncleat/wire';
 
-const loopback = '127.0.0.1';
 const neverMs = 1_000_000;
 const fastHeartbeatMs = 10;
 const runMs = 3000;
--- a/packages/stand-ins/src/__tests__/engine.test.ts
+++ b/packages/stand-ins/src/__tests__/engine.test.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {EngineState, GenerateLine, GenerateParams} from '@hawthorncleat/schema';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
 	computeExpectedAnswer, computePrefixBlocks, startEngine, tokenize, type EngineOptions, type EngineStandIn,
@@ -30,13 +30,6 @@
 	return text.trim().split('\n').map(line => JSON.parse(line) as GenerateLine);
 };
 
-const waitUntil = async (condition: () => boolean): Promise<void> => {
-	for (let waitedMs = 0; !condition(); waitedMs += 5) {
-		assert.ok(waitedMs < 5000, 'condition not met in time');
-		await delay(5);
-	}
-};
-
 const tokensOf = (lines: readonly GenerateLine[]): string[] => lines.flatMap(line => line.token ?? []);
 const longPrompt = Array.from({length: 40}, (_, index) => `word${index}`).join(' ');
 
--- a/packages/platform/src/__tests__/lease-outage.test.ts
+++ b/packages/store/src/__tests__/lease-outage.test.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {WitnessGroup} from '@hawthorncleat/core';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {runLease, type Lease, type OutageEvidence} from '../index.js';
 import {withPlatform, type Fixture} from './with-platform.js';
@@ -54,18 +54,13 @@
 	};
 };
 
-const waitUntil = async (condition: () => boolean): Promise<void> => {
-	for (let waitedMs = 0; !condition(); waitedMs += 5) {
-		assert.ok(waitedMs < 8000, 'condition not met in time');
-		await delay(5);
-	}
-};
+const waitLonger = async (condition: () => boolean): Promise<void> => waitUntil(condition, {limitMs: 8000});
 
 describe('lease during a table outage', () => {
 	it('keeps its authority while the witnesses attest it and ends when the table is back; guards against planning that stops with the lease', async () => withPlatform(async fixture => {
 		const {state, outage} = createWitnesses();
 		const candidate = start(fixture, 'e1', outage);
-		await waitUntil(() => candidate.tenures.length === 1);
+		await waitLonger(() => candidate.tenures.length === 1);
 		const {lease, signal} = candidate.tenures[0]!;
 		assert.equal([lease.authority(), state.announced], ['table', []], 'a lease that nobody held is not announced');
 		fixture.platform.setFaults({tableDown: true});
@@ -73,8 +68,8 @@
 		assert.equal([lease.isHeld(), lease.authority(), signal.aborted], [false, 'outage', false]);
 		assert.ok(lease.authorityMs() > 0 && lease.authorityMs() <= 2000);
 		fixture.platform.setFaults({});
-		await waitUntil(() => signal.aborted);
-		await waitUntil(() => candidate.tenures.length === 2);
+		await waitLonger(() => signal.aborted);
+		await waitLonger(() => candidate.tenures.length === 2);
 		assert.equal([lease.authority(), lease.authorityMs()], ['none', 0]);
 		assert.equal([candidate.tenures[1]!.lease.epoch, state.announced], [2, []], 'it was given back');
 		await candidate.stop();
@@ -83,12 +78,12 @@
 	it('stops the duty when the witnesses no longer attest it, and does not revive; guards against two planners', async () => withPlatform(async fixture => {
 		const {state, outage} = createWitnesses();
 		const candidate = start(fixture, 'e1', outage);
-		await waitUntil(() => candidate.tenures.length === 1);
+		await waitLonger(() => candidate.tenures.length === 1);
 		const {lease, signal} = candidate.tenures[0]!;
 		fixture.platform.setFaults({tableDown: true});
-		await waitUntil(() => lease.authority() === 'outage');
+		await waitLonger(() => lease.authority() === 'outage');
 		state.attests = false;
-		await waitUntil(() => signal.aborted);
+		await waitLonger(() => signal.aborted);
 		state.attests = true;
 		await delay(1000);
 		assert.equal([lease.authority(), candidate.tenures.length], ['none', 1]);
@@ -97,25 +92,25 @@
 
 	it('ends with the lease without such functions', async () => withPlatform(async fixture => {
 		const candidate = start(fixture, 'e1');
-		await waitUntil(() => candidate.tenures.length === 1);
+		await waitLonger(() => candidate.tenures.length === 1);
 		const {lease, signal} = candidate.tenures[0]!;
 		fixture.platform.setFaults({tableDown: true});
-		await waitUntil(() => signal.aborted);
+		await waitLonger(() => signal.aborted);
 		assert.equal([lease.isHeld(), lease.authority()], [false, 'none']);
 		await candidate.stop();
 	}));
 
 	it('is not taken from a holder that was killed until the witnesses have noted it', async () => withPlatform(async fixture => {
 		const first = start(fixture, 'e1', createWitnesses().outage);
-		await waitUntil(() => first.tenures.length === 1);
+		await waitLonger(() => first.tenures.length === 1);
 		await first.kill();
 		const {state, outage} = createWitnesses();
 		state.notes = false;
 		const second = start(fixture, 'e2', outage);
-		await waitUntil(() => state.announced.length > 1);
+		await waitLonger(() => state.announced.length > 1);
 		assert.equal([second.tenures.length, state.announced.every(epoch => epoch === 2)], [0, true]);
 		state.notes = true;
-		await waitUntil(() => second.tenures.length === 1);
+		await waitLonger(() => second.tenures.length === 1);
 		await second.stop();
 	}));
 });
--- a/packages/platform/src/__tests__/lease-runner.test.ts
+++ b/packages/store/src/__tests__/lease-runner.test.ts
@@ -1,7 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
 	createStoreError, runLease, type Lease, type LeaseRunnerOptions, type Table,
@@ -77,13 +77,6 @@
 	};
 };
 
-const waitUntil = async (condition: () => boolean): Promise<void> => {
-	for (let waitedMs = 0; !condition(); waitedMs += 5) {
-		assert.ok(waitedMs < 5000, 'condition not met in time');
-		await delay(5);
-	}
-};
-
 describe('lease runner', () => {
 	it('lets one of two candidates in while it renews', async () => withPlatform(async fixture => {
 		const inCharge = new Set<string>();
--- a/packages/test-kit/src/index.ts
+++ b/packages/test-kit/src/index.ts
@@ -3,3 +3,4 @@
 } from './describe.js';
 export {createManualClock, type ManualClock} from './clock.js';
 export {findFreePort, loopback} from './ports.js';
+export {waitUntil, type WaitOptions} from './wait-until.js';
--- a/packages/test-kit/src/ports.ts
+++ b/packages/test-kit/src/ports.ts
@@ -3,7 +3,7 @@
  * give out the same port, and a port stays with its process while a daemon that uses it is restarted.
  */
 import {once} from 'node:events';
-import {createServer} from 'node:net';
+import {createServer, type Server} from 'node:net';
 
 /** The address that tests listen on. */
 export const loopback = '127.0.0.1';
@@ -14,12 +14,23 @@
 // The largest history file starts about 120 listeners.
 const rangePorts = 500;
 
-const isFree = async (port: number): Promise<boolean> => {
-	const server = createServer();
+/** Listens on a port; undefined if it is in use. */
+const tryListen = async (port: number): Promise<Server | undefined> => {
+	const server = createServer(socket => {
+		socket.destroy();
+	});
 	server.listen({host: loopback, port, exclusive: true});
 	try {
 		await once(server, 'listening');
+		return server;
 	} catch {
+		return undefined;
+	}
+};
+
+const isFree = async (port: number): Promise<boolean> => {
+	const server = await tryListen(port);
+	if (!server) {
 		return false;
 	}
 
@@ -30,18 +41,9 @@
 
 /** Holds a port until this process ends. */
 const holdPort = async (port: number): Promise<boolean> => {
-	const server = createServer(socket => {
-		socket.destroy();
-	});
-	server.listen({host: loopback, port, exclusive: true});
-	try {
-		await once(server, 'listening');
-	} catch {
-		return false;
-	}
-
-	server.unref();
-	return true;
+	const server = await tryListen(port);
+	server?.unref();
+	return server !== undefined;
 };
 
 /** Takes the first range whose lowest port no other process holds; returns that port. */
