--- a/admin/run-tests.ts
+++ b/admin/run-tests.ts
@@ -8,6 +8,7 @@
 import process from 'node:process';
 import {stripVTControlCharacters} from 'node:util';
 
+const testFolders = ['packages', 'platform/src'];
 const parallelFiles = 4;
 // A test file that hangs must not use up the time of the whole run.
 const fileTimeoutMs = 180_000;
@@ -22,8 +23,8 @@
 };
 
 const findTestFiles = async (): Promise<string[]> => {
-	const entries = await readdir('packages', {recursive: true, withFileTypes: true});
-	return entries
+	const folders = await Promise.all(testFolders.map(async folder => readdir(folder, {recursive: true, withFileTypes: true})));
+	return folders.flat()
 		.map(entry => path.join(entry.parentPath, entry.name))
 		.filter(file => file.endsWith('.test.ts') && !file.includes('node_modules'))
 		.toSorted();
--- /dev/null
+++ b/packages/core/src/forwarding/deployment.ts
@@ -0,0 +1,99 @@
+/**
+ * What a forwarding entry knows of its deployment: the configuration in force and the endpoints that have registered.
+ */
+import type {
+	ClientAccountName, ConfigVersion, EndpointId,
+} from '../ids.js';
+
+/** What may be repeated: only idempotent requests may run more than once; a stream may only if it can be resumed. */
+export type RequestKind = 'idempotent' | 'action' | 'stream';
+
+export type WeightedService = {readonly service: string; readonly weight: number};
+
+export type ForwardRoute = {
+	readonly name: string;
+	readonly hostname: string;
+	/** Begins and ends with a slash. */
+	readonly pathPrefix: string;
+	readonly kind: RequestKind;
+	/** Longest time that a request may be kept waiting. */
+	readonly timeoutMs: number;
+	/** Time within which an answer, or the first event of a stream, is on time. */
+	readonly latencyTargetMs: number;
+	/** Endpoints that may run one request. */
+	readonly maxAttempts: number;
+	/** 0 is the most urgent. */
+	readonly priority: number;
+	/** Served without a key. */
+	readonly isOpen: boolean;
+	/** A broken stream may be resumed at another endpoint. */
+	readonly isResumable: boolean;
+	readonly services: readonly WeightedService[];
+};
+
+/** Limits of a model engine, as its service declares them. */
+export type EngineLimits = {
+	/** Requests that run at once. */
+	readonly maxRunning: number;
+	readonly kvTokens: number;
+	readonly kvBytesPerToken: number;
+	readonly linkMbps: number;
+	/** How long a prefilled KV cache waits to be fetched. */
+	readonly handleTtlMs: number;
+	/** How long an engine is away for a change of its role. */
+	readonly roleChangeMs: number;
+};
+
+export type ForwardService = {
+	readonly name: string;
+	readonly healthPath: string;
+	/** Connections that an endpoint takes from all callers together. */
+	readonly maxConnections: number;
+	/** Absent for plain services. */
+	readonly engine?: EngineLimits;
+};
+
+export type CallerLimits = {
+	readonly maxHeaderBytes: number;
+	readonly maxBodyBytes: number;
+	readonly headerTimeoutMs: number;
+	readonly idleTimeoutMs: number;
+};
+
+export type ForwardAccount = {
+	readonly name: ClientAccountName;
+	readonly keys: readonly string[];
+	/** Takes precedence over the route's priority. */
+	readonly priority?: number;
+};
+
+export type ForwardConfig = {
+	readonly version: ConfigVersion;
+	readonly routes: readonly ForwardRoute[];
+	readonly services: readonly ForwardService[];
+	readonly accounts: readonly ForwardAccount[];
+	readonly limits: CallerLimits;
+};
+
+export type EndpointRole = 'prefill' | 'decode';
+
+/** An endpoint as it has registered itself. */
+export type RegisteredEndpoint = {
+	readonly id: EndpointId;
+	readonly service: string;
+	readonly address: string;
+	readonly port: number;
+	readonly dataCentre: string;
+	/** Requests that it runs at once. */
+	readonly places: number;
+	readonly isLeaving: boolean;
+	/** Absent for plain services. */
+	readonly role?: EndpointRole;
+	/** Start of its process; tells a restart under the same id. */
+	readonly startedAt: number;
+	/** Orders that it has accepted since its start. */
+	readonly ordersAccepted: number;
+};
+
+/** A part of a prompt that other requests may share. */
+export type PromptPart = {readonly id: string; readonly tokens: number};
--- /dev/null
+++ b/packages/core/src/forwarding/endpoint-trust.ts
@@ -0,0 +1,37 @@
+/**
+ * How far an endpoint is trusted, judged only by what requests met there: after failures it is avoided for a growing
+ * time, and one success restores it.
+ */
+
+/** First time that an endpoint is avoided; a connection that was refused is often a restart of a second or so. */
+const firstAvoidMs = 400;
+const maxAvoidMs = 4000;
+
+/** Failures of one endpoint in a row. */
+export class EndpointTrust {
+	#failures = 0;
+	#avoidUntilMs = 0;
+
+	get failures(): number {
+		return this.#failures;
+	}
+
+	isAvoided(nowMs: number): boolean {
+		return nowMs < this.#avoidUntilMs;
+	}
+
+	succeeded(): void {
+		this.#failures = 0;
+		this.#avoidUntilMs = 0;
+	}
+
+	/** Failures while the endpoint is avoided already are of the same cause and count once. */
+	failed(nowMs: number): void {
+		if (this.isAvoided(nowMs)) {
+			return;
+		}
+
+		this.#avoidUntilMs = nowMs + Math.min(maxAvoidMs, firstAvoidMs * (2 ** this.#failures));
+		this.#failures += 1;
+	}
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -159,3 +159,4 @@
 	type OrderedEngine,
 } from './engine-orders.js';
 export * from './policy/index.js';
+export * from './forwarding/index.js';
--- a/packages/core/src/retry.ts
+++ b/packages/core/src/retry.ts
@@ -23,6 +23,8 @@
 export type RetryState = {
 	/** Attempts made so far, the failed one included. */
 	readonly attempts: number;
+	/** Limit of attempts; that of the daemon if left out. */
+	readonly maxAttempts?: number;
 	readonly idempotent: boolean;
 	/** Failures of earlier attempts of the same request. */
 	readonly earlier: readonly FailureKind[];
@@ -87,7 +89,7 @@
 		return {retry: false, reason: 'not-allowed', ran};
 	}
 
-	if (state.attempts >= maxAttempts) {
+	if (state.attempts >= (state.maxAttempts ?? maxAttempts)) {
 		return {retry: false, reason: 'attempts-used', ran};
 	}
 
--- /dev/null
+++ b/packages/forward/src/answer-relay.ts
@@ -0,0 +1,249 @@
+/**
+ * One attempt at the chosen place: the prefill at another engine if there is one, then the request itself, whose answer
+ * is relayed to the caller.
+ */
+import {Buffer} from 'node:buffer';
+import type {TrackedWork} from '@hawthorncleat/core';
+import {startAttempt, type AttemptCall, type AttemptEnd} from './attempt.js';
+import type {KnownEndpoint} from './endpoint-pool.js';
+import type {AdmittedRequest, AttemptResult, ForwardDeps} from './forward-request.js';
+import type {Placement} from './placement.js';
+import type {
+	AnswerHead, KvHandle, SendDetails,
+} from './ports.js';
+import {runPrefill} from './prefill.js';
+import type {StreamRelay} from './stream-relay.js';
+
+type Failed = Extract<AttemptResult, {kind: 'failed'}>;
+
+/** Signals that end an attempt: those of its request and a limit of its own. */
+export const createAttemptSignal = (signal: AbortSignal, limitMs: number | undefined): AbortSignal =>
+	limitMs === undefined ? signal : AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(limitMs))]);
+
+/** Names what an attempt met when it ended without a usable answer. */
+export const describeFailure = (end: AttemptEnd, head: AnswerHead | undefined, {at, isLate}: {at: KnownEndpoint; isLate: boolean}): Failed => {
+	if (head && (head.isOtherEndpoint || head.isNotRun)) {
+		return {
+			kind: 'failed', failure: 'refused', detail: `status ${head.status}`, at,
+		};
+	}
+
+	if (end.kind === 'not-sent') {
+		return {
+			kind: 'failed', failure: 'not-connected', detail: end.error.message, at,
+		};
+	}
+
+	const detail = end.kind === 'broken' ? end.error.message : `status ${head?.status ?? 'none'}`;
+	if (isLate) {
+		return {
+			kind: 'failed', failure: 'no-progress', detail, at,
+		};
+	}
+
+	const failure = head && end.kind === 'complete' ? 'invalid-response' : 'connection-lost';
+	return {
+		kind: 'failed', failure, detail, at,
+	};
+};
+
+/** Whether an answer belongs to the request and may be passed on. */
+export const isOwnAnswer = (head: AnswerHead, {request}: AdmittedRequest): boolean =>
+	(head.requestId === undefined ? head.status >= 300 : head.requestId === request.id) && (head.isSealed || head.status >= 300);
+
+export const createCall = (deps: ForwardDeps, {request, body}: AdmittedRequest, details: SendDetails): AttemptCall => ({
+	method: request.method,
+	path: request.target,
+	headers: deps.wire.writeRequest(request, details),
+	...body && body.length > 0 && {body},
+});
+
+export const createDetails = ({account, exchange}: AdmittedRequest, known: KnownEndpoint, level: number | undefined): SendDetails => ({
+	endpoint: known.endpoint,
+	account: account?.name,
+	leftMs: Math.max(1, Math.floor(exchange.leftMs)),
+	level,
+});
+
+/** Time after which a request that may run again is tried elsewhere. */
+const attemptLimitMs = ({route, exchange}: AdmittedRequest, isLast: boolean): number | undefined =>
+	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : undefined;
+
+const serverError = 500;
+
+/** Takes a whole answer before the caller gets any of it, so that one that breaks off can be asked for again. */
+const relayWhole = async (deps: ForwardDeps, admitted: AdmittedRequest, known: KnownEndpoint): Promise<AttemptResult> => {
+	const {exchange} = admitted;
+	const chunks: Buffer[] = [];
+	let head: AnswerHead | undefined;
+	let isOwn = false;
+	const limitMs = attemptLimitMs(admitted, false);
+	const signal = createAttemptSignal(exchange.signal, limitMs);
+	const {ended} = startAttempt(known.dispatcher, createCall(deps, admitted, createDetails(admitted, known, undefined)), {
+		onHead(status, headers) {
+			head = deps.wire.readAnswer(status, headers);
+			isOwn = isOwnAnswer(head, admitted);
+			return isOwn || head.isNotRun || head.isOtherEndpoint;
+		},
+		onData(chunk) {
+			chunks.push(chunk);
+			return true;
+		},
+	}, signal);
+	const end = await ended;
+	if (end.kind !== 'complete' || !head || !isOwn || head.isNotRun || head.isOtherEndpoint) {
+		return describeFailure(end, head, {at: known, isLate: signal.aborted && !exchange.signal.aborted});
+	}
+
+	const {status, headers} = head;
+	const send = (): void => {
+		exchange.send(status, headers, Buffer.concat(chunks));
+	};
+
+	if (status >= serverError) {
+		return {
+			kind: 'failed', failure: 'service-error', answer: {send, status}, detail: `status ${status}`, at: known,
+		};
+	}
+
+	send();
+	return {kind: 'answered', status};
+};
+
+type StreamSource = {readonly known: KnownEndpoint; readonly level: number | undefined; readonly kvSource?: KvHandle; readonly onFirst: () => void};
+
+const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
+	const {known, level, kvSource, onFirst} = source;
+	const details = {...createDetails(admitted, known, level), kvSource, lastEventId: relay.lastId};
+	const watch = relay.createSilenceWatch(admitted, known);
+	let head: AnswerHead | undefined;
+	let isOwn = false;
+	const errorBody: Buffer[] = [];
+	const attempt = startAttempt(known.dispatcher, createCall(deps, admitted, details), {
+		onHead(status, headers) {
+			head = deps.wire.readAnswer(status, headers);
+			isOwn = isOwnAnswer(head, admitted);
+			watch.note();
+			return isOwn || head.isNotRun || head.isOtherEndpoint;
+		},
+		onData(chunk) {
+			watch.note();
+			if (!isOwn || head!.status !== 200) {
+				errorBody.push(chunk);
+				return true;
+			}
+
+			const {events} = relay;
+			const goesOn = relay.push(head!, chunk);
+			if (relay.events > 0 && events === 0) {
+				onFirst();
+			}
+
+			return goesOn;
+		},
+	}, watch.signal);
+	relay.onDrain(() => {
+		attempt.resume();
+	});
+	const end = await attempt.ended;
+	watch.stop();
+	if (end.kind === 'complete' && head && isOwn && !head.isNotRun && !head.isOtherEndpoint) {
+		return finishStream({head, errorBody, known}, admitted, relay);
+	}
+
+	relay.breakOff();
+	return describeFailure(end, head, {at: known, isLate: watch.isSilent});
+};
+
+const finishStream = (
+	{head, errorBody, known}: {readonly head: AnswerHead; readonly errorBody: readonly Buffer[]; readonly known: KnownEndpoint},
+	{exchange}: AdmittedRequest,
+	relay: StreamRelay,
+): AttemptResult => {
+	const {status, headers} = head;
+	if (status === 200) {
+		relay.finish(head);
+		return {kind: 'answered', status};
+	}
+
+	const send = (): void => {
+		exchange.send(status, headers, Buffer.concat(errorBody));
+	};
+
+	if (status >= serverError || exchange.hasHead) {
+		return {
+			kind: 'failed', failure: 'service-error', answer: {send, status}, detail: `status ${status}`, at: known,
+		};
+	}
+
+	send();
+	return {kind: 'answered', status};
+};
+
+const runDecode = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	{placement: {known, level, prefill, workMs}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
+	relay: StreamRelay,
+): Promise<AttemptResult> => {
+	const {request, service} = admitted;
+	const tokens = request.promptTokens + (request.expectedOutputTokens ?? request.maxOutputTokens);
+	const work: TrackedWork | undefined = !prefill && service.engine && level !== undefined
+		? deps.load.beginWork(known, {level, ms: workMs ?? 0, parts: request.parts})
+		: undefined;
+	let hasStarted = false;
+	const onFirst = (): void => {
+		hasStarted = true;
+		deps.onRun(admitted);
+		if (work) {
+			deps.load.endWork(known, work);
+		}
+	};
+
+	if (prefill) {
+		known.parts.add(request.parts);
+	}
+
+	deps.load.begin(known, tokens);
+	const result = await relayStream(deps, admitted, {
+		known, level, kvSource, onFirst,
+	}, relay);
+	deps.load.end(known, tokens);
+	if (work && !hasStarted) {
+		deps.load.endWork(known, work);
+	}
+
+	return result;
+};
+
+/** Runs one attempt. */
+export const relayAnswer = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	placement: Placement,
+	relay: StreamRelay | undefined,
+): Promise<AttemptResult> => {
+	const {known, prefill} = placement;
+	if (!relay) {
+		deps.load.begin(known, 0);
+		const result = await relayWhole(deps, admitted, known);
+		deps.load.end(known, 0);
+		if (result.kind === 'answered' || !(result.failure === 'refused' || result.failure === 'not-connected')) {
+			deps.onRun(admitted);
+		}
+
+		return result;
+	}
+
+	let kvSource: KvHandle | undefined;
+	if (prefill) {
+		const prefilled = await runPrefill(deps, admitted, {...placement, prefill});
+		if (prefilled.kind === 'failed') {
+			return prefilled;
+		}
+
+		kvSource = prefilled.handle;
+	}
+
+	return runDecode(deps, admitted, {placement, kvSource}, relay);
+};
--- /dev/null
+++ b/packages/forward/src/attempt.ts
@@ -0,0 +1,97 @@
+/**
+ * One HTTP exchange with an endpoint. It tells apart whether the request was ever written to a connection, because only
+ * an unsent request is known not to have run.
+ */
+import type {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders} from 'node:http';
+import type {Dispatcher} from 'undici';
+import type {OutgoingHeaders} from './ports.js';
+
+export type AttemptCall = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: OutgoingHeaders;
+	readonly body?: Buffer | string;
+};
+
+/** How an attempt ended. */
+export type AttemptEnd
+	= | {readonly kind: 'complete'}
+		/** Nothing was written to a connection. */
+		| {readonly kind: 'not-sent'; readonly error: Error}
+		| {readonly kind: 'broken'; readonly error: Error};
+
+export type AttemptHandler = {
+	/** Returning false ends the attempt. */
+	onHead(status: number, headers: IncomingHttpHeaders): boolean;
+	/** Returning false pauses the answer until `resume`. */
+	onData(chunk: Buffer): boolean;
+};
+
+/** An attempt under way. */
+export type Attempt = {
+	readonly ended: Promise<AttemptEnd>;
+	resume(): void;
+};
+
+const rejectedAnswer = new Error('the answer was rejected');
+
+/** Sends one request. Aborting the signal closes its connection. */
+export const startAttempt = (dispatcher: Dispatcher, call: AttemptCall, handler: AttemptHandler, signal: AbortSignal): Attempt => {
+	let controller: Dispatcher.DispatchController | undefined;
+	let isSent = false;
+	const ended = new Promise<AttemptEnd>(resolve => {
+		const abort = (): void => {
+			controller?.abort(signal.reason instanceof Error ? signal.reason : rejectedAnswer);
+			// A request that still waits for a connection cannot be taken back, but its start below ends it.
+			resolve(isSent ? {kind: 'broken', error: rejectedAnswer} : {kind: 'not-sent', error: rejectedAnswer});
+		};
+
+		if (signal.aborted) {
+			abort();
+			return;
+		}
+
+		signal.addEventListener('abort', abort, {once: true});
+		const finish = (end: AttemptEnd): void => {
+			signal.removeEventListener('abort', abort);
+			resolve(end);
+		};
+
+		dispatcher.dispatch({
+			method: call.method, path: call.path, headers: call.headers, body: call.body ?? null,
+		}, {
+			onRequestStart(started) {
+				if (signal.aborted) {
+					started.abort(rejectedAnswer);
+					return;
+				}
+
+				controller = started;
+				isSent = true;
+			},
+			onResponseStart(started, status, headers) {
+				if (status >= 200 && !handler.onHead(status, headers)) {
+					started.abort(rejectedAnswer);
+				}
+			},
+			onResponseData(started, chunk) {
+				if (!handler.onData(chunk)) {
+					started.pause();
+				}
+			},
+			onResponseEnd() {
+				finish({kind: 'complete'});
+			},
+			onResponseError(_started, error) {
+				finish(isSent ? {kind: 'broken', error} : {kind: 'not-sent', error});
+			},
+		});
+	});
+	return {
+		ended,
+		resume() {
+			controller?.resume();
+		},
+	};
+};
--- /dev/null
+++ b/packages/forward/src/caller-exchange.ts
@@ -0,0 +1,116 @@
+/**
+ * The caller's side of one request: its body, its answer, and the signals that end it when the caller leaves or its time
+ * is up.
+ */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Clock} from '@hawthorncleat/core';
+import type {OutgoingHeaders} from './ports.js';
+
+/** Why a request was ended before its answer. */
+export type EndReason = 'caller-left' | 'timeout';
+
+const endReasonError = (reason: EndReason): Error => Object.assign(new Error(reason), {reason});
+
+export class CallerExchange {
+	readonly startedMs: number;
+	endsAtMs = Number.POSITIVE_INFINITY;
+	readonly #res: ServerResponse;
+	readonly #clock: Clock;
+	readonly #controller = new AbortController();
+	#endReason: EndReason | undefined;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(res: ServerResponse, clock: Clock) {
+		this.#res = res;
+		this.#clock = clock;
+		this.startedMs = clock.nowMs();
+		res.once('close', () => {
+			clearTimeout(this.#timer);
+			if (!res.writableFinished) {
+				this.#end('caller-left');
+			}
+		});
+	}
+
+	/** Aborts when the caller has left or the time is up. */
+	get signal(): AbortSignal {
+		return this.#controller.signal;
+	}
+
+	get endReason(): EndReason | undefined {
+		return this.#endReason;
+	}
+
+	get leftMs(): number {
+		return this.endsAtMs - this.#clock.nowMs();
+	}
+
+	get elapsedMs(): number {
+		return this.#clock.nowMs() - this.startedMs;
+	}
+
+	get hasHead(): boolean {
+		return this.#res.headersSent;
+	}
+
+	limit(ms: number): void {
+		this.endsAtMs = this.startedMs + ms;
+		this.#timer = setTimeout(() => {
+			this.#end('timeout');
+		}, Math.max(0, this.leftMs));
+	}
+
+	send(status: number, headers: OutgoingHeaders, body: Buffer | string): void {
+		if (this.#res.destroyed || this.#res.headersSent) {
+			return;
+		}
+
+		this.#res.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
+		this.#res.end(body);
+	}
+
+	startStream(status: number, headers: OutgoingHeaders): void {
+		this.#res.writeHead(status, headers);
+	}
+
+	/** Returns false while the caller reads slower than the stream comes. */
+	write(chunk: Buffer): boolean {
+		return this.#res.write(chunk);
+	}
+
+	onDrain(listener: () => void): void {
+		this.#res.on('drain', listener);
+	}
+
+	finishStream(rest: Buffer): void {
+		this.#res.end(rest);
+	}
+
+	/** Ends the connection, so that a partial answer cannot be taken for a whole one. */
+	breakOff(): void {
+		this.#res.destroy();
+	}
+
+	#end(reason: EndReason): void {
+		if (!this.#controller.signal.aborted) {
+			this.#endReason = reason;
+			this.#controller.abort(endReasonError(reason));
+		}
+	}
+}
+
+/** Reads a request's body; undefined if it is too long. Rejects when the caller leaves. */
+export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
+	const chunks: Buffer[] = [];
+	let size = 0;
+	for await (const chunk of req) {
+		chunks.push(chunk as Buffer);
+		size += (chunk as Buffer).length;
+		if (size > maxBytes) {
+			return undefined;
+		}
+	}
+
+	return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+};
--- /dev/null
+++ b/packages/forward/src/endpoint-directory.ts
@@ -0,0 +1,117 @@
+/**
+ * Keeps the known endpoints in step with what they have registered. Entries that lapsed while the store was away return
+ * shortly after it; until then their endpoints are kept.
+ */
+import {
+	brandAs, type Clock, type EndpointId, type RegisteredEndpoint,
+} from '@hawthorncleat/core';
+import type {EndpointPool} from './endpoint-pool.js';
+import type {StoreAnswer, StoreRow} from './ports.js';
+
+/** Time after the store's return within which live endpoints have registered again. */
+const registerAgainMs = 2000;
+
+export type EndpointDirectoryOptions = {
+	readonly clock: Clock;
+	readonly pool: EndpointPool;
+	readonly readEndpoint: (id: EndpointId, text: string) => RegisteredEndpoint | undefined;
+	readonly onChange: (change: {readonly id: string; readonly was: string; readonly is: string; readonly version: number}) => void;
+};
+
+const describe = (endpoint: RegisteredEndpoint | undefined): string => {
+	if (!endpoint) {
+		return 'absent';
+	}
+
+	return `${endpoint.isLeaving ? 'leaving' : 'ready'}${endpoint.role ? ` ${endpoint.role}` : ''}`;
+};
+
+export class EndpointDirectory {
+	readonly #options: EndpointDirectoryOptions;
+	/** Missing entries and when they count as gone. */
+	readonly #missing = new Map<string, number>();
+	#backSinceMs = Number.NEGATIVE_INFINITY;
+	#isAvailable = true;
+
+	constructor(options: EndpointDirectoryOptions) {
+		this.#options = options;
+	}
+
+	/** Notes whether the store answers. */
+	setAvailable(isAvailable: boolean): void {
+		if (isAvailable && !this.#isAvailable) {
+			this.#backSinceMs = this.#options.clock.nowMs();
+		}
+
+		this.#isAvailable = isAvailable;
+	}
+
+	apply({rows}: StoreAnswer, isWhole: boolean): void {
+		const seen = new Set<string>();
+		for (const row of rows) {
+			seen.add(row.key);
+			this.#applyRow(row);
+		}
+
+		if (isWhole) {
+			for (const {endpoint: {id}} of this.#options.pool.all()) {
+				if (!seen.has(id)) {
+					this.#miss(id, 0);
+				}
+			}
+		}
+
+		this.dropMissing();
+	}
+
+	/** Drops the endpoints that did not register again in time. */
+	dropMissing(): void {
+		const nowMs = this.#options.clock.nowMs();
+		for (const [id, goneAtMs] of this.#missing) {
+			if (nowMs >= goneAtMs && this.#isAvailable) {
+				this.#missing.delete(id);
+				this.#drop(id, 0);
+			}
+		}
+	}
+
+	#applyRow({key, value, version}: StoreRow): void {
+		const endpoint = value === undefined ? undefined : this.#options.readEndpoint(brandAs<EndpointId>(key), value);
+		if (!endpoint) {
+			this.#miss(key, version);
+			return;
+		}
+
+		this.#missing.delete(key);
+		const before = this.#options.pool.get(key)?.endpoint;
+		this.#options.pool.put(endpoint);
+		if (describe(before) !== describe(endpoint)) {
+			this.#options.onChange({
+				id: key, was: describe(before), is: describe(endpoint), version,
+			});
+		}
+	}
+
+	#miss(id: string, version: number): void {
+		const nowMs = this.#options.clock.nowMs();
+		if (nowMs - this.#backSinceMs < registerAgainMs) {
+			if (!this.#missing.has(id)) {
+				this.#missing.set(id, this.#backSinceMs + registerAgainMs);
+			}
+
+			return;
+		}
+
+		this.#drop(id, version);
+	}
+
+	#drop(id: string, version: number): void {
+		const before = this.#options.pool.get(id)?.endpoint;
+		if (before) {
+			this.#options.pool.remove(id);
+			this.#options.onChange({
+				id, was: describe(before), is: describe(undefined), version,
+			});
+		}
+	}
+}
--- /dev/null
+++ b/packages/forward/src/forward-daemon.ts
@@ -0,0 +1,431 @@
+/**
+ * The forwarding entry as a whole: follows the store, serves callers, takes part in the duties, and stops gracefully.
+ */
+import type {Server} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	RetryWindow, RouteTable, type Clock, type MakeId, type Random,
+} from '@hawthorncleat/core';
+import {runLease, type Lease} from '@hawthorncleat/store';
+import {handleCaller, type CallerHandlerDeps, type RequestEnd} from './caller-handler.js';
+import type {DecisionLog, LogEvent} from './decision-log.js';
+import {EndpointDirectory} from './endpoint-directory.js';
+import {EndpointPool} from './endpoint-pool.js';
+import type {AdmittedRequest, AttemptReport} from './forward-request.js';
+import {Gossip, type Peer} from './gossip.js';
+import {Membership} from './membership.js';
+import {ForwardMetrics} from './metrics.js';
+import {ModelLoad} from './model-load.js';
+import type {
+	ForwardSettings, Platform, RowStore, StoreAnswer, StoreTable,
+} from './ports.js';
+import {closeHttp, listenHttp} from './servers.js';
+import {watchTable} from './table-watch.js';
+import {TrueTime} from './true-time.js';
+import {UsageCounter} from './usage-counter.js';
+import {runUsageDuty, usageDuty} from './usage-duty.js';
+
+export type ForwardDaemonDeps = {
+	readonly clock: Clock;
+	/** Time of day. */
+	readonly wallMs: () => number;
+	readonly random: Random;
+	readonly makeId: MakeId;
+	readonly log: DecisionLog;
+	readonly platform: Platform;
+};
+
+/** Longest wait of one call; a silent connection is noticed after that. */
+const watchWaitMs = 2500;
+/** Changes of endpoints are taken over in batches of this time, well below the time in which a leaving one takes work. */
+const endpointPauseMs = 150;
+const duties = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
+/** The load balancer asks once a second and stops sending after two misses. */
+const outOfRotationMs = 2600;
+const stopPollMs = 50;
+
+class ForwardDaemon {
+	readonly #settings: ForwardSettings;
+	readonly #deps: ForwardDaemonDeps;
+	readonly #metrics = new ForwardMetrics();
+	readonly #pool: EndpointPool;
+	readonly #load: ModelLoad;
+	readonly #directory: EndpointDirectory;
+	readonly #gossip: Gossip;
+	readonly #members: Membership;
+	readonly #time: TrueTime;
+	readonly #usage: UsageCounter;
+	readonly #retries = new Map<string, RetryWindow>();
+	readonly #available = new Map<StoreTable, boolean>();
+	#routes: RouteTable | undefined;
+	#configText = '';
+	#knowsEndpoints = false;
+	#isStopping = false;
+	#isFetching = false;
+	#running = 0;
+
+	constructor(settings: ForwardSettings, deps: ForwardDaemonDeps) {
+		const {clock, platform, makeId} = deps;
+		this.#settings = settings;
+		this.#deps = deps;
+		this.#members = new Membership(clock, settings.hostName, peer => this.#gossip.heardMs(peer));
+		this.#pool = new EndpointPool({
+			clock,
+			entries: () => this.#members.liveCount(),
+			serviceOf: name => this.#routes?.findService(name),
+		});
+		this.#load = new ModelLoad(clock, this.#pool);
+		this.#gossip = new Gossip({
+			clock,
+			self: settings.hostName,
+			address: settings.ip,
+			port: settings.gossipPort,
+			load: this.#load,
+			peers: () => this.#members.peers(),
+			configVersion: () => this.#routes?.config.version ?? 0,
+			onVersion: (peer, version) => {
+				this.#hearVersion(peer, version);
+			},
+		});
+		this.#directory = new EndpointDirectory({
+			clock,
+			pool: this.#pool,
+			readEndpoint: platform.readEndpoint,
+			onChange: change => {
+				this.#log('endpoint', change);
+			},
+		});
+		this.#time = new TrueTime(clock, () => this.#members.wallOffsets());
+		this.#usage = new UsageCounter({
+			rows: platform.rows,
+			owner: `${settings.hostName}/${makeId()}`,
+			windowMs: settings.usage.windowMs,
+			nowMs: () => this.#time.nowMs(),
+			onError: error => {
+				this.#logError('writing usage counts', error);
+			},
+		});
+	}
+
+	async run(stop: AbortSignal): Promise<void> {
+		const {listen} = this.#settings;
+		const ending = new AbortController();
+		const {signal} = ending;
+		const background = Promise.all([
+			this.#watch('config', signal),
+			this.#watch('endpoints', signal),
+			this.#watch('members', signal),
+			this.#gossip.run(signal),
+			this.#usage.run(signal),
+			this.#announce(signal),
+			this.#runDuties(stop),
+			this.#housekeep(signal),
+		]);
+		const callers = await listenHttp(listen.callers, (req, res) => {
+			this.#running += 1;
+			res.once('close', () => {
+				this.#running -= 1;
+			});
+			void this.#serve(req, res);
+		});
+		const others = await Promise.all([this.#listenReadiness(), this.#listenPeers(), this.#listenMetrics()]);
+		this.#log('start', {callers: listen.callers, dataCentre: this.#settings.dataCentre});
+		await new Promise<void>(resolve => {
+			if (stop.aborted) {
+				resolve();
+			}
+
+			stop.addEventListener('abort', () => {
+				resolve();
+			}, {once: true});
+		});
+		await this.#drain(callers);
+		ending.abort();
+		for (const server of [callers, ...others]) {
+			closeHttp(server);
+		}
+
+		await background;
+		await this.#usage.flush();
+		await this.#pool.destroy();
+		this.#log('stopped', {});
+	}
+
+	get #isReady(): boolean {
+		return this.#routes !== undefined && this.#knowsEndpoints && !this.#isStopping;
+	}
+
+	#log(event: LogEvent, fields: Readonly<Record<string, unknown>>): void {
+		this.#deps.log.write(event, fields);
+	}
+
+	#logError(what: string, error: unknown): void {
+		this.#log('error', {what, problem: error instanceof Error ? error.message : String(error)});
+	}
+
+	async #serve(req: Parameters<typeof handleCaller>[1], res: Parameters<typeof handleCaller>[2]): Promise<void> {
+		try {
+			await handleCaller(this.#handlerDeps, req, res);
+		} catch (error) {
+			this.#logError('serving a request', error);
+			res.destroy();
+		}
+	}
+
+	get #handlerDeps(): CallerHandlerDeps {
+		const {clock, random, platform} = this.#deps;
+		return {
+			clock,
+			random,
+			wire: platform.wire,
+			pool: this.#pool,
+			load: this.#load,
+			dataCentre: this.#settings.dataCentre,
+			retriesOf: service => this.#retriesOf(service),
+			routes: () => this.#routes,
+			isStopping: () => this.#isStopping,
+			onRun: admitted => {
+				this.#countRun(admitted);
+			},
+			onAttempt: (admitted, report) => {
+				this.#reportAttempt(admitted, report);
+			},
+			onEnd: end => {
+				this.#reportEnd(end);
+			},
+		};
+	}
+
+	#countRun({account}: AdmittedRequest): void {
+		if (account) {
+			this.#usage.count(account.name);
+		}
+	}
+
+	#reportAttempt({request}: AdmittedRequest, report: AttemptReport): void {
+		this.#metrics.countAttempt(report);
+		if (report.result.kind === 'answered') {
+			return;
+		}
+
+		const {endpoint, prefill, tookMs, result: {failure, detail}} = report;
+		this.#log('attempt', {
+			id: request.id, endpoint, prefill, tookMs: Math.round(tookMs), failure, detail,
+		});
+	}
+
+	#reportEnd({outcome, tookMs, ...end}: RequestEnd): void {
+		this.#metrics.countEnd({outcome, tookMs, ...end});
+		this.#log('request', {...end, tookMs: Math.round(tookMs), ...outcome});
+	}
+
+	#retriesOf(service: string): RetryWindow {
+		const known = this.#retries.get(service);
+		if (known) {
+			return known;
+		}
+
+		const created = new RetryWindow(this.#deps.clock, {...this.#settings.retries, entries: () => this.#members.liveCount()});
+		this.#retries.set(service, created);
+		return created;
+	}
+
+	async #watch(table: StoreTable, signal: AbortSignal): Promise<void> {
+		const {clock, platform} = this.#deps;
+		await watchTable({
+			table,
+			rows: platform.rows,
+			clock,
+			waitMs: watchWaitMs,
+			pauseMs: table === 'endpoints' ? endpointPauseMs : 0,
+			onAnswer: (answer, isWhole) => {
+				this.#time.noteStore(answer.storeNowMs);
+				this.#apply(table, answer, isWhole);
+			},
+			onAvailable: (isAvailable, error) => {
+				this.#noteAvailable(table, isAvailable, error);
+			},
+		}, signal);
+	}
+
+	#apply(table: StoreTable, answer: StoreAnswer, isWhole: boolean): void {
+		if (table === 'config') {
+			for (const {value} of answer.rows) {
+				this.#applyConfig(value, 'store');
+			}
+		} else if (table === 'endpoints') {
+			this.#directory.apply(answer, isWhole);
+			this.#knowsEndpoints = true;
+		} else {
+			this.#members.apply(answer, isWhole);
+		}
+	}
+
+	#noteAvailable(table: StoreTable, isAvailable: boolean, error: unknown): void {
+		if (table === 'endpoints') {
+			this.#directory.setAvailable(isAvailable);
+		}
+
+		if ((this.#available.get(table) ?? true) !== isAvailable) {
+			this.#available.set(table, isAvailable);
+			this.#log('dependency', {
+				dependency: `store/${table}`, isAvailable, ...error instanceof Error && {problem: error.message},
+			});
+		}
+	}
+
+	/** A version that is in force never gives way to an older one. */
+	#applyConfig(text: string | undefined, source: string): void {
+		const config = text === undefined ? undefined : this.#deps.platform.readConfig(text);
+		if (!config || config.version <= (this.#routes?.config.version ?? 0)) {
+			return;
+		}
+
+		const previous = this.#routes?.config.version;
+		this.#routes = new RouteTable(config);
+		this.#configText = text!;
+		this.#metrics.setConfigVersion(config.version);
+		this.#log('config', {
+			version: config.version, previous, source, routes: config.routes.length, accounts: config.accounts.length,
+		});
+	}
+
+	/** Asks a peer for a configuration that the store has not given to this entry. */
+	#hearVersion(peer: Peer, version: number): void {
+		if (version <= (this.#routes?.config.version ?? 0) || this.#isFetching) {
+			return;
+		}
+
+		const member = this.#members.member(peer.name);
+		if (member) {
+			this.#isFetching = true;
+			void this.#fetchConfig(`http://${member.address}:${member.peerPort}/config`, peer.name);
+		}
+	}
+
+	async #fetchConfig(url: string, peer: string): Promise<void> {
+		try {
+			const res = await fetch(url, {signal: AbortSignal.timeout(500)});
+			this.#applyConfig(await res.text(), peer);
+		} catch (error) {
+			this.#logError(`reading the configuration of ${peer}`, error);
+		} finally {
+			this.#isFetching = false;
+		}
+	}
+
+	async #announce(signal: AbortSignal): Promise<void> {
+		const {rows} = this.#deps.platform;
+		const {listen, gossipPort, ip, hostName} = this.#settings;
+		while (!signal.aborted) {
+			const storeNowMs = this.#time.storeNowMs();
+			if (storeNowMs !== undefined && !this.#members.member(hostName)) {
+				try {
+					await this.#members.announce(rows, {
+						address: ip, gossipPort, peerPort: listen.peers.port, wallOffsetMs: this.#deps.wallMs() - storeNowMs,
+					});
+				} catch (error) {
+					this.#logError('writing the own member row', error);
+				}
+			}
+
+			await sleep(200, undefined, {signal}).catch(() => undefined);
+		}
+	}
+
+	async #runDuties(signal: AbortSignal): Promise<void> {
+		const {clock, makeId, platform} = this.#deps;
+		const holder = this.#settings.hostName;
+		await runLease({
+			duty: usageDuty,
+			holder,
+			table: platform.table,
+			clock,
+			makeId,
+			durations: duties,
+			onHeld: async (lease, held) => {
+				this.#log('lease', {duty: usageDuty, held: true, epoch: lease.epoch});
+				await this.#runUsageDuty(lease, held);
+				this.#log('lease', {duty: usageDuty, held: false, epoch: lease.epoch});
+			},
+			onError: error => {
+				this.#logError('usage duty', error);
+			},
+		}, signal);
+	}
+
+	async #runUsageDuty(lease: Lease, signal: AbortSignal): Promise<void> {
+		const {platform, makeId} = this.#deps;
+		await runUsageDuty({
+			rows: platform.rows,
+			table: platform.table,
+			calls: platform.duties,
+			holder: this.#settings.hostName,
+			makeId,
+			windowMs: this.#settings.usage.windowMs,
+			nowMs: () => this.#time.nowMs(),
+			onReport: report => {
+				this.#metrics.countReport(report.accepted);
+				this.#log('usage', report);
+			},
+			onError: error => {
+				this.#logError('reporting usage', error);
+			},
+		}, lease, signal);
+	}
+
+	async #housekeep(signal: AbortSignal): Promise<void> {
+		let wasReady = false;
+		while (!signal.aborted) {
+			this.#directory.dropMissing();
+			if (this.#isReady !== wasReady) {
+				wasReady = this.#isReady;
+				this.#log('ready', {ready: wasReady});
+			}
+
+			await sleep(250, undefined, {signal}).catch(() => undefined);
+		}
+	}
+
+	async #listenReadiness(): Promise<Server> {
+		return listenHttp(this.#settings.listen.readiness, (req, res) => {
+			res.writeHead(this.#deps.platform.wire.isReadinessPath(req.url ?? '') && this.#isReady ? 200 : 503);
+			res.end();
+		});
+	}
+
+	async #listenPeers(): Promise<Server> {
+		return listenHttp(this.#settings.listen.peers, (_req, res) => {
+			res.end(this.#configText);
+		});
+	}
+
+	async #listenMetrics(): Promise<Server> {
+		return listenHttp({address: this.#settings.ip, port: this.#settings.metricsPort}, (_req, res) => {
+			this.#metrics.setDroppedLines(this.#deps.log.dropped);
+			void (async () => {
+				res.end(await this.#metrics.registry.metrics());
+			})();
+		});
+	}
+
+	/** Lets running requests end; new ones are served until the load balancer has noticed. */
+	async #drain(callers: Server): Promise<void> {
+		const {clock} = this.#deps;
+		const startMs = clock.nowMs();
+		this.#isStopping = true;
+		this.#log('stop', {running: this.#running});
+		await sleep(outOfRotationMs);
+		callers.close();
+		callers.closeIdleConnections();
+		while (this.#running > 0 && clock.nowMs() - startMs < this.#settings.stopLimitMs) {
+			await sleep(stopPollMs);
+			callers.closeIdleConnections();
+		}
+	}
+}
+
+/** Runs a forwarding entry until `stop` aborts and its requests have ended. */
+export const runForwardDaemon = async (settings: ForwardSettings, deps: ForwardDaemonDeps, stop: AbortSignal): Promise<void> => {
+	await new ForwardDaemon(settings, deps).run(stop);
+};
--- /dev/null
+++ b/packages/forward/src/forward-request.ts
@@ -0,0 +1,208 @@
+/**
+ * Serves one request: chooses where it runs, sends it, and decides after a failure whether it may be sent again.
+ */
+import type {Buffer} from 'node:buffer';
+import {
+	decideRetry,
+	type Clock,
+	type FailureKind,
+	type ForwardAccount,
+	type ForwardRoute,
+	type ForwardService,
+	type Random,
+	type RetryWindow,
+} from '@hawthorncleat/core';
+import {relayAnswer} from './answer-relay.js';
+import type {CallerExchange} from './caller-exchange.js';
+import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
+import type {CallerRequest, WireFormat} from './ports.js';
+import type {ModelLoad} from './model-load.js';
+import {placeRequest, type Placement} from './placement.js';
+import {StreamRelay} from './stream-relay.js';
+
+/** An admitted request. */
+export type AdmittedRequest = {
+	readonly request: CallerRequest;
+	readonly body: Buffer | undefined;
+	readonly route: ForwardRoute;
+	readonly service: ForwardService;
+	readonly account: ForwardAccount | undefined;
+	readonly exchange: CallerExchange;
+};
+
+export type ForwardDeps = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly wire: WireFormat;
+	readonly pool: EndpointPool;
+	readonly load: ModelLoad;
+	readonly dataCentre: string;
+	readonly retriesOf: (service: string) => RetryWindow;
+	/** A request has begun to run for an account. */
+	readonly onRun: (admitted: AdmittedRequest) => void;
+	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
+};
+
+/** What one attempt came to. */
+export type AttemptResult
+	= | {readonly kind: 'answered'; readonly status: number}
+		| {readonly kind: 'failed'; readonly failure: FailureKind; readonly retryAfterMs?: number; readonly answer?: HeldAnswer; readonly detail: string; readonly at: KnownEndpoint};
+
+/** A failure that the endpoint answered, which is the final answer when it may not be tried again. */
+export type HeldAnswer = {readonly send: () => void; readonly status: number};
+
+export type AttemptReport = {
+	readonly endpoint: string;
+	readonly prefill?: string;
+	readonly expectedMs?: number;
+	readonly tookMs: number;
+	readonly result: AttemptResult;
+};
+
+/** How a request ended. */
+export type Outcome = {
+	readonly status: number;
+	readonly code: string;
+	readonly ran: 'not-run' | 'ran' | 'unknown';
+	readonly attempts: number;
+	readonly retryAfterMs?: number;
+};
+
+/** Tries that no endpoint has run; each costs a refusal at most. */
+const maxUnrunTries = 4;
+/** A caller that comes back sooner meets the same queue. */
+const refusedRetryMs = 250;
+
+const failuresBeforeRun = new Set<FailureKind>(['not-connected', 'refused']);
+
+type Progress = {
+	runs: number;
+	tries: number;
+	readonly excluded: Set<string>;
+	readonly earlier: FailureKind[];
+	lastFailure?: Extract<AttemptResult, {kind: 'failed'}>;
+};
+
+const endedEarly = ({exchange}: AdmittedRequest, progress: Progress, ran: Outcome['ran']): Outcome => ({
+	status: exchange.endReason === 'caller-left' ? 499 : 504,
+	code: exchange.endReason ?? 'timeout',
+	ran,
+	attempts: progress.tries,
+});
+
+const freeBudget = {take: () => true};
+
+/** Whether another attempt may follow a failure. */
+const mayRetry = (deps: ForwardDeps, admitted: AdmittedRequest, progress: Progress, failure: FailureKind): boolean => {
+	const {route, service} = admitted;
+	const isUnrun = failuresBeforeRun.has(failure);
+	const decision = decideRetry(failure, {
+		attempts: isUnrun ? progress.tries : progress.runs,
+		maxAttempts: isUnrun ? maxUnrunTries : route.maxAttempts,
+		idempotent: route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable),
+		earlier: progress.earlier,
+	}, failure === 'not-connected' ? freeBudget : deps.retriesOf(service.name));
+	return decision.retry;
+};
+
+const finishFailed = (admitted: AdmittedRequest, progress: Progress): Outcome => {
+	const {lastFailure, tries} = progress;
+	const ran = progress.runs > 0 ? 'unknown' : 'not-run';
+	if (lastFailure?.answer && ran !== 'not-run') {
+		lastFailure.answer.send();
+		return {
+			status: lastFailure.answer.status, code: 'endpoint-error', ran: 'ran', attempts: tries,
+		};
+	}
+
+	if (admitted.exchange.hasHead) {
+		admitted.exchange.breakOff();
+		return {
+			status: 502, code: 'stream-broken', ran: 'ran', attempts: tries,
+		};
+	}
+
+	return ran === 'not-run'
+		? {
+			status: 503, code: lastFailure ? 'endpoints-full' : 'no-endpoint', ran, attempts: tries, retryAfterMs: lastFailure?.retryAfterMs ?? refusedRetryMs,
+		}
+		: {
+			status: 502, code: 'endpoint-failed', ran, attempts: tries,
+		};
+};
+
+/** Failures that speak against an endpoint; a refusal or an error of its own does not. */
+const failuresOfEndpoint = new Set<FailureKind>(['not-connected', 'connection-lost', 'invalid-response', 'no-progress']);
+
+const judgeTrust = (known: KnownEndpoint, result: AttemptResult, nowMs: number): void => {
+	if (result.kind === 'answered') {
+		known.trust.succeeded();
+	} else if (failuresOfEndpoint.has(result.failure)) {
+		result.at.trust.failed(nowMs);
+	}
+};
+
+/** Runs the attempts of a request until it is answered or given up. */
+export const forwardRequest = async (deps: ForwardDeps, admitted: AdmittedRequest): Promise<Outcome> => {
+	const {exchange} = admitted;
+	const progress: Progress = {
+		runs: 0, tries: 0, excluded: new Set(), earlier: [],
+	};
+	const relay = admitted.route.kind === 'stream' ? new StreamRelay(exchange, admitted.request.lastEventId) : undefined;
+	deps.retriesOf(admitted.service.name).countFirst();
+	for (;;) {
+		if (exchange.signal.aborted) {
+			return endedEarly(admitted, progress, progress.runs > 0 ? 'unknown' : 'not-run');
+		}
+
+		const placement = placeRequest(deps, admitted, progress.excluded);
+		if (!placement) {
+			return finishFailed(admitted, progress);
+		}
+
+		progress.tries += 1;
+		const result = await tryPlacement(deps, admitted, placement, relay);
+		if (result.kind === 'answered') {
+			return {
+				status: result.status, code: 'answered', ran: 'ran', attempts: progress.tries,
+			};
+		}
+
+		const {failure} = result;
+		progress.lastFailure = result;
+		progress.runs += failuresBeforeRun.has(failure) ? 0 : 1;
+		if (exchange.signal.aborted) {
+			return endedEarly(admitted, progress, progress.runs > 0 ? 'unknown' : 'not-run');
+		}
+
+		progress.excluded.add(result.at.endpoint.id);
+		if (!mayRetry(deps, admitted, progress, failure)) {
+			return finishFailed(admitted, progress);
+		}
+
+		progress.earlier.push(failure);
+	}
+};
+
+const tryPlacement = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	placement: Placement,
+	relay: StreamRelay | undefined,
+): Promise<AttemptResult> => {
+	const startMs = deps.clock.nowMs();
+	const {known} = placement;
+	const result = await relayAnswer(deps, admitted, placement, relay);
+	if (!admitted.exchange.signal.aborted) {
+		judgeTrust(known, result, deps.clock.nowMs());
+	}
+
+	deps.onAttempt(admitted, {
+		endpoint: known.endpoint.id,
+		prefill: placement.prefill?.endpoint.id,
+		expectedMs: placement.waitMs,
+		tookMs: deps.clock.nowMs() - startMs,
+		result,
+	});
+	return result;
+};
--- /dev/null
+++ b/packages/forward/src/gossip.ts
@@ -0,0 +1,146 @@
+/**
+ * Datagrams between entries: what each one runs and has sent. They replace reports of the endpoints, so that a choice
+ * rests on what was sent a moment ago. A lost datagram is harmless: running requests are told as whole counts.
+ */
+import {createSocket, type Socket} from 'node:dgram';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Clock} from '@hawthorncleat/core';
+import type {ModelLoad, RunningCount, SentWork} from './model-load.js';
+
+/** Another entry. */
+export type Peer = {readonly name: string; readonly address: string; readonly port: number};
+
+export type GossipOptions = {
+	readonly clock: Clock;
+	readonly self: string;
+	readonly address: string;
+	readonly port: number;
+	readonly load: ModelLoad;
+	readonly peers: () => readonly Peer[];
+	readonly configVersion: () => number;
+	/** Hears of the configuration version of another entry. */
+	readonly onVersion: (peer: Peer, version: number) => void;
+};
+
+/** Load messages are about as old as this when they arrive; half the time of a short prefill. */
+const sendPauseMs = 60;
+/** Sent at least this often, so that peers know that this entry lives. */
+const keepAliveMs = 1000;
+/** A datagram stays within one packet of an ordinary link. */
+const maxDatagramBytes = 1400;
+const maxPartsPerWork = 3;
+
+type Running = readonly [endpoint: string, requests: number, tokens: number];
+type Sent = readonly [endpoint: string, level: number, ms: number, parts: ReadonlyArray<readonly [id: string, tokens: number]>];
+
+type Message = {
+	readonly from: string;
+	readonly config: number;
+	readonly running: readonly Running[];
+	readonly sent: readonly Sent[];
+};
+
+const isMessage = (value: unknown): value is Message => {
+	const {from, config, running, sent} = (value ?? {}) as Partial<Message>;
+	return typeof from === 'string' && typeof config === 'number' && Array.isArray(running) && Array.isArray(sent);
+};
+
+const parse = (text: string): Message | undefined => {
+	try {
+		const value: unknown = JSON.parse(text);
+		return isMessage(value) ? value : undefined;
+	} catch {
+		// A damaged datagram counts as lost.
+		return undefined;
+	}
+};
+
+const encodeRunning = ({endpoint, requests, tokens}: RunningCount): Running => [endpoint, requests, Math.round(tokens)];
+
+/** The last part belongs to one request or session and is not worth its bytes. */
+const encodeSent = ({endpoint, level, ms, parts}: SentWork): Sent =>
+	[endpoint, level, Math.round(ms), parts.slice(0, Math.min(maxPartsPerWork, parts.length - 1)).map(({id, tokens}) => [id, tokens] as const)];
+
+export class Gossip {
+	readonly #options: GossipOptions;
+	readonly #socket: Socket;
+	readonly #heard = new Map<string, number>();
+	#sentMs = Number.NEGATIVE_INFINITY;
+	#lastRunning = '';
+
+	constructor(options: GossipOptions) {
+		this.#options = options;
+		this.#socket = createSocket('udp4');
+		this.#socket.on('message', bytes => {
+			this.#hear(String(bytes));
+		});
+		// A peer that has just ended makes the kernel report its closed port.
+		this.#socket.on('error', () => undefined);
+	}
+
+	/** When a peer was last heard. */
+	heardMs(peer: string): number | undefined {
+		return this.#heard.get(peer);
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		const {address, port} = this.#options;
+		this.#socket.bind(port, address);
+		while (!signal.aborted) {
+			await sleep(sendPauseMs, undefined, {signal}).catch(() => undefined);
+			this.#options.load.dropSilent();
+			this.#send();
+		}
+
+		this.#socket.close();
+	}
+
+	#send(): void {
+		const {clock, load, configVersion, self} = this.#options;
+		const running = load.ownRunning().map(count => encodeRunning(count));
+		const sent = load.takeSent().map(work => encodeSent(work));
+		const text = JSON.stringify(running);
+		const isDue = clock.nowMs() - this.#sentMs >= keepAliveMs;
+		if (sent.length === 0 && text === this.#lastRunning && !isDue) {
+			return;
+		}
+
+		this.#sentMs = clock.nowMs();
+		this.#lastRunning = text;
+		this.#sendAll({
+			from: self, config: configVersion(), running, sent,
+		});
+	}
+
+	#sendAll(message: Message): void {
+		const text = JSON.stringify(message);
+		if (text.length > maxDatagramBytes && message.sent.length > 1) {
+			const half = Math.ceil(message.sent.length / 2);
+			this.#sendAll({...message, sent: message.sent.slice(0, half)});
+			this.#sendAll({...message, sent: message.sent.slice(half)});
+			return;
+		}
+
+		for (const {address, port} of this.#options.peers()) {
+			this.#socket.send(text, port, address);
+		}
+	}
+
+	#hear(text: string): void {
+		const message = parse(text);
+		const peer = message && this.#options.peers().find(({name}) => name === message.from);
+		if (!message || !peer) {
+			return;
+		}
+
+		this.#heard.set(peer.name, this.#options.clock.nowMs());
+		this.#options.load.hear(
+			peer.name,
+			message.running.map(([endpoint, requests, tokens]) => ({endpoint, requests, tokens})),
+			message.sent.map(([endpoint, level, ms, parts]) => ({
+				endpoint, level, ms, parts: parts.map(([id, tokens]) => ({id, tokens})),
+			})),
+		);
+		this.#options.onVersion(peer, message.config);
+	}
+}
--- /dev/null
+++ b/packages/forward/src/index.ts
@@ -0,0 +1,22 @@
+export {runForwardDaemon, type ForwardDaemonDeps} from './forward-daemon.js';
+export {DecisionLog, type LineOutput, type LogEvent} from './decision-log.js';
+export type {
+	Address,
+	AnswerHead,
+	CallerRequest,
+	DutyCalls,
+	EncodedCall,
+	ForwardSettings,
+	KvHandle,
+	OutgoingHeaders,
+	Platform,
+	Refusal,
+	RoleOrder,
+	RowStore,
+	SendDetails,
+	StoreAnswer,
+	StoreRow,
+	StoreTable,
+	UsageCounts,
+	WireFormat,
+} from './ports.js';
--- /dev/null
+++ b/packages/forward/src/membership.ts
@@ -0,0 +1,88 @@
+/**
+ * The entries of the fleet, as each one has written itself into the store. A row outlives its entry, so whether a peer
+ * lives is judged by its messages.
+ */
+import type {Clock} from '@hawthorncleat/core';
+import type {Peer} from './gossip.js';
+import type {RowStore, StoreAnswer} from './ports.js';
+
+/** What an entry writes of itself. */
+export type Member = {
+	readonly address: string;
+	readonly gossipPort: number;
+	readonly peerPort: number;
+	/** Difference of the entry's time of day from the store's steady clock. */
+	readonly wallOffsetMs: number;
+};
+
+/** An entry that is silent for longer does not count as one that shares the limits. */
+const liveMs = 4000;
+
+const readMember = (text: string): Member | undefined => {
+	try {
+		const value = JSON.parse(text) as Partial<Member>;
+		return typeof value.address === 'string' && typeof value.gossipPort === 'number' && typeof value.peerPort === 'number' && typeof value.wallOffsetMs === 'number'
+			? value as Member
+			: undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+export class Membership {
+	readonly #clock: Clock;
+	readonly #self: string;
+	readonly #heardMs: (peer: string) => number | undefined;
+	readonly #members = new Map<string, Member>();
+	#peers: Peer[] = [];
+
+	constructor(clock: Clock, self: string, heardMs: (peer: string) => number | undefined) {
+		this.#clock = clock;
+		this.#self = self;
+		this.#heardMs = heardMs;
+	}
+
+	peers(): readonly Peer[] {
+		return this.#peers;
+	}
+
+	member(name: string): Member | undefined {
+		return this.#members.get(name);
+	}
+
+	/** Differences between the members' times of day and the store's clock. */
+	wallOffsets(): number[] {
+		return [...this.#members.values()].map(({wallOffsetMs}) => wallOffsetMs);
+	}
+
+	/** Entries that live, this one included. */
+	liveCount(): number {
+		const oldestMs = this.#clock.nowMs() - liveMs;
+		return 1 + this.#peers.filter(({name}) => (this.#heardMs(name) ?? Number.NEGATIVE_INFINITY) > oldestMs).length;
+	}
+
+	apply({rows}: StoreAnswer, isWhole: boolean): void {
+		if (isWhole) {
+			this.#members.clear();
+		}
+
+		for (const {key, value} of rows) {
+			const member = value === undefined ? undefined : readMember(value);
+			if (member) {
+				this.#members.set(key, member);
+			} else {
+				this.#members.delete(key);
+			}
+		}
+
+		this.#peers = [...this.#members]
+			.filter(([name]) => name !== this.#self)
+			.map(([name, {address, gossipPort}]) => ({name, address, port: gossipPort}));
+	}
+
+	/** Writes this entry's own row. */
+	async announce(rows: RowStore, member: Member): Promise<void> {
+		this.#members.set(this.#self, member);
+		await rows.write('members', [{key: this.#self, value: JSON.stringify(member)}]);
+	}
+}
--- /dev/null
+++ b/packages/forward/src/model-load.ts
@@ -0,0 +1,130 @@
+/**
+ * What this entry knows of the load of engines: its own requests at once, those of other entries by their messages.
+ */
+import {
+	type Clock, type PrefillPace, type PromptPart, type TrackedWork,
+} from '@hawthorncleat/core';
+import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
+
+/** Work that was sent, as other entries are told of it. */
+export type SentWork = {
+	readonly endpoint: string;
+	readonly level: number;
+	readonly ms: number;
+	readonly parts: readonly PromptPart[];
+};
+
+/** Requests that an entry runs at one endpoint. */
+export type RunningCount = {readonly endpoint: string; readonly requests: number; readonly tokens: number};
+
+/** Pace before any prefill has been measured. */
+const assumedPace: PrefillPace = {tokensPerMs: 100, fixedMs: 2};
+/** Weight of one measurement. */
+const paceWeight = 0.05;
+const minSampleTokens = 2000;
+/** Other entries that are silent for longer run nothing that this entry knows of. */
+const silentPeerMs = 3000;
+
+type PeerLoad = {heardMs: number; running: readonly RunningCount[]};
+
+export class ModelLoad {
+	readonly #clock: Clock;
+	readonly #pool: EndpointPool;
+	readonly #peers = new Map<string, PeerLoad>();
+	readonly #paces = new Map<string, PrefillPace>();
+	#sent: SentWork[] = [];
+
+	constructor(clock: Clock, pool: EndpointPool) {
+		this.#clock = clock;
+		this.#pool = pool;
+	}
+
+	paceOf(service: string): PrefillPace {
+		return this.#paces.get(service) ?? assumedPace;
+	}
+
+	/** Counts a request that is sent. */
+	begin(known: KnownEndpoint, tokens: number): void {
+		known.ownRunning += 1;
+		known.ownTokens += tokens;
+		known.running += 1;
+		known.runningTokens += tokens;
+	}
+
+	end(known: KnownEndpoint, tokens: number): void {
+		known.ownRunning -= 1;
+		known.ownTokens -= tokens;
+		known.running -= 1;
+		known.runningTokens -= tokens;
+	}
+
+	/** Counts prefill work that is sent. */
+	beginWork(known: KnownEndpoint, work: Omit<SentWork, 'endpoint'>): TrackedWork {
+		known.parts.add(work.parts);
+		this.#sent.push({...work, endpoint: known.endpoint.id});
+		return known.work.track(work.level, work.ms, this.#clock.nowMs());
+	}
+
+	endWork(known: KnownEndpoint, work: TrackedWork): void {
+		known.work.settle(work, this.#clock.nowMs());
+	}
+
+	/** Learns the pace from a prefill that was alone at its engine. */
+	measure(service: string, tokens: number, tookMs: number): void {
+		if (tokens < minSampleTokens) {
+			return;
+		}
+
+		const {tokensPerMs, fixedMs} = this.paceOf(service);
+		const sample = tokens / Math.max(1, tookMs - fixedMs);
+		this.#paces.set(service, {fixedMs, tokensPerMs: tokensPerMs + ((sample - tokensPerMs) * paceWeight)});
+	}
+
+	/** What has been sent since the last call. */
+	takeSent(): SentWork[] {
+		const sent = this.#sent;
+		this.#sent = [];
+		return sent;
+	}
+
+	ownRunning(): RunningCount[] {
+		return [...this.#pool.all()]
+			.filter(({ownRunning}) => ownRunning > 0)
+			.map(({endpoint, ownRunning, ownTokens}) => ({endpoint: endpoint.id, requests: ownRunning, tokens: ownTokens}));
+	}
+
+	/** Takes over a message of another entry. */
+	hear(peer: string, running: readonly RunningCount[], sent: readonly SentWork[]): void {
+		const nowMs = this.#clock.nowMs();
+		this.#applyRunning(this.#peers.get(peer)?.running ?? [], -1);
+		this.#applyRunning(running, 1);
+		this.#peers.set(peer, {heardMs: nowMs, running});
+		for (const {endpoint, level, ms, parts} of sent) {
+			const known = this.#pool.get(endpoint);
+			known?.work.add(level, ms, nowMs);
+			known?.parts.add(parts);
+		}
+	}
+
+	/** Forgets the requests of entries that have gone silent. */
+	dropSilent(): void {
+		const nowMs = this.#clock.nowMs();
+		for (const [peer, {heardMs, running}] of this.#peers) {
+			if (nowMs - heardMs > silentPeerMs) {
+				this.#applyRunning(running, -1);
+				this.#peers.delete(peer);
+			}
+		}
+	}
+
+	/** Endpoints come and go between two messages, so counts never fall below the own ones. */
+	#applyRunning(running: readonly RunningCount[], sign: 1 | -1): void {
+		for (const {endpoint, requests, tokens} of running) {
+			const known = this.#pool.get(endpoint);
+			if (known) {
+				known.running = Math.max(known.ownRunning, known.running + (sign * requests));
+				known.runningTokens = Math.max(known.ownTokens, known.runningTokens + (sign * tokens));
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/forward/src/prefill.ts
@@ -0,0 +1,71 @@
+/**
+ * The first call of a split request: an engine prefills the prompt and keeps its KV cache for the engine that decodes.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createAttemptSignal, createCall, createDetails, describeFailure,
+} from './answer-relay.js';
+import {startAttempt} from './attempt.js';
+import type {KnownEndpoint} from './endpoint-pool.js';
+import type {AdmittedRequest, AttemptResult, ForwardDeps} from './forward-request.js';
+import type {Placement} from './placement.js';
+import type {AnswerHead, KvHandle} from './ports.js';
+
+export type PrefillResult
+	= | {readonly kind: 'prefilled'; readonly handle: KvHandle}
+		| Extract<AttemptResult, {kind: 'failed'}>;
+
+/** A prefill may be repeated, so one that takes this many times as long as expected is given up. */
+const lateFactor = 3;
+const lateMarginMs = 700;
+/** With a shorter expected wait the engine is idle and the call shows its pace. */
+const idleWaitMs = 2;
+
+/** Frees a KV cache that nobody will fetch. It expires by itself when this fails. */
+export const releaseHandle = (deps: ForwardDeps, known: KnownEndpoint, handle: KvHandle): void => {
+	void startAttempt(known.dispatcher, deps.wire.writeHandleRelease(handle), {
+		onHead: () => true, onData: () => true,
+	}, AbortSignal.timeout(1000)).ended;
+};
+
+type PrefillPlacement = Placement & {readonly prefill: KnownEndpoint};
+
+export const runPrefill = async (deps: ForwardDeps, admitted: AdmittedRequest, placement: PrefillPlacement): Promise<PrefillResult> => {
+	const {prefill, level = 0, workMs = 0, waitMs = 0} = placement;
+	const {request, exchange, service} = admitted;
+	const startMs = deps.clock.nowMs();
+	const cached = prefill.parts.cachedTokens(request.parts);
+	const work = deps.load.beginWork(prefill, {level, ms: workMs, parts: request.parts});
+	const signal = createAttemptSignal(exchange.signal, (waitMs * lateFactor) + lateMarginMs);
+	const chunks: Buffer[] = [];
+	let head: AnswerHead | undefined;
+	const call = createCall(deps, admitted, {...createDetails(admitted, prefill, level), prefillOnly: true});
+	const end = await startAttempt(prefill.dispatcher, call, {
+		onHead(status, headers) {
+			head = deps.wire.readAnswer(status, headers);
+			return true;
+		},
+		onData(chunk) {
+			chunks.push(chunk);
+			return true;
+		},
+	}, signal).ended;
+	deps.load.endWork(prefill, work);
+	const name = end.kind === 'complete' && head?.status === 200 ? deps.wire.readHandle(Buffer.concat(chunks).toString()) : undefined;
+	if (name === undefined) {
+		// A prompt that was only prefilled has not run.
+		const failed = describeFailure(end, head, {at: prefill, isLate: signal.aborted && !exchange.signal.aborted});
+		if (failed.failure !== 'refused' && failed.failure !== 'not-connected' && !exchange.signal.aborted) {
+			prefill.trust.failed(deps.clock.nowMs());
+		}
+
+		return {...failed, failure: failed.failure === 'not-connected' ? 'not-connected' : 'refused', detail: `prefill: ${failed.detail}`};
+	}
+
+	prefill.trust.succeeded();
+	if (waitMs - workMs < idleWaitMs) {
+		deps.load.measure(service.name, request.promptTokens - cached, deps.clock.nowMs() - startMs);
+	}
+
+	return {kind: 'prefilled', handle: {endpoint: prefill.endpoint, name}};
+};
--- /dev/null
+++ b/packages/forward/src/usage-duty.ts
@@ -0,0 +1,148 @@
+/**
+ * The duty of reporting usage: sums what all entries have counted in a window, fixes the sums in the store, and reports
+ * them. A later holder repeats exactly what is fixed there.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {MakeId} from '@hawthorncleat/core';
+import {transactOnce, type Lease, type Table} from '@hawthorncleat/store';
+import type {DutyCalls, RowStore, UsageCounts} from './ports.js';
+import {usageRange} from './usage-counter.js';
+
+export const usageDuty = 'usage';
+const reportKey = 'usage-report';
+
+export type UsageDutyOptions = {
+	readonly rows: RowStore;
+	readonly table: Table;
+	readonly calls: DutyCalls;
+	readonly holder: string;
+	readonly makeId: MakeId;
+	readonly windowMs: number;
+	readonly nowMs: () => number | undefined;
+	readonly onReport: (report: {readonly window: number; readonly counts: UsageCounts; readonly accepted: boolean; readonly epoch: number}) => void;
+	readonly onError: (error: unknown) => void;
+};
+
+/** What is fixed for the newest window. */
+type FixedReport = {readonly window: number; readonly counts: UsageCounts; readonly writeId: string};
+
+/** Entries have written their counts of a window within this time after its end. */
+const settleMs = 2000;
+const checkPauseMs = 300;
+/** Older windows that a new holder still reports. */
+const maxLateWindows = 3;
+
+const sumCounts = (texts: readonly string[]): UsageCounts => {
+	const sums = new Map<string, number>();
+	for (const text of texts) {
+		for (const [account, count] of Object.entries(JSON.parse(text) as UsageCounts)) {
+			sums.set(account, (sums.get(account) ?? 0) + count);
+		}
+	}
+
+	return Object.fromEntries([...sums].toSorted(([a], [b]) => a < b ? -1 : 1));
+};
+
+class UsageDuty {
+	readonly #options: UsageDutyOptions;
+	readonly #lease: Lease;
+	#reported: number | undefined;
+	#fixedVersion: number | null = null;
+
+	constructor(options: UsageDutyOptions, lease: Lease) {
+		this.#options = options;
+		this.#lease = lease;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			try {
+				await this.#reportDue(signal);
+			} catch (error) {
+				if (!signal.aborted) {
+					this.#options.onError(error);
+				}
+			}
+
+			await sleep(checkPauseMs, undefined, {signal}).catch(() => undefined);
+		}
+	}
+
+	async #reportDue(signal: AbortSignal): Promise<void> {
+		const nowMs = this.#options.nowMs();
+		if (nowMs === undefined) {
+			return;
+		}
+
+		const newestDue = Math.floor((nowMs - settleMs) / this.#options.windowMs) - 1;
+		if (this.#reported === undefined) {
+			await this.#repeatFixed(newestDue, signal);
+		}
+
+		while (!signal.aborted && this.#reported! < newestDue) {
+			const window = Math.max(this.#reported! + 1, newestDue - maxLateWindows);
+			const fixed = await this.#fix(window, signal);
+			if (!fixed || !await this.#send(fixed, signal)) {
+				return;
+			}
+		}
+	}
+
+	/** Sends again what the last holder may not have sent. */
+	async #repeatFixed(newestDue: number, signal: AbortSignal): Promise<void> {
+		const row = await this.#options.table.read(reportKey);
+		this.#fixedVersion = row?.version ?? null;
+		if (row) {
+			await this.#send(row.value as FixedReport, signal);
+		} else {
+			// Windows before the first holder are reported from their counts.
+			this.#reported = newestDue - maxLateWindows;
+		}
+	}
+
+	async #fix(window: number, signal: AbortSignal): Promise<FixedReport | undefined> {
+		const {rows, table, makeId} = this.#options;
+		const answer = await rows.read('usage', usageRange(window), signal);
+		const counts = sumCounts(answer.rows.flatMap(({value}) => value === undefined ? [] : [value]));
+		const fixed: FixedReport = {window, counts, writeId: makeId()};
+		const result = await transactOnce(table, {
+			writeId: fixed.writeId,
+			checks: [
+				{key: reportKey, version: this.#fixedVersion},
+				this.#lease.check(),
+			],
+			puts: [{key: reportKey, value: fixed}],
+			deletes: [],
+		}, {key: reportKey, isOurs: value => (value as FixedReport | undefined)?.writeId === fixed.writeId});
+		if (result.kind !== 'written') {
+			// What is fixed now is read again and repeated.
+			this.#reported = undefined;
+			return undefined;
+		}
+
+		this.#fixedVersion = result.version;
+		void rows.write('usage', answer.rows.map(({key}) => ({key, value: undefined}))).catch(this.#options.onError);
+		return fixed;
+	}
+
+	async #send({window, counts}: FixedReport, signal: AbortSignal): Promise<boolean> {
+		const {calls, holder, onReport} = this.#options;
+		const {epoch} = this.#lease;
+		const accepted = await calls.reportUsage({
+			window, counts, holder, epoch,
+		}, signal);
+		onReport({
+			window, counts, accepted, epoch,
+		});
+		if (accepted) {
+			this.#reported = window;
+		}
+
+		return accepted;
+	}
+}
+
+/** Reports windows while the lease is held. */
+export const runUsageDuty = async (options: UsageDutyOptions, lease: Lease, signal: AbortSignal): Promise<void> => {
+	await new UsageDuty(options, lease).run(signal);
+};
