Learn each engine's pace, and divide engines between prefill and decode

Cause: the choice took a prefill engine for 100 tokens/ms and a decode engine for half; measured busy periods show 57 (a step for each chunk) and 25, and 60 ms before the first token that block nobody. Fetched requests wait behind the prompts that a decode engine prefills itself.

--- a/models/action-claim.pml
+++ b/models/action-claim.pml
@@ -6,7 +6,7 @@
 /* fault: FAULT_UNCHECKED_LATE_CLAIM */
 /* fault: FAULT_NO_NUMBER */
 /* fault: FAULT_NO_CONNECTION */
-/* code: packages/platform/src/claim-writer.ts */
+/* code: packages/store/src/claim-writer.ts */
 /* code: packages/agent/src/refusals.ts */
 /* code: packages/agent/src/action-messages.ts */
 /*
--- a/models/duty-outage.pml
+++ b/models/duty-outage.pml
@@ -10,7 +10,7 @@
 /* fault: FAULT_BLIND_TAKE */
 /* code: packages/core/src/duty-witness.ts */
 /* code: packages/core/src/outage-authority.ts */
-/* code: packages/platform/src/lease-runner.ts */
+/* code: packages/store/src/lease-runner.ts */
 /*
  * Authority of a duty during a table outage, in time. The holder of an epoch, a taker of the next one and a group of three
  * witnesses. Every message to a witness or to the table may fail for each sender separately, which covers an outage for
--- a/models/lease.pml
+++ b/models/lease.pml
@@ -5,7 +5,7 @@
 /* fault: FAULT_SPLIT_TAKEOVER */
 /* fault: FAULT_EARLY_RELEASE */
 /* code: packages/core/src/lease.ts */
-/* code: packages/platform/src/lease-runner.ts */
+/* code: packages/store/src/lease-runner.ts */
 /*
  * Duty leases in time. Two processes; requests and answers may be slow or lost, a request that was given up may still
  * take effect, and each process may be paused at any moment, which is the free interleaving of its steps with `Time`.
--- a/packages/core/src/forwarding/choose-place.ts
+++ b/packages/core/src/forwarding/choose-place.ts
@@ -5,6 +5,7 @@
 import type {Random} from '../clock.js';
 import type {PromptPart, RegisteredEndpoint} from './deployment.js';
 import type {EndpointTrust} from './endpoint-trust.js';
+import type {EnginePace} from './engine-pace.js';
 import type {PartCache} from './part-cache.js';
 import type {PrefillBacklog} from './prefill-backlog.js';
 
@@ -16,18 +17,14 @@
 	running: number;
 	readonly work: PrefillBacklog;
 	readonly parts: PartCache;
+	/** Of a plain service without meaning. */
+	readonly pace: EnginePace;
+	/** Its role is being changed, and it refuses work until about then. */
+	changesUntilMs: number;
 	/** Tokens of KV cache of the running requests. */
 	runningTokens: number;
 };
 
-/** Speed of a service's engines. */
-export type PrefillPace = {
-	/** Prefill of a prefill engine. */
-	readonly tokensPerMs: number;
-	/** Time of each prefill besides its tokens. */
-	readonly fixedMs: number;
-};
-
 export type PlaceRequest = {
 	readonly parts: readonly PromptPart[];
 	readonly promptTokens: number;
@@ -40,8 +37,6 @@
 	readonly excluded: ReadonlySet<string>;
 };
 
-/** A decode engine prefills at half the speed of a prefill engine, between the steps of its running requests. */
-const decodePrefillFactor = 2;
 /**
  * Traffic between data centres is billed: a model request crosses with its prompt and its stream, which costs about as
  * much of its value as this delay.
@@ -60,19 +55,18 @@
 	readonly prefill?: EndpointView;
 	/** Expected time until the prefill is done. */
 	readonly waitMs: number;
-	/** Expected time of the prefill alone. */
-	readonly workMs: number;
+	/** Tokens of the prompt that the engine is not expected to hold. */
+	readonly uncachedTokens: number;
 };
 
-const isUsable = ({endpoint, trust}: EndpointView, excluded: ReadonlySet<string>, nowMs: number): boolean =>
-	!endpoint.isLeaving && !excluded.has(endpoint.id) && !trust.isAvoided(nowMs);
+const isCandidate = ({endpoint, changesUntilMs}: EndpointView, excluded: ReadonlySet<string>, nowMs: number): boolean =>
+	!endpoint.isLeaving && nowMs >= changesUntilMs && !excluded.has(endpoint.id);
 
 /** Endpoints that may be sent to; those that are avoided only when nothing else is left. */
 const findUsable = (views: readonly EndpointView[], excluded: ReadonlySet<string>, nowMs: number): EndpointView[] => {
-	const usable = views.filter(view => isUsable(view, excluded, nowMs));
-	return usable.length > 0
-		? usable
-		: views.filter(({endpoint}) => !endpoint.isLeaving && !excluded.has(endpoint.id));
+	const candidates = views.filter(view => isCandidate(view, excluded, nowMs));
+	const usable = candidates.filter(({trust}) => !trust.isAvoided(nowMs));
+	return usable.length > 0 ? usable : candidates;
 };
 
 const crossing = ({endpoint}: EndpointView, dataCentre: string): number => endpoint.dataCentre === dataCentre ? 0 : 1;
@@ -110,23 +104,21 @@
 /** Delay that a full decode engine adds; a request that does not fit waits for another one to end. */
 const crowdingMs = (fill: number): number => (fill * 20) + (Math.max(0, fill - 0.9) * 2000);
 
-export type PlaceContext = {readonly nowMs: number; readonly pace: PrefillPace; readonly kvTokens: number};
-
-const prefillMs = (tokens: number, {tokensPerMs, fixedMs}: PrefillPace): number => fixedMs + (tokens / tokensPerMs);
+export type PlaceContext = {readonly nowMs: number; readonly kvTokens: number};
 
 /** Delay for prefilling again what other engines hold. */
 const rereadMs = (cached: number, most: number): number => Math.max(0, most - cached) * rereadMsPerThousand / 1000;
 
-type Scored = {readonly view: EndpointView; readonly scoreMs: number; readonly waitMs: number; readonly workMs: number};
+type Scored = {readonly view: EndpointView; readonly scoreMs: number; readonly waitMs: number; readonly uncachedTokens: number};
 
 const scorePrefill = (view: EndpointView, request: PlaceRequest, {context, most}: {context: PlaceContext; most: number}): Scored => {
 	const cached = view.parts.cachedTokens(request.parts);
-	const factor = view.endpoint.role === 'prefill' ? 1 : decodePrefillFactor;
-	const workMs = prefillMs(Math.max(1, request.promptTokens - cached), context.pace) * factor;
+	const uncachedTokens = Math.max(1, request.promptTokens - cached);
+	const workMs = view.pace.workMs(uncachedTokens);
 	const waitMs = view.work.waitMs(request.level, context.nowMs) + workMs;
-	const scoreMs = waitMs + rereadMs(cached, most) + (crossing(view, request.dataCentre) * crossingMs);
+	const scoreMs = waitMs + view.pace.latencyMs + rereadMs(cached, most) + (crossing(view, request.dataCentre) * crossingMs);
 	return {
-		view, scoreMs, waitMs, workMs,
+		view, scoreMs, waitMs, uncachedTokens,
 	};
 };
 
@@ -148,19 +140,25 @@
 		return undefined;
 	}
 
-	const {waitMs, workMs, scoreMs} = scored.get(direct)!;
+	const {waitMs, uncachedTokens, scoreMs} = scored.get(direct)!;
 	const directMs = scoreMs + scoreDecode(direct, request, context);
 	const prefill = pickLowest(usable.filter(({endpoint}) => endpoint.role === 'prefill'), view => scored.get(view)!.scoreMs);
-	const decode = pickLowest(decoders, view => scoreDecode(view, request, context));
+	// A request whose KV cache is fetched still waits for its turn among the prompts that the engine prefills itself.
+	const scoreFetched = (view: EndpointView): number => scoreDecode(view, request, context) + view.work.waitMs(request.level, context.nowMs);
+	const decode = pickLowest(decoders, scoreFetched);
 	if (!prefill || !decode) {
-		return {decode: direct, waitMs, workMs};
+		return {
+			decode: direct, waitMs, uncachedTokens,
+		};
 	}
 
 	const split = scored.get(prefill)!;
-	const splitTotalMs = split.scoreMs + scoreDecode(decode, request, context) + splitMs;
+	const splitTotalMs = split.scoreMs + scoreFetched(decode) + splitMs;
 	return splitTotalMs < directMs
 		? {
-			decode, prefill, waitMs: split.waitMs, workMs: split.workMs,
+			decode, prefill, waitMs: split.waitMs, uncachedTokens: split.uncachedTokens,
 		}
-		: {decode: direct, waitMs, workMs};
+		: {
+			decode: direct, waitMs, uncachedTokens,
+		};
 };
--- a/packages/core/src/forwarding/deployment.ts
+++ b/packages/core/src/forwarding/deployment.ts
@@ -91,8 +91,8 @@
 	readonly role?: EndpointRole;
 	/** Start of its process; tells a restart under the same id. */
 	readonly startedAt: number;
-	/** Orders that it has accepted since its start. */
-	readonly ordersAccepted: number;
+	/** Rises with each message of its process. */
+	readonly heartbeat: number;
 };
 
 /** A part of a prompt that other requests may share. */
--- /dev/null
+++ b/packages/core/src/forwarding/engine-pace.ts
@@ -0,0 +1,49 @@
+/**
+ * How fast one engine prefills, learned from how long prefills took against what was expected. An engine takes a chunk of
+ * a prompt in each of its steps, so its pace includes the step; the time before the first token comes on top and is not
+ * taken from other prompts.
+ */
+import type {EndpointRole} from './deployment.js';
+
+/** Time of one prompt token at an engine nobody has used yet. A decode engine prefills between its decode steps. */
+const assumedMsPerToken: Readonly<Record<EndpointRole, number>> = {prefill: 0.016, decode: 0.04};
+const assumedLatencyMs = 60;
+/** Weight of one observation; a few dozen requests settle the pace. */
+const weight = 0.06;
+/** Shorter queues tell about the latency, longer ones about the pace. */
+const shortQueueMs = 20;
+const minRatio = 0.4;
+const maxRatio = 2.5;
+
+export class EnginePace {
+	#msPerToken: number;
+	#latencyMs = assumedLatencyMs;
+
+	constructor(role: EndpointRole) {
+		this.#msPerToken = assumedMsPerToken[role];
+	}
+
+	get msPerToken(): number {
+		return this.#msPerToken;
+	}
+
+	/** Time from a prompt's last chunk to its first token. */
+	get latencyMs(): number {
+		return this.#latencyMs;
+	}
+
+	workMs(tokens: number): number {
+		return tokens * this.#msPerToken;
+	}
+
+	/** Takes in one prefill: the work that was expected up to its end, and the time that it took. */
+	observe(expectedMs: number, tookMs: number): void {
+		if (expectedMs < shortQueueMs) {
+			this.#latencyMs += weight * (Math.max(0, tookMs - expectedMs) - this.#latencyMs);
+			return;
+		}
+
+		const ratio = Math.max(0, tookMs - this.#latencyMs) / expectedMs;
+		this.#msPerToken *= 1 + (weight * (Math.min(maxRatio, Math.max(minRatio, ratio)) - 1));
+	}
+}
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -13,8 +13,13 @@
 } from './deployment.js';
 export {pickService, RouteTable} from './route-table.js';
 export {priorityLevels, PrefillBacklog, type TrackedWork} from './prefill-backlog.js';
+export {EnginePace} from './engine-pace.js';
 export {PartCache} from './part-cache.js';
 export {RetryWindow, type RetryWindowOptions} from './retry-window.js';
+export {TokenWindow, type TokenRate} from './token-window.js';
+export {
+	balanceRoles, type RoleBalance, type RoleBalanceMemory, type RoleDecision,
+} from './balance-roles.js';
 export {EndpointTrust} from './endpoint-trust.js';
 export {
 	chooseModelPlace,
@@ -23,5 +28,4 @@
 	type ModelPlace,
 	type PlaceContext,
 	type PlaceRequest,
-	type PrefillPace,
 } from './choose-place.js';
--- a/packages/core/src/forwarding/prefill-backlog.ts
+++ b/packages/core/src/forwarding/prefill-backlog.ts
@@ -1,18 +1,24 @@
 /**
  * Estimate of the prefill work that waits at an engine. Every entry hears of all work that is sent and lets the work run
- * off at the engine's pace, most urgent first, so that no report of the engine is needed. The end of a prefill corrects
- * what the assumed pace got wrong.
+ * off at the engine's pace, most urgent first, so that no report of the engine is needed. The end of a prefill shows that
+ * what was sent before it and is at least as urgent has ended, too.
  */
 
 /** Priorities of an engine's queue; 0 is served first. */
 export const priorityLevels = 10;
 
 /** A piece of work that this process has sent and whose end it will see. */
-export type TrackedWork = {readonly level: number; readonly ms: number; readonly sentMs: number};
+export type TrackedWork = {
+	readonly level: number;
+	/** Work of each level that had been sent by then, this piece included. */
+	readonly sentMs: Float64Array;
+};
 
 /** Waiting work of one engine, by priority. */
 export class PrefillBacklog {
-	readonly #levels = new Float64Array(priorityLevels);
+	readonly #waiting = new Float64Array(priorityLevels);
+	/** All work ever sent. */
+	readonly #sent = new Float64Array(priorityLevels);
 	#updatedMs: number;
 
 	constructor(nowMs: number) {
@@ -24,7 +30,7 @@
 		this.#runOff(nowMs);
 		let sum = 0;
 		for (let index = 0; index <= level; index += 1) {
-			sum += this.#levels[index]!;
+			sum += this.#waiting[index]!;
 		}
 
 		return sum;
@@ -38,34 +44,30 @@
 	/** Work that another entry has sent. */
 	add(level: number, ms: number, nowMs: number): void {
 		this.#runOff(nowMs);
-		this.#levels[level]! += ms;
+		this.#waiting[level]! += ms;
+		this.#sent[level]! += ms;
 	}
 
 	/** Work that this entry sends. */
 	track(level: number, ms: number, nowMs: number): TrackedWork {
 		this.add(level, ms, nowMs);
-		return {level, ms, sentMs: nowMs};
+		return {level, sentMs: Float64Array.from(this.#sent)};
 	}
 
-	/** Corrects the estimate when tracked work has ended: what was at least as urgent and older has ended, too. */
-	settle({level, ms}: TrackedWork, nowMs: number): void {
+	/** Corrects the estimate when tracked work has ended. */
+	settle({level, sentMs}: TrackedWork, nowMs: number): void {
 		this.#runOff(nowMs);
-		const left = this.#levels[level]!;
-		// An end that comes while its own work is still counted shows that the pace was assumed too slow.
-		this.#levels[level] = Math.max(0, left - (Math.min(left, ms) / 2));
-	}
-
-	/** Forgets everything, for an engine that has started anew. */
-	clear(): void {
-		this.#levels.fill(0);
+		for (let index = 0; index <= level; index += 1) {
+			this.#waiting[index] = Math.min(this.#waiting[index]!, this.#sent[index]! - sentMs[index]!);
+		}
 	}
 
 	#runOff(nowMs: number): void {
 		let elapsed = Math.max(0, nowMs - this.#updatedMs);
 		this.#updatedMs = Math.max(nowMs, this.#updatedMs);
 		for (let index = 0; index < priorityLevels && elapsed > 0; index += 1) {
-			const done = Math.min(elapsed, this.#levels[index]!);
-			this.#levels[index]! -= done;
+			const done = Math.min(elapsed, this.#waiting[index]!);
+			this.#waiting[index]! -= done;
 			elapsed -= done;
 		}
 	}
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -183,20 +183,24 @@
 const runDecode = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
-	{placement: {known, level, prefill, workMs}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
+	{placement: {known, level, prefill, uncachedTokens = 0, waitMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
 	relay: StreamRelay,
 ): Promise<AttemptResult> => {
 	const {request, service} = admitted;
+	const startMs = deps.clock.nowMs();
 	const tokens = request.promptTokens + (request.expectedOutputTokens ?? request.maxOutputTokens);
 	const work: TrackedWork | undefined = !prefill && service.engine && level !== undefined
-		? deps.load.beginWork(known, {level, ms: workMs ?? 0, parts: request.parts})
+		? deps.load.beginWork(known, {
+			level, tokens: uncachedTokens, outputTokens: request.expectedOutputTokens ?? request.maxOutputTokens, parts: request.parts,
+		})
 		: undefined;
-	let hasStarted = false;
+	let firstMs: number | undefined;
 	const onFirst = (): void => {
-		hasStarted = true;
+		firstMs = deps.clock.nowMs() - startMs;
 		deps.onRun(admitted);
 		if (work) {
 			deps.load.endWork(known, work);
+			known.pace.observe(waitMs, firstMs);
 		}
 	};
 
@@ -209,11 +213,11 @@
 		known, level, kvSource, onFirst,
 	}, relay);
 	deps.load.end(known, tokens);
-	if (work && !hasStarted) {
+	if (work && firstMs === undefined) {
 		deps.load.endWork(known, work);
 	}
 
-	return result;
+	return result.kind === 'answered' ? {...result, firstMs} : result;
 };
 
 /** Runs one attempt. */
@@ -236,14 +240,18 @@
 	}
 
 	let kvSource: KvHandle | undefined;
+	let prefillMs: number | undefined;
 	if (prefill) {
+		const startMs = deps.clock.nowMs();
 		const prefilled = await runPrefill(deps, admitted, {...placement, prefill});
 		if (prefilled.kind === 'failed') {
 			return prefilled;
 		}
 
 		kvSource = prefilled.handle;
+		prefillMs = deps.clock.nowMs() - startMs;
 	}
 
-	return runDecode(deps, admitted, {placement, kvSource}, relay);
+	const result = await runDecode(deps, admitted, {placement, kvSource}, relay);
+	return result.kind === 'answered' ? {...result, prefillMs} : result;
 };
--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -30,6 +30,8 @@
 	readonly #options: EndpointDirectoryOptions;
 	/** Missing entries and when they count as gone. */
 	readonly #missing = new Map<string, number>();
+	/** Newest heartbeat of each process; a write that was delayed on its way must not bring back an older state. */
+	readonly #heartbeats = new Map<string, Pick<RegisteredEndpoint, 'heartbeat' | 'startedAt'>>();
 	#backSinceMs = Number.NEGATIVE_INFINITY;
 	#isAvailable = true;
 
@@ -82,6 +84,10 @@
 			return;
 		}
 
+		if (this.#isOutdated(endpoint)) {
+			return;
+		}
+
 		this.#missing.delete(key);
 		const before = this.#options.pool.get(key)?.endpoint;
 		this.#options.pool.put(endpoint);
@@ -92,6 +98,16 @@
 		}
 	}
 
+	#isOutdated({id, heartbeat, startedAt}: RegisteredEndpoint): boolean {
+		const newest = this.#heartbeats.get(id);
+		if (newest && (startedAt < newest.startedAt || (startedAt === newest.startedAt && heartbeat < newest.heartbeat))) {
+			return true;
+		}
+
+		this.#heartbeats.set(id, {heartbeat, startedAt});
+		return false;
+	}
+
 	#miss(id: string, version: number): void {
 		const nowMs = this.#options.clock.nowMs();
 		if (nowMs - this.#backSinceMs < registerAgainMs) {
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -2,7 +2,7 @@
  * The endpoints that this entry knows, with their connections and what is assumed of their load.
  */
 import {
-	EndpointTrust, PartCache, PrefillBacklog, type Clock, type EndpointView, type RegisteredEndpoint,
+	EndpointTrust, EnginePace, PartCache, PrefillBacklog, type Clock, type EndpointView, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
 import {Pool, type Dispatcher} from 'undici';
 
@@ -31,7 +31,7 @@
 };
 
 const isSameProcess = (a: RegisteredEndpoint, b: RegisteredEndpoint): boolean =>
-	a.address === b.address && a.port === b.port && a.startedAt === b.startedAt;
+	a.address === b.address && a.port === b.port && a.startedAt === b.startedAt && a.role === b.role;
 
 export class EndpointPool {
 	readonly #options: EndpointPoolOptions;
@@ -85,8 +85,10 @@
 			endpoint,
 			trust: new EndpointTrust(),
 			work: new PrefillBacklog(this.#options.clock.nowMs()),
+			pace: new EnginePace(endpoint.role ?? 'decode'),
 			parts: new PartCache((service?.engine?.kvTokens ?? 0) * cachePart),
 			running: 0,
+			changesUntilMs: 0,
 			runningTokens: 0,
 			ownRunning: 0,
 			ownTokens: 0,
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -19,6 +19,7 @@
 import type {
 	ForwardSettings, Platform, RowStore, StoreAnswer, StoreTable,
 } from './ports.js';
+import {runRoleDuty} from './role-duty.js';
 import {closeHttp, listenHttp} from './servers.js';
 import {watchTable} from './table-watch.js';
 import {TrueTime} from './true-time.js';
@@ -43,6 +44,12 @@
 /** The load balancer asks once a second and stops sending after two misses. */
 const outOfRotationMs = 2600;
 const stopPollMs = 50;
+/** Longer than the pause between two messages of an entry. */
+const changingNoticeMs = 1500;
+
+/** Whole milliseconds are enough for a log line. */
+const roundTimes = (fields: Readonly<Record<string, unknown>>): Record<string, unknown> => Object.fromEntries(Object.entries(fields)
+	.map(([name, value]) => [name, typeof value === 'number' ? Math.round(value) : value]));
 
 class ForwardDaemon {
 	readonly #settings: ForwardSettings;
@@ -63,6 +70,8 @@
 	#isStopping = false;
 	#isFetching = false;
 	#running = 0;
+	/** Engines whose role this entry changes. */
+	#changing: readonly string[] = [];
 
 	constructor(settings: ForwardSettings, deps: ForwardDaemonDeps) {
 		const {clock, platform, makeId} = deps;
@@ -83,9 +92,13 @@
 			load: this.#load,
 			peers: () => this.#members.peers(),
 			configVersion: () => this.#routes?.config.version ?? 0,
+			changing: () => this.#changing,
 			onVersion: (peer, version) => {
 				this.#hearVersion(peer, version);
 			},
+			onChanging: (_peer, endpoints) => {
+				this.#noteChanging(endpoints);
+			},
 		});
 		this.#directory = new EndpointDirectory({
 			clock,
@@ -204,13 +217,12 @@
 
 	#reportAttempt({request}: AdmittedRequest, report: AttemptReport): void {
 		this.#metrics.countAttempt(report);
-		if (report.result.kind === 'answered') {
-			return;
-		}
-
-		const {endpoint, prefill, tookMs, result: {failure, detail}} = report;
+		const {result, ...place} = report;
 		this.#log('attempt', {
-			id: request.id, endpoint, prefill, tookMs: Math.round(tookMs), failure, detail,
+			id: request.id,
+			tokens: request.promptTokens,
+			...roundTimes(place),
+			...result.kind === 'failed' ? {failure: result.failure, detail: result.detail} : {status: result.status},
 		});
 	}
 
@@ -345,7 +357,7 @@
 			durations: duties,
 			onHeld: async (lease, held) => {
 				this.#log('lease', {duty: usageDuty, held: true, epoch: lease.epoch});
-				await this.#runUsageDuty(lease, held);
+				await Promise.all([this.#runUsageDuty(lease, held), this.#runRoleDuty(lease, held)]);
 				this.#log('lease', {duty: usageDuty, held: false, epoch: lease.epoch});
 			},
 			onError: error => {
@@ -374,6 +386,35 @@
 		}, lease, signal);
 	}
 
+	async #runRoleDuty(lease: Lease, signal: AbortSignal): Promise<void> {
+		await runRoleDuty({
+			clock: this.#deps.clock,
+			wire: this.#deps.platform.wire,
+			pool: this.#pool,
+			load: this.#load,
+			holder: this.#settings.hostName,
+			services: () => this.#routes?.config.services ?? [],
+			onOrder: order => {
+				this.#log('role', order);
+			},
+			onChanging: endpoints => {
+				this.#changing = endpoints;
+				this.#noteChanging(endpoints);
+			},
+		}, lease, signal);
+	}
+
+	/** Repeated while a change is under way, so that a lost message or an ended planner blocks no engine for long. */
+	#noteChanging(endpoints: readonly string[]): void {
+		const untilMs = this.#deps.clock.nowMs() + changingNoticeMs;
+		for (const id of endpoints) {
+			const known = this.#pool.get(id);
+			if (known) {
+				known.changesUntilMs = untilMs;
+			}
+		}
+	}
+
 	async #housekeep(signal: AbortSignal): Promise<void> {
 		let wasReady = false;
 		while (!signal.aborted) {
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -45,7 +45,7 @@
 
 /** What one attempt came to. */
 export type AttemptResult
-	= | {readonly kind: 'answered'; readonly status: number}
+	= | {readonly kind: 'answered'; readonly status: number; readonly prefillMs?: number; readonly firstMs?: number}
 		| {readonly kind: 'failed'; readonly failure: FailureKind; readonly retryAfterMs?: number; readonly answer?: HeldAnswer; readonly detail: string; readonly at: KnownEndpoint};
 
 /** A failure that the endpoint answered, which is the final answer when it may not be tried again. */
@@ -55,7 +55,12 @@
 	readonly endpoint: string;
 	readonly prefill?: string;
 	readonly expectedMs?: number;
+	readonly uncachedTokens?: number;
 	readonly tookMs: number;
+	/** Time of the prefill at another engine. */
+	readonly prefillMs?: number;
+	/** Time from the start of the attempt to the first event of a stream. */
+	readonly firstMs?: number;
 	readonly result: AttemptResult;
 };
 
@@ -201,7 +206,9 @@
 		endpoint: known.endpoint.id,
 		prefill: placement.prefill?.endpoint.id,
 		expectedMs: placement.waitMs,
+		uncachedTokens: placement.uncachedTokens,
 		tookMs: deps.clock.nowMs() - startMs,
+		...result.kind === 'answered' && {prefillMs: result.prefillMs, firstMs: result.firstMs},
 		result,
 	});
 	return result;
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -18,6 +18,9 @@
 	readonly load: ModelLoad;
 	readonly peers: () => readonly Peer[];
 	readonly configVersion: () => number;
+	readonly changing: () => readonly string[];
+	/** Hears of the engines whose role another entry is changing. */
+	readonly onChanging: (peer: Peer, endpoints: readonly string[]) => void;
 	/** Hears of the configuration version of another entry. */
 	readonly onVersion: (peer: Peer, version: number) => void;
 };
@@ -31,18 +34,20 @@
 const maxPartsPerWork = 3;
 
 type Running = readonly [endpoint: string, requests: number, tokens: number];
-type Sent = readonly [endpoint: string, level: number, ms: number, parts: ReadonlyArray<readonly [id: string, tokens: number]>];
+type Sent = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, parts: ReadonlyArray<readonly [id: string, tokens: number]>];
 
 type Message = {
 	readonly from: string;
 	readonly config: number;
+	/** Engines whose role this entry is changing. */
+	readonly changing: readonly string[];
 	readonly running: readonly Running[];
 	readonly sent: readonly Sent[];
 };
 
 const isMessage = (value: unknown): value is Message => {
-	const {from, config, running, sent} = (value ?? {}) as Partial<Message>;
-	return typeof from === 'string' && typeof config === 'number' && Array.isArray(running) && Array.isArray(sent);
+	const {from, config, changing, running, sent} = (value ?? {}) as Partial<Message>;
+	return typeof from === 'string' && typeof config === 'number' && Array.isArray(changing) && Array.isArray(running) && Array.isArray(sent);
 };
 
 const parse = (text: string): Message | undefined => {
@@ -58,8 +63,8 @@
 const encodeRunning = ({endpoint, requests, tokens}: RunningCount): Running => [endpoint, requests, Math.round(tokens)];
 
 /** The last part belongs to one request or session and is not worth its bytes. */
-const encodeSent = ({endpoint, level, ms, parts}: SentWork): Sent =>
-	[endpoint, level, Math.round(ms), parts.slice(0, Math.min(maxPartsPerWork, parts.length - 1)).map(({id, tokens}) => [id, tokens] as const)];
+const encodeSent = ({endpoint, level, tokens, outputTokens, parts}: SentWork): Sent =>
+	[endpoint, level, Math.round(tokens), Math.round(outputTokens), parts.slice(0, Math.min(maxPartsPerWork, parts.length - 1)).map(({id, tokens}) => [id, tokens] as const)];
 
 export class Gossip {
 	readonly #options: GossipOptions;
@@ -96,10 +101,10 @@
 	}
 
 	#send(): void {
-		const {clock, load, configVersion, self} = this.#options;
+		const {clock, load, configVersion, changing, self} = this.#options;
 		const running = load.ownRunning().map(count => encodeRunning(count));
 		const sent = load.takeSent().map(work => encodeSent(work));
-		const text = JSON.stringify(running);
+		const text = JSON.stringify([running, changing()]);
 		const isDue = clock.nowMs() - this.#sentMs >= keepAliveMs;
 		if (sent.length === 0 && text === this.#lastRunning && !isDue) {
 			return;
@@ -108,7 +113,7 @@
 		this.#sentMs = clock.nowMs();
 		this.#lastRunning = text;
 		this.#sendAll({
-			from: self, config: configVersion(), running, sent,
+			from: self, config: configVersion(), changing: changing(), running, sent,
 		});
 	}
 
@@ -137,10 +142,11 @@
 		this.#options.load.hear(
 			peer.name,
 			message.running.map(([endpoint, requests, tokens]) => ({endpoint, requests, tokens})),
-			message.sent.map(([endpoint, level, ms, parts]) => ({
-				endpoint, level, ms, parts: parts.map(([id, tokens]) => ({id, tokens})),
+			message.sent.map(([endpoint, level, tokens, outputTokens, parts]) => ({
+				endpoint, level, tokens, outputTokens, parts: parts.map(([id, tokens]) => ({id, tokens})),
 			})),
 		);
 		this.#options.onVersion(peer, message.config);
+		this.#options.onChanging(peer, message.changing);
 	}
 }
--- a/packages/forward/src/model-load.ts
+++ b/packages/forward/src/model-load.ts
@@ -2,7 +2,7 @@
  * What this entry knows of the load of engines: its own requests at once, those of other entries by their messages.
  */
 import {
-	type Clock, type PrefillPace, type PromptPart, type TrackedWork,
+	TokenWindow, type Clock, type PromptPart, type TokenRate, type TrackedWork,
 } from '@hawthorncleat/core';
 import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
 
@@ -10,18 +10,16 @@
 export type SentWork = {
 	readonly endpoint: string;
 	readonly level: number;
-	readonly ms: number;
+	/** Prompt tokens that need work. */
+	readonly tokens: number;
+	/** Expected output tokens. */
+	readonly outputTokens: number;
 	readonly parts: readonly PromptPart[];
 };
 
 /** Requests that an entry runs at one endpoint. */
 export type RunningCount = {readonly endpoint: string; readonly requests: number; readonly tokens: number};
 
-/** Pace before any prefill has been measured. */
-const assumedPace: PrefillPace = {tokensPerMs: 100, fixedMs: 2};
-/** Weight of one measurement. */
-const paceWeight = 0.05;
-const minSampleTokens = 2000;
 /** Other entries that are silent for longer run nothing that this entry knows of. */
 const silentPeerMs = 3000;
 
@@ -31,7 +29,7 @@
 	readonly #clock: Clock;
 	readonly #pool: EndpointPool;
 	readonly #peers = new Map<string, PeerLoad>();
-	readonly #paces = new Map<string, PrefillPace>();
+	readonly #demand = new Map<string, TokenWindow>();
 	#sent: SentWork[] = [];
 
 	constructor(clock: Clock, pool: EndpointPool) {
@@ -39,8 +37,9 @@
 		this.#pool = pool;
 	}
 
-	paceOf(service: string): PrefillPace {
-		return this.#paces.get(service) ?? assumedPace;
+	/** Tokens that callers ask for, at all entries. */
+	demand(service: string): TokenRate {
+		return this.#demandOf(service).rate(this.#clock.nowMs());
 	}
 
 	/** Counts a request that is sent. */
@@ -62,24 +61,15 @@
 	beginWork(known: KnownEndpoint, work: Omit<SentWork, 'endpoint'>): TrackedWork {
 		known.parts.add(work.parts);
 		this.#sent.push({...work, endpoint: known.endpoint.id});
-		return known.work.track(work.level, work.ms, this.#clock.nowMs());
+		const nowMs = this.#clock.nowMs();
+		this.#demandOf(known.endpoint.service).add(work.tokens, work.outputTokens, nowMs);
+		return known.work.track(work.level, known.pace.workMs(work.tokens), nowMs);
 	}
 
 	endWork(known: KnownEndpoint, work: TrackedWork): void {
 		known.work.settle(work, this.#clock.nowMs());
 	}
 
-	/** Learns the pace from a prefill that was alone at its engine. */
-	measure(service: string, tokens: number, tookMs: number): void {
-		if (tokens < minSampleTokens) {
-			return;
-		}
-
-		const {tokensPerMs, fixedMs} = this.paceOf(service);
-		const sample = tokens / Math.max(1, tookMs - fixedMs);
-		this.#paces.set(service, {fixedMs, tokensPerMs: tokensPerMs + ((sample - tokensPerMs) * paceWeight)});
-	}
-
 	/** What has been sent since the last call. */
 	takeSent(): SentWork[] {
 		const sent = this.#sent;
@@ -99,10 +89,13 @@
 		this.#applyRunning(this.#peers.get(peer)?.running ?? [], -1);
 		this.#applyRunning(running, 1);
 		this.#peers.set(peer, {heardMs: nowMs, running});
-		for (const {endpoint, level, ms, parts} of sent) {
+		for (const {endpoint, level, tokens, outputTokens, parts} of sent) {
 			const known = this.#pool.get(endpoint);
-			known?.work.add(level, ms, nowMs);
-			known?.parts.add(parts);
+			if (known) {
+				known.work.add(level, known.pace.workMs(tokens), nowMs);
+				known.parts.add(parts);
+				this.#demandOf(known.endpoint.service).add(tokens, outputTokens, nowMs);
+			}
 		}
 	}
 
@@ -117,6 +110,17 @@
 		}
 	}
 
+	#demandOf(service: string): TokenWindow {
+		const known = this.#demand.get(service);
+		if (known) {
+			return known;
+		}
+
+		const created = new TokenWindow();
+		this.#demand.set(service, created);
+		return created;
+	}
+
 	/** Endpoints come and go between two messages, so counts never fall below the own ones. */
 	#applyRunning(running: readonly RunningCount[], sign: 1 | -1): void {
 		for (const {endpoint, requests, tokens} of running) {
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -14,9 +14,9 @@
 	readonly prefill?: KnownEndpoint;
 	/** Priority in the engine's queue. */
 	readonly level?: number;
-	/** Expected wait for the prefill and its expected length. */
+	/** Expected wait for the prefill. */
 	readonly waitMs?: number;
-	readonly workMs?: number;
+	readonly uncachedTokens?: number;
 };
 
 /** Levels of the engine's queue between two priorities, for large prompts to stand behind small ones. */
@@ -37,7 +37,7 @@
 	excluded: ReadonlySet<string>,
 ): Placement | undefined => {
 	const views = deps.pool.ofService(service.name);
-	const {clock, random, dataCentre, load} = deps;
+	const {clock, random, dataCentre} = deps;
 	const nowMs = clock.nowMs();
 	if (!service.engine) {
 		const known = choosePlainPlace(views, {dataCentre, excluded}, {nowMs, random});
@@ -53,12 +53,12 @@
 		dataCentre,
 		excluded,
 	};
-	const chosen = chooseModelPlace(views, place, {nowMs, pace: load.paceOf(service.name), kvTokens: service.engine.kvTokens});
+	const chosen = chooseModelPlace(views, place, {nowMs, kvTokens: service.engine.kvTokens});
 	return chosen && {
 		known: chosen.decode as KnownEndpoint,
 		prefill: chosen.prefill as KnownEndpoint | undefined,
 		level,
 		waitMs: chosen.waitMs,
-		workMs: chosen.workMs,
+		uncachedTokens: chosen.uncachedTokens,
 	};
 };
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -85,6 +85,14 @@
 	readonly endpoint: RegisteredEndpoint;
 };
 
+/** What an engine says of itself. */
+export type EngineReport = {
+	/** Carries out an order. */
+	readonly isBusy: boolean;
+	/** Orders that it has accepted since its start. */
+	readonly ordersAccepted: number;
+};
+
 /** Translation of requests and answers. */
 export type WireFormat = {
 	/** Undefined when the request has no id. */
@@ -95,6 +103,8 @@
 	readHandle(body: string): string | undefined;
 	writeRefusal(refusal: Refusal): {readonly headers: OutgoingHeaders; readonly body: string};
 	writeHandleRelease(handle: KvHandle): EncodedCall;
+	writeReportCall(endpoint: RegisteredEndpoint): EncodedCall;
+	readReport(body: string): EngineReport | undefined;
 	writeRoleOrder(order: RoleOrder): EncodedCall;
 	isReadinessPath(path: string): boolean;
 };
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -18,8 +18,6 @@
 /** A prefill may be repeated, so one that takes this many times as long as expected is given up. */
 const lateFactor = 3;
 const lateMarginMs = 700;
-/** With a shorter expected wait the engine is idle and the call shows its pace. */
-const idleWaitMs = 2;
 
 /** Frees a KV cache that nobody will fetch. It expires by itself when this fails. */
 export const releaseHandle = (deps: ForwardDeps, known: KnownEndpoint, handle: KvHandle): void => {
@@ -31,11 +29,12 @@
 type PrefillPlacement = Placement & {readonly prefill: KnownEndpoint};
 
 export const runPrefill = async (deps: ForwardDeps, admitted: AdmittedRequest, placement: PrefillPlacement): Promise<PrefillResult> => {
-	const {prefill, level = 0, workMs = 0, waitMs = 0} = placement;
-	const {request, exchange, service} = admitted;
+	const {prefill, level = 0, uncachedTokens = 0, waitMs = 0} = placement;
+	const {request, exchange} = admitted;
 	const startMs = deps.clock.nowMs();
-	const cached = prefill.parts.cachedTokens(request.parts);
-	const work = deps.load.beginWork(prefill, {level, ms: workMs, parts: request.parts});
+	const work = deps.load.beginWork(prefill, {
+		level, tokens: uncachedTokens, outputTokens: request.expectedOutputTokens ?? request.maxOutputTokens, parts: request.parts,
+	});
 	const signal = createAttemptSignal(exchange.signal, (waitMs * lateFactor) + lateMarginMs);
 	const chunks: Buffer[] = [];
 	let head: AnswerHead | undefined;
@@ -63,9 +62,6 @@
 	}
 
 	prefill.trust.succeeded();
-	if (waitMs - workMs < idleWaitMs) {
-		deps.load.measure(service.name, request.promptTokens - cached, deps.clock.nowMs() - startMs);
-	}
-
+	prefill.pace.observe(waitMs, deps.clock.nowMs() - startMs);
 	return {kind: 'prefilled', handle: {endpoint: prefill.endpoint, name}};
 };
--- /dev/null
+++ b/packages/forward/src/role-duty.ts
@@ -0,0 +1,190 @@
+/**
+ * The duty of dividing engines between prefill and decode: decides from the demand of the last seconds and orders one
+ * change after the other.
+ */
+import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	balanceRoles, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceMemory,
+} from '@hawthorncleat/core';
+import type {Lease} from '@hawthorncleat/store';
+import {startAttempt} from './attempt.js';
+import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
+import type {ModelLoad} from './model-load.js';
+import type {EncodedCall, WireFormat} from './ports.js';
+
+export type RoleDutyOptions = {
+	readonly clock: Clock;
+	readonly wire: WireFormat;
+	readonly pool: EndpointPool;
+	readonly load: ModelLoad;
+	readonly holder: string;
+	readonly services: () => readonly ForwardService[];
+	readonly onOrder: (order: RoleOrderReport) => void;
+	/** Tells the other entries which engines change. */
+	readonly onChanging: (endpoints: readonly string[]) => void;
+};
+
+/** What is logged of an order. */
+export type RoleOrderReport = RoleBalance & {
+	readonly service: string;
+	readonly endpoint: string;
+	readonly role: EndpointRole;
+	readonly epoch: number;
+	/** Absent when no answer came: the order may be carried out later. */
+	readonly status?: number;
+};
+
+const pauseMs = 400;
+/** Engines register within seconds of their start; dividing them earlier would count too few. */
+const registeringMs = 2000;
+/** An order that has not been carried out after this time, besides the change itself, is not waited for any longer. */
+const orderLimitMs = 9000;
+const callLimitMs = 800;
+const accepted = new Set([200, 202]);
+
+type Answer = {readonly status: number; readonly body: string};
+
+const call = async (known: KnownEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<Answer | undefined> => {
+	const chunks: Buffer[] = [];
+	let status = 0;
+	const end = await startAttempt(known.dispatcher, encoded, {
+		onHead(answered) {
+			status = answered;
+			return true;
+		},
+		onData(chunk) {
+			chunks.push(chunk);
+			return true;
+		},
+	}, AbortSignal.any([signal, AbortSignal.timeout(callLimitMs)])).ended;
+	return end.kind === 'complete' ? {status, body: Buffer.concat(chunks).toString()} : undefined;
+};
+
+/** State for one service. */
+type ServiceState = {memory: RoleBalanceMemory; engines: number; changedMs: number};
+
+class RoleDuty {
+	readonly #options: RoleDutyOptions;
+	readonly #lease: Lease;
+	readonly #states = new Map<string, ServiceState>();
+	readonly #changing = new Map<string, {role: EndpointRole; untilMs: number}>();
+
+	constructor(options: RoleDutyOptions, lease: Lease) {
+		this.#options = options;
+		this.#lease = lease;
+	}
+
+	async run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			this.#settle();
+			for (const service of this.#options.services()) {
+				if (service.engine) {
+					await this.#balance(service, service.engine.maxRunning, signal);
+				}
+			}
+
+			await sleep(pauseMs, undefined, {signal}).catch(() => undefined);
+		}
+
+		this.#options.onChanging([]);
+	}
+
+	/** Forgets changes that have been carried out or waited for long enough. */
+	#settle(): void {
+		const nowMs = this.#options.clock.nowMs();
+		for (const [id, {role, untilMs}] of this.#changing) {
+			const known = this.#options.pool.get(id);
+			if (!known || known.endpoint.role === role || nowMs > untilMs) {
+				this.#changing.delete(id);
+			}
+		}
+
+		this.#options.onChanging([...this.#changing.keys()]);
+	}
+
+	async #balance({name}: ForwardService, places: number, signal: AbortSignal): Promise<void> {
+		const nowMs = this.#options.clock.nowMs();
+		const engines = this.#options.pool.ofService(name).filter(({endpoint}) => !endpoint.isLeaving && endpoint.role !== undefined);
+		const state = this.#stateOf(name, engines.length, nowMs);
+		const balance = this.#measure(name, engines, places);
+		const hasOpenChange = engines.some(({endpoint}) => this.#changing.has(endpoint.id));
+		if (nowMs - state.changedMs < registeringMs || (hasOpenChange && !balance.isIdle)) {
+			return;
+		}
+
+		const {change, memory} = balanceRoles(balance, state.memory);
+		state.memory = memory;
+		const engine = change && this.#pick(engines, change);
+		if (engine) {
+			await this.#order(engine, change, balance, signal);
+		}
+	}
+
+	#stateOf(service: string, engines: number, nowMs: number): ServiceState {
+		const state = this.#states.get(service) ?? {memory: {}, engines: 0, changedMs: nowMs};
+		if (state.engines !== engines) {
+			Object.assign(state, {engines, changedMs: nowMs});
+		}
+
+		this.#states.set(service, state);
+		return state;
+	}
+
+	#measure(service: string, engines: readonly KnownEndpoint[], places: number): RoleBalance {
+		const {clock, load} = this.#options;
+		const roles = engines.map(({endpoint}) => this.#changing.get(endpoint.id)?.role ?? endpoint.role);
+		const demand = load.demand(service);
+		const prefillers = engines.filter(({endpoint}) => endpoint.role === 'prefill');
+		const paces = prefillers.map(({pace}) => pace.msPerToken);
+		const msPerToken = paces.length === 0 ? 0 : paces.reduce((sum, pace) => sum + pace, 0) / paces.length;
+		const running = engines.reduce((sum, engine) => sum + engine.running, 0);
+		return {
+			nowMs: clock.nowMs(),
+			prefill: roles.filter(role => role === 'prefill').length,
+			decode: roles.filter(role => role === 'decode').length,
+			prefillNeeded: demand.promptTokensPerSecond * msPerToken / 1000,
+			decodeNeeded: running / Math.max(1, places),
+			isIdle: running === 0 && demand.promptTokensPerSecond === 0,
+		};
+	}
+
+	/** The engine with the least to finish, in the data centre that has the most of the role to give. */
+	#pick(engines: readonly KnownEndpoint[], role: EndpointRole): KnownEndpoint | undefined {
+		const givers = engines.filter(({endpoint}) => endpoint.role !== role && !this.#changing.has(endpoint.id));
+		const inDataCentre = (dataCentre: string): number => givers.filter(({endpoint}) => endpoint.dataCentre === dataCentre).length;
+		return givers.toSorted((a, b) =>
+			(inDataCentre(b.endpoint.dataCentre) - inDataCentre(a.endpoint.dataCentre))
+			|| (a.running - b.running)
+			|| (a.endpoint.id < b.endpoint.id ? -1 : 1))[0];
+	}
+
+	async #order(engine: KnownEndpoint, role: EndpointRole, balance: RoleBalance, signal: AbortSignal): Promise<void> {
+		const {wire, holder, onOrder, clock} = this.#options;
+		const {endpoint} = engine;
+		const report = await call(engine, wire.writeReportCall(endpoint), signal);
+		const state = report?.status === 200 ? wire.readReport(report.body) : undefined;
+		if (!state || state.isBusy || !this.#lease.isHeld()) {
+			return;
+		}
+
+		this.#changing.set(endpoint.id, {role, untilMs: clock.nowMs() + orderLimitMs});
+		this.#options.onChanging([...this.#changing.keys()]);
+		const {epoch} = this.#lease;
+		const answer = await call(engine, wire.writeRoleOrder({
+			role, holder, epoch, afterOrders: state.ordersAccepted, endpoint,
+		}), signal);
+		if (answer && !accepted.has(answer.status)) {
+			this.#changing.delete(endpoint.id);
+		}
+
+		onOrder({
+			...balance, service: endpoint.service, endpoint: endpoint.id, role, epoch, status: answer?.status,
+		});
+	}
+}
+
+/** Divides the engines while the lease is held. */
+export const runRoleDuty = async (options: RoleDutyOptions, lease: Lease, signal: AbortSignal): Promise<void> => {
+	await new RoleDuty(options, lease).run(signal);
+};
