--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -30,15 +30,27 @@
  * but not the other way round, so decode gets the odd one.
  */
 const idlePrefillPart = 0.5;
-/** Above this use of one role, and below that use of the other one after the change, a change pays. */
-const crowdedUse = 0.9;
-const roomyUse = 0.65;
+/** Places of a decode engine that are used at an even load; beyond it, the pace of its streams falls quickly. */
+const decodeUse = 0.6;
+/** A role above this load is crowded. */
+const crowdedLoad = 0.9;
+/** A change must lower the load of the more crowded role to this part at least. */
+const worthwhilePart = 0.8;
+/** At such a load requests are lost, so that even a short change pays. */
+const severeLoad = 2;
 /** Swings of the mix that last shorter are over before a change has been carried out. */
 const dwellMs = 2500;
+const severeDwellMs = 800;
 /** An engine that changes back at once would be away twice. */
-const minIntervalMs = 12_000;
+const minIntervalMs = 10_000;
+const severeIntervalMs = 4000;
 
-const findWanted = ({prefill, decode, prefillNeeded, decodeNeeded, isIdle}: RoleBalance): EndpointRole | undefined => {
+/** Load of the more crowded role with so many engines in each. */
+const crowdedOf = ({prefillNeeded, decodeNeeded}: RoleBalance, prefill: number, decode: number): number =>
+	Math.max(prefillNeeded / Math.max(0.1, prefill), decodeNeeded / Math.max(0.1, decode * decodeUse));
+
+const findWanted = (balance: RoleBalance): EndpointRole | undefined => {
+	const {prefill, decode, isIdle} = balance;
 	if (decode === 0 && prefill > 0) {
 		return 'decode';
 	}
@@ -47,23 +59,26 @@
 		return prefill < Math.floor((prefill + decode) * idlePrefillPart) ? 'prefill' : undefined;
 	}
 
-	if (decode > 1 && prefillNeeded > prefill * crowdedUse && decodeNeeded < (decode - 1) * roomyUse) {
-		return 'prefill';
-	}
-
-	return prefill > 1 && decodeNeeded > decode * crowdedUse && prefillNeeded < (prefill - 1) * roomyUse ? 'decode' : undefined;
+	const now = crowdedOf(balance, prefill, decode);
+	const options = [
+		{role: 'prefill' as const, load: decode > 1 ? crowdedOf(balance, prefill + 1, decode - 1) : Number.POSITIVE_INFINITY},
+		{role: 'decode' as const, load: prefill > 1 ? crowdedOf(balance, prefill - 1, decode + 1) : Number.POSITIVE_INFINITY},
+	];
+	return now < crowdedLoad ? undefined : options.find(({load}) => load < now * worthwhilePart)?.role;
 };
 
 /** Decides on one change. */
 export const balanceRoles = (balance: RoleBalance, memory: RoleBalanceMemory): RoleDecision => {
-	const {nowMs, isIdle, decode} = balance;
+	const {nowMs, isIdle, prefill, decode} = balance;
 	const wanted = findWanted(balance);
 	if (wanted === undefined) {
 		return {memory: {lastChangeMs: memory.lastChangeMs}};
 	}
 
 	const wantedSinceMs = memory.wanted === wanted ? memory.wantedSinceMs ?? nowMs : nowMs;
-	const isLasting = nowMs - wantedSinceMs >= dwellMs && nowMs - (memory.lastChangeMs ?? Number.NEGATIVE_INFINITY) >= minIntervalMs;
+	const isSevere = crowdedOf(balance, prefill, decode) > severeLoad;
+	const isLasting = nowMs - wantedSinceMs >= (isSevere ? severeDwellMs : dwellMs)
+		&& nowMs - (memory.lastChangeMs ?? Number.NEGATIVE_INFINITY) >= (isSevere ? severeIntervalMs : minIntervalMs);
 	return isIdle || decode === 0 || isLasting
 		? {change: wanted, memory: {lastChangeMs: nowMs}}
 		: {memory: {lastChangeMs: memory.lastChangeMs, wanted, wantedSinceMs}};
--- a/packages/core/src/forwarding/choose-place.ts
+++ b/packages/core/src/forwarding/choose-place.ts
@@ -131,8 +131,12 @@
 	request: PlaceRequest,
 	context: PlaceContext,
 ): ModelPlace | undefined => {
-	const usable = findUsable(views, request.excluded, context.nowMs);
-	const decoders = usable.filter(({endpoint}) => endpoint.role !== 'prefill');
+	// Each role by itself: avoided decode engines are better than none, however many prefill engines there are.
+	const usableOf = (isWanted: (role: string | undefined) => boolean): EndpointView[] =>
+		findUsable(views.filter(({endpoint}) => isWanted(endpoint.role)), request.excluded, context.nowMs);
+	const decoders = usableOf(role => role !== 'prefill');
+	const prefillers = usableOf(role => role === 'prefill');
+	const usable = [...decoders, ...prefillers];
 	const most = Math.max(0, ...usable.map(view => view.parts.cachedTokens(request.parts)));
 	const scored = new Map(usable.map(view => [view, scorePrefill(view, request, {context, most})]));
 	const direct = pickLowest(decoders, view => scored.get(view)!.scoreMs + scoreDecode(view, request, context));
@@ -142,7 +146,7 @@
 
 	const {waitMs, uncachedTokens, scoreMs} = scored.get(direct)!;
 	const directMs = scoreMs + scoreDecode(direct, request, context);
-	const prefill = pickLowest(usable.filter(({endpoint}) => endpoint.role === 'prefill'), view => scored.get(view)!.scoreMs);
+	const prefill = pickLowest(prefillers, view => scored.get(view)!.scoreMs);
 	// A request whose KV cache is fetched still waits for its turn among the prompts that the engine prefills itself.
 	const scoreFetched = (view: EndpointView): number => scoreDecode(view, request, context) + view.work.waitMs(request.level, context.nowMs);
 	const decode = pickLowest(decoders, scoreFetched);
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -72,12 +72,12 @@
 const serverError = 500;
 
 /** Takes a whole answer before the caller gets any of it, so that one that breaks off can be asked for again. */
-const relayWhole = async (deps: ForwardDeps, admitted: AdmittedRequest, known: KnownEndpoint): Promise<AttemptResult> => {
+const relayWhole = async (deps: ForwardDeps, admitted: AdmittedRequest, {known, isLast = false}: Placement): Promise<AttemptResult> => {
 	const {exchange} = admitted;
 	const chunks: Buffer[] = [];
 	let head: AnswerHead | undefined;
 	let isOwn = false;
-	const limitMs = attemptLimitMs(admitted, false);
+	const limitMs = attemptLimitMs(admitted, isLast);
 	const signal = createAttemptSignal(exchange.signal, limitMs);
 	const {ended} = startAttempt(known.dispatcher, createCall(deps, admitted, createDetails(admitted, known, undefined)), {
 		onHead(status, headers) {
@@ -110,12 +110,12 @@
 	return {kind: 'answered', status};
 };
 
-type StreamSource = {readonly known: KnownEndpoint; readonly level: number | undefined; readonly kvSource?: KvHandle; readonly onFirst: () => void};
+type StreamSource = {readonly known: KnownEndpoint; readonly isLast: boolean; readonly level: number | undefined; readonly kvSource?: KvHandle; readonly onFirst: () => void};
 
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
-	const {known, level, kvSource, onFirst} = source;
+	const {known, isLast, level, kvSource, onFirst} = source;
 	const details = {...createDetails(admitted, known, level), kvSource, lastEventId: relay.lastId};
-	const watch = relay.createSilenceWatch(admitted, known);
+	const watch = relay.createSilenceWatch(admitted, !isLast);
 	let head: AnswerHead | undefined;
 	let isOwn = false;
 	const errorBody: Buffer[] = [];
@@ -183,7 +183,7 @@
 const runDecode = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
-	{placement: {known, level, prefill, uncachedTokens = 0, waitMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
+	{placement: {known, isLast = true, level, prefill, uncachedTokens = 0, waitMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
 	relay: StreamRelay,
 ): Promise<AttemptResult> => {
 	const {request, service} = admitted;
@@ -210,7 +210,7 @@
 
 	deps.load.begin(known, tokens);
 	const result = await relayStream(deps, admitted, {
-		known, level, kvSource, onFirst,
+		known, isLast, level, kvSource, onFirst,
 	}, relay);
 	deps.load.end(known, tokens);
 	if (work && firstMs === undefined) {
@@ -230,7 +230,7 @@
 	const {known, prefill} = placement;
 	if (!relay) {
 		deps.load.begin(known, 0);
-		const result = await relayWhole(deps, admitted, known);
+		const result = await relayWhole(deps, admitted, placement);
 		deps.load.end(known, 0);
 		if (result.kind === 'answered' || !(result.failure === 'refused' || result.failure === 'not-connected')) {
 			deps.onRun(admitted);
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -4,7 +4,7 @@
 import {
 	EndpointTrust, EnginePace, PartCache, PrefillBacklog, type Clock, type EndpointView, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
-import {Pool, type Dispatcher} from 'undici';
+import {buildConnector, Pool, type Dispatcher} from 'undici';
 
 /** A connection that takes longer is treated as refused: data centres are milliseconds apart. */
 const connectLimitMs = 700;
@@ -33,6 +33,24 @@
 const isSameProcess = (a: RegisteredEndpoint, b: RegisteredEndpoint): boolean =>
 	a.address === b.address && a.port === b.port && a.startedAt === b.startedAt && a.role === b.role;
 
+const connectPlainly = buildConnector({timeout: connectLimitMs});
+
+/**
+ * Opens connections whose reset always counts as a failure. The HTTP client takes a reset for the end of an answer that
+ * has no length; such an answer would look complete although it is not.
+ */
+const connectStrictly: buildConnector.connector = (options, callback) => {
+	connectPlainly(options, (...result) => {
+		const [, socket] = result;
+		socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+			if (error.code === 'ECONNRESET') {
+				error.code = 'ERESET';
+			}
+		});
+		callback(...result);
+	});
+};
+
 export class EndpointPool {
 	readonly #options: EndpointPoolOptions;
 	readonly #known = new Map<string, KnownEndpoint>();
@@ -98,7 +116,7 @@
 				headersTimeout: 0,
 				bodyTimeout: 0,
 				keepAliveTimeout: idleLimitMs,
-				connect: {timeout: connectLimitMs},
+				connect: connectStrictly,
 			}),
 		};
 	}
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -93,6 +93,10 @@
 			peers: () => this.#members.peers(),
 			configVersion: () => this.#routes?.config.version ?? 0,
 			changing: () => this.#changing,
+			usage: () => this.#usage.untold(),
+			onUsage: notice => {
+				this.#usage.hear(notice);
+			},
 			onVersion: (peer, version) => {
 				this.#hearVersion(peer, version);
 			},
@@ -376,6 +380,7 @@
 			makeId,
 			windowMs: this.#settings.usage.windowMs,
 			nowMs: () => this.#time.nowMs(),
+			heard: window => this.#usage.heardOf(window),
 			onReport: report => {
 				this.#metrics.countReport(report.accepted);
 				this.#log('usage', report);
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -166,7 +166,7 @@
 		}
 
 		progress.tries += 1;
-		const result = await tryPlacement(deps, admitted, placement, relay);
+		const result = await tryPlacement(deps, admitted, {...placement, isLast: progress.runs + 1 >= admitted.route.maxAttempts}, relay);
 		if (result.kind === 'answered') {
 			return {
 				status: result.status, code: 'answered', ran: 'ran', attempts: progress.tries,
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -5,6 +5,7 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
+import type {UsageNotice} from './usage-counter.js';
 import type {ModelLoad, RunningCount, SentWork} from './model-load.js';
 
 /** Another entry. */
@@ -19,6 +20,8 @@
 	readonly peers: () => readonly Peer[];
 	readonly configVersion: () => number;
 	readonly changing: () => readonly string[];
+	readonly usage: () => UsageNotice;
+	readonly onUsage: (notice: UsageNotice) => void;
 	/** Hears of the engines whose role another entry is changing. */
 	readonly onChanging: (peer: Peer, endpoints: readonly string[]) => void;
 	/** Hears of the configuration version of another entry. */
@@ -29,6 +32,8 @@
 const sendPauseMs = 60;
 /** Sent at least this often, so that peers know that this entry lives. */
 const keepAliveMs = 1000;
+/** Usage that only this process knows is lost with it, so it is told about as often as it is written. */
+const usagePauseMs = 900;
 /** A datagram stays within one packet of an ordinary link. */
 const maxDatagramBytes = 1400;
 const maxPartsPerWork = 3;
@@ -41,6 +46,8 @@
 	readonly config: number;
 	/** Engines whose role this entry is changing. */
 	readonly changing: readonly string[];
+	/** Usage that the store does not have yet; not in every message. */
+	readonly usage?: UsageNotice;
 	readonly running: readonly Running[];
 	readonly sent: readonly Sent[];
 };
@@ -71,6 +78,7 @@
 	readonly #socket: Socket;
 	readonly #heard = new Map<string, number>();
 	#sentMs = Number.NEGATIVE_INFINITY;
+	#usageSentMs = Number.NEGATIVE_INFINITY;
 	#lastRunning = '';
 
 	constructor(options: GossipOptions) {
@@ -106,23 +114,29 @@
 		const sent = load.takeSent().map(work => encodeSent(work));
 		const text = JSON.stringify([running, changing()]);
 		const isDue = clock.nowMs() - this.#sentMs >= keepAliveMs;
-		if (sent.length === 0 && text === this.#lastRunning && !isDue) {
+		const isUsageDue = clock.nowMs() - this.#usageSentMs >= usagePauseMs;
+		if (sent.length === 0 && text === this.#lastRunning && !isDue && !isUsageDue) {
 			return;
 		}
 
 		this.#sentMs = clock.nowMs();
 		this.#lastRunning = text;
 		this.#sendAll({
-			from: self, config: configVersion(), changing: changing(), running, sent,
+			from: self, config: configVersion(), changing: changing(), running, sent, ...isUsageDue && {usage: this.#takeUsage()},
 		});
 	}
 
+	#takeUsage(): UsageNotice {
+		this.#usageSentMs = this.#options.clock.nowMs();
+		return this.#options.usage();
+	}
+
 	#sendAll(message: Message): void {
 		const text = JSON.stringify(message);
 		if (text.length > maxDatagramBytes && message.sent.length > 1) {
 			const half = Math.ceil(message.sent.length / 2);
 			this.#sendAll({...message, sent: message.sent.slice(0, half)});
-			this.#sendAll({...message, sent: message.sent.slice(half)});
+			this.#sendAll({...message, sent: message.sent.slice(half), usage: undefined});
 			return;
 		}
 
@@ -148,5 +162,8 @@
 		);
 		this.#options.onVersion(peer, message.config);
 		this.#options.onChanging(peer, message.changing);
+		if (message.usage) {
+			this.#options.onUsage(message.usage);
+		}
 	}
 }
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -17,6 +17,8 @@
 	/** Expected wait for the prefill. */
 	readonly waitMs?: number;
 	readonly uncachedTokens?: number;
+	/** No further endpoint may run the request. */
+	readonly isLast?: boolean;
 };
 
 /** Levels of the engine's queue between two priorities, for large prompts to stand behind small ones. */
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -4,7 +4,6 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {CallerExchange} from './caller-exchange.js';
-import type {KnownEndpoint} from './endpoint-pool.js';
 import {EventSplitter} from './event-splitter.js';
 import type {AdmittedRequest} from './forward-request.js';
 import type {AnswerHead} from './ports.js';
@@ -17,9 +16,10 @@
 	stop(): void;
 };
 
-/** Silence before the first event, in latency targets, and between events, after which a resumable stream moves. */
-const firstSilenceTargets = 3;
+/** Silence between events after which a resumable stream moves. Callers leave after two seconds at the earliest. */
 const silenceMs = 1200;
+/** Silence before the first event, in latency targets; a prompt that waits its turn is silent, too. */
+const firstSilenceTargets = 5;
 
 export class StreamRelay {
 	readonly #exchange: CallerExchange;
@@ -69,7 +69,8 @@
 		this.#exchange.finishStream(this.#splitter.flush());
 	}
 
-	createSilenceWatch({route, exchange}: AdmittedRequest, _known: KnownEndpoint): SilenceWatch {
+	/** `mayMove`: another endpoint may run the request. */
+	createSilenceWatch({route, exchange}: AdmittedRequest, mayMove: boolean): SilenceWatch {
 		const controller = new AbortController();
 		const signal = AbortSignal.any([exchange.signal, controller.signal]);
 		let isSilent = false;
@@ -79,7 +80,7 @@
 		};
 
 		const firstMs = Math.max(silenceMs, route.latencyTargetMs * firstSilenceTargets);
-		const timer = route.isResumable ? setTimeout(end, firstMs) : undefined;
+		const timer = route.isResumable && mayMove ? setTimeout(end, firstMs) : undefined;
 		return {
 			signal,
 			get isSilent() {
--- a/packages/forward/src/usage-counter.ts
+++ b/packages/forward/src/usage-counter.ts
@@ -19,14 +19,37 @@
 /** Key of the row in which one process counts a window. Windows sort by number. */
 export const usageRowKey = (window: number, owner: string): string => `${String(window).padStart(12, '0')}/${owner}`;
 
+/** The process that a row belongs to. */
+export const ownerOfUsageRow = (key: string): string => key.slice(key.indexOf('/') + 1);
+
 /** Range of the rows of one window. */
 export const usageRange = (window: number): {readonly from: string; readonly to: string} =>
 	({from: usageRowKey(window, ''), to: usageRowKey(window + 1, '')});
 
+/** Counts that a process tells the others. */
+export type UsageNotice = {readonly owner: string; readonly windows: ReadonlyArray<readonly [window: number, counts: UsageCounts]>};
+
+/** Windows in one notice; older ones are too late to be reported. */
+const maxToldWindows = 3;
+/** A window is reported long before this many later ones have passed. */
+const keptWindows = 20;
+
+const dropOldWindows = (windows: Map<number, unknown>): void => {
+	const newest = Math.max(...windows.keys());
+	for (const window of windows.keys()) {
+		if (window < newest - keptWindows) {
+			windows.delete(window);
+		}
+	}
+};
+
 export class UsageCounter {
 	readonly #options: UsageCounterOptions;
 	readonly #windows = new Map<number, Map<string, number>>();
+	/** Windows with counts that the store does not have. */
 	readonly #changed = new Set<number>();
+	/** Counts that other processes have told, by window and process. */
+	readonly #heard = new Map<number, Map<string, UsageCounts>>();
 
 	constructor(options: UsageCounterOptions) {
 		this.#options = options;
@@ -50,6 +73,26 @@
 		return Object.fromEntries(this.#windows.get(window) ?? []);
 	}
 
+	/** Counts that the store does not have yet, for the other entries: the store may be away from this one only. */
+	untold(): UsageNotice {
+		return {owner: this.#options.owner, windows: [...this.#changed].slice(-maxToldWindows).map(window => [window, this.countsOf(window)] as const)};
+	}
+
+	hear({owner, windows}: UsageNotice): void {
+		for (const [window, counts] of windows) {
+			const heard = this.#heard.get(window) ?? new Map<string, UsageCounts>();
+			heard.set(owner, counts);
+			this.#heard.set(window, heard);
+		}
+
+		dropOldWindows(this.#heard);
+	}
+
+	/** What is known of a window without the store. */
+	heardOf(window: number): ReadonlyMap<string, UsageCounts> {
+		return new Map([...this.#heard.get(window) ?? [], [this.#options.owner, this.countsOf(window)]]);
+	}
+
 	async run(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			await sleep(flushPauseMs, undefined, {signal}).catch(() => undefined);
@@ -69,7 +112,7 @@
 		}));
 		try {
 			await this.#options.rows.write('usage', rows);
-			this.#dropOld();
+			dropOldWindows(this.#windows);
 		} catch (error) {
 			this.#options.onError(error);
 			for (const window of changed) {
@@ -77,14 +120,4 @@
 			}
 		}
 	}
-
-	/** A window is reported long before this many later ones have passed. */
-	#dropOld(): void {
-		const newest = Math.max(...this.#windows.keys());
-		for (const window of this.#windows.keys()) {
-			if (window < newest - 20) {
-				this.#windows.delete(window);
-			}
-		}
-	}
 }
--- a/packages/forward/src/usage-duty.ts
+++ b/packages/forward/src/usage-duty.ts
@@ -5,8 +5,10 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {MakeId} from '@hawthorncleat/core';
 import {transactOnce, type Lease, type Table} from '@hawthorncleat/store';
-import type {DutyCalls, RowStore, UsageCounts} from './ports.js';
-import {usageRange} from './usage-counter.js';
+import type {
+	DutyCalls, RowStore, StoreAnswer, UsageCounts,
+} from './ports.js';
+import {ownerOfUsageRow, usageRange} from './usage-counter.js';
 
 export const usageDuty = 'usage';
 const reportKey = 'usage-report';
@@ -19,6 +21,8 @@
 	readonly makeId: MakeId;
 	readonly windowMs: number;
 	readonly nowMs: () => number | undefined;
+	/** Counts of a window that processes have told without the store. */
+	readonly heard: (window: number) => ReadonlyMap<string, UsageCounts>;
 	readonly onReport: (report: {readonly window: number; readonly counts: UsageCounts; readonly accepted: boolean; readonly epoch: number}) => void;
 	readonly onError: (error: unknown) => void;
 };
@@ -32,10 +36,14 @@
 /** Older windows that a new holder still reports. */
 const maxLateWindows = 3;
 
-const sumCounts = (texts: readonly string[]): UsageCounts => {
+/** The larger count of each account; a process counts upwards only. */
+const mergeCounts = (a: UsageCounts, b: UsageCounts): UsageCounts => Object.fromEntries([...new Set([...Object.keys(a), ...Object.keys(b)])]
+	.map(account => [account, Math.max(a[account] ?? 0, b[account] ?? 0)]));
+
+const sumCounts = (parts: Iterable<UsageCounts>): UsageCounts => {
 	const sums = new Map<string, number>();
-	for (const text of texts) {
-		for (const [account, count] of Object.entries(JSON.parse(text) as UsageCounts)) {
+	for (const counts of parts) {
+		for (const [account, count] of Object.entries(counts)) {
 			sums.set(account, (sums.get(account) ?? 0) + count);
 		}
 	}
@@ -47,6 +55,8 @@
 	readonly #options: UsageDutyOptions;
 	readonly #lease: Lease;
 	#reported: number | undefined;
+	/** Fixed and perhaps not accepted yet. */
+	#pending: FixedReport | undefined;
 	#fixedVersion: number | null = null;
 
 	constructor(options: UsageDutyOptions, lease: Lease) {
@@ -75,12 +85,14 @@
 		}
 
 		const newestDue = Math.floor((nowMs - settleMs) / this.#options.windowMs) - 1;
-		if (this.#reported === undefined) {
+		if (this.#pending) {
+			await this.#send(this.#pending, signal);
+		} else if (this.#reported === undefined) {
 			await this.#repeatFixed(newestDue, signal);
 		}
 
-		while (!signal.aborted && this.#reported! < newestDue) {
-			const window = Math.max(this.#reported! + 1, newestDue - maxLateWindows);
+		while (!signal.aborted && this.#pending === undefined && this.#reported !== undefined && this.#reported < newestDue) {
+			const window = Math.max(this.#reported + 1, newestDue - maxLateWindows);
 			const fixed = await this.#fix(window, signal);
 			if (!fixed || !await this.#send(fixed, signal)) {
 				return;
@@ -93,7 +105,8 @@
 		const row = await this.#options.table.read(reportKey);
 		this.#fixedVersion = row?.version ?? null;
 		if (row) {
-			await this.#send(row.value as FixedReport, signal);
+			this.#pending = row.value as FixedReport;
+			await this.#send(this.#pending, signal);
 		} else {
 			// Windows before the first holder are reported from their counts.
 			this.#reported = newestDue - maxLateWindows;
@@ -103,7 +116,7 @@
 	async #fix(window: number, signal: AbortSignal): Promise<FixedReport | undefined> {
 		const {rows, table, makeId} = this.#options;
 		const answer = await rows.read('usage', usageRange(window), signal);
-		const counts = sumCounts(answer.rows.flatMap(({value}) => value === undefined ? [] : [value]));
+		const counts = sumCounts(this.#collect(window, answer).values());
 		const fixed: FixedReport = {window, counts, writeId: makeId()};
 		const result = await transactOnce(table, {
 			writeId: fixed.writeId,
@@ -121,10 +134,23 @@
 		}
 
 		this.#fixedVersion = result.version;
+		this.#pending = fixed;
 		void rows.write('usage', answer.rows.map(({key}) => ({key, value: undefined}))).catch(this.#options.onError);
 		return fixed;
 	}
 
+	/** Counts of each process: what it wrote into the store, or told more recently. */
+	#collect(window: number, {rows}: StoreAnswer): Map<string, UsageCounts> {
+		const counts = new Map(this.#options.heard(window));
+		for (const {key, value} of rows) {
+			const owner = ownerOfUsageRow(key);
+			const written = JSON.parse(value ?? '{}') as UsageCounts;
+			counts.set(owner, mergeCounts(written, counts.get(owner) ?? {}));
+		}
+
+		return counts;
+	}
+
 	async #send({window, counts}: FixedReport, signal: AbortSignal): Promise<boolean> {
 		const {calls, holder, onReport} = this.#options;
 		const {epoch} = this.#lease;
@@ -136,6 +162,7 @@
 		});
 		if (accepted) {
 			this.#reported = window;
+			this.#pending = undefined;
 		}
 
 		return accepted;
