Refuse what callers would not wait for, put late requests last, and see resets that look like ends

Cause of late and lost requests under load: decode engines took prompts with seconds of backlog, which slowed all their streams and the requests whose KV cache they fetch.

--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -35,15 +35,15 @@
 /** A role above this load is crowded. */
 const crowdedLoad = 0.9;
 /** A change must lower the load of the more crowded role to this part at least. */
-const worthwhilePart = 0.8;
+const worthwhilePart = 0.7;
 /** At such a load requests are lost, so that even a short change pays. */
 const severeLoad = 2;
 /** Swings of the mix that last shorter are over before a change has been carried out. */
-const dwellMs = 2500;
-const severeDwellMs = 800;
+const dwellMs = 4000;
+const severeDwellMs = 1200;
 /** An engine that changes back at once would be away twice. */
-const minIntervalMs = 10_000;
-const severeIntervalMs = 4000;
+const minIntervalMs = 15_000;
+const severeIntervalMs = 6000;
 
 /** Load of the more crowded role with so many engines in each. */
 const crowdedOf = ({prefillNeeded, decodeNeeded}: RoleBalance, prefill: number, decode: number): number =>
--- /dev/null
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -0,0 +1,150 @@
+/**
+ * Chooses the engine that decodes a model request and, if that serves the first token sooner, another one that prefills
+ * its prompt. Answers the load of long prompts among many short ones: prompts queue at prefill engines, and a decode engine
+ * prefills only what it can in a moment, because that slows every stream that runs there.
+ */
+import {
+	crossing, findUsable, pickLowest, type EndpointView,
+} from './choose-place.js';
+import type {PromptPart} from './deployment.js';
+
+export type PlaceRequest = {
+	readonly parts: readonly PromptPart[];
+	readonly promptTokens: number;
+	readonly outputTokens: number;
+	/** Level of the engine's queue. */
+	readonly level: number;
+	/** Data centre of the entry. */
+	readonly dataCentre: string;
+	/** Endpoints that have refused or failed the request. */
+	readonly excluded: ReadonlySet<string>;
+};
+
+export type PlaceContext = {readonly nowMs: number; readonly kvTokens: number};
+
+export type ModelPlace = {
+	readonly decode: EndpointView;
+	/** Absent when the decode engine prefills the prompt itself. */
+	readonly prefill?: EndpointView;
+	/** Expected time until the prefill is done, without the engine's latency. */
+	readonly waitMs: number;
+	/** Expected time until the first token. */
+	readonly firstTokenMs: number;
+	/** Tokens of the prompt that the engine is not expected to hold. */
+	readonly uncachedTokens: number;
+};
+
+/**
+ * Traffic between data centres is billed: a model request crosses with its prompt and its stream, which costs about as
+ * much of its value as this delay.
+ */
+const crossingMs = 15;
+/** The second call of a split request: one more hop and the fetch of the KV cache. */
+const splitMs = 12;
+/** Cost of prefilling 1,000 shared tokens that another engine holds, expressed as delay. */
+const rereadMsPerThousand = 25;
+/** Prefill at a decode engine beyond this holds up its streams and the requests whose KV cache it fetches. */
+const directLimitMs = 120;
+/** What a millisecond of prefill costs the streams of a decode engine, in milliseconds of its own request. */
+const directCost = 0.5;
+/** Weight of a decode engine's load while it has room, so that streams spread evenly. */
+const loadMs = 40;
+
+type Expected = {readonly waitMs: number; readonly uncachedTokens: number; readonly scoreMs: number};
+
+const expectPrefill = (view: EndpointView, request: PlaceRequest, {nowMs, most}: {nowMs: number; most: number}): Expected => {
+	const cached = view.parts.cachedTokens(request.parts);
+	const uncachedTokens = Math.max(1, request.promptTokens - cached);
+	const waitMs = view.work.waitMs(request.level, nowMs) + view.pace.workMs(uncachedTokens);
+	const rereadMs = Math.max(0, most - cached) * rereadMsPerThousand / 1000;
+	return {waitMs, uncachedTokens, scoreMs: waitMs + view.pace.latencyMs + rereadMs + (crossing(view, request.dataCentre) * crossingMs)};
+};
+
+/** Places of a decode engine that are free; below 0 requests wait for others to end. */
+const freePlaces = ({running, runningTokens, endpoint}: EndpointView, {promptTokens, outputTokens}: PlaceRequest, kvTokens: number): number => {
+	const places = Math.max(1, endpoint.places);
+	const missingTokens = Math.max(0, runningTokens + promptTokens + outputTokens - kvTokens);
+	const tokensPerRequest = Math.max(1, runningTokens / Math.max(1, running));
+	return Math.min(places - running - 1, missingTokens === 0 ? places : -missingTokens / tokensPerRequest);
+};
+
+/** Time until a place of a full engine is free. */
+const placeWaitMs = (view: EndpointView, request: PlaceRequest, {kvTokens}: PlaceContext): number =>
+	Math.max(0, -freePlaces(view, request, kvTokens)) * view.pace.streamMs / Math.max(1, view.endpoint.places);
+
+const scoreDecode = (view: EndpointView, request: PlaceRequest, context: PlaceContext): number =>
+	placeWaitMs(view, request, context)
+	+ (loadMs * view.running / Math.max(1, view.endpoint.places))
+	+ (crossing(view, request.dataCentre) * crossingMs);
+
+type Candidates = {readonly decoders: readonly EndpointView[]; readonly prefillers: readonly EndpointView[]; readonly most: number};
+
+const findCandidates = (views: readonly EndpointView[], {excluded, parts}: PlaceRequest, nowMs: number): Candidates => {
+	// Each role by itself: avoided decode engines are better than none, however many prefill engines there are.
+	const decoders = findUsable(views.filter(({endpoint}) => endpoint.role !== 'prefill'), excluded, nowMs);
+	const prefillers = findUsable(views.filter(({endpoint}) => endpoint.role === 'prefill'), excluded, nowMs);
+	const most = Math.max(0, ...[...decoders, ...prefillers].map(view => view.parts.cachedTokens(parts)));
+	return {decoders, prefillers, most};
+};
+
+type ScoredPlace = {readonly place: ModelPlace; readonly scoreMs: number};
+
+/** The best decode engine that prefills the prompt itself. */
+const chooseDirect = ({decoders, prefillers, most}: Candidates, request: PlaceRequest, context: PlaceContext): ScoredPlace | undefined => {
+	const expected = new Map(decoders.map(view => [view, expectPrefill(view, request, {nowMs: context.nowMs, most})]));
+	const mayPrefill = prefillers.length === 0
+		? decoders
+		: decoders.filter(view => expected.get(view)!.waitMs <= directLimitMs);
+	const scoreOf = (view: EndpointView): number => {
+		const {scoreMs, uncachedTokens} = expected.get(view)!;
+		return scoreMs + (directCost * view.pace.workMs(uncachedTokens)) + scoreDecode(view, request, context);
+	};
+
+	const decode = pickLowest(mayPrefill, scoreOf);
+	if (!decode) {
+		return undefined;
+	}
+
+	const {waitMs, uncachedTokens} = expected.get(decode)!;
+	const firstTokenMs = waitMs + decode.pace.latencyMs + placeWaitMs(decode, request, context);
+	return {
+		place: {
+			decode, waitMs, uncachedTokens, firstTokenMs,
+		},
+		scoreMs: scoreOf(decode),
+	};
+};
+
+/** The best pair of a prefill and a decode engine. */
+const chooseSplit = ({decoders, prefillers, most}: Candidates, request: PlaceRequest, context: PlaceContext): ScoredPlace | undefined => {
+	const expected = new Map(prefillers.map(view => [view, expectPrefill(view, request, {nowMs: context.nowMs, most})]));
+	const prefill = pickLowest(prefillers, view => expected.get(view)!.scoreMs);
+	// A request whose KV cache is fetched still waits for its turn among the prompts that the engine prefills itself.
+	const turnMs = (view: EndpointView): number => view.work.waitMs(request.level, context.nowMs);
+	const scoreOf = (view: EndpointView): number => scoreDecode(view, request, context) + turnMs(view);
+	const decode = pickLowest(decoders, scoreOf);
+	if (!prefill || !decode) {
+		return undefined;
+	}
+
+	const {waitMs, uncachedTokens, scoreMs} = expected.get(prefill)!;
+	const decodeMs = turnMs(decode) + placeWaitMs(decode, request, context) + splitMs;
+	return {
+		place: {
+			decode, prefill, waitMs, uncachedTokens, firstTokenMs: waitMs + prefill.pace.latencyMs + decodeMs,
+		},
+		scoreMs: scoreMs + scoreOf(decode) + splitMs,
+	};
+};
+
+/** Chooses the engines of a model request; undefined when none can decode it. */
+export const chooseModelPlace = (views: readonly EndpointView[], request: PlaceRequest, context: PlaceContext): ModelPlace | undefined => {
+	const candidates = findCandidates(views, request, context.nowMs);
+	const direct = chooseDirect(candidates, request, context);
+	const split = chooseSplit(candidates, request, context);
+	if (direct && split) {
+		return split.scoreMs < direct.scoreMs ? split.place : direct.place;
+	}
+
+	return (split ?? direct)?.place;
+};
--- a/packages/core/src/forwarding/deployment.ts
+++ b/packages/core/src/forwarding/deployment.ts
@@ -20,6 +20,8 @@
 	readonly timeoutMs: number;
 	/** Time within which an answer, or the first event of a stream, is on time. */
 	readonly latencyTargetMs: number;
+	/** Longest pause between two events of a stream that is on time. */
+	readonly maxGapMs: number;
 	/** Endpoints that may run one request. */
 	readonly maxAttempts: number;
 	/** 0 is the most urgent. */
--- a/packages/core/src/forwarding/engine-pace.ts
+++ b/packages/core/src/forwarding/engine-pace.ts
@@ -8,6 +8,7 @@
 /** Time of one prompt token at an engine nobody has used yet. A decode engine prefills between its decode steps. */
 const assumedMsPerToken: Readonly<Record<EndpointRole, number>> = {prefill: 0.016, decode: 0.04};
 const assumedLatencyMs = 60;
+const assumedStreamMs = 2000;
 /** Weight of one observation; a few dozen requests settle the pace. */
 const weight = 0.06;
 /** Shorter queues tell about the latency, longer ones about the pace. */
@@ -18,6 +19,7 @@
 export class EnginePace {
 	#msPerToken: number;
 	#latencyMs = assumedLatencyMs;
+	#streamMs = assumedStreamMs;
 
 	constructor(role: EndpointRole) {
 		this.#msPerToken = assumedMsPerToken[role];
@@ -32,10 +34,19 @@
 		return this.#latencyMs;
 	}
 
+	/** Mean time of a stream from its first to its last token, after which its place is free again. */
+	get streamMs(): number {
+		return this.#streamMs;
+	}
+
 	workMs(tokens: number): number {
 		return tokens * this.#msPerToken;
 	}
 
+	observeStream(tookMs: number): void {
+		this.#streamMs += weight * (tookMs - this.#streamMs);
+	}
+
 	/** Takes in one prefill: the work that was expected up to its end, and the time that it took. */
 	observe(expectedMs: number, tookMs: number): void {
 		if (expectedMs < shortQueueMs) {
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -21,11 +21,8 @@
 	balanceRoles, type RoleBalance, type RoleBalanceMemory, type RoleDecision,
 } from './balance-roles.js';
 export {EndpointTrust} from './endpoint-trust.js';
+export {choosePlainPlace, type EndpointView} from './choose-place.js';
 export {
-	chooseModelPlace,
-	choosePlainPlace,
-	type EndpointView,
-	type ModelPlace,
-	type PlaceContext,
-	type PlaceRequest,
-} from './choose-place.js';
+	chooseModelPlace, type ModelPlace, type PlaceContext, type PlaceRequest,
+} from './choose-model-place.js';
+export {chooseLevel, lateLevel, patienceMs} from './lanes.js';
--- /dev/null
+++ b/packages/forward/src/__tests__/attempt.test.ts
@@ -0,0 +1,90 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {brandAs, type EndpointId} from '@hawthorncleat/core';
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {startAttempt, type AttemptEnd} from '../attempt.js';
+import {EndpointPool} from '../endpoint-pool.js';
+
+/** An endpoint that answers each connection with raw bytes; runs `body` with its dispatcher. */
+const attemptAt = async (answer: (socket: Socket) => void): Promise<{end: AttemptEnd; text: string}> => {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			answer(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const pool = new EndpointPool({clock: createManualClock(), entries: () => 1, serviceOf: () => undefined});
+	pool.put({
+		id: brandAs<EndpointId>('e1'),
+		service: 's',
+		address: '127.0.0.1',
+		port: (server.address() as AddressInfo).port,
+		dataCentre: 'd',
+		places: 1,
+		isLeaving: false,
+		startedAt: 1,
+		heartbeat: 1,
+	});
+	const chunks: Uint8Array[] = [];
+	const end = await startAttempt(pool.get('e1')!.connections, {method: 'GET', path: '/', headers: {}}, {
+		onHead: () => true,
+		onData(chunk) {
+			chunks.push(chunk);
+			return true;
+		},
+	}, AbortSignal.timeout(3000)).ended;
+	await pool.destroy();
+	server.close();
+	return {end, text: chunks.map(String).join('')};
+};
+
+const unframedHead = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+
+describe('an attempt at an endpoint', () => {
+	it('is complete when an answer without length ends with its connection', async () => {
+		const {end, text} = await attemptAt(socket => {
+			socket.end(`${unframedHead}whole`);
+		});
+		assert.is(end.kind, 'complete');
+		assert.is(text, 'whole');
+	});
+
+	it('is broken when the connection of an answer without length is reset; guards against a partial answer that looks whole', async () => {
+		const {end} = await attemptAt(socket => {
+			socket.write(`${unframedHead}part`);
+			void sleep(50).then(() => socket.resetAndDestroy());
+		});
+		assert.is(end.kind, 'broken');
+	});
+
+	it('is broken when the reset arrives together with the last bytes, which the runtime reports as an ordinary end', async () => {
+		for (let round = 0; round < 20; round += 1) {
+			const {end} = await attemptAt(socket => {
+				socket.write(`${unframedHead}part`);
+				socket.resetAndDestroy();
+			});
+			assert.is(end.kind, 'broken');
+		}
+	});
+
+	it('is broken when an answer with a length ends early', async () => {
+		const {end} = await attemptAt(socket => {
+			socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart');
+		});
+		assert.is(end.kind, 'broken');
+	});
+
+	it('says that nothing was sent when no connection is made, so that an action may be sent elsewhere', async () => {
+		const pool = new EndpointPool({clock: createManualClock(), entries: () => 1, serviceOf: () => undefined});
+		pool.put({
+			id: brandAs<EndpointId>('gone'), service: 's', address: '127.0.0.1', port: 1, dataCentre: 'd', places: 1, isLeaving: false, startedAt: 1, heartbeat: 1,
+		});
+		const {ended} = startAttempt(pool.get('gone')!.connections, {method: 'POST', path: '/', headers: {}, body: 'x'}, {onHead: () => true, onData: () => true}, AbortSignal.timeout(3000));
+		assert.is((await ended).kind, 'not-sent');
+		await pool.destroy();
+	});
+});
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -79,7 +79,7 @@
 	let isOwn = false;
 	const limitMs = attemptLimitMs(admitted, isLast);
 	const signal = createAttemptSignal(exchange.signal, limitMs);
-	const {ended} = startAttempt(known.dispatcher, createCall(deps, admitted, createDetails(admitted, known, undefined)), {
+	const {ended} = startAttempt(known.connections, createCall(deps, admitted, createDetails(admitted, known, undefined)), {
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
 			isOwn = isOwnAnswer(head, admitted);
@@ -119,7 +119,7 @@
 	let head: AnswerHead | undefined;
 	let isOwn = false;
 	const errorBody: Buffer[] = [];
-	const attempt = startAttempt(known.dispatcher, createCall(deps, admitted, details), {
+	const attempt = startAttempt(known.connections, createCall(deps, admitted, details), {
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
 			isOwn = isOwnAnswer(head, admitted);
@@ -217,6 +217,10 @@
 		deps.load.endWork(known, work);
 	}
 
+	if (result.kind === 'answered' && firstMs !== undefined) {
+		known.pace.observeStream(deps.clock.nowMs() - startMs - firstMs);
+	}
+
 	return result.kind === 'answered' ? {...result, firstMs} : result;
 };
 
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -5,6 +5,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
+import type {Connections} from './connections.js';
 import type {OutgoingHeaders} from './ports.js';
 
 export type AttemptCall = {
@@ -34,12 +35,14 @@
 	resume(): void;
 };
 
+const resetAnswer = new Error('the connection was reset');
 const rejectedAnswer = new Error('the answer was rejected');
 
 /** Sends one request. Aborting the signal closes its connection. */
-export const startAttempt = (dispatcher: Dispatcher, call: AttemptCall, handler: AttemptHandler, signal: AbortSignal): Attempt => {
+export const startAttempt = ({dispatcher, isEndingByReset}: Connections, call: AttemptCall, handler: AttemptHandler, signal: AbortSignal): Attempt => {
 	let controller: Dispatcher.DispatchController | undefined;
 	let isSent = false;
+	let isUnframed = false;
 	const ended = new Promise<AttemptEnd>(resolve => {
 		const abort = (): void => {
 			controller?.abort(signal.reason instanceof Error ? signal.reason : rejectedAnswer);
@@ -71,6 +74,7 @@
 				isSent = true;
 			},
 			onResponseStart(started, status, headers) {
+				isUnframed = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 				if (status >= 200 && !handler.onHead(status, headers)) {
 					started.abort(rejectedAnswer);
 				}
@@ -81,7 +85,7 @@
 				}
 			},
 			onResponseEnd() {
-				finish({kind: 'complete'});
+				finish(isUnframed && isEndingByReset() ? {kind: 'broken', error: resetAnswer} : {kind: 'complete'});
 			},
 			onResponseError(_started, error) {
 				finish(isSent ? {kind: 'broken', error} : {kind: 'not-sent', error});
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -4,12 +4,8 @@
 import {
 	EndpointTrust, EnginePace, PartCache, PrefillBacklog, type Clock, type EndpointView, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
-import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {createConnections, type Connections} from './connections.js';
 
-/** A connection that takes longer is treated as refused: data centres are milliseconds apart. */
-const connectLimitMs = 700;
-/** Idle time after which a connection is not used again when the endpoint states no limit. */
-const idleLimitMs = 3000;
 /** Callers share an endpoint's connections; a few are left to entries that are not known yet. */
 const connectionShare = 0.8;
 /** Part of an engine's memory that cached parts are assumed to fill. */
@@ -17,7 +13,7 @@
 
 /** An endpoint with its connections. */
 export type KnownEndpoint = EndpointView & {
-	readonly dispatcher: Dispatcher;
+	readonly connections: Connections;
 	/** Own requests that run there. */
 	ownRunning: number;
 	ownTokens: number;
@@ -33,24 +29,6 @@
 const isSameProcess = (a: RegisteredEndpoint, b: RegisteredEndpoint): boolean =>
 	a.address === b.address && a.port === b.port && a.startedAt === b.startedAt && a.role === b.role;
 
-const connectPlainly = buildConnector({timeout: connectLimitMs});
-
-/**
- * Opens connections whose reset always counts as a failure. The HTTP client takes a reset for the end of an answer that
- * has no length; such an answer would look complete although it is not.
- */
-const connectStrictly: buildConnector.connector = (options, callback) => {
-	connectPlainly(options, (...result) => {
-		const [, socket] = result;
-		socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
-			if (error.code === 'ECONNRESET') {
-				error.code = 'ERESET';
-			}
-		});
-		callback(...result);
-	});
-};
-
 export class EndpointPool {
 	readonly #options: EndpointPoolOptions;
 	readonly #known = new Map<string, KnownEndpoint>();
@@ -93,12 +71,12 @@
 	}
 
 	async destroy(): Promise<void> {
-		await Promise.all([...this.#known.values()].map(async ({dispatcher}) => dispatcher.destroy()));
+		await Promise.all([...this.#known.values()].map(async ({connections}) => connections.dispatcher.destroy()));
 	}
 
 	#create(endpoint: RegisteredEndpoint): KnownEndpoint {
 		const service = this.#options.serviceOf(endpoint.service);
-		const connections = Math.max(4, Math.floor((service?.maxConnections ?? 64) * connectionShare / Math.max(1, this.#options.entries())));
+		const maxConnections = Math.max(4, Math.floor((service?.maxConnections ?? 64) * connectionShare / Math.max(1, this.#options.entries())));
 		return {
 			endpoint,
 			trust: new EndpointTrust(),
@@ -110,19 +88,12 @@
 			runningTokens: 0,
 			ownRunning: 0,
 			ownTokens: 0,
-			dispatcher: new Pool(`http://${endpoint.address}:${endpoint.port}`, {
-				connections,
-				pipelining: 1,
-				headersTimeout: 0,
-				bodyTimeout: 0,
-				keepAliveTimeout: idleLimitMs,
-				connect: connectStrictly,
-			}),
+			connections: createConnections(`http://${endpoint.address}:${endpoint.port}`, maxConnections),
 		};
 	}
 
 	#close(known: KnownEndpoint | undefined): void {
-		known?.dispatcher.close().catch(() => {/* Closing twice is harmless. */});
+		known?.connections.dispatcher.close().catch(() => {/* Closing twice is harmless. */});
 	}
 
 	#index(): void {
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -55,6 +55,7 @@
 	readonly endpoint: string;
 	readonly prefill?: string;
 	readonly expectedMs?: number;
+	readonly level?: number;
 	readonly uncachedTokens?: number;
 	readonly tookMs: number;
 	/** Time of the prefill at another engine. */
@@ -160,11 +161,17 @@
 			return endedEarly(admitted, progress, progress.runs > 0 ? 'unknown' : 'not-run');
 		}
 
-		const placement = placeRequest(deps, admitted, progress.excluded);
+		const placement = placeRequest(deps, admitted, {excluded: progress.excluded, mayRefuse: progress.runs === 0});
 		if (!placement) {
 			return finishFailed(admitted, progress);
 		}
 
+		if ('kind' in placement) {
+			return {
+				status: 503, code: 'overloaded', ran: 'not-run', attempts: progress.tries, retryAfterMs: placement.retryAfterMs,
+			};
+		}
+
 		progress.tries += 1;
 		const result = await tryPlacement(deps, admitted, {...placement, isLast: progress.runs + 1 >= admitted.route.maxAttempts}, relay);
 		if (result.kind === 'answered') {
@@ -205,7 +212,8 @@
 	deps.onAttempt(admitted, {
 		endpoint: known.endpoint.id,
 		prefill: placement.prefill?.endpoint.id,
-		expectedMs: placement.waitMs,
+		expectedMs: placement.expectedMs,
+		level: placement.level,
 		uncachedTokens: placement.uncachedTokens,
 		tookMs: deps.clock.nowMs() - startMs,
 		...result.kind === 'answered' && {prefillMs: result.prefillMs, firstMs: result.firstMs},
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -2,7 +2,7 @@
  * Turns what is known of a request and the endpoints into the place where it runs.
  */
 import {
-	chooseModelPlace, choosePlainPlace, priorityLevels, type PlaceRequest,
+	chooseLevel, chooseModelPlace, choosePlainPlace, lateLevel, patienceMs,
 } from '@hawthorncleat/core';
 import type {KnownEndpoint} from './endpoint-pool.js';
 import type {AdmittedRequest, ForwardDeps} from './forward-request.js';
@@ -14,53 +14,81 @@
 	readonly prefill?: KnownEndpoint;
 	/** Priority in the engine's queue. */
 	readonly level?: number;
-	/** Expected wait for the prefill. */
+	/** Expected wait for the prefill, without the engine's latency. */
 	readonly waitMs?: number;
+	/** Expected time until the first token. */
+	readonly expectedMs?: number;
 	readonly uncachedTokens?: number;
 	/** No further endpoint may run the request. */
 	readonly isLast?: boolean;
 };
 
-/** Levels of the engine's queue between two priorities, for large prompts to stand behind small ones. */
-const levelsPerPriority = 3;
-/** Prompts of up to so many tokens go first within their priority. */
-const smallPromptTokens = 4000;
-const largePromptTokens = 16_000;
+/** The engines cannot serve the request before its caller leaves. */
+export type Overload = {readonly kind: 'overload'; readonly retryAfterMs: number};
 
-/** Position in an engine's queue. A large prompt must not hold up many small ones of the same priority. */
-export const chooseLevel = (priority: number, uncachedTokens: number): number => {
-	const size = Number(uncachedTokens > smallPromptTokens) + Number(uncachedTokens > largePromptTokens);
-	return Math.max(0, Math.min(priorityLevels - 1, (priority * levelsPerPriority) + size));
-};
+/** Part of the caller's patience that the expected wait may take; the expectation is that rough. */
+const patiencePart = 0.9;
+/** Callers that are refused together come back spread over this part of their pause. */
+const retrySpread = 0.4;
+const minRetryMs = 100;
 
-export const placeRequest = (
+const placeModel = (
 	deps: ForwardDeps,
-	{request, route, service, account}: AdmittedRequest,
-	excluded: ReadonlySet<string>,
-): Placement | undefined => {
+	{request, route, service, account, exchange}: AdmittedRequest,
+	{excluded, mayRefuse}: PlaceOptions,
+): Overload | Placement | undefined => {
 	const views = deps.pool.ofService(service.name);
-	const {clock, random, dataCentre} = deps;
-	const nowMs = clock.nowMs();
-	if (!service.engine) {
-		const known = choosePlainPlace(views, {dataCentre, excluded}, {nowMs, random});
-		return known && {known: known as KnownEndpoint};
-	}
-
-	const level = chooseLevel(account?.priority ?? route.priority, request.promptTokens);
-	const place: PlaceRequest = {
+	const nowMs = deps.clock.nowMs();
+	const context = {nowMs, kvTokens: service.engine!.kvTokens};
+	const place = {
 		parts: request.parts,
 		promptTokens: request.promptTokens,
 		outputTokens: request.expectedOutputTokens ?? request.maxOutputTokens,
-		level,
-		dataCentre,
+		dataCentre: deps.dataCentre,
 		excluded,
 	};
-	const chosen = chooseModelPlace(views, place, {nowMs, kvTokens: service.engine.kvTokens});
-	return chosen && {
+	let level = chooseLevel(account?.priority ?? route.priority, request.promptTokens);
+	let chosen = chooseModelPlace(views, {...place, level}, context);
+	if (chosen && exchange.elapsedMs + chosen.firstTokenMs > route.latencyTargetMs) {
+		level = lateLevel;
+		chosen = chooseModelPlace(views, {...place, level}, context);
+	}
+
+	if (!chosen) {
+		return undefined;
+	}
+
+	const limitMs = Math.min(patienceMs(route) * patiencePart, exchange.endsAtMs - exchange.startedMs);
+	if (mayRefuse && exchange.elapsedMs + chosen.firstTokenMs > limitMs) {
+		const waitMs = Math.max(minRetryMs, chosen.firstTokenMs - route.latencyTargetMs);
+		return {kind: 'overload', retryAfterMs: waitMs * (1 + (retrySpread * (deps.random() - 0.5)))};
+	}
+
+	return {
 		known: chosen.decode as KnownEndpoint,
 		prefill: chosen.prefill as KnownEndpoint | undefined,
 		level,
 		waitMs: chosen.waitMs,
+		expectedMs: chosen.firstTokenMs,
 		uncachedTokens: chosen.uncachedTokens,
 	};
 };
+
+export type PlaceOptions = {
+	/** Endpoints that have refused or failed the request. */
+	readonly excluded: ReadonlySet<string>;
+	/** The request has not run yet. */
+	readonly mayRefuse: boolean;
+};
+
+/** Chooses where a request runs; undefined when no endpoint is left. */
+export const placeRequest = (deps: ForwardDeps, admitted: AdmittedRequest, options: PlaceOptions): Overload | Placement | undefined => {
+	if (admitted.service.engine) {
+		return placeModel(deps, admitted, options);
+	}
+
+	const {clock, random, dataCentre, pool} = deps;
+	const views = pool.ofService(admitted.service.name);
+	const known = choosePlainPlace(views, {dataCentre, excluded: options.excluded}, {nowMs: clock.nowMs(), random});
+	return known && {known: known as KnownEndpoint};
+};
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -21,7 +21,7 @@
 
 /** Frees a KV cache that nobody will fetch. It expires by itself when this fails. */
 export const releaseHandle = (deps: ForwardDeps, known: KnownEndpoint, handle: KvHandle): void => {
-	void startAttempt(known.dispatcher, deps.wire.writeHandleRelease(handle), {
+	void startAttempt(known.connections, deps.wire.writeHandleRelease(handle), {
 		onHead: () => true, onData: () => true,
 	}, AbortSignal.timeout(1000)).ended;
 };
@@ -39,7 +39,7 @@
 	const chunks: Buffer[] = [];
 	let head: AnswerHead | undefined;
 	const call = createCall(deps, admitted, {...createDetails(admitted, prefill, level), prefillOnly: true});
-	const end = await startAttempt(prefill.dispatcher, call, {
+	const end = await startAttempt(prefill.connections, call, {
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
 			return true;
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -27,6 +27,7 @@
 
 /** What is logged of an order. */
 export type RoleOrderReport = RoleBalance & {
+	readonly msPerToken: number;
 	readonly service: string;
 	readonly endpoint: string;
 	readonly role: EndpointRole;
@@ -48,7 +49,7 @@
 const call = async (known: KnownEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<Answer | undefined> => {
 	const chunks: Buffer[] = [];
 	let status = 0;
-	const end = await startAttempt(known.dispatcher, encoded, {
+	const end = await startAttempt(known.connections, encoded, {
 		onHead(answered) {
 			status = answered;
 			return true;
@@ -179,7 +180,7 @@
 		}
 
 		onOrder({
-			...balance, service: endpoint.service, endpoint: endpoint.id, role, epoch, status: answer?.status,
+			...balance, msPerToken: engine.pace.msPerToken, service: endpoint.service, endpoint: endpoint.id, role, epoch, status: answer?.status,
 		});
 	}
 }
