--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -12,14 +12,11 @@
 	AnswerHead, KvHandle, SendDetails,
 } from './ports.js';
 import {runPrefill} from './prefill.js';
+import {createTimeLimit} from './time-limit.js';
 import type {StreamRelay} from './stream-relay.js';
 
 type Failed = Extract<AttemptResult, {kind: 'failed'}>;
 
-/** Signals that end an attempt: those of its request and a limit of its own. */
-export const createAttemptSignal = (signal: AbortSignal, limitMs: number | undefined): AbortSignal =>
-	limitMs === undefined ? signal : AbortSignal.any([signal, AbortSignal.timeout(Math.ceil(limitMs))]);
-
 /** Names what an attempt met when it ended without a usable answer. */
 export const describeFailure = (end: AttemptEnd, head: AnswerHead | undefined, {at, isLate}: {at: KnownEndpoint; isLate: boolean}): Failed => {
 	if (head && (head.isOtherEndpoint || head.isNotRun)) {
@@ -66,8 +63,8 @@
 });
 
 /** Time after which a request that may run again is tried elsewhere. */
-const attemptLimitMs = ({route, exchange}: AdmittedRequest, isLast: boolean): number | undefined =>
-	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : undefined;
+const attemptLimitMs = ({route, exchange}: AdmittedRequest, isLast: boolean): number =>
+	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : exchange.leftMs;
 
 const serverError = 500;
 
@@ -77,8 +74,7 @@
 	const chunks: Buffer[] = [];
 	let head: AnswerHead | undefined;
 	let isOwn = false;
-	const limitMs = attemptLimitMs(admitted, isLast);
-	const signal = createAttemptSignal(exchange.signal, limitMs);
+	const limit = createTimeLimit(attemptLimitMs(admitted, isLast), exchange.signal);
 	const {ended} = startAttempt(known.connections, createCall(deps, admitted, createDetails(admitted, known, undefined)), {
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
@@ -89,10 +85,11 @@
 			chunks.push(chunk);
 			return true;
 		},
-	}, signal);
+	}, limit.signal);
 	const end = await ended;
+	limit.clear();
 	if (end.kind !== 'complete' || !head || !isOwn || head.isNotRun || head.isOtherEndpoint) {
-		return describeFailure(end, head, {at: known, isLate: signal.aborted && !exchange.signal.aborted});
+		return describeFailure(end, head, {at: known, isLate: limit.isOver});
 	}
 
 	const {status, headers} = head;
@@ -115,7 +112,7 @@
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
 	const {known, isLast, level, kvSource, onFirst} = source;
 	const details = {...createDetails(admitted, known, level), kvSource, lastEventId: relay.lastId};
-	const watch = relay.createSilenceWatch(admitted, !isLast);
+	const limit = relay.createSilenceLimit(admitted, !isLast);
 	let head: AnswerHead | undefined;
 	let isOwn = false;
 	const errorBody: Buffer[] = [];
@@ -123,36 +120,36 @@
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
 			isOwn = isOwnAnswer(head, admitted);
-			watch.note();
+			limit.restart();
 			return isOwn || head.isNotRun || head.isOtherEndpoint;
 		},
 		onData(chunk) {
-			watch.note();
+			limit.restart();
 			if (!isOwn || head!.status !== 200) {
 				errorBody.push(chunk);
 				return true;
 			}
 
-			const {events} = relay;
+			const hadEvents = relay.hasEvents;
 			const goesOn = relay.push(head!, chunk);
-			if (relay.events > 0 && events === 0) {
+			if (!hadEvents && relay.hasEvents) {
 				onFirst();
 			}
 
 			return goesOn;
 		},
-	}, watch.signal);
+	}, limit.signal);
 	relay.onDrain(() => {
 		attempt.resume();
 	});
 	const end = await attempt.ended;
-	watch.stop();
+	limit.clear();
 	if (end.kind === 'complete' && head && isOwn && !head.isNotRun && !head.isOtherEndpoint) {
 		return finishStream({head, errorBody, known}, admitted, relay);
 	}
 
 	relay.breakOff();
-	return describeFailure(end, head, {at: known, isLate: watch.isSilent});
+	return describeFailure(end, head, {at: known, isLate: limit.isOver});
 };
 
 const finishStream = (
--- a/packages/forward/src/event-splitter.ts
+++ b/packages/forward/src/event-splitter.ts
@@ -4,22 +4,24 @@
 import {Buffer} from 'node:buffer';
 
 const eventEnd = Buffer.from('\n\n');
-const idPattern = /^id: ?(?<id>[^\r\n]*)$/gm;
+const idField = Buffer.from('id:');
+const idLine = Buffer.from('\nid:');
+const lineEnd = 0x0A;
 const empty = Buffer.alloc(0);
 
 export class EventSplitter {
 	#rest: Buffer = empty;
 	#lastId: string | undefined;
-	#events = 0;
+	#hasEvents = false;
 
 	/** Id of the last whole event. */
 	get lastId(): string | undefined {
 		return this.#lastId;
 	}
 
-	/** Whole events so far. */
-	get events(): number {
-		return this.#events;
+	/** Whether a whole event has come. */
+	get hasEvents(): boolean {
+		return this.#hasEvents;
 	}
 
 	/** Returns the whole events that are there, and keeps the beginning of the next one. */
@@ -33,7 +35,7 @@
 
 		const whole = bytes.subarray(0, end + eventEnd.length);
 		this.#rest = bytes.subarray(end + eventEnd.length);
-		this.#note(whole.toString('latin1'));
+		this.#note(whole);
 		return whole;
 	}
 
@@ -49,10 +51,15 @@
 		this.#rest = empty;
 	}
 
-	#note(text: string): void {
-		for (const match of text.matchAll(idPattern)) {
-			this.#lastId = match.groups!.id;
-			this.#events += 1;
+	/** Reads the id of the last event; the bytes before it are not looked at. */
+	#note(whole: Buffer): void {
+		const line = whole.lastIndexOf(idLine);
+		if (line === -1 && !whole.subarray(0, idField.length).equals(idField)) {
+			return;
 		}
+
+		const start = line === -1 ? idField.length : line + idLine.length;
+		this.#lastId = whole.toString('latin1', start, whole.indexOf(lineEnd, start)).trim();
+		this.#hasEvents = true;
 	}
 }
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -7,6 +7,7 @@
 	RetryWindow, RouteTable, type Clock, type MakeId, type Random,
 } from '@hawthorncleat/core';
 import {runLease, type Lease} from '@hawthorncleat/store';
+import {request} from 'undici';
 import {handleCaller, type CallerHandlerDeps, type RequestEnd} from './caller-handler.js';
 import type {DecisionLog, LogEvent} from './decision-log.js';
 import {EndpointDirectory} from './endpoint-directory.js';
@@ -22,6 +23,7 @@
 import {runRoleDuty} from './role-duty.js';
 import {closeHttp, listenHttp} from './servers.js';
 import {watchTable} from './table-watch.js';
+import {withTimeLimit} from './time-limit.js';
 import {TrueTime} from './true-time.js';
 import {UsageCounter} from './usage-counter.js';
 import {runUsageDuty, usageDuty} from './usage-duty.js';
@@ -44,6 +46,8 @@
 /** The load balancer asks once a second and stops sending after two misses. */
 const outOfRotationMs = 2600;
 const stopPollMs = 50;
+/** Peers are milliseconds away. */
+const peerLimitMs = 500;
 /** Longer than the pause between two messages of an entry. */
 const changingNoticeMs = 1500;
 
@@ -321,8 +325,11 @@
 
 	async #fetchConfig(url: string, peer: string): Promise<void> {
 		try {
-			const res = await fetch(url, {signal: AbortSignal.timeout(500)});
-			this.#applyConfig(await res.text(), peer);
+			const text = await withTimeLimit(peerLimitMs, undefined, async signal => {
+				const {body} = await request(url, {signal});
+				return body.text();
+			});
+			this.#applyConfig(text, peer);
 		} catch (error) {
 			this.#logError(`reading the configuration of ${peer}`, error);
 		} finally {
--- a/packages/forward/src/index.ts
+++ b/packages/forward/src/index.ts
@@ -1,4 +1,5 @@
 export {runForwardDaemon, type ForwardDaemonDeps} from './forward-daemon.js';
+export {withTimeLimit} from './time-limit.js';
 export {DecisionLog, type LineOutput, type LogEvent} from './decision-log.js';
 export type {
 	Address,
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -3,9 +3,10 @@
  */
 import {Buffer} from 'node:buffer';
 import {
-	createAttemptSignal, createCall, createDetails, describeFailure,
+	createCall, createDetails, describeFailure,
 } from './answer-relay.js';
 import {startAttempt} from './attempt.js';
+import {createTimeLimit, withTimeLimit} from './time-limit.js';
 import type {KnownEndpoint} from './endpoint-pool.js';
 import type {AdmittedRequest, AttemptResult, ForwardDeps} from './forward-request.js';
 import type {Placement} from './placement.js';
@@ -18,12 +19,13 @@
 /** A prefill may be repeated, so one that takes this many times as long as expected is given up. */
 const lateFactor = 3;
 const lateMarginMs = 700;
+const releaseLimitMs = 1000;
 
 /** Frees a KV cache that nobody will fetch. It expires by itself when this fails. */
 export const releaseHandle = (deps: ForwardDeps, known: KnownEndpoint, handle: KvHandle): void => {
-	void startAttempt(known.connections, deps.wire.writeHandleRelease(handle), {
+	void withTimeLimit(releaseLimitMs, undefined, async signal => startAttempt(known.connections, deps.wire.writeHandleRelease(handle), {
 		onHead: () => true, onData: () => true,
-	}, AbortSignal.timeout(1000)).ended;
+	}, signal).ended);
 };
 
 type PrefillPlacement = Placement & {readonly prefill: KnownEndpoint};
@@ -35,7 +37,7 @@
 	const work = deps.load.beginWork(prefill, {
 		level, tokens: uncachedTokens, outputTokens: request.expectedOutputTokens ?? request.maxOutputTokens, parts: request.parts,
 	});
-	const signal = createAttemptSignal(exchange.signal, (waitMs * lateFactor) + lateMarginMs);
+	const limit = createTimeLimit((waitMs * lateFactor) + lateMarginMs, exchange.signal);
 	const chunks: Buffer[] = [];
 	let head: AnswerHead | undefined;
 	const call = createCall(deps, admitted, {...createDetails(admitted, prefill, level), prefillOnly: true});
@@ -48,12 +50,13 @@
 			chunks.push(chunk);
 			return true;
 		},
-	}, signal).ended;
+	}, limit.signal).ended;
+	limit.clear();
 	deps.load.endWork(prefill, work);
 	const name = end.kind === 'complete' && head?.status === 200 ? deps.wire.readHandle(Buffer.concat(chunks).toString()) : undefined;
 	if (name === undefined) {
 		// A prompt that was only prefilled has not run.
-		const failed = describeFailure(end, head, {at: prefill, isLate: signal.aborted && !exchange.signal.aborted});
+		const failed = describeFailure(end, head, {at: prefill, isLate: limit.isOver});
 		if (failed.failure !== 'refused' && failed.failure !== 'not-connected' && !exchange.signal.aborted) {
 			prefill.trust.failed(deps.clock.nowMs());
 		}
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -11,6 +11,7 @@
 import {startAttempt} from './attempt.js';
 import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
 import type {ModelLoad} from './model-load.js';
+import {withTimeLimit} from './time-limit.js';
 import type {EncodedCall, WireFormat} from './ports.js';
 
 export type RoleDutyOptions = {
@@ -49,7 +50,7 @@
 const call = async (known: KnownEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<Answer | undefined> => {
 	const chunks: Buffer[] = [];
 	let status = 0;
-	const end = await startAttempt(known.connections, encoded, {
+	const end = await withTimeLimit(callLimitMs, signal, async limited => startAttempt(known.connections, encoded, {
 		onHead(answered) {
 			status = answered;
 			return true;
@@ -58,7 +59,7 @@
 			chunks.push(chunk);
 			return true;
 		},
-	}, AbortSignal.any([signal, AbortSignal.timeout(callLimitMs)])).ended;
+	}, limited).ended);
 	return end.kind === 'complete' ? {status, body: Buffer.concat(chunks).toString()} : undefined;
 };
 
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -6,16 +6,9 @@
 import type {CallerExchange} from './caller-exchange.js';
 import {EventSplitter} from './event-splitter.js';
 import type {AdmittedRequest} from './forward-request.js';
+import {createTimeLimit, type TimeLimit} from './time-limit.js';
 import type {AnswerHead} from './ports.js';
 
-/** Ends an attempt whose endpoint has gone silent, if the stream can be resumed elsewhere. */
-export type SilenceWatch = {
-	readonly signal: AbortSignal;
-	readonly isSilent: boolean;
-	note(): void;
-	stop(): void;
-};
-
 /** Silence between events after which a resumable stream moves. Callers leave after two seconds at the earliest. */
 const silenceMs = 1200;
 /** Silence before the first event, in latency targets; a prompt that waits its turn is silent, too. */
@@ -40,8 +33,8 @@
 		return this.#splitter.lastId ?? this.#resumedFrom;
 	}
 
-	get events(): number {
-		return this.#splitter.events;
+	get hasEvents(): boolean {
+		return this.#splitter.hasEvents;
 	}
 
 	onDrain(listener: () => void): void {
@@ -69,30 +62,10 @@
 		this.#exchange.finishStream(this.#splitter.flush());
 	}
 
-	/** `mayMove`: another endpoint may run the request. */
-	createSilenceWatch({route, exchange}: AdmittedRequest, mayMove: boolean): SilenceWatch {
-		const controller = new AbortController();
-		const signal = AbortSignal.any([exchange.signal, controller.signal]);
-		let isSilent = false;
-		const end = (): void => {
-			isSilent = true;
-			controller.abort();
-		};
-
-		const firstMs = Math.max(silenceMs, route.latencyTargetMs * firstSilenceTargets);
-		const timer = route.isResumable && mayMove ? setTimeout(end, firstMs) : undefined;
-		return {
-			signal,
-			get isSilent() {
-				return isSilent;
-			},
-			note() {
-				timer?.refresh();
-			},
-			stop() {
-				clearTimeout(timer);
-			},
-		};
+	/** Ends an attempt whose endpoint has gone silent. `mayMove`: another endpoint may run the request. */
+	createSilenceLimit({route, exchange}: AdmittedRequest, mayMove: boolean): TimeLimit {
+		const silentMs = Math.max(silenceMs, route.latencyTargetMs * firstSilenceTargets);
+		return createTimeLimit(route.isResumable && mayMove ? silentMs : exchange.leftMs, exchange.signal);
 	}
 
 	#start({status, headers}: AnswerHead): void {
--- /dev/null
+++ b/packages/forward/src/time-limit.ts
@@ -0,0 +1,57 @@
+/**
+ * A signal that aborts with another one or after a time. The runtime's own combination of signals may be collected before
+ * its time is up, after which nothing ends the call that waits for it.
+ */
+export type TimeLimit = {
+	readonly signal: AbortSignal;
+	/** Whether the time, and not the other signal, ended it. */
+	readonly isOver: boolean;
+	/** Starts the time anew. */
+	restart(): void;
+	/** Releases the timer and the listener. */
+	clear(): void;
+};
+
+export const createTimeLimit = (limitMs: number, parent?: AbortSignal): TimeLimit => {
+	const controller = new AbortController();
+	let isOver = false;
+	const abort = (): void => {
+		controller.abort(parent?.reason);
+	};
+
+	const timer = setTimeout(() => {
+		isOver = true;
+		controller.abort(new Error(`not within ${Math.round(limitMs)} ms`));
+	}, limitMs);
+	const clear = (): void => {
+		clearTimeout(timer);
+		parent?.removeEventListener('abort', abort);
+	};
+
+	if (parent?.aborted) {
+		abort();
+	} else {
+		parent?.addEventListener('abort', abort, {once: true});
+	}
+
+	return {
+		signal: controller.signal,
+		get isOver() {
+			return isOver;
+		},
+		restart() {
+			timer.refresh();
+		},
+		clear,
+	};
+};
+
+/** Runs a call under a time limit. */
+export const withTimeLimit = async <Result>(limitMs: number, parent: AbortSignal | undefined, run: (signal: AbortSignal) => Promise<Result>): Promise<Result> => {
+	const limit = createTimeLimit(limitMs, parent);
+	try {
+		return await run(limit.signal);
+	} finally {
+		limit.clear();
+	}
+};
