Late requests leave their places to those in time; balance engines towards the best division

Pattern: decode engines beyond their places (100 running of 48) made every new request late. Late ones now count only for late ones.

--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -34,7 +34,7 @@
 const decodeUse = 0.6;
 /** A role above this load is crowded. */
 const crowdedLoad = 0.9;
-/** A change must lower the load of the more crowded role to this part at least. */
+/** The best division must lower the load of the more crowded role to this part at least. */
 const worthwhilePart = 0.7;
 /** At such a load requests are lost, so that even a short change pays. */
 const severeLoad = 2;
@@ -49,6 +49,19 @@
 const crowdedOf = ({prefillNeeded, decodeNeeded}: RoleBalance, prefill: number, decode: number): number =>
 	Math.max(prefillNeeded / Math.max(0.1, prefill), decodeNeeded / Math.max(0.1, decode * decodeUse));
 
+/** Number of prefill engines with which the more crowded role is least crowded. */
+const findBestPrefill = (balance: RoleBalance): number => {
+	const engines = balance.prefill + balance.decode;
+	let best = balance.prefill;
+	for (let prefill = 1; prefill < engines; prefill += 1) {
+		if (crowdedOf(balance, prefill, engines - prefill) < crowdedOf(balance, best, engines - best)) {
+			best = prefill;
+		}
+	}
+
+	return best;
+};
+
 const findWanted = (balance: RoleBalance): EndpointRole | undefined => {
 	const {prefill, decode, isIdle} = balance;
 	if (decode === 0 && prefill > 0) {
@@ -60,11 +73,12 @@
 	}
 
 	const now = crowdedOf(balance, prefill, decode);
-	const options = [
-		{role: 'prefill' as const, load: decode > 1 ? crowdedOf(balance, prefill + 1, decode - 1) : Number.POSITIVE_INFINITY},
-		{role: 'decode' as const, load: prefill > 1 ? crowdedOf(balance, prefill - 1, decode + 1) : Number.POSITIVE_INFINITY},
-	];
-	return now < crowdedLoad ? undefined : options.find(({load}) => load < now * worthwhilePart)?.role;
+	const best = findBestPrefill(balance);
+	if (now < crowdedLoad || best === prefill || crowdedOf(balance, best, prefill + decode - best) > now * worthwhilePart) {
+		return undefined;
+	}
+
+	return best > prefill ? 'prefill' : 'decode';
 };
 
 /** Decides on one change. */
--- a/packages/core/src/forwarding/choose-model-place.ts
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -7,6 +7,7 @@
 	crossing, findUsable, pickLowest, type EndpointView,
 } from './choose-place.js';
 import type {PromptPart} from './deployment.js';
+import {lateLevel} from './lanes.js';
 
 export type PlaceRequest = {
 	readonly parts: readonly PromptPart[];
@@ -60,17 +61,19 @@
 	return {waitMs, uncachedTokens, scoreMs: waitMs + view.pace.latencyMs + rereadMs + (crossing(view, request.dataCentre) * crossingMs)};
 };
 
-/** Places of a decode engine that are free; below 0 requests wait for others to end. */
-const freePlaces = ({running, runningTokens, endpoint}: EndpointView, {promptTokens, outputTokens}: PlaceRequest, kvTokens: number): number => {
-	const places = Math.max(1, endpoint.places);
-	const missingTokens = Math.max(0, runningTokens + promptTokens + outputTokens - kvTokens);
+/** Requests of a decode engine beyond its places and its memory, this one included. */
+const excess = ({running, runningTokens, endpoint}: EndpointView, {promptTokens, outputTokens}: PlaceRequest, kvTokens: number): number => {
+	const missingTokens = runningTokens + promptTokens + outputTokens - kvTokens;
 	const tokensPerRequest = Math.max(1, runningTokens / Math.max(1, running));
-	return Math.min(places - running - 1, missingTokens === 0 ? places : -missingTokens / tokensPerRequest);
+	return Math.max(0, running + 1 - Math.max(1, endpoint.places), missingTokens / tokensPerRequest);
 };
 
-/** Time until a place of a full engine is free. */
-const placeWaitMs = (view: EndpointView, request: PlaceRequest, {kvTokens}: PlaceContext): number =>
-	Math.max(0, -freePlaces(view, request, kvTokens)) * view.pace.streamMs / Math.max(1, view.endpoint.places);
+/** Time until a place of a full engine is free. Late requests leave theirs to those that can still be on time. */
+const placeWaitMs = (view: EndpointView, request: PlaceRequest, {kvTokens}: PlaceContext): number => {
+	const all = excess(view, request, kvTokens);
+	const ahead = request.level === lateLevel ? all : Math.max(Math.min(1, all), all - view.late);
+	return ahead * view.pace.streamMs / Math.max(1, view.endpoint.places);
+};
 
 const scoreDecode = (view: EndpointView, request: PlaceRequest, context: PlaceContext): number =>
 	placeWaitMs(view, request, context)
--- a/packages/core/src/forwarding/choose-place.ts
+++ b/packages/core/src/forwarding/choose-place.ts
@@ -14,6 +14,8 @@
 	readonly trust: EndpointTrust;
 	/** Requests that all entries together run there. */
 	running: number;
+	/** Those of them that are late already; the engine serves them after all others. */
+	late: number;
 	readonly work: PrefillBacklog;
 	readonly parts: PartCache;
 	/** Of a plain service without meaning. */
--- a/packages/core/src/forwarding/engine-pace.ts
+++ b/packages/core/src/forwarding/engine-pace.ts
@@ -13,9 +13,13 @@
 const weight = 0.06;
 /** Shorter queues tell about the latency, longer ones about the pace. */
 const shortQueueMs = 20;
+/** Part of the expected work that must be the prefill's own. */
+const ownPart = 0.6;
 const minRatio = 0.4;
 const maxRatio = 2.5;
 
+export type ObservedPrefill = {readonly expectedMs: number; readonly ownMs: number; readonly tookMs: number};
+
 export class EnginePace {
 	#msPerToken: number;
 	#latencyMs = assumedLatencyMs;
@@ -47,8 +51,15 @@
 		this.#streamMs += weight * (tookMs - this.#streamMs);
 	}
 
-	/** Takes in one prefill: the work that was expected up to its end, and the time that it took. */
-	observe(expectedMs: number, tookMs: number): void {
+	/**
+	 * Takes in one prefill: the work that was expected up to its end, the part of it that is its own, and the time that it took.
+	 * One with much work before it tells nothing: more urgent prompts may have come in between.
+	 */
+	observe({expectedMs, ownMs, tookMs}: ObservedPrefill): void {
+		if (ownMs < expectedMs * ownPart) {
+			return;
+		}
+
 		if (expectedMs < shortQueueMs) {
 			this.#latencyMs += weight * (Math.max(0, tookMs - expectedMs) - this.#latencyMs);
 			return;
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -3,7 +3,7 @@
  * is relayed to the caller.
  */
 import {Buffer} from 'node:buffer';
-import type {TrackedWork} from '@hawthorncleat/core';
+import {lateLevel, type TrackedWork} from '@hawthorncleat/core';
 import {startAttempt, type AttemptCall, type AttemptEnd} from './attempt.js';
 import type {KnownEndpoint} from './endpoint-pool.js';
 import type {AdmittedRequest, AttemptResult, ForwardDeps} from './forward-request.js';
@@ -67,6 +67,8 @@
 	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : exchange.leftMs;
 
 const serverError = 500;
+/** A request of a plain service takes a place and nothing else. */
+const plainSize = {tokens: 0, isLate: false};
 
 /** Takes a whole answer before the caller gets any of it, so that one that breaks off can be asked for again. */
 const relayWhole = async (deps: ForwardDeps, admitted: AdmittedRequest, {known, isLast = false}: Placement): Promise<AttemptResult> => {
@@ -107,12 +109,14 @@
 	return {kind: 'answered', status};
 };
 
-type StreamSource = {readonly known: KnownEndpoint; readonly isLast: boolean; readonly level: number | undefined; readonly kvSource?: KvHandle; readonly onFirst: () => void};
+type StreamSource = {readonly known: KnownEndpoint; readonly isLast: boolean; readonly expectedMs: number; readonly level: number | undefined; readonly kvSource?: KvHandle; readonly onFirst: () => void};
 
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
-	const {known, isLast, level, kvSource, onFirst} = source;
+	const {
+		known, isLast, level, expectedMs, kvSource, onFirst,
+	} = source;
 	const details = {...createDetails(admitted, known, level), kvSource, lastEventId: relay.lastId};
-	const limit = relay.createSilenceLimit(admitted, !isLast);
+	const limit = relay.createSilenceLimit(admitted, {mayMove: !isLast, expectedMs});
 	let head: AnswerHead | undefined;
 	let isOwn = false;
 	const errorBody: Buffer[] = [];
@@ -180,12 +184,12 @@
 const runDecode = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
-	{placement: {known, isLast = true, level, prefill, uncachedTokens = 0, waitMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
+	{placement: {known, isLast = true, level, prefill, uncachedTokens = 0, waitMs = 0, expectedMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
 	relay: StreamRelay,
 ): Promise<AttemptResult> => {
 	const {request, service} = admitted;
 	const startMs = deps.clock.nowMs();
-	const tokens = request.promptTokens + (request.expectedOutputTokens ?? request.maxOutputTokens);
+	const size = {tokens: request.promptTokens + (request.expectedOutputTokens ?? request.maxOutputTokens), isLate: level === lateLevel};
 	const work: TrackedWork | undefined = !prefill && service.engine && level !== undefined
 		? deps.load.beginWork(known, {
 			level, tokens: uncachedTokens, outputTokens: request.expectedOutputTokens ?? request.maxOutputTokens, parts: request.parts,
@@ -197,7 +201,7 @@
 		deps.onRun(admitted);
 		if (work) {
 			deps.load.endWork(known, work);
-			known.pace.observe(waitMs, firstMs);
+			known.pace.observe({expectedMs: waitMs, ownMs: known.pace.workMs(uncachedTokens), tookMs: firstMs});
 		}
 	};
 
@@ -205,11 +209,11 @@
 		known.parts.add(request.parts);
 	}
 
-	deps.load.begin(known, tokens);
+	deps.load.begin(known, size);
 	const result = await relayStream(deps, admitted, {
-		known, isLast, level, kvSource, onFirst,
+		known, isLast, level, expectedMs, kvSource, onFirst,
 	}, relay);
-	deps.load.end(known, tokens);
+	deps.load.end(known, size);
 	if (work && firstMs === undefined) {
 		deps.load.endWork(known, work);
 	}
@@ -230,9 +234,9 @@
 ): Promise<AttemptResult> => {
 	const {known, prefill} = placement;
 	if (!relay) {
-		deps.load.begin(known, 0);
+		deps.load.begin(known, plainSize);
 		const result = await relayWhole(deps, admitted, placement);
-		deps.load.end(known, 0);
+		deps.load.end(known, plainSize);
 		if (result.kind === 'answered' || !(result.failure === 'refused' || result.failure === 'not-connected')) {
 			deps.onRun(admitted);
 		}
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -16,6 +16,7 @@
 	readonly connections: Connections;
 	/** Own requests that run there. */
 	ownRunning: number;
+	ownLate: number;
 	ownTokens: number;
 };
 
@@ -84,9 +85,11 @@
 			pace: new EnginePace(endpoint.role ?? 'decode'),
 			parts: new PartCache((service?.engine?.kvTokens ?? 0) * cachePart),
 			running: 0,
+			late: 0,
 			changesUntilMs: 0,
 			runningTokens: 0,
 			ownRunning: 0,
+			ownLate: 0,
 			ownTokens: 0,
 			connections: createConnections(`http://${endpoint.address}:${endpoint.port}`, maxConnections),
 		};
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -38,7 +38,7 @@
 const maxDatagramBytes = 1400;
 const maxPartsPerWork = 3;
 
-type Running = readonly [endpoint: string, requests: number, tokens: number];
+type Running = readonly [endpoint: string, requests: number, late: number, tokens: number];
 type Sent = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, parts: ReadonlyArray<readonly [id: string, tokens: number]>];
 
 type Message = {
@@ -67,7 +67,7 @@
 	}
 };
 
-const encodeRunning = ({endpoint, requests, tokens}: RunningCount): Running => [endpoint, requests, Math.round(tokens)];
+const encodeRunning = ({endpoint, requests, late, tokens}: RunningCount): Running => [endpoint, requests, late, Math.round(tokens)];
 
 /** The last part belongs to one request or session and is not worth its bytes. */
 const encodeSent = ({endpoint, level, tokens, outputTokens, parts}: SentWork): Sent =>
@@ -155,7 +155,9 @@
 		this.#heard.set(peer.name, this.#options.clock.nowMs());
 		this.#options.load.hear(
 			peer.name,
-			message.running.map(([endpoint, requests, tokens]) => ({endpoint, requests, tokens})),
+			message.running.map(([endpoint, requests, late, tokens]) => ({
+				endpoint, requests, late, tokens,
+			})),
 			message.sent.map(([endpoint, level, tokens, outputTokens, parts]) => ({
 				endpoint, level, tokens, outputTokens, parts: parts.map(([id, tokens]) => ({id, tokens})),
 			})),
--- a/packages/forward/src/model-load.ts
+++ b/packages/forward/src/model-load.ts
@@ -18,7 +18,10 @@
 };
 
 /** Requests that an entry runs at one endpoint. */
-export type RunningCount = {readonly endpoint: string; readonly requests: number; readonly tokens: number};
+export type RunningCount = {readonly endpoint: string; readonly requests: number; readonly late: number; readonly tokens: number};
+
+/** What a request takes of an engine while it runs. */
+export type RequestSize = {readonly tokens: number; readonly isLate: boolean};
 
 /** Other entries that are silent for longer run nothing that this entry knows of. */
 const silentPeerMs = 3000;
@@ -43,18 +46,12 @@
 	}
 
 	/** Counts a request that is sent. */
-	begin(known: KnownEndpoint, tokens: number): void {
-		known.ownRunning += 1;
-		known.ownTokens += tokens;
-		known.running += 1;
-		known.runningTokens += tokens;
+	begin(known: KnownEndpoint, size: RequestSize): void {
+		this.#count(known, size, 1);
 	}
 
-	end(known: KnownEndpoint, tokens: number): void {
-		known.ownRunning -= 1;
-		known.ownTokens -= tokens;
-		known.running -= 1;
-		known.runningTokens -= tokens;
+	end(known: KnownEndpoint, size: RequestSize): void {
+		this.#count(known, size, -1);
 	}
 
 	/** Counts prefill work that is sent. */
@@ -80,7 +77,9 @@
 	ownRunning(): RunningCount[] {
 		return [...this.#pool.all()]
 			.filter(({ownRunning}) => ownRunning > 0)
-			.map(({endpoint, ownRunning, ownTokens}) => ({endpoint: endpoint.id, requests: ownRunning, tokens: ownTokens}));
+			.map(({endpoint, ownRunning, ownLate, ownTokens}) => ({
+				endpoint: endpoint.id, requests: ownRunning, late: ownLate, tokens: ownTokens,
+			}));
 	}
 
 	/** Takes over a message of another entry. */
@@ -110,6 +109,16 @@
 		}
 	}
 
+	#count(known: KnownEndpoint, {tokens, isLate}: RequestSize, sign: 1 | -1): void {
+		const late = isLate ? sign : 0;
+		known.ownRunning += sign;
+		known.ownLate += late;
+		known.ownTokens += sign * tokens;
+		known.running += sign;
+		known.late += late;
+		known.runningTokens += sign * tokens;
+	}
+
 	#demandOf(service: string): TokenWindow {
 		const known = this.#demand.get(service);
 		if (known) {
@@ -123,10 +132,11 @@
 
 	/** Endpoints come and go between two messages, so counts never fall below the own ones. */
 	#applyRunning(running: readonly RunningCount[], sign: 1 | -1): void {
-		for (const {endpoint, requests, tokens} of running) {
+		for (const {endpoint, requests, late, tokens} of running) {
 			const known = this.#pool.get(endpoint);
 			if (known) {
 				known.running = Math.max(known.ownRunning, known.running + (sign * requests));
+				known.late = Math.max(known.ownLate, known.late + (sign * late));
 				known.runningTokens = Math.max(known.ownTokens, known.runningTokens + (sign * tokens));
 			}
 		}
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -65,6 +65,6 @@
 	}
 
 	prefill.trust.succeeded();
-	prefill.pace.observe(waitMs, deps.clock.nowMs() - startMs);
+	prefill.pace.observe({expectedMs: waitMs, ownMs: prefill.pace.workMs(uncachedTokens), tookMs: deps.clock.nowMs() - startMs});
 	return {kind: 'prefilled', handle: {endpoint: prefill.endpoint, name}};
 };
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -43,6 +43,8 @@
 /** An order that has not been carried out after this time, besides the change itself, is not waited for any longer. */
 const orderLimitMs = 9000;
 const callLimitMs = 800;
+/** Part of the engines that may change at a time while there is work. */
+const changingPart = 0.15;
 const accepted = new Set([200, 202]);
 
 type Answer = {readonly status: number; readonly body: string};
@@ -110,8 +112,9 @@
 		const engines = this.#options.pool.ofService(name).filter(({endpoint}) => !endpoint.isLeaving && endpoint.role !== undefined);
 		const state = this.#stateOf(name, engines.length, nowMs);
 		const balance = this.#measure(name, engines, places);
-		const hasOpenChange = engines.some(({endpoint}) => this.#changing.has(endpoint.id));
-		if (nowMs - state.changedMs < registeringMs || (hasOpenChange && !balance.isIdle)) {
+		const openChanges = engines.filter(({endpoint}) => this.#changing.has(endpoint.id)).length;
+		const isBusy = !balance.isIdle && openChanges >= Math.max(1, Math.floor(engines.length * changingPart));
+		if ((balance.isIdle && nowMs - state.changedMs < registeringMs) || isBusy) {
 			return;
 		}
 
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -13,6 +13,8 @@
 const silenceMs = 1200;
 /** Silence before the first event, in latency targets; a prompt that waits its turn is silent, too. */
 const firstSilenceTargets = 5;
+/** An endpoint that was expected to be slow is silent for longer than expected before it counts as gone. */
+const expectedFactor = 2;
 
 export class StreamRelay {
 	readonly #exchange: CallerExchange;
@@ -63,8 +65,8 @@
 	}
 
 	/** Ends an attempt whose endpoint has gone silent. `mayMove`: another endpoint may run the request. */
-	createSilenceLimit({route, exchange}: AdmittedRequest, mayMove: boolean): TimeLimit {
-		const silentMs = Math.max(silenceMs, route.latencyTargetMs * firstSilenceTargets);
+	createSilenceLimit({route, exchange}: AdmittedRequest, {mayMove, expectedMs}: {readonly mayMove: boolean; readonly expectedMs: number}): TimeLimit {
+		const silentMs = Math.max(silenceMs, route.latencyTargetMs * firstSilenceTargets, expectedMs * expectedFactor);
 		return createTimeLimit(route.isResumable && mayMove ? silentMs : exchange.leftMs, exchange.signal);
 	}
 
