--- /dev/null
+++ b/packages/core/src/forwarding/__tests__/estimates.test.ts
@@ -0,0 +1,171 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {balanceRoles, type RoleBalance, type RoleBalanceMemory} from '../balance-roles.js';
+import {EndpointTrust} from '../endpoint-trust.js';
+import {EnginePace} from '../engine-pace.js';
+import {PartCache} from '../part-cache.js';
+import {PrefillBacklog} from '../prefill-backlog.js';
+import {RetryWindow} from '../retry-window.js';
+import {TokenWindow} from '../token-window.js';
+
+describe('the backlog of an engine', () => {
+	it('runs off with time, the most urgent first', () => {
+		const backlog = new PrefillBacklog(0);
+		backlog.add(0, 100, 0);
+		backlog.add(5, 200, 0);
+		assert.is(backlog.waitMs(0, 50), 50);
+		assert.is(backlog.waitMs(9, 150), 150);
+		assert.is(backlog.waitMs(9, 1000), 0);
+	});
+
+	it('loses what must have ended before a piece of work that has; guards against a backlog that grows with a pace taken too slow', () => {
+		const backlog = new PrefillBacklog(0);
+		backlog.add(1, 500, 0);
+		const tracked = backlog.track(2, 500, 0);
+		backlog.add(2, 70, 0);
+		backlog.settle(tracked, 100);
+		assert.is(backlog.waitMs(9, 100), 70);
+	});
+});
+
+describe('the pace of an engine', () => {
+	it('follows prefills that take longer than expected', () => {
+		const pace = new EnginePace('prefill');
+		const before = pace.msPerToken;
+		for (let round = 0; round < 30; round += 1) {
+			const ownMs = pace.workMs(5000);
+			pace.observe({expectedMs: ownMs, ownMs, tookMs: (5000 * before * 2) + pace.latencyMs});
+		}
+
+		assert.ok(Math.abs(pace.msPerToken - (2 * before)) < before * 0.2);
+	});
+
+	it('learns nothing from a prefill behind others; guards against a planner that sees demand for engines where prompts were overtaken', () => {
+		const pace = new EnginePace('prefill');
+		const before = pace.msPerToken;
+		pace.observe({expectedMs: 1000, ownMs: 100, tookMs: 9000});
+		assert.is(pace.msPerToken, before);
+	});
+});
+
+describe('the parts in a cache', () => {
+	it('count only with all parts before them, and the least recently used yield', () => {
+		const cache = new PartCache(100);
+		const [a, b, c] = [{id: 'a', tokens: 40}, {id: 'b', tokens: 40}, {id: 'c', tokens: 40}];
+		cache.add([a!, b!]);
+		assert.is(cache.cachedTokens([a!, b!]), 80);
+		assert.is(cache.cachedTokens([c!, b!]), 0);
+		cache.add([c!]);
+		assert.is(cache.cachedTokens([a!]), 0);
+		assert.is(cache.cachedTokens([b!]), 40);
+	});
+});
+
+describe('the window of retries', () => {
+	const create = (clock: {nowMs(): number}, entries = 4): RetryWindow =>
+		new RetryWindow(clock, {windowMs: 10_000, ratio: 0.2, allowance: 40, entries: () => entries});
+
+	it('keeps all entries together within the limit of the fleet', () => {
+		const clock = createManualClock(100_000);
+		const windows = Array.from({length: 4}, () => create(clock));
+		let taken = 0;
+		for (const window of windows) {
+			for (let request = 0; request < 100; request += 1) {
+				window.countFirst();
+			}
+
+			while (window.take()) {
+				taken += 1;
+			}
+		}
+
+		assert.ok(taken <= (400 * 0.2) + 40 && taken > 40, `${taken} retries`);
+	});
+
+	it('frees what the window has left behind, however it slides', () => {
+		const clock = createManualClock(100_000);
+		const window = create(clock, 1);
+		while (window.take()) {/* Uses the allowance up. */}
+		clock.advance(9000);
+		assert.not(window.take());
+		clock.advance(1600);
+		assert.ok(window.take());
+	});
+});
+
+describe('the trust in an endpoint', () => {
+	it('is lost for longer with each failure in a row and back after one success', () => {
+		const trust = new EndpointTrust();
+		trust.failed(0);
+		assert.ok(trust.isAvoided(300));
+		assert.not(trust.isAvoided(500));
+		trust.failed(500);
+		assert.ok(trust.isAvoided(1200));
+		trust.succeeded();
+		assert.not(trust.isAvoided(1200));
+	});
+
+	it('counts many failures of one moment once; guards against an endpoint avoided for long after one crash under load', () => {
+		const trust = new EndpointTrust();
+		for (let failure = 0; failure < 50; failure += 1) {
+			trust.failed(10);
+		}
+
+		assert.is(trust.failures, 1);
+	});
+});
+
+describe('the tokens of the last seconds', () => {
+	it('are a rate, and those of earlier seconds are forgotten', () => {
+		const window = new TokenWindow();
+		window.add(4000, 400, 10_000);
+		assert.equal(window.rate(10_100), {promptTokensPerSecond: 1000, outputTokensPerSecond: 100});
+		assert.is(window.rate(20_000).promptTokensPerSecond, 0);
+	});
+});
+
+describe('the balance of roles', () => {
+	const calm: RoleBalance = {nowMs: 0, prefill: 2, decode: 4, prefillNeeded: 1, decodeNeeded: 1, isIdle: false};
+
+	/** Decides every 400 ms for a time. */
+	const decideFor = (balance: RoleBalance, forMs: number): string[] => {
+		let memory: RoleBalanceMemory = {};
+		const changes: string[] = [];
+		for (let nowMs = 0; nowMs <= forMs; nowMs += 400) {
+			const decision = balanceRoles({...balance, nowMs}, memory);
+			memory = decision.memory;
+			if (decision.change) {
+				changes.push(decision.change);
+			}
+		}
+
+		return changes;
+	};
+
+	it('divides engines that nobody uses yet evenly', () => {
+		assert.is(balanceRoles({...calm, isIdle: true}, {}).change, 'prefill');
+		assert.is(balanceRoles({...calm, prefill: 3, decode: 3, isIdle: true}, {}).change, undefined);
+	});
+
+	it('changes nothing while both roles have room', () => {
+		assert.equal(decideFor(calm, 20_000), []);
+	});
+
+	it('follows long prompts that last and ignores a swing of three seconds', () => {
+		const prompts = {...calm, prefillNeeded: 2.6};
+		assert.equal(decideFor(prompts, 3000), []);
+		assert.equal(decideFor(prompts, 6000), ['prefill']);
+	});
+
+	it('follows long answers, also in a fleet so large that one engine changes little', () => {
+		assert.equal(decideFor({...calm, prefill: 20, decode: 20, prefillNeeded: 5, decodeNeeded: 17}, 6000), ['decode']);
+	});
+
+	it('gives decode its first engine at once', () => {
+		assert.is(balanceRoles({...calm, prefill: 3, decode: 0}, {}).change, 'decode');
+	});
+
+	it('does not change back and forth when both roles are crowded', () => {
+		assert.equal(decideFor({...calm, prefill: 3, decode: 3, prefillNeeded: 6, decodeNeeded: 3.6}, 60_000), []);
+	});
+});
--- /dev/null
+++ b/packages/core/src/forwarding/__tests__/places.test.ts
@@ -0,0 +1,118 @@
+import {describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {chooseModelPlace, type PlaceRequest} from '../choose-model-place.js';
+import {choosePlainPlace} from '../choose-place.js';
+import {chooseLevel, lateLevel, patienceMs} from '../lanes.js';
+import {createView} from './fixtures.js';
+
+const context = {nowMs: 0, kvTokens: 500_000};
+const random = (): number => 0.5;
+
+const createRequest = (changes: Partial<PlaceRequest> = {}): PlaceRequest => ({
+	parts: [], promptTokens: 8000, outputTokens: 300, level: 1, dataCentre: 'a', excluded: new Set(), ...changes,
+});
+
+describe('places of plain requests', () => {
+	it('are the least used endpoint, and the own data centre at equal use', () => {
+		const near = createView('near');
+		const far = createView('far', undefined, {dataCentre: 'b'});
+		assert.is(choosePlainPlace([far, near], {dataCentre: 'a', excluded: new Set()}, {nowMs: 0, random}), near);
+		near.running = 5;
+		assert.is(choosePlainPlace([far, near], {dataCentre: 'a', excluded: new Set()}, {nowMs: 0, random}), far);
+	});
+
+	it('are never a leaving endpoint, and an avoided one only if there is no other', () => {
+		const leaving = createView('leaving', undefined, {isLeaving: true});
+		const failing = createView('failing');
+		failing.trust.failed(0);
+		assert.is(choosePlainPlace([leaving, failing], {dataCentre: 'a', excluded: new Set()}, {nowMs: 1, random}), failing);
+		assert.is(choosePlainPlace([leaving], {dataCentre: 'a', excluded: new Set()}, {nowMs: 1, random}), undefined);
+	});
+});
+
+describe('places of model requests', () => {
+	it('split a long prompt and leave a short one to the decode engine', () => {
+		const views = [createView('p', 'prefill'), createView('d', 'decode')];
+		assert.is(chooseModelPlace(views, createRequest(), context)?.prefill?.endpoint.id, 'p');
+		assert.is(chooseModelPlace(views, createRequest({promptTokens: 200}), context)?.prefill, undefined);
+	});
+
+	it('keep prompts off a decode engine with a backlog; guards against streams that slow down under long prompts', () => {
+		const views = [createView('p', 'prefill'), createView('d', 'decode')];
+		views[0]!.work.add(0, 2000, 0);
+		views[1]!.work.add(0, 150, 0);
+		assert.is(chooseModelPlace(views, createRequest({promptTokens: 500}), context)?.prefill?.endpoint.id, 'p');
+	});
+
+	it('use a decode engine alone when every prefill engine is gone', () => {
+		const decode = createView('d', 'decode');
+		decode.work.add(0, 5000, 0);
+		const place = chooseModelPlace([decode], createRequest(), context);
+		assert.is(place?.decode, decode);
+		assert.is(place?.prefill, undefined);
+	});
+
+	it('use avoided decode engines rather than none while prefill engines are fine; guards against "no endpoint" with engines free', () => {
+		const decode = createView('d', 'decode');
+		decode.trust.failed(0);
+		assert.is(chooseModelPlace([createView('p', 'prefill'), decode], createRequest(), {...context, nowMs: 1})?.decode, decode);
+	});
+
+	it('skip an engine while its role changes', () => {
+		const changing = createView('d1', 'decode');
+		changing.changesUntilMs = 100;
+		const other = createView('d2', 'decode');
+		other.running = 9;
+		assert.is(chooseModelPlace([changing, other], createRequest({promptTokens: 10}), context)?.decode, other);
+	});
+
+	it('go to the engine that holds the shared parts, unless its queue costs more than reading them again', () => {
+		const holder = createView('p1', 'prefill');
+		const views = [createView('p0', 'prefill'), holder, createView('d', 'decode')];
+		const parts = [{id: 'shared', tokens: 5000}, {id: 'own', tokens: 3000}];
+		holder.parts.add([parts[0]!]);
+		holder.work.add(0, 80, 0);
+		const place = chooseModelPlace(views, createRequest({parts}), context);
+		assert.is(place?.prefill, holder);
+		assert.is(place?.uncachedTokens, 3000);
+		holder.work.add(0, 2000, 0);
+		assert.is(chooseModelPlace(views, createRequest({parts}), context)?.prefill?.endpoint.id, 'p0');
+	});
+
+	describe('in a burst beyond the places of the decode engines', () => {
+		it('do not make requests wait for late ones that the engine serves after them', () => {
+			const decode = createView('d', 'decode');
+			decode.running = 30;
+			decode.late = 25;
+			const inTime = chooseModelPlace([decode], createRequest({promptTokens: 100}), context)!;
+			const late = chooseModelPlace([decode], createRequest({promptTokens: 100, level: lateLevel}), context)!;
+			assert.ok(inTime.firstTokenMs < 400, `${inTime.firstTokenMs} ms`);
+			assert.ok(late.firstTokenMs > 3000, `${late.firstTokenMs} ms`);
+		});
+
+		it('wait for memory as for places', () => {
+			const decode = createView('d', 'decode');
+			decode.running = 5;
+			decode.runningTokens = 499_000;
+			const place = chooseModelPlace([decode], createRequest({promptTokens: 5000, level: lateLevel}), context)!;
+			assert.ok(place.firstTokenMs > 200);
+		});
+	});
+});
+
+describe('levels of the queue of an engine', () => {
+	it('put urgent before less urgent ones and small prompts before large ones of the same priority', () => {
+		const levels = [chooseLevel(0, 100), chooseLevel(0, 10_000), chooseLevel(0, 50_000), chooseLevel(1, 100), chooseLevel(2, 50_000)];
+		assert.equal(levels, levels.toSorted((a, b) => a - b));
+		assert.is(new Set(levels).size, levels.length);
+	});
+
+	it('keep the last level for late requests, whatever the priority', () => {
+		assert.ok(chooseLevel(9, 100_000) < lateLevel);
+	});
+
+	it('know how long callers wait for a first event', () => {
+		assert.is(patienceMs({latencyTargetMs: 300, maxGapMs: 300}), 2400);
+		assert.is(patienceMs({latencyTargetMs: 100, maxGapMs: 100}), 2000);
+	});
+});
--- /dev/null
+++ b/packages/forward/src/__tests__/endpoint-directory.test.ts
@@ -0,0 +1,96 @@
+import type {RegisteredEndpoint} from '@hawthorncleat/core';
+import {createManualClock, describe, it, type ManualClock} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {EndpointDirectory} from '../endpoint-directory.js';
+import {EndpointPool} from '../endpoint-pool.js';
+import type {StoreRow} from '../ports.js';
+
+type World = {readonly clock: ManualClock; readonly pool: EndpointPool; readonly directory: EndpointDirectory; readonly changes: string[]};
+
+const createWorld = (): World => {
+	const clock = createManualClock(100_000);
+	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => undefined});
+	const changes: string[] = [];
+	const directory = new EndpointDirectory({
+		clock,
+		pool,
+		readEndpoint: (id, text) => text === 'damaged' ? undefined : {...JSON.parse(text) as RegisteredEndpoint, id},
+		onChange({id, was, is}) {
+			changes.push(`${id}: ${was} -> ${is}`);
+		},
+	});
+	return {
+		clock, pool, directory, changes,
+	};
+};
+
+const createRow = (key: string, changes: Partial<RegisteredEndpoint> = {}): StoreRow => ({
+	key,
+	version: 1,
+	value: JSON.stringify({
+		service: 's', address: '127.0.0.1', port: 1, dataCentre: 'd', places: 1, isLeaving: false, startedAt: 1, heartbeat: 1, ...changes,
+	}),
+});
+
+const answer = (...rows: StoreRow[]): {rows: StoreRow[]; version: number; storeNowMs: number} => ({rows, version: 1, storeNowMs: 0});
+
+describe('the directory of endpoints', () => {
+	it('follows endpoints that register, leave and go', () => {
+		const {directory, changes, pool} = createWorld();
+		directory.apply(answer(createRow('e')), true);
+		directory.apply(answer(createRow('e', {isLeaving: true, heartbeat: 2})), false);
+		assert.ok(pool.get('e')?.endpoint.isLeaving);
+		directory.apply(answer({key: 'e', value: undefined, version: 3}), false);
+		assert.equal(changes, ['e: absent -> ready', 'e: ready -> leaving', 'e: leaving -> absent']);
+	});
+
+	it('ignores a delayed heartbeat; guards against work for an endpoint that has said that it leaves', () => {
+		const {directory, pool} = createWorld();
+		directory.apply(answer(createRow('e', {isLeaving: true, heartbeat: 5})), true);
+		directory.apply(answer(createRow('e', {heartbeat: 4})), false);
+		assert.ok(pool.get('e')?.endpoint.isLeaving);
+	});
+
+	it('takes a restart under the same id for a new process', () => {
+		const {directory, pool} = createWorld();
+		directory.apply(answer(createRow('e', {isLeaving: true, heartbeat: 5})), true);
+		directory.apply(answer(createRow('e', {startedAt: 2, heartbeat: 1})), false);
+		assert.is(pool.get('e')?.endpoint.isLeaving, false);
+	});
+
+	it('uses no endpoint whose entry is damaged', () => {
+		const {directory, pool} = createWorld();
+		directory.apply(answer(createRow('e'), {key: 'f', value: 'damaged', version: 1}), true);
+		directory.apply(answer({key: 'e', value: 'damaged', version: 2}), false);
+		assert.is(pool.get('e'), undefined);
+		assert.is(pool.get('f'), undefined);
+	});
+
+	it('drops what is missing from a whole answer', () => {
+		const {directory, pool} = createWorld();
+		directory.apply(answer(createRow('e'), createRow('f')), true);
+		directory.apply(answer(createRow('f')), true);
+		assert.is(pool.get('e'), undefined);
+		assert.ok(pool.get('f'));
+	});
+
+	describe('after an outage of the store', () => {
+		it('keeps endpoints whose entries lapsed for two seconds, and drops those that are still missing', () => {
+			const {directory, pool, clock} = createWorld();
+			directory.apply(answer(createRow('back'), createRow('gone')), true);
+			directory.setAvailable(false);
+			clock.advance(5000);
+			directory.setAvailable(true);
+			directory.apply(answer(), true);
+			assert.ok(pool.get('back') && pool.get('gone'));
+			directory.apply(answer(createRow('back', {heartbeat: 9})), false);
+			clock.advance(1900);
+			directory.dropMissing();
+			assert.ok(pool.get('gone'));
+			clock.advance(200);
+			directory.dropMissing();
+			assert.is(pool.get('gone'), undefined);
+			assert.ok(pool.get('back'));
+		});
+	});
+});
