--- a/packages/forward/src/__tests__/usage-duty.test.ts
+++ b/packages/forward/src/__tests__/usage-duty.test.ts
@@ -42,13 +42,13 @@
 	readonly usage: Map<string, string>;
 	readonly sent: Sent[];
 	nowMs: number;
-	/** The next call is carried out and its answer lost. */
-	losesAnswer: boolean;
+	/** The first call for this window is carried out and its answer lost. */
+	losesAnswerOf?: number;
 	heard: ReadonlyMap<string, UsageCounts>;
 };
 
 const createWorld = (): World => ({
-	table: createTable(), usage: new Map(), sent: [], nowMs: (10 * windowMs) + settledMs + 10, losesAnswer: false, heard: new Map(),
+	table: createTable(), usage: new Map(), sent: [], nowMs: (10 * windowMs) + settledMs + 10, heard: new Map(),
 });
 
 const createRows = (world: World): RowStore => ({
@@ -74,8 +74,8 @@
 		calls: {
 			async reportUsage({window, counts}) {
 				world.sent.push({window, counts, epoch});
-				if (world.losesAnswer) {
-					world.losesAnswer = false;
+				if (world.losesAnswerOf === window) {
+					world.losesAnswerOf = undefined;
 					throw new Error('the answer was lost');
 				}
 
@@ -113,7 +113,7 @@
 		const world = createWorld();
 		world.usage.set(usageRowKey(9, 'e1/x'), '{"acme":5,"other":1}');
 		world.usage.set(usageRowKey(9, 'e2/y'), '{"acme":7}');
-		world.heard = new Map([['e2/y', {acme: 9}], ['e3/z', {other: 2}]]);
+		world.heard = new Map<string, UsageCounts>([['e2/y', {acme: 9}], ['e3/z', {other: 2}]]);
 		await withDuty(world, 1, async () => waitUntil(() => reportsOf(world, 9).length > 0));
 		assert.equal(reportsOf(world, 9)[0]!.counts, {acme: 14, other: 3});
 	});
@@ -123,12 +123,8 @@
 		await withDuty(world, 1, async () => waitUntil(() => reportsOf(world, 9).length > 0));
 		world.nowMs += windowMs;
 		world.usage.set(usageRowKey(10, 'e1/x'), '{"acme":5}');
-		world.losesAnswer = true;
-		const stop = new AbortController();
-		const done = start(world, 2, stop.signal);
-		await waitUntil(() => reportsOf(world, 10).length > 1);
-		stop.abort();
-		await done;
+		world.losesAnswerOf = 10;
+		await withDuty(world, 2, async () => waitUntil(() => reportsOf(world, 10).length > 1));
 		assert.equal(reportsOf(world, 10).map(({counts}) => counts), [{acme: 5}, {acme: 5}]);
 	});
 
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -36,6 +36,8 @@
 	readonly makeId: MakeId;
 	readonly log: DecisionLog;
 	readonly platform: Platform;
+	/** Calls the listener with new settings. */
+	readonly onReload?: (listener: (settings: ForwardSettings) => void) => void;
 };
 
 /** Longest wait of one call; a silent connection is noticed after that. */
@@ -56,7 +58,7 @@
 	.map(([name, value]) => [name, typeof value === 'number' ? Math.round(value) : value]));
 
 class ForwardDaemon {
-	readonly #settings: ForwardSettings;
+	#settings: ForwardSettings;
 	readonly #deps: ForwardDaemonDeps;
 	readonly #metrics = new ForwardMetrics();
 	readonly #pool: EndpointPool;
@@ -129,6 +131,9 @@
 	}
 
 	async run(stop: AbortSignal): Promise<void> {
+		this.#deps.onReload?.(settings => {
+			this.#reload(settings);
+		});
 		const {listen} = this.#settings;
 		const ending = new AbortController();
 		const {signal} = ending;
@@ -176,6 +181,14 @@
 		return this.#routes !== undefined && this.#knowsEndpoints && !this.#isStopping;
 	}
 
+	/** Addresses are those of the start; limits hold at once. */
+	#reload(settings: ForwardSettings): void {
+		const {retries, usage, stopLimitMs} = settings;
+		this.#settings = {...this.#settings, retries, usage, stopLimitMs};
+		this.#retries.clear();
+		this.#log('reload', {retries, usage, stopLimitMs});
+	}
+
 	#log(event: LogEvent, fields: Readonly<Record<string, unknown>>): void {
 		this.#deps.log.write(event, fields);
 	}
