Keep a decode engine for long answers; wait for a slow answer when there is no other endpoint

Cause: at engines with 60 streams a token takes over 11 ms, so answers of 700 tokens miss their limit of 8 s. With three or more decode engines, one takes short answers only up to half of its places.

--- a/packages/core/src/forwarding/__tests__/places.test.ts
+++ b/packages/core/src/forwarding/__tests__/places.test.ts
@@ -3,13 +3,14 @@
 import {chooseModelPlace, type PlaceRequest} from '../choose-model-place.js';
 import {choosePlainPlace} from '../choose-place.js';
 import {chooseLevel, lateLevel, patienceMs} from '../lanes.js';
+import type {EndpointView} from '../choose-place.js';
 import {createView} from './fixtures.js';
 
 const context = {nowMs: 0, kvTokens: 500_000};
 const random = (): number => 0.5;
 
 const createRequest = (changes: Partial<PlaceRequest> = {}): PlaceRequest => ({
-	parts: [], promptTokens: 8000, outputTokens: 300, level: 1, dataCentre: 'a', excluded: new Set(), ...changes,
+	parts: [], promptTokens: 8000, outputTokens: 300, level: 1, leftMs: 10_000, dataCentre: 'a', excluded: new Set(), ...changes,
 });
 
 describe('places of plain requests', () => {
@@ -79,6 +80,30 @@
 		assert.is(chooseModelPlace(views, createRequest({parts}), context)?.prefill?.endpoint.id, 'p0');
 	});
 
+	describe('with a few long answers among many short ones', () => {
+		const createCrowd = (): EndpointView[] => ['d1', 'd2', 'd3'].map(id => {
+			const view = createView(id, 'decode');
+			view.running = id === 'd1' ? 6 : 9;
+			for (let stream = 0; stream < 100; stream += 1) {
+				view.pace.observeStream(id === 'd1' ? 3000 : 6000, 500);
+			}
+
+			return view;
+		});
+
+		it('keep one decode engine less crowded, where long answers end in time; guards against long answers that never end', () => {
+			const views = createCrowd();
+			const short = createRequest({promptTokens: 10, outputTokens: 50, leftMs: 8000});
+			assert.is.not(chooseModelPlace(views, short, context)?.decode.endpoint.id, 'd1');
+			assert.is(chooseModelPlace(views, {...short, outputTokens: 900}, context)?.decode.endpoint.id, 'd1');
+		});
+
+		it('keep none of two engines', () => {
+			const views = createCrowd().slice(0, 2);
+			assert.is(chooseModelPlace(views, createRequest({promptTokens: 10, outputTokens: 50}), context)?.decode.endpoint.id, 'd1');
+		});
+	});
+
 	describe('in a burst beyond the places of the decode engines', () => {
 		it('do not make requests wait for late ones that the engine serves after them', () => {
 			const decode = createView('d', 'decode');
--- a/packages/core/src/forwarding/choose-model-place.ts
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -13,15 +13,24 @@
 	readonly parts: readonly PromptPart[];
 	readonly promptTokens: number;
 	readonly outputTokens: number;
+	/** The answer is long for a crowded engine. */
+	readonly isLong?: boolean;
 	/** Level of the engine's queue. */
 	readonly level: number;
+	/** Time until the caller's limit. */
+	readonly leftMs: number;
 	/** Data centre of the entry. */
 	readonly dataCentre: string;
 	/** Endpoints that have refused or failed the request. */
 	readonly excluded: ReadonlySet<string>;
 };
 
-export type PlaceContext = {readonly nowMs: number; readonly kvTokens: number};
+export type PlaceContext = {
+	readonly nowMs: number;
+	readonly kvTokens: number;
+	/** Decode engine that is kept for long answers. */
+	readonly kept?: EndpointView;
+};
 
 export type ModelPlace = {
 	readonly decode: EndpointView;
@@ -75,8 +84,33 @@
 	return ahead * view.pace.streamMs / Math.max(1, view.endpoint.places);
 };
 
+/** Part of the time left that a long answer may be expected to take; expectations are rough. */
+const answerPart = 0.7;
+/** With fewer decode engines none is kept for long answers. */
+const minEnginesToKeep = 3;
+/** The engine that is kept for long answers takes others up to this part of its places. */
+const keptPart = 0.5;
+/** Delay for which another engine is preferred to the one that is kept. */
+const keptMs = 300;
+
+/** Time by which an answer is expected to miss the caller's limit at an engine. */
+const missMs = ({pace}: EndpointView, {outputTokens, leftMs}: PlaceRequest): number =>
+	Math.max(0, (outputTokens * pace.msPerOutputToken) - (leftMs * answerPart));
+
+/**
+ * Answers the load of a few long answers among many short ones: at crowded engines the long ones would miss their limit, so
+ * one engine is kept less crowded for them.
+ */
+const findKept = (decoders: readonly EndpointView[]): EndpointView | undefined =>
+	decoders.length < minEnginesToKeep ? undefined : decoders.toSorted((a, b) => a.endpoint.id < b.endpoint.id ? -1 : 1)[0];
+
+const keepMs = (view: EndpointView, request: PlaceRequest, {kept}: PlaceContext): number =>
+	view === kept && view.running > view.endpoint.places * keptPart && !request.isLong ? keptMs : 0;
+
 const scoreDecode = (view: EndpointView, request: PlaceRequest, context: PlaceContext): number =>
 	placeWaitMs(view, request, context)
+	+ missMs(view, request)
+	+ keepMs(view, request, context)
 	+ (loadMs * view.running / Math.max(1, view.endpoint.places))
 	+ (crossing(view, request.dataCentre) * crossingMs);
 
@@ -143,8 +177,10 @@
 /** Chooses the engines of a model request; undefined when none can decode it. */
 export const chooseModelPlace = (views: readonly EndpointView[], request: PlaceRequest, context: PlaceContext): ModelPlace | undefined => {
 	const candidates = findCandidates(views, request, context.nowMs);
-	const direct = chooseDirect(candidates, request, context);
-	const split = chooseSplit(candidates, request, context);
+	const kept = findKept(candidates.decoders);
+	const isLong = candidates.decoders.some(view => view !== kept && missMs(view, request) > 0);
+	const direct = chooseDirect(candidates, {...request, isLong}, {...context, kept});
+	const split = chooseSplit(candidates, {...request, isLong}, {...context, kept});
 	if (direct && split) {
 		return split.scoreMs < direct.scoreMs ? split.place : direct.place;
 	}
--- a/packages/core/src/forwarding/engine-pace.ts
+++ b/packages/core/src/forwarding/engine-pace.ts
@@ -9,6 +9,7 @@
 const assumedMsPerToken: Readonly<Record<EndpointRole, number>> = {prefill: 0.016, decode: 0.04};
 const assumedLatencyMs = 60;
 const assumedStreamMs = 2000;
+const assumedOutputMs = 6;
 /** Weight of one observation; a few dozen requests settle the pace. */
 const weight = 0.06;
 /** Shorter queues tell about the latency, longer ones about the pace. */
@@ -24,6 +25,8 @@
 	#msPerToken: number;
 	#latencyMs = assumedLatencyMs;
 	#streamMs = assumedStreamMs;
+	#outputMs = assumedOutputMs;
+	#outputTokens = 1;
 
 	constructor(role: EndpointRole) {
 		this.#msPerToken = assumedMsPerToken[role];
@@ -47,8 +50,16 @@
 		return tokens * this.#msPerToken;
 	}
 
-	observeStream(tookMs: number): void {
+	/** Time between two output tokens of a stream, with the number of streams that it has had lately. */
+	get msPerOutputToken(): number {
+		return this.#outputMs / this.#outputTokens;
+	}
+
+	/** Takes in one stream. Single expectations of the output are far off, so only sums of them are used. */
+	observeStream(tookMs: number, expectedTokens: number): void {
 		this.#streamMs += weight * (tookMs - this.#streamMs);
+		this.#outputMs += weight * (tookMs - this.#outputMs);
+		this.#outputTokens += weight * (Math.max(1, expectedTokens) - this.#outputTokens);
 	}
 
 	/**
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -219,7 +219,7 @@
 	}
 
 	if (result.kind === 'answered' && firstMs !== undefined) {
-		known.pace.observeStream(deps.clock.nowMs() - startMs - firstMs);
+		known.pace.observeStream(deps.clock.nowMs() - startMs - firstMs, request.expectedOutputTokens ?? request.maxOutputTokens);
 	}
 
 	return result.kind === 'answered' ? {...result, firstMs} : result;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -45,8 +45,6 @@
 /** Changes of endpoints are taken over in batches of this time, well below the time in which a leaving one takes work. */
 const endpointPauseMs = 150;
 const duties = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
-/** The load balancer asks once a second and stops sending after two misses. */
-const outOfRotationMs = 2600;
 const stopPollMs = 50;
 /** Peers are milliseconds away. */
 const peerLimitMs = 500;
@@ -481,7 +479,7 @@
 		const startMs = clock.nowMs();
 		this.#isStopping = true;
 		this.#log('stop', {running: this.#running});
-		await sleep(outOfRotationMs);
+		await sleep(this.#settings.outOfRotationMs);
 		callers.close();
 		callers.closeIdleConnections();
 		while (this.#running > 0 && clock.nowMs() - startMs < this.#settings.stopLimitMs) {
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -173,7 +173,7 @@
 		}
 
 		progress.tries += 1;
-		const result = await tryPlacement(deps, admitted, {...placement, isLast: progress.runs + 1 >= admitted.route.maxAttempts}, relay);
+		const result = await tryPlacement(deps, admitted, {...placement, isLast: progress.runs + 1 >= admitted.route.maxAttempts || !hasOther(deps, admitted, placement)}, relay);
 		if (result.kind === 'answered') {
 			return {
 				status: result.status, code: 'answered', ran: 'ran', attempts: progress.tries,
@@ -196,6 +196,10 @@
 	}
 };
 
+/** Whether the service has another endpoint; without one a slow answer is waited for. */
+const hasOther = ({pool}: ForwardDeps, {service}: AdmittedRequest, {known}: Placement): boolean =>
+	pool.ofService(service.name).some(other => other !== known && !other.endpoint.isLeaving && other.endpoint.role !== 'prefill');
+
 const tryPlacement = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -45,6 +45,7 @@
 		promptTokens: request.promptTokens,
 		outputTokens: request.expectedOutputTokens ?? request.maxOutputTokens,
 		dataCentre: deps.dataCentre,
+		leftMs: exchange.leftMs,
 		excluded,
 	};
 	let level = chooseLevel(account?.priority ?? route.priority, request.promptTokens);
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -171,6 +171,8 @@
 	readonly metricsPort: number;
 	readonly retries: {readonly windowMs: number; readonly ratio: number; readonly allowance: number};
 	readonly usage: {readonly windowMs: number; readonly lateMs: number};
+	/** Time after which the load balancer sends nothing more to an entry that is not ready. */
+	readonly outOfRotationMs: number;
 	/** How long a stop may take. */
 	readonly stopLimitMs: number;
 };
