--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -40,8 +40,13 @@
 	readonly onReload?: (listener: (settings: ForwardSettings) => void) => void;
 };
 
-/** Longest wait of one call; a silent connection is noticed after that. */
-const watchWaitMs = 2500;
+/**
+ * Longest wait of one call. A connection that has gone silent is noticed only after it, and changes of configuration and
+ * endpoints must still be taken over within five seconds of that; peers are heard without the store.
+ */
+const watchWaitMs: Readonly<Record<StoreTable, number>> = {
+	config: 3000, endpoints: 3000, members: 15_000, usage: 3000,
+};
 /** Changes of endpoints are taken over in batches of this time, well below the time in which a leaving one takes work. */
 const endpointPauseMs = 150;
 const duties = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
@@ -267,7 +272,7 @@
 			table,
 			rows: platform.rows,
 			clock,
-			waitMs: watchWaitMs,
+			waitMs: watchWaitMs[table],
 			pauseMs: table === 'endpoints' ? endpointPauseMs : 0,
 			onAnswer: (answer, isWhole) => {
 				this.#time.noteStore(answer.storeNowMs);
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -30,7 +30,8 @@
 const patiencePart = 0.9;
 /** Callers that are refused together come back spread over this part of their pause. */
 const retrySpread = 0.4;
-const minRetryMs = 100;
+/** Bursts last seconds; a caller that comes back sooner meets the same queue. */
+const minRetryMs = 400;
 
 const placeModel = (
 	deps: ForwardDeps,
@@ -61,7 +62,7 @@
 
 	const limitMs = Math.min(patienceMs(route) * patiencePart, exchange.endsAtMs - exchange.startedMs);
 	if (mayRefuse && exchange.elapsedMs + chosen.firstTokenMs > limitMs) {
-		const waitMs = Math.max(minRetryMs, chosen.firstTokenMs - route.latencyTargetMs);
+		const waitMs = Math.max(minRetryMs, chosen.firstTokenMs);
 		return {kind: 'overload', retryAfterMs: waitMs * (1 + (retrySpread * (deps.random() - 0.5)))};
 	}
 
--- a/packages/forward/src/usage-counter.ts
+++ b/packages/forward/src/usage-counter.ts
@@ -13,8 +13,8 @@
 	readonly onError: (error: unknown) => void;
 };
 
-/** A killed process loses the counts of this time at most. */
-const flushPauseMs = 700;
+/** Counts of a killed process that the store does not have are known from what it told the other entries. */
+const flushPauseMs = 1400;
 
 /** Key of the row in which one process counts a window. Windows sort by number. */
 export const usageRowKey = (window: number, owner: string): string => `${String(window).padStart(12, '0')}/${owner}`;
