Split the forwarding daemon by job: configuration in force, store, duties, reports, listeners

A host that takes over the name of another one writes its own address into its member row; before, the row that it found there counted as its own.

--- /dev/null
+++ b/packages/forward/src/config-in-force.ts
@@ -0,0 +1,85 @@
+/**
+ * The configuration in force: the newest version that the store or another entry has shown. It never gives way to an older
+ * one.
+ */
+import {RouteTable} from '@hawthorncleat/core';
+import {request} from 'undici';
+import type {DecisionLog} from './decision-log.js';
+import type {Peer} from './gossip.js';
+import type {Membership} from './membership.js';
+import type {ForwardMetrics} from './metrics.js';
+import type {Platform} from './ports.js';
+import {withTimeLimit} from './time-limit.js';
+
+/** Peers are milliseconds away. */
+const peerLimitMs = 500;
+
+export type ConfigInForceOptions = {
+	readonly readConfig: Platform['readConfig'];
+	readonly members: Membership;
+	readonly log: DecisionLog;
+	readonly metrics: ForwardMetrics;
+};
+
+export class ConfigInForce {
+	readonly #options: ConfigInForceOptions;
+	#routes: RouteTable | undefined;
+	#text = '';
+	#isFetching = false;
+
+	constructor(options: ConfigInForceOptions) {
+		this.#options = options;
+	}
+
+	get routes(): RouteTable | undefined {
+		return this.#routes;
+	}
+
+	/** 0 before the first configuration. */
+	get version(): number {
+		return this.#routes?.config.version ?? 0;
+	}
+
+	/** As the operator wrote it, for entries that the store turns away. */
+	get text(): string {
+		return this.#text;
+	}
+
+	apply(text: string | undefined, source: string): void {
+		const config = text === undefined ? undefined : this.#options.readConfig(text);
+		if (!config || config.version <= this.version) {
+			return;
+		}
+
+		const previous = this.#routes?.config.version;
+		this.#routes = new RouteTable(config);
+		this.#text = text!;
+		this.#options.metrics.setConfigVersion(config.version);
+		this.#options.log.write('config', {
+			version: config.version, previous, source, routes: config.routes.length, accounts: config.accounts.length,
+		});
+	}
+
+	/** Asks a peer for a configuration that the store has not given to this entry. */
+	hearVersion(peer: Peer, version: number): void {
+		const member = this.#options.members.member(peer.name);
+		if (version > this.version && !this.#isFetching && member) {
+			this.#isFetching = true;
+			void this.#fetch(`http://${member.address}:${member.peerPort}/config`, peer.name);
+		}
+	}
+
+	async #fetch(url: string, peer: string): Promise<void> {
+		try {
+			const text = await withTimeLimit(peerLimitMs, undefined, async signal => {
+				const {body} = await request(url, {signal});
+				return body.text();
+			});
+			this.apply(text, peer);
+		} catch (error) {
+			this.#options.log.writeError(`reading the configuration of ${peer}`, error);
+		} finally {
+			this.#isFetching = false;
+		}
+	}
+}
--- a/packages/forward/src/decision-log.ts
+++ b/packages/forward/src/decision-log.ts
@@ -54,6 +54,10 @@
 		})}\n`);
 	}
 
+	writeError(what: string, error: unknown): void {
+		this.write('error', {what, problem: error instanceof Error ? error.message : String(error)});
+	}
+
 	#mayWrite(event: LogEvent, nowMs: number): boolean {
 		if (this.#output.pendingBytes() > maxPendingBytes) {
 			return false;
--- /dev/null
+++ b/packages/forward/src/duties.ts
@@ -0,0 +1,92 @@
+/**
+ * The duties of one entry at a time: reports of usage and orders of roles, both under one lease whose epoch is the fence.
+ */
+import type {Clock, ForwardService, MakeId} from '@hawthorncleat/core';
+import {runLease, type Lease} from '@hawthorncleat/store';
+import type {DecisionLog} from './decision-log.js';
+import type {EndpointPool} from './endpoint-pool.js';
+import type {ForwardMetrics} from './metrics.js';
+import type {ModelLoad} from './model-load.js';
+import type {Platform} from './ports.js';
+import {runRoleDuty} from './role-duty.js';
+import type {TrueTime} from './true-time.js';
+import type {UsageCounter} from './usage-counter.js';
+import {runUsageDuty, usageDuty} from './usage-duty.js';
+
+/** Another entry takes over within the time to live; three renewals fit into it. */
+const durations = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
+
+export type DutiesOptions = {
+	readonly clock: Clock;
+	readonly makeId: MakeId;
+	readonly holder: string;
+	readonly windowMs: number;
+	readonly platform: Platform;
+	readonly pool: EndpointPool;
+	readonly load: ModelLoad;
+	readonly time: TrueTime;
+	readonly usage: UsageCounter;
+	readonly log: DecisionLog;
+	readonly metrics: ForwardMetrics;
+	readonly services: () => readonly ForwardService[];
+	/** Tells of the engines whose role this entry is changing. */
+	readonly onChanging: (endpoints: readonly string[]) => void;
+};
+
+const reportUsage = async (options: DutiesOptions, lease: Lease, signal: AbortSignal): Promise<void> => {
+	const {platform, makeId, holder, windowMs, time, usage, log, metrics} = options;
+	await runUsageDuty({
+		rows: platform.rows,
+		table: platform.table,
+		calls: platform.duties,
+		holder,
+		makeId,
+		windowMs,
+		nowMs: () => time.nowMs(),
+		heard: window => usage.heardOf(window),
+		onReport(report) {
+			metrics.countReport(report.accepted);
+			log.write('usage', report);
+		},
+		onError(error) {
+			log.writeError('reporting usage', error);
+		},
+	}, lease, signal);
+};
+
+const orderRoles = async (options: DutiesOptions, lease: Lease, signal: AbortSignal): Promise<void> => {
+	const {clock, platform, pool, load, holder, services, log, onChanging} = options;
+	await runRoleDuty({
+		clock,
+		wire: platform.wire,
+		pool,
+		load,
+		holder,
+		services,
+		onOrder(order) {
+			log.write('role', order);
+		},
+		onChanging,
+	}, lease, signal);
+};
+
+/** Takes the lease whenever it is free and runs the duties while it is held. */
+export const runDuties = async (options: DutiesOptions, signal: AbortSignal): Promise<void> => {
+	const {clock, makeId, holder, platform, log} = options;
+	await runLease({
+		duty: usageDuty,
+		holder,
+		table: platform.table,
+		clock,
+		makeId,
+		durations,
+		async onHeld(lease, held) {
+			log.write('lease', {duty: usageDuty, held: true, epoch: lease.epoch});
+			await Promise.all([reportUsage(options, lease, held), orderRoles(options, lease, held)]);
+			log.write('lease', {duty: usageDuty, held: false, epoch: lease.epoch});
+		},
+		onError(error) {
+			log.writeError('a duty', error);
+		},
+	}, signal);
+};
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -4,29 +4,25 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	RetryWindow, RouteTable, type Clock, type MakeId, type Random,
+	RetryWindow, type Clock, type MakeId, type Random,
 } from '@hawthorncleat/core';
-import {runLease, type Lease} from '@hawthorncleat/store';
-import {request} from 'undici';
-import {handleCaller, type CallerHandlerDeps, type RequestEnd} from './caller-handler.js';
-import type {DecisionLog, LogEvent} from './decision-log.js';
+import {handleCaller, type CallerHandlerDeps} from './caller-handler.js';
+import {ConfigInForce} from './config-in-force.js';
+import type {DecisionLog} from './decision-log.js';
+import {runDuties} from './duties.js';
 import {EndpointDirectory} from './endpoint-directory.js';
 import {EndpointPool} from './endpoint-pool.js';
-import type {AdmittedRequest, AttemptReport} from './forward-request.js';
-import {Gossip, type Peer} from './gossip.js';
+import type {AdmittedRequest} from './forward-request.js';
+import {Gossip} from './gossip.js';
 import {Membership} from './membership.js';
 import {ForwardMetrics} from './metrics.js';
 import {ModelLoad} from './model-load.js';
-import type {
-	ForwardSettings, Platform, RowStore, StoreAnswer, StoreTable,
-} from './ports.js';
-import {runRoleDuty} from './role-duty.js';
-import {closeHttp, listenHttp} from './servers.js';
-import {watchTable} from './table-watch.js';
-import {withTimeLimit} from './time-limit.js';
+import type {ForwardSettings, Platform} from './ports.js';
+import {RequestReports} from './request-reports.js';
+import {closeHttp, listenHttp, listenInternally} from './servers.js';
+import {StoreFollower} from './store-follower.js';
 import {TrueTime} from './true-time.js';
 import {UsageCounter} from './usage-counter.js';
-import {runUsageDuty, usageDuty} from './usage-duty.js';
 
 export type ForwardDaemonDeps = {
 	readonly clock: Clock;
@@ -40,25 +36,20 @@
 	readonly onReload?: (listener: (settings: ForwardSettings) => void) => void;
 };
 
-/**
- * Longest wait of one call. A connection that has gone silent is noticed only after it, and changes of configuration and
- * endpoints must still be taken over within five seconds of that; peers are heard without the store.
- */
-const watchWaitMs: Readonly<Record<StoreTable, number>> = {
-	config: 3000, endpoints: 3000, members: 15_000, usage: 3000,
-};
-/** Changes of endpoints are taken over in batches of this time, well below the time in which a leaving one takes work. */
-const endpointPauseMs = 150;
-const duties = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
 const stopPollMs = 50;
-/** Peers are milliseconds away. */
-const peerLimitMs = 500;
+const housekeepPauseMs = 250;
 /** Longer than the pause between two messages of an entry. */
 const changingNoticeMs = 1500;
 
-/** Whole milliseconds are enough for a log line. */
-const roundTimes = (fields: Readonly<Record<string, unknown>>): Record<string, unknown> => Object.fromEntries(Object.entries(fields)
-	.map(([name, value]) => [name, typeof value === 'number' ? Math.round(value) : value]));
+const untilAborted = async (signal: AbortSignal): Promise<void> => new Promise(resolve => {
+	if (signal.aborted) {
+		resolve();
+	}
+
+	signal.addEventListener('abort', () => {
+		resolve();
+	}, {once: true});
+});
 
 class ForwardDaemon {
 	#settings: ForwardSettings;
@@ -67,30 +58,32 @@
 	readonly #pool: EndpointPool;
 	readonly #load: ModelLoad;
 	readonly #directory: EndpointDirectory;
+	readonly #config: ConfigInForce;
+	readonly #follower: StoreFollower;
+	readonly #reports: RequestReports;
 	readonly #gossip: Gossip;
 	readonly #members: Membership;
 	readonly #time: TrueTime;
 	readonly #usage: UsageCounter;
 	readonly #retries = new Map<string, RetryWindow>();
-	readonly #available = new Map<StoreTable, boolean>();
-	#routes: RouteTable | undefined;
-	#configText = '';
-	#knowsEndpoints = false;
 	#isStopping = false;
-	#isFetching = false;
 	#running = 0;
 	/** Engines whose role this entry changes. */
 	#changing: readonly string[] = [];
 
 	constructor(settings: ForwardSettings, deps: ForwardDaemonDeps) {
-		const {clock, platform, makeId} = deps;
+		const {clock, platform, makeId, log} = deps;
 		this.#settings = settings;
 		this.#deps = deps;
 		this.#members = new Membership(clock, settings.hostName, peer => this.#gossip.heardMs(peer));
+		this.#reports = new RequestReports(log, this.#metrics);
+		this.#config = new ConfigInForce({
+			readConfig: platform.readConfig, members: this.#members, log, metrics: this.#metrics,
+		});
 		this.#pool = new EndpointPool({
 			clock,
 			entries: () => this.#members.liveCount(),
-			serviceOf: name => this.#routes?.findService(name),
+			serviceOf: name => this.#config.routes?.findService(name),
 		});
 		this.#load = new ModelLoad(clock, this.#pool);
 		this.#gossip = new Gossip({
@@ -100,14 +93,14 @@
 			port: settings.gossipPort,
 			load: this.#load,
 			peers: () => this.#members.peers(),
-			configVersion: () => this.#routes?.config.version ?? 0,
+			configVersion: () => this.#config.version,
 			changing: () => this.#changing,
 			usage: () => this.#usage.untold(),
 			onUsage: notice => {
 				this.#usage.hear(notice);
 			},
 			onVersion: (peer, version) => {
-				this.#hearVersion(peer, version);
+				this.#config.hearVersion(peer, version);
 			},
 			onChanging: (_peer, endpoints) => {
 				this.#noteChanging(endpoints);
@@ -117,8 +110,8 @@
 			clock,
 			pool: this.#pool,
 			readEndpoint: platform.readEndpoint,
-			onChange: change => {
-				this.#log('endpoint', change);
+			onChange(change) {
+				log.write('endpoint', change);
 			},
 		});
 		this.#time = new TrueTime(clock, () => this.#members.wallOffsets());
@@ -127,10 +120,19 @@
 			owner: `${settings.hostName}/${makeId()}`,
 			windowMs: settings.usage.windowMs,
 			nowMs: () => this.#time.nowMs(),
-			onError: error => {
-				this.#logError('writing usage counts', error);
+			onError(error) {
+				log.writeError('writing usage counts', error);
 			},
 		});
+		this.#follower = new StoreFollower({
+			clock,
+			rows: platform.rows,
+			config: this.#config,
+			directory: this.#directory,
+			members: this.#members,
+			time: this.#time,
+			log,
+		});
 	}
 
 	async run(stop: AbortSignal): Promise<void> {
@@ -141,9 +143,7 @@
 		const ending = new AbortController();
 		const {signal} = ending;
 		const background = Promise.all([
-			this.#watch('config', signal),
-			this.#watch('endpoints', signal),
-			this.#watch('members', signal),
+			this.#follower.run(signal),
 			this.#gossip.run(signal),
 			this.#usage.run(signal),
 			this.#announce(signal),
@@ -157,17 +157,17 @@
 			});
 			void this.#serve(req, res);
 		});
-		const others = await Promise.all([this.#listenReadiness(), this.#listenPeers(), this.#listenMetrics()]);
-		this.#log('start', {callers: listen.callers, dataCentre: this.#settings.dataCentre});
-		await new Promise<void>(resolve => {
-			if (stop.aborted) {
-				resolve();
-			}
-
-			stop.addEventListener('abort', () => {
-				resolve();
-			}, {once: true});
+		const others = await listenInternally(this.#settings, {
+			isReadinessPath: path => this.#deps.platform.wire.isReadinessPath(path),
+			isReady: () => this.#isReady,
+			configText: () => this.#config.text,
+			metricsText: async () => {
+				this.#metrics.setDroppedLines(this.#deps.log.dropped);
+				return this.#metrics.registry.metrics();
+			},
 		});
+		this.#deps.log.write('start', {callers: listen.callers, dataCentre: this.#settings.dataCentre});
+		await untilAborted(stop);
 		await this.#drain(callers);
 		ending.abort();
 		for (const server of [callers, ...others]) {
@@ -177,11 +177,11 @@
 		await background;
 		await this.#usage.flush();
 		await this.#pool.destroy();
-		this.#log('stopped', {});
+		this.#deps.log.write('stopped', {});
 	}
 
 	get #isReady(): boolean {
-		return this.#routes !== undefined && this.#knowsEndpoints && !this.#isStopping;
+		return this.#config.routes !== undefined && this.#follower.knowsEndpoints && !this.#isStopping;
 	}
 
 	/** Addresses are those of the start; limits hold at once. */
@@ -189,22 +189,14 @@
 		const {retries, usage, stopLimitMs} = settings;
 		this.#settings = {...this.#settings, retries, usage, stopLimitMs};
 		this.#retries.clear();
-		this.#log('reload', {retries, usage, stopLimitMs});
-	}
-
-	#log(event: LogEvent, fields: Readonly<Record<string, unknown>>): void {
-		this.#deps.log.write(event, fields);
-	}
-
-	#logError(what: string, error: unknown): void {
-		this.#log('error', {what, problem: error instanceof Error ? error.message : String(error)});
+		this.#deps.log.write('reload', {retries, usage, stopLimitMs});
 	}
 
 	async #serve(req: Parameters<typeof handleCaller>[1], res: Parameters<typeof handleCaller>[2]): Promise<void> {
 		try {
 			await handleCaller(this.#handlerDeps, req, res);
 		} catch (error) {
-			this.#logError('serving a request', error);
+			this.#deps.log.writeError('serving a request', error);
 			res.destroy();
 		}
 	}
@@ -219,16 +211,16 @@
 			load: this.#load,
 			dataCentre: this.#settings.dataCentre,
 			retriesOf: service => this.#retriesOf(service),
-			routes: () => this.#routes,
+			routes: () => this.#config.routes,
 			isStopping: () => this.#isStopping,
 			onRun: admitted => {
 				this.#countRun(admitted);
 			},
 			onAttempt: (admitted, report) => {
-				this.#reportAttempt(admitted, report);
+				this.#reports.attempt(admitted, report);
 			},
 			onEnd: end => {
-				this.#reportEnd(end);
+				this.#reports.end(end);
 			},
 		};
 	}
@@ -239,22 +231,6 @@
 		}
 	}
 
-	#reportAttempt({request}: AdmittedRequest, report: AttemptReport): void {
-		this.#metrics.countAttempt(report);
-		const {result, ...place} = report;
-		this.#log('attempt', {
-			id: request.id,
-			tokens: request.promptTokens,
-			...roundTimes(place),
-			...result.kind === 'failed' ? {failure: result.failure, detail: result.detail} : {status: result.status},
-		});
-	}
-
-	#reportEnd({outcome, tookMs, ...end}: RequestEnd): void {
-		this.#metrics.countEnd({outcome, tookMs, ...end});
-		this.#log('request', {...end, tookMs: Math.round(tookMs), ...outcome});
-	}
-
 	#retriesOf(service: string): RetryWindow {
 		const known = this.#retries.get(service);
 		if (known) {
@@ -266,172 +242,47 @@
 		return created;
 	}
 
-	async #watch(table: StoreTable, signal: AbortSignal): Promise<void> {
-		const {clock, platform} = this.#deps;
-		await watchTable({
-			table,
-			rows: platform.rows,
+	async #runDuties(signal: AbortSignal): Promise<void> {
+		const {clock, makeId, platform, log} = this.#deps;
+		await runDuties({
 			clock,
-			waitMs: watchWaitMs[table],
-			pauseMs: table === 'endpoints' ? endpointPauseMs : 0,
-			onAnswer: (answer, isWhole) => {
-				this.#time.noteStore(answer.storeNowMs);
-				this.#apply(table, answer, isWhole);
-			},
-			onAvailable: (isAvailable, error) => {
-				this.#noteAvailable(table, isAvailable, error);
+			makeId,
+			holder: this.#settings.hostName,
+			windowMs: this.#settings.usage.windowMs,
+			platform,
+			pool: this.#pool,
+			load: this.#load,
+			time: this.#time,
+			usage: this.#usage,
+			log,
+			metrics: this.#metrics,
+			services: () => this.#config.routes?.config.services ?? [],
+			onChanging: endpoints => {
+				this.#changing = endpoints;
+				this.#noteChanging(endpoints);
 			},
 		}, signal);
 	}
 
-	#apply(table: StoreTable, answer: StoreAnswer, isWhole: boolean): void {
-		if (table === 'config') {
-			for (const {value} of answer.rows) {
-				this.#applyConfig(value, 'store');
-			}
-		} else if (table === 'endpoints') {
-			this.#directory.apply(answer, isWhole);
-			this.#knowsEndpoints = true;
-		} else {
-			this.#members.apply(answer, isWhole);
-		}
-	}
-
-	#noteAvailable(table: StoreTable, isAvailable: boolean, error: unknown): void {
-		if (table === 'endpoints') {
-			this.#directory.setAvailable(isAvailable);
-		}
-
-		if ((this.#available.get(table) ?? true) !== isAvailable) {
-			this.#available.set(table, isAvailable);
-			this.#log('dependency', {
-				dependency: `store/${table}`, isAvailable, ...error instanceof Error && {problem: error.message},
-			});
-		}
-	}
-
-	/** A version that is in force never gives way to an older one. */
-	#applyConfig(text: string | undefined, source: string): void {
-		const config = text === undefined ? undefined : this.#deps.platform.readConfig(text);
-		if (!config || config.version <= (this.#routes?.config.version ?? 0)) {
-			return;
-		}
-
-		const previous = this.#routes?.config.version;
-		this.#routes = new RouteTable(config);
-		this.#configText = text!;
-		this.#metrics.setConfigVersion(config.version);
-		this.#log('config', {
-			version: config.version, previous, source, routes: config.routes.length, accounts: config.accounts.length,
-		});
-	}
-
-	/** Asks a peer for a configuration that the store has not given to this entry. */
-	#hearVersion(peer: Peer, version: number): void {
-		if (version <= (this.#routes?.config.version ?? 0) || this.#isFetching) {
-			return;
-		}
-
-		const member = this.#members.member(peer.name);
-		if (member) {
-			this.#isFetching = true;
-			void this.#fetchConfig(`http://${member.address}:${member.peerPort}/config`, peer.name);
-		}
-	}
-
-	async #fetchConfig(url: string, peer: string): Promise<void> {
-		try {
-			const text = await withTimeLimit(peerLimitMs, undefined, async signal => {
-				const {body} = await request(url, {signal});
-				return body.text();
-			});
-			this.#applyConfig(text, peer);
-		} catch (error) {
-			this.#logError(`reading the configuration of ${peer}`, error);
-		} finally {
-			this.#isFetching = false;
-		}
-	}
-
+	/** Writes this entry into the store, also when another host has had its name before. */
 	async #announce(signal: AbortSignal): Promise<void> {
 		const {rows} = this.#deps.platform;
 		const {listen, gossipPort, ip, hostName} = this.#settings;
 		while (!signal.aborted) {
 			const storeNowMs = this.#time.storeNowMs();
-			if (storeNowMs !== undefined && !this.#members.member(hostName)) {
+			const place = {address: ip, gossipPort, peerPort: listen.peers.port};
+			if (storeNowMs !== undefined && !this.#members.isAnnounced(place)) {
 				try {
-					await this.#members.announce(rows, {
-						address: ip, gossipPort, peerPort: listen.peers.port, wallOffsetMs: this.#deps.wallMs() - storeNowMs,
-					});
+					await this.#members.announce(rows, {...place, wallOffsetMs: this.#deps.wallMs() - storeNowMs});
 				} catch (error) {
-					this.#logError('writing the own member row', error);
+					this.#deps.log.writeError('writing the own member row', error);
 				}
 			}
 
-			await sleep(200, undefined, {signal}).catch(() => undefined);
+			await sleep(housekeepPauseMs, undefined, {signal}).catch(() => undefined);
 		}
 	}
 
-	async #runDuties(signal: AbortSignal): Promise<void> {
-		const {clock, makeId, platform} = this.#deps;
-		const holder = this.#settings.hostName;
-		await runLease({
-			duty: usageDuty,
-			holder,
-			table: platform.table,
-			clock,
-			makeId,
-			durations: duties,
-			onHeld: async (lease, held) => {
-				this.#log('lease', {duty: usageDuty, held: true, epoch: lease.epoch});
-				await Promise.all([this.#runUsageDuty(lease, held), this.#runRoleDuty(lease, held)]);
-				this.#log('lease', {duty: usageDuty, held: false, epoch: lease.epoch});
-			},
-			onError: error => {
-				this.#logError('usage duty', error);
-			},
-		}, signal);
-	}
-
-	async #runUsageDuty(lease: Lease, signal: AbortSignal): Promise<void> {
-		const {platform, makeId} = this.#deps;
-		await runUsageDuty({
-			rows: platform.rows,
-			table: platform.table,
-			calls: platform.duties,
-			holder: this.#settings.hostName,
-			makeId,
-			windowMs: this.#settings.usage.windowMs,
-			nowMs: () => this.#time.nowMs(),
-			heard: window => this.#usage.heardOf(window),
-			onReport: report => {
-				this.#metrics.countReport(report.accepted);
-				this.#log('usage', report);
-			},
-			onError: error => {
-				this.#logError('reporting usage', error);
-			},
-		}, lease, signal);
-	}
-
-	async #runRoleDuty(lease: Lease, signal: AbortSignal): Promise<void> {
-		await runRoleDuty({
-			clock: this.#deps.clock,
-			wire: this.#deps.platform.wire,
-			pool: this.#pool,
-			load: this.#load,
-			holder: this.#settings.hostName,
-			services: () => this.#routes?.config.services ?? [],
-			onOrder: order => {
-				this.#log('role', order);
-			},
-			onChanging: endpoints => {
-				this.#changing = endpoints;
-				this.#noteChanging(endpoints);
-			},
-		}, lease, signal);
-	}
-
 	/** Repeated while a change is under way, so that a lost message or an ended planner blocks no engine for long. */
 	#noteChanging(endpoints: readonly string[]): void {
 		const untilMs = this.#deps.clock.nowMs() + changingNoticeMs;
@@ -449,41 +300,19 @@
 			this.#directory.dropMissing();
 			if (this.#isReady !== wasReady) {
 				wasReady = this.#isReady;
-				this.#log('ready', {ready: wasReady});
+				this.#deps.log.write('ready', {ready: wasReady});
 			}
 
-			await sleep(250, undefined, {signal}).catch(() => undefined);
+			await sleep(housekeepPauseMs, undefined, {signal}).catch(() => undefined);
 		}
 	}
 
-	async #listenReadiness(): Promise<Server> {
-		return listenHttp(this.#settings.listen.readiness, (req, res) => {
-			res.writeHead(this.#deps.platform.wire.isReadinessPath(req.url ?? '') && this.#isReady ? 200 : 503);
-			res.end();
-		});
-	}
-
-	async #listenPeers(): Promise<Server> {
-		return listenHttp(this.#settings.listen.peers, (_req, res) => {
-			res.end(this.#configText);
-		});
-	}
-
-	async #listenMetrics(): Promise<Server> {
-		return listenHttp({address: this.#settings.ip, port: this.#settings.metricsPort}, (_req, res) => {
-			this.#metrics.setDroppedLines(this.#deps.log.dropped);
-			void (async () => {
-				res.end(await this.#metrics.registry.metrics());
-			})();
-		});
-	}
-
 	/** Lets running requests end; new ones are served until the load balancer has noticed. */
 	async #drain(callers: Server): Promise<void> {
 		const {clock} = this.#deps;
 		const startMs = clock.nowMs();
 		this.#isStopping = true;
-		this.#log('stop', {running: this.#running});
+		this.#deps.log.write('stop', {running: this.#running});
 		await sleep(this.#settings.outOfRotationMs);
 		callers.close();
 		callers.closeIdleConnections();
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -80,6 +80,12 @@
 			.map(([name, {address, gossipPort}]) => ({name, address, port: gossipPort}));
 	}
 
+	/** Whether the own row says where this entry is reached. */
+	isAnnounced({address, gossipPort, peerPort}: Omit<Member, 'wallOffsetMs'>): boolean {
+		const own = this.#members.get(this.#self);
+		return own?.address === address && own.gossipPort === gossipPort && own.peerPort === peerPort;
+	}
+
 	/** Writes this entry's own row. */
 	async announce(rows: RowStore, member: Member): Promise<void> {
 		this.#members.set(this.#self, member);
--- /dev/null
+++ b/packages/forward/src/request-reports.ts
@@ -0,0 +1,37 @@
+/**
+ * Lines and figures of requests and their attempts.
+ */
+import type {RequestEnd} from './caller-handler.js';
+import type {DecisionLog} from './decision-log.js';
+import type {AdmittedRequest, AttemptReport} from './forward-request.js';
+import type {ForwardMetrics} from './metrics.js';
+
+/** Whole milliseconds are enough for a log line. */
+const roundTimes = (fields: Readonly<Record<string, unknown>>): Record<string, unknown> => Object.fromEntries(Object.entries(fields)
+	.map(([name, value]) => [name, typeof value === 'number' ? Math.round(value) : value]));
+
+export class RequestReports {
+	readonly #log: DecisionLog;
+	readonly #metrics: ForwardMetrics;
+
+	constructor(log: DecisionLog, metrics: ForwardMetrics) {
+		this.#log = log;
+		this.#metrics = metrics;
+	}
+
+	attempt({request}: AdmittedRequest, report: AttemptReport): void {
+		this.#metrics.countAttempt(report);
+		const {result, ...place} = report;
+		this.#log.write('attempt', {
+			id: request.id,
+			tokens: request.promptTokens,
+			...roundTimes(place),
+			...result.kind === 'failed' ? {failure: result.failure, detail: result.detail} : {status: result.status},
+		});
+	}
+
+	end({outcome, tookMs, ...end}: RequestEnd): void {
+		this.#metrics.countEnd({outcome, tookMs, ...end});
+		this.#log.write('request', {...end, tookMs: Math.round(tookMs), ...outcome});
+	}
+}
--- a/packages/forward/src/servers.ts
+++ b/packages/forward/src/servers.ts
@@ -3,7 +3,7 @@
  */
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {once} from 'node:events';
-import type {Address} from './ports.js';
+import type {Address, ForwardSettings} from './ports.js';
 
 /** Larger heads are refused before they are read; the configuration's own limit lies below. */
 const maxHeadBytes = 64 * 1024;
@@ -24,3 +24,27 @@
 	server.close();
 	server.closeAllConnections();
 };
+
+export type InternalSources = {
+	readonly isReadinessPath: (path: string) => boolean;
+	readonly isReady: () => boolean;
+	/** The configuration in force, as the operator wrote it. */
+	readonly configText: () => string;
+	readonly metricsText: () => Promise<string>;
+};
+
+/** Starts the listeners for the load balancer, the other entries and the collector of metrics. */
+export const listenInternally = async ({listen, ip, metricsPort}: ForwardSettings, sources: InternalSources): Promise<Server[]> => Promise.all([
+	listenHttp(listen.readiness, (req, res) => {
+		res.writeHead(sources.isReadinessPath(req.url ?? '') && sources.isReady() ? 200 : 503);
+		res.end();
+	}),
+	listenHttp(listen.peers, (_req, res) => {
+		res.end(sources.configText());
+	}),
+	listenHttp({address: ip, port: metricsPort}, (_req, res) => {
+		void (async () => {
+			res.end(await sources.metricsText());
+		})();
+	}),
+]);
