--- /dev/null
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -0,0 +1,40 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {EventEmitter} from 'node:events';
+import type {ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {CallerExchange} from '../caller-exchange.js';
+import type {AdmittedRequest} from '../forward-request.js';
+import {StreamRelay} from '../stream-relay.js';
+
+const clock = {nowMs: () => performance.now()};
+
+const createRequest = (isResumable: boolean): {exchange: CallerExchange; admitted: AdmittedRequest} => {
+	const exchange = new CallerExchange(new EventEmitter() as ServerResponse, clock);
+	return {exchange, admitted: {exchange, route: {isResumable, latencyTargetMs: 10}} as unknown as AdmittedRequest};
+};
+
+describe('the limit of silence of a stream', () => {
+	it('never ends before the request itself where the stream may not move; guards against an endpoint blamed for a short limit', async () => {
+		const {exchange, admitted} = createRequest(false);
+		exchange.limit(30);
+		const limit = new StreamRelay(exchange, undefined).createSilenceLimit(admitted, {mayMove: true, expectedMs: 0});
+		// The end of the request is not looked at: its timer may come a moment later than one of the same length.
+		await sleep(60);
+		assert.not(limit.isOver);
+		assert.is(exchange.endReason, 'timeout');
+		limit.clear();
+	});
+
+	it('is longer where the endpoint was expected to be slow; guards against streams moved away from a busy endpoint', async () => {
+		const {exchange, admitted} = createRequest(true);
+		exchange.limit(10_000);
+		const relay = new StreamRelay(exchange, undefined);
+		const [quick, slow] = [0, 2000].map(expectedMs => relay.createSilenceLimit(admitted, {mayMove: true, expectedMs}));
+		await sleep(1300);
+		assert.ok(quick!.isOver);
+		assert.not(slow!.isOver);
+		slow!.clear();
+	});
+});
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -64,7 +64,7 @@
 
 /** Time after which a request that may run again is tried elsewhere. */
 const attemptLimitMs = ({route, exchange}: AdmittedRequest, isLast: boolean): number =>
-	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : exchange.leftMs;
+	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : exchange.unlimitedMs;
 
 const serverError = 500;
 /** A request of a plain service takes a place and nothing else. */
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -12,6 +12,8 @@
 
 const endReasonError = (reason: EndReason): Error => Object.assign(new Error(reason), {reason});
 
+const unlimitedMarginMs = 5000;
+
 export class CallerExchange {
 	readonly startedMs: number;
 	endsAtMs = Number.POSITIVE_INFINITY;
@@ -46,6 +48,11 @@
 		return this.endsAtMs - this.#clock.nowMs();
 	}
 
+	/** Limit of an attempt that only the request's own end may end; an equal one could end it first and blame the endpoint. */
+	get unlimitedMs(): number {
+		return Math.max(0, this.leftMs) + unlimitedMarginMs;
+	}
+
 	get elapsedMs(): number {
 		return this.#clock.nowMs() - this.startedMs;
 	}
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -67,7 +67,7 @@
 	/** Ends an attempt whose endpoint has gone silent. `mayMove`: another endpoint may run the request. */
 	createSilenceLimit({route, exchange}: AdmittedRequest, {mayMove, expectedMs}: {readonly mayMove: boolean; readonly expectedMs: number}): TimeLimit {
 		const silentMs = Math.max(silenceMs, route.latencyTargetMs * firstSilenceTargets, expectedMs * expectedFactor);
-		return createTimeLimit(route.isResumable && mayMove ? silentMs : exchange.leftMs, exchange.signal);
+		return createTimeLimit(route.isResumable && mayMove ? silentMs : exchange.unlimitedMs, exchange.signal);
 	}
 
 	#start({status, headers}: AnswerHead): void {
