--- a/packages/core/src/forwarding/choose-model-place.ts
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -7,7 +7,7 @@
 	crossing, findUsable, pickLowest, type EndpointView,
 } from './choose-place.js';
 import type {PromptPart} from './deployment.js';
-import {lateLevel} from './lanes.js';
+import {lateLevel} from './queue-level.js';
 
 export type PlaceRequest = {
 	readonly parts: readonly PromptPart[];
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -25,4 +25,4 @@
 export {
 	chooseModelPlace, type ModelPlace, type PlaceContext, type PlaceRequest,
 } from './choose-model-place.js';
-export {chooseLevel, lateLevel, patienceMs} from './lanes.js';
+export {chooseLevel, lateLevel, patienceMs} from './queue-level.js';
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -109,7 +109,14 @@
 	return {kind: 'answered', status};
 };
 
-type StreamSource = {readonly known: KnownEndpoint; readonly isLast: boolean; readonly expectedMs: number; readonly level: number | undefined; readonly kvSource?: KvHandle; readonly onFirst: () => void};
+type StreamSource = {
+	readonly known: KnownEndpoint;
+	readonly isLast: boolean;
+	readonly expectedMs: number;
+	readonly level: number | undefined;
+	readonly kvSource?: KvHandle;
+	readonly onFirst: () => void;
+};
 
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
 	const {
