--- a/packages/core/src/forwarding/__tests__/estimates.test.ts
+++ b/packages/core/src/forwarding/__tests__/estimates.test.ts
@@ -52,18 +52,20 @@
 	it('count only with all parts before them, and the least recently used yield', () => {
 		const cache = new PartCache(100);
 		const [a, b, c] = [{id: 'a', tokens: 40}, {id: 'b', tokens: 40}, {id: 'c', tokens: 40}];
-		cache.add([a!, b!]);
-		assert.is(cache.cachedTokens([a!, b!]), 80);
-		assert.is(cache.cachedTokens([c!, b!]), 0);
-		cache.add([c!]);
-		assert.is(cache.cachedTokens([a!]), 0);
-		assert.is(cache.cachedTokens([b!]), 40);
+		cache.add([a, b]);
+		assert.is(cache.cachedTokens([a, b]), 80);
+		assert.is(cache.cachedTokens([c, b]), 0);
+		cache.add([c]);
+		assert.is(cache.cachedTokens([a]), 0);
+		assert.is(cache.cachedTokens([b]), 40);
 	});
 });
 
 describe('the window of retries', () => {
 	const create = (clock: {nowMs(): number}, entries = 4): RetryWindow =>
-		new RetryWindow(clock, {windowMs: 10_000, ratio: 0.2, allowance: 40, entries: () => entries});
+		new RetryWindow(clock, {
+			windowMs: 10_000, ratio: 0.2, allowance: 40, entries: () => entries,
+		});
 
 	it('keeps all entries together within the limit of the fleet', () => {
 		const clock = createManualClock(100_000);
@@ -125,7 +127,9 @@
 });
 
 describe('the balance of roles', () => {
-	const calm: RoleBalance = {nowMs: 0, prefill: 2, decode: 4, prefillNeeded: 1, decodeNeeded: 1, isIdle: false};
+	const calm: RoleBalance = {
+		nowMs: 0, prefill: 2, decode: 4, prefillNeeded: 1, decodeNeeded: 1, isIdle: false,
+	};
 
 	/** Decides every 400 ms for a time. */
 	const decideFor = (balance: RoleBalance, forMs: number): string[] => {
@@ -144,7 +148,9 @@
 
 	it('divides engines that nobody uses yet evenly', () => {
 		assert.is(balanceRoles({...calm, isIdle: true}, {}).change, 'prefill');
-		assert.is(balanceRoles({...calm, prefill: 3, decode: 3, isIdle: true}, {}).change, undefined);
+		assert.is(balanceRoles({
+			...calm, prefill: 3, decode: 3, isIdle: true,
+		}, {}).change, undefined);
 	});
 
 	it('changes nothing while both roles have room', () => {
@@ -158,7 +164,9 @@
 	});
 
 	it('follows long answers, also in a fleet so large that one engine changes little', () => {
-		assert.equal(decideFor({...calm, prefill: 20, decode: 20, prefillNeeded: 5, decodeNeeded: 17}, 6000), ['decode']);
+		assert.equal(decideFor({
+			...calm, prefill: 20, decode: 20, prefillNeeded: 5, decodeNeeded: 17,
+		}, 6000), ['decode']);
 	});
 
 	it('gives decode its first engine at once', () => {
@@ -166,6 +174,8 @@
 	});
 
 	it('does not change back and forth when both roles are crowded', () => {
-		assert.equal(decideFor({...calm, prefill: 3, decode: 3, prefillNeeded: 6, decodeNeeded: 3.6}, 60_000), []);
+		assert.equal(decideFor({
+			...calm, prefill: 3, decode: 3, prefillNeeded: 6, decodeNeeded: 3.6,
+		}, 60_000), []);
 	});
 });
--- a/packages/core/src/forwarding/__tests__/places.test.ts
+++ b/packages/core/src/forwarding/__tests__/places.test.ts
@@ -1,9 +1,8 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {chooseModelPlace, type PlaceRequest} from '../choose-model-place.js';
-import {choosePlainPlace} from '../choose-place.js';
+import {choosePlainPlace, type EndpointView} from '../choose-place.js';
 import {chooseLevel, lateLevel, patienceMs} from '../queue-level.js';
-import type {EndpointView} from '../choose-place.js';
 import {createView} from './fixtures.js';
 
 const context = {nowMs: 0, kvTokens: 500_000};
--- a/packages/forward/src/__tests__/attempt.test.ts
+++ b/packages/forward/src/__tests__/attempt.test.ts
@@ -83,8 +83,11 @@
 		pool.put({
 			id: brandAs<EndpointId>('gone'), service: 's', address: '127.0.0.1', port: 1, dataCentre: 'd', places: 1, isLeaving: false, startedAt: 1, heartbeat: 1,
 		});
-		const {ended} = startAttempt(pool.get('gone')!.connections, {method: 'POST', path: '/', headers: {}, body: 'x'}, {onHead: () => true, onData: () => true}, AbortSignal.timeout(3000));
-		assert.is((await ended).kind, 'not-sent');
+		const {ended} = startAttempt(pool.get('gone')!.connections, {
+			method: 'POST', path: '/', headers: {}, body: 'x',
+		}, {onHead: () => true, onData: () => true}, AbortSignal.timeout(3000));
+		const {kind} = await ended;
+		assert.is(kind, 'not-sent');
 		await pool.destroy();
 	});
 });
--- a/packages/forward/src/__tests__/endpoint-directory.test.ts
+++ b/packages/forward/src/__tests__/endpoint-directory.test.ts
@@ -1,5 +1,7 @@
 import type {RegisteredEndpoint} from '@hawthorncleat/core';
-import {createManualClock, describe, it, type ManualClock} from '@hawthorncleat/test-kit';
+import {
+	createManualClock, describe, it, type ManualClock,
+} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {EndpointDirectory} from '../endpoint-directory.js';
 import {EndpointPool} from '../endpoint-pool.js';
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -1,6 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {EventEmitter} from 'node:events';
-import type {ServerResponse} from 'node:http';
+import {ServerResponse, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
@@ -11,7 +10,7 @@
 const clock = {nowMs: () => performance.now()};
 
 const createRequest = (isResumable: boolean): {exchange: CallerExchange; admitted: AdmittedRequest} => {
-	const exchange = new CallerExchange(new EventEmitter() as ServerResponse, clock);
+	const exchange = new CallerExchange(new ServerResponse({method: 'GET'} as IncomingMessage), clock);
 	return {exchange, admitted: {exchange, route: {isResumable, latencyTargetMs: 10}} as unknown as AdmittedRequest};
 };
 
--- a/packages/forward/src/__tests__/usage-duty.test.ts
+++ b/packages/forward/src/__tests__/usage-duty.test.ts
@@ -64,7 +64,7 @@
 	},
 });
 
-const start = (world: World, epoch: number, signal: AbortSignal): Promise<void> => {
+const start = async (world: World, epoch: number, signal: AbortSignal): Promise<void> => {
 	world.table.rows.set('lease-epoch/usage', {key: 'lease-epoch/usage', value: {epoch}, version: 1000 + epoch});
 	const lease = {epoch: brandAs<LeaseEpoch>(epoch), check: () => ({key: 'lease-epoch/usage', version: 1000 + epoch})} as unknown as Lease;
 	let id = 0;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -187,7 +187,9 @@
 	/** Addresses are those of the start; limits hold at once. */
 	#reload(settings: ForwardSettings): void {
 		const {retries, usage, stopLimitMs} = settings;
-		this.#settings = {...this.#settings, retries, usage, stopLimitMs};
+		this.#settings = {
+			...this.#settings, retries, usage, stopLimitMs,
+		};
 		this.#retries.clear();
 		this.#deps.log.write('reload', {retries, usage, stopLimitMs});
 	}
