--- /dev/null
+++ b/packages/core/src/forwarding/__tests__/long-answers.test.ts
@@ -0,0 +1,61 @@
+import {describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {DecodePace} from '../decode-pace.js';
+import {LongAnswers} from '../long-answers.js';
+
+const level = 3;
+const noteLimitMs = 8000;
+const sortLimitMs = 2500;
+/** Sizes of ten notes, in the order in which they come; half of the largest tenth must end. */
+const noteTokens = [300, 100, 480, 60, 250, 620, 150, 900, 200, 380];
+const largestTokens = Math.max(...noteTokens);
+const sortTokens = 20;
+
+/** An engine that takes 3 ms for a token when it is empty and 12 ms when it is full. */
+const createPace = (): DecodePace => {
+	const pace = new DecodePace();
+	for (let stream = 0; stream < 200; stream += 1) {
+		const load = [0.2, 0.5, 0.8][stream % 3]!;
+		pace.observe({tookMs: 300 * (3 + (9 * load)), tokens: 300, load});
+	}
+
+	return pace;
+};
+
+/** Asks for so many answers, with some short ones for each note. */
+const ask = (answers: LongAnswers, notes: number, sortsPerNote: number): void => {
+	for (let note = 0; note < notes; note += 1) {
+		answers.note(noteTokens[note % noteTokens.length]!, noteLimitMs);
+		for (let sort = 0; sort < sortsPerNote; sort += 1) {
+			answers.note(sortTokens, sortLimitMs);
+		}
+	}
+};
+
+/** Time of the largest note on an engine that is filled up to the limit. */
+const largestMs = (answers: LongAnswers): number => {
+	const pace = createPace();
+	return pace.msPerToken(Math.min(1, answers.maxLoad(pace, {level, outputTokens: 300}))) * largestTokens;
+};
+
+// Guards against SHORT: engines were filled until hardly any of the largest answers of one kind could end.
+describe('the largest tenth of one kind of answers', () => {
+	it('can end at an entry that has just started; guards against a limit that is off until hundreds of answers have taught it', () => {
+		const answers = new LongAnswers();
+		ask(answers, 20, 1);
+		assert.ok(largestMs(answers) <= noteLimitMs, `${Math.round(largestMs(answers))} ms`);
+	});
+
+	it('can end among many short answers of another kind; guards against a limit that follows the mix of kinds', () => {
+		const answers = new LongAnswers();
+		ask(answers, 200, 4);
+		assert.ok(largestMs(answers) <= noteLimitMs, `${Math.round(largestMs(answers))} ms`);
+	});
+
+	it('can end once the mix turns to it; guards against a limit that follows the turn after the engines are full', () => {
+		const answers = new LongAnswers();
+		ask(answers, 40, 12);
+		ask(answers, 20, 1);
+		assert.ok(largestMs(answers) <= noteLimitMs, `${Math.round(largestMs(answers))} ms`);
+	});
+});
