Charge the retry limit with calls instead of decisions, and keep a KV cache that nobody has fetched

Cause: the limit was charged for the decision to try again, one unit, or none when no connection had been made. A split request that is tried again has its prompt prefilled again, which is a call of its own. After a decode engine had refused the connection the repeated prefill was charged to nobody.

Ruled out: all 27 entries counted 27 living ones throughout, so the parts of the allowance do not add up to too much.

RequestArrivals counts the calls of a request as the limit sees them. An attempt takes its calls out of the window before it is sent and gives back those that reached nobody. A KV cache that surely was not fetched (no connection, or another endpoint at the address) is offered to the next decode engine instead of being computed again.

--- a/packages/core/src/forwarding/__tests__/estimates.test.ts
+++ b/packages/core/src/forwarding/__tests__/estimates.test.ts
@@ -75,7 +75,7 @@
 /** Takes every retry that the window has left. */
 const takeAll = (window: RetryWindow): number => {
 	let taken = 0;
-	while (window.take()) {
+	while (window.take(1)) {
 		taken += 1;
 	}
 
@@ -97,7 +97,7 @@
 				window.countFirst();
 			}
 
-			while (window.take()) {
+			while (window.take(1)) {
 				taken += 1;
 			}
 		}
@@ -119,11 +119,11 @@
 	it('frees what the window has left behind, however it slides', () => {
 		const clock = createManualClock(100_000);
 		const window = create(clock, 1);
-		while (window.take()) {/* Uses the allowance up. */}
+		while (window.take(1)) {/* Uses the allowance up. */}
 		clock.advance(9000);
-		assert.not(window.take());
+		assert.not(window.take(1));
 		clock.advance(1600);
-		assert.ok(window.take());
+		assert.ok(window.take(1));
 	});
 });
 
--- /dev/null
+++ b/packages/core/src/forwarding/__tests__/request-arrivals.test.ts
@@ -0,0 +1,93 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {RequestArrivals} from '../request-arrivals.js';
+import {RetryWindow} from '../retry-window.js';
+
+const prefilled = {isPrefilled: true};
+const other = {isPrefilled: false};
+const split = {isSplit: true};
+const direct = {isSplit: false};
+
+describe('the further calls of a request', () => {
+	it('are none for one accepted prefill and one attempt', () => {
+		const arrivals = new RequestArrivals();
+		assert.is(arrivals.furtherOf(split), 0);
+		arrivals.note(prefilled);
+		arrivals.note(other);
+		assert.is(arrivals.further, 0);
+	});
+
+	it('are two when a split request is tried again over a prefill; guards against a repeated prefill that nobody counts', () => {
+		const arrivals = new RequestArrivals();
+		arrivals.note(prefilled);
+		arrivals.note(other);
+		assert.is(arrivals.furtherOf(split), 2);
+		assert.is(arrivals.furtherOf(direct), 1);
+		arrivals.note(prefilled);
+		arrivals.note(other);
+		assert.is(arrivals.further, 2);
+	});
+
+	it('include a prefill that is repeated after a connection that was not made', () => {
+		const arrivals = new RequestArrivals();
+		arrivals.note(prefilled);
+		assert.is(arrivals.furtherOf(split), 1);
+		assert.is(arrivals.furtherOf(direct), 0);
+	});
+
+	it('include rejected prefills after the first call', () => {
+		const arrivals = new RequestArrivals();
+		arrivals.note(other);
+		assert.is(arrivals.further, 0);
+		assert.is(arrivals.furtherOf(split), 1);
+		arrivals.note(other);
+		assert.is(arrivals.further, 1);
+	});
+});
+
+describe('the fleet under a crash of many decode engines', () => {
+	const entries = 27;
+	const requests = 2500;
+	const limits = {ratio: 0.2, allowance: 94};
+
+	it('stays within the limit on further calls when each decode call meets a crashed engine; guards against one charge for two calls', () => {
+		const clock = createManualClock(100_000);
+		const windows = Array.from({length: entries}, () => new RetryWindow(clock, {windowMs: 10_000, limits: () => limits, entries: () => entries}));
+		clock.advance(10_000);
+		let further = 0;
+		for (let request = 0; request < requests; request += 1) {
+			const window = windows[request % entries]!;
+			const arrivals = new RequestArrivals();
+			window.countFirst();
+			for (let attempt = 0; attempt < 4; attempt += 1) {
+				const calls = arrivals.furtherOf(split);
+				if (!window.take(calls)) {
+					break;
+				}
+
+				arrivals.note(prefilled);
+				arrivals.note(other);
+			}
+
+			further += arrivals.further;
+		}
+
+		assert.ok(further <= (requests * limits.ratio) + limits.allowance, `${further} further calls`);
+		assert.ok(further > requests * limits.ratio / 2, `${further} further calls`);
+	});
+
+	it('gets back what did not reach an endpoint, but not from a part of the window that has passed', () => {
+		const clock = createManualClock(100_000);
+		const window = new RetryWindow(clock, {windowMs: 10_000, limits: () => ({ratio: 0, allowance: 10}), entries: () => 1});
+		clock.advance(20_000);
+		const unused = window.take(7);
+		assert.is(window.take(1), undefined);
+		unused!.giveBack(7);
+		const later = window.take(7);
+		assert.ok(later);
+		clock.advance(10_500);
+		assert.ok(window.take(7));
+		later.giveBack(7);
+		assert.is(window.take(1), undefined);
+	});
+});
--- a/packages/core/src/forwarding/choose-model-place.ts
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -23,6 +23,8 @@
 	readonly dataCentre: string;
 	/** Endpoints that have refused or failed the request. */
 	readonly excluded: ReadonlySet<string>;
+	/** Engine that has prefilled the prompt already and keeps its KV cache. */
+	readonly prefilledAt?: EndpointView;
 };
 
 export type PlaceContext = {
@@ -175,26 +177,61 @@
 	};
 };
 
-/** The best pair of a prefill and a decode engine. */
-const chooseSplit = ({decoders, prefillers, most}: Candidates, request: PlaceRequest, context: PlaceContext): ScoredPlace | undefined => {
-	const expected = new Map(prefillers.map(view => [view, expectPrefill(view, request, {nowMs: context.nowMs, most})]));
-	const prefill = pickLowest(prefillers, view => expected.get(view)!.scoreMs);
+type DecodeChoice = {
+	readonly decode: EndpointView;
+	readonly scoreMs: number;
+	/** Expected time from the end of the prefill to the first token. */
+	readonly decodeMs: number;
+	readonly placeWaitMs: number;
+};
+
+/** The best decode engine that fetches the KV cache. */
+const chooseFetching = ({decoders}: Candidates, request: PlaceRequest, context: PlaceContext): DecodeChoice | undefined => {
 	// A request whose KV cache is fetched still waits for its turn among the prompts that the engine prefills itself.
 	const turnMs = (view: EndpointView): number => view.work.waitMs(request.level, context.nowMs);
 	const scoreOf = (view: EndpointView): number => scoreDecode(view, request, context) + turnMs(view);
 	const decode = pickLowest(decoders, scoreOf);
-	if (!prefill || !decode) {
+	if (!decode) {
 		return undefined;
 	}
 
-	const {waitMs, doneMs, uncachedTokens, scoreMs} = expected.get(prefill)!;
 	const placeMs = placeWaitMs(decode, request, context);
-	const decodeMs = turnMs(decode) + placeMs + splitMs;
+	return {
+		decode, scoreMs: scoreOf(decode) + splitMs, decodeMs: turnMs(decode) + placeMs + splitMs, placeWaitMs: placeMs,
+	};
+};
+
+/** The best pair of a prefill and a decode engine. */
+const chooseSplit = (candidates: Candidates, request: PlaceRequest, context: PlaceContext): ScoredPlace | undefined => {
+	const {prefillers, most} = candidates;
+	const expected = new Map(prefillers.map(view => [view, expectPrefill(view, request, {nowMs: context.nowMs, most})]));
+	const prefill = pickLowest(prefillers, view => expected.get(view)!.scoreMs);
+	const chosen = chooseFetching(candidates, request, context);
+	if (!prefill || !chosen) {
+		return undefined;
+	}
+
+	const {decode, decodeMs, placeWaitMs: placeMs} = chosen;
+	const {waitMs, doneMs, uncachedTokens, scoreMs} = expected.get(prefill)!;
 	return {
 		place: {
 			decode, prefill, waitMs, uncachedTokens, firstTokenMs: doneMs + prefill.pace.latencyMs + decodeMs, placeWaitMs: placeMs, decodeLoad: loadWith(decode, request, context),
 		},
-		scoreMs: scoreMs + scoreOf(decode) + splitMs,
+		scoreMs: scoreMs + chosen.scoreMs,
+	};
+};
+
+/** The place of a request whose prompt has been prefilled; only its decode engine is still to be chosen. */
+const choosePrefilled = (candidates: Candidates, request: PlaceRequest & {readonly prefilledAt: EndpointView}, context: PlaceContext): ModelPlace | undefined => {
+	const chosen = chooseFetching(candidates, request, context);
+	return chosen && {
+		decode: chosen.decode,
+		prefill: request.prefilledAt,
+		waitMs: 0,
+		uncachedTokens: 0,
+		firstTokenMs: chosen.decodeMs,
+		placeWaitMs: chosen.placeWaitMs,
+		decodeLoad: loadWith(chosen.decode, request, context),
 	};
 };
 
@@ -203,6 +240,11 @@
 	const candidates = findCandidates(views, request, context.nowMs);
 	const kept = findKept(candidates.decoders);
 	const isLong = candidates.decoders.some(view => view !== kept && missMs(view, request, context) > 0);
+	const {prefilledAt} = request;
+	if (prefilledAt) {
+		return choosePrefilled(candidates, {...request, prefilledAt, isLong}, {...context, kept});
+	}
+
 	const direct = chooseDirect(candidates, {...request, isLong}, {...context, kept});
 	const split = chooseSplit(candidates, {...request, isLong}, {...context, kept});
 	if (direct && split) {
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -20,8 +20,10 @@
 export {Refusals} from './refusals.js';
 export {StreamSilence, type SilenceWatcher} from './stream-silence.js';
 export {PartCache} from './part-cache.js';
-export {RequestArrivals, type ArrivingCall} from './request-arrivals.js';
-export {RetryWindow, type RetryLimits, type RetryWindowOptions} from './retry-window.js';
+export {RequestArrivals, type ArrivingCall, type PlannedAttempt} from './request-arrivals.js';
+export {
+	RetryWindow, type RetryLimits, type RetryReservation, type RetryWindowOptions,
+} from './retry-window.js';
 export {TokenWindow, type TokenRate} from './token-window.js';
 export {
 	balanceRoles, type RoleBalance, type RoleBalanceMemory, type RoleDecision,
--- a/packages/core/src/forwarding/request-arrivals.ts
+++ b/packages/core/src/forwarding/request-arrivals.ts
@@ -9,6 +9,11 @@
 	readonly isPrefilled: boolean;
 };
 
+export type PlannedAttempt = {
+	/** The prompt is prefilled at another engine first. */
+	readonly isSplit: boolean;
+};
+
 export class RequestArrivals {
 	#counted = 0;
 	#hasPrefill = false;
@@ -18,6 +23,12 @@
 		return Math.max(0, this.#counted - 1);
 	}
 
+	/** Further calls of one more attempt, if each of its calls arrives and its prefill is accepted. */
+	furtherOf({isSplit}: PlannedAttempt): number {
+		const prefills = isSplit && this.#hasPrefill ? 1 : 0;
+		return Math.max(0, this.#counted + prefills) - this.further;
+	}
+
 	/** A call has reached an endpoint. */
 	note({isPrefilled}: ArrivingCall): void {
 		if (isPrefilled && !this.#hasPrefill) {
--- a/packages/core/src/forwarding/retry-window.ts
+++ b/packages/core/src/forwarding/retry-window.ts
@@ -1,13 +1,13 @@
 /**
- * Limits the attempts beyond the first ones within a sliding window. Entries share the limit of the fleet without asking
+ * Limits the calls that load endpoints again, beyond the first of each request, within a sliding window. Entries share the limit of the fleet without asking
  * one another: each takes its part of the fixed allowance and a ratio of its own first attempts.
  */
 import type {Clock} from '../clock.js';
 
 export type RetryLimits = {
-	/** Further attempts for each first one. */
+	/** Further calls for each request. */
 	readonly ratio: number;
-	/** Further attempts of the whole fleet that need no first one. */
+	/** Further calls of the whole fleet that need no request. */
 	readonly allowance: number;
 };
 
@@ -19,6 +19,12 @@
 	readonly entries: () => number;
 };
 
+/** Further calls that an attempt may make. */
+export type RetryReservation = {
+	/** Returns what did not reach an endpoint. */
+	giveBack(calls: number): void;
+};
+
 /** Part of the limit that is used; the rest covers entries that do not know of each other yet. */
 const usedPart = 0.7;
 /**
@@ -47,8 +53,8 @@
 		this.#current().first += 1;
 	}
 
-	/** Takes one further attempt out of the window, if there is one. */
-	take(): boolean {
+	/** Takes further calls out of the window; undefined when it has not so many. */
+	take(calls: number): RetryReservation | undefined {
 		const slot = this.#slot();
 		const recent = this.#buckets.filter(bucket => bucket.slot > slot - buckets);
 		const first = recent.reduce((sum, bucket) => sum + bucket.first, 0);
@@ -57,12 +63,20 @@
 		const {ratio, allowance} = limits();
 		const known = this.#clock.nowMs() - this.#startMs < windowMs ? allowance * startPart : allowance;
 		const limit = ((first * ratio) + (known / Math.max(1, entries()))) * usedPart;
-		if (further + 1 > limit) {
-			return false;
+		if (calls > 0 && further + calls > limit) {
+			return undefined;
 		}
 
-		this.#current().further += 1;
-		return true;
+		const bucket = this.#current();
+		bucket.further += calls;
+		return {
+			giveBack(unused) {
+				// The bucket may count a later part of time by now.
+				if (bucket.slot === slot) {
+					bucket.further -= unused;
+				}
+			},
+		};
 	}
 
 	#slot(): number {
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -259,14 +259,18 @@
 	}
 };
 
+/** Whether the KV cache is surely still there. An engine that refuses for another reason may have tried to fetch it. */
+const isUnfetched = (result: AttemptResult): boolean => result.kind === 'failed' && (result.failure === 'not-connected' || result.isMisdirected === true);
+
 /** Runs one attempt. */
 export const relayAnswer = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
 	placement: Placement,
-	{relay, arrivals}: AttemptState,
+	state: AttemptState,
 ): Promise<AttemptResult> => {
 	const {known, prefill} = placement;
+	const {relay, arrivals} = state;
 	if (!relay) {
 		deps.load.begin(known, plainSize);
 		const result = await relayWhole(deps, admitted, placement);
@@ -279,9 +283,9 @@
 		return result;
 	}
 
-	let kvSource: KvHandle | undefined;
+	let {kvSource} = placement;
 	let prefillMs: number | undefined;
-	if (prefill) {
+	if (prefill && !kvSource) {
 		const startMs = deps.clock.nowMs();
 		const prefilled = await runPrefill(deps, admitted, {...placement, prefill});
 		noteArrival(arrivals, prefilled);
@@ -295,8 +299,8 @@
 
 	const result = await runDecode(deps, admitted, {placement, kvSource}, relay);
 	noteArrival(arrivals, result);
-	if (prefill && kvSource && result.kind === 'failed' && (result.failure === 'refused' || result.failure === 'not-connected')) {
-		// No engine has fetched the KV cache, and another try has the prompt prefilled anew.
+	state.prefilled = prefill && kvSource && isUnfetched(result) ? {at: prefill, handle: kvSource} : undefined;
+	if (prefill && kvSource && !state.prefilled && result.kind === 'failed' && result.failure === 'refused') {
 		releaseHandle(deps, prefill, kvSource);
 	}
 
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -20,7 +20,8 @@
 import {judgeAttempt} from './judge-attempt.js';
 import type {CallerRequest, WireFormat} from './ports.js';
 import type {ModelLoad} from './model-load.js';
-import {placeRequest, type Placement} from './placement.js';
+import {releaseHandle} from './prefill.js';
+import {placeRequest, type Placement, type PrefilledPrompt} from './placement.js';
 import {StreamRelay} from './stream-relay.js';
 
 /** An admitted request. */
@@ -119,10 +120,18 @@
 
 const failuresBeforeRun = new Set<FailureKind>(['not-connected', 'refused']);
 
+/** What the attempts of a request share. */
+export type AttemptState = {
+	readonly relay: StreamRelay | undefined;
+	readonly arrivals: RequestArrivals;
+	/** KV cache that the last attempt has left. */
+	prefilled?: PrefilledPrompt;
+};
+
 type Progress = {
 	runs: number;
 	tries: number;
-	readonly arrivals: RequestArrivals;
+	readonly attempts: AttemptState;
 	readonly excluded: Set<string>;
 	readonly earlier: FailureKind[];
 	lastFailure?: FailedAttempt;
@@ -135,18 +144,19 @@
 	attempts: progress.tries,
 });
 
+/** The calls of an attempt are known, and taken out of the budget, once its place has been chosen. */
 const freeBudget = {take: () => true};
 
 /** Whether another attempt may follow a failure. */
-const mayRetry = (deps: ForwardDeps, admitted: AdmittedRequest, progress: Progress, failure: FailureKind): boolean => {
-	const {route, service} = admitted;
+const mayRetry = (admitted: AdmittedRequest, progress: Progress, failure: FailureKind): boolean => {
+	const {route} = admitted;
 	const isUnrun = failuresBeforeRun.has(failure);
 	const decision = decideRetry(failure, {
 		attempts: isUnrun ? progress.tries : progress.runs,
 		maxAttempts: isUnrun ? maxUnrunTries : route.maxAttempts,
 		idempotent: route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable),
 		earlier: progress.earlier,
-	}, failure === 'not-connected' ? freeBudget : deps.retriesOf(service.name));
+	}, freeBudget);
 	return decision.retry;
 };
 
@@ -176,38 +186,52 @@
 		};
 };
 
-/** Runs the attempts of a request until it is answered or given up. */
-export const forwardRequest = async (deps: ForwardDeps, admitted: AdmittedRequest): Promise<Outcome> => {
-	const {exchange} = admitted;
-	const progress: Progress = {
-		runs: 0, tries: 0, arrivals: new RequestArrivals(), excluded: new Set(), earlier: [],
-	};
-	const relay = admitted.route.kind === 'stream' ? new StreamRelay(exchange, admitted.request.lastEventId) : undefined;
-	deps.retriesOf(admitted.service.name).countFirst();
-	if (relay) {
-		const {request} = admitted;
-		deps.load.longAnswers(admitted.service.name).note(request.outputTokens, exchange.leftMs);
+/** The limit on further calls has no room for another attempt. */
+const finishWithoutRetries = (admitted: AdmittedRequest, progress: Progress): Outcome => {
+	const outcome = finishFailed(admitted, progress);
+	return outcome.ran === 'not-run' ? {...outcome, code: 'retries-used'} : outcome;
+};
+
+/** Chooses the place of the next attempt, or ends the request. */
+const nextPlacement = (deps: ForwardDeps, admitted: AdmittedRequest, progress: Progress): Outcome | Placement => {
+	const {excluded, runs, tries, attempts: {prefilled}} = progress;
+	const placement = placeRequest(deps, admitted, {excluded, prefilled, mayRefuse: runs === 0});
+	if (!placement) {
+		return finishFailed(admitted, progress);
+	}
+
+	if ('kind' in placement) {
+		return {
+			status: 503, code: placement.code, ran: 'not-run', attempts: tries, retryAfterMs: placement.retryAfterMs, inputs: placement.inputs,
+		};
 	}
 
+	return {...placement, isLast: runs + 1 >= admitted.route.maxAttempts || !hasOther(deps, admitted, placement)};
+};
+
+const runAttempts = async (deps: ForwardDeps, admitted: AdmittedRequest, progress: Progress): Promise<Outcome> => {
+	const {exchange, service} = admitted;
+	const {attempts} = progress;
 	for (;;) {
 		if (exchange.signal.aborted) {
 			return endedEarly(admitted, progress, progress.runs > 0 ? 'unknown' : 'not-run');
 		}
 
-		const placement = placeRequest(deps, admitted, {excluded: progress.excluded, mayRefuse: progress.runs === 0});
-		if (!placement) {
-			return finishFailed(admitted, progress);
+		const placement = nextPlacement(deps, admitted, progress);
+		if ('code' in placement) {
+			return placement;
 		}
 
-		if ('kind' in placement) {
-			return {
-				status: 503, code: placement.code, ran: 'not-run', attempts: progress.tries, retryAfterMs: placement.retryAfterMs, inputs: placement.inputs,
-			};
+		const calls = attempts.arrivals.furtherOf({isSplit: placement.prefill !== undefined && !placement.kvSource});
+		const reservation = deps.retriesOf(service.name).take(calls);
+		if (!reservation) {
+			return finishWithoutRetries(admitted, progress);
 		}
 
 		progress.tries += 1;
-		const isLast = progress.runs + 1 >= admitted.route.maxAttempts || !hasOther(deps, admitted, placement);
-		const result = await tryPlacement(deps, admitted, {...placement, isLast}, {relay, arrivals: progress.arrivals});
+		const furtherBefore = attempts.arrivals.further;
+		const result = await tryPlacement(deps, admitted, placement, attempts);
+		reservation.giveBack(calls - (attempts.arrivals.further - furtherBefore));
 		if (result.kind === 'answered') {
 			return {
 				status: result.status, code: 'answered', ran: 'ran', attempts: progress.tries,
@@ -222,7 +246,7 @@
 		}
 
 		progress.excluded.add(result.at.endpoint.id);
-		if (!mayRetry(deps, admitted, progress, failure)) {
+		if (!mayRetry(admitted, progress, failure)) {
 			return finishFailed(admitted, progress);
 		}
 
@@ -230,6 +254,26 @@
 	}
 };
 
+/** Runs the attempts of a request until it is answered or given up. */
+export const forwardRequest = async (deps: ForwardDeps, admitted: AdmittedRequest): Promise<Outcome> => {
+	const {exchange, request, route, service} = admitted;
+	const relay = route.kind === 'stream' ? new StreamRelay(exchange, request.lastEventId) : undefined;
+	const attempts: AttemptState = {relay, arrivals: new RequestArrivals()};
+	deps.retriesOf(service.name).countFirst();
+	if (relay) {
+		deps.load.longAnswers(service.name).note(request.outputTokens, exchange.leftMs);
+	}
+
+	const outcome = await runAttempts(deps, admitted, {
+		runs: 0, tries: 0, attempts, excluded: new Set(), earlier: [],
+	});
+	if (attempts.prefilled) {
+		releaseHandle(deps, attempts.prefilled.at, attempts.prefilled.handle);
+	}
+
+	return outcome;
+};
+
 /** Whether the service has another endpoint; without one a slow answer is waited for. */
 const hasOther = ({pool}: ForwardDeps, {service}: AdmittedRequest, {known}: Placement): boolean =>
 	pool.ofService(service.name).some(other => other !== known && !other.endpoint.isLeaving && other.endpoint.role !== 'prefill');
@@ -244,19 +288,17 @@
 	}
 };
 
-/** What the attempts of a request share. */
-export type AttemptState = {readonly relay: StreamRelay | undefined; readonly arrivals: RequestArrivals};
-
 const tryPlacement = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
 	placement: Placement,
-	{relay, arrivals}: AttemptState,
+	attempts: AttemptState,
 ): Promise<AttemptResult> => {
+	const {arrivals} = attempts;
 	const startMs = deps.clock.nowMs();
 	const furtherBefore = arrivals.further;
 	const {known} = placement;
-	const result = await relayAnswer(deps, admitted, placement, {relay, arrivals});
+	const result = await relayAnswer(deps, admitted, placement, attempts);
 	if (!admitted.exchange.signal.aborted) {
 		judgeAttempt(placement, result, deps.clock.nowMs());
 		noteCrashes(deps, admitted, result);
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -6,12 +6,18 @@
 } from '@hawthorncleat/core';
 import type {KnownEndpoint} from './endpoint-pool.js';
 import type {AdmittedRequest, DecodeView, ForwardDeps} from './forward-request.js';
+import type {KvHandle} from './ports.js';
+
+/** A prompt whose KV cache waits at a prefill engine, because no decode engine has fetched it. */
+export type PrefilledPrompt = {readonly at: KnownEndpoint; readonly handle: KvHandle};
 
 /** Where a request runs. */
 export type Placement = {
 	readonly known: KnownEndpoint;
 	/** Prefills the prompt first. */
 	readonly prefill?: KnownEndpoint;
+	/** Its KV cache of the prompt, if an earlier attempt has left one. */
+	readonly kvSource?: KvHandle;
 	/** Priority in the queue of the engine that prefills. */
 	readonly level?: number;
 	/** Priority at the decode engine. */
@@ -108,7 +114,7 @@
 	};
 };
 
-const placeModel = (deps: ForwardDeps, admitted: AdmittedRequest, {excluded, mayRefuse}: PlaceOptions): Overload | Placement | undefined => {
+const placeModel = (deps: ForwardDeps, admitted: AdmittedRequest, {excluded, prefilled, mayRefuse}: PlaceOptions): Overload | Placement | undefined => {
 	const {request, route, service, exchange} = admitted;
 	const place = {
 		parts: request.parts,
@@ -117,6 +123,7 @@
 		dataCentre: deps.dataCentre,
 		leftMs: exchange.leftMs,
 		excluded,
+		prefilledAt: prefilled?.at,
 	};
 	const limitMs = Math.min(patienceMs(route) * patiencePart, exchange.endsAtMs - exchange.startedMs);
 	const chosen = chooseLevelledPlace(deps, {admitted, place, limitMs});
@@ -142,6 +149,7 @@
 	return {
 		known: chosen.decode as KnownEndpoint,
 		prefill: chosen.prefill as KnownEndpoint | undefined,
+		kvSource: prefilled?.handle,
 		level: chosen.level,
 		decodeLevel,
 		waitMs: chosen.waitMs,
@@ -160,6 +168,8 @@
 export type PlaceOptions = {
 	/** Endpoints that have refused or failed the request. */
 	readonly excluded: ReadonlySet<string>;
+	/** KV cache that an earlier attempt has left. */
+	readonly prefilled?: PrefilledPrompt;
 	/** The request has not run yet. */
 	readonly mayRefuse: boolean;
 };
