Judge long answers by kind and by the last answers, so that the limit of engines holds from the start

Cause: the load up to which a decode engine is filled followed one quantile over all kinds of answers of a service, in steps of 2 %. An entry that had just started, or one after a burst of short answers, expected no long ones and had no limit. The few decode engines that were left were filled to 1.2 times their places and memory.

Streams took 13 ms a token at such loads, at which 600 tokens do not end in 8 s. Waits that were taken for too short also broke requests off; they came from the same overfilled engines.

Each kind has its own window of the last hundred answers; the quickest pace that any kind asks for now decides. The first answers count in full, so a limit exists at once. The time limit of a kind is that of its first attempts.

--- a/packages/core/src/forwarding/__tests__/long-answers.test.ts
+++ b/packages/core/src/forwarding/__tests__/long-answers.test.ts
@@ -25,9 +25,9 @@
 /** Asks for so many answers, with some short ones for each note. */
 const ask = (answers: LongAnswers, notes: number, sortsPerNote: number): void => {
 	for (let note = 0; note < notes; note += 1) {
-		answers.note(noteTokens[note % noteTokens.length]!, noteLimitMs);
+		answers.note({kind: 'note', outputTokens: noteTokens[note % noteTokens.length]!, limitMs: noteLimitMs}, 0);
 		for (let sort = 0; sort < sortsPerNote; sort += 1) {
-			answers.note(sortTokens, sortLimitMs);
+			answers.note({kind: 'sort', outputTokens: sortTokens, limitMs: sortLimitMs}, 0);
 		}
 	}
 };
@@ -35,7 +35,7 @@
 /** Time of the largest note on an engine that is filled up to the limit. */
 const largestMs = (answers: LongAnswers): number => {
 	const pace = createPace();
-	return pace.msPerToken(Math.min(1, answers.maxLoad(pace, {level, outputTokens: 300}))) * largestTokens;
+	return pace.msPerToken(Math.min(1, answers.maxLoad(pace, {level, outputTokens: 300, nowMs: 0}))) * largestTokens;
 };
 
 // Guards against SHORT: engines were filled until hardly any of the largest answers of one kind could end.
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -261,7 +261,8 @@
 	const attempts: AttemptState = {relay, arrivals: new RequestArrivals()};
 	deps.retriesOf(service.name).countFirst();
 	if (relay) {
-		deps.load.longAnswers(service.name).note(request.outputTokens, exchange.leftMs);
+		const asked = {kind: route.name, outputTokens: request.outputTokens, limitMs: exchange.leftMs};
+		deps.load.longAnswers(service.name).note(asked, deps.clock.nowMs());
 	}
 
 	const outcome = await runAttempts(deps, admitted, {
