Avoid an endpoint that is no longer at its address until its registration has had time to change

An old registration lapses after seconds, and a changed one replaces what is known of the endpoint, so nothing is gained by asking sooner.

The new test of judge-attempt failed before.

--- a/packages/core/src/forwarding/endpoint-trust.ts
+++ b/packages/core/src/forwarding/endpoint-trust.ts
@@ -25,6 +25,12 @@
 		this.#avoidUntilMs = 0;
 	}
 
+	/** Something else has its address or its role. That lasts until its registration changes or lapses, which takes seconds. */
+	misdirected(nowMs: number): void {
+		this.#failures += 1;
+		this.#avoidUntilMs = nowMs + maxAvoidMs;
+	}
+
 	/** Failures while the endpoint is avoided already are of the same cause and count once. */
 	failed(nowMs: number): void {
 		if (this.isAvoided(nowMs)) {
--- a/packages/forward/src/__tests__/judge-attempt.test.ts
+++ b/packages/forward/src/__tests__/judge-attempt.test.ts
@@ -50,4 +50,11 @@
 		judgeAttempt({known: desk}, refusedAt(desk, true), 0);
 		assert.ok(isAvoided(desk));
 	});
+
+	it('avoids it until its registration has had time to change; guards against a restarted engine asked under its old id by each entry again and again', () => {
+		const restarted = createKnown('d1', 'decode');
+		judgeAttempt({known: restarted}, refusedAt(restarted, true), 0);
+		assert.ok(restarted.trust.isAvoided(3600));
+		assert.not(restarted.trust.isAvoided(4100));
+	});
 });
--- a/packages/forward/src/judge-attempt.ts
+++ b/packages/forward/src/judge-attempt.ts
@@ -19,7 +19,9 @@
 				engine.trust.failed(nowMs);
 			}
 		}
-	} else if (isMisdirected || at.endpoint.role !== undefined) {
+	} else if (isMisdirected) {
+		at.trust.misdirected(nowMs);
+	} else if (at.endpoint.role !== undefined) {
 		at.trust.failed(nowMs);
 	}
 };
