Take an engine back as soon as it has registered with its new role

Cause: entries shun the engines that the planner says it is changing. The planner judges by the registrations it has read. From 16.5 s the store turned it away, and it went on saying that the only decode engine was changing, until its view came back at 23.8 s and its last word lapsed at 26.1 s. The engine had registered as decode at 19.3 s, where every other entry had read it. In a calm fleet the same rule cost each change up to 2.5 s, since the planner's last message arrives after the new registration.

Messages name the role with the engine, and an entry that has read a registration with that role does not shun it. Ruled out: an order carried out late (registered 3 s after the order), and the store's fault at other entries (they had no gap).

Not mended: the planner itself does not see the new role until the store serves it again; its own callers are refused meanwhile.

The second test of role-changes fails without the condition.

--- /dev/null
+++ b/packages/forward/src/__tests__/role-changes.test.ts
@@ -0,0 +1,45 @@
+import {
+	brandAs, type EndpointId, type EndpointRole, type RegisteredEndpoint,
+} from '@hawthorncleat/core';
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {EndpointPool} from '../endpoint-pool.js';
+import {RoleChanges} from '../role-changes.js';
+
+const id = 'i-1';
+
+const createEngine = (role: EndpointRole): RegisteredEndpoint => ({
+	id: brandAs<EndpointId>(id),
+	service: 'models',
+	address: '127.0.0.1',
+	port: 1,
+	dataCentre: 'a',
+	places: 8,
+	isLeaving: false,
+	role,
+	startedAt: 1,
+	heartbeat: 1,
+});
+
+describe('an engine whose role changes', () => {
+	const createWorld = () => {
+		const clock = createManualClock(1000);
+		const pool = new EndpointPool({clock, entries: () => 2, serviceOf: () => undefined});
+		pool.put(createEngine('prefill'));
+		return {clock, pool, changes: new RoleChanges(clock, pool)};
+	};
+
+	it('is shunned while its change is under way', () => {
+		const {clock, pool, changes} = createWorld();
+		changes.note([{endpoint: id, role: 'decode'}]);
+		assert.ok(pool.get(id)!.changesUntilMs > clock.nowMs());
+	});
+
+	it('takes work as soon as it has registered with its new role, whatever a planner says that is cut off from the store; guards against the only decode engine shunned for seconds', () => {
+		const {clock, pool, changes} = createWorld();
+		changes.note([{endpoint: id, role: 'decode'}]);
+		pool.put(createEngine('decode'));
+		changes.note([{endpoint: id, role: 'decode'}]);
+		assert.ok(pool.get(id)!.changesUntilMs <= clock.nowMs());
+	});
+});
--- a/packages/forward/src/duties.ts
+++ b/packages/forward/src/duties.ts
@@ -8,6 +8,7 @@
 import type {ForwardMetrics} from './metrics.js';
 import type {ModelLoad} from './model-load.js';
 import type {Platform} from './ports.js';
+import type {RoleChange} from './role-changes.js';
 import {runRoleDuty} from './role-duty.js';
 import type {TrueTime} from './true-time.js';
 import type {UsageCounter} from './usage-counter.js';
@@ -30,7 +31,7 @@
 	readonly metrics: ForwardMetrics;
 	readonly services: () => readonly ForwardService[];
 	/** Tells of the engines whose role this entry is changing. */
-	readonly onChanging: (endpoints: readonly string[]) => void;
+	readonly onChanging: (changes: readonly RoleChange[]) => void;
 };
 
 const reportUsage = async (options: DutiesOptions, lease: Lease, signal: AbortSignal): Promise<void> => {
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -171,8 +171,8 @@
 			log,
 			metrics: this.#parts.metrics,
 			services: () => this.#parts.config.routes?.config.services ?? [],
-			onChanging: endpoints => {
-				this.#parts.changes.noteOwn(endpoints);
+			onChanging: changes => {
+				this.#parts.changes.noteOwn(changes);
 			},
 		}, signal);
 	}
--- a/packages/forward/src/forward-parts.ts
+++ b/packages/forward/src/forward-parts.ts
@@ -68,8 +68,8 @@
 	onVersion(peer, version) {
 		parts.config.hearVersion(peer, version);
 	},
-	onChanging(_peer, endpoints) {
-		parts.changes.note(endpoints);
+	onChanging(_peer, changes) {
+		parts.changes.note(changes);
 	},
 });
 
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -4,10 +4,13 @@
  */
 import {createSocket, type Socket} from 'node:dgram';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {brandAs, type Clock, type Fingerprint} from '@hawthorncleat/core';
+import {
+	brandAs, type Clock, type EndpointRole, type Fingerprint,
+} from '@hawthorncleat/core';
 import type {CrashMark} from './crash-guard.js';
 import type {UsageNotice} from './usage-counter.js';
 import type {ModelLoad, RunningCount, SentWork} from './model-load.js';
+import type {RoleChange} from './role-changes.js';
 
 /** Another entry. */
 export type Peer = {readonly name: string; readonly address: string; readonly port: number};
@@ -20,13 +23,13 @@
 	readonly load: ModelLoad;
 	readonly peers: () => readonly Peer[];
 	readonly configVersion: () => number;
-	readonly changing: () => readonly string[];
+	readonly changing: () => readonly RoleChange[];
 	readonly usage: () => UsageNotice;
 	readonly crashes: () => readonly CrashMark[];
 	readonly onCrashes: (marks: readonly CrashMark[]) => void;
 	readonly onUsage: (notice: UsageNotice) => void;
 	/** Hears of the engines whose role another entry is changing. */
-	readonly onChanging: (peer: Peer, endpoints: readonly string[]) => void;
+	readonly onChanging: (peer: Peer, changes: readonly RoleChange[]) => void;
 	/** Hears of the configuration version of another entry. */
 	readonly onVersion: (peer: Peer, version: number) => void;
 };
@@ -45,6 +48,7 @@
 const maxDatagramBytes = 1400;
 const maxPartsPerWork = 3;
 
+type Changing = readonly [endpoint: string, role: EndpointRole];
 type Running = readonly [endpoint: string, requests: number, late: number, tokens: number];
 type Sent = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, parts: ReadonlyArray<readonly [id: string, tokens: number]>, isRefused: 0 | 1];
 
@@ -52,7 +56,7 @@
 	readonly from: string;
 	readonly config: number;
 	/** Engines whose role this entry is changing. */
-	readonly changing: readonly string[];
+	readonly changing: readonly Changing[];
 	/** Usage that the store does not have yet; not in every message. */
 	readonly usage?: UsageNotice;
 	/** Requests that ran at a crash, with the crash. */
@@ -131,7 +135,8 @@
 		const running = load.ownRunning().map(count => encodeRunning(count));
 		const sent = load.takeSent().map(work => encodeSent(work));
 		const crashes = this.#options.crashes().map(({fingerprint, source}) => [fingerprint, source] as const);
-		const text = JSON.stringify([running, changing(), crashes]);
+		const changes = changing().map(({endpoint, role}) => [endpoint, role] as const);
+		const text = JSON.stringify([running, changes, crashes]);
 		const isDue = clock.nowMs() - this.#sentMs >= keepAliveMs;
 		const isUsageDue = clock.nowMs() - this.#usageSentMs >= usagePauseMs;
 		if (sent.length === 0 && text === this.#lastRunning && !isDue && !isUsageDue) {
@@ -141,7 +146,7 @@
 		this.#sentMs = clock.nowMs();
 		this.#lastRunning = text;
 		this.#sendAll({
-			from: self, config: configVersion(), changing: changing(), running, sent, ...crashes.length > 0 && {crashes}, ...isUsageDue && {usage: this.#takeUsage()},
+			from: self, config: configVersion(), changing: changes, running, sent, ...crashes.length > 0 && {crashes}, ...isUsageDue && {usage: this.#takeUsage()},
 		});
 	}
 
@@ -184,7 +189,7 @@
 			})),
 		);
 		this.#options.onVersion(peer, message.config);
-		this.#options.onChanging(peer, message.changing);
+		this.#options.onChanging(peer, message.changing.map(([endpoint, role]) => ({endpoint, role})));
 		if (message.crashes) {
 			this.#options.onCrashes(message.crashes.map(([fingerprint, source]) => ({fingerprint: brandAs<Fingerprint>(fingerprint), source})));
 		}
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -11,6 +11,7 @@
 import {startAttempt} from './attempt.js';
 import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
 import type {ModelLoad} from './model-load.js';
+import type {RoleChange} from './role-changes.js';
 import {withTimeLimit} from './time-limit.js';
 import type {EncodedCall, WireFormat} from './ports.js';
 
@@ -25,7 +26,7 @@
 	/** The lease, while this entry holds it. */
 	readonly lease: () => Lease | undefined;
 	/** Tells the other entries which engines change. */
-	readonly onChanging: (endpoints: readonly string[]) => void;
+	readonly onChanging: (changes: readonly RoleChange[]) => void;
 };
 
 /** What is logged of an order. */
@@ -111,7 +112,11 @@
 			}
 		}
 
-		this.#options.onChanging([...this.#changing.keys()]);
+		this.#tellChanging();
+	}
+
+	#tellChanging(): void {
+		this.#options.onChanging([...this.#changing].map(([endpoint, {role}]) => ({endpoint, role})));
 	}
 
 	async #balance({name}: ForwardService, signal: AbortSignal): Promise<void> {
@@ -190,7 +195,7 @@
 		}
 
 		this.#changing.set(endpoint.id, {role, untilMs: clock.nowMs() + orderLimitMs});
-		this.#options.onChanging([...this.#changing.keys()]);
+		this.#tellChanging();
 		const {epoch} = lease;
 		const answer = await call(engine, wire.writeRoleOrder({
 			role, holder, epoch, afterOrders: state.ordersAccepted, endpoint,
