End answers that come without end, and split the modules that had grown

What callers would see: one faulty endpoint that sends bytes without end fills the memory of an entry, which is killed with all its requests; a refusal or an event without end holds its request up until the caller's limit.

Cause: bodies were kept without a limit, for retries of whole answers, for errors of streams, for handles of prefills, for answers to orders, and for an event that has begun.

Whole answers beyond 1 MiB are passed on as they come and are no longer asked for again; the caller's own reading slows them down. What this process reads itself, errors and single events have a limit, beyond which the attempt fails. Heads were limited by the HTTP client already.

Only moved: the types of one request (forward-types), whole answers (relay-whole), and what attempts have in common (attempt-parts).

--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -3,7 +3,7 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {CrashGuard} from '../crash-guard.js';
-import type {AdmittedRequest} from '../forward-request.js';
+import type {AdmittedRequest} from '../forward-types.js';
 
 type Source = Pick<AdmittedRequest, 'account' | 'body' | 'request'>;
 
--- a/packages/forward/src/__tests__/judge-attempt.test.ts
+++ b/packages/forward/src/__tests__/judge-attempt.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {KnownEndpoint} from '../endpoint-pool.js';
-import type {FailedAttempt} from '../forward-request.js';
+import type {FailedAttempt} from '../forward-types.js';
 import {judgeAttempt} from '../judge-attempt.js';
 
 const createKnown = (id: string, role?: 'decode' | 'prefill'): KnownEndpoint =>
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -4,7 +4,7 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {CallerExchange} from '../caller-exchange.js';
-import type {AdmittedRequest} from '../forward-request.js';
+import type {AdmittedRequest} from '../forward-types.js';
 import {StreamRelay} from '../stream-relay.js';
 
 const clock = {nowMs: () => performance.now()};
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -2,115 +2,28 @@
  * One attempt at the chosen place: the prefill at another engine if there is one, then the request itself, whose answer
  * is relayed to the caller.
  */
-import {Buffer} from 'node:buffer';
 import {
 	engineLoad, lateLevel, type RequestArrivals, type TrackedWork,
 } from '@hawthorncleat/core';
-import {startAttempt, type AttemptCall, type AttemptEnd} from './attempt.js';
+import {startAttempt} from './attempt.js';
+import {
+	createCall, createDetails, describeFailure, isOwnAnswer, serverError,
+} from './attempt-parts.js';
+import type {CallerExchange} from './caller-exchange.js';
 import type {KnownEndpoint} from './endpoint-pool.js';
 import type {
-	AdmittedRequest, AttemptResult, AttemptState, FailedAttempt, ForwardDeps,
-} from './forward-request.js';
+	AdmittedRequest, AttemptResult, AttemptState, ForwardDeps,
+} from './forward-types.js';
+import {answerTooLong, KeptAnswer, maxKeptAnswerBytes} from './kept-answer.js';
 import type {Placement} from './placement.js';
-import type {
-	AnswerHead, KvHandle, SendDetails,
-} from './ports.js';
+import type {AnswerHead, KvHandle} from './ports.js';
 import {releaseHandle, runPrefill, type PrefillResult} from './prefill.js';
-import {createTimeLimit} from './time-limit.js';
+import {relayWhole} from './relay-whole.js';
 import type {StreamRelay} from './stream-relay.js';
 
-/** Names what an attempt met when it ended without a usable answer. */
-export const describeFailure = (end: AttemptEnd, head: AnswerHead | undefined, {at, isLate}: {at: KnownEndpoint; isLate: boolean}): FailedAttempt => {
-	if (head && (head.isOtherEndpoint || head.isNotRun)) {
-		return {
-			kind: 'failed', failure: 'refused', detail: `status ${head.status}`, at, isMisdirected: head.isOtherEndpoint,
-		};
-	}
-
-	if (end.kind === 'not-sent') {
-		return {
-			kind: 'failed', failure: 'not-connected', detail: end.error.message, at, isDown: (end.error as NodeJS.ErrnoException).code === 'ECONNREFUSED',
-		};
-	}
-
-	const detail = end.kind === 'broken' ? end.error.message : `status ${head?.status ?? 'none'}`;
-	if (isLate) {
-		return {
-			kind: 'failed', failure: 'no-progress', detail, at,
-		};
-	}
-
-	const failure = head && end.kind === 'complete' ? 'invalid-response' : 'connection-lost';
-	return {
-		kind: 'failed', failure, detail, at,
-	};
-};
-
-/** Whether an answer belongs to the request and may be passed on. */
-export const isOwnAnswer = (head: AnswerHead, {request}: AdmittedRequest): boolean =>
-	(head.requestId === undefined ? head.status >= 300 : head.requestId === request.id) && (head.isSealed || head.status >= 300);
-
-export const createCall = (deps: ForwardDeps, {request, body}: AdmittedRequest, details: SendDetails): AttemptCall => ({
-	method: request.method,
-	path: request.target,
-	headers: deps.wire.writeRequest(request, details),
-	...body && body.length > 0 && {body},
-});
-
-export const createDetails = ({account, exchange}: AdmittedRequest, known: KnownEndpoint, level: number | undefined): SendDetails => ({
-	endpoint: known.endpoint,
-	account: account?.name,
-	leftMs: Math.max(1, Math.floor(exchange.leftMs)),
-	level,
-});
-
-/** Time after which a request that may run again is tried elsewhere. */
-const attemptLimitMs = ({route, exchange}: AdmittedRequest, isLast: boolean): number =>
-	route.kind === 'idempotent' && !isLast && exchange.leftMs > route.latencyTargetMs * 1.5 ? route.latencyTargetMs : exchange.unlimitedMs;
-
-const serverError = 500;
 /** A request of a plain service takes a place and nothing else. */
 const plainSize = {tokens: 0, isLate: false};
 
-/** Takes a whole answer before the caller gets any of it, so that one that breaks off can be asked for again. */
-const relayWhole = async (deps: ForwardDeps, admitted: AdmittedRequest, {known, isLast = false}: Placement): Promise<AttemptResult> => {
-	const {exchange} = admitted;
-	const chunks: Buffer[] = [];
-	let head: AnswerHead | undefined;
-	let isOwn = false;
-	const limit = createTimeLimit(attemptLimitMs(admitted, isLast), exchange.signal);
-	const {ended} = startAttempt(known.connections, createCall(deps, admitted, createDetails(admitted, known, undefined)), {
-		onHead(status, headers) {
-			head = deps.wire.readAnswer(status, headers);
-			isOwn = isOwnAnswer(head, admitted);
-			return isOwn || head.isNotRun || head.isOtherEndpoint;
-		},
-		onData(chunk) {
-			chunks.push(chunk);
-			return true;
-		},
-	}, limit.signal);
-	const end = await ended;
-	limit.clear();
-	if (end.kind !== 'complete' || !head || !isOwn || head.isNotRun || head.isOtherEndpoint) {
-		return describeFailure(end, head, {at: known, isLate: limit.isOver});
-	}
-
-	const {status, headers} = head;
-	const send = (): void => {
-		exchange.send(status, headers, Buffer.concat(chunks));
-	};
-
-	if (status >= serverError) {
-		return {
-			kind: 'failed', failure: 'service-error', answer: {send, status}, detail: `status ${status}`, at: known,
-		};
-	}
-
-	send();
-	return {kind: 'answered', status};
-};
-
 type StreamSource = {
 	readonly known: KnownEndpoint;
 	readonly isLast: boolean;
@@ -134,7 +47,7 @@
 
 	let head: AnswerHead | undefined;
 	let isOwn = false;
-	const errorBody: Buffer[] = [];
+	const errorBody = new KeptAnswer(maxKeptAnswerBytes);
 	const attempt = startAttempt(known.connections, createCall(deps, admitted, details), {
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
@@ -147,12 +60,19 @@
 			limit.restart();
 			known.silence.heard();
 			if (!isOwn || head!.status !== 200) {
-				errorBody.push(chunk);
+				if (!errorBody.push(chunk)) {
+					attempt.reject(answerTooLong);
+				}
+
 				return true;
 			}
 
 			const hadEvents = relay.hasEvents;
 			const goesOn = relay.push(head!, chunk);
+			if (relay.isEventTooLong) {
+				attempt.reject(answerTooLong);
+			}
+
 			if (!hadEvents && relay.hasEvents) {
 				onFirst();
 			}
@@ -178,7 +98,7 @@
 };
 
 const finishStream = (
-	{head, errorBody, known}: {readonly head: AnswerHead; readonly errorBody: readonly Buffer[]; readonly known: KnownEndpoint},
+	{head, errorBody, known}: {readonly head: AnswerHead; readonly errorBody: KeptAnswer; readonly known: KnownEndpoint},
 	{exchange}: AdmittedRequest,
 	relay: StreamRelay,
 ): AttemptResult => {
@@ -188,8 +108,9 @@
 		return {kind: 'answered', status};
 	}
 
+	const bytes = errorBody.take();
 	const send = (): void => {
-		exchange.send(status, headers, Buffer.concat(errorBody));
+		exchange.send(status, headers, bytes);
 	};
 
 	if (status >= serverError || exchange.hasHead) {
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -33,6 +33,8 @@
 export type Attempt = {
 	readonly ended: Promise<AttemptEnd>;
 	resume(): void;
+	/** Ends the attempt and closes its connection. */
+	reject(error: Error): void;
 };
 
 const resetAnswer = new Error('the connection was reset');
@@ -97,5 +99,8 @@
 		resume() {
 			controller?.resume();
 		},
+		reject(error) {
+			controller?.abort(error);
+		},
 	};
 };
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -7,9 +7,8 @@
 	pickService, type ForwardAccount, type ForwardRoute, type RouteTable,
 } from '@hawthorncleat/core';
 import {CallerExchange, readBody} from './caller-exchange.js';
-import {
-	forwardRequest, type AdmittedRequest, type ForwardDeps, type Outcome,
-} from './forward-request.js';
+import {forwardRequest} from './forward-request.js';
+import type {AdmittedRequest, ForwardDeps, Outcome} from './forward-types.js';
 import type {CallerRequest} from './ports.js';
 
 export type CallerHandlerDeps = ForwardDeps & {
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -7,7 +7,7 @@
 import {
 	brandAs, CrashSuspects, type Clock, type Fingerprint,
 } from '@hawthorncleat/core';
-import type {AdmittedRequest} from './forward-request.js';
+import type {AdmittedRequest} from './forward-types.js';
 
 /** The registration of a crashed endpoint lapses within this time. */
 const crashSeenMs = 6000;
--- a/packages/forward/src/event-splitter.ts
+++ b/packages/forward/src/event-splitter.ts
@@ -24,6 +24,11 @@
 		return this.#hasEvents;
 	}
 
+	/** Bytes of an event whose end has not come. */
+	get pendingBytes(): number {
+		return this.#rest.length;
+	}
+
 	/** Returns the whole events that are there, and keeps the beginning of the next one. */
 	push(chunk: Buffer): Buffer {
 		const bytes = this.#rest.length > 0 ? Buffer.concat([this.#rest, chunk]) : chunk;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -7,7 +7,7 @@
 import {handleCaller, type CallerHandlerDeps} from './caller-handler.js';
 import {runDuties} from './duties.js';
 import {createForwardParts, type ForwardDaemonDeps, type ForwardParts} from './forward-parts.js';
-import type {AdmittedRequest} from './forward-request.js';
+import type {AdmittedRequest} from './forward-types.js';
 import {keepHouse} from './housekeeping.js';
 import {keepAnnounced} from './membership.js';
 import type {ForwardSettings} from './ports.js';
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -1,118 +1,16 @@
 /**
  * Serves one request: chooses where it runs, sends it, and decides after a failure whether it may be sent again.
  */
-import type {Buffer} from 'node:buffer';
-import {
-	decideRetry,
-	RequestArrivals,
-	type Clock,
-	type FailureKind,
-	type ForwardAccount,
-	type ForwardRoute,
-	type ForwardService,
-	type Random,
-	type RetryWindow,
-} from '@hawthorncleat/core';
+import {decideRetry, RequestArrivals, type FailureKind} from '@hawthorncleat/core';
 import {relayAnswer} from './answer-relay.js';
-import type {CrashGuard} from './crash-guard.js';
-import type {CallerExchange} from './caller-exchange.js';
-import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
+import type {
+	AdmittedRequest, AttemptResult, AttemptState, FailedAttempt, ForwardDeps, Outcome,
+} from './forward-types.js';
 import {judgeAttempt} from './judge-attempt.js';
-import type {CallerRequest, WireFormat} from './ports.js';
-import type {ModelLoad} from './model-load.js';
+import {placeRequest, type Placement} from './placement.js';
 import {releaseHandle} from './prefill.js';
-import {placeRequest, type Placement, type PrefilledPrompt} from './placement.js';
 import {StreamRelay} from './stream-relay.js';
 
-/** An admitted request. */
-export type AdmittedRequest = {
-	readonly request: CallerRequest;
-	readonly body: Buffer | undefined;
-	readonly route: ForwardRoute;
-	readonly service: ForwardService;
-	readonly account: ForwardAccount | undefined;
-	readonly exchange: CallerExchange;
-};
-
-export type ForwardDeps = {
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly wire: WireFormat;
-	readonly pool: EndpointPool;
-	readonly load: ModelLoad;
-	readonly dataCentre: string;
-	readonly retriesOf: (service: string) => RetryWindow;
-	/** A request has begun to run for an account. */
-	readonly onRun: (admitted: AdmittedRequest) => void;
-	readonly crashes: Pick<CrashGuard, 'noteBroken' | 'noteCrash' | 'noteServed' | 'quarantinedMs'>;
-	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
-};
-
-/** What was known of a decode engine when it was chosen. */
-export type DecodeView = {
-	/** Requests there, this one not included. */
-	readonly running: number;
-	/** Load with this request, the mean of places and memory; 1 when both are taken. */
-	readonly load: number;
-	/** Load up to which it takes the request. */
-	readonly maxLoad: number;
-	/** Part of its memory that is taken. */
-	readonly memory: number;
-	/** Expected wait for a place. */
-	readonly placeWaitMs: number;
-};
-
-/** What one attempt came to. */
-export type AttemptResult
-	= | {readonly kind: 'answered'; readonly status: number; readonly prefillMs?: number; readonly firstMs?: number}
-		| FailedAttempt;
-
-export type FailedAttempt = {
-	readonly kind: 'failed';
-	readonly failure: FailureKind;
-	readonly retryAfterMs?: number;
-	readonly answer?: HeldAnswer;
-	readonly detail: string;
-	readonly at: KnownEndpoint;
-	/** Nothing listens at its address. */
-	readonly isDown?: boolean;
-	/** Another endpoint has the address now, or it has another role. */
-	readonly isMisdirected?: boolean;
-	readonly firstMs?: number;
-};
-
-/** A failure that the endpoint answered, which is the final answer when it may not be tried again. */
-export type HeldAnswer = {readonly send: () => void; readonly status: number};
-
-export type AttemptReport = {
-	readonly endpoint: string;
-	readonly prefill?: string;
-	readonly expectedMs?: number;
-	readonly level?: number;
-	readonly uncachedTokens?: number;
-	readonly tookMs: number;
-	/** Time of the prefill at another engine. */
-	readonly prefillMs?: number;
-	/** Time from the start of the attempt to the first event of a stream. */
-	readonly firstMs?: number;
-	/** Calls of the attempt that loaded an endpoint again. */
-	readonly furtherArrivals: number;
-	/** What the decode engine was expected to bear when it was chosen. */
-	readonly decode?: DecodeView;
-	readonly result: AttemptResult;
-};
-
-/** How a request ended. */
-export type Outcome = {
-	readonly status: number;
-	readonly code: string;
-	readonly ran: 'not-run' | 'ran' | 'unknown';
-	readonly attempts: number;
-	readonly retryAfterMs?: number;
-	/** Figures that decided a refusal. */
-	readonly inputs?: Readonly<Record<string, number>>;
-};
-
 /** Tries that no endpoint has run; each costs a refusal at most. */
 const maxUnrunTries = 4;
 /** A caller that comes back sooner meets the same queue. */
@@ -120,14 +18,6 @@
 
 const failuresBeforeRun = new Set<FailureKind>(['not-connected', 'refused']);
 
-/** What the attempts of a request share. */
-export type AttemptState = {
-	readonly relay: StreamRelay | undefined;
-	readonly arrivals: RequestArrivals;
-	/** KV cache that the last attempt has left. */
-	prefilled?: PrefilledPrompt;
-};
-
 type Progress = {
 	runs: number;
 	tries: number;
@@ -246,7 +136,8 @@
 		}
 
 		progress.excluded.add(result.at.endpoint.id);
-		if (!mayRetry(admitted, progress, failure)) {
+		const isBegun = exchange.hasHead && !attempts.relay;
+		if (isBegun || !mayRetry(admitted, progress, failure)) {
 			return finishFailed(admitted, progress);
 		}
 
--- a/packages/forward/src/judge-attempt.ts
+++ b/packages/forward/src/judge-attempt.ts
@@ -2,7 +2,7 @@
  * What the result of an attempt says about the endpoints that took part.
  */
 import type {FailureKind} from '@hawthorncleat/core';
-import type {AttemptResult, FailedAttempt} from './forward-request.js';
+import type {AttemptResult, FailedAttempt} from './forward-types.js';
 import type {Placement} from './placement.js';
 
 /** Failures that speak against an endpoint; an error of its own does not. */
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -5,7 +5,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {RequestEnd} from './caller-handler.js';
-import type {AttemptReport} from './forward-request.js';
+import type {AttemptReport} from './forward-types.js';
 
 /** Bounds around the usual latency targets, in seconds. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1, 2, 4, 8];
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -5,7 +5,7 @@
 	chooseLevel, chooseModelPlace, choosePlainPlace, lateLevel, patienceMs, type ModelPlace, type PlaceRequest,
 } from '@hawthorncleat/core';
 import type {KnownEndpoint} from './endpoint-pool.js';
-import type {AdmittedRequest, DecodeView, ForwardDeps} from './forward-request.js';
+import type {AdmittedRequest, DecodeView, ForwardDeps} from './forward-types.js';
 import type {KvHandle} from './ports.js';
 
 /** A prompt whose KV cache waits at a prefill engine, because no decode engine has fetched it. */
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -1,14 +1,13 @@
 /**
  * The first call of a split request: an engine prefills the prompt and keeps its KV cache for the engine that decodes.
  */
-import {Buffer} from 'node:buffer';
-import {
-	createCall, createDetails, describeFailure,
-} from './answer-relay.js';
+import {createCall, createDetails, describeFailure} from './attempt-parts.js';
 import {startAttempt} from './attempt.js';
+import {callEndpoint} from './call-endpoint.js';
+import {answerTooLong, KeptAnswer, maxControlAnswerBytes} from './kept-answer.js';
 import {createTimeLimit, withTimeLimit} from './time-limit.js';
 import type {KnownEndpoint} from './endpoint-pool.js';
-import type {AdmittedRequest, FailedAttempt, ForwardDeps} from './forward-request.js';
+import type {AdmittedRequest, FailedAttempt, ForwardDeps} from './forward-types.js';
 import type {Placement} from './placement.js';
 import type {AnswerHead, KvHandle} from './ports.js';
 
@@ -23,9 +22,7 @@
 
 /** Frees a KV cache that nobody will fetch. It expires by itself when this fails. */
 export const releaseHandle = (deps: ForwardDeps, known: KnownEndpoint, handle: KvHandle): void => {
-	void withTimeLimit(releaseLimitMs, undefined, async signal => startAttempt(known.connections, deps.wire.writeHandleRelease(handle), {
-		onHead: () => true, onData: () => true,
-	}, signal).ended);
+	void withTimeLimit(releaseLimitMs, undefined, async signal => callEndpoint(known, deps.wire.writeHandleRelease(handle), signal));
 };
 
 type PrefillPlacement = Placement & {readonly prefill: KnownEndpoint};
@@ -38,22 +35,26 @@
 		level, tokens: uncachedTokens, outputTokens: request.outputTokens, parts: request.parts,
 	});
 	const limit = createTimeLimit((waitMs * lateFactor) + lateMarginMs, exchange.signal);
-	const chunks: Buffer[] = [];
+	const body = new KeptAnswer(maxControlAnswerBytes);
 	let head: AnswerHead | undefined;
 	const call = createCall(deps, admitted, {...createDetails(admitted, prefill, level), prefillOnly: true});
-	const end = await startAttempt(prefill.connections, call, {
+	const attempt = startAttempt(prefill.connections, call, {
 		onHead(status, headers) {
 			head = deps.wire.readAnswer(status, headers);
 			return true;
 		},
 		onData(chunk) {
-			chunks.push(chunk);
+			if (!body.push(chunk)) {
+				attempt.reject(answerTooLong);
+			}
+
 			return true;
 		},
-	}, limit.signal).ended;
+	}, limit.signal);
+	const end = await attempt.ended;
 	limit.clear();
 	deps.load.endWork(prefill, work);
-	const name = end.kind === 'complete' && head?.status === 200 ? deps.wire.readHandle(Buffer.concat(chunks).toString()) : undefined;
+	const name = end.kind === 'complete' && head?.status === 200 ? deps.wire.readHandle(body.take().toString()) : undefined;
 	if (name === undefined) {
 		// A prompt that was only prefilled has not run.
 		const failed = describeFailure(end, head, {at: prefill, isLate: limit.isOver});
--- a/packages/forward/src/request-reports.ts
+++ b/packages/forward/src/request-reports.ts
@@ -3,7 +3,7 @@
  */
 import type {RequestEnd} from './caller-handler.js';
 import type {DecisionLog} from './decision-log.js';
-import type {AdmittedRequest, AttemptReport} from './forward-request.js';
+import type {AdmittedRequest, AttemptReport} from './forward-types.js';
 import type {ForwardMetrics} from './metrics.js';
 
 /** Whole milliseconds are enough for a log line. */
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -2,13 +2,12 @@
  * The duty of dividing engines between prefill and decode: decides from the demand of the last seconds and orders one
  * change after the other.
  */
-import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	balanceRoles, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceMemory,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
-import {startAttempt} from './attempt.js';
+import {callEndpoint, type EndpointAnswer} from './call-endpoint.js';
 import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
 import type {ModelLoad} from './model-load.js';
 import type {RoleChange} from './role-changes.js';
@@ -52,23 +51,8 @@
 const changingPart = 0.15;
 const accepted = new Set([200, 202]);
 
-type Answer = {readonly status: number; readonly body: string};
-
-const call = async (known: KnownEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<Answer | undefined> => {
-	const chunks: Buffer[] = [];
-	let status = 0;
-	const end = await withTimeLimit(callLimitMs, signal, async limited => startAttempt(known.connections, encoded, {
-		onHead(answered) {
-			status = answered;
-			return true;
-		},
-		onData(chunk) {
-			chunks.push(chunk);
-			return true;
-		},
-	}, limited).ended);
-	return end.kind === 'complete' ? {status, body: Buffer.concat(chunks).toString()} : undefined;
-};
+const call = async (known: KnownEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<EndpointAnswer | undefined> =>
+	withTimeLimit(callLimitMs, signal, async limited => callEndpoint(known, encoded, limited));
 
 /** State for one service. */
 type ServiceState = {memory: RoleBalanceMemory; engines: number; changedMs: number};
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -5,7 +5,7 @@
 import type {Buffer} from 'node:buffer';
 import type {CallerExchange} from './caller-exchange.js';
 import {EventSplitter} from './event-splitter.js';
-import type {AdmittedRequest} from './forward-request.js';
+import type {AdmittedRequest} from './forward-types.js';
 import {createTimeLimit, type TimeLimit} from './time-limit.js';
 import type {AnswerHead} from './ports.js';
 
@@ -16,6 +16,9 @@
 /** An endpoint that was expected to be slow is silent for longer than expected before it counts as gone. */
 const expectedFactor = 2;
 
+/** An event holds a few tokens. */
+const maxEventBytes = 1_048_576;
+
 export class StreamRelay {
 	readonly #exchange: CallerExchange;
 	readonly #splitter = new EventSplitter();
@@ -39,6 +42,11 @@
 		return this.#splitter.hasEvents;
 	}
 
+	/** The event that has begun is longer than any event is. */
+	get isEventTooLong(): boolean {
+		return this.#splitter.pendingBytes > maxEventBytes;
+	}
+
 	onDrain(listener: () => void): void {
 		this.#drainListener = listener;
 	}
--- a/packages/forward/src/time-limit.ts
+++ b/packages/forward/src/time-limit.ts
@@ -8,6 +8,8 @@
 	readonly isOver: boolean;
 	/** Starts the time anew. */
 	restart(): void;
+	/** Takes the time limit away; the other signal still ends the call. */
+	lift(): void;
 	/** Ends the call as if its time were over. */
 	expire(): void;
 	/** Releases the timer and the listener. */
@@ -48,6 +50,9 @@
 		restart() {
 			timer.refresh();
 		},
+		lift() {
+			clearTimeout(timer);
+		},
 		expire() {
 			clearTimeout(timer);
 			expire('the endpoint has gone silent');
