Leave the room that engines keep for long answers to the largest ones

Cause: engines are kept calm so that large answers end, and then a large answer was refused as crowded as often as any other (56 of 122 against 324 of 851), so the others filled the room that was kept for it.

An answer that is larger than nine tenths of its kind may fill an engine 0.15 beyond the others. Ruled out: broken streams alone (17 of 122, as before).

--- a/packages/core/src/forwarding/__tests__/decode-pace.test.ts
+++ b/packages/core/src/forwarding/__tests__/decode-pace.test.ts
@@ -56,7 +56,9 @@
 		const answers = new LongAnswers();
 		note(answers, 900);
 		const pace = createPace();
-		const load = answers.maxLoad(pace, {level: 3, outputTokens: 300, nowMs: 0});
+		const load = answers.maxLoad(pace, {
+			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+		});
 		assert.ok(load < 0.85, `${load}`);
 		assert.ok(pace.msPerToken(load) * 900 < 8000, `${pace.msPerToken(load) * 900} ms`);
 	});
@@ -65,22 +67,30 @@
 		const answers = new LongAnswers();
 		note(answers, 900, 14);
 		const pace = createPace();
-		const load = answers.maxLoad(pace, {level: 3, outputTokens: 300, nowMs: 0});
+		const load = answers.maxLoad(pace, {
+			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+		});
 		assert.ok(pace.msPerToken(load) * 900 < 8000, `${pace.msPerToken(load) * 900} ms`);
 	});
 
 	it('leave engines free to be filled when answers are short', () => {
 		const answers = new LongAnswers();
 		note(answers, 350);
-		assert.is(answers.maxLoad(createPace(), {level: 3, outputTokens: 300, nowMs: 0}), Number.POSITIVE_INFINITY);
+		assert.is(answers.maxLoad(createPace(), {
+			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+		}), Number.POSITIVE_INFINITY);
 	});
 
 	it('do not hold up very short answers, and hold up the urgent last', () => {
 		const answers = new LongAnswers();
 		note(answers, 900);
 		const pace = createPace();
-		assert.is(answers.maxLoad(pace, {level: 3, outputTokens: 10, nowMs: 0}), Number.POSITIVE_INFINITY);
-		const loads = [0, 3, 6, lateLevel].map(level => answers.maxLoad(pace, {level, outputTokens: 300, nowMs: 0}));
+		assert.is(answers.maxLoad(pace, {
+			kind: 'note', level: 3, outputTokens: 10, nowMs: 0,
+		}), Number.POSITIVE_INFINITY);
+		const loads = [0, 3, 6, lateLevel].map(level => answers.maxLoad(pace, {
+			kind: 'note', level, outputTokens: 300, nowMs: 0,
+		}));
 		assert.equal(loads, loads.toSorted((a, b) => b - a));
 		assert.ok(loads[0]! > loads[2]!);
 	});
@@ -88,6 +98,8 @@
 	it('never close engines that are half empty, however long the answers are', () => {
 		const answers = new LongAnswers();
 		note(answers, 100_000);
-		assert.ok(answers.maxLoad(createPace(), {level: 3, outputTokens: 300, nowMs: 0}) >= 0.5);
+		assert.ok(answers.maxLoad(createPace(), {
+			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+		}) >= 0.5);
 	});
 });
--- a/packages/core/src/forwarding/__tests__/long-answers.test.ts
+++ b/packages/core/src/forwarding/__tests__/long-answers.test.ts
@@ -35,7 +35,9 @@
 /** Time of the largest note on an engine that is filled up to the limit. */
 const largestMs = (answers: LongAnswers): number => {
 	const pace = createPace();
-	return pace.msPerToken(Math.min(1, answers.maxLoad(pace, {level, outputTokens: 300, nowMs: 0}))) * largestTokens;
+	return pace.msPerToken(Math.min(1, answers.maxLoad(pace, {
+		kind: 'note', level, outputTokens: 300, nowMs: 0,
+	}))) * largestTokens;
 };
 
 // Guards against SHORT: engines were filled until hardly any of the largest answers of one kind could end.
@@ -58,4 +60,14 @@
 		ask(answers, 20, 1);
 		assert.ok(largestMs(answers) <= noteLimitMs, `${Math.round(largestMs(answers))} ms`);
 	});
+
+	it('has the room that is kept for it; guards against large answers refused as often as the others although engines are kept calm for them', () => {
+		const answers = new LongAnswers();
+		ask(answers, 40, 1);
+		const pace = createPace();
+		const [small, large] = [300, largestTokens].map(outputTokens => answers.maxLoad(pace, {
+			kind: 'note', level, outputTokens, nowMs: 0,
+		}));
+		assert.ok(large! >= small! + 0.1, `${small} and ${large}`);
+	});
 });
--- a/packages/core/src/forwarding/long-answers.ts
+++ b/packages/core/src/forwarding/long-answers.ts
@@ -21,6 +21,9 @@
 const minLoad = 0.55;
 /** What the urgent may fill beyond the others, and the least urgent and late ones less. */
 const priorityPart = 0.1;
+/** What the largest answers of a kind may fill beyond the others: the room that is kept free is theirs. */
+const largestRoom = 0.15;
+const largestPart = 0.1;
 /** Answers of less than this part of the mean one take next to nothing of an engine. */
 const shortPart = 0.25;
 
@@ -33,32 +36,39 @@
 	readonly limitMs: number;
 };
 
+/** An answer whose engine is chosen. */
+export type AdmittedAnswer = Pick<AskedAnswer, 'kind' | 'outputTokens'> & {readonly level: number; readonly nowMs: number};
+
 /** The last answers of one kind. */
 class AnswerKind {
 	lastMs = 0;
 	readonly #asked: Array<Pick<AskedAnswer, 'limitMs' | 'outputTokens'>> = [];
 	#next = 0;
-	#neededMsPerToken: number | undefined;
+	#sizes: readonly number[] | undefined;
 
 	note({outputTokens, limitMs}: AskedAnswer, nowMs: number): void {
 		this.#asked[this.#next] = {outputTokens, limitMs};
 		this.#next = (this.#next + 1) % rememberedAnswers;
-		this.#neededMsPerToken = undefined;
+		this.#sizes = undefined;
 		this.lastMs = nowMs;
 	}
 
 	/** Pace at which the long answers of this kind end. */
 	get neededMsPerToken(): number {
-		this.#neededMsPerToken ??= this.#findNeeded();
-		return this.#neededMsPerToken;
-	}
-
-	#findNeeded(): number {
-		const sizes = this.#asked.map(({outputTokens}) => outputTokens).toSorted((a, b) => b - a);
-		const size = sizes[Math.floor(sizes.length * (1 - endingPart))] ?? 0;
 		// A caller that comes back has less time left; the limit of the kind is that of its first attempts.
 		const limitMs = Math.max(...this.#asked.map(asked => asked.limitMs));
-		return limitMs * answerPart / Math.max(1, size);
+		return limitMs * answerPart / Math.max(1, this.#sizeAt(1 - endingPart));
+	}
+
+	/** Whether an answer is among the largest of its kind. */
+	isLargest(outputTokens: number): boolean {
+		return outputTokens > this.#sizeAt(largestPart);
+	}
+
+	/** Size that this part of the answers exceeds. */
+	#sizeAt(part: number): number {
+		this.#sizes ??= this.#asked.map(({outputTokens}) => outputTokens).toSorted((a, b) => b - a);
+		return this.#sizes[Math.floor(this.#sizes.length * part)] ?? 0;
 	}
 }
 
@@ -74,7 +84,7 @@
 	}
 
 	/** Load up to which an engine takes an answer. */
-	maxLoad(pace: DecodePace, {level, outputTokens, nowMs}: {readonly level: number; readonly outputTokens: number; readonly nowMs: number}): number {
+	maxLoad(pace: DecodePace, {kind, level, outputTokens, nowMs}: AdmittedAnswer): number {
 		const needed = this.#neededMsPerToken(nowMs);
 		if (outputTokens < pace.streamTokens * shortPart) {
 			return Number.POSITIVE_INFINITY;
@@ -85,7 +95,8 @@
 			return Number.POSITIVE_INFINITY;
 		}
 
-		return load + (priorityPart * (1 - (level === lateLevel ? 2 : Math.min(2, priorityOfLevel(level)))));
+		const room = this.#kinds.get(kind)?.isLargest(outputTokens) ? largestRoom : 0;
+		return load + room + (priorityPart * (1 - (level === lateLevel ? 2 : Math.min(2, priorityOfLevel(level)))));
 	}
 
 	/** The quickest pace that any kind needs that is asked for now. */
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -133,7 +133,9 @@
 
 	const {decodeLevel, firstTokenMs, decode: {decode: pace}} = chosen;
 	const {outputTokens, leftMs} = place;
-	const maxLoad = deps.load.longAnswers(service.name).maxLoad(pace, {level: decodeLevel, outputTokens, nowMs: deps.clock.nowMs()});
+	const maxLoad = deps.load.longAnswers(service.name).maxLoad(pace, {
+		kind: route.name, level: decodeLevel, outputTokens, nowMs: deps.clock.nowMs(),
+	});
 	if (mayRefuse && chosen.decodeLoad > maxLoad) {
 		return refuse(deps, chosen, {
 			code: 'crowded', leftMs, outputTokens, waitMs: pace.streamMs(1) * crowdedRetryPart, inputs: {load: chosen.decodeLoad, maxLoad},
