--- a/packages/core/src/forwarding/long-answers.ts
+++ b/packages/core/src/forwarding/long-answers.ts
@@ -23,6 +23,7 @@
 const priorityPart = 0.1;
 /** What the largest answers of a kind may fill beyond the others: the room that is kept free is theirs. */
 const largestRoom = 0.15;
+/** Part of the answers of a kind that count as its largest. */
 const largestPart = 0.1;
 /** Answers of less than this part of the mean one take next to nothing of an engine. */
 const shortPart = 0.25;
@@ -41,6 +42,7 @@
 
 /** The last answers of one kind. */
 class AnswerKind {
+	/** When this kind was last asked for. */
 	lastMs = 0;
 	readonly #asked: Array<Pick<AskedAnswer, 'limitMs' | 'outputTokens'>> = [];
 	#next = 0;
