Log what tells the causes of SHORT apart: the load and length of each stream, and the engines a planner chose among

An attempt of a stream now says how many events it brought, the mean and the highest load of its engine meanwhile, and the pace that was expected; a request says how large an answer it may get, so that refusals can be told by size; an order of a role lists the engines it was chosen among with their paces. No decision changes.

--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -19,6 +19,7 @@
 			hostname: 'h.example',
 			promptTokens: 0,
 			outputTokens: 0,
+			maxOutputTokens: 0,
 			parts: [],
 			headers: {},
 		},
--- a/packages/forward/src/__tests__/event-splitter.test.ts
+++ b/packages/forward/src/__tests__/event-splitter.test.ts
@@ -15,6 +15,7 @@
 
 			assert.is(passed, 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n');
 			assert.is(splitter.lastId, '2');
+			assert.is(splitter.events, 2);
 		}
 	});
 
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -31,11 +31,29 @@
 	readonly level: number | undefined;
 	readonly kvSource?: KvHandle;
 	readonly onFirst: () => void;
+	readonly onEvents: () => void;
 };
 
+/** Load of an engine while a stream runs there, at each of its events. */
+class MetLoad {
+	max = 0;
+	#sum = 0;
+	#count = 0;
+
+	get mean(): number {
+		return this.#sum / Math.max(1, this.#count);
+	}
+
+	note(load: number): void {
+		this.max = Math.max(this.max, load);
+		this.#sum += load;
+		this.#count += 1;
+	}
+}
+
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
 	const {
-		known, isLast, level, expectedMs, kvSource, onFirst,
+		known, isLast, level, expectedMs, kvSource, onFirst, onEvents,
 	} = source;
 	const details = {...createDetails(admitted, known, level), kvSource, lastEventId: relay.lastId};
 	const limit = relay.createSilenceLimit(admitted, {mayMove: !isLast, expectedMs});
@@ -78,7 +96,7 @@
 			}
 
 			known.silence.begin(onSilent, admitted.route.maxGapMs);
-
+			onEvents();
 			return goesOn;
 		},
 	}, limit.signal);
@@ -157,8 +175,18 @@
 		running: known.running, tokens: known.runningTokens, places: known.endpoint.places, kvTokens: service.engine?.kvTokens ?? 0,
 	});
 	const loadBefore = loadOf();
+	const met = new MetLoad();
+	const eventsBefore = relay.events;
 	const result = await relayStream(deps, admitted, {
-		known, isLast, level, expectedMs, kvSource, onFirst,
+		known,
+		isLast,
+		level,
+		expectedMs,
+		kvSource,
+		onFirst,
+		onEvents() {
+			met.note(loadOf());
+		},
 	}, relay);
 	const load = (loadBefore + loadOf()) / 2;
 	deps.load.end(known, size);
@@ -170,7 +198,7 @@
 		known.decode.observe({tookMs: deps.clock.nowMs() - startMs - firstMs, tokens: Math.max(1, outputTokens), load: Math.min(1, load)});
 	}
 
-	return {...result, firstMs};
+	return {...result, firstMs, stream: {events: relay.events - eventsBefore, meanLoad: met.mean, maxLoad: met.max}};
 };
 
 /** Counts a call unless nothing of it was sent. */
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -23,6 +23,9 @@
 	readonly route?: string;
 	readonly account?: string;
 	readonly configVersion?: number;
+	/** What a model request asks for, so that refusals can be told by size. */
+	readonly promptTokens?: number;
+	readonly maxOutputTokens?: number;
 	readonly tookMs: number;
 	readonly outcome: Outcome;
 };
@@ -153,6 +156,7 @@
 		id: request?.id ?? '',
 		...!isOutcome(admission) && {route: admission.route.name, account: admission.account?.name},
 		configVersion: routes?.config.version,
+		...request && request.promptTokens > 0 && {promptTokens: request.promptTokens, maxOutputTokens: request.maxOutputTokens},
 		tookMs: exchange.elapsedMs,
 		outcome,
 	});
--- a/packages/forward/src/event-splitter.ts
+++ b/packages/forward/src/event-splitter.ts
@@ -13,6 +13,7 @@
 	#rest: Buffer = empty;
 	#lastId: string | undefined;
 	#hasEvents = false;
+	#events = 0;
 
 	/** Id of the last whole event. */
 	get lastId(): string | undefined {
@@ -24,6 +25,11 @@
 		return this.#hasEvents;
 	}
 
+	/** Whole events that have come. */
+	get events(): number {
+		return this.#events;
+	}
+
 	/** Bytes of an event whose end has not come. */
 	get pendingBytes(): number {
 		return this.#rest.length;
@@ -41,6 +47,7 @@
 		const whole = bytes.subarray(0, end + eventEnd.length);
 		this.#rest = bytes.subarray(end + eventEnd.length);
 		this.#note(whole);
+		this.#count(whole);
 		return whole;
 	}
 
@@ -56,6 +63,12 @@
 		this.#rest = empty;
 	}
 
+	#count(whole: Buffer): void {
+		for (let at = whole.indexOf(eventEnd); at !== -1; at = whole.indexOf(eventEnd, at + eventEnd.length)) {
+			this.#events += 1;
+		}
+	}
+
 	/** Reads the id of the last event; the bytes before it are not looked at. */
 	#note(whole: Buffer): void {
 		const line = whole.lastIndexOf(idLine);
--- a/packages/forward/src/forward-types.ts
+++ b/packages/forward/src/forward-types.ts
@@ -49,11 +49,22 @@
 	readonly memory: number;
 	/** Expected wait for a place. */
 	readonly placeWaitMs: number;
+	/** Expected time of an output token at that load. */
+	readonly msPerToken: number;
+};
+
+/** What a stream met at its engine. */
+export type StreamView = {
+	/** Events that were passed on. */
+	readonly events: number;
+	/** Mean and highest load of the engine, looked at with each event. */
+	readonly meanLoad: number;
+	readonly maxLoad: number;
 };
 
 /** What one attempt came to. */
 export type AttemptResult
-	= | {readonly kind: 'answered'; readonly status: number; readonly prefillMs?: number; readonly firstMs?: number}
+	= | {readonly kind: 'answered'; readonly status: number; readonly prefillMs?: number; readonly firstMs?: number; readonly stream?: StreamView}
 		| FailedAttempt;
 
 export type FailedAttempt = {
@@ -68,6 +79,7 @@
 	/** Another endpoint has the address now, or it has another role. */
 	readonly isMisdirected?: boolean;
 	readonly firstMs?: number;
+	readonly stream?: StreamView;
 };
 
 /** A failure that the endpoint answered, which is the final answer when it may not be tried again. */
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -163,6 +163,7 @@
 			maxLoad,
 			memory: chosen.decode.runningTokens / Math.max(1, service.engine!.kvTokens),
 			placeWaitMs: chosen.placeWaitMs,
+			msPerToken: pace.msPerToken(chosen.decodeLoad),
 		},
 	};
 };
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -26,6 +26,8 @@
 	readonly promptTokens: number;
 	/** Output to expect: the caller's guess, or its limit without one. */
 	readonly outputTokens: number;
+	/** Output beyond which the engine makes none. */
+	readonly maxOutputTokens: number;
 	readonly parts: readonly PromptPart[];
 	/** Set when the caller resumes a stream itself. */
 	readonly lastEventId?: string;
--- a/packages/forward/src/request-reports.ts
+++ b/packages/forward/src/request-reports.ts
@@ -24,15 +24,18 @@
 		this.#metrics = metrics;
 	}
 
-	attempt({request}: AdmittedRequest, report: AttemptReport): void {
+	attempt({request, route}: AdmittedRequest, report: AttemptReport): void {
 		this.#metrics.countAttempt(report);
 		const {result, decode, ...place} = report;
 		this.#log.write('attempt', {
 			id: request.id,
+			route: route.name,
 			tokens: request.promptTokens,
 			outputTokens: request.outputTokens,
+			maxOutputTokens: request.maxOutputTokens,
 			...roundTimes(place),
 			...decode && {decode: roundInputs(decode)},
+			...result.stream && {stream: roundInputs(result.stream)},
 			...result.kind === 'failed' ? {failure: result.failure, detail: result.detail} : {status: result.status},
 		});
 	}
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -28,9 +28,14 @@
 	readonly onChanging: (changes: readonly RoleChange[]) => void;
 };
 
+/** An engine that could change its role. */
+export type RoleCandidate = {readonly endpoint: string; readonly dataCentre: string; readonly running: number; readonly msPerToken: number};
+
 /** What is logged of an order. */
 export type RoleOrderReport = RoleBalance & {
 	readonly msPerToken: number;
+	/** Engines among which it was chosen, with their pace in the role that they have. */
+	readonly candidates: readonly RoleCandidate[];
 	readonly service: string;
 	readonly endpoint: string;
 	readonly role: EndpointRole;
@@ -57,7 +62,17 @@
 /** State for one service. */
 type ServiceState = {memory: RoleBalanceMemory; engines: number; changedMs: number};
 
-type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease};
+type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly givers: readonly KnownEndpoint[]};
+
+/** Load at which the paces of decode engines are compared. */
+const comparedLoad = 0.5;
+
+/** How fast an engine does the work of its role. */
+const paceOf = ({endpoint, pace, decode}: KnownEndpoint): number => endpoint.role === 'decode' ? decode.msPerToken(comparedLoad) : pace.msPerToken;
+
+const describeCandidate = (engine: KnownEndpoint): RoleCandidate => ({
+	endpoint: engine.endpoint.id, dataCentre: engine.endpoint.dataCentre, running: engine.running, msPerToken: paceOf(engine),
+});
 
 class RoleDuty {
 	readonly #options: RoleDutyOptions;
@@ -123,9 +138,12 @@
 		}
 
 		state.memory = memory;
-		const engine = change && this.#pick(engines, change);
+		const givers = change ? this.#giversOf(engines, change) : [];
+		const engine = this.#pick(givers);
 		if (engine && lease) {
-			await this.#order(engine, {role: change, balance, lease}, signal);
+			await this.#order(engine, {
+				role: change!, balance, lease, givers,
+			}, signal);
 		}
 	}
 
@@ -159,9 +177,13 @@
 		};
 	}
 
+	/** Engines that can change to a role. */
+	#giversOf(engines: readonly KnownEndpoint[], role: EndpointRole): readonly KnownEndpoint[] {
+		return engines.filter(({endpoint}) => endpoint.role !== role && !this.#changing.has(endpoint.id));
+	}
+
 	/** The engine with the least to finish, in the data centre that has the most of the role to give. */
-	#pick(engines: readonly KnownEndpoint[], role: EndpointRole): KnownEndpoint | undefined {
-		const givers = engines.filter(({endpoint}) => endpoint.role !== role && !this.#changing.has(endpoint.id));
+	#pick(givers: readonly KnownEndpoint[]): KnownEndpoint | undefined {
 		const inDataCentre = (dataCentre: string): number => givers.filter(({endpoint}) => endpoint.dataCentre === dataCentre).length;
 		return givers.toSorted((a, b) =>
 			(inDataCentre(b.endpoint.dataCentre) - inDataCentre(a.endpoint.dataCentre))
@@ -169,7 +191,7 @@
 			|| (a.endpoint.id < b.endpoint.id ? -1 : 1))[0];
 	}
 
-	async #order(engine: KnownEndpoint, {role, balance, lease}: Order, signal: AbortSignal): Promise<void> {
+	async #order(engine: KnownEndpoint, {role, balance, lease, givers}: Order, signal: AbortSignal): Promise<void> {
 		const {wire, holder, onOrder, clock} = this.#options;
 		const {endpoint} = engine;
 		const report = await call(engine, wire.writeReportCall(endpoint), signal);
@@ -189,7 +211,14 @@
 		}
 
 		onOrder({
-			...balance, msPerToken: engine.pace.msPerToken, service: endpoint.service, endpoint: endpoint.id, role, epoch, status: answer?.status,
+			...balance,
+			msPerToken: engine.pace.msPerToken,
+			candidates: givers.map(giver => describeCandidate(giver)),
+			service: endpoint.service,
+			endpoint: endpoint.id,
+			role,
+			epoch,
+			status: answer?.status,
 		});
 	}
 }
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -42,6 +42,11 @@
 		return this.#splitter.hasEvents;
 	}
 
+	/** Events that have been passed on. */
+	get events(): number {
+		return this.#splitter.events;
+	}
+
 	/** The event that has begun is longer than any event is. */
 	get isEventTooLong(): boolean {
 		return this.#splitter.pendingBytes > maxEventBytes;
