--- a/packages/core/src/forwarding/__tests__/long-answers.test.ts
+++ b/packages/core/src/forwarding/__tests__/long-answers.test.ts
@@ -11,12 +11,12 @@
 const largestTokens = Math.max(...noteTokens);
 const sortTokens = 20;
 
-/** An engine that takes 3 ms for a token when it is empty and 12 ms when it is full. */
-const createPace = (): DecodePace => {
+/** An engine that takes 3 ms for a token when it is empty and 12 ms when it is full, or so many times as long. */
+const createPace = (factor = 1): DecodePace => {
 	const pace = new DecodePace();
 	for (let stream = 0; stream < 200; stream += 1) {
 		const load = [0.2, 0.5, 0.8][stream % 3]!;
-		pace.observe({tookMs: 300 * (3 + (9 * load)), tokens: 300, load});
+		pace.observe({tookMs: 300 * factor * (3 + (9 * load)), tokens: 300, load});
 	}
 
 	return pace;
@@ -33,12 +33,9 @@
 };
 
 /** Time of the largest note on an engine that is filled up to the limit. */
-const largestMs = (answers: LongAnswers): number => {
-	const pace = createPace();
-	return pace.msPerToken(Math.min(1, answers.maxLoad(pace, {
-		kind: 'note', level, outputTokens: 300, nowMs: 0,
-	}))) * largestTokens;
-};
+const largestMs = (answers: LongAnswers, pace = createPace()): number => pace.msPerToken(Math.min(1, answers.maxLoad(pace, {
+	kind: 'note', level, outputTokens: 300, nowMs: 0,
+}))) * largestTokens;
 
 // Guards against SHORT: engines were filled until hardly any of the largest answers of one kind could end.
 describe('the largest tenth of one kind of answers', () => {
@@ -61,6 +58,13 @@
 		assert.ok(largestMs(answers) <= noteLimitMs, `${Math.round(largestMs(answers))} ms`);
 	});
 
+	it('can end on an engine that is slower than others; guards against a fixed load up to which every engine is filled', () => {
+		const answers = new LongAnswers();
+		ask(answers, 40, 1);
+		const tookMs = largestMs(answers, createPace(1.3));
+		assert.ok(tookMs <= noteLimitMs, `${Math.round(tookMs)} ms`);
+	});
+
 	it('has the room that is kept for it; guards against large answers refused as often as the others although engines are kept calm for them', () => {
 		const answers = new LongAnswers();
 		ask(answers, 40, 1);
--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	brandAs, type EndpointId, type LeaseEpoch, type RegisteredEndpoint,
+	brandAs, type EndpointId, type EndpointRole, type LeaseEpoch, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {
@@ -31,7 +31,7 @@
 
 type Engine = {readonly orders: Array<Record<string, unknown>>; isBusy: boolean; status: number; readonly server: Server; readonly endpoint: RegisteredEndpoint};
 
-const startEngine = async (id: string): Promise<Engine> => {
+const startEngine = async (id: string, role: EndpointRole): Promise<Engine> => {
 	const server = createServer((req, res) => {
 		if (req.url === '/report') {
 			res.end(JSON.stringify({isBusy: engine.isBusy, ordersAccepted: 7}));
@@ -62,7 +62,7 @@
 			dataCentre: 'a',
 			places: 10,
 			isLeaving: false,
-			role: 'decode',
+			role,
 			startedAt: 1,
 			heartbeat: 1,
 		},
@@ -70,19 +70,21 @@
 	return engine;
 };
 
-type World = {readonly engines: readonly Engine[]; readonly reports: RoleOrderReport[]; lease: Lease | undefined};
+type World = {readonly engines: readonly Engine[]; readonly pool: EndpointPool; readonly reports: RoleOrderReport[]; lease: Lease | undefined};
 
 const lease = {epoch: brandAs<LeaseEpoch>(41), isHeld: () => true} as unknown as Lease;
 
-/** Runs the duty over idle engines that all decode. */
-const withDuty = async (engineCount: number, body: (world: World) => Promise<void>): Promise<void> => {
-	const engines = await Promise.all(Array.from({length: engineCount}, async (_, index) => startEngine(`i-${index}`)));
+/** Runs the duty over idle engines of one role. */
+const withDuty = async (engineCount: number, body: (world: World) => Promise<void>, role: EndpointRole = 'decode'): Promise<void> => {
+	const engines = await Promise.all(Array.from({length: engineCount}, async (_, index) => startEngine(`i-${index}`, role)));
 	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => ({maxConnections: 10, engine: {kvTokens: 1000}})});
 	for (const {endpoint} of engines) {
 		pool.put(endpoint);
 	}
 
-	const world: World = {engines, reports: [], lease: undefined};
+	const world: World = {
+		engines, pool, reports: [], lease: undefined,
+	};
 	const stop = new AbortController();
 	const running = runRoleDuty({
 		clock,
@@ -152,3 +154,46 @@
 		assert.is(world.reports[0]!.status, 409);
 	}));
 });
+
+/** Lets the engines seem this many times as slow as the first one, in the order of their ids. */
+const setPaces = ({engines, pool}: World, factors: readonly number[]): void => {
+	for (const [index, {endpoint}] of engines.entries()) {
+		const {decode, pace} = pool.get(endpoint.id)!;
+		const factor = factors[index]!;
+		for (let stream = 0; stream < 200; stream += 1) {
+			const load = [0.2, 0.5, 0.8][stream % 3]!;
+			decode.observe({tookMs: 300 * factor * (3 + (9 * load)), tokens: 300, load});
+			pace.observe({expectedMs: 100, ownMs: 100, tookMs: factor * 100});
+		}
+	}
+};
+
+const orderedOf = ({reports}: World): string | undefined => reports[0]?.endpoint;
+
+// Guards against SHORT: the largest answers could not end because the quickest engine had been taken from decoding.
+describe('the engine that changes its role', () => {
+	it('is the slowest one if it stops decoding; guards against long answers left to slow engines', async () => withDuty(3, async world => {
+		setPaces(world, [1, 1.3, 1.1]);
+		world.lease = lease;
+		await waitUntil(() => world.reports.length > 0, {what: 'an order'});
+		assert.is(orderedOf(world), 'i-1');
+	}));
+
+	it('is the quickest one if it begins to decode; guards against long answers given to slow engines', async () => withDuty(3, async world => {
+		setPaces(world, [1.3, 1.1, 1]);
+		world.lease = lease;
+		await waitUntil(() => world.reports.length > 0, {what: 'an order'});
+		assert.is(orderedOf(world), 'i-2');
+	}, 'prefill'));
+
+	it('has the least to finish among engines that are about as fast; guards against requests held up for a gain that is none', async () => withDuty(3, async world => {
+		setPaces(world, [1, 1.02, 1.01]);
+		for (const [index, running] of [2, 2, 1].entries()) {
+			world.pool.get(`i-${index}`)!.running = running;
+		}
+
+		world.lease = lease;
+		await waitUntil(() => world.reports.length > 0, {what: 'an order', limitMs: 12_000});
+		assert.is(orderedOf(world), 'i-2');
+	}, 'prefill'));
+});
--- /dev/null
+++ b/packages/forward/src/__tests__/stream-pace.test.ts
@@ -0,0 +1,114 @@
+import {once} from 'node:events';
+import {createServer, ServerResponse, type IncomingMessage} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	brandAs, RequestArrivals, type EndpointId, type RequestId,
+} from '@hawthorncleat/core';
+import {describe, it, loopback} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {relayAnswer} from '../answer-relay.js';
+import {CallerExchange} from '../caller-exchange.js';
+import {EndpointPool} from '../endpoint-pool.js';
+import type {AdmittedRequest, ForwardDeps} from '../forward-types.js';
+import {ModelLoad} from '../model-load.js';
+import type {WireFormat} from '../ports.js';
+import {StreamRelay} from '../stream-relay.js';
+
+const clock = {nowMs: () => performance.now()};
+const service = {name: 'models', maxConnections: 10, engine: {kvTokens: 100_000}};
+const eventMs = 4;
+
+/** Streams as many events as the path says, one every few milliseconds. */
+const startEngine = async (): Promise<{port: number; stop: () => void}> => {
+	const server = createServer((req, res) => {
+		void (async () => {
+			res.writeHead(200);
+			for (let event = 1; event <= Number(req.url!.slice(1)); event += 1) {
+				res.write(`id: ${event}\ndata: x\n\n`);
+				await sleep(eventMs);
+			}
+
+			res.end();
+		})();
+	});
+	server.listen(0, loopback);
+	await once(server, 'listening');
+	return {
+		port: (server.address() as AddressInfo).port,
+		stop() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+};
+
+const wire = {
+	writeRequest: () => ({}),
+	readAnswer: (status: number) => ({
+		status, isNotRun: false, isOtherEndpoint: false, isSealed: true, headers: {}, requestId: 'r',
+	}),
+} as unknown as WireFormat;
+
+const createDeps = (port: number): ForwardDeps => {
+	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => service});
+	pool.put({
+		id: brandAs<EndpointId>('i-1'),
+		service: 'models',
+		address: loopback,
+		port,
+		dataCentre: 'a',
+		places: 10,
+		isLeaving: false,
+		role: 'decode',
+		startedAt: 1,
+		heartbeat: 1,
+	});
+	return {
+		clock, wire, pool, load: new ModelLoad(clock, pool), onRun: () => undefined,
+	} as unknown as ForwardDeps;
+};
+
+/** Streams one answer whose length its caller has guessed. */
+const stream = async (deps: ForwardDeps, events: number, guessedTokens: number, limitMs = 5000): Promise<void> => {
+	const exchange = new CallerExchange(new ServerResponse({method: 'GET'} as IncomingMessage), clock);
+	exchange.limit(limitMs);
+	const admitted = {
+		request: {
+			id: brandAs<RequestId>('r'), method: 'POST', target: `/${events}`, promptTokens: 10, outputTokens: guessedTokens, maxOutputTokens: 10_000, parts: [], headers: {},
+		},
+		body: undefined,
+		route: {
+			name: 'note', kind: 'stream', isResumable: true, latencyTargetMs: 1000, maxGapMs: 1000,
+		},
+		service,
+		account: undefined,
+		exchange,
+	} as unknown as AdmittedRequest;
+	const known = deps.pool.get('i-1')!;
+	await relayAnswer(deps, admitted, {
+		known, level: 3, decodeLevel: 3, uncachedTokens: 10, waitMs: 1, isLast: true,
+	}, {relay: new StreamRelay(exchange, undefined), arrivals: new RequestArrivals()});
+};
+
+/** Pace of an engine after answers whose guesses are off by so many times, by turns. */
+const learnPace = async (errors: readonly number[]): Promise<number> => {
+	const engine = await startEngine();
+	const deps = createDeps(engine.port);
+	for (let round = 0; round < 6; round += 1) {
+		await Promise.all(errors.map(async error => stream(deps, 20, 200 * error)));
+	}
+
+	const {decode} = deps.pool.get('i-1')!;
+	await deps.pool.destroy();
+	engine.stop();
+	return decode.msPerToken(0);
+};
+
+describe('the pace of an engine', () => {
+	it('does not depend on the errors of guessed lengths; guards against slow engines taken for fast ones where callers guess high', async () => {
+		const [exact, spread] = [await learnPace([1, 1, 1, 1, 1]), await learnPace([0.3, 0.6, 1, 3, 6])];
+		assert.ok(Math.abs((spread / exact) - 1) < 0.25, `${exact} and ${spread} ms`);
+	});
+});
