Learn the pace of engines from the events that came instead of guessed lengths

Callers saw: the pace by which engines are chosen and filled was wrong by up to two times either way. Cause: a stream's time was divided by its caller's guess (a tenth of the answers are below 0.51 or above 1.85 of it), and streams that were broken off were not counted, so that crowded engines showed the pace of their short answers only. The tokens of an event are told by the middle one of many guesses, the load by its mean over the stream. Ruled out: the greatest possible length as the length; it is the same for all answers of a route.

--- a/packages/core/src/forwarding/decode-pace.ts
+++ b/packages/core/src/forwarding/decode-pace.ts
@@ -3,11 +3,13 @@
  * with more KV cache, so streams that ran on a calm engine say little about a full one unless both are kept apart.
  */
 
-/** One finished stream. */
+/** A stream, or the part of one that came before it was broken off. */
 export type ObservedStream = {
-	/** Time from its first to its last token. */
 	readonly tookMs: number;
+	/** Tokens that came in that time. */
 	readonly tokens: number;
+	/** Tokens of the whole answer; those that came in that time if not given. */
+	readonly answerTokens?: number;
 	/** Mean load of the engine meanwhile; 1 when all places and all memory are taken. */
 	readonly load: number;
 };
@@ -55,15 +57,19 @@
 		return this.#streamTokens * this.msPerToken(load);
 	}
 
-	/** Takes in one stream. Single expectations of the output are far off, so only sums of them are used. */
-	observe({tookMs, tokens, load}: ObservedStream): void {
+	/** Takes in one stream. */
+	observe({tookMs, tokens, answerTokens = tokens, load}: ObservedStream): void {
+		this.#streamTokens += forgottenPart * (answerTokens - this.#streamTokens);
+		if (tokens === 0) {
+			return;
+		}
+
 		const kept = 1 - forgottenPart;
 		this.#tokens = (this.#tokens * kept) + tokens;
 		this.#loadTokens = (this.#loadTokens * kept) + (tokens * load);
 		this.#squaredLoadTokens = (this.#squaredLoadTokens * kept) + (tokens * load * load);
 		this.#ms = (this.#ms * kept) + tookMs;
 		this.#loadMs = (this.#loadMs * kept) + (tookMs * load);
-		this.#streamTokens += forgottenPart * (tokens - this.#streamTokens);
 		this.#fit();
 	}
 
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -15,6 +15,7 @@
 export {priorityLevels, PrefillBacklog, type TrackedWork} from './prefill-backlog.js';
 export {EnginePace} from './engine-pace.js';
 export {DecodePace, type ObservedStream} from './decode-pace.js';
+export {EventTokens} from './event-tokens.js';
 export {LongAnswers} from './long-answers.js';
 export {LateShare} from './late-share.js';
 export {Refusals} from './refusals.js';
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -19,6 +19,7 @@
 import type {AnswerHead, KvHandle} from './ports.js';
 import {releaseHandle, runPrefill, type PrefillResult} from './prefill.js';
 import {relayWhole} from './relay-whole.js';
+import {StreamCourse} from './stream-course.js';
 import type {StreamRelay} from './stream-relay.js';
 
 /** A request of a plain service takes a place and nothing else. */
@@ -31,25 +32,27 @@
 	readonly level: number | undefined;
 	readonly kvSource?: KvHandle;
 	readonly onFirst: () => void;
-	readonly onEvents: () => void;
+	/** So many whole events have come. */
+	readonly onEvents: (events: number) => void;
 };
 
-/** Load of an engine while a stream runs there, at each of its events. */
-class MetLoad {
-	max = 0;
-	#sum = 0;
-	#count = 0;
-
-	get mean(): number {
-		return this.#sum / Math.max(1, this.#count);
+/**
+ * Takes in how long a stream was and how fast it came. One that was broken off tells the pace as well; without those, the pace of a crowded
+ * engine would be that of its short answers only.
+ */
+const learnFromStream = (deps: ForwardDeps, {request: {outputTokens}, service}: AdmittedRequest, {known, course, isWhole}: {known: KnownEndpoint; course: StreamCourse; isWhole: boolean}): void => {
+	const sizes = deps.load.eventTokens(service.name);
+	if (isWhole) {
+		sizes.note(outputTokens, course.events);
 	}
 
-	note(load: number): void {
-		this.max = Math.max(this.max, load);
-		this.#sum += load;
-		this.#count += 1;
+	const {events, tookMs, meanLoad} = course;
+	if (events > 0 && sizes.isKnown) {
+		known.decode.observe({
+			tookMs, tokens: sizes.tokensOf(events - 1), answerTokens: sizes.tokensOf(events), load: Math.min(1, meanLoad),
+		});
 	}
-}
+};
 
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
 	const {
@@ -85,7 +88,7 @@
 				return true;
 			}
 
-			const hadEvents = relay.hasEvents;
+			const {events: eventsBefore, hasEvents: hadEvents} = relay;
 			const goesOn = relay.push(head!, chunk);
 			if (relay.isEventTooLong) {
 				attempt.reject(answerTooLong);
@@ -96,7 +99,7 @@
 			}
 
 			known.silence.begin(onSilent, admitted.route.maxGapMs);
-			onEvents();
+			onEvents(relay.events - eventsBefore);
 			return goesOn;
 		},
 	}, limit.signal);
@@ -174,9 +177,8 @@
 	const loadOf = (): number => engineLoad({
 		running: known.running, tokens: known.runningTokens, places: known.endpoint.places, kvTokens: service.engine?.kvTokens ?? 0,
 	});
-	const loadBefore = loadOf();
-	const met = new MetLoad();
-	const eventsBefore = relay.events;
+	const isResumed = relay.lastId !== undefined;
+	const course = new StreamCourse();
 	const result = await relayStream(deps, admitted, {
 		known,
 		isLast,
@@ -184,21 +186,17 @@
 		expectedMs,
 		kvSource,
 		onFirst,
-		onEvents() {
-			met.note(loadOf());
+		onEvents(events) {
+			course.note({events, load: loadOf(), atMs: deps.clock.nowMs()});
 		},
 	}, relay);
-	const load = (loadBefore + loadOf()) / 2;
 	deps.load.end(known, size);
 	if (work && firstMs === undefined) {
 		deps.load.endWork(known, work);
 	}
 
-	if (result.kind === 'answered' && firstMs !== undefined) {
-		known.decode.observe({tookMs: deps.clock.nowMs() - startMs - firstMs, tokens: Math.max(1, outputTokens), load: Math.min(1, load)});
-	}
-
-	return {...result, firstMs, stream: {events: relay.events - eventsBefore, meanLoad: met.mean, maxLoad: met.max}};
+	learnFromStream(deps, admitted, {known, course, isWhole: result.kind === 'answered' && result.status === 200 && !isResumed});
+	return {...result, firstMs, stream: course.view};
 };
 
 /** Counts a call unless nothing of it was sent. */
--- a/packages/forward/src/model-load.ts
+++ b/packages/forward/src/model-load.ts
@@ -2,7 +2,7 @@
  * What this entry knows of the load of engines: its own requests at once, those of other entries by their messages.
  */
 import {
-	getOrCreate, LateShare, LongAnswers, TokenWindow, type Clock, type PromptPart, type TokenRate, type TrackedWork,
+	EventTokens, getOrCreate, LateShare, LongAnswers, TokenWindow, type Clock, type PromptPart, type TokenRate, type TrackedWork,
 } from '@hawthorncleat/core';
 import type {EndpointPool, KnownEndpoint} from './endpoint-pool.js';
 
@@ -36,6 +36,7 @@
 	readonly #peers = new Map<string, PeerLoad>();
 	readonly #demand = new Map<string, TokenWindow>();
 	readonly #longAnswers = new Map<string, LongAnswers>();
+	readonly #eventTokens = new Map<string, EventTokens>();
 	readonly #lateShares = new Map<string, LateShare>();
 	#sent: SentWork[] = [];
 
@@ -54,6 +55,11 @@
 		return getOrCreate(this.#longAnswers, service, () => new LongAnswers());
 	}
 
+	/** How many tokens the events of a service's streams have. */
+	eventTokens(service: string): EventTokens {
+		return getOrCreate(this.#eventTokens, service, () => new EventTokens());
+	}
+
 	/** What is kept for the late requests of a service. */
 	lateShare(service: string): LateShare {
 		return getOrCreate(this.#lateShares, service, () => new LateShare());
--- /dev/null
+++ b/packages/forward/src/stream-course.ts
@@ -0,0 +1,50 @@
+/**
+ * The course of one stream at one engine: how many events came in which time, and how loaded the engine was meanwhile.
+ */
+import type {StreamView} from './forward-types.js';
+
+export type ArrivedEvents = {
+	/** Whole events that came together; none when it was only a part of one. */
+	readonly events: number;
+	/** Load of the engine at that moment. */
+	readonly load: number;
+	readonly atMs: number;
+};
+
+export class StreamCourse {
+	events = 0;
+	#firstMs = 0;
+	#lastMs = 0;
+	#loadSum = 0;
+	#loads = 0;
+	#maxLoad = 0;
+
+	/** Time from the first event to the last one. */
+	get tookMs(): number {
+		return this.#lastMs - this.#firstMs;
+	}
+
+	get meanLoad(): number {
+		return this.#loadSum / Math.max(1, this.#loads);
+	}
+
+	get view(): StreamView {
+		return {events: this.events, meanLoad: this.meanLoad, maxLoad: this.#maxLoad};
+	}
+
+	note({events, load, atMs}: ArrivedEvents): void {
+		if (events === 0) {
+			return;
+		}
+
+		if (this.events === 0) {
+			this.#firstMs = atMs;
+		}
+
+		this.events += events;
+		this.#lastMs = atMs;
+		this.#loadSum += load;
+		this.#loads += 1;
+		this.#maxLoad = Math.max(this.#maxLoad, load);
+	}
+}
