Let the slow engines prefill and the quick ones decode

Cause: the planner picked the engine for a change of role by data centre, then by the fewest running requests. What was left decoded at 12.9 ms a token at half load, at which answers of 560 to 950 tokens do not end in 8 s. A stream gets the pace of its one engine, while prompts are shared out, so pace decides first; what decided before decides among engines within 15 %.

--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -155,6 +155,8 @@
 	}));
 });
 
+const promptTokens = 10_000;
+
 /** Lets the engines seem this many times as slow as the first one, in the order of their ids. */
 const setPaces = ({engines, pool}: World, factors: readonly number[]): void => {
 	for (const [index, {endpoint}] of engines.entries()) {
@@ -163,7 +165,8 @@
 		for (let stream = 0; stream < 200; stream += 1) {
 			const load = [0.2, 0.5, 0.8][stream % 3]!;
 			decode.observe({tookMs: 300 * factor * (3 + (9 * load)), tokens: 300, load});
-			pace.observe({expectedMs: 100, ownMs: 100, tookMs: factor * 100});
+			const expectedMs = pace.workMs(promptTokens);
+			pace.observe({expectedMs, ownMs: expectedMs, tookMs: pace.latencyMs + (promptTokens * 0.016 * factor)});
 		}
 	}
 };
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceMemory,
+	balanceRoles, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceMemory, type RoleCandidate,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {callEndpoint, type EndpointAnswer} from './call-endpoint.js';
@@ -28,9 +28,6 @@
 	readonly onChanging: (changes: readonly RoleChange[]) => void;
 };
 
-/** An engine that could change its role. */
-export type RoleCandidate = {readonly endpoint: string; readonly dataCentre: string; readonly running: number; readonly msPerToken: number};
-
 /** What is logged of an order. */
 export type RoleOrderReport = RoleBalance & {
 	readonly msPerToken: number;
@@ -62,7 +59,7 @@
 /** State for one service. */
 type ServiceState = {memory: RoleBalanceMemory; engines: number; changedMs: number};
 
-type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly givers: readonly KnownEndpoint[]};
+type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly candidates: readonly RoleCandidate[]};
 
 /** Load at which the paces of decode engines are compared. */
 const comparedLoad = 0.5;
@@ -138,11 +135,16 @@
 		}
 
 		state.memory = memory;
-		const givers = change ? this.#giversOf(engines, change) : [];
-		const engine = this.#pick(givers);
-		if (engine && lease) {
+		if (!change || !lease) {
+			return;
+		}
+
+		const candidates = this.#candidatesFor(change, engines);
+		const picked = pickRoleChange(candidates, change);
+		const engine = engines.find(({endpoint}) => endpoint.id === picked?.endpoint);
+		if (engine) {
 			await this.#order(engine, {
-				role: change!, balance, lease, givers,
+				role: change, balance, lease, candidates,
 			}, signal);
 		}
 	}
@@ -178,20 +180,15 @@
 	}
 
 	/** Engines that can change to a role. */
-	#giversOf(engines: readonly KnownEndpoint[], role: EndpointRole): readonly KnownEndpoint[] {
-		return engines.filter(({endpoint}) => endpoint.role !== role && !this.#changing.has(endpoint.id));
-	}
-
-	/** The engine with the least to finish, in the data centre that has the most of the role to give. */
-	#pick(givers: readonly KnownEndpoint[]): KnownEndpoint | undefined {
-		const inDataCentre = (dataCentre: string): number => givers.filter(({endpoint}) => endpoint.dataCentre === dataCentre).length;
-		return givers.toSorted((a, b) =>
-			(inDataCentre(b.endpoint.dataCentre) - inDataCentre(a.endpoint.dataCentre))
-			|| (a.running - b.running)
-			|| (a.endpoint.id < b.endpoint.id ? -1 : 1))[0];
+	#candidatesFor(role: EndpointRole, engines: readonly KnownEndpoint[]): readonly RoleCandidate[] {
+		return engines
+			.filter(({endpoint}) => endpoint.role !== role && !this.#changing.has(endpoint.id))
+			.map(engine => describeCandidate(engine));
 	}
 
-	async #order(engine: KnownEndpoint, {role, balance, lease, givers}: Order, signal: AbortSignal): Promise<void> {
+	async #order(engine: KnownEndpoint, {
+		role, balance, lease, candidates,
+	}: Order, signal: AbortSignal): Promise<void> {
 		const {wire, holder, onOrder, clock} = this.#options;
 		const {endpoint} = engine;
 		const report = await call(engine, wire.writeReportCall(endpoint), signal);
@@ -213,7 +210,7 @@
 		onOrder({
 			...balance,
 			msPerToken: engine.pace.msPerToken,
-			candidates: givers.map(giver => describeCandidate(giver)),
+			candidates,
 			service: endpoint.service,
 			endpoint: endpoint.id,
 			role,
