Take the errors of guessed lengths out of the sizes of long answers

Callers saw: large answers were judged by guesses that spread wider than the answers do; a twentieth of the guesses for shelf-note exceed about 930 tokens, a twentieth of the answers 710. Engines were to be kept calm for answers that do not exist, which only the fixed least load hid. Cause: guesses are right in the middle, but a tenth are below 0.51 or above 1.85 of the answer. Ended answers show how far, so the spread of the errors is taken out, and a single guess is moved nearer to the usual by as much. The expected length also replaces the guess for demand, memory and time.

--- a/packages/core/src/forwarding/__tests__/decode-pace.test.ts
+++ b/packages/core/src/forwarding/__tests__/decode-pace.test.ts
@@ -48,7 +48,7 @@
 	/** Nine answers of 300 tokens to one of `longTokens`. */
 	const note = (answers: LongAnswers, longTokens: number, longEvery = 7): void => {
 		for (let answer = 0; answer < 600; answer += 1) {
-			answers.note({kind: 'note', outputTokens: answer % longEvery === 0 ? longTokens : 300, limitMs: 8000}, 0);
+			answers.note({kind: 'note', guessedTokens: answer % longEvery === 0 ? longTokens : 300, limitMs: 8000}, 0);
 		}
 	};
 
@@ -57,7 +57,7 @@
 		note(answers, 900);
 		const pace = createPace();
 		const load = answers.maxLoad(pace, {
-			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+			kind: 'note', level: 3, guessedTokens: 300, nowMs: 0,
 		});
 		assert.ok(load < 0.85, `${load}`);
 		assert.ok(pace.msPerToken(load) * 900 < 8000, `${pace.msPerToken(load) * 900} ms`);
@@ -68,7 +68,7 @@
 		note(answers, 900, 14);
 		const pace = createPace();
 		const load = answers.maxLoad(pace, {
-			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+			kind: 'note', level: 3, guessedTokens: 300, nowMs: 0,
 		});
 		assert.ok(pace.msPerToken(load) * 900 < 8000, `${pace.msPerToken(load) * 900} ms`);
 	});
@@ -77,7 +77,7 @@
 		const answers = new LongAnswers();
 		note(answers, 350);
 		assert.is(answers.maxLoad(createPace(), {
-			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+			kind: 'note', level: 3, guessedTokens: 300, nowMs: 0,
 		}), Number.POSITIVE_INFINITY);
 	});
 
@@ -86,10 +86,10 @@
 		note(answers, 900);
 		const pace = createPace();
 		assert.is(answers.maxLoad(pace, {
-			kind: 'note', level: 3, outputTokens: 10, nowMs: 0,
+			kind: 'note', level: 3, guessedTokens: 10, nowMs: 0,
 		}), Number.POSITIVE_INFINITY);
 		const loads = [0, 3, 6, lateLevel].map(level => answers.maxLoad(pace, {
-			kind: 'note', level, outputTokens: 300, nowMs: 0,
+			kind: 'note', level, guessedTokens: 300, nowMs: 0,
 		}));
 		assert.equal(loads, loads.toSorted((a, b) => b - a));
 		assert.ok(loads[0]! > loads[2]!);
@@ -99,7 +99,7 @@
 		const answers = new LongAnswers();
 		note(answers, 100_000);
 		assert.ok(answers.maxLoad(createPace(), {
-			kind: 'note', level: 3, outputTokens: 300, nowMs: 0,
+			kind: 'note', level: 3, guessedTokens: 300, nowMs: 0,
 		}) >= 0.5);
 	});
 });
--- a/packages/core/src/forwarding/__tests__/long-answers.test.ts
+++ b/packages/core/src/forwarding/__tests__/long-answers.test.ts
@@ -25,16 +25,16 @@
 /** Asks for so many answers, with some short ones for each note. */
 const ask = (answers: LongAnswers, notes: number, sortsPerNote: number): void => {
 	for (let note = 0; note < notes; note += 1) {
-		answers.note({kind: 'note', outputTokens: noteTokens[note % noteTokens.length]!, limitMs: noteLimitMs}, 0);
+		answers.note({kind: 'note', guessedTokens: noteTokens[note % noteTokens.length]!, limitMs: noteLimitMs}, 0);
 		for (let sort = 0; sort < sortsPerNote; sort += 1) {
-			answers.note({kind: 'sort', outputTokens: sortTokens, limitMs: sortLimitMs}, 0);
+			answers.note({kind: 'sort', guessedTokens: sortTokens, limitMs: sortLimitMs}, 0);
 		}
 	}
 };
 
 /** Time of the largest note on an engine that is filled up to the limit. */
 const largestMs = (answers: LongAnswers, pace = createPace()): number => pace.msPerToken(Math.min(1, answers.maxLoad(pace, {
-	kind: 'note', level, outputTokens: 300, nowMs: 0,
+	kind: 'note', level, guessedTokens: 300, nowMs: 0,
 }))) * largestTokens;
 
 // Guards against SHORT: engines were filled until hardly any of the largest answers of one kind could end.
@@ -69,8 +69,8 @@
 		const answers = new LongAnswers();
 		ask(answers, 40, 1);
 		const pace = createPace();
-		const [small, large] = [300, largestTokens].map(outputTokens => answers.maxLoad(pace, {
-			kind: 'note', level, outputTokens, nowMs: 0,
+		const [small, large] = [300, largestTokens].map(guessedTokens => answers.maxLoad(pace, {
+			kind: 'note', level, guessedTokens, nowMs: 0,
 		}));
 		assert.ok(large! >= small! + 0.1, `${small} and ${large}`);
 	});
--- a/packages/core/src/forwarding/long-answers.ts
+++ b/packages/core/src/forwarding/long-answers.ts
@@ -6,6 +6,8 @@
  * Each kind of answers is judged by itself and by its last answers: the mix of kinds turns within seconds, and an entry that has just
  * started must not fill engines until it has learned the mix.
  */
+import {getOrCreate} from '../get-or-create.js';
+import {AnswerKind} from './answer-kind.js';
 import type {DecodePace} from './decode-pace.js';
 import {lateLevel, priorityOfLevel} from './queue-level.js';
 
@@ -13,12 +15,12 @@
 const endingPart = 0.95;
 /** Part of the time limit that an answer may take; its prompt takes the rest. */
 const answerPart = 0.9;
-/** Answers of a kind that are remembered; the five largest of a hundred may break off. */
-const rememberedAnswers = 100;
 /** A kind that nobody has asked for in this time needs no room. */
 const forgottenMs = 5000;
 /** An engine is always filled so far: refusing with more places free serves nobody. */
 const minLoad = 0.55;
+/** An engine at which none of the largest answers would end even so is filled up to here; keeping it calm serves nobody either. */
+const minLoadOfSlow = 0.55;
 /** What the urgent may fill beyond the others, and the least urgent and late ones less. */
 const priorityPart = 0.1;
 /** What the largest answers of a kind may fill beyond the others: the room that is kept free is theirs. */
@@ -32,86 +34,70 @@
 export type AskedAnswer = {
 	/** Answers of one kind have sizes and limits in common. */
 	readonly kind: string;
-	readonly outputTokens: number;
+	/** Length that its caller guesses. */
+	readonly guessedTokens: number;
 	/** Time until the caller's limit. */
 	readonly limitMs: number;
 };
 
 /** An answer whose engine is chosen. */
-export type AdmittedAnswer = Pick<AskedAnswer, 'kind' | 'outputTokens'> & {readonly level: number; readonly nowMs: number};
+export type AdmittedAnswer = Pick<AskedAnswer, 'guessedTokens' | 'kind'> & {readonly level: number; readonly nowMs: number};
 
-/** The last answers of one kind. */
-class AnswerKind {
-	/** When this kind was last asked for. */
-	lastMs = 0;
-	readonly #asked: Array<Pick<AskedAnswer, 'limitMs' | 'outputTokens'>> = [];
-	#next = 0;
-	#sizes: readonly number[] | undefined;
+/** Time of a token at which an answer of a kind still ends that this part of them exceeds. */
+const paceFor = (kind: AnswerKind, exceededBy: number): number => kind.limitMs * answerPart / Math.max(1, kind.sizeAt(exceededBy));
 
-	note({outputTokens, limitMs}: AskedAnswer, nowMs: number): void {
-		this.#asked[this.#next] = {outputTokens, limitMs};
-		this.#next = (this.#next + 1) % rememberedAnswers;
-		this.#sizes = undefined;
-		this.lastMs = nowMs;
+/** Load of an engine up to which the long answers of a kind end there. */
+const loadFor = (kind: AnswerKind, pace: DecodePace): number => {
+	const load = pace.loadAt(paceFor(kind, 1 - endingPart));
+	if (load >= minLoad) {
+		return load;
 	}
 
-	/** Pace at which the long answers of this kind end. */
-	get neededMsPerToken(): number {
-		// A caller that comes back has less time left; the limit of the kind is that of its first attempts.
-		const limitMs = Math.max(...this.#asked.map(asked => asked.limitMs));
-		return limitMs * answerPart / Math.max(1, this.#sizeAt(1 - endingPart));
-	}
-
-	/** Whether an answer is among the largest of its kind. */
-	isLargest(outputTokens: number): boolean {
-		return outputTokens > this.#sizeAt(largestPart);
-	}
-
-	/** Size that this part of the answers exceeds. */
-	#sizeAt(part: number): number {
-		this.#sizes ??= this.#asked.map(({outputTokens}) => outputTokens).toSorted((a, b) => b - a);
-		return this.#sizes[Math.floor(this.#sizes.length * part)] ?? 0;
-	}
-}
+	return pace.msPerToken(minLoad) <= paceFor(kind, largestPart) ? minLoad : minLoadOfSlow;
+};
 
-/** Pace that the long answers of one service need. */
+/** What the answers of one service are like, by kind. */
 export class LongAnswers {
 	readonly #kinds = new Map<string, AnswerKind>();
 
 	/** Notes an answer that is asked for. */
-	note(asked: AskedAnswer, nowMs: number): void {
-		const kind = this.#kinds.get(asked.kind) ?? new AnswerKind();
-		this.#kinds.set(asked.kind, kind);
-		kind.note(asked, nowMs);
+	note({kind: name, guessedTokens, limitMs}: AskedAnswer, nowMs: number): void {
+		const kind = getOrCreate(this.#kinds, name, () => new AnswerKind());
+		kind.note({guessedTokens, limitMs}, nowMs);
 	}
 
-	/** Load up to which an engine takes an answer. */
-	maxLoad(pace: DecodePace, {kind, level, outputTokens, nowMs}: AdmittedAnswer): number {
-		const needed = this.#neededMsPerToken(nowMs);
-		if (outputTokens < pace.streamTokens * shortPart) {
-			return Number.POSITIVE_INFINITY;
-		}
+	/** Notes how long an answer was that has ended. */
+	noteEnded({kind, guessedTokens, tokens}: {readonly kind: string; readonly guessedTokens: number; readonly tokens: number}): void {
+		this.#kinds.get(kind)?.noteEnded(guessedTokens, tokens);
+	}
 
-		const load = Math.max(minLoad, pace.loadAt(needed));
-		if (load >= 1) {
+	/** Length to expect of an answer. */
+	expect(kind: string, guessedTokens: number): number {
+		return this.#kinds.get(kind)?.expect(guessedTokens) ?? guessedTokens;
+	}
+
+	/** Load up to which an engine takes an answer. */
+	maxLoad(pace: DecodePace, {kind, level, guessedTokens, nowMs}: AdmittedAnswer): number {
+		const load = this.#loadFor(pace, nowMs);
+		if (load >= 1 || this.expect(kind, guessedTokens) < pace.streamTokens * shortPart) {
 			return Number.POSITIVE_INFINITY;
 		}
 
-		const room = this.#kinds.get(kind)?.isLargest(outputTokens) ? largestRoom : 0;
+		const room = this.#kinds.get(kind)?.isAmongLargest(guessedTokens, largestPart) ? largestRoom : 0;
 		return load + room + (priorityPart * (1 - (level === lateLevel ? 2 : Math.min(2, priorityOfLevel(level)))));
 	}
 
-	/** The quickest pace that any kind needs that is asked for now. */
-	#neededMsPerToken(nowMs: number): number {
-		let needed = Number.POSITIVE_INFINITY;
+	/** Load of an engine up to which the long answers of all kinds end that are asked for now. */
+	#loadFor(pace: DecodePace, nowMs: number): number {
+		let load = Number.POSITIVE_INFINITY;
 		for (const [name, kind] of this.#kinds) {
 			if (nowMs - kind.lastMs > forgottenMs) {
 				this.#kinds.delete(name);
 			} else {
-				needed = Math.min(needed, kind.neededMsPerToken);
+				load = Math.min(load, loadFor(kind, pace));
 			}
 		}
 
-		return needed;
+		return load;
 	}
 }
--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -18,7 +18,7 @@
 			target: '/plan/x',
 			hostname: 'h.example',
 			promptTokens: 0,
-			outputTokens: 0,
+			guessedTokens: 0,
 			maxOutputTokens: 0,
 			parts: [],
 			headers: {},
--- a/packages/forward/src/__tests__/stream-pace.test.ts
+++ b/packages/forward/src/__tests__/stream-pace.test.ts
@@ -76,7 +76,7 @@
 	exchange.limit(limitMs);
 	const admitted = {
 		request: {
-			id: brandAs<RequestId>('r'), method: 'POST', target: `/${events}`, promptTokens: 10, outputTokens: guessedTokens, maxOutputTokens: 10_000, parts: [], headers: {},
+			id: brandAs<RequestId>('r'), method: 'POST', target: `/${events}`, promptTokens: 10, guessedTokens, maxOutputTokens: 10_000, parts: [], headers: {},
 		},
 		body: undefined,
 		route: {
@@ -85,6 +85,7 @@
 		service,
 		account: undefined,
 		exchange,
+		outputTokens: guessedTokens,
 	} as unknown as AdmittedRequest;
 	const known = deps.pool.get('i-1')!;
 	await relayAnswer(deps, admitted, {
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -40,10 +40,15 @@
  * Takes in how long a stream was and how fast it came. One that was broken off tells the pace as well; without those, the pace of a crowded
  * engine would be that of its short answers only.
  */
-const learnFromStream = (deps: ForwardDeps, {request: {outputTokens}, service}: AdmittedRequest, {known, course, isWhole}: {known: KnownEndpoint; course: StreamCourse; isWhole: boolean}): void => {
+const learnFromStream = (
+	deps: ForwardDeps,
+	{request: {guessedTokens}, route, service}: AdmittedRequest,
+	{known, course, isWhole}: {known: KnownEndpoint; course: StreamCourse; isWhole: boolean},
+): void => {
 	const sizes = deps.load.eventTokens(service.name);
 	if (isWhole) {
-		sizes.note(outputTokens, course.events);
+		sizes.note(guessedTokens, course.events);
+		deps.load.longAnswers(service.name).noteEnded({kind: route.name, guessedTokens, tokens: sizes.tokensOf(course.events)});
 	}
 
 	const {events, tookMs, meanLoad} = course;
@@ -150,9 +155,8 @@
 	{placement: {known, isLast = true, decodeLevel: level, prefill, uncachedTokens = 0, waitMs = 0, expectedMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
 	relay: StreamRelay,
 ): Promise<AttemptResult> => {
-	const {request, service} = admitted;
+	const {request, service, outputTokens} = admitted;
 	const startMs = deps.clock.nowMs();
-	const {outputTokens} = request;
 	const size = {tokens: request.promptTokens + outputTokens, isLate: level === lateLevel};
 	const work: TrackedWork | undefined = !prefill && service.engine && level !== undefined
 		? deps.load.beginWork(known, {
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -8,7 +8,7 @@
 } from '@hawthorncleat/core';
 import {CallerExchange, readBody} from './caller-exchange.js';
 import {forwardRequest} from './forward-request.js';
-import type {AdmittedRequest, ForwardDeps, Outcome} from './forward-types.js';
+import type {ForwardDeps, Outcome} from './forward-types.js';
 import type {CallerRequest} from './ports.js';
 
 export type CallerHandlerDeps = ForwardDeps & {
@@ -117,10 +117,9 @@
 		return refuse(503, 'no-service', startingRetryMs);
 	}
 
-	const admitted: AdmittedRequest = {
+	return forwardRequest(deps, {
 		request, body, route, service, account, exchange,
-	};
-	return forwardRequest(deps, admitted);
+	});
 };
 
 /** Serves one request of a caller. */
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -145,17 +145,25 @@
 	}
 };
 
+/** A request whose output nobody has looked at yet. */
+export type AuthorizedRequest = Omit<AdmittedRequest, 'outputTokens'>;
+
+const expectOutput = ({load}: ForwardDeps, {request, route, service}: AuthorizedRequest): number => service.engine
+	? Math.min(request.maxOutputTokens, load.longAnswers(service.name).expect(route.name, request.guessedTokens))
+	: 0;
+
 /** Runs the attempts of a request until it is answered or given up. */
-export const forwardRequest = async (deps: ForwardDeps, admitted: AdmittedRequest): Promise<Outcome> => {
-	const {exchange, request, route, service} = admitted;
+export const forwardRequest = async (deps: ForwardDeps, authorized: AuthorizedRequest): Promise<Outcome> => {
+	const {exchange, request, route, service} = authorized;
 	const relay = route.kind === 'stream' ? new StreamRelay(exchange, request.lastEventId) : undefined;
 	const attempts: AttemptState = {relay, arrivals: new RequestArrivals()};
 	deps.retriesOf(service.name).countFirst();
 	if (relay) {
-		const asked = {kind: route.name, outputTokens: request.outputTokens, limitMs: exchange.leftMs};
+		const asked = {kind: route.name, guessedTokens: request.guessedTokens, limitMs: exchange.leftMs};
 		deps.load.longAnswers(service.name).note(asked, deps.clock.nowMs());
 	}
 
+	const admitted = {...authorized, outputTokens: expectOutput(deps, authorized)};
 	const outcome = await runAttempts(deps, admitted, {
 		runs: 0, tries: 0, attempts, excluded: new Set(), earlier: [],
 	});
--- a/packages/forward/src/forward-types.ts
+++ b/packages/forward/src/forward-types.ts
@@ -21,6 +21,8 @@
 	readonly service: ForwardService;
 	readonly account: ForwardAccount | undefined;
 	readonly exchange: CallerExchange;
+	/** Output to expect of a model request. */
+	readonly outputTokens: number;
 };
 
 export type ForwardDeps = {
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -119,7 +119,7 @@
 	const place = {
 		parts: request.parts,
 		promptTokens: request.promptTokens,
-		outputTokens: request.outputTokens,
+		outputTokens: admitted.outputTokens,
 		dataCentre: deps.dataCentre,
 		leftMs: exchange.leftMs,
 		excluded,
@@ -134,7 +134,7 @@
 	const {decodeLevel, firstTokenMs, decode: {decode: pace}} = chosen;
 	const {outputTokens, leftMs} = place;
 	const maxLoad = deps.load.longAnswers(service.name).maxLoad(pace, {
-		kind: route.name, level: decodeLevel, outputTokens, nowMs: deps.clock.nowMs(),
+		kind: route.name, level: decodeLevel, guessedTokens: request.guessedTokens, nowMs: deps.clock.nowMs(),
 	});
 	if (mayRefuse && chosen.decodeLoad > maxLoad) {
 		return refuse(deps, chosen, {
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -24,8 +24,8 @@
 	/** How long the caller waits. */
 	readonly waitsMs?: number;
 	readonly promptTokens: number;
-	/** Output to expect: the caller's guess, or its limit without one. */
-	readonly outputTokens: number;
+	/** The caller's guess of its output, or the limit without one. */
+	readonly guessedTokens: number;
 	/** Output beyond which the engine makes none. */
 	readonly maxOutputTokens: number;
 	readonly parts: readonly PromptPart[];
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -29,10 +29,10 @@
 
 export const runPrefill = async (deps: ForwardDeps, admitted: AdmittedRequest, placement: PrefillPlacement): Promise<PrefillResult> => {
 	const {prefill, level = 0, uncachedTokens = 0, waitMs = 0} = placement;
-	const {request, exchange} = admitted;
+	const {request, exchange, outputTokens} = admitted;
 	const startMs = deps.clock.nowMs();
 	const work = deps.load.beginWork(prefill, {
-		level, tokens: uncachedTokens, outputTokens: request.outputTokens, parts: request.parts,
+		level, tokens: uncachedTokens, outputTokens, parts: request.parts,
 	});
 	const limit = createTimeLimit((waitMs * lateFactor) + lateMarginMs, exchange.signal);
 	const body = new KeptAnswer(maxControlAnswerBytes);
--- a/packages/forward/src/request-reports.ts
+++ b/packages/forward/src/request-reports.ts
@@ -24,14 +24,15 @@
 		this.#metrics = metrics;
 	}
 
-	attempt({request, route}: AdmittedRequest, report: AttemptReport): void {
+	attempt({request, route, outputTokens}: AdmittedRequest, report: AttemptReport): void {
 		this.#metrics.countAttempt(report);
 		const {result, decode, ...place} = report;
 		this.#log.write('attempt', {
 			id: request.id,
 			route: route.name,
 			tokens: request.promptTokens,
-			outputTokens: request.outputTokens,
+			outputTokens: Math.round(outputTokens),
+			guessedTokens: request.guessedTokens,
 			maxOutputTokens: request.maxOutputTokens,
 			...roundTimes(place),
 			...decode && {decode: roundInputs(decode)},
