Keep the quickest decode engine for long answers instead of the first by id

With three and more decode engines one is kept less crowded for long answers; it was the first by id, whatever its pace. It is now the first by id among those that are about as fast as the quickest. Test places failed before: a short answer was sent to the quickest engine.

--- a/packages/core/src/forwarding/__tests__/places.test.ts
+++ b/packages/core/src/forwarding/__tests__/places.test.ts
@@ -97,6 +97,22 @@
 			assert.is(chooseModelPlace(views, {...short, outputTokens: 900}, context)?.decode.endpoint.id, 'd1');
 		});
 
+		it('keep the quickest engine; guards against long answers kept for an engine that is too slow for them', () => {
+			const views = ['d1', 'd2', 'd3'].map(id => {
+				const view = createView(id, 'decode');
+				view.running = id === 'd3' ? 6 : 7;
+				for (let stream = 0; stream < 300; stream += 1) {
+					const load = [0.2, 0.5, 0.8][stream % 3]!;
+					view.decode.observe({tookMs: 500 * (id === 'd3' ? 1 : 1.4) * (3 + (9 * load)), tokens: 500, load});
+				}
+
+				return view;
+			});
+			const short = createRequest({promptTokens: 10, outputTokens: 50, leftMs: 8000});
+			assert.is.not(chooseModelPlace(views, short, context)?.decode.endpoint.id, 'd3');
+			assert.is(chooseModelPlace(views, {...short, outputTokens: 700}, context)?.decode.endpoint.id, 'd3');
+		});
+
 		it('keep none of two engines', () => {
 			const views = createCrowd().slice(0, 2);
 			assert.is(chooseModelPlace(views, createRequest({promptTokens: 10, outputTokens: 50}), context)?.decode.endpoint.id, 'd1');
--- a/packages/core/src/forwarding/choose-model-place.ts
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -8,6 +8,7 @@
 } from './choose-place.js';
 import type {PromptPart} from './deployment.js';
 import {lateLevel} from './queue-level.js';
+import {comparedLoad, findQuickest} from './similar-paces.js';
 
 export type PlaceRequest = {
 	readonly parts: readonly PromptPart[];
@@ -123,10 +124,12 @@
 
 /**
  * Answers the load of a few long answers among many short ones: at crowded engines the long ones would miss their limit, so
- * one engine is kept less crowded for them.
+ * one engine is kept less crowded for them: one of the quickest, the same for all entries.
  */
 const findKept = (decoders: readonly EndpointView[]): EndpointView | undefined =>
-	decoders.length < minEnginesToKeep ? undefined : decoders.toSorted((a, b) => a.endpoint.id < b.endpoint.id ? -1 : 1)[0];
+	decoders.length < minEnginesToKeep
+		? undefined
+		: findQuickest(decoders, ({decode}) => decode.msPerToken(comparedLoad)).toSorted((a, b) => a.endpoint.id < b.endpoint.id ? -1 : 1)[0];
 
 const keepMs = (view: EndpointView, request: PlaceRequest, {kept}: PlaceContext): number =>
 	view === kept && view.running > view.endpoint.places * keptPart && !request.isLong ? keptMs : 0;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -29,6 +29,7 @@
 export {
 	balanceRoles, type RoleBalance, type RoleBalanceMemory, type RoleDecision,
 } from './balance-roles.js';
+export {comparedLoad} from './similar-paces.js';
 export {pickRoleChange, type RoleCandidate} from './pick-role-change.js';
 export {EndpointTrust} from './endpoint-trust.js';
 export {choosePlainPlace, engineLoad, type EndpointView} from './choose-place.js';
--- a/packages/core/src/forwarding/pick-role-change.ts
+++ b/packages/core/src/forwarding/pick-role-change.ts
@@ -4,6 +4,7 @@
  * different speed.
  */
 import type {EndpointRole} from './deployment.js';
+import {findQuickest, findSlowest} from './similar-paces.js';
 
 /** An engine that could change its role. */
 export type RoleCandidate = {
@@ -14,16 +15,9 @@
 	readonly msPerToken: number;
 };
 
-/** Paces that differ by less are the same for all that is known. */
-const samePart = 0.15;
-
 /** Engines that are about as fast as the one that suits the role best. */
-const findSuited = (candidates: readonly RoleCandidate[], role: EndpointRole): RoleCandidate[] => {
-	const paces = candidates.map(({msPerToken}) => msPerToken);
-	return role === 'prefill'
-		? candidates.filter(({msPerToken}) => msPerToken >= Math.max(...paces) * (1 - samePart))
-		: candidates.filter(({msPerToken}) => msPerToken <= Math.min(...paces) * (1 + samePart));
-};
+const findSuited = (candidates: readonly RoleCandidate[], role: EndpointRole): RoleCandidate[] =>
+	(role === 'prefill' ? findSlowest : findQuickest)(candidates, ({msPerToken}) => msPerToken);
 
 /** Among engines as fast, the one with the least to finish, in the data centre that has the most of the role to give. */
 export const pickRoleChange = (candidates: readonly RoleCandidate[], role: EndpointRole): RoleCandidate | undefined => {
--- /dev/null
+++ b/packages/core/src/forwarding/similar-paces.ts
@@ -0,0 +1,22 @@
+/**
+ * Engines that are about as fast. Paces are learned, so small differences between them mean nothing, and a choice by the least of them would
+ * jump to and fro.
+ */
+
+/** Paces that differ by less are the same for all that is known. */
+const samePart = 0.15;
+
+/** Load at which the paces of decode engines are compared; each is used at about this load. */
+export const comparedLoad = 0.5;
+
+/** Items that are about as quick as the quickest one. */
+export const findQuickest = <Item>(items: readonly Item[], msPerTokenOf: (item: Item) => number): Item[] => {
+	const quickest = Math.min(...items.map(item => msPerTokenOf(item)));
+	return items.filter(item => msPerTokenOf(item) <= quickest * (1 + samePart));
+};
+
+/** Items that are about as slow as the slowest one. */
+export const findSlowest = <Item>(items: readonly Item[], msPerTokenOf: (item: Item) => number): Item[] => {
+	const slowest = Math.max(...items.map(item => msPerTokenOf(item)));
+	return items.filter(item => msPerTokenOf(item) * (1 + samePart) >= slowest);
+};
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceMemory, type RoleCandidate,
+	balanceRoles, comparedLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceMemory, type RoleCandidate,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {callEndpoint, type EndpointAnswer} from './call-endpoint.js';
@@ -61,9 +61,6 @@
 
 type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly candidates: readonly RoleCandidate[]};
 
-/** Load at which the paces of decode engines are compared. */
-const comparedLoad = 0.5;
-
 /** How fast an engine does the work of its role. */
 const paceOf = ({endpoint, pace, decode}: KnownEndpoint): number => endpoint.role === 'decode' ? decode.msPerToken(comparedLoad) : pace.msPerToken;
 
