Measure the pace of a stream from the events after the first ones, and keep the newest answers in one place

Events that had waited and came together with the first one counted as made in no time. Ended answers tell the errors of guesses only once the tokens of an event are known. The list of the newest items stood twice.

--- a/packages/core/src/forwarding/answer-kind.ts
+++ b/packages/core/src/forwarding/answer-kind.ts
@@ -3,9 +3,8 @@
  * the sizes and that of the errors together. Taken as they are, they make the largest answers look larger than any is, so the spread of the
  * errors, which the ended answers show, is taken out again.
  */
+import {Newest} from './newest.js';
 
-/** Answers of a kind that are remembered; the five largest of a hundred may break off. */
-const rememberedAnswers = 100;
 /** Ended answers from which on the errors of the guesses are taken into account. */
 const minEnded = 10;
 /** Guesses tell at least this much, however few answers have shown. */
@@ -18,17 +17,6 @@
 	readonly limitMs: number;
 };
 
-/** A list that keeps the newest items. */
-class Newest<Item> {
-	readonly items: Item[] = [];
-	#next = 0;
-
-	add(item: Item): void {
-		this.items[this.#next] = item;
-		this.#next = (this.#next + 1) % rememberedAnswers;
-	}
-}
-
 const varianceOf = (values: readonly number[]): number => {
 	const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
 	return values.reduce((sum, value) => sum + ((value - mean) ** 2), 0) / values.length;
--- a/packages/core/src/forwarding/event-tokens.ts
+++ b/packages/core/src/forwarding/event-tokens.ts
@@ -2,9 +2,8 @@
  * Tokens in one event of a stream, which engines do not say. Guesses of the length of an answer are right in the middle, so the middle one of
  * many ratios of guess and events tells it, while each single one is far off.
  */
+import {Newest} from './newest.js';
 
-/** Answers that are remembered. */
-const rememberedAnswers = 100;
 /** Answers without which the middle one may be far off. */
 const minAnswers = 5;
 /** Shorter streams tell little, because their last event is not full. */
@@ -13,8 +12,7 @@
 const lastEventPart = 0.5;
 
 export class EventTokens {
-	readonly #ratios: number[] = [];
-	#next = 0;
+	readonly #ratios = new Newest<number>();
 	#middle: number | undefined;
 
 	/** Notes a stream that has ended. */
@@ -23,19 +21,19 @@
 			return;
 		}
 
-		this.#ratios[this.#next] = guessedTokens / (events - lastEventPart);
-		this.#next = (this.#next + 1) % rememberedAnswers;
+		this.#ratios.add(guessedTokens / (events - lastEventPart));
 		this.#middle = undefined;
 	}
 
 	/** Whether enough streams have ended to tell. */
 	get isKnown(): boolean {
-		return this.#ratios.length >= minAnswers;
+		return this.#ratios.items.length >= minAnswers;
 	}
 
 	/** Tokens of so many events. */
 	tokensOf(events: number): number {
-		this.#middle ??= this.#ratios.toSorted((a, b) => a - b)[Math.floor(this.#ratios.length / 2)] ?? 1;
+		const {items} = this.#ratios;
+		this.#middle ??= items.toSorted((a, b) => a - b)[Math.floor(items.length / 2)] ?? 1;
 		return events * this.#middle;
 	}
 }
--- a/packages/forward/src/answer-relay.ts
+++ b/packages/forward/src/answer-relay.ts
@@ -48,15 +48,21 @@
 	const sizes = deps.load.eventTokens(service.name);
 	if (isWhole) {
 		sizes.note(guessedTokens, course.events);
-		deps.load.longAnswers(service.name).noteEnded({kind: route.name, guessedTokens, tokens: sizes.tokensOf(course.events)});
 	}
 
-	const {events, tookMs, meanLoad} = course;
-	if (events > 0 && sizes.isKnown) {
-		known.decode.observe({
-			tookMs, tokens: sizes.tokensOf(events - 1), answerTokens: sizes.tokensOf(events), load: Math.min(1, meanLoad),
-		});
+	if (course.events === 0 || !sizes.isKnown) {
+		return;
 	}
+
+	const {events, laterEvents, tookMs, meanLoad} = course;
+	const answerTokens = sizes.tokensOf(events);
+	if (isWhole) {
+		deps.load.longAnswers(service.name).noteEnded({kind: route.name, guessedTokens, tokens: answerTokens});
+	}
+
+	known.decode.observe({
+		tookMs, tokens: sizes.tokensOf(laterEvents), answerTokens, load: Math.min(1, meanLoad),
+	});
 };
 
 const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, relay: StreamRelay): Promise<AttemptResult> => {
--- a/packages/forward/src/stream-course.ts
+++ b/packages/forward/src/stream-course.ts
@@ -13,13 +13,20 @@
 
 export class StreamCourse {
 	events = 0;
+	/** Events that came together first; they had been made before. */
+	#firstEvents = 0;
 	#firstMs = 0;
 	#lastMs = 0;
 	#loadSum = 0;
 	#loads = 0;
 	#maxLoad = 0;
 
-	/** Time from the first event to the last one. */
+	/** Events that came after the first ones. */
+	get laterEvents(): number {
+		return this.events - this.#firstEvents;
+	}
+
+	/** Time in which those came. */
 	get tookMs(): number {
 		return this.#lastMs - this.#firstMs;
 	}
@@ -39,6 +46,7 @@
 
 		if (this.events === 0) {
 			this.#firstMs = atMs;
+			this.#firstEvents = events;
 		}
 
 		this.events += events;
