--- a/packages/histories/src/__tests__/role-outage.test.ts
+++ b/packages/histories/src/__tests__/role-outage.test.ts
@@ -11,7 +11,7 @@
 	engineOrdersRise, expectNoViolations, withFleet, type Fleet,
 } from '../index.js';
 import {
-	findBrokenCalls, listRoleOrders, startMixedLoad, type RoleOrder,
+	findBrokenCalls, listRoleOrders, startMixedLoad, type MixedLoad, type RoleOrder,
 } from '../role-load.js';
 import {findWrongAnswers} from '../rules/request-rules.js';
 
@@ -25,14 +25,32 @@
 /** A takeover takes up to 19 s, two orders are at least 10 s apart, and demand is measured over 10 s. */
 const shiftLimitMs = 50_000;
 
+/** Calls that show what callers got lately. */
+const lastCalls = 60;
+
 const describeOrder = ({engine, number, role}: RoleOrder): string =>
 	`${engine} ${Math.floor(number / orderNumbersPerEpoch)}+${number % orderNumbersPerEpoch} ${role ?? ''}`;
 
+/** What the engines and the callers saw, to explain an order that did not come. */
+const describeRun = (fleet: Fleet, load: MixedLoad): string => {
+	const counts = new Map<string, number>();
+	for (const {status, code} of load.calls.slice(-lastCalls)) {
+		const outcome = `${status} ${code ?? ''}`.trim();
+		counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
+	}
+
+	const orders = listRoleOrders(fleet).map(order => describeOrder(order)).join(', ');
+	const outcomes = [...counts].map(([outcome, count]) => `${outcome}: ${count}`).join(', ');
+	return `orders: ${orders}; ${load.calls.length} calls, the last ones: ${outcomes}`;
+};
+
 /** Waits for an order that begins after the call. */
-const waitForOrder = async (fleet: Fleet, what: string, isWanted: (order: RoleOrder) => boolean): Promise<RoleOrder> => {
+const waitForOrder = async (fleet: Fleet, load: MixedLoad, what: string, isWanted: (order: RoleOrder) => boolean): Promise<RoleOrder> => {
 	const before = listRoleOrders(fleet).length;
 	const find = (): RoleOrder | undefined => listRoleOrders(fleet).slice(before).find(order => isWanted(order));
-	await waitFor(what, () => find() !== undefined, shiftLimitMs);
+	await waitFor(what, () => find() !== undefined, shiftLimitMs).catch((error: unknown) => {
+		throw new Error(`${(error as Error).message}; ${describeRun(fleet, load)}`, {cause: error});
+	});
 	return find()!;
 };
 
@@ -59,11 +77,11 @@
 		settings: {entry: {witnessSettleMs}},
 	}, async (fleet, signal) => {
 		const load = await startMixedLoad(fleet, {callersPerEntry, seed}, signal);
-		const withTable = await waitForOrder(fleet, 'an engine for prompts', ({role}) => role === 'prefill');
+		const withTable = await waitForOrder(fleet, load, 'an engine for prompts', ({role}) => role === 'prefill');
 
 		fleet.setFaults({tableDown: true});
 		load.mix = 'outputs';
-		const inOutage = await waitForOrder(fleet, 'an order while the table is down', ({role}) => role !== 'prefill');
+		const inOutage = await waitForOrder(fleet, load, 'an order while the table is down', ({role}) => role !== 'prefill');
 		assert.is(Math.floor(inOutage.number / orderNumbersPerEpoch), Math.floor(withTable.number / orderNumbersPerEpoch), 'the holder has changed');
 
 		if (killsAgent) {
@@ -72,7 +90,7 @@
 
 		fleet.setFaults({});
 		load.mix = 'prompts';
-		const afterwards = await waitForOrder(fleet, 'an order after the outage', ({number}) => number >= withTable.number + orderNumbersPerEpoch);
+		const afterwards = await waitForOrder(fleet, load, 'an order after the outage', ({number}) => number >= withTable.number + orderNumbersPerEpoch);
 		await load.stop();
 		await waitForRows(fleet, signal);
 		const {calls} = load;
