Choose by measured steps which engines the planner of the agents' side changes

The planner took the engines of a model for equally fast and chose by the cache and the streams that a change loses; a quick engine has the fewest streams. Agents report the steps that they measure, so the slow engines prefill and the quick ones decode; while one is not measured, the cost decides as before. Test plan-roles failed before. The module of similar paces moves to where both sides use it.

--- a/packages/core/src/forwarding/choose-model-place.ts
+++ b/packages/core/src/forwarding/choose-model-place.ts
@@ -3,12 +3,13 @@
  * its prompt. Answers the load of long prompts among many short ones: prompts queue at prefill engines, and a decode engine
  * prefills only what it can in a moment, because that slows every stream that runs there.
  */
+import {findQuickest} from '../similar-paces.js';
 import {
 	crossing, engineLoad, findUsable, pickLowest, type EndpointView,
 } from './choose-place.js';
+import {comparedLoad} from './decode-pace.js';
 import type {PromptPart} from './deployment.js';
 import {lateLevel} from './queue-level.js';
-import {comparedLoad, findQuickest} from './similar-paces.js';
 
 export type PlaceRequest = {
 	readonly parts: readonly PromptPart[];
--- a/packages/core/src/forwarding/decode-pace.ts
+++ b/packages/core/src/forwarding/decode-pace.ts
@@ -26,6 +26,9 @@
 const forgottenPart = 0.02;
 const assumedStreamTokens = 250;
 
+/** Load at which the paces of engines are compared; each is used at about this load. */
+export const comparedLoad = 0.5;
+
 export class DecodePace {
 	/** Sums over the streams, weighted by their tokens. */
 	#tokens = assumedTokens;
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -14,7 +14,7 @@
 export {pickService, RouteTable} from './route-table.js';
 export {priorityLevels, PrefillBacklog, type TrackedWork} from './prefill-backlog.js';
 export {EnginePace} from './engine-pace.js';
-export {DecodePace, type ObservedStream} from './decode-pace.js';
+export {comparedLoad, DecodePace, type ObservedStream} from './decode-pace.js';
 export {EventTokens} from './event-tokens.js';
 export {LongAnswers} from './long-answers.js';
 export {LateShare} from './late-share.js';
@@ -29,7 +29,6 @@
 export {
 	balanceRoles, type RoleBalance, type RoleBalanceMemory, type RoleDecision,
 } from './balance-roles.js';
-export {comparedLoad} from './similar-paces.js';
 export {pickRoleChange, type RoleCandidate} from './pick-role-change.js';
 export {EndpointTrust} from './endpoint-trust.js';
 export {choosePlainPlace, engineLoad, type EndpointView} from './choose-place.js';
--- a/packages/core/src/forwarding/pick-role-change.ts
+++ b/packages/core/src/forwarding/pick-role-change.ts
@@ -3,8 +3,8 @@
  * prefill, so the quick engines decode: the largest answers end in time only there. Answers the load of many long answers at few engines of
  * different speed.
  */
+import {findQuickest, findSlowest} from '../similar-paces.js';
 import type {EndpointRole} from './deployment.js';
-import {findQuickest, findSlowest} from './similar-paces.js';
 
 /** An engine that could change its role. */
 export type RoleCandidate = {
--- a/packages/core/src/policy/__tests__/plan-roles.test.ts
+++ b/packages/core/src/policy/__tests__/plan-roles.test.ts
@@ -53,6 +53,22 @@
 		assert.is(changes.length, 0);
 	});
 
+	it('lets the slow engines prefill; guards against long answers left to them, whatever a change of the quick ones would save', () => {
+		const input = createInput(['decode', 'decode', 'decode', 'decode', 'mixed'], promptHeavy);
+		const steps = [20, 31, 21, 22, 20];
+		const engines = input.engines.map((engine, index) => ({...engine, decodeStepMs: steps[index]!, runningTokens: index === 1 ? 20_000 : 5000}));
+		const plan = planRoles({...input, engines, memory: {wantedRole: 'prefill', wantedSinceMs: -10_000}});
+		assert.is(plan.change?.role, 'prefill');
+		assert.is(plan.change?.endpoint, 'e1');
+	});
+
+	it('chooses by cost while the speed of an engine is not known', () => {
+		const input = createInput(['decode', 'decode', 'decode', 'decode', 'mixed'], promptHeavy);
+		const engines = input.engines.map((engine, index) => ({...engine, decodeStepMs: index === 1 ? 31 : undefined, runningTokens: index === 2 ? 0 : 20_000}));
+		const plan = planRoles({...input, engines, memory: {wantedRole: 'prefill', wantedSinceMs: -10_000}});
+		assert.is(plan.change?.endpoint, 'e2');
+	});
+
 	it('guards against a second change while one is running', () => {
 		const input = createInput(['decode', 'decode', 'decode', 'mixed'], promptHeavy);
 		const engines = input.engines.map((engine, index) => ({...engine, changing: index === 0}));
--- a/packages/core/src/policy/plan-roles.ts
+++ b/packages/core/src/policy/plan-roles.ts
@@ -3,6 +3,7 @@
  * the horizon is largest, if the gain exceeds the cost of the change by a margin and has done so for a dwell time. The
  * caller keeps the returned memory and passes it in again; a new planner starts without one.
  */
+import {findQuickest, findSlowest} from '../similar-paces.js';
 import {type EngineRole} from './engine-model.js';
 import {
 	countRoles, coversBothStages, enginesNeeded, servablePart, sumRoles, type CapacityModel, type RoleCounts, type TokenDemand,
@@ -18,6 +19,8 @@
 	readonly cachedTokens: number;
 	/** KV cache of its running requests, which a change has to move or wait for. */
 	readonly runningTokens: number;
+	/** Time of a decode step when half of its places are taken; absent until it is measured. */
+	readonly decodeStepMs?: number;
 };
 
 /** What the planner remembers between two calls. */
@@ -124,11 +127,30 @@
 const isWorthIt = ({gain, cost}: RoleChange, {gainMargin, horizonMs, minGainEngines}: RolePlanOptions): boolean =>
 	gain > cost * gainMargin && gain > minGainEngines * horizonMs / 1000;
 
-const findBest = (input: RolePlanInput): RoleChange | undefined => input.engines
-	.flatMap(engine => roles.filter(role => role !== engine.role).map(role => evaluate(input, engine, role)))
-	.filter(change => change !== undefined)
-	.filter(change => isWorthIt(change, input.options))
-	.toSorted((a, b) => net(b) - net(a))[0];
+/**
+ * Changes of the engines whose speed suits the role. A stream has the pace of its one engine, while prompts are shared out, so the slow
+ * engines prefill and the quick ones decode.
+ */
+const findSuited = (changes: readonly RoleChange[], engines: readonly PlannedEngine[]): readonly RoleChange[] => {
+	const steps = new Map(engines.flatMap(({id, decodeStepMs}) => decodeStepMs === undefined ? [] : [[id, decodeStepMs]]));
+	if (changes.length === 0 || changes.some(({endpoint}) => !steps.has(endpoint))) {
+		return changes;
+	}
+
+	const find = changes[0]!.role === 'prefill' ? findSlowest : findQuickest;
+	return find(changes, ({endpoint}) => steps.get(endpoint)!);
+};
+
+const findBest = (input: RolePlanInput): RoleChange | undefined => {
+	const changes = input.engines
+		.flatMap(engine => roles.filter(role => role !== engine.role).map(role => evaluate(input, engine, role)))
+		.filter(change => change !== undefined)
+		.filter(change => isWorthIt(change, input.options))
+		.toSorted((a, b) => net(b) - net(a));
+	const best = changes[0];
+	// The same change of another engine serves as many requests; only its cost may differ.
+	return findSuited(changes.filter(({role, gain}) => role === best!.role && gain >= best!.gain), input.engines)[0];
+};
 
 /** Proposes the next role change of the data centre, or none. */
 export const planRoles = (input: RolePlanInput): RolePlan => {
--- a/packages/core/src/forwarding/similar-paces.ts
+++ b/packages/core/src/similar-paces.ts
@@ -6,9 +6,6 @@
 /** Paces that differ by less are the same for all that is known. */
 const samePart = 0.15;
 
-/** Load at which the paces of decode engines are compared; each is used at about this load. */
-export const comparedLoad = 0.5;
-
 /** Items that are about as quick as the quickest one. */
 export const findQuickest = <Item>(items: readonly Item[], msPerTokenOf: (item: Item) => number): Item[] => {
 	const quickest = Math.min(...items.map(item => msPerTokenOf(item)));
--- a/packages/entry/src/duties/role-duties.ts
+++ b/packages/entry/src/duties/role-duties.ts
@@ -28,11 +28,17 @@
 	readonly outageEvidence?: CreateOutageEvidence;
 };
 
+/** Undefined until the agent has measured its engine. */
+const decodeStepMsOf = ({report}: Endpoint): number | undefined => report?.stepMs === undefined
+	? undefined
+	: report.stepMs + ((report.stepMsPerRequest ?? 0) * (report.maxRunning ?? 0) / 2);
+
 const toManaged = (endpoint: Endpoint, role: EngineOrderRole): ManagedEngine => ({
 	endpoint: endpoint.id,
 	role,
 	cachedTokens: (endpoint.report?.prefixes ?? []).reduce((sum, name) => sum + prefixCharacters(name), 0) / charactersPerToken,
 	runningTokens: (endpoint.report?.running ?? 0) * tokensPerRunningRequest,
+	decodeStepMs: decodeStepMsOf(endpoint),
 	async sendOrder(order, confirm) {
 		endpoint.confirmOrder = confirm;
 		return endpoint.peer?.call('engine.order', order, {timeoutMs: orderTimeoutMs});
--- a/packages/entry/src/duties/role-planner.ts
+++ b/packages/entry/src/duties/role-planner.ts
@@ -42,6 +42,8 @@
 	readonly role: EngineOrderRole;
 	readonly cachedTokens: number;
 	readonly runningTokens: number;
+	/** Time of a decode step when half of its places are taken; absent until it is measured. */
+	readonly decodeStepMs?: number;
 	/** Sends an order to the agent. `confirm` answers the agent's question about an order that has no row. */
 	readonly sendOrder: (order: EngineOrderParams, confirm?: ConfirmSentOrder) => Promise<EngineOrderResult | undefined>;
 };
@@ -214,11 +216,11 @@
 		}
 	}
 
-	#describe({endpoint, role, cachedTokens, runningTokens}: ManagedEngine): PlannedEngine {
+	#describe({endpoint, role, cachedTokens, runningTokens, decodeStepMs}: ManagedEngine): PlannedEngine {
 		const known = this.#rows.get(endpoint);
 		const underWay = this.#outage.get(endpoint) ?? (known !== undefined && isUnsettled(known) ? known.row : undefined);
 		return {
-			id: endpoint, role: underWay?.role ?? role, changing: underWay !== undefined, cachedTokens, runningTokens,
+			id: endpoint, role: underWay?.role ?? role, changing: underWay !== undefined, cachedTokens, runningTokens, decodeStepMs,
 		};
 	}
 
