--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -157,12 +157,12 @@
 
 const promptTokens = 10_000;
 
-/** Lets the engines seem this many times as slow as the first one, in the order of their ids. */
-const setPaces = ({engines, pool}: World, factors: readonly number[]): void => {
+/** Lets the engines seem this many times as slow as usual, in the order of their ids, by so many streams each. */
+const setPaces = ({engines, pool}: World, factors: readonly number[], streams: readonly number[] = []): void => {
 	for (const [index, {endpoint}] of engines.entries()) {
 		const {decode, pace} = pool.get(endpoint.id)!;
 		const factor = factors[index]!;
-		for (let stream = 0; stream < 200; stream += 1) {
+		for (let stream = 0; stream < (streams[index] ?? 200); stream += 1) {
 			const load = [0.2, 0.5, 0.8][stream % 3]!;
 			decode.observe({tookMs: 300 * factor * (3 + (9 * load)), tokens: 300, load});
 			const expectedMs = pace.workMs(promptTokens);
@@ -189,6 +189,13 @@
 		assert.is(orderedOf(world), 'i-2');
 	}, 'prefill'));
 
+	it('is not chosen by the pace of a few streams; guards against the quickest engine given away by an entry that has hardly used it', async () => withDuty(3, async world => {
+		setPaces(world, [2, 1, 1.3], [2, 0, 200]);
+		world.lease = lease;
+		await waitUntil(() => world.reports.length > 0, {what: 'an order'});
+		assert.is(orderedOf(world), 'i-2');
+	}));
+
 	it('has the least to finish among engines that are about as fast; guards against requests held up for a gain that is none', async () => withDuty(3, async world => {
 		setPaces(world, [1, 1.02, 1.01]);
 		for (const [index, running] of [2, 2, 1].entries()) {
