Reproduce in a test that fails: an entry that alone was cut from the store keeps an endpoint that leaves right after

A removed registration counts for two seconds after the store's return as one that lapsed for the outage, although the endpoint had registered all the while.

--- a/packages/forward/src/__tests__/endpoint-directory.test.ts
+++ b/packages/forward/src/__tests__/endpoint-directory.test.ts
@@ -77,6 +77,18 @@
 	});
 
 	describe('after an outage of the store', () => {
+		it('drops at once an endpoint that had registered meanwhile and goes then; guards against work for a leaving endpoint after only this entry was cut from the store', () => {
+			const {clock, directory, pool} = createWorld();
+			directory.apply(answer(createRow('e', {heartbeat: 1})), true);
+			directory.setAvailable(false);
+			clock.advance(6000);
+			directory.setAvailable(true);
+			directory.apply(answer(createRow('e', {heartbeat: 6})), true);
+			clock.advance(200);
+			directory.apply(answer({key: 'e', value: undefined, version: 3}), false);
+			assert.is(pool.get('e'), undefined);
+		});
+
 		it('keeps endpoints whose entries lapsed for two seconds, and drops those that are still missing', () => {
 			const {directory, pool, clock} = createWorld();
 			directory.apply(answer(createRow('back'), createRow('gone')), true);
