Stop the attempts of a request after its third crash, and count crashes of successive attempts

Cause: the guard asked about a request only when it arrived, so its own further attempts went on. Crashes within 500 ms counted as one, because endpoints that crash together have a common cause; but attempts that follow one another at once crash endpoints one after the other. A crash was noticed only when a later connection was refused or the registration expired, seconds after the next attempt. Entries passed on only that a crash had happened, and the receiver merged reports that arrived together.

Change: a run that began after an earlier crash counts as a crash of its own. After a broken connection the entry opens one itself, and a refusal is a crash; a request that may be repeated waits for that. Each further attempt asks whether the request is quarantined. Reports carry their age and the count of their sender, so that repeated reports of crashes with a common cause still count once.

--- a/packages/core/src/suspect-requests.ts
+++ b/packages/core/src/suspect-requests.ts
@@ -15,6 +15,14 @@
 
 type CrashReport = {readonly source: string; readonly atMs: number};
 
+/** When an endpoint crashed, and when the request had begun to run there. */
+export type CrashTimes = {
+	/** Now by default. */
+	readonly atMs?: number;
+	/** Unknown by default, as for a crash that another entry reports. */
+	readonly runStartedMs?: number;
+};
+
 export type SuspectRequestsOptions = {
 	/** Number of crashes after which a request is quarantined. */
 	readonly quarantineCrashes?: number;
@@ -46,17 +54,23 @@
 		return this.#crashReports.size;
 	}
 
-	/** Records a crash at `source` while the request was running. Returns false if this crash is already recorded. */
-	recordCrash(fingerprint: Fingerprint, source: string): boolean {
+	/**
+	 * Records a crash at `source` while the request was running. Returns false if this crash is already recorded or has the cause of an earlier one. A
+	 * run that began after an earlier crash shows a cause of its own.
+	 */
+	recordCrash(fingerprint: Fingerprint, source: string, {atMs = this.#clock.nowMs(), runStartedMs = Number.NEGATIVE_INFINITY}: CrashTimes = {}): boolean {
 		this.#dropExpired();
 		const reports = this.#crashReports.get(fingerprint) ?? [];
-		const nowMs = this.#clock.nowMs();
-		const isSameCrash = ({source: reportedSource, atMs}: CrashReport): boolean => nowMs - atMs < (reportedSource === source ? sameCrashWindowMs : this.#sameCauseWindowMs);
+		const isSameCrash = (earlier: CrashReport): boolean => {
+			const distanceMs = Math.abs(atMs - earlier.atMs);
+			return earlier.source === source ? distanceMs < sameCrashWindowMs : distanceMs < this.#sameCauseWindowMs && runStartedMs < earlier.atMs;
+		};
+
 		if (reports.some(report => isSameCrash(report))) {
 			return false;
 		}
 
-		this.#crashReports.set(fingerprint, [...reports, {source, atMs: nowMs}]);
+		this.#crashReports.set(fingerprint, [...reports, {source, atMs}]);
 		return true;
 	}
 
--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -1,5 +1,7 @@
 import {Buffer} from 'node:buffer';
-import {brandAs, type RequestId} from '@hawthorncleat/core';
+import {
+	brandAs, type EndpointId, type RegisteredEndpoint, type RequestId,
+} from '@hawthorncleat/core';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {CrashGuard} from '../crash-guard.js';
@@ -28,12 +30,18 @@
 	};
 };
 
+const createEndpoint = (id: string): RegisteredEndpoint => ({
+	id: brandAs<EndpointId>(id), service: 'models', address: '127.0.0.1', port: 1, dataCentre: 'a', slots: 6, isLeaving: false, heartbeat: 1, startedAt: 1,
+});
+
 const crashIntervalMs = 1000;
 
-const createGuard = (clock = createManualClock()): CrashGuard => new CrashGuard({clock, onCrash: () => undefined});
+const createGuard = (clock = createManualClock(), refusesConnections = async (): Promise<boolean> => false): CrashGuard =>
+	new CrashGuard({clock, refusesConnections, onCrash: () => undefined});
 
-const crashAt = (guard: CrashGuard, endpoint: string, body: string): void => {
-	guard.recordBrokenRequest(endpoint, createRequest(body));
+/** The run began before any crash, unless `startedMs` says otherwise. */
+const crashAt = (guard: CrashGuard, endpoint: string, body: string, startedMs = Number.NEGATIVE_INFINITY): void => {
+	guard.recordBrokenRequest(endpoint, createRequest(body), startedMs);
 	guard.recordCrash(endpoint);
 };
 
@@ -71,7 +79,7 @@
 	it('is not suspected when answers get lost and their endpoints stay up; guards against harmless requests rejected on a bad connection', () => {
 		const guard = createGuard();
 		for (const endpoint of ['i-1', 'i-2', 'i-3', 'i-4']) {
-			guard.recordBrokenRequest(endpoint, createRequest('read'));
+			guard.recordBrokenRequest(endpoint, createRequest('read'), 0);
 		}
 
 		assert.is(guard.quarantineRemainingMs(createRequest('read')), undefined);
@@ -102,7 +110,7 @@
 		const clock = createManualClock();
 		const guard = createGuard(clock);
 		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
-			guard.recordBrokenRequest(endpoint, createRequest('early'));
+			guard.recordBrokenRequest(endpoint, createRequest('early'), 0);
 		}
 
 		clock.advance(10_000);
@@ -117,4 +125,67 @@
 		clock.advance(61_000);
 		assert.is(guard.quarantineRemainingMs(createRequest('bad')), undefined);
 	});
+
+	it('counts each crash of attempts that follow one another at once; guards against attempts of one request that count as one crash', () => {
+		const clock = createManualClock();
+		const guard = createGuard(clock);
+		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
+			const startedMs = clock.nowMs();
+			clock.advance(20);
+			crashAt(guard, endpoint, 'bad', startedMs);
+			clock.advance(1);
+		}
+
+		assert.ok(guard.quarantineRemainingMs(createRequest('bad'))! > 0);
+	});
+
+	it('is quarantined at another entry by the first report of three crashes that followed one another at once', () => {
+		const clock = createManualClock();
+		const [first, second] = [createGuard(clock), createGuard(clock)];
+		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
+			const startedMs = clock.nowMs();
+			clock.advance(20);
+			crashAt(first, endpoint, 'bad', startedMs);
+			clock.advance(1);
+		}
+
+		second.applyPeerReports(first.reportsToSend());
+		assert.ok(second.quarantineRemainingMs(createRequest('bad'))! > 0);
+	});
+
+	it('counts one crash when entries repeat their reports of endpoints that crashed at once; guards against a common cause that counts as several', () => {
+		const clock = createManualClock();
+		const guards = ['i-1', 'i-2', 'i-3'].map(endpoint => {
+			const guard = createGuard(clock);
+			crashAt(guard, endpoint, '');
+			return guard;
+		});
+		const receiver = createGuard(clock);
+		for (let sent = 0; sent < 3; sent += 1) {
+			for (const guard of guards) {
+				receiver.applyPeerReports(guard.reportsToSend());
+			}
+
+			clock.advance(600);
+		}
+
+		assert.is(receiver.quarantineRemainingMs(createRequest('')), undefined);
+	});
+
+	it('has its endpoint checked once at a time, and counts a refused connection as a crash', async () => {
+		const clock = createManualClock();
+		let checks = 0;
+		const guard = createGuard(clock, async () => {
+			checks += 1;
+			return true;
+		});
+		for (const id of ['i-1', 'i-2', 'i-3']) {
+			guard.recordBrokenRequest(id, createRequest('bad'), clock.nowMs());
+			await Promise.all([guard.checkEndpoint(createEndpoint(id)), guard.checkEndpoint(createEndpoint(id))]);
+			clock.advance(crashIntervalMs);
+		}
+
+		assert.is(checks, 3);
+		assert.ok(guard.quarantineRemainingMs(createRequest('bad'))! > 0);
+	});
 });
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -1,11 +1,12 @@
 /**
  * Quarantines requests that crash the endpoints that run them. A broken connection alone does not prove a crash, because
  * answers of healthy endpoints get lost, too. It counts as a crash if the endpoint refuses connections, restarts or disappears
- * soon after. Entries exchange crash reports by gossip, because the caller may retry the request at any entry.
+ * soon after; to find out before the request is tried elsewhere, the entry opens a connection itself. Entries exchange crash reports by gossip, because
+ * the caller may retry the request at any entry.
  */
 import {createHash} from 'node:crypto';
 import {
-	brandAs, SuspectRequests, type Clock, type Fingerprint,
+	brandAs, SuspectRequests, type Clock, type Fingerprint, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
 import type {AdmittedRequest} from './forward-types.js';
 
@@ -32,12 +33,20 @@
 export type CrashReport = {
 	readonly fingerprint: Fingerprint;
 	readonly endpoint: string;
+	/** Time since the crash. */
+	readonly ageMs: number;
+	/** Crashes of this request that the sender counts. */
+	readonly crashes: number;
 };
 
-type BrokenRequest = {readonly fingerprint: Fingerprint; readonly atMs: number};
+type BrokenRequest = {readonly fingerprint: Fingerprint; readonly startedMs: number; readonly atMs: number};
+
+type ResentReport = Pick<CrashReport, 'endpoint' | 'fingerprint'> & {readonly atMs: number; readonly untilMs: number};
 
 export type CrashGuardOptions = {
 	readonly clock: Clock;
+	/** Whether the endpoint refuses connections, as it does when its process has crashed. */
+	readonly refusesConnections: (endpoint: RegisteredEndpoint) => Promise<boolean>;
 	/** Called when a crash is detected; `requests` is the number of new suspect requests. */
 	readonly onCrash: (crash: {readonly endpoint: string; readonly requests: number}) => void;
 };
@@ -53,18 +62,36 @@
 	readonly #options: CrashGuardOptions;
 	readonly #suspects: SuspectRequests;
 	readonly #brokenRequests = new Map<string, BrokenRequest[]>();
-	#resentReports: Array<CrashReport & {readonly untilMs: number}> = [];
+	readonly #checks = new Map<string, Promise<void>>();
+	#resentReports: ResentReport[] = [];
 
 	constructor(options: CrashGuardOptions) {
 		this.#options = options;
 		this.#suspects = new SuspectRequests(options.clock, {quarantineCrashes, retentionMs: suspicionMs, sameCauseWindowMs: commonCauseMs});
 	}
 
-	/** Records that the connection broke after the request had been sent to the endpoint. */
-	recordBrokenRequest(endpoint: string, request: RequestContent): void {
+	/** Records that the connection broke after the request had been sent to the endpoint at `startedMs`. */
+	recordBrokenRequest(endpoint: string, request: RequestContent, startedMs: number): void {
 		const atMs = this.#options.clock.nowMs();
 		const recent = (this.#brokenRequests.get(endpoint) ?? []).filter(broken => atMs - broken.atMs < crashDetectionMs);
-		this.#brokenRequests.set(endpoint, [...recent, {fingerprint: fingerprintOf(request), atMs}]);
+		this.#brokenRequests.set(endpoint, [...recent, {fingerprint: fingerprintOf(request), startedMs, atMs}]);
+	}
+
+	/** Finds out whether an endpoint whose connection broke has crashed, and records the crash. Calls for one endpoint share the check that runs. */
+	async checkEndpoint(endpoint: RegisteredEndpoint): Promise<void> {
+		const {id} = endpoint;
+		const running = this.#checks.get(id);
+		if (running) {
+			return running;
+		}
+
+		const check = this.#recordCrashIfRefusing(endpoint);
+		this.#checks.set(id, check);
+		try {
+			await check;
+		} finally {
+			this.#checks.delete(id);
+		}
 	}
 
 	/** Records that an endpoint has crashed: it refuses connections, has restarted, or disappeared without leaving first. */
@@ -72,9 +99,11 @@
 		const nowMs = this.#options.clock.nowMs();
 		const broken = (this.#brokenRequests.get(endpoint) ?? []).filter(({atMs}) => nowMs - atMs < crashDetectionMs);
 		this.#brokenRequests.delete(endpoint);
-		const suspects = broken.filter(({fingerprint}) => this.#suspects.recordCrash(fingerprint, endpoint));
+		const suspects = broken.filter(({fingerprint, startedMs, atMs}) => this.#suspects.recordCrash(fingerprint, endpoint, {atMs, runStartedMs: startedMs}));
 		if (suspects.length > 0) {
-			this.#resentReports.push(...suspects.map(({fingerprint}) => ({fingerprint, endpoint, untilMs: nowMs + resendMs})));
+			this.#resentReports.push(...suspects.map(({fingerprint, atMs}) => ({
+				fingerprint, endpoint, atMs, untilMs: nowMs + resendMs,
+			})));
 			this.#options.onCrash({endpoint, requests: suspects.length});
 		}
 	}
@@ -94,14 +123,18 @@
 		const nowMs = this.#options.clock.nowMs();
 		this.#resentReports = this.#resentReports.filter(({untilMs}) => nowMs < untilMs);
 		return this.#resentReports
-			.toSorted((a, b) => this.#suspects.countCrashes(b.fingerprint) - this.#suspects.countCrashes(a.fingerprint))
-			.slice(0, maxReportsPerMessage)
-			.map(({fingerprint, endpoint}) => ({fingerprint, endpoint}));
+			.map(({fingerprint, endpoint, atMs}) => ({
+				fingerprint, endpoint, ageMs: nowMs - atMs, crashes: this.#suspects.countCrashes(fingerprint),
+			}))
+			.toSorted((a, b) => b.crashes - a.crashes)
+			.slice(0, maxReportsPerMessage);
 	}
 
 	applyPeerReports(reports: readonly CrashReport[]): void {
-		for (const {fingerprint, endpoint} of reports) {
-			this.#suspects.recordCrash(fingerprint, endpoint);
+		const nowMs = this.#options.clock.nowMs();
+		for (const {fingerprint, endpoint, ageMs, crashes} of reports) {
+			this.#suspects.recordCrash(fingerprint, endpoint, {atMs: nowMs - ageMs});
+			this.#suspects.adoptCount(fingerprint, crashes);
 		}
 	}
 
@@ -111,4 +144,10 @@
 			this.#suspects.clear(fingerprintOf(request));
 		}
 	}
+
+	async #recordCrashIfRefusing(endpoint: RegisteredEndpoint): Promise<void> {
+		if (await this.#options.refusesConnections(endpoint)) {
+			this.recordCrash(endpoint.id);
+		}
+	}
 }
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -13,6 +13,7 @@
 import {ForwardMetrics} from './metrics.js';
 import {LoadTracker} from './load-tracker.js';
 import type {ForwardSettings, Platform} from './ports.js';
+import {refusesConnections} from './refuses-connections.js';
 import {RequestReports} from './request-reports.js';
 import {RoleChanges} from './role-changes.js';
 import {StoreFollower} from './store-follower.js';
@@ -81,6 +82,7 @@
 
 const createCrashGuard = (clock: Clock, log: DecisionLog): CrashGuard => new CrashGuard({
 	clock,
+	refusesConnections,
 	onCrash({endpoint, requests}) {
 		log.write('endpoint', {
 			id: endpoint, was: 'running', is: 'crashed', requests,
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -56,7 +56,13 @@
 const unlimitedBudget = {take: () => true};
 
 /** Why no attempt may follow one that has failed, or that has stalled and still runs; undefined if one may. */
-const findRetryDenial = ({route}: AdmittedRequest, {tries, earlierFailures}: RequestProgress, failure: FailureKind): RetryDenial | undefined => {
+const findRetryDenial = ({crashes}: ForwardDeps, admitted: AdmittedRequest, {tries, earlierFailures}: RequestProgress, failure: FailureKind): RetryDenial | undefined => {
+	const {route} = admitted;
+	// Its own attempts, or those of other entries, may have brought it into quarantine since it arrived.
+	if (crashes.quarantineRemainingMs(admitted) !== undefined) {
+		return 'crashes-endpoints';
+	}
+
 	// The limit of the route counts endpoints and applies to their selection.
 	const decision = decideRetry(failure, {
 		attempts: tries,
@@ -137,7 +143,7 @@
 
 /** Starts an attempt beside a stalled one if the request, the endpoints and the retry budget allow it. The stalled attempt goes on. */
 const replaceStalled = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress, {attempt, phase}: {attempt: RunningAttempt; phase: AttemptPhase}): StallDecision => {
-	const denial = findRetryDenial(admitted, progress, phase === 'prefill' ? 'refused' : 'no-progress');
+	const denial = findRetryDenial(deps, admitted, progress, phase === 'prefill' ? 'refused' : 'no-progress');
 	if (denial) {
 		return denial;
 	}
@@ -190,7 +196,7 @@
 };
 
 /** Records an attempt that has ended; returns the outcome if the request ends with it. */
-const handleEnd = (admitted: AdmittedRequest, progress: RequestProgress, {attempt, result}: {attempt: RunningAttempt; result: AttemptResult}): Outcome | undefined => {
+const handleEnd = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress, {attempt, result}: {attempt: RunningAttempt; result: AttemptResult}): Outcome | undefined => {
 	const {race, excluded, earlierFailures, request} = progress;
 	if (race.running.length === 0) {
 		progress.reserved.settle(request.arrivals.extraCalls);
@@ -222,7 +228,7 @@
 	}
 
 	const hasPartialAnswer = admitted.exchange.hasSentHead && !request.relay;
-	const denial = hasPartialAnswer ? 'not-allowed' : findRetryDenial(admitted, progress, failure);
+	const denial = hasPartialAnswer ? 'not-allowed' : findRetryDenial(deps, admitted, progress, failure);
 	if (denial) {
 		return {...finishFailed(admitted, progress), retryDenied: denial};
 	}
@@ -248,7 +254,7 @@
 			continue;
 		}
 
-		const outcome = handleEnd(admitted, progress, event);
+		const outcome = handleEnd(deps, admitted, progress, event);
 		if (outcome) {
 			return outcome;
 		}
@@ -290,13 +296,19 @@
 	}
 };
 
-const recordCrashes = ({crashes}: ForwardDeps, admitted: AdmittedRequest, result: AttemptResult): void => {
+/** Records what the end of an attempt says about crashes. Resolves once it is known whether the endpoint has crashed, if another attempt may follow. */
+const recordCrashes = async ({crashes}: ForwardDeps, admitted: AdmittedRequest, result: AttemptResult, startMs: number): Promise<void> => {
 	if (result.kind === 'answered') {
 		crashes.recordCompletedRequest(admitted);
 	} else if (result.kind === 'failed' && result.isDown) {
 		crashes.recordCrash(result.failedAt.endpoint.id);
 	} else if (result.kind === 'failed' && result.failure === 'connection-lost') {
-		crashes.recordBrokenRequest(result.failedAt.endpoint.id, admitted);
+		const {endpoint} = result.failedAt;
+		crashes.recordBrokenRequest(endpoint.id, admitted, startMs);
+		const check = crashes.checkEndpoint(endpoint);
+		if (isRepeatable(admitted.route)) {
+			await check;
+		}
 	}
 };
 
@@ -312,7 +324,7 @@
 	const result = await runAttempt(deps, admitted, placement, state);
 	if (!admitted.exchange.signal.aborted) {
 		recordAttemptResult(placement, result, deps.clock.nowMs());
-		recordCrashes(deps, admitted, result);
+		await recordCrashes(deps, admitted, result, startMs);
 	}
 
 	deps.onAttempt(admitted, {
--- a/packages/forward/src/forward-types.ts
+++ b/packages/forward/src/forward-types.ts
@@ -39,7 +39,7 @@
 	readonly retryWindowOf: (service: string) => RetryWindow;
 	/** Called when an endpoint has begun to run a request, so that it counts as usage of its account. */
 	readonly onRun: (admitted: AdmittedRequest) => void;
-	readonly crashes: Pick<CrashGuard, 'quarantineRemainingMs' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCrash'>;
+	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCrash'>;
 	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
 	readonly onStall: (admitted: AdmittedRequest, stall: StallReport) => void;
 };
@@ -125,8 +125,11 @@
 	readonly result: AttemptResult;
 };
 
-/** Why no further attempt may start: the kind of failure, the route's limit of attempts, the retry window, or no endpoint left. */
-export type RetryDenial = 'attempts-used' | 'budget-used' | 'no-endpoint' | 'not-allowed';
+/**
+ * Why no further attempt may start: the kind of failure, the route's limit of attempts, the retry window, no endpoint left, or the quarantine of a
+ * request that crashes endpoints.
+ */
+export type RetryDenial = 'attempts-used' | 'budget-used' | 'crashes-endpoints' | 'no-endpoint' | 'not-allowed';
 
 /** How a request ended. */
 export type Outcome = {
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -56,6 +56,8 @@
 type RunningTuple = readonly [endpoint: string, requests: number, late: number, tokens: number];
 type SentTuple = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, segments: ReadonlyArray<readonly [id: string, tokens: number]>, isRefused: 0 | 1];
 
+type CrashTuple = readonly [fingerprint: string, endpoint: string, ageMs?: number, crashes?: number];
+
 type Message = {
 	readonly from: string;
 	readonly config: number;
@@ -65,8 +67,8 @@
 	readonly changing: readonly RoleChangeTuple[];
 	/** Usage that is not in the store yet. Only some messages carry it. */
 	readonly usage?: UsageNotice;
-	/** Requests that were running at endpoints that crashed. */
-	readonly crashes?: ReadonlyArray<readonly [fingerprint: string, endpoint: string]>;
+	/** Requests that were running at endpoints that crashed. Entries of earlier versions send neither age nor count. */
+	readonly crashes?: readonly CrashTuple[];
 	readonly running: readonly RunningTuple[];
 	readonly sent: readonly SentTuple[];
 };
@@ -99,6 +101,12 @@
 	isRefused ? 1 : 0,
 ];
 
+const encodeCrash = ({fingerprint, endpoint, ageMs, crashes}: CrashReport): CrashTuple => [fingerprint, endpoint, Math.round(ageMs), crashes];
+
+const decodeCrash = ([fingerprint, endpoint, ageMs = 0, crashes = 0]: CrashTuple): CrashReport => ({
+	fingerprint: brandAs<Fingerprint>(fingerprint), endpoint, ageMs, crashes,
+});
+
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
 
@@ -143,9 +151,9 @@
 		const {phase, stoppingMs} = ownPhase();
 		const running = load.ownRunningCounts().map(count => encodeRunning(count));
 		const sent = load.drainSent().map(work => encodeSent(work));
-		const crashes = this.#options.crashReports().map(({fingerprint, endpoint}) => [fingerprint, endpoint] as const);
+		const crashes = this.#options.crashReports().map(report => encodeCrash(report));
 		const changes = roleChanges().map(({endpoint, role}) => [endpoint, role] as const);
-		const state = JSON.stringify([running, changes, crashes, phase]);
+		const state = JSON.stringify([running, changes, crashes.map(([fingerprint, endpoint]) => [fingerprint, endpoint]), phase]);
 		const isKeepAliveDue = clock.nowMs() - this.#lastSentMs >= keepAliveMs;
 		const isUsageDue = clock.nowMs() - this.#lastUsageSentMs >= usageIntervalMs;
 		if (sent.length === 0 && state === this.#lastState && !isKeepAliveDue && !isUsageDue) {
@@ -210,7 +218,7 @@
 		this.#options.onConfigVersion(peer, message.config);
 		this.#options.onRoleChanges(peer, message.changing.map(([endpoint, role]) => ({endpoint, role})));
 		if (message.crashes) {
-			this.#options.onCrashReports(message.crashes.map(([fingerprint, endpoint]) => ({fingerprint: brandAs<Fingerprint>(fingerprint), endpoint})));
+			this.#options.onCrashReports(message.crashes.map(crash => decodeCrash(crash)));
 		}
 
 		if (message.usage) {
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -83,7 +83,8 @@
 		const failed = classifyFailure(end, head, {failedAt: prefill, hasTimedOut: limit.isExpired});
 
 		if (failed.failure === 'connection-lost' && !exchange.signal.aborted) {
-			deps.crashes.recordBrokenRequest(prefill.endpoint.id, admitted);
+			deps.crashes.recordBrokenRequest(prefill.endpoint.id, admitted, startMs);
+			await deps.crashes.checkEndpoint(prefill.endpoint);
 		}
 
 		return {...failed, failure: failed.failure === 'not-connected' ? 'not-connected' : 'refused', detail: `prefill: ${failed.detail}`};
