--- a/packages/forward/src/attempt-helpers.ts
+++ b/packages/forward/src/attempt-helpers.ts
@@ -8,7 +8,7 @@
 import type {
 	AdmittedRequest, FailedAttempt, ForwardDeps, SupersededAttempt,
 } from './forward-types.js';
-import type {AnswerHead, SendDetails} from './ports.js';
+import type {AnswerHead, CallerRequest, SendDetails} from './ports.js';
 
 /** Lowest status that is an error of the endpoint. */
 export const minServerErrorStatus = 500;
@@ -72,3 +72,6 @@
 	remainingMs: Math.max(1, Math.floor(exchange.remainingMs)),
 	level,
 });
+
+/** Ids of the prompt segments that other requests may share. The last segment belongs to one request or session. */
+export const sharedSegmentIds = ({segments}: CallerRequest): string[] => segments.slice(0, -1).map(({id}) => id);
--- a/packages/forward/src/request-reports.ts
+++ b/packages/forward/src/request-reports.ts
@@ -1,6 +1,7 @@
 /**
  * Writes the log lines and counts the metrics of requests and their attempts.
  */
+import {sharedSegmentIds} from './attempt-helpers.js';
 import type {RequestEnd} from './caller-handler.js';
 import type {DecisionLog} from './decision-log.js';
 import type {
@@ -25,6 +26,9 @@
 	return result.kind === 'failed' ? {failure: result.failure, detail: result.detail} : {status: result.status};
 };
 
+/** Requests that were cut off together may have a segment of their prompts in common that crashes engines. */
+const isConnectionLost = (result: AttemptResult): boolean => result.kind === 'failed' && result.failure === 'connection-lost';
+
 export class RequestReports {
 	readonly #log: DecisionLog;
 	readonly #metrics: ForwardMetrics;
@@ -48,6 +52,7 @@
 			...decode && {decode: roundToHundredths(decode)},
 			...result.stream && {stream: roundToHundredths(result.stream)},
 			...describeResult(result),
+			...isConnectionLost(result) && {segments: sharedSegmentIds(request)},
 		});
 	}
 
