Quarantine prompt segments that crash engines

Cause: the crash guard knows a request only as a whole, by target, account and body. No two of these are alike, so none reaches its third crash. Class: a limit for a cause that is kept for each of its effects.

Change: each shared segment of a prompt counts the crashes of engines that had just begun a run with it. At the third without a completed run its requests are rejected at once with status 503, for 20 s and then twice as long each time; one crash after that brings the quarantine back. A run that completes clears its segments of the crashes before it began. A segment with completed runs is suspected only when the crashed run has no other, and needs five crashes, so that a route is not stopped. Segments that were present at the same crashes are quarantined together only. Entries exchange crashes, cleared segments and quarantines by gossip; an entry that has just started takes over what the others know. A request is also checked before each of its attempts, which replaces the check at its arrival.

--- /dev/null
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -0,0 +1,248 @@
+/**
+ * Finds prompt segments that crash the engines that decode with them. Requests with such a segment differ in everything else, and sound requests share
+ * their other segments, so segments are suspected one by one: each counts the crashes of engines that had just begun a run with it. A run that completes
+ * clears its segments of the crashes before it began. A segment with which runs have completed before is suspected only if the crashed run had no
+ * other segments. Segments that were present at the same crashes are quarantined together, until a run that has only some of them completes.
+ */
+import type {Clock} from '../clock.js';
+import type {SegmentKey} from '../ids.js';
+
+/** A request that merely starts beside the one that crashes the engine is present at one or two crashes by chance. */
+const quarantineCrashes = 3;
+/** The same for a segment with completed runs. Many requests have it, so a wrong quarantine would stop a route. */
+const provenQuarantineCrashes = 5;
+/** Crashes that are further apart than this are not put down to one segment. */
+const suspicionMs = 60_000;
+/** Entries report one crash with times that differ by less than this. */
+const sameCrashMs = 1500;
+/** Crashes of several engines within this time may have a common cause, so they count once unless the later run began after the earlier crash. */
+const commonCauseMs = 500;
+/** A quarantine ends by itself, because the segment may have been present by chance or the engines repaired. It doubles each time, because a trial may cost an engine. */
+const firstQuarantineMs = 20_000;
+const maxQuarantineMs = 300_000;
+/** For this time after its quarantine a segment returns to it at the next crash. */
+const probationMs = 600_000;
+const maxCrashes = 64;
+/** Few runs begin at one engine at the same moment. */
+const maxRunsPerCrash = 12;
+/** Enough for the shared segments of some minutes. */
+const maxCompletedSegments = 4000;
+
+/** An engine that crashed, with the segments of each run that had just begun there. */
+export type SegmentCrash = {
+	readonly endpoint: string;
+	readonly atMs: number;
+	/** When the first of the runs was sent. */
+	readonly startedMs: number;
+	readonly runs: ReadonlyArray<readonly SegmentKey[]>;
+};
+
+/** A segment whose requests must not run. */
+export type SegmentQuarantine = {
+	readonly segment: SegmentKey;
+	/** Segments that were suspected at the same crashes. Only requests that have all of them are quarantined. */
+	readonly companions: readonly SegmentKey[];
+	/** A completed run that began after this time ends the quarantine. */
+	readonly refutedAfterMs: number;
+	readonly untilMs: number;
+};
+
+/** Crashes with a common cause. */
+type CrashGroup = {
+	readonly endpoints: Set<string>;
+	readonly atMs: number;
+	/** The suspected segments of each run. */
+	readonly runs: Map<string, readonly SegmentKey[]>;
+};
+
+const hasAll = (segments: readonly SegmentKey[], wanted: readonly SegmentKey[]): boolean => wanted.every(segment => segments.includes(segment));
+
+export class CrashingSegments {
+	readonly #clock: Clock;
+	#crashes: CrashGroup[] = [];
+	/** When the latest completed run of each segment began, the latest one last. */
+	readonly #completedMs = new Map<SegmentKey, number>();
+	readonly #quarantines = new Map<SegmentKey, SegmentQuarantine>();
+	readonly #quarantineCounts = new Map<SegmentKey, number>();
+
+	constructor(clock: Clock) {
+		this.#clock = clock;
+	}
+
+	/** Quarantines that are in effect. */
+	get quarantines(): SegmentQuarantine[] {
+		const nowMs = this.#clock.nowMs();
+		return [...this.#quarantines.values()].filter(({untilMs}) => nowMs < untilMs);
+	}
+
+	/** When the latest completed run of a segment began. */
+	completedMs(segment: SegmentKey): number | undefined {
+		return this.#completedMs.get(segment);
+	}
+
+	/** The segments of a run at a crash with which no run has completed lately; all of them if there is none. */
+	suspectedOf(run: readonly SegmentKey[], crashMs: number): readonly SegmentKey[] {
+		const unproven = run.filter(segment => !this.#hasCompletedSince(segment, crashMs - suspicionMs));
+		return unproven.length > 0 ? unproven : run;
+	}
+
+	/** Records a crash. Returns the quarantines that it begins. */
+	recordCrash(crash: SegmentCrash): SegmentQuarantine[] {
+		this.#dropExpired();
+		const {endpoint, atMs, runs} = crash;
+		const group = this.#groupOf(crash);
+		group.endpoints.add(endpoint);
+		const suspected = runs.slice(0, maxRunsPerCrash).map(run => this.suspectedOf(run, atMs));
+		for (const run of suspected) {
+			group.runs.set(run.join(' '), run);
+		}
+
+		return [...new Set(suspected.flat())].flatMap(segment => this.#quarantineIfCounted(segment));
+	}
+
+	/** Records a run that completed. Returns its segments that were suspected or quarantined. */
+	recordCompletedRun(segments: readonly SegmentKey[], beganMs: number): SegmentKey[] {
+		const suspects = segments.filter(segment => this.#isSuspect(segment));
+		for (const segment of segments) {
+			this.#recordCompleted(segment, beganMs);
+		}
+
+		for (const segment of suspects) {
+			this.#endRefuted(segment);
+		}
+
+		return suspects;
+	}
+
+	/** Time until a request with these segments may run; undefined if it may run now. */
+	quarantineRemainingMs(segments: readonly SegmentKey[]): number | undefined {
+		const nowMs = this.#clock.nowMs();
+		for (const segment of segments) {
+			const quarantine = this.#quarantines.get(segment);
+			if (quarantine && nowMs < quarantine.untilMs && hasAll(segments, quarantine.companions)) {
+				return quarantine.untilMs - nowMs;
+			}
+		}
+
+		return undefined;
+	}
+
+	/**
+	 * Adopts the quarantine of another entry. Returns false if completed runs speak against it, so that the other entry is to be informed: it may have started
+	 * too late to know of them.
+	 */
+	adoptQuarantine(quarantine: SegmentQuarantine): boolean {
+		const {segment} = quarantine;
+		const isProvenHere = this.#completedMs.has(segment) && this.#countedCrashes(segment).length < provenQuarantineCrashes;
+		if (isProvenHere || this.#hasCompletedSince(segment, quarantine.refutedAfterMs)) {
+			return false;
+		}
+
+		const own = this.#quarantines.get(segment);
+		this.#quarantines.set(segment, {
+			segment,
+			companions: quarantine.companions.filter(companion => (own?.companions ?? [companion]).includes(companion) && !this.#hasCompletedSince(companion, quarantine.refutedAfterMs)),
+			refutedAfterMs: Math.max(quarantine.refutedAfterMs, own?.refutedAfterMs ?? quarantine.refutedAfterMs),
+			untilMs: Math.max(quarantine.untilMs, own?.untilMs ?? quarantine.untilMs),
+		});
+		return true;
+	}
+
+	#hasCompletedSince(segment: SegmentKey, sinceMs: number): boolean {
+		return (this.#completedMs.get(segment) ?? Number.NEGATIVE_INFINITY) >= sinceMs;
+	}
+
+	#isSuspect(segment: SegmentKey): boolean {
+		return this.#quarantines.has(segment) || this.#countedCrashes(segment).length > 0;
+	}
+
+	#recordCompleted(segment: SegmentKey, beganMs: number): void {
+		const latestMs = Math.max(beganMs, this.#completedMs.get(segment) ?? beganMs);
+		this.#completedMs.delete(segment);
+		this.#completedMs.set(segment, latestMs);
+		const [oldest] = this.#completedMs.keys();
+		if (this.#completedMs.size > maxCompletedSegments && oldest !== undefined) {
+			this.#completedMs.delete(oldest);
+		}
+	}
+
+	#endRefuted(segment: SegmentKey): void {
+		const quarantine = this.#quarantines.get(segment);
+		const hasTooFewCrashes = this.#countedCrashes(segment).length < provenQuarantineCrashes;
+		if (quarantine && (hasTooFewCrashes || this.#hasCompletedSince(segment, quarantine.refutedAfterMs))) {
+			this.#quarantines.delete(segment);
+			this.#quarantineCounts.delete(segment);
+		}
+
+		for (const [key, {companions, ...others}] of this.#quarantines) {
+			if (companions.includes(segment)) {
+				this.#quarantines.set(key, {...others, companions: companions.filter(companion => companion !== segment)});
+			}
+		}
+	}
+
+	#groupOf({endpoint, atMs, startedMs}: SegmentCrash): CrashGroup {
+		const isSameCause = (group: CrashGroup): boolean => {
+			const distanceMs = Math.abs(atMs - group.atMs);
+			return group.endpoints.has(endpoint) ? distanceMs < sameCrashMs : distanceMs < commonCauseMs && startedMs < group.atMs;
+		};
+
+		const known = this.#crashes.find(group => isSameCause(group));
+		if (known) {
+			return known;
+		}
+
+		const group: CrashGroup = {endpoints: new Set(), atMs, runs: new Map()};
+		this.#crashes = [...this.#crashes, group].slice(-maxCrashes);
+		return group;
+	}
+
+	/** Crashes for which the segment is suspected and that no completed run has cleared it of, the earliest first. */
+	#countedCrashes(segment: SegmentKey): CrashGroup[] {
+		return this.#crashes
+			.filter(({atMs, runs}) => !this.#hasCompletedSince(segment, atMs) && [...runs.values()].some(run => run.includes(segment)))
+			.toSorted((a, b) => a.atMs - b.atMs);
+	}
+
+	#quarantineIfCounted(segment: SegmentKey): SegmentQuarantine[] {
+		const nowMs = this.#clock.nowMs();
+		const crashes = this.#countedCrashes(segment);
+		const own = this.#quarantines.get(segment);
+		const needed = this.#completedMs.has(segment) ? provenQuarantineCrashes : quarantineCrashes;
+		if (crashes.length < (own ? 1 : needed)) {
+			return [];
+		}
+
+		const isInEffect = own !== undefined && nowMs < own.untilMs;
+		const count = (this.#quarantineCounts.get(segment) ?? 0) + (isInEffect ? 0 : 1);
+		this.#quarantineCounts.set(segment, count);
+		const durationMs = Math.min(maxQuarantineMs, firstQuarantineMs * (2 ** (count - 1)));
+		const quarantine = {
+			segment,
+			companions: this.#companionsOf(segment, crashes).filter(companion => !own || own.companions.includes(companion)),
+			// With this crash and the earlier ones cleared, too few are left.
+			refutedAfterMs: (crashes.at(-needed) ?? crashes[0]!).atMs,
+			untilMs: Math.max(nowMs + durationMs, own?.untilMs ?? 0),
+		};
+		this.#quarantines.set(segment, quarantine);
+		return isInEffect ? [] : [quarantine];
+	}
+
+	/** The other segments that were suspected at all of these crashes, in runs with this one. */
+	#companionsOf(segment: SegmentKey, crashes: readonly CrashGroup[]): SegmentKey[] {
+		const sets = crashes.map(({runs}) => new Set([...runs.values()].filter(run => run.includes(segment)).flat()));
+		const isCompanion = (other: SegmentKey): boolean => other !== segment && sets.every(set => set.has(other)) && this.#countedCrashes(other).length >= crashes.length;
+		return [...sets[0] ?? []].filter(other => isCompanion(other));
+	}
+
+	#dropExpired(): void {
+		const nowMs = this.#clock.nowMs();
+		this.#crashes = this.#crashes.filter(({atMs}) => nowMs - atMs < suspicionMs);
+		for (const [segment, {untilMs}] of this.#quarantines) {
+			if (nowMs >= untilMs + probationMs) {
+				this.#quarantines.delete(segment);
+				this.#quarantineCounts.delete(segment);
+			}
+		}
+	}
+}
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -23,6 +23,8 @@
 export type OrderNumber = Branded<number, 'OrderNumber'>;
 export type WindowId = Branded<string, 'WindowId'>;
 export type Fingerprint = Branded<string, 'Fingerprint'>;
+/** A prompt segment of one service. */
+export type SegmentKey = Branded<string, 'SegmentKey'>;
 
 /** Brands a plain value, for instance one that was read from a message or a setting. */
 export const brandAs = <Id extends Branded<string | number, string>>(value: Id extends string ? string : number): Id =>
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -20,6 +20,7 @@
 	type MakeId,
 	type OrderNumber,
 	type RequestId,
+	type SegmentKey,
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -7,7 +7,7 @@
 import {CrashGuard} from '../crash-guard.js';
 import type {AdmittedRequest} from '../forward-types.js';
 
-type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request'>;
+type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request' | 'service'>;
 
 let requestCount = 0;
 /** Creates a request with a new id each time, as callers retry it. */
@@ -26,6 +26,7 @@
 			headers: {},
 		},
 		account: undefined,
+		service: {name: 'models', maxConnections: 100},
 		body: Buffer.from(body),
 	};
 };
@@ -37,11 +38,13 @@
 const crashIntervalMs = 1000;
 
 const createGuard = (clock = createManualClock(), refusesConnections = async (): Promise<boolean> => false): CrashGuard =>
-	new CrashGuard({clock, refusesConnections, onCrash: () => undefined});
+	new CrashGuard({
+		clock, refusesConnections, onCrash: () => undefined, onQuarantine: () => undefined,
+	});
 
 /** The run began before any crash, unless `startedMs` says otherwise. */
 const crashAt = (guard: CrashGuard, endpoint: string, body: string, startedMs = Number.NEGATIVE_INFINITY): void => {
-	guard.recordBrokenRequest(endpoint, createRequest(body), startedMs);
+	guard.recordBrokenRequest(endpoint, createRequest(body), {startedMs, hasJustBegun: true});
 	guard.recordCrash(endpoint);
 };
 
@@ -79,7 +82,7 @@
 	it('is not suspected when answers get lost and their endpoints stay up; guards against harmless requests rejected on a bad connection', () => {
 		const guard = createGuard();
 		for (const endpoint of ['i-1', 'i-2', 'i-3', 'i-4']) {
-			guard.recordBrokenRequest(endpoint, createRequest('read'), 0);
+			guard.recordBrokenRequest(endpoint, createRequest('read'), {startedMs: 0, hasJustBegun: true});
 		}
 
 		assert.is(guard.quarantineRemainingMs(createRequest('read')), undefined);
@@ -110,7 +113,7 @@
 		const clock = createManualClock();
 		const guard = createGuard(clock);
 		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
-			guard.recordBrokenRequest(endpoint, createRequest('early'), 0);
+			guard.recordBrokenRequest(endpoint, createRequest('early'), {startedMs: 0, hasJustBegun: true});
 		}
 
 		clock.advance(10_000);
@@ -180,7 +183,7 @@
 			return true;
 		});
 		for (const id of ['i-1', 'i-2', 'i-3']) {
-			guard.recordBrokenRequest(id, createRequest('bad'), clock.nowMs());
+			guard.recordBrokenRequest(id, createRequest('bad'), {startedMs: clock.nowMs(), hasJustBegun: true});
 			await Promise.all([guard.checkEndpoint(createEndpoint(id)), guard.checkEndpoint(createEndpoint(id))]);
 			clock.advance(crashIntervalMs);
 		}
--- /dev/null
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -0,0 +1,93 @@
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import {brandAs, type Random, type SegmentKey} from '@hawthorncleat/core';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {SegmentQuarantines} from '../segment-quarantines.js';
+import {
+	secondSegments, SegmentWorld, type WorldOptions, type WorldResult,
+} from './segment-world.js';
+
+const seeds = Array.from({length: 20}, (_, index) => index + 1);
+const randomValues = 40_000;
+const randomScale = 1_000_000;
+
+/** Repeats its values once they are used up. */
+const createRandom = (seed: number): Random => {
+	const values = fc.sample(fc.noBias(fc.nat({max: randomScale - 1})), {seed, numRuns: randomValues});
+	let index = 0;
+	return () => {
+		index += 1;
+		return values[index % values.length]! / randomScale;
+	};
+};
+
+/** The users' larger sites: 27 entries, 34 engines; and their smaller ones, with fewer decode engines than requests that crash them in a quarantine's delay. */
+const sites: ReadonlyArray<Pick<WorldOptions, 'engines' | 'entries' | 'requestsPerSecond'>> = [
+	{entries: 27, engines: 26, requestsPerSecond: 90},
+	{entries: 4, engines: 5, requestsPerSecond: 20},
+];
+
+const play = (seed: number, site: typeof sites[number], changes: Partial<WorldOptions> = {}): WorldResult => new SegmentWorld({
+	random: createRandom(seed), ...site, deadlyFraction: 0.05, deadlyFromMs: 4000, endMs: 30_000, ...changes,
+}).play();
+
+/** The users' rule: time from the fifth crash within which all entries must know, and requests that may reach engines after it. */
+const contactMs = 3000;
+const maxLateRequests = 3;
+
+const assertRule = ({deadlyCrashesMs, deadlySentMs}: WorldResult, what: string): void => {
+	const fifthMs = deadlyCrashesMs[4] ?? Number.POSITIVE_INFINITY;
+	const late = deadlySentMs.filter(atMs => atMs > fifthMs + contactMs).length;
+	assert.ok(late <= maxLateRequests, `${what}: ${late} requests reached engines later than ${contactMs} ms after the fifth crash`);
+};
+
+/** A segment that few requests share may be present at three crashes by chance. The users' rule allows half of the sound requests. */
+const maxWrongSegments = 2;
+
+const assertSoundServed = ({soundRejectedMs, soundRequests}: WorldResult, what: string): void => {
+	assert.ok(soundRejectedMs.length <= soundRequests * maxWrongSegments / secondSegments, `${what}: ${soundRejectedMs.length} of ${soundRequests} sound requests were rejected`);
+};
+
+describe('quarantine of prompt segments', () => {
+	for (const site of sites) {
+		describe(`in a fleet of ${site.entries} entries`, () => {
+			it('stops requests with a deadly segment and no others, 20 seeds; guards against engines that crash one after the other (BUDGET, LOST)', () => {
+				for (const seed of seeds) {
+					const result = play(seed, site);
+					assertRule(result, `seed ${seed}`);
+					assertSoundServed(result, `seed ${seed}`);
+				}
+			});
+
+			it('does so beside power failures and entries that start again, 20 seeds; guards against other crashes that hide or imitate the segment', () => {
+				for (const seed of seeds) {
+					const result = play(seed, site, {powerFailuresMs: [3000, 5000, 7000, 15_000], restartsMs: [6000, 12_000, 20_000]});
+					assertRule(result, `seed ${seed}`);
+					assertSoundServed(result, `seed ${seed}`);
+				}
+			});
+
+			it('rejects nothing when engines crash for other reasons only, 20 seeds; guards against quarantines of sound segments', () => {
+				for (const seed of seeds) {
+					const result = play(seed, site, {deadlyFraction: 0, powerFailuresMs: [3000, 4000, 5000, 6000, 7000, 9000, 12_000, 15_000]});
+					assert.is(result.soundRejectedMs.length, 0, `seed ${seed}`);
+				}
+			});
+		});
+	}
+
+	it('reaches an entry that has just started; guards against an entry that lets requests pass until it has lost engines itself', () => {
+		const clock = createManualClock();
+		const create = (): SegmentQuarantines => new SegmentQuarantines({clock, onQuarantine: () => undefined});
+		const [old, started] = [create(), create()];
+		const segments = [brandAs<SegmentKey>('models/dead')];
+		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
+			clock.advance(1000);
+			old.recordCrash(endpoint, [{segments, startedMs: clock.nowMs() - 100}], clock.nowMs());
+		}
+
+		clock.advance(5000);
+		started.applyPeerNews(old.newsToSend());
+		assert.ok(started.remainingMs(segments)! > 0);
+	});
+});
--- a/packages/forward/src/attempt-helpers.ts
+++ b/packages/forward/src/attempt-helpers.ts
@@ -2,7 +2,9 @@
  * Shared by all exchanges with an endpoint: builds the call, checks that an answer belongs to the request, and classifies
  * a failure.
  */
-import type {FailureKind, ForwardRoute} from '@hawthorncleat/core';
+import {
+	brandAs, type FailureKind, type ForwardRoute, type SegmentKey,
+} from '@hawthorncleat/core';
 import type {EndpointCall, ExchangeEnd} from './endpoint-exchange.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
 import type {
@@ -75,3 +77,7 @@
 
 /** Ids of the prompt segments that other requests may share. The last segment belongs to one request or session. */
 export const sharedSegmentIds = ({segments}: CallerRequest): string[] => segments.slice(0, -1).map(({id}) => id);
+
+/** The prompt segments of a request that other requests of its service may share. */
+export const segmentKeysOf = ({request, service}: Pick<AdmittedRequest, 'request' | 'service'>): SegmentKey[] =>
+	sharedSegmentIds(request).map(id => brandAs<SegmentKey>(`${service.name}/${id}`));
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -117,11 +117,6 @@
 		};
 	}
 
-	const quarantinedMs = deps.crashes.quarantineRemainingMs({request, account, body});
-	if (quarantinedMs !== undefined) {
-		return reject(503, 'crashes-endpoints', quarantinedMs);
-	}
-
 	const service = routes.findService(pickService(route, deps.random) ?? '');
 	if (!service) {
 		return reject(503, 'no-service', notReadyRetryMs);
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -6,9 +6,11 @@
  */
 import {createHash} from 'node:crypto';
 import {
-	brandAs, SuspectRequests, type Clock, type Fingerprint, type RegisteredEndpoint,
+	brandAs, SuspectRequests, type Clock, type Fingerprint, type RegisteredEndpoint, type SegmentKey, type SegmentQuarantine,
 } from '@hawthorncleat/core';
+import {segmentKeysOf} from './attempt-helpers.js';
 import type {AdmittedRequest} from './forward-types.js';
+import {SegmentQuarantines, type SegmentNews} from './segment-quarantines.js';
 
 /** The registration of a crashed endpoint expires within this time, so a crash is detected within it. */
 const crashDetectionMs = 6000;
@@ -39,7 +41,16 @@
 	readonly crashes: number;
 };
 
-type BrokenRequest = {readonly fingerprint: Fingerprint; readonly startedMs: number; readonly atMs: number};
+type BrokenRequest = {
+	readonly fingerprint: Fingerprint;
+	readonly startedMs: number;
+	readonly atMs: number;
+	/** Its shared prompt segments, if its run had just begun. */
+	readonly segments: readonly SegmentKey[];
+};
+
+/** When a run whose connection broke was sent, and whether the engine had just begun to decode or was about to. */
+export type BrokenRun = {readonly startedMs: number; readonly hasJustBegun: boolean};
 
 type ResentReport = Pick<CrashReport, 'endpoint' | 'fingerprint'> & {readonly atMs: number; readonly untilMs: number};
 
@@ -49,9 +60,11 @@
 	readonly refusesConnections: (endpoint: RegisteredEndpoint) => Promise<boolean>;
 	/** Called when a crash is detected; `requests` is the number of new suspect requests. */
 	readonly onCrash: (crash: {readonly endpoint: string; readonly requests: number}) => void;
+	/** Called when a prompt segment is quarantined. */
+	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
 };
 
-type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request'>;
+type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request' | 'service'>;
 
 const fingerprintOf = ({request, account, body}: RequestContent): Fingerprint => {
 	const hash = createHash('sha256').update(`${request.method} ${request.target}\n${account?.name ?? ''}\n`);
@@ -61,6 +74,7 @@
 export class CrashGuard {
 	readonly #options: CrashGuardOptions;
 	readonly #suspects: SuspectRequests;
+	readonly #segments: SegmentQuarantines;
 	readonly #brokenRequests = new Map<string, BrokenRequest[]>();
 	readonly #checks = new Map<string, Promise<void>>();
 	#resentReports: ResentReport[] = [];
@@ -68,13 +82,16 @@
 	constructor(options: CrashGuardOptions) {
 		this.#options = options;
 		this.#suspects = new SuspectRequests(options.clock, {quarantineCrashes, retentionMs: suspicionMs, sameCauseWindowMs: commonCauseMs});
+		this.#segments = new SegmentQuarantines(options);
 	}
 
-	/** Records that the connection broke after the request had been sent to the endpoint at `startedMs`. */
-	recordBrokenRequest(endpoint: string, request: RequestContent, startedMs: number): void {
+	/** Records that the connection broke after the request had been sent to the endpoint. */
+	recordBrokenRequest(endpoint: string, request: RequestContent, {startedMs, hasJustBegun}: BrokenRun): void {
 		const atMs = this.#options.clock.nowMs();
 		const recent = (this.#brokenRequests.get(endpoint) ?? []).filter(broken => atMs - broken.atMs < crashDetectionMs);
-		this.#brokenRequests.set(endpoint, [...recent, {fingerprint: fingerprintOf(request), startedMs, atMs}]);
+		this.#brokenRequests.set(endpoint, [...recent, {
+			fingerprint: fingerprintOf(request), startedMs, atMs, segments: hasJustBegun ? segmentKeysOf(request) : [],
+		}]);
 	}
 
 	/** Finds out whether an endpoint whose connection broke has crashed, and records the crash. Calls for one endpoint share the check that runs. */
@@ -99,6 +116,7 @@
 		const nowMs = this.#options.clock.nowMs();
 		const broken = (this.#brokenRequests.get(endpoint) ?? []).filter(({atMs}) => nowMs - atMs < crashDetectionMs);
 		this.#brokenRequests.delete(endpoint);
+		this.#segments.recordCrash(endpoint, broken, broken.at(-1)?.atMs ?? nowMs);
 		const suspects = broken.filter(({fingerprint, startedMs, atMs}) => this.#suspects.recordCrash(fingerprint, endpoint, {atMs, runStartedMs: startedMs}));
 		if (suspects.length > 0) {
 			this.#resentReports.push(...suspects.map(({fingerprint, atMs}) => ({
@@ -110,8 +128,9 @@
 
 	/** Time until a quarantined request may run again; undefined if it is not quarantined. */
 	quarantineRemainingMs(request: RequestContent): number | undefined {
-		if (this.#suspects.size === 0) {
-			return undefined;
+		const segmentsMs = this.#segments.remainingMs(segmentKeysOf(request));
+		if (segmentsMs !== undefined || this.#suspects.size === 0) {
+			return segmentsMs;
 		}
 
 		const fingerprint = fingerprintOf(request);
@@ -138,6 +157,20 @@
 		}
 	}
 
+	/** News about prompt segments for the other entries. */
+	segmentNewsToSend(): SegmentNews {
+		return this.#segments.newsToSend();
+	}
+
+	applyPeerSegmentNews(news: SegmentNews): void {
+		this.#segments.applyPeerNews(news);
+	}
+
+	/** Clears the segments of a stream that has completed of the suspicion that they crash engines. `beganMs`: time of its first token. */
+	recordCompletedStream(request: RequestContent, beganMs: number): void {
+		this.#segments.recordCompletedRun(segmentKeysOf(request), beganMs);
+	}
+
 	/** Clears the suspicion against a request that has completed; equal requests, such as reads of one path, share its fingerprint. */
 	recordCompletedRequest(request: RequestContent): void {
 		if (this.#suspects.size > 0) {
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/finish-failed.ts
@@ -57,3 +57,10 @@
 	const outcome: Outcome = {...finishFailed(admitted, request), retryDenied: 'budget-used', inputs: {...deps.retryWindowOf(admitted.service.name).state}};
 	return outcome.ran === 'not-run' ? {...outcome, code: 'retries-used'} : outcome;
 };
+
+/** Ends a request that must not run, because it crashes endpoints. */
+export const finishQuarantined = (admitted: AdmittedRequest, request: FailedRequest, remainingMs: number): Outcome => request.mayHaveRun
+	? {...finishFailed(admitted, request), retryDenied: 'crashes-endpoints'}
+	: {
+		status: 503, code: 'crashes-endpoints', ran: 'not-run', attempts: request.tries, retryAfterMs: remainingMs,
+	};
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -69,6 +69,10 @@
 	onCrashReports(reports) {
 		components.crashes.applyPeerReports(reports);
 	},
+	segmentNews: () => components.crashes.segmentNewsToSend(),
+	onSegmentNews(news) {
+		components.crashes.applyPeerSegmentNews(news);
+	},
 	onUsage(notice) {
 		components.usage.applyNotice(notice);
 	},
@@ -88,6 +92,9 @@
 			id: endpoint, was: 'running', is: 'crashed', requests,
 		});
 	},
+	onQuarantine({segment, companions, untilMs}) {
+		log.write('quarantine', {segment, companions, forMs: Math.round(untilMs - clock.nowMs())});
+	},
 });
 
 /** Creates the components without starting any of them. */
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -9,7 +9,9 @@
 import {
 	AttemptRace, type AttemptControl, type AttemptPhase, type RunLimits, type RunningAttempt,
 } from './attempt-race.js';
-import {finishAborted, finishFailed, finishWithoutRetries} from './finish-failed.js';
+import {
+	finishAborted, finishFailed, finishQuarantined, finishWithoutRetries,
+} from './finish-failed.js';
 import type {
 	AdmittedRequest, AttemptResult, FailedAttempt, ForwardDeps, Outcome, RequestState, RetryDenial, StallDecision,
 } from './forward-types.js';
@@ -107,9 +109,14 @@
 	return selected ? {selected} : {denial: isLimitReached ? 'attempts-used' : 'no-endpoint'};
 };
 
-/** Selects the endpoints of the next attempt and starts it, or ends the request. */
+/** Selects the endpoints of the next attempt and starts it, or ends the request. A request that certainly cannot run ends at once. */
 const startNextAttempt = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress): Outcome | undefined => {
 	const {excluded, tries, mayHaveRun} = progress;
+	const quarantinedMs = deps.crashes.quarantineRemainingMs(admitted);
+	if (quarantinedMs !== undefined) {
+		return finishQuarantined(admitted, progress, quarantinedMs);
+	}
+
 	if (tries >= maxTriesOf(admitted.route)) {
 		return {...finishFailed(admitted, progress), retryDenied: 'attempts-used'};
 	}
@@ -296,15 +303,26 @@
 	}
 };
 
+/** A prompt crashes an engine when the engine begins to decode with it. A stream that has gone on for longer did not cause the crash. */
+const justBegunMs = 1000;
+
 /** Records what the end of an attempt says about crashes. Resolves once it is known whether the endpoint has crashed, if another attempt may follow. */
-const recordCrashes = async ({crashes}: ForwardDeps, admitted: AdmittedRequest, result: AttemptResult, startMs: number): Promise<void> => {
+const recordCrashes = async (
+	{clock, crashes}: ForwardDeps,
+	admitted: AdmittedRequest,
+	{result, startMs}: {result: AttemptResult; startMs: number},
+): Promise<void> => {
 	if (result.kind === 'answered') {
 		crashes.recordCompletedRequest(admitted);
+		if (result.stream) {
+			crashes.recordCompletedStream(admitted, result.beganMs ?? startMs);
+		}
 	} else if (result.kind === 'failed' && result.isDown) {
 		crashes.recordCrash(result.failedAt.endpoint.id);
 	} else if (result.kind === 'failed' && result.failure === 'connection-lost') {
 		const {endpoint} = result.failedAt;
-		crashes.recordBrokenRequest(endpoint.id, admitted, startMs);
+		const hasJustBegun = result.beganMs === undefined || clock.nowMs() - result.beganMs < justBegunMs;
+		crashes.recordBrokenRequest(endpoint.id, admitted, {startedMs: result.startedMs ?? startMs, hasJustBegun});
 		const check = crashes.checkEndpoint(endpoint);
 		if (isRepeatable(admitted.route)) {
 			await check;
@@ -324,7 +342,7 @@
 	const result = await runAttempt(deps, admitted, placement, state);
 	if (!admitted.exchange.signal.aborted) {
 		recordAttemptResult(placement, result, deps.clock.nowMs());
-		await recordCrashes(deps, admitted, result, startMs);
+		await recordCrashes(deps, admitted, {result, startMs});
 	}
 
 	deps.onAttempt(admitted, {
--- a/packages/forward/src/forward-types.ts
+++ b/packages/forward/src/forward-types.ts
@@ -39,7 +39,7 @@
 	readonly retryWindowOf: (service: string) => RetryWindow;
 	/** Called when an endpoint has begun to run a request, so that it counts as usage of its account. */
 	readonly onRun: (admitted: AdmittedRequest) => void;
-	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCrash'>;
+	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream' | 'recordCrash'>;
 	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
 	readonly onStall: (admitted: AdmittedRequest, stall: StallReport) => void;
 };
@@ -69,24 +69,32 @@
 	readonly maxLoad: number;
 };
 
+/** What is known of the stream of an attempt, however the attempt has ended. */
+export type StreamFigures = {
+	/** Time from the call that runs the request to the first event. */
+	readonly firstMs?: number;
+	/** When the request was sent to run, and when its first event arrived. */
+	readonly startedMs?: number;
+	readonly beganMs?: number;
+	readonly stream?: StreamView;
+};
+
 /** The result of one attempt. */
 export type AttemptResult
-	= | {readonly kind: 'answered'; readonly status: number; readonly prefillMs?: number; readonly firstMs?: number; readonly stream?: StreamView}
+	= | (StreamFigures & {readonly kind: 'answered'; readonly status: number; readonly prefillMs?: number})
 		| FailedAttempt
 		| SupersededAttempt;
 
 /** An attempt that was ended because another one of the request delivered first. */
-export type SupersededAttempt = {
+export type SupersededAttempt = StreamFigures & {
 	readonly kind: 'superseded';
 	/** Something was written to a connection. */
 	readonly wasSent: boolean;
 	/** The endpoint may have begun to run the request. */
 	readonly mayHaveRun: boolean;
-	readonly firstMs?: number;
-	readonly stream?: StreamView;
 };
 
-export type FailedAttempt = {
+export type FailedAttempt = StreamFigures & {
 	readonly kind: 'failed';
 	readonly failure: FailureKind;
 	readonly retryAfterMs?: number;
@@ -98,8 +106,6 @@
 	readonly isDown?: boolean;
 	/** The endpoint answered that another endpoint has this address now, or that it has another role. */
 	readonly isMisdirected?: boolean;
-	readonly firstMs?: number;
-	readonly stream?: StreamView;
 };
 
 /** An error answer of an endpoint. It is sent to the caller only if the request may not be retried. */
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -10,6 +10,7 @@
 } from '@hawthorncleat/core';
 import type {CrashReport} from './crash-guard.js';
 import type {SentPhase} from './entry-phases.js';
+import type {SegmentNews} from './segment-quarantines.js';
 import type {UsageNotice} from './usage-counter.js';
 import type {LoadTracker, RunningCount, SentWork} from './load-tracker.js';
 import type {RoleChange} from './role-changes.js';
@@ -31,6 +32,8 @@
 	readonly usageNotice: () => UsageNotice;
 	readonly crashReports: () => readonly CrashReport[];
 	readonly onCrashReports: (reports: readonly CrashReport[]) => void;
+	readonly segmentNews: () => SegmentNews;
+	readonly onSegmentNews: (news: SegmentNews) => void;
 	readonly onUsage: (notice: UsageNotice) => void;
 	/** Called with the engines whose role another entry is changing. */
 	readonly onRoleChanges: (peer: Peer, changes: readonly RoleChange[]) => void;
@@ -69,6 +72,8 @@
 	readonly usage?: UsageNotice;
 	/** Requests that were running at endpoints that crashed. Entries of earlier versions send neither age nor count. */
 	readonly crashes?: readonly CrashTuple[];
+	/** News about prompt segments that crash engines; absent without news. */
+	readonly segments?: SegmentNews;
 	readonly running: readonly RunningTuple[];
 	readonly sent: readonly SentTuple[];
 };
@@ -107,6 +112,19 @@
 	fingerprint: brandAs<Fingerprint>(fingerprint), endpoint, ageMs, crashes,
 });
 
+const hasSegmentNews = ({crashes, completed, quarantines}: SegmentNews): boolean => crashes.length + completed.length + quarantines.length > 0;
+
+/** What is new to the receivers, without the ages, which change all the time. */
+const segmentNewsKeys = ({crashes, completed}: SegmentNews): unknown => [crashes.map(({endpoint}) => endpoint), completed.map(({segment}) => segment)];
+
+const roundAges = (news: SegmentNews): SegmentNews => ({
+	crashes: news.crashes.map(crash => ({...crash, ageMs: Math.round(crash.ageMs), startedBeforeMs: Math.round(crash.startedBeforeMs)})),
+	completed: news.completed.map(({segment, ageMs}) => ({segment, ageMs: Math.round(ageMs)})),
+	quarantines: news.quarantines.map(quarantine => ({
+		...quarantine, refutedAgeMs: Math.round(quarantine.refutedAgeMs), remainingMs: Math.round(quarantine.remainingMs),
+	})),
+});
+
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
 
@@ -152,8 +170,9 @@
 		const running = load.ownRunningCounts().map(count => encodeRunning(count));
 		const sent = load.drainSent().map(work => encodeSent(work));
 		const crashes = this.#options.crashReports().map(report => encodeCrash(report));
+		const segments = this.#options.segmentNews();
 		const changes = roleChanges().map(({endpoint, role}) => [endpoint, role] as const);
-		const state = JSON.stringify([running, changes, crashes.map(([fingerprint, endpoint]) => [fingerprint, endpoint]), phase]);
+		const state = JSON.stringify([running, changes, crashes.map(([fingerprint, endpoint]) => [fingerprint, endpoint]), segmentNewsKeys(segments), phase]);
 		const isKeepAliveDue = clock.nowMs() - this.#lastSentMs >= keepAliveMs;
 		const isUsageDue = clock.nowMs() - this.#lastUsageSentMs >= usageIntervalMs;
 		if (sent.length === 0 && state === this.#lastState && !isKeepAliveDue && !isUsageDue) {
@@ -170,6 +189,7 @@
 			running,
 			sent,
 			...crashes.length > 0 && {crashes},
+			...hasSegmentNews(segments) && {segments: roundAges(segments)},
 			...isUsageDue && {usage: this.#createUsageNotice()},
 		});
 	}
@@ -186,7 +206,7 @@
 			const half = Math.ceil(message.sent.length / 2);
 			this.#sendToPeers({...message, sent: message.sent.slice(0, half)});
 			this.#sendToPeers({
-				...message, sent: message.sent.slice(half), usage: undefined, crashes: undefined,
+				...message, sent: message.sent.slice(half), usage: undefined, crashes: undefined, segments: undefined,
 			});
 			return;
 		}
@@ -221,6 +241,10 @@
 			this.#options.onCrashReports(message.crashes.map(crash => decodeCrash(crash)));
 		}
 
+		if (message.segments) {
+			this.#options.onSegmentNews(message.segments);
+		}
+
 		if (message.usage) {
 			this.#options.onUsage(message.usage);
 		}
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -83,7 +83,7 @@
 		const failed = classifyFailure(end, head, {failedAt: prefill, hasTimedOut: limit.isExpired});
 
 		if (failed.failure === 'connection-lost' && !exchange.signal.aborted) {
-			deps.crashes.recordBrokenRequest(prefill.endpoint.id, admitted, startMs);
+			deps.crashes.recordBrokenRequest(prefill.endpoint.id, admitted, {startedMs: startMs, hasJustBegun: false});
 			await deps.crashes.checkEndpoint(prefill.endpoint);
 		}
 
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/run-attempt.ts
@@ -66,13 +66,13 @@
 			level, tokens: uncachedTokens, outputTokens, segments: request.segments,
 		})
 		: undefined;
-	let firstEventMs: number | undefined;
+	let beganMs: number | undefined;
 	const onFirstEvent = (): void => {
-		firstEventMs = deps.clock.nowMs() - startMs;
+		beganMs = deps.clock.nowMs();
 		deps.onRun(admitted);
 		if (prefillWork) {
 			deps.load.endPrefill(target, prefillWork);
-			target.prefillLatency.observe({expectedMs: prefillWaitMs, ownMs: target.prefillLatency.prefillMs(uncachedTokens), tookMs: firstEventMs});
+			target.prefillLatency.observe({expectedMs: prefillWaitMs, ownMs: target.prefillLatency.prefillMs(uncachedTokens), tookMs: beganMs - startMs});
 		}
 	};
 
@@ -97,12 +97,14 @@
 		},
 	}, running);
 	deps.load.endRequest(target, requestSize);
-	if (prefillWork && firstEventMs === undefined) {
+	if (prefillWork && beganMs === undefined) {
 		deps.load.endPrefill(target, prefillWork);
 	}
 
 	recordStream(deps, admitted, {target, progress, isWhole: result.kind === 'answered' && result.status === 200 && !isResumed});
-	return {...result, firstMs: firstEventMs, stream: progress.view};
+	return {
+		...result, firstMs: beganMs === undefined ? undefined : beganMs - startMs, startedMs: startMs, beganMs, stream: progress.view,
+	};
 };
 
 /** Counts a call, unless none of it was sent. */
--- /dev/null
+++ b/packages/forward/src/segment-quarantines.ts
@@ -0,0 +1,154 @@
+/**
+ * Quarantines prompt segments that crash engines, together with the other entries: each entry sees only its own runs, so entries exchange by gossip which
+ * runs had just begun at engines that crashed, which suspected segments have completed a run since, and which segments are quarantined.
+ */
+import {
+	CrashingSegments, type Clock, type SegmentCrash, type SegmentKey, type SegmentQuarantine,
+} from '@hawthorncleat/core';
+
+/** News is sent again for this time, because datagrams get lost. */
+const resendMs = 2000;
+/** How often quarantines are repeated for entries that have just started. */
+const quarantineIntervalMs = 900;
+/** Together these fill less than half of a datagram. */
+const maxCrashesPerMessage = 4;
+const maxRunsPerCrash = 3;
+const maxSegmentsPerRun = 3;
+const maxCompletedPerMessage = 8;
+const maxQuarantinesPerMessage = 6;
+
+/** A crash, with the suspected segments of each run that had just begun at the endpoint. */
+export type SegmentCrashReport = {
+	readonly endpoint: string;
+	readonly ageMs: number;
+	/** Time from the start of the first run to the crash. */
+	readonly startedBeforeMs: number;
+	readonly runs: ReadonlyArray<readonly SegmentKey[]>;
+};
+
+/** A suspected segment that a completed run has cleared; the age is that of the run's first token. */
+export type CompletedSegment = {readonly segment: SegmentKey; readonly ageMs: number};
+
+export type SentQuarantine = {
+	readonly segment: SegmentKey;
+	readonly companions: readonly SegmentKey[];
+	/** Age of the moment after which a completed run ends the quarantine. */
+	readonly refutedAgeMs: number;
+	readonly remainingMs: number;
+};
+
+/** What entries tell each other about segments. */
+export type SegmentNews = {
+	readonly crashes: readonly SegmentCrashReport[];
+	readonly completed: readonly CompletedSegment[];
+	readonly quarantines: readonly SentQuarantine[];
+};
+
+/** A run that had just begun when its connection broke. */
+export type CrashedRun = {readonly segments: readonly SegmentKey[]; readonly startedMs: number};
+
+type SentCrash = SegmentCrash & {readonly untilMs: number};
+
+export type SegmentQuarantinesOptions = {
+	readonly clock: Clock;
+	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
+};
+
+export class SegmentQuarantines {
+	readonly #options: SegmentQuarantinesOptions;
+	readonly #segments: CrashingSegments;
+	#sentCrashes: SentCrash[] = [];
+	/** Cleared segments to send, with the time until which each is repeated. */
+	readonly #sentCompleted = new Map<SegmentKey, number>();
+	#quarantinesSentMs = Number.NEGATIVE_INFINITY;
+
+	constructor(options: SegmentQuarantinesOptions) {
+		this.#options = options;
+		this.#segments = new CrashingSegments(options.clock);
+	}
+
+	/** Records a crash of an endpoint at which these runs had just begun. */
+	recordCrash(endpoint: string, brokenRuns: readonly CrashedRun[], atMs: number): void {
+		const runs = brokenRuns.filter(({segments}) => segments.length > 0);
+		if (runs.length === 0) {
+			return;
+		}
+
+		const crash = {
+			endpoint, atMs, startedMs: Math.min(...runs.map(({startedMs}) => startedMs)), runs: runs.map(({segments}) => this.#segments.suspectedOf(segments, atMs)),
+		};
+		this.#sentCrashes.push({...crash, untilMs: this.#options.clock.nowMs() + resendMs});
+		this.#record(crash);
+	}
+
+	/** Records a run that has completed; `beganMs` is the time of its first token. */
+	recordCompletedRun(segments: readonly SegmentKey[], beganMs: number): void {
+		for (const segment of this.#segments.recordCompletedRun(segments, beganMs)) {
+			this.#sentCompleted.set(segment, this.#options.clock.nowMs() + resendMs);
+		}
+	}
+
+	/** Time until a request with these segments may run; undefined if it may run now. */
+	remainingMs(segments: readonly SegmentKey[]): number | undefined {
+		return this.#segments.quarantineRemainingMs(segments);
+	}
+
+	/** News for the other entries. */
+	newsToSend(): SegmentNews {
+		const nowMs = this.#options.clock.nowMs();
+		this.#sentCrashes = this.#sentCrashes.filter(({untilMs}) => nowMs < untilMs);
+		for (const [segment, untilMs] of this.#sentCompleted) {
+			if (nowMs >= untilMs) {
+				this.#sentCompleted.delete(segment);
+			}
+		}
+
+		return {
+			crashes: this.#sentCrashes.slice(-maxCrashesPerMessage).map(({endpoint, atMs, startedMs, runs}) => ({
+				endpoint, ageMs: nowMs - atMs, startedBeforeMs: atMs - startedMs, runs: runs.slice(0, maxRunsPerCrash).map(run => run.slice(-maxSegmentsPerRun)),
+			})),
+			completed: [...this.#sentCompleted.keys()].slice(-maxCompletedPerMessage).map(segment => ({segment, ageMs: nowMs - this.#segments.completedMs(segment)!})),
+			quarantines: this.#quarantinesToSend(nowMs),
+		};
+	}
+
+	applyPeerNews({crashes, completed, quarantines}: SegmentNews): void {
+		const nowMs = this.#options.clock.nowMs();
+		for (const {segment, ageMs} of completed) {
+			this.#segments.recordCompletedRun([segment], nowMs - ageMs);
+		}
+
+		for (const {endpoint, ageMs, startedBeforeMs, runs} of crashes) {
+			const atMs = nowMs - ageMs;
+			this.#record({
+				endpoint, atMs, startedMs: atMs - startedBeforeMs, runs,
+			});
+		}
+
+		for (const {segment, companions, refutedAgeMs, remainingMs} of quarantines) {
+			const isAdopted = this.#segments.adoptQuarantine({
+				segment, companions, refutedAfterMs: nowMs - refutedAgeMs, untilMs: nowMs + remainingMs,
+			});
+			if (!isAdopted) {
+				this.#sentCompleted.set(segment, nowMs + resendMs);
+			}
+		}
+	}
+
+	#record(crash: SegmentCrash): void {
+		for (const quarantine of this.#segments.recordCrash(crash)) {
+			this.#options.onQuarantine(quarantine);
+		}
+	}
+
+	#quarantinesToSend(nowMs: number): SentQuarantine[] {
+		if (nowMs - this.#quarantinesSentMs < quarantineIntervalMs) {
+			return [];
+		}
+
+		this.#quarantinesSentMs = nowMs;
+		return this.#segments.quarantines.slice(-maxQuarantinesPerMessage).map(({segment, companions, refutedAfterMs, untilMs}) => ({
+			segment, companions, refutedAgeMs: nowMs - refutedAfterMs, remainingMs: untilMs - nowMs,
+		}));
+	}
+}
