Take a stream that ends inside an event for broken

What callers saw: an answer without length and chunks whose endpoint broke off inside an event looked complete, with half an event at its end. Cause: the end of the connection is the end of such an answer, and what was left of the last event was passed on as its end. Change: an event stream whose last event is incomplete counts as broken: it is resumed elsewhere where that is allowed, or the caller's connection is closed.

--- a/packages/forward/src/event-splitter.ts
+++ b/packages/forward/src/event-splitter.ts
@@ -37,6 +37,11 @@
 		return this.#partialEvent.length > maxEventBytes;
 	}
 
+	/** Whether the last event is incomplete. */
+	get isInsideEvent(): boolean {
+		return this.#partialEvent.length > 0;
+	}
+
 	/** Adds bytes and returns the complete events; buffers the beginning of the next event. */
 	push(chunk: Buffer): Buffer {
 		const bytes = this.#partialEvent.length > 0 ? Buffer.concat([this.#partialEvent, chunk]) : chunk;
@@ -53,7 +58,7 @@
 		return whole;
 	}
 
-	/** Returns and clears the buffered bytes at the proper end of a stream. */
+	/** Returns and clears the buffered bytes of an answer that is no event stream. */
 	flush(): Buffer {
 		const bytes = this.#partialEvent;
 		this.#partialEvent = empty;
--- a/packages/forward/src/relay-stream.ts
+++ b/packages/forward/src/relay-stream.ts
@@ -7,7 +7,7 @@
 	createEndpointCall, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
 } from './attempt-helpers.js';
 import type {AttemptControl} from './attempt-race.js';
-import {startEndpointExchange} from './endpoint-exchange.js';
+import {startEndpointExchange, type ExchangeEnd} from './endpoint-exchange.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
 import {EventSplitter} from './event-splitter.js';
 import type {AdmittedRequest, AttemptResult, ForwardDeps} from './forward-types.js';
@@ -39,6 +39,14 @@
 		: undefined);
 };
 
+const truncatedStreamError = new Error('the stream ended inside an event');
+
+const isEventStream = ({status, headers}: AnswerHead): boolean => status === 200 && String(headers['content-type'] ?? '').startsWith('text/event-stream');
+
+/** An answer may end with its connection, so a stream is truncated if its last event is incomplete. */
+const checkStreamEnd = (end: ExchangeEnd, head: AnswerHead | undefined, {isInsideEvent}: EventSplitter): ExchangeEnd =>
+	end.kind === 'complete' && head && isEventStream(head) && isInsideEvent ? {kind: 'broken', error: truncatedStreamError} : end;
+
 export const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, {relay, control}: {relay: StreamRelay; control: AttemptControl}): Promise<AttemptResult> => {
 	const {
 		target, level, kvSource, onFirstEvent, onEvents,
@@ -110,7 +118,7 @@
 			return mayContinue;
 		},
 	}, control.signal);
-	const end = await endpointExchange.ended;
+	const end = checkStreamEnd(await endpointExchange.ended, head, splitter);
 	watch.end();
 	if (control.isSuperseded) {
 		return createSuperseded(end, head);
