Count peers that fell silent among those that share the retry budget

With 27 entries and an allowance of 94 nine entries behind a cut could spend 9 x 66 calls besides the others' share. Change: the share follows the highest number of live entries within a minute; before the first message, the number of registered ones.

--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -164,7 +164,7 @@
 	#retryWindowOf(service: string): RetryWindow {
 		return getOrCreate(this.#retryWindows, service, () =>
 			new RetryWindow(this.#deps.clock, {
-				windowMs: this.#settings.retries.windowMs, limits: () => this.#settings.retries, entries: () => this.#components.members.liveCount(),
+				windowMs: this.#settings.retries.windowMs, limits: () => this.#settings.retries, entries: () => this.#components.members.sharingCount(),
 			}));
 	}
 
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -22,6 +22,11 @@
 const rowCheckIntervalMs = 250;
 /** An entry without a message for this time no longer counts among those that share the limits. */
 const peerTimeoutMs = 4000;
+/**
+ * Peers count among those that share the limits for this time after they fell silent: what they spent still counts within the window of a limit, and behind a
+ * cut they go on spending.
+ */
+const sharingRetentionMs = 60_000;
 
 const readMember = (text: string): Member | undefined => {
 	try {
@@ -40,6 +45,8 @@
 	readonly #lastSeenMs: (peer: string) => number | undefined;
 	readonly #members = new Map<string, Member>();
 	#peers: Peer[] = [];
+	/** The highest number of entries lately, and when it was last reached. */
+	#sharing = {count: 1, atMs: Number.NEGATIVE_INFINITY};
 
 	constructor(clock: Clock, ownName: string, lastSeenMs: (peer: string) => number | undefined) {
 		this.#clock = clock;
@@ -66,6 +73,20 @@
 		return 1 + this.#peers.filter(({name}) => (this.#lastSeenMs(name) ?? Number.NEGATIVE_INFINITY) > liveSinceMs).length;
 	}
 
+	/**
+	 * Number of entries among which the limits of the fleet are shared: the highest number of live ones lately. An entry that has received no message yet
+	 * counts the registered ones.
+	 */
+	sharingCount(): number {
+		const nowMs = this.#clock.nowMs();
+		const live = this.#hasHeardPeers() ? this.liveCount() : 1 + this.#peers.length;
+		if (live >= this.#sharing.count || nowMs - this.#sharing.atMs >= sharingRetentionMs) {
+			this.#sharing = {count: live, atMs: nowMs};
+		}
+
+		return this.#sharing.count;
+	}
+
 	/** Applies member rows of the store. A snapshot replaces all members. */
 	apply({rows}: StoreAnswer, isSnapshot: boolean): void {
 		if (isSnapshot) {
@@ -97,6 +118,10 @@
 		this.#members.set(this.#ownName, member);
 		await rows.write('members', [{key: this.#ownName, value: JSON.stringify(member)}]);
 	}
+
+	#hasHeardPeers(): boolean {
+		return this.#peers.some(({name}) => this.#lastSeenMs(name) !== undefined);
+	}
 }
 
 export type OwnRowOptions = {
