Move the report of an attempt out of the module that decides about attempts, and count quarantined segments

A stream answered with an error status, or without an event, counted as completed for its segments. Change: report-attempt.ts runs and reports one attempt; a gauge for quarantined segments; only a whole stream with events clears its segments. Measured: crashing-segment, crashing-request, broken-stream and crash-guard pass.

--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -157,6 +157,11 @@
 		}
 	}
 
+	/** Number of prompt segments in quarantine. */
+	get quarantinedSegments(): number {
+		return this.#segments.count;
+	}
+
 	/** News about prompt segments for the other entries. */
 	segmentNewsToSend(): SegmentNews {
 		return this.#segments.newsToSend();
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -73,6 +73,7 @@
 			metricsText: async () => {
 				this.#components.metrics.setDroppedLines(this.#deps.log.droppedLines);
 				this.#components.metrics.setLiveEntries(this.#components.members.liveCount());
+				this.#components.metrics.setQuarantinedSegments(this.#components.crashes.quarantinedSegments);
 				return this.#components.metrics.registry.metrics();
 			},
 		});
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -7,7 +7,7 @@
 } from '@hawthorncleat/core';
 import {isNotRunFailure, isRepeatable} from './attempt-helpers.js';
 import {
-	AttemptRace, type AttemptControl, type AttemptPhase, type RunLimits, type RunningAttempt,
+	AttemptRace, type AttemptPhase, type RunLimits, type RunningAttempt,
 } from './attempt-race.js';
 import {
 	finishAborted, finishFailed, finishQuarantined, finishWithoutRetries,
@@ -15,13 +15,13 @@
 import type {
 	AdmittedRequest, AttemptResult, FailedAttempt, ForwardDeps, Outcome, RequestState, RetryDenial, StallDecision,
 } from './forward-types.js';
-import {recordAttemptResult, recordStall} from './record-attempt-result.js';
+import {recordStall} from './record-attempt-result.js';
 import {
 	choosePlacement, type Overload, type Placement, type PlacementOptions,
 } from './placement.js';
 import {releaseKvHandle} from './prefill.js';
+import {runAndReportAttempt} from './report-attempt.js';
 import {ReservedCalls} from './reserved-calls.js';
-import {runAttempt} from './run-attempt.js';
 import {StreamRelay} from './stream-relay.js';
 
 /** Limit on tries, if the route allows no more endpoints. A try that no endpoint runs costs at most a refusal. */
@@ -302,61 +302,3 @@
 		}
 	}
 };
-
-/** A prompt crashes an engine when the engine begins to decode with it. A stream that has gone on for longer did not cause the crash. */
-const justBegunMs = 1000;
-
-/** Records what the end of an attempt says about crashes. Resolves once it is known whether the endpoint has crashed, if another attempt may follow. */
-const recordCrashes = async (
-	{clock, crashes}: ForwardDeps,
-	admitted: AdmittedRequest,
-	{result, startMs}: {result: AttemptResult; startMs: number},
-): Promise<void> => {
-	if (result.kind === 'answered') {
-		crashes.recordCompletedRequest(admitted);
-		if (result.stream) {
-			crashes.recordCompletedStream(admitted, result.beganMs ?? startMs);
-		}
-	} else if (result.kind === 'failed' && result.isDown) {
-		crashes.recordCrash(result.failedAt.endpoint.id);
-	} else if (result.kind === 'failed' && result.failure === 'connection-lost') {
-		const {endpoint} = result.failedAt;
-		const hasJustBegun = result.beganMs === undefined || clock.nowMs() - result.beganMs < justBegunMs;
-		crashes.recordBrokenRequest(endpoint.id, admitted, {startedMs: result.startedMs ?? startMs, hasJustBegun});
-		const check = crashes.checkEndpoint(endpoint);
-		if (isRepeatable(admitted.route)) {
-			await check;
-		}
-	}
-};
-
-const runAndReportAttempt = async (
-	deps: ForwardDeps,
-	admitted: AdmittedRequest,
-	placement: Placement,
-	{request, control}: {readonly request: RequestState; readonly control: AttemptControl},
-): Promise<AttemptResult> => {
-	const startMs = deps.clock.nowMs();
-	const {target} = placement;
-	const state = {request, control, extraCalls: 0};
-	const result = await runAttempt(deps, admitted, placement, state);
-	if (!admitted.exchange.signal.aborted) {
-		recordAttemptResult(placement, result, deps.clock.nowMs());
-		await recordCrashes(deps, admitted, {result, startMs});
-	}
-
-	deps.onAttempt(admitted, {
-		endpoint: target.endpoint.id,
-		prefill: placement.prefill?.endpoint.id,
-		expectedMs: placement.firstTokenMs,
-		level: placement.level,
-		uncachedTokens: placement.uncachedTokens,
-		tookMs: deps.clock.nowMs() - startMs,
-		firstMs: result.firstMs,
-		furtherArrivals: state.extraCalls,
-		decode: placement.decode,
-		...result.kind === 'answered' && {prefillMs: result.prefillMs},
-		result,
-	});
-	return result;
-};
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -48,6 +48,10 @@
 		name: 'hawthorncleat_forward_live_entries', help: 'Live entries that share the limits, including this one', registers: [this.registry],
 	});
 
+	readonly #quarantinedSegments = new Gauge({
+		name: 'hawthorncleat_forward_quarantined_segments', help: 'Prompt segments in quarantine because they crash engines', registers: [this.registry],
+	});
+
 	readonly #droppedLines = new Gauge({
 		name: 'hawthorncleat_forward_dropped_log_lines', help: 'Log lines dropped by the rate limit or because their reader was slow', registers: [this.registry],
 	});
@@ -83,6 +87,10 @@
 		this.#configVersion.set(version);
 	}
 
+	setQuarantinedSegments(count: number): void {
+		this.#quarantinedSegments.set(count);
+	}
+
 	setLiveEntries(entries: number): void {
 		this.#liveEntries.set(entries);
 	}
--- /dev/null
+++ b/packages/forward/src/report-attempt.ts
@@ -0,0 +1,70 @@
+/**
+ * Runs one attempt and passes its result on to the ejection of endpoints, the crash guard and the log.
+ */
+import {isRepeatable} from './attempt-helpers.js';
+import type {AttemptControl} from './attempt-race.js';
+import type {
+	AdmittedRequest, AttemptResult, ForwardDeps, RequestState,
+} from './forward-types.js';
+import type {Placement} from './placement.js';
+import {recordAttemptResult} from './record-attempt-result.js';
+import {runAttempt} from './run-attempt.js';
+
+/** A prompt crashes an engine when the engine begins to decode with it. A stream that has gone on for longer did not cause the crash. */
+const justBegunMs = 1000;
+
+/** Records what the end of an attempt says about crashes. Resolves once it is known whether the endpoint has crashed, if another attempt may follow. */
+const recordCrashes = async (
+	{clock, crashes}: ForwardDeps,
+	admitted: AdmittedRequest,
+	{result, startMs}: {result: AttemptResult; startMs: number},
+): Promise<void> => {
+	if (result.kind === 'answered') {
+		crashes.recordCompletedRequest(admitted);
+		if (result.status === 200 && result.stream && result.stream.events > 0) {
+			crashes.recordCompletedStream(admitted, result.beganMs ?? startMs);
+		}
+	} else if (result.kind === 'failed' && result.isDown) {
+		crashes.recordCrash(result.failedAt.endpoint.id);
+	} else if (result.kind === 'failed' && result.failure === 'connection-lost') {
+		const {endpoint} = result.failedAt;
+		const hasJustBegun = result.beganMs === undefined || clock.nowMs() - result.beganMs < justBegunMs;
+		crashes.recordBrokenRequest(endpoint.id, admitted, {startedMs: result.startedMs ?? startMs, hasJustBegun});
+		const check = crashes.checkEndpoint(endpoint);
+		if (isRepeatable(admitted.route)) {
+			await check;
+		}
+	}
+};
+
+/** Runs one attempt. Its result is reported unless the caller has left. */
+export const runAndReportAttempt = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	placement: Placement,
+	{request, control}: {readonly request: RequestState; readonly control: AttemptControl},
+): Promise<AttemptResult> => {
+	const startMs = deps.clock.nowMs();
+	const {target} = placement;
+	const state = {request, control, extraCalls: 0};
+	const result = await runAttempt(deps, admitted, placement, state);
+	if (!admitted.exchange.signal.aborted) {
+		recordAttemptResult(placement, result, deps.clock.nowMs());
+		await recordCrashes(deps, admitted, {result, startMs});
+	}
+
+	deps.onAttempt(admitted, {
+		endpoint: target.endpoint.id,
+		prefill: placement.prefill?.endpoint.id,
+		expectedMs: placement.firstTokenMs,
+		level: placement.level,
+		uncachedTokens: placement.uncachedTokens,
+		tookMs: deps.clock.nowMs() - startMs,
+		firstMs: result.firstMs,
+		furtherArrivals: state.extraCalls,
+		decode: placement.decode,
+		...result.kind === 'answered' && {prefillMs: result.prefillMs},
+		result,
+	});
+	return result;
+};
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -67,6 +67,11 @@
 		this.#segments = new CrashingSegments(options.clock);
 	}
 
+	/** Number of segments in quarantine. */
+	get count(): number {
+		return this.#segments.quarantines.length;
+	}
+
 	/** Records a crash of an endpoint at which these runs had just begun. */
 	recordCrash(endpoint: string, brokenRuns: readonly CrashedRun[], atMs: number): void {
 		const runs = brokenRuns.filter(({segments}) => segments.length > 0);
