Do not quarantine a prompt segment that many requests have

Cause: an entry without history suspects all segments. Three crashes came before any request of the route had completed, so its first segment was quarantined by itself. Change: a segment with more than three requests for each counted crash, within ten seconds at this entry, is neither quarantined nor taken over from another entry: almost every run with a deadly segment crashes an engine. News of an entry is limited to half of a datagram.

--- a/packages/core/src/forwarding/__tests__/crashing-segments.test.ts
+++ b/packages/core/src/forwarding/__tests__/crashing-segments.test.ts
@@ -107,6 +107,21 @@
 			assert.ok(isQuarantined('shared'));
 		});
 
+		it('does not fall on a segment that many requests have, even if none of them completes; guards against a route stopped by its first segment after a restart of all entries', () => {
+			const {segments, crash, isQuarantined} = createWorld();
+			for (const endpoint of ['i-1', 'i-2', 'i-3']) {
+				for (let request = 0; request < 5; request += 1) {
+					segments.recordRequest(keys('shared', `other-${request}`));
+				}
+
+				segments.recordRequest(keys('shared', 'dead'));
+				crash(endpoint, keys('shared', 'dead'), keys('shared', `other-${endpoint}`));
+			}
+
+			assert.not(isQuarantined('shared', 'other-1'));
+			assert.ok(isQuarantined('shared', 'dead'));
+		});
+
 		it('expires; guards against crashes of different causes that add up over hours', () => {
 			const {crash, clock, isQuarantined} = createWorld();
 			for (const endpoint of ['i-1', 'i-2', 'i-3', 'i-4']) {
--- a/packages/core/src/forwarding/crashing-segments.ts
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -11,6 +11,15 @@
 const quarantineCrashes = 3;
 /** The same for a segment with completed runs. Many requests have it, so a wrong quarantine would stop a route. */
 const provenQuarantineCrashes = 5;
+/**
+ * Almost every run with a deadly segment crashes an engine, so a segment with more requests than this for each crash is present by chance. A few requests may
+ * start before the first crash is known.
+ */
+const maxRequestsPerCrash = 3;
+/** Requests of this time count, at least. */
+const requestWindowMs = 10_000;
+/** More requests than this are certainly too many for the crashes that matter. */
+const maxRequestTimes = 64;
 /** Crashes that are further apart than this are not put down to one segment. */
 const suspicionMs = 60_000;
 /** Entries report one crash with times that differ by less than this. */
@@ -26,7 +35,7 @@
 /** Few runs begin at one engine at the same moment. */
 const maxRunsPerCrash = 12;
 /** Enough for the shared segments of some minutes. */
-const maxCompletedSegments = 4000;
+const maxTrackedSegments = 4000;
 
 /** An engine that crashed, with the segments of each run that had just begun there. */
 export type SegmentCrash = {
@@ -57,11 +66,23 @@
 
 const hasAll = (segments: readonly SegmentKey[], wanted: readonly SegmentKey[]): boolean => wanted.every(segment => segments.includes(segment));
 
+/** Puts an item at the end of a map, and drops the first one if there are too many. */
+const putLatest = <Value>(map: Map<SegmentKey, Value>, segment: SegmentKey, value: Value): void => {
+	map.delete(segment);
+	map.set(segment, value);
+	const [oldest] = map.keys();
+	if (map.size > maxTrackedSegments && oldest !== undefined) {
+		map.delete(oldest);
+	}
+};
+
 export class CrashingSegments {
 	readonly #clock: Clock;
 	#crashes: CrashGroup[] = [];
 	/** When the latest completed run of each segment began, the latest one last. */
 	readonly #completedMs = new Map<SegmentKey, number>();
+	/** Times of the latest requests of this entry with each segment that were allowed to run, the latest segment last. */
+	readonly #requestTimesMs = new Map<SegmentKey, number[]>();
 	readonly #quarantines = new Map<SegmentKey, SegmentQuarantine>();
 	readonly #quarantineCounts = new Map<SegmentKey, number>();
 
@@ -75,6 +96,15 @@
 		return [...this.#quarantines.values()].filter(({untilMs}) => nowMs < untilMs);
 	}
 
+	/** Records a request that is allowed to run. */
+	recordRequest(segments: readonly SegmentKey[]): void {
+		for (const segment of segments) {
+			const timesMs = this.#requestTimesMs.get(segment) ?? [];
+			timesMs.push(this.#clock.nowMs());
+			putLatest(this.#requestTimesMs, segment, timesMs.slice(-maxRequestTimes));
+		}
+	}
+
 	/** When the latest completed run of a segment began. */
 	completedMs(segment: SegmentKey): number | undefined {
 		return this.#completedMs.get(segment);
@@ -128,17 +158,22 @@
 	}
 
 	/**
-	 * Adopts the quarantine of another entry. Returns false if completed runs speak against it, so that the other entry is to be informed: it may have started
-	 * too late to know of them.
+	 * Adopts the quarantine of another entry, unless many requests here have the segment. Returns false if completed runs speak against it, so that the other
+	 * entry is to be informed: it may have started too late to know of them.
 	 */
 	adoptQuarantine(quarantine: SegmentQuarantine): boolean {
 		const {segment} = quarantine;
-		const isProvenHere = this.#completedMs.has(segment) && this.#countedCrashes(segment).length < provenQuarantineCrashes;
+		const crashes = this.#countedCrashes(segment);
+		const isProvenHere = this.#completedMs.has(segment) && crashes.length < provenQuarantineCrashes;
 		if (isProvenHere || this.#hasCompletedSince(segment, quarantine.refutedAfterMs)) {
 			return false;
 		}
 
 		const own = this.#quarantines.get(segment);
+		if (!own && this.#requestsSince(segment, this.#clock.nowMs() - requestWindowMs) > Math.max(quarantineCrashes, crashes.length) * maxRequestsPerCrash) {
+			return true;
+		}
+
 		this.#quarantines.set(segment, {
 			segment,
 			companions: quarantine.companions.filter(companion => (own?.companions ?? [companion]).includes(companion) && !this.#hasCompletedSince(companion, quarantine.refutedAfterMs)),
@@ -157,13 +192,7 @@
 	}
 
 	#recordCompleted(segment: SegmentKey, beganMs: number): void {
-		const latestMs = Math.max(beganMs, this.#completedMs.get(segment) ?? beganMs);
-		this.#completedMs.delete(segment);
-		this.#completedMs.set(segment, latestMs);
-		const [oldest] = this.#completedMs.keys();
-		if (this.#completedMs.size > maxCompletedSegments && oldest !== undefined) {
-			this.#completedMs.delete(oldest);
-		}
+		putLatest(this.#completedMs, segment, Math.max(beganMs, this.#completedMs.get(segment) ?? beganMs));
 	}
 
 	#endRefuted(segment: SegmentKey): void {
@@ -209,7 +238,7 @@
 		const crashes = this.#countedCrashes(segment);
 		const own = this.#quarantines.get(segment);
 		const needed = this.#completedMs.has(segment) ? provenQuarantineCrashes : quarantineCrashes;
-		if (crashes.length < (own ? 1 : needed)) {
+		if (crashes.length < (own ? 1 : needed) || this.#hasTooManyRequests(segment, crashes)) {
 			return [];
 		}
 
@@ -228,6 +257,15 @@
 		return isInEffect ? [] : [quarantine];
 	}
 
+	#hasTooManyRequests(segment: SegmentKey, crashes: readonly CrashGroup[]): boolean {
+		const sinceMs = Math.min(crashes[0]!.atMs, this.#clock.nowMs() - requestWindowMs);
+		return this.#requestsSince(segment, sinceMs) > crashes.length * maxRequestsPerCrash;
+	}
+
+	#requestsSince(segment: SegmentKey, sinceMs: number): number {
+		return (this.#requestTimesMs.get(segment) ?? []).filter(atMs => atMs >= sinceMs).length;
+	}
+
 	/** The other segments that were suspected at all of these crashes, in runs with this one. */
 	#companionsOf(segment: SegmentKey, crashes: readonly CrashGroup[]): SegmentKey[] {
 		const sets = crashes.map(({runs}) => new Set([...runs.values()].filter(run => run.includes(segment)).flat()));
--- a/packages/forward/src/__tests__/segment-quarantines.test.ts
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -41,6 +41,8 @@
 	assert.ok(late <= maxLateRequests, `${what}: ${late} requests reached engines later than ${contactMs} ms after the fifth crash`);
 };
 
+/** A datagram has 1400 bytes; the load of the engines needs the other half. */
+const maxNewsBytes = 700;
 /** A segment that few requests share may be present at three crashes by chance. The users' rule allows half of the sound requests. */
 const maxWrongSegments = 2;
 
@@ -90,4 +92,17 @@
 		started.applyPeerNews(old.newsToSend());
 		assert.ok(started.remainingMs(segments)! > 0);
 	});
+
+	it('needs at most half of a datagram; guards against gossip that is split into packets and lost', () => {
+		const clock = createManualClock(1_000_000);
+		const guard = new SegmentQuarantines({clock, onQuarantine: () => undefined});
+		const createSegments = (run: number): SegmentKey[] => Array.from({length: 5}, (_, index) => brandAs<SegmentKey>(`prompt-hall/${(0xA0_00_00_00 + (run * 16) + index).toString(16)}`));
+		for (let crash = 0; crash < 12; crash += 1) {
+			clock.advance(600);
+			const runs = [0, 1, 2].map(run => ({segments: createSegments(run + (crash % 6)), startedMs: clock.nowMs() - 100}));
+			guard.recordCrash(`i-8dfb8398d2${crash}`, runs, clock.nowMs());
+			guard.recordCompletedRun(createSegments(30 + crash), clock.nowMs());
+			assert.ok(JSON.stringify(guard.newsToSend()).length <= maxNewsBytes);
+		}
+	});
 });
--- a/packages/forward/src/__tests__/segment-world.ts
+++ b/packages/forward/src/__tests__/segment-world.ts
@@ -186,6 +186,7 @@
 			return;
 		}
 
+		this.#guards[entry]!.recordRequest(segments);
 		this.#start({
 			entry, segments, isDeadly,
 		}, nowMs);
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -137,6 +137,11 @@
 		return this.#suspects.classify(fingerprint) === 'quarantined' ? this.#suspects.retryAfterMs(fingerprint) : undefined;
 	}
 
+	/** Records a request that is allowed to run: a segment that many requests have is not the one that crashes engines. */
+	recordAllowedRequest(request: RequestContent): void {
+		this.#segments.recordRequest(segmentKeysOf(request));
+	}
+
 	/** Crash reports to broadcast to the other entries, with the requests that are closest to quarantine first. */
 	reportsToSend(): CrashReport[] {
 		const nowMs = this.#options.clock.nowMs();
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -117,6 +117,10 @@
 		return finishQuarantined(admitted, progress, quarantinedMs);
 	}
 
+	if (tries === 0) {
+		deps.crashes.recordAllowedRequest(admitted);
+	}
+
 	if (tries >= maxTriesOf(admitted.route)) {
 		return {...finishFailed(admitted, progress), retryDenied: 'attempts-used'};
 	}
--- a/packages/forward/src/forward-types.ts
+++ b/packages/forward/src/forward-types.ts
@@ -39,7 +39,7 @@
 	readonly retryWindowOf: (service: string) => RetryWindow;
 	/** Called when an endpoint has begun to run a request, so that it counts as usage of its account. */
 	readonly onRun: (admitted: AdmittedRequest) => void;
-	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream' | 'recordCrash'>;
+	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream' | 'recordCrash'>;
 	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
 	readonly onStall: (admitted: AdmittedRequest, stall: StallReport) => void;
 };
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -10,12 +10,13 @@
 const resendMs = 2000;
 /** How often quarantines are repeated for entries that have just started. */
 const quarantineIntervalMs = 900;
-/** Together these fill less than half of a datagram. */
-const maxCrashesPerMessage = 4;
-const maxRunsPerCrash = 3;
-const maxSegmentsPerRun = 3;
-const maxCompletedPerMessage = 8;
-const maxQuarantinesPerMessage = 6;
+/** With these limits news fills at most half of a datagram. */
+const maxCrashesPerMessage = 2;
+const maxRunsPerCrash = 2;
+const maxSegmentsPerRun = 4;
+const maxCompletedPerMessage = 4;
+const maxQuarantinesPerMessage = 4;
+const maxCompanionsPerQuarantine = 3;
 
 /** A crash, with the suspected segments of each run that had just begun at the endpoint. */
 export type SegmentCrashReport = {
@@ -72,6 +73,11 @@
 		return this.#segments.quarantines.length;
 	}
 
+	/** Records a request that is allowed to run. */
+	recordRequest(segments: readonly SegmentKey[]): void {
+		this.#segments.recordRequest(segments);
+	}
+
 	/** Records a crash of an endpoint at which these runs had just begun. */
 	recordCrash(endpoint: string, brokenRuns: readonly CrashedRun[], atMs: number): void {
 		const runs = brokenRuns.filter(({segments}) => segments.length > 0);
@@ -98,7 +104,7 @@
 		return this.#segments.quarantineRemainingMs(segments);
 	}
 
-	/** News for the other entries. */
+	/** News for the other entries: quarantines from time to time, and otherwise crashes and cleared segments. */
 	newsToSend(): SegmentNews {
 		const nowMs = this.#options.clock.nowMs();
 		this.#sentCrashes = this.#sentCrashes.filter(({untilMs}) => nowMs < untilMs);
@@ -108,12 +114,17 @@
 			}
 		}
 
+		const quarantines = this.#quarantinesToSend(nowMs);
+		if (quarantines.length > 0) {
+			return {crashes: [], completed: [], quarantines};
+		}
+
 		return {
 			crashes: this.#sentCrashes.slice(-maxCrashesPerMessage).map(({endpoint, atMs, startedMs, runs}) => ({
 				endpoint, ageMs: nowMs - atMs, startedBeforeMs: atMs - startedMs, runs: runs.slice(0, maxRunsPerCrash).map(run => run.slice(-maxSegmentsPerRun)),
 			})),
 			completed: [...this.#sentCompleted.keys()].slice(-maxCompletedPerMessage).map(segment => ({segment, ageMs: nowMs - this.#segments.completedMs(segment)!})),
-			quarantines: this.#quarantinesToSend(nowMs),
+			quarantines,
 		};
 	}
 
@@ -153,7 +164,7 @@
 
 		this.#quarantinesSentMs = nowMs;
 		return this.#segments.quarantines.slice(-maxQuarantinesPerMessage).map(({segment, companions, refutedAfterMs, untilMs}) => ({
-			segment, companions, refutedAgeMs: nowMs - refutedAfterMs, remainingMs: untilMs - nowMs,
+			segment, companions: companions.slice(0, maxCompanionsPerQuarantine), refutedAgeMs: nowMs - refutedAfterMs, remainingMs: untilMs - nowMs,
 		}));
 	}
 }
