Keep quarantines of prompt segments in the store for fleets whose entries have all ended

Cause: quarantines were in the memory of the entries only. Change: the entry that quarantines a segment writes a row, whose times are readings of the store's clock; a starting entry reads the rows once. A completed run removes its row, a reader those that are over. Adopted and ended quarantines have log lines.

--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -39,7 +39,7 @@
 
 const createGuard = (clock = createManualClock(), refusesConnections = async (): Promise<boolean> => false): CrashGuard =>
 	new CrashGuard({
-		clock, refusesConnections, onCrash: () => undefined, onQuarantine: () => undefined,
+		clock, refusesConnections, onCrash: () => undefined, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
 	});
 
 /** The run began before any crash, unless `startedMs` says otherwise. */
--- a/packages/forward/src/__tests__/segment-quarantines.test.ts
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -80,7 +80,9 @@
 
 	it('reaches an entry that has just started; guards against an entry that lets requests pass until it has lost engines itself', () => {
 		const clock = createManualClock();
-		const create = (): SegmentQuarantines => new SegmentQuarantines({clock, onQuarantine: () => undefined});
+		const create = (): SegmentQuarantines => new SegmentQuarantines({
+			clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+		});
 		const [old, started] = [create(), create()];
 		const segments = [brandAs<SegmentKey>('models/dead')];
 		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
@@ -95,7 +97,9 @@
 
 	it('needs at most half of a datagram; guards against gossip that is split into packets and lost', () => {
 		const clock = createManualClock(1_000_000);
-		const guard = new SegmentQuarantines({clock, onQuarantine: () => undefined});
+		const guard = new SegmentQuarantines({
+			clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+		});
 		const createSegments = (run: number): SegmentKey[] => Array.from({length: 5}, (_, index) => brandAs<SegmentKey>(`prompt-hall/${(0xA0_00_00_00 + (run * 16) + index).toString(16)}`));
 		for (let crash = 0; crash < 12; crash += 1) {
 			clock.advance(600);
--- a/packages/forward/src/__tests__/segment-world.ts
+++ b/packages/forward/src/__tests__/segment-world.ts
@@ -100,7 +100,9 @@
 	}
 
 	#createGuard(): SegmentQuarantines {
-		return new SegmentQuarantines({clock: this.#clock, onQuarantine: () => undefined});
+		return new SegmentQuarantines({
+			clock: this.#clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+		});
 	}
 
 	#integer(below: number): number {
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -10,7 +10,7 @@
 } from '@hawthorncleat/core';
 import {segmentKeysOf} from './attempt-helpers.js';
 import type {AdmittedRequest} from './forward-types.js';
-import {SegmentQuarantines, type SegmentNews} from './segment-quarantines.js';
+import {SegmentQuarantines, type SegmentNews, type SentQuarantine} from './segment-quarantines.js';
 
 /** The registration of a crashed endpoint expires within this time, so a crash is detected within it. */
 const crashDetectionMs = 6000;
@@ -60,8 +60,11 @@
 	readonly refusesConnections: (endpoint: RegisteredEndpoint) => Promise<boolean>;
 	/** Called when a crash is detected; `requests` is the number of new suspect requests. */
 	readonly onCrash: (crash: {readonly endpoint: string; readonly requests: number}) => void;
-	/** Called when a prompt segment is quarantined. */
+	/** Called when this entry quarantines a prompt segment, or adopts its quarantine. */
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
+	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
+	/** Called when a completed run has ended the quarantine of a prompt segment. */
+	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
 
 type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request' | 'service'>;
@@ -176,6 +179,11 @@
 		this.#segments.applyPeerNews(news);
 	}
 
+	/** Adopts quarantines of prompt segments that were kept in the store. */
+	restoreQuarantines(quarantines: readonly SentQuarantine[]): void {
+		this.#segments.adopt(quarantines);
+	}
+
 	/** Clears the segments of a stream that has completed of the suspicion that they crash engines. `beganMs`: time of its first token. */
 	recordCompletedStream(request: RequestContent, beganMs: number): void {
 		this.#segments.recordCompletedRun(segmentKeysOf(request), beganMs);
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -1,7 +1,9 @@
 /**
  * Creates the components of a forwarding entry and connects them to each other.
  */
-import type {Clock, MakeId, Random} from '@hawthorncleat/core';
+import type {
+	Clock, MakeId, Random, SegmentQuarantine,
+} from '@hawthorncleat/core';
 import {ActiveConfig} from './active-config.js';
 import {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
@@ -13,6 +15,7 @@
 import {ForwardMetrics} from './metrics.js';
 import {LoadTracker} from './load-tracker.js';
 import type {ForwardSettings, Platform} from './ports.js';
+import {QuarantineRows} from './quarantine-rows.js';
 import {refusesConnections} from './refuses-connections.js';
 import {RequestReports} from './request-reports.js';
 import {RoleChanges} from './role-changes.js';
@@ -40,6 +43,7 @@
 	readonly config: ActiveConfig;
 	readonly pool: EndpointPool;
 	readonly crashes: CrashGuard;
+	readonly quarantineRows: QuarantineRows;
 	readonly load: LoadTracker;
 	readonly roleChanges: RoleChanges;
 	readonly gossip: Gossip;
@@ -84,7 +88,13 @@
 	},
 });
 
-const createCrashGuard = (clock: Clock, log: DecisionLog): CrashGuard => new CrashGuard({
+const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs}: SegmentQuarantine, {isAdopted}: {readonly isAdopted: boolean}): void => {
+	log.write('quarantine', {
+		segment, companions, forMs: Math.round(untilMs - clock.nowMs()), isAdopted,
+	});
+};
+
+const createCrashGuard = (clock: Clock, log: DecisionLog, quarantineRows: QuarantineRows): CrashGuard => new CrashGuard({
 	clock,
 	refusesConnections,
 	onCrash({endpoint, requests}) {
@@ -92,8 +102,16 @@
 			id: endpoint, was: 'running', is: 'crashed', requests,
 		});
 	},
-	onQuarantine({segment, companions, untilMs}) {
-		log.write('quarantine', {segment, companions, forMs: Math.round(untilMs - clock.nowMs())});
+	onQuarantine(quarantine) {
+		logQuarantine({clock, log}, quarantine, {isAdopted: false});
+		void quarantineRows.save(quarantine);
+	},
+	onAdoption(quarantine) {
+		logQuarantine({clock, log}, quarantine, {isAdopted: true});
+	},
+	onQuarantineEnd(segment) {
+		log.write('quarantine', {segment, forMs: 0});
+		void quarantineRows.remove(segment);
 	},
 });
 
@@ -109,10 +127,13 @@
 	const pool = new EndpointPool({
 		clock, entries: () => members.liveCount(), serviceOf: name => config.routes?.findService(name),
 	});
-	const crashes = createCrashGuard(clock, log);
+	const correctedClock = new CorrectedClock(clock, () => members.wallOffsets());
+	const quarantineRows = new QuarantineRows({
+		rows, correctedClock, nowMs: () => clock.nowMs(), log,
+	});
+	const crashes = createCrashGuard(clock, log, quarantineRows);
 	const load = new LoadTracker(clock, pool);
 	const roleChanges = new RoleChanges(clock, pool);
-	const correctedClock = new CorrectedClock(clock, () => members.wallOffsets());
 	const usage = new UsageCounter({
 		rows,
 		owner: `${settings.hostName}/${makeId()}`,
@@ -142,6 +163,6 @@
 		clock, rows, config, directory, members, correctedClock, log,
 	});
 	return {
-		metrics, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, load, roleChanges, gossip, directory, correctedClock, usage, follower,
+		metrics, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, roleChanges, gossip, directory, correctedClock, usage, follower,
 	};
 };
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -51,6 +51,7 @@
 			this.#components.gossip.run(signal),
 			this.#components.usage.run(signal),
 			this.#maintainOwnRow(signal),
+			this.#restoreQuarantines(signal),
 			this.#runDuties(stop),
 			runPeriodicChecks({
 				clock: this.#deps.clock,
@@ -190,6 +191,13 @@
 		}, signal);
 	}
 
+	async #restoreQuarantines(signal: AbortSignal): Promise<void> {
+		const {quarantineRows, crashes} = this.#components;
+		await quarantineRows.restore(quarantines => {
+			crashes.restoreQuarantines(quarantines);
+		}, signal);
+	}
+
 	async #maintainOwnRow(signal: AbortSignal): Promise<void> {
 		const {platform, wallNowMs, log} = this.#deps;
 		const {listen, gossipPort, ip} = this.#settings;
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -129,7 +129,7 @@
 };
 
 /** Tables that the entry uses. The adapter maps them to the names of the store. */
-export type StoreTable = 'config' | 'endpoints' | 'members' | 'usage';
+export type StoreTable = 'config' | 'endpoints' | 'members' | 'quarantines' | 'usage';
 
 export type RowStore = {
 	read(table: StoreTable, range: {readonly from?: string; readonly to?: string}, signal: AbortSignal): Promise<StoreAnswer>;
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -53,6 +53,10 @@
 export type SegmentQuarantinesOptions = {
 	readonly clock: Clock;
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
+	/** Called when the quarantine of another entry or of the store is adopted. */
+	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
+	/** Called when a completed run of this entry has ended a quarantine. */
+	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
 
 export class SegmentQuarantines {
@@ -94,9 +98,15 @@
 
 	/** Records a run that has completed; `beganMs` is the time of its first token. */
 	recordCompletedRun(segments: readonly SegmentKey[], beganMs: number): void {
+		const quarantined = this.#segments.quarantines.map(({segment}) => segment);
 		for (const segment of this.#segments.recordCompletedRun(segments, beganMs)) {
 			this.#sentCompleted.set(segment, this.#options.clock.nowMs() + resendMs);
 		}
+
+		const stillQuarantined = new Set(this.#segments.quarantines.map(({segment}) => segment));
+		for (const segment of quarantined.filter(item => !stillQuarantined.has(item))) {
+			this.#options.onQuarantineEnd(segment);
+		}
 	}
 
 	/** Time until a request with these segments may run; undefined if it may run now. */
@@ -141,12 +151,21 @@
 			});
 		}
 
+		this.adopt(quarantines);
+	}
+
+	/** Adopts quarantines of other entries or of the store. */
+	adopt(quarantines: readonly SentQuarantine[]): void {
+		const nowMs = this.#options.clock.nowMs();
+		const isQuarantined = new Set(this.#segments.quarantines.map(({segment}) => segment));
 		for (const {segment, companions, refutedAgeMs, remainingMs} of quarantines) {
-			const isAdopted = this.#segments.adoptQuarantine({
+			const quarantine = {
 				segment, companions, refutedAfterMs: nowMs - refutedAgeMs, untilMs: nowMs + remainingMs,
-			});
-			if (!isAdopted) {
+			};
+			if (!this.#segments.adoptQuarantine(quarantine)) {
 				this.#sentCompleted.set(segment, nowMs + resendMs);
+			} else if (!isQuarantined.has(segment) && this.#segments.quarantineRemainingMs([segment, ...companions]) !== undefined) {
+				this.#options.onAdoption(quarantine);
 			}
 		}
 	}
