Send quarantines of an idle entry too, and log each end of a quarantine

Cause: reading the change again: an idle entry sent its quarantines only if its keep-alive came in the same turn, so one that had just started could miss them; the end of a quarantine by another entry's run had no log line; a cleared segment that had been forgotten was sent without an age; broken requests of endpoints that never crashed were kept for ever. Change: quarantines count as news to send; each end is logged; forgotten segments and old broken requests are dropped; messages with news of an unknown form are ignored.

--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -91,6 +91,7 @@
 	/** Records that the connection broke after the request had been sent to the endpoint. */
 	recordBrokenRequest(endpoint: string, request: RequestContent, {startedMs, hasJustBegun}: BrokenRun): void {
 		const atMs = this.#options.clock.nowMs();
+		this.#dropOldBrokenRequests(atMs);
 		const recent = (this.#brokenRequests.get(endpoint) ?? []).filter(broken => atMs - broken.atMs < crashDetectionMs);
 		this.#brokenRequests.set(endpoint, [...recent, {
 			fingerprint: fingerprintOf(request), startedMs, atMs, segments: hasJustBegun ? segmentKeysOf(request) : [],
@@ -196,6 +197,15 @@
 		}
 	}
 
+	/** Forgets endpoints that have not crashed; ids of endpoints are new after each replacement. */
+	#dropOldBrokenRequests(nowMs: number): void {
+		for (const [endpoint, broken] of this.#brokenRequests) {
+			if (broken.every(({atMs}) => nowMs - atMs >= crashDetectionMs)) {
+				this.#brokenRequests.delete(endpoint);
+			}
+		}
+	}
+
 	async #recordCrashIfRefusing(endpoint: RegisteredEndpoint): Promise<void> {
 		if (await this.#options.refusesConnections(endpoint)) {
 			this.recordCrash(endpoint.id);
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -78,10 +78,16 @@
 	readonly sent: readonly SentTuple[];
 };
 
+const isSegmentNews = (value: unknown): boolean => {
+	const {crashes, completed, quarantines} = (value ?? {}) as Partial<SegmentNews>;
+	return Array.isArray(crashes) && Array.isArray(completed) && Array.isArray(quarantines);
+};
+
 const isMessage = (value: unknown): value is Message => {
-	const {from, config, phase, changing, running, sent} = (value ?? {}) as Partial<Message>;
+	const {from, config, phase, changing, running, segments, sent} = (value ?? {}) as Partial<Message>;
 	const hasPhase = phase === undefined || Array.isArray(phase);
-	return hasPhase && typeof from === 'string' && typeof config === 'number' && Array.isArray(changing) && Array.isArray(running) && Array.isArray(sent);
+	const hasNews = segments === undefined || isSegmentNews(segments);
+	return hasPhase && hasNews && typeof from === 'string' && typeof config === 'number' && Array.isArray(changing) && Array.isArray(running) && Array.isArray(sent);
 };
 
 const parseMessage = (text: string): Message | undefined => {
@@ -115,7 +121,8 @@
 const hasSegmentNews = ({crashes, completed, quarantines}: SegmentNews): boolean => crashes.length + completed.length + quarantines.length > 0;
 
 /** What is new to the receivers, without the ages, which change all the time. */
-const segmentNewsKeys = ({crashes, completed}: SegmentNews): unknown => [crashes.map(({endpoint}) => endpoint), completed.map(({segment}) => segment)];
+const segmentNewsKeys = ({crashes, completed, quarantines}: SegmentNews): unknown =>
+	[crashes.map(({endpoint}) => endpoint), [...completed, ...quarantines].map(({segment}) => segment)];
 
 const roundAges = (news: SegmentNews): SegmentNews => ({
 	crashes: news.crashes.map(crash => ({...crash, ageMs: Math.round(crash.ageMs), startedBeforeMs: Math.round(crash.startedBeforeMs)})),
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -55,7 +55,7 @@
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
 	/** Called when the quarantine of another entry or of the store is adopted. */
 	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
-	/** Called when a completed run of this entry has ended a quarantine. */
+	/** Called when a completed run has ended a quarantine. */
 	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
 
@@ -98,15 +98,9 @@
 
 	/** Records a run that has completed; `beganMs` is the time of its first token. */
 	recordCompletedRun(segments: readonly SegmentKey[], beganMs: number): void {
-		const quarantined = this.#segments.quarantines.map(({segment}) => segment);
-		for (const segment of this.#segments.recordCompletedRun(segments, beganMs)) {
+		for (const segment of this.#clear(segments, beganMs)) {
 			this.#sentCompleted.set(segment, this.#options.clock.nowMs() + resendMs);
 		}
-
-		const stillQuarantined = new Set(this.#segments.quarantines.map(({segment}) => segment));
-		for (const segment of quarantined.filter(item => !stillQuarantined.has(item))) {
-			this.#options.onQuarantineEnd(segment);
-		}
 	}
 
 	/** Time until a request with these segments may run; undefined if it may run now. */
@@ -133,7 +127,7 @@
 			crashes: this.#sentCrashes.slice(-maxCrashesPerMessage).map(({endpoint, atMs, startedMs, runs}) => ({
 				endpoint, ageMs: nowMs - atMs, startedBeforeMs: atMs - startedMs, runs: runs.slice(0, maxRunsPerCrash).map(run => run.slice(-maxSegmentsPerRun)),
 			})),
-			completed: [...this.#sentCompleted.keys()].slice(-maxCompletedPerMessage).map(segment => ({segment, ageMs: nowMs - this.#segments.completedMs(segment)!})),
+			completed: this.#completedToSend(nowMs),
 			quarantines,
 		};
 	}
@@ -141,7 +135,7 @@
 	applyPeerNews({crashes, completed, quarantines}: SegmentNews): void {
 		const nowMs = this.#options.clock.nowMs();
 		for (const {segment, ageMs} of completed) {
-			this.#segments.recordCompletedRun([segment], nowMs - ageMs);
+			this.#clear([segment], nowMs - ageMs);
 		}
 
 		for (const {endpoint, ageMs, startedBeforeMs, runs} of crashes) {
@@ -170,12 +164,31 @@
 		}
 	}
 
+	/** Records a completed run. Returns its segments that were suspected. */
+	#clear(segments: readonly SegmentKey[], beganMs: number): SegmentKey[] {
+		const quarantined = this.#segments.quarantines.map(({segment}) => segment);
+		const suspects = this.#segments.recordCompletedRun(segments, beganMs);
+		const stillQuarantined = new Set(this.#segments.quarantines.map(({segment}) => segment));
+		for (const segment of quarantined.filter(item => !stillQuarantined.has(item))) {
+			this.#options.onQuarantineEnd(segment);
+		}
+
+		return suspects;
+	}
+
 	#record(crash: SegmentCrash): void {
 		for (const quarantine of this.#segments.recordCrash(crash)) {
 			this.#options.onQuarantine(quarantine);
 		}
 	}
 
+	#completedToSend(nowMs: number): CompletedSegment[] {
+		return [...this.#sentCompleted.keys()].slice(-maxCompletedPerMessage).flatMap(segment => {
+			const completedMs = this.#segments.completedMs(segment);
+			return completedMs === undefined ? [] : [{segment, ageMs: nowMs - completedMs}];
+		});
+	}
+
 	#quarantinesToSend(nowMs: number): SentQuarantine[] {
 		if (nowMs - this.#quarantinesSentMs < quarantineIntervalMs) {
 			return [];
