Ask the agent to send again when a stream makes no progress

Cause: a frame that arrives out of order while a resume is under way is dropped, since the resume sends it again. The frames of that resume can arrive out of order, too, and are then dropped before the entry has taken the resume's answer. If the stream has ended, no other frame shows the gap. Since such an attempt no longer ends after 10 s when no retry is left, so it waited until the route's limit.

Change: an attempt without progress for three tenths of the limit for progress, and again after each further three tenths, asks the agent to send from the next position. An agent that does not have the stream any more ends the attempt at once.

--- a/packages/entry/src/__tests__/model.test.ts
+++ b/packages/entry/src/__tests__/model.test.ts
@@ -192,6 +192,45 @@
 			}, inOrder));
 		});
 
+		describe('a stream that makes no progress', () => {
+			it('is sent again from where it stopped; guards against callers that wait for frames dropped during a resume', async () => withEntry(async world => {
+				const resumed: number[] = [];
+				await addEngine(world, (params, peer) => {
+					sendTokens(peer, params, 0, ['one ']);
+					sendTokens(peer, params, 2, ['three']);
+				}, {
+					'request.resume'(params, peer) {
+						resumed.push(params.position);
+						if (params.position === 2) {
+							sendTokens(peer, params, 2, ['three']);
+							sendEnd(peer, params, 3);
+							return {resumed: true};
+						}
+
+						// The entry drops the later frame, because it waits for the answer to the resume.
+						sendTokens(peer, params, 2, ['three']);
+						sendTokens(peer, params, 1, ['two ']);
+						return {resumed: true};
+					},
+				});
+				assert.is(await textOf(await complete(world)), 'one two three');
+				assert.equal(resumed, [1, 2]);
+			}));
+
+			it('fails at once when its agent does not have it; guards against callers that wait for an answer that cannot come', async () => withEntry(async world => {
+				await addEngine(world, (params, peer) => {
+					sendTokens(peer, params, 0, ['one ']);
+				}, {
+					'request.resume'() {
+						throw createRequestError('this agent does not have the request', {code: 'unknown-request', ran: 'unknown', status: 404});
+					},
+				});
+				const startMs = performance.now();
+				assert.is(await describeError(await complete(world)), '502 endpoint-failed ran retry');
+				assert.ok(performance.now() - startMs < 1000);
+			}));
+		});
+
 		describe('an agent that cannot be reached', () => {
 			/** Longer than the entry waits for a new connection before it looks for another endpoint. */
 			const disconnectedMs = 700;
--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -21,11 +21,15 @@
 const retentionMs = 10_000;
 /** An agent that leaves more gaps than this in one stream is not able to deliver it. */
 const maxResumes = 5;
+/** An agent's answer to a resume of a stream that it does not hold. */
+const unknownRequestCode = 'unknown-request';
 /** Far more than the longest answer; a stream beyond it is not an answer. */
 const maxAnswerBytes = 8 * 1024 * 1024;
 
-/** How often a stalled attempt asks whether another one may take over, as a fraction of the limit for progress. */
-const stallCheckFraction = 0.1;
+/** A stream without progress is checked this many times within the limit for progress, and as often after it. */
+const checksPerLimit = 10;
+/** The agent is asked to send again at every so many checks, which leaves an engine time for its first token. */
+const checksPerResend = 3;
 
 /** How an attempt ended. */
 export type AttemptOutcome
@@ -58,6 +62,8 @@
 	#hasListener = true;
 	#resumes = 0;
 	#progressTimer: NodeJS.Timeout | undefined;
+	/** Checks since the last progress. */
+	#checks = 0;
 
 	constructor(options: AttemptOptions) {
 		this.#options = options;
@@ -301,27 +307,53 @@
 	}
 
 	#noteProgress(): void {
-		this.#startProgressTimer(this.#options.progressLimitMs);
+		this.#checks = 0;
+		this.#startProgressTimer();
 	}
 
-	#startProgressTimer(limitMs: number): void {
+	#startProgressTimer(): void {
 		clearTimeout(this.#progressTimer);
 		this.#progressTimer = setTimeout(() => {
-			this.#handleStall();
-		}, limitMs);
+			this.#checkProgress();
+		}, this.#options.progressLimitMs / checksPerLimit);
 	}
 
 	/** A sound engine may stall and go on, so the attempt ends only when another one takes over. */
-	#handleStall(): void {
+	#checkProgress(): void {
 		if (this.#isSettled) {
 			return;
 		}
 
-		const {claimNextAttempt, progressLimitMs} = this.#options;
-		if (claimNextAttempt('no-progress')) {
+		this.#checks += 1;
+		if (this.#checks >= checksPerLimit && this.#options.claimNextAttempt('no-progress')) {
 			this.#fail({kind: 'no-progress', ran: 'unknown', code: 'no-progress'});
-		} else {
-			this.#startProgressTimer(progressLimitMs * stallCheckFraction);
+			return;
+		}
+
+		this.#startProgressTimer();
+		if (this.#checks % checksPerResend === 0) {
+			void this.#requestResend();
+		}
+	}
+
+	/**
+	 * Asks the agent to send again what follows the tokens received. A frame that arrives during a resume is dropped when it
+	 * is not the next one, and a stream that has ended sends no other frame that would show the gap.
+	 */
+	async #requestResend(): Promise<void> {
+		const {endpoint: {peer}, params: {requestId, attempt}, delivery} = this.#options;
+		if (!peer || !this.#isStarted || this.#isRecovering) {
+			return;
+		}
+
+		try {
+			await peer.call('request.resume', {requestId, attempt, position: delivery.tokens.length}, {timeoutMs: resumeTimeoutMs});
+		} catch (error) {
+			const {code} = classifyCallError(error);
+			// Other errors belong to the connection, whose end starts a resume of its own.
+			if (code === unknownRequestCode) {
+				this.#fail({kind: 'connection-lost', ran: 'unknown', code});
+			}
 		}
 	}
 
