Tell the other entries of the runs that began last before a crash

Cause: a report of a crash has room for two runs, and took the two that had begun first. A deadly run crashes its engine within about a tenth of a second of its beginning, so it is among the last.

Change: the runs of a crash are ordered by their start, the latest first.

Measured: the new test failed before (models/900 was sent).

--- a/packages/forward/src/__tests__/segment-quarantines.test.ts
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -93,6 +93,16 @@
 		assert.ok(started.remainingMs(segments)! > 0);
 	});
 
+	it('tells the others of the runs that began last; guards against engines that crash until the entry with the deadly run alone has learned it', () => {
+		const clock = createManualClock(10_000);
+		const guard = new SegmentQuarantines({
+			clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+		});
+		const runs = [900, 600, 300, 50].map(ageMs => ({segments: [brandAs<SegmentKey>(`models/${ageMs}`)], startedMs: clock.nowMs() - ageMs}));
+		guard.recordCrash('i-1', runs, clock.nowMs());
+		assert.equal(guard.newsToSend().crashes[0]?.runs[0], ['models/50']);
+	});
+
 	it('needs at most half of a datagram; guards against gossip that is split into packets and lost', () => {
 		const clock = createManualClock(1_000_000);
 		const guard = new SegmentQuarantines({
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -84,7 +84,8 @@
 
 	/** Records a crash of an endpoint at which these runs had just begun. */
 	recordCrash(endpoint: string, brokenRuns: readonly CrashedRun[], atMs: number): void {
-		const runs = brokenRuns.filter(({segments}) => segments.length > 0);
+		// The latest first: a deadly run crashes its engine soon after it begins, and messages have room for the first runs only.
+		const runs = brokenRuns.filter(({segments}) => segments.length > 0).toSorted((a, b) => b.startedMs - a.startedMs);
 		if (runs.length === 0) {
 			return;
 		}
