Do not quarantine a prompt segment whose crashes another segment explains

Cause: a rare sound segment that is present at three crashes before a run with it completes cannot be told from a deadly one at that moment. Once the deadly segment is known and has more crashes, the three are explained, but the wrong quarantine went on for its 20 s and was adopted by the other entries again and again.

Change: a quarantine ends, and one of another entry is not adopted, if fewer than the needed crashes are left without those at which a quarantined segment with strictly more crashes was present. The deadly segment is the one whose count goes on growing, so a wrong quarantine hides it for one crash at most. The end is logged and removes the row in the store, as one by a completed run does. An adoption is reported only if the segment itself is in quarantine afterwards. The crashes are a module of their own.

--- a/packages/core/src/forwarding/__tests__/crashing-segments.test.ts
+++ b/packages/core/src/forwarding/__tests__/crashing-segments.test.ts
@@ -188,6 +188,49 @@
 			assert.not(isQuarantined('dead'));
 		});
 
+		describe('of a segment that was present by chance', () => {
+			/** A power failure, and two engines that another segment crashes, hit runs with the segment. */
+			const quarantineByChance = ({crash}: World): void => {
+				crash('i-1', keys('rare'));
+				crash('i-2', keys('dead'), keys('rare'));
+				crash('i-3', keys('dead'), keys('rare'));
+			};
+
+			it('ends once a segment with more crashes explains them; guards against sound requests rejected for the whole quarantine', () => {
+				const world = createWorld();
+				quarantineByChance(world);
+				assert.ok(world.isQuarantined('rare'));
+				world.crash('i-4', keys('dead'));
+				world.crash('i-5', keys('dead'));
+				assert.not(world.isQuarantined('rare'));
+				assert.ok(world.isQuarantined('dead'));
+			});
+
+			it('is not adopted from another entry that lacks the explanation; guards against entries that bring it back again and again', () => {
+				const [here, other] = [createWorld(), createWorld()];
+				quarantineByChance(other);
+				quarantineByChance(here);
+				here.crash('i-4', keys('dead'));
+				here.crash('i-5', keys('dead'));
+				for (const quarantine of other.segments.quarantines) {
+					here.segments.adoptQuarantine(quarantine);
+				}
+
+				assert.not(here.isQuarantined('rare'));
+			});
+
+			it('hides the segment that crashes engines for one crash more at most; guards against engines lost while the wrong segment is quarantined', () => {
+				const {crash, isQuarantined} = createWorld();
+				crash('i-1', keys('rare'));
+				for (const endpoint of ['i-2', 'i-3', 'i-4']) {
+					crash(endpoint, keys('dead'), keys('rare'));
+				}
+
+				crash('i-5', keys('dead'));
+				assert.ok(isQuarantined('dead'));
+			});
+		});
+
 		it('is adopted from another entry, unless a run has completed since; guards against entries that keep each other from ending it', () => {
 			const {segments, clock, complete, isQuarantined} = createWorld();
 			clock.advance(10_000);
--- a/packages/core/src/forwarding/crashing-segments.ts
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -6,6 +6,9 @@
  */
 import type {Clock} from '../clock.js';
 import type {SegmentKey} from '../ids.js';
+import {
+	SegmentCrashes, wasAnyPresent, type CrashGroup, type SegmentCrash,
+} from './segment-crashes.js';
 
 /** A request that merely starts beside the one that crashes the engine is present at one or two crashes by chance. */
 const quarantineCrashes = 3;
@@ -22,30 +25,16 @@
 const maxRequestTimes = 64;
 /** Crashes that are further apart than this are not put down to one segment. */
 const suspicionMs = 60_000;
-/** Entries report one crash with times that differ by less than this. */
-const sameCrashMs = 1500;
-/** Crashes of several engines within this time may have a common cause, so they count once unless the later run began after the earlier crash. */
-const commonCauseMs = 500;
 /** A quarantine ends by itself, because the segment may have been present by chance or the engines repaired. It doubles each time, because a trial may cost an engine. */
 const firstQuarantineMs = 20_000;
 const maxQuarantineMs = 300_000;
 /** For this time after its quarantine a segment returns to it at the next crash. */
 const probationMs = 600_000;
-const maxCrashes = 64;
 /** Few runs begin at one engine at the same moment. */
 const maxRunsPerCrash = 12;
 /** Enough for the shared segments of some minutes. */
 const maxTrackedSegments = 4000;
 
-/** An engine that crashed, with the segments of each run that had just begun there. */
-export type SegmentCrash = {
-	readonly endpoint: string;
-	readonly atMs: number;
-	/** When the first of the runs was sent. */
-	readonly startedMs: number;
-	readonly runs: ReadonlyArray<readonly SegmentKey[]>;
-};
-
 /** A segment whose requests must not run. */
 export type SegmentQuarantine = {
 	readonly segment: SegmentKey;
@@ -56,14 +45,6 @@
 	readonly untilMs: number;
 };
 
-/** Crashes with a common cause. */
-type CrashGroup = {
-	readonly endpoints: Set<string>;
-	readonly atMs: number;
-	/** The suspected segments of each run. */
-	readonly runs: Map<string, readonly SegmentKey[]>;
-};
-
 const hasAll = (segments: readonly SegmentKey[], wanted: readonly SegmentKey[]): boolean => wanted.every(segment => segments.includes(segment));
 
 /** Puts an item at the end of a map, and drops the first one if there are too many. */
@@ -78,7 +59,7 @@
 
 export class CrashingSegments {
 	readonly #clock: Clock;
-	#crashes: CrashGroup[] = [];
+	readonly #crashes = new SegmentCrashes();
 	/** When the latest completed run of each segment began, the latest one last. */
 	readonly #completedMs = new Map<SegmentKey, number>();
 	/** Times of the latest requests of this entry with each segment that were allowed to run, the latest segment last. */
@@ -119,15 +100,11 @@
 	/** Records a crash. Returns the quarantines that it begins. */
 	recordCrash(crash: SegmentCrash): SegmentQuarantine[] {
 		this.#dropExpired();
-		const {endpoint, atMs, runs} = crash;
-		const group = this.#groupOf(crash);
-		group.endpoints.add(endpoint);
-		const suspected = runs.slice(0, maxRunsPerCrash).map(run => this.suspectedOf(run, atMs));
-		for (const run of suspected) {
-			group.runs.set(run.join(' '), run);
-		}
-
-		return [...new Set(suspected.flat())].flatMap(segment => this.#quarantineIfCounted(segment));
+		const runs = crash.runs.slice(0, maxRunsPerCrash).map(run => this.suspectedOf(run, crash.atMs));
+		this.#crashes.add({...crash, runs});
+		const begun = [...new Set(runs.flat())].flatMap(segment => this.#quarantineIfCounted(segment));
+		this.#endExplained();
+		return begun.filter(({segment}) => this.#quarantines.has(segment));
 	}
 
 	/** Records a run that completed. Returns its segments that were suspected or quarantined. */
@@ -169,6 +146,10 @@
 			return false;
 		}
 
+		if (this.#isExplained(segment)) {
+			return true;
+		}
+
 		const own = this.#quarantines.get(segment);
 		if (!own && this.#requestsSince(segment, this.#clock.nowMs() - requestWindowMs) > Math.max(quarantineCrashes, crashes.length) * maxRequestsPerCrash) {
 			return true;
@@ -210,34 +191,21 @@
 		}
 	}
 
-	#groupOf({endpoint, atMs, startedMs}: SegmentCrash): CrashGroup {
-		const isSameCause = (group: CrashGroup): boolean => {
-			const distanceMs = Math.abs(atMs - group.atMs);
-			return group.endpoints.has(endpoint) ? distanceMs < sameCrashMs : distanceMs < commonCauseMs && startedMs < group.atMs;
-		};
-
-		const known = this.#crashes.find(group => isSameCause(group));
-		if (known) {
-			return known;
-		}
-
-		const group: CrashGroup = {endpoints: new Set(), atMs, runs: new Map()};
-		this.#crashes = [...this.#crashes, group].slice(-maxCrashes);
-		return group;
-	}
-
 	/** Crashes for which the segment is suspected and that no completed run has cleared it of, the earliest first. */
 	#countedCrashes(segment: SegmentKey): CrashGroup[] {
-		return this.#crashes
-			.filter(({atMs, runs}) => !this.#hasCompletedSince(segment, atMs) && [...runs.values()].some(run => run.includes(segment)))
-			.toSorted((a, b) => a.atMs - b.atMs);
+		return this.#crashes.of(segment).filter(({atMs}) => !this.#hasCompletedSince(segment, atMs));
+	}
+
+	/** Crashes that a segment needs for its quarantine. */
+	#neededCrashes(segment: SegmentKey): number {
+		return this.#completedMs.has(segment) ? provenQuarantineCrashes : quarantineCrashes;
 	}
 
 	#quarantineIfCounted(segment: SegmentKey): SegmentQuarantine[] {
 		const nowMs = this.#clock.nowMs();
 		const crashes = this.#countedCrashes(segment);
 		const own = this.#quarantines.get(segment);
-		const needed = this.#completedMs.has(segment) ? provenQuarantineCrashes : quarantineCrashes;
+		const needed = this.#neededCrashes(segment);
 		if (crashes.length < (own ? 1 : needed) || this.#hasTooManyRequests(segment, crashes)) {
 			return [];
 		}
@@ -257,6 +225,30 @@
 		return isInEffect ? [] : [quarantine];
 	}
 
+	/**
+	 * Whether the segment is present at crashes by chance: without those that a quarantined segment with more crashes explains, too few are left for a
+	 * quarantine. The segment that crashes engines soon has the most crashes, so others cannot hide it for long.
+	 */
+	#isExplained(segment: SegmentKey): boolean {
+		const crashes = this.#countedCrashes(segment);
+		const causes = new Set(this.quarantines.map(other => other.segment).filter(other => this.#countedCrashes(other).length > crashes.length));
+		const unexplained = crashes.filter(crash => !wasAnyPresent(crash, causes));
+		return unexplained.length < crashes.length && unexplained.length < this.#neededCrashes(segment);
+	}
+
+	/** Ends the quarantines of segments that were present at crashes by chance, the ones with the fewest crashes last, as they explain no others. */
+	#endExplained(): void {
+		const quarantined = this.quarantines
+			.map(({segment}) => ({segment, crashes: this.#countedCrashes(segment).length}))
+			.toSorted((a, b) => b.crashes - a.crashes);
+		for (const {segment} of quarantined) {
+			if (this.#isExplained(segment)) {
+				this.#quarantines.delete(segment);
+				this.#quarantineCounts.delete(segment);
+			}
+		}
+	}
+
 	#hasTooManyRequests(segment: SegmentKey, crashes: readonly CrashGroup[]): boolean {
 		const sinceMs = Math.min(crashes[0]!.atMs, this.#clock.nowMs() - requestWindowMs);
 		return this.#requestsSince(segment, sinceMs) > crashes.length * maxRequestsPerCrash;
@@ -275,7 +267,7 @@
 
 	#dropExpired(): void {
 		const nowMs = this.#clock.nowMs();
-		this.#crashes = this.#crashes.filter(({atMs}) => nowMs - atMs < suspicionMs);
+		this.#crashes.dropBefore(nowMs - suspicionMs);
 		for (const [segment, {untilMs}] of this.#quarantines) {
 			if (nowMs >= untilMs + probationMs) {
 				this.#quarantines.delete(segment);
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -21,7 +21,8 @@
 export {SplitRejections} from './split-rejections.js';
 export {StallDetector, type StallListener} from './stall-detector.js';
 export {SegmentCache} from './segment-cache.js';
-export {CrashingSegments, type SegmentCrash, type SegmentQuarantine} from './crashing-segments.js';
+export {CrashingSegments, type SegmentQuarantine} from './crashing-segments.js';
+export {type SegmentCrash} from './segment-crashes.js';
 export {RequestArrivals, type ArrivingCall, type PlannedAttempt} from './request-arrivals.js';
 export {
 	RetryWindow, type RetryLimits, type RetryReservation, type RetryWindowOptions, type RetryWindowState,
--- a/packages/forward/src/__tests__/segment-quarantines.test.ts
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -103,6 +103,27 @@
 		assert.equal(guard.newsToSend().crashes[0]?.runs[0], ['models/50']);
 	});
 
+	it('reports the end of a quarantine whose crashes are put down to another segment; guards against a row in the store that starting entries adopt', () => {
+		const clock = createManualClock();
+		const ended: string[] = [];
+		const guard = new SegmentQuarantines({
+			clock,
+			onQuarantine: () => undefined,
+			onAdoption: () => undefined,
+			onQuarantineEnd(segment) {
+				ended.push(segment);
+			},
+		});
+		const crashes = [['rare'], ['dead', 'rare'], ['dead', 'rare'], ['dead'], ['dead']];
+		for (const [index, names] of crashes.entries()) {
+			clock.advance(1000);
+			guard.recordCrash(`i-${index}`, names.map(name => ({segments: [brandAs<SegmentKey>(name)], startedMs: clock.nowMs() - 100})), clock.nowMs());
+		}
+
+		assert.equal(ended, ['rare']);
+		assert.is(guard.count, 1);
+	});
+
 	it('needs at most half of a datagram; guards against gossip that is split into packets and lost', () => {
 		const clock = createManualClock(1_000_000);
 		const guard = new SegmentQuarantines({
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -63,7 +63,7 @@
 	/** Called when this entry quarantines a prompt segment, or adopts its quarantine. */
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
 	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
-	/** Called when a completed run has ended the quarantine of a prompt segment. */
+	/** Called when the quarantine of a prompt segment has ended early: a run with it has completed, or its crashes are put down to another segment. */
 	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
 
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -55,7 +55,7 @@
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
 	/** Called when the quarantine of another entry or of the store is adopted. */
 	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
-	/** Called when a completed run has ended a quarantine. */
+	/** Called when a quarantine has ended early: a run with its segment has completed, or its crashes are put down to another segment. */
 	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
 
@@ -152,37 +152,50 @@
 	/** Adopts quarantines of other entries or of the store. */
 	adopt(quarantines: readonly SentQuarantine[]): void {
 		const nowMs = this.#options.clock.nowMs();
-		const isQuarantined = new Set(this.#segments.quarantines.map(({segment}) => segment));
+		const earlier = this.#quarantined();
 		for (const {segment, companions, refutedAgeMs, remainingMs} of quarantines) {
 			const quarantine = {
 				segment, companions, refutedAfterMs: nowMs - refutedAgeMs, untilMs: nowMs + remainingMs,
 			};
 			if (!this.#segments.adoptQuarantine(quarantine)) {
 				this.#sentCompleted.set(segment, nowMs + resendMs);
-			} else if (!isQuarantined.has(segment) && this.#segments.quarantineRemainingMs([segment, ...companions]) !== undefined) {
+			} else if (!earlier.has(segment) && this.#quarantined().has(segment)) {
 				this.#options.onAdoption(quarantine);
 			}
 		}
 	}
 
+	#quarantined(): ReadonlySet<SegmentKey> {
+		return new Set(this.#segments.quarantines.map(({segment}) => segment));
+	}
+
 	/** Records a completed run. Returns its segments that were suspected. */
 	#clear(segments: readonly SegmentKey[], beganMs: number): SegmentKey[] {
-		const quarantined = this.#segments.quarantines.map(({segment}) => segment);
+		const earlier = this.#quarantined();
 		const suspects = this.#segments.recordCompletedRun(segments, beganMs);
-		const stillQuarantined = new Set(this.#segments.quarantines.map(({segment}) => segment));
-		for (const segment of quarantined.filter(item => !stillQuarantined.has(item))) {
-			this.#options.onQuarantineEnd(segment);
-		}
-
+		this.#reportEnded(earlier);
 		return suspects;
 	}
 
 	#record(crash: SegmentCrash): void {
-		for (const quarantine of this.#segments.recordCrash(crash)) {
+		const earlier = this.#quarantined();
+		const begun = this.#segments.recordCrash(crash);
+		this.#reportEnded(earlier);
+		for (const quarantine of begun) {
 			this.#options.onQuarantine(quarantine);
 		}
 	}
 
+	/** Reports the quarantines that were in effect before a change and have ended with it. */
+	#reportEnded(earlier: ReadonlySet<SegmentKey>): void {
+		const quarantined = this.#quarantined();
+		for (const segment of earlier) {
+			if (!quarantined.has(segment)) {
+				this.#options.onQuarantineEnd(segment);
+			}
+		}
+	}
+
 	#completedToSend(nowMs: number): CompletedSegment[] {
 		return [...this.#sentCompleted.keys()].slice(-maxCompletedPerMessage).flatMap(segment => {
 			const completedMs = this.#segments.completedMs(segment);
