Do not send a request to an engine on a connection that a pause held up

Cause: an agent that was paused refuses what waits, but a request whose connection to the engine was being opened at the pause had left the queue already. When the agent goes on, its event loop finds the connection open before the timer of the connect timeout runs, and sends the request.

Change: a connection that took longer than the connect timeout by the clock counts as timed out, whichever of the two events comes first. Nothing has been sent then, so the request is reported as not run.

--- a/packages/agent/src/engine-client.ts
+++ b/packages/agent/src/engine-client.ts
@@ -2,10 +2,13 @@
  * HTTP client of the engine interface in section 7 of docs/design.md. It checks everything that the engine answers, and
  * a failure says whether the request may have run and whether the connection broke.
  */
+import type {Clock} from '@hawthorncleat/core';
 import {
 	validate, validators, type CacheEvent, type EngineOrder, type EngineState, type GenerateParams, type PrefillResult,
 } from '@hawthorncleat/schema';
-import {Agent, request, type Dispatcher} from 'undici';
+import {
+	Agent, buildConnector, errors, request, type Dispatcher,
+} from 'undici';
 import {
 	brokenConnection, createEngineFailure, invalidResponse, isEngineFailure, readAnswer, readEvents, readPrefillResult, type EngineBatch,
 } from './engine-answer.js';
@@ -37,12 +40,34 @@
 export const isEngineGone = (error: unknown): boolean =>
 	!isEngineFailure(error) && !timeoutErrors.has((error as Error | undefined)?.name ?? '') && !(error instanceof SyntaxError);
 
+/**
+ * Opens connections within the limit. After a pause of this process a connection can be found open before the timer of its limit has run; the request
+ * that waits for it may be seconds old, and the host may have begun to leave.
+ */
+const createConnector = (clock: Clock): buildConnector.connector => {
+	const connect = buildConnector({timeout: connectTimeoutMs});
+	return (options, callback) => {
+		const startedMs = clock.nowMs();
+		connect(options, (...[error, socket]) => {
+			if (error) {
+				callback(error, null);
+			} else if (clock.nowMs() - startedMs > connectTimeoutMs) {
+				socket.destroy();
+				callback(new errors.ConnectTimeoutError(`the connection took longer than ${connectTimeoutMs} ms`), null);
+			} else {
+				callback(null, socket);
+			}
+		});
+	};
+};
+
 /** Creates the client of the engine at `baseUrl`. */
-export const createEngineClient = (baseUrl: string, maxRunning: number): EngineClient => {
+export const createEngineClient = (baseUrl: string, maxRunning: number, clock: Clock): EngineClient => {
+	const connect = createConnector(clock);
 	// Each stream has a connection of its own: a reused one that the engine just closed would look like a crash.
-	const streams = new Agent({connections: maxRunning + 1, pipelining: 0, connect: {timeout: connectTimeoutMs}});
-	const events = new Agent({connections: 1, connect: {timeout: connectTimeoutMs}});
-	const control = new Agent({connections: controlConnections, pipelining: 1, connect: {timeout: connectTimeoutMs}});
+	const streams = new Agent({connections: maxRunning + 1, pipelining: 0, connect});
+	const events = new Agent({connections: 1, connect});
+	const control = new Agent({connections: controlConnections, pipelining: 1, connect});
 	const post = async (path: string, body: unknown): Promise<Dispatcher.ResponseData> => request(new URL(path, baseUrl), {
 		method: 'POST',
 		headers: {'content-type': 'application/json'},
--- a/packages/agent/src/start-agent.ts
+++ b/packages/agent/src/start-agent.ts
@@ -78,7 +78,7 @@
 		incarnation,
 		kvUrl: settings.kvUrl || endpointUrl,
 		limits: {maxRunning, maxWaitingTokens},
-		engine: createEngineClient(endpointUrl, maxRunning),
+		engine: createEngineClient(endpointUrl, maxRunning, clock),
 		table,
 		clock,
 		log,
