Move the resume and the checks for progress out of the attempt of a stream

Change: stream-resume.ts and progress-check.ts; the two calls of request.resume are one function. Behaviour is unchanged.

--- a/packages/entry/src/stream-attempt.ts
+++ b/packages/entry/src/stream-attempt.ts
@@ -11,26 +11,15 @@
 	type RequestStartParams,
 	type RequestStartResult,
 } from '@hawthorncleat/schema';
-import type {Peer} from '@hawthorncleat/wire';
-import {classifyCallError, isConnectionLoss, type AttemptFailure} from './attempt-failure.js';
+import {classifyCallError, type AttemptFailure} from './attempt-failure.js';
 import type {Endpoint, StreamListener} from './endpoint.js';
+import {ProgressCheck} from './progress-check.js';
+import {StreamResume} from './stream-resume.js';
 
 const startTimeoutMs = 3000;
-const resumeTimeoutMs = 3000;
-/** An agent cancels a stream that has had no listener for this long. */
-const retentionMs = 10_000;
-/** An agent that leaves more gaps than this in one stream is not able to deliver it. */
-const maxResumes = 5;
-/** An agent's answer to a resume of a stream that it does not hold. */
-const unknownRequestCode = 'unknown-request';
 /** Far more than the longest answer; a stream beyond it is not an answer. */
 const maxAnswerBytes = 8 * 1024 * 1024;
 
-/** A stream without progress is checked this many times within the limit for progress, and as often after it. */
-const checksPerLimit = 10;
-/** The agent is asked to send again at every so many checks, which leaves an engine time for its first token. */
-const checksPerResend = 3;
-
 /** How an attempt ended. */
 export type AttemptOutcome
 	= | {readonly kind: 'end'; readonly end: FrameEnd}
@@ -55,18 +44,31 @@
 export class StreamAttempt implements StreamListener {
 	readonly #options: AttemptOptions;
 	readonly #outcome: Promise<AttemptOutcome>;
+	readonly #progress: ProgressCheck;
+	readonly #resume: StreamResume;
 	#settle!: (outcome: AttemptOutcome) => void;
 	#isSettled = false;
 	#isStarted = false;
-	#isRecovering = false;
 	#hasListener = true;
-	#resumes = 0;
-	#progressTimer: NodeJS.Timeout | undefined;
-	/** Checks since the last progress. */
-	#checks = 0;
 
 	constructor(options: AttemptOptions) {
 		this.#options = options;
+		this.#progress = new ProgressCheck({
+			limitMs: options.progressLimitMs,
+			giveUp: () => this.#giveUpStalled(),
+			requestResend: () => {
+				this.#requestResend();
+			},
+		});
+		this.#resume = new StreamResume({
+			...options,
+			position: () => options.delivery.tokens.length,
+			isSettled: () => this.#isSettled,
+			claimNextAttempt: () => options.claimNextAttempt('connection-lost'),
+			fail: failure => {
+				this.#fail(failure);
+			},
+		});
 		this.#outcome = new Promise(resolve => {
 			this.#settle = outcome => {
 				this.#isSettled = true;
@@ -88,7 +90,7 @@
 		signal.addEventListener('abort', abort, {once: true});
 		endpoint.streams.set(params.requestId, this);
 		try {
-			this.#noteProgress();
+			this.#progress.noteProgress();
 			void this.#start();
 			return await this.#outcome;
 		} finally {
@@ -110,7 +112,7 @@
 
 		// A frame that ends before the next position is a duplicate; any other one shows that frames are missing.
 		if (frame.position > next || frame.position + frame.tokens.length > next) {
-			void this.#recover();
+			void this.#resume.recover();
 		}
 	}
 
@@ -132,7 +134,7 @@
 
 	onConnectionLost(): void {
 		if (this.#isStarted && !this.#isSettled) {
-			void this.#recover();
+			void this.#resume.recover();
 		}
 	}
 
@@ -152,7 +154,7 @@
 			this.#noteQueueOf(failure);
 			this.#isStarted = failure.kind === 'connection-lost';
 			if (this.#isStarted) {
-				await this.#recover();
+				await this.#resume.recover();
 				return;
 			}
 
@@ -170,7 +172,7 @@
 
 		this.#options.endpoint.noteQueue(checked.value.queuedTokens);
 		if (!this.#options.endpoint.peer) {
-			void this.#recover();
+			void this.#resume.recover();
 		}
 	}
 
@@ -196,7 +198,7 @@
 			return;
 		}
 
-		this.#noteProgress();
+		this.#progress.noteProgress();
 		for (const token of frame.tokens) {
 			delivery.tokens.push(token);
 		}
@@ -232,128 +234,19 @@
 		this.#settle({kind: 'end', end});
 	}
 
-	/** Resumes the stream at the next position, on a new connection if the old one is lost. */
-	async #recover(): Promise<void> {
-		if (this.#isRecovering || this.#isSettled) {
-			return;
-		}
-
-		this.#isRecovering = true;
-		try {
-			await this.#resumeUntilAnswered();
-		} catch (error) {
-			const {code} = classifyCallError(error);
-			this.#fail({kind: 'connection-lost', ran: 'unknown', code});
-		} finally {
-			this.#isRecovering = false;
-		}
-	}
-
-	/**
-	 * The resume itself may meet a connection that has gone silent but is not yet known to be lost: a call without an answer
-	 * times out about when the silence is noticed.
-	 */
-	async #resumeUntilAnswered(): Promise<void> {
-		for (;;) {
-			this.#resumes += 1;
-			try {
-				await this.#resumeOnce();
-				return;
-			} catch (error) {
-				if (this.#isSettled || !isConnectionLoss(error)) {
-					throw error;
-				}
-			}
-		}
-	}
-
-	async #resumeOnce(): Promise<void> {
-		const {endpoint, params, delivery} = this.#options;
-		if (this.#resumes > maxResumes) {
-			this.#fail({kind: 'invalid-response', ran: 'ran', code: 'too-many-gaps'});
-			return;
-		}
-
-		const peer = await this.#waitForPeer();
-		if (this.#isSettled) {
-			return;
-		}
-
-		if (!peer || endpoint.incarnation !== params.incarnation) {
-			this.#fail({kind: 'connection-lost', ran: 'unknown', code: 'connection-lost'});
-			return;
-		}
-
-		const {requestId, attempt} = params;
-		const position = delivery.tokens.length;
-		await peer.call('request.resume', {requestId, attempt, position}, {timeoutMs: resumeTimeoutMs});
-	}
-
-	/** Waits for a connection as long as the agent holds the stream, or until another attempt takes over. */
-	async #waitForPeer(): Promise<Peer | undefined> {
-		const {endpoint, resumeWaitMs, claimNextAttempt} = this.#options;
-		for (let waitedMs = 0; waitedMs < retentionMs; waitedMs += resumeWaitMs) {
-			const peer = await endpoint.waitForPeer(resumeWaitMs);
-			if (peer) {
-				return peer;
-			}
-
-			if (this.#isSettled || endpoint.isClosed || claimNextAttempt('connection-lost')) {
-				return undefined;
-			}
-		}
-
-		return undefined;
-	}
-
-	#noteProgress(): void {
-		this.#checks = 0;
-		this.#startProgressTimer();
-	}
-
-	#startProgressTimer(): void {
-		clearTimeout(this.#progressTimer);
-		this.#progressTimer = setTimeout(() => {
-			this.#checkProgress();
-		}, this.#options.progressLimitMs / checksPerLimit);
-	}
-
 	/** A sound engine may stall and go on, so the attempt ends only when another one takes over. */
-	#checkProgress(): void {
-		if (this.#isSettled) {
-			return;
-		}
-
-		this.#checks += 1;
-		if (this.#checks >= checksPerLimit && this.#options.claimNextAttempt('no-progress')) {
+	#giveUpStalled(): boolean {
+		const isReplaced = this.#options.claimNextAttempt('no-progress');
+		if (isReplaced) {
 			this.#fail({kind: 'no-progress', ran: 'unknown', code: 'no-progress'});
-			return;
 		}
 
-		this.#startProgressTimer();
-		if (this.#checks % checksPerResend === 0) {
-			void this.#requestResend();
-		}
+		return isReplaced;
 	}
 
-	/**
-	 * Asks the agent to send again what follows the tokens received. A frame that arrives during a resume is dropped when it
-	 * is not the next one, and a stream that has ended sends no other frame that would show the gap.
-	 */
-	async #requestResend(): Promise<void> {
-		const {endpoint: {peer}, params: {requestId, attempt}, delivery} = this.#options;
-		if (!peer || !this.#isStarted || this.#isRecovering) {
-			return;
-		}
-
-		try {
-			await peer.call('request.resume', {requestId, attempt, position: delivery.tokens.length}, {timeoutMs: resumeTimeoutMs});
-		} catch (error) {
-			const {code} = classifyCallError(error);
-			// Other errors belong to the connection, whose end starts a resume of its own.
-			if (code === unknownRequestCode) {
-				this.#fail({kind: 'connection-lost', ran: 'unknown', code});
-			}
+	#requestResend(): void {
+		if (this.#isStarted) {
+			void this.#resume.requestResend();
 		}
 	}
 
@@ -365,7 +258,7 @@
 
 	#release(): void {
 		const {endpoint, params} = this.#options;
-		clearTimeout(this.#progressTimer);
+		this.#progress.stop();
 		if (endpoint.streams.get(params.requestId) === this) {
 			endpoint.streams.delete(params.requestId);
 		}
