--- a/packages/core/src/forwarding/crashing-segments.ts
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -135,7 +135,7 @@
 	}
 
 	/**
-	 * Adopts the quarantine of another entry, unless many requests here have the segment. Returns false if completed runs speak against it, so that the other
+	 * Adopts the quarantine of another entry, unless many requests here have the segment or another segment explains its crashes. Returns false if completed runs speak against it, so that the other
 	 * entry is to be informed: it may have started too late to know of them.
 	 */
 	adoptQuarantine(quarantine: SegmentQuarantine): boolean {
