--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -21,6 +21,8 @@
 export type Incarnation = Branded<string, 'Incarnation'>;
 export type LeaseEpoch = Branded<number, 'LeaseEpoch'>;
 export type OrderNumber = Branded<number, 'OrderNumber'>;
+/** How often the platform's store has returned from an older copy. It has then lost acknowledged writes; 0 means never. */
+export type StoreGeneration = Branded<number, 'StoreGeneration'>;
 export type WindowId = Branded<string, 'WindowId'>;
 export type Fingerprint = Branded<string, 'Fingerprint'>;
 /** A prompt segment of one service. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 	type OrderNumber,
 	type RequestId,
 	type SegmentKey,
+	type StoreGeneration,
 	type WindowId,
 } from './ids.js';
 export type {ConfigView, ResolvedKey, ResolvedRoute} from './config/view.js';
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -3,7 +3,7 @@
  * whether a write may have taken effect, because a response may be lost after the write.
  */
 import type {TableRow, Transaction} from '@hawthorncleat/schema';
-import {BaseError} from '@hawthorncleat/core';
+import {BaseError, type StoreGeneration} from '@hawthorncleat/core';
 
 /** Whether a failed write may have taken effect. */
 export type WriteOutcome = 'not-written' | 'unknown';
@@ -25,6 +25,8 @@
 
 /** The transactional table. Every method rejects with a `StoreError` when the table cannot be reached. */
 export type Table = {
+	/** Newest generation that an answer of the store had. Absent in a table that never loses an acknowledged write. */
+	readonly generation?: () => StoreGeneration;
 	read(key: string): Promise<TableRow | undefined>;
 	scan(prefix: string, options?: {readonly limit?: number; readonly after?: string}): Promise<TableRow[]>;
 	transact(transaction: Transaction): Promise<TransactResult>;
