Tell in the log and the metrics who closed a caller's connection

Change: a request line has the code entry-closed if this entry closed the connection. A stop closes its idle connections itself, so that each one is counted.

--- /dev/null
+++ b/packages/forward/src/__tests__/caller-connections.test.ts
@@ -0,0 +1,99 @@
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {
+	describe, it, loopback, waitUntil,
+} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {CallerConnections, type CloseReason} from '../caller-connections.js';
+import {CallerExchange} from '../caller-exchange.js';
+
+const head = 'GET /x HTTP/1.1\r\nhost: h.example\r\n\r\n';
+
+type Fixture = {
+	readonly connections: CallerConnections;
+	readonly closeReasons: CloseReason[];
+	/** Exchanges in the order of their requests. */
+	readonly exchanges: CallerExchange[];
+	readonly answers: ServerResponse[];
+	/** Opens a connection and writes these bytes. Resolves when the server has read them. */
+	openWith(bytes: string): Promise<Socket>;
+};
+
+const withServer = async (body: (fixture: Fixture) => Promise<void>): Promise<void> => {
+	const closeReasons: CloseReason[] = [];
+	const connections = new CallerConnections(reason => {
+		closeReasons.push(reason);
+	});
+	const exchanges: CallerExchange[] = [];
+	const answers: ServerResponse[] = [];
+	const accepted: Socket[] = [];
+	const server = createServer((req, res) => {
+		connections.recordRequest(req, res);
+		exchanges.push(new CallerExchange(res, {nowMs: () => 0}));
+		answers.push(res);
+	});
+	connections.track(server);
+	server.on('connection', socket => {
+		accepted.push(socket);
+	});
+	server.listen(0, loopback);
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	try {
+		await body({
+			connections,
+			closeReasons,
+			exchanges,
+			answers,
+			async openWith(bytes) {
+				const index = accepted.length;
+				const socket = connect(port, loopback);
+				socket.on('error', () => undefined);
+				socket.resume();
+				socket.write(bytes);
+				await waitUntil(() => (accepted[index]?.bytesRead ?? -1) >= bytes.length, {what: 'the bytes'});
+				return socket;
+			},
+		});
+	} finally {
+		server.close();
+		server.closeAllConnections();
+	}
+};
+
+describe('the end of a connection of a caller', () => {
+	it('counts as the caller\'s if the caller closes it; guards against closes that are taken for those of the entry', async () => withServer(async ({openWith, exchanges, closeReasons}) => {
+		const ended = await openWith(head);
+		const reset = await openWith(head);
+		ended.end();
+		reset.resetAndDestroy();
+		await waitUntil(() => exchanges.every(({endReason}) => endReason !== undefined), {what: 'the ends'});
+		assert.equal(exchanges.map(({endReason}) => endReason), ['caller-left', 'caller-left']);
+		assert.equal(closeReasons, []);
+	}));
+
+	it('counts as the entry\'s if the entry closes it; guards against cut requests that are logged as left by their callers', async () => withServer(async ({openWith, exchanges, connections}) => {
+		await openWith(head);
+		connections.closeAll();
+		await waitUntil(() => exchanges[0]!.endReason !== undefined, {what: 'the end'});
+		assert.is(exchanges[0]!.endReason, 'entry-closed');
+		assert.equal(connections.counts.closed, {'stop-running': 1});
+	}));
+
+	it('is counted by what was read on it; guards against a stop that hides a request that was read', async () => withServer(async ({openWith, answers, connections, closeReasons}) => {
+		const idle = await openWith(head);
+		answers[0]!.end('x');
+		await once(idle, 'data');
+		await openWith('');
+		await openWith(head.slice(0, 20));
+		await openWith(head);
+		await waitUntil(() => connections.counts.connections === 4 && connections.counts.running === 1, {what: 'the requests'});
+		const {unused, receiving, running} = connections.counts;
+		assert.equal({unused, receiving, running}, {unused: 1, receiving: 1, running: 1});
+		connections.closeIdle();
+		assert.equal(closeReasons, ['stop-idle']);
+		connections.closeAll();
+		assert.equal(closeReasons.toSorted(), ['stop-idle', 'stop-receiving', 'stop-running', 'stop-unused']);
+	}));
+});
--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -1,27 +1,64 @@
 /**
- * Counts the open connections of callers by what happens on them, so that the log of a stop tells which ones it closed.
+ * Counts the open connections of callers by what happens on them, and closes them, so that the log and the metrics tell which ones the entry closed.
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-type Connection = {requests: number};
+type Connection = {
+	/** Requests so far. */
+	requests: number;
+	/** Requests that have been read and not answered completely. */
+	running: number;
+	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
+	bytesAtRest: number;
+};
+
+/**
+ * Why the entry closed a connection. `idle-limit`: it was idle for too long. The others are closed by a stop: `stop-idle` without a request,
+ * `stop-unused` without any request since it was opened, `stop-receiving` with part of the head of a request, `stop-running` with a request that had
+ * been read and not answered completely.
+ */
+export type CloseReason = 'idle-limit' | 'stop-idle' | 'stop-receiving' | 'stop-running' | 'stop-unused';
 
 export type ConnectionCounts = {
 	readonly connections: number;
 	/** Connections without a request so far. */
 	readonly unused: number;
+	/** Connections with part of the head of a request. */
+	readonly receiving: number;
 	/** Requests that have been read and not answered completely. */
 	readonly running: number;
 	/** All requests answered or closed since the start. */
 	readonly ended: number;
+	/** Connections that the entry has closed since the start. */
+	readonly closed: Readonly<Partial<Record<CloseReason, number>>>;
+};
+
+const stopReasonOf = (socket: Socket, {requests, running, bytesAtRest}: Connection): CloseReason => {
+	if (running > 0) {
+		return 'stop-running';
+	}
+
+	if (socket.bytesRead > bytesAtRest) {
+		return 'stop-receiving';
+	}
+
+	return requests === 0 ? 'stop-unused' : 'stop-idle';
 };
 
 export class CallerConnections {
 	readonly #open = new Map<Socket, Connection>();
+	readonly #closed = new Map<CloseReason, number>();
+	readonly #onClose: (reason: CloseReason) => void;
 	#accepted = 0;
 	#running = 0;
 	#ended = 0;
 
+	/** `onClose` is called for each connection that the entry closes. */
+	constructor(onClose: (reason: CloseReason) => void) {
+		this.#onClose = onClose;
+	}
+
 	/** Number of connections accepted since the start. */
 	get accepted(): number {
 		return this.#accepted;
@@ -32,12 +69,14 @@
 	}
 
 	get counts(): ConnectionCounts {
-		const connections = [...this.#open.values()];
+		const states = [...this.#open].map(([socket, connection]) => stopReasonOf(socket, connection));
 		return {
-			connections: connections.length,
-			unused: connections.filter(({requests}) => requests === 0).length,
+			connections: states.length,
+			unused: states.filter(state => state === 'stop-unused').length,
+			receiving: states.filter(state => state === 'stop-receiving').length,
 			running: this.#running,
 			ended: this.#ended,
+			closed: Object.fromEntries(this.#closed),
 		};
 	}
 
@@ -45,23 +84,54 @@
 	track(server: Server): void {
 		server.on('connection', socket => {
 			this.#accepted += 1;
-			this.#open.set(socket, {requests: 0});
+			this.#open.set(socket, {requests: 0, running: 0, bytesAtRest: 0});
 			socket.once('close', () => {
 				this.#open.delete(socket);
 			});
 		});
 	}
 
-	recordRequest(req: IncomingMessage, res: ServerResponse): void {
-		const connection = this.#open.get(req.socket);
+	recordRequest({socket}: IncomingMessage, res: ServerResponse): void {
+		const connection = this.#open.get(socket);
 		if (connection) {
 			connection.requests += 1;
+			connection.running += 1;
 		}
 
 		this.#running += 1;
 		res.once('close', () => {
 			this.#running -= 1;
 			this.#ended += 1;
+			if (connection) {
+				connection.running -= 1;
+				connection.bytesAtRest = socket.bytesRead;
+			}
 		});
 	}
+
+	close(socket: Socket, reason: CloseReason): void {
+		if (socket.destroyed) {
+			return;
+		}
+
+		this.#closed.set(reason, (this.#closed.get(reason) ?? 0) + 1);
+		this.#onClose(reason);
+		socket.destroy();
+	}
+
+	/** Closes the connections without a request during a stop. A connection that has had none yet may still get its first one. */
+	closeIdle(): void {
+		for (const [socket, connection] of this.#open) {
+			if (stopReasonOf(socket, connection) === 'stop-idle') {
+				this.close(socket, 'stop-idle');
+			}
+		}
+	}
+
+	/** Closes the connections that are left when the entry ends. */
+	closeAll(): void {
+		for (const [socket, connection] of this.#open) {
+			this.close(socket, stopReasonOf(socket, connection));
+		}
+	}
 }
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -4,14 +4,18 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Clock} from '@hawthorncleat/core';
 import type {OutgoingHeaders} from './ports.js';
 
-/** Why a request ended before its answer was complete. */
-export type EndReason = 'caller-left' | 'timeout';
+/** Why a request ended before its answer was complete. `entry-closed`: this entry closed the connection. */
+export type EndReason = 'caller-left' | 'entry-closed' | 'timeout';
 
 const endReasonError = (reason: EndReason): Error => Object.assign(new Error(reason), {reason});
 
+/** Who closed a connection. A caller that closes it leaves the end of its data or an error. */
+const closeReasonOf = ({readableEnded, errored}: Socket): EndReason => readableEnded || errored ? 'caller-left' : 'entry-closed';
+
 export class CallerExchange {
 	readonly startedMs: number;
 	deadlineMs = Number.POSITIVE_INFINITY;
@@ -25,10 +29,11 @@
 		this.#res = res;
 		this.#clock = clock;
 		this.startedMs = clock.nowMs();
+		const {socket} = res.req;
 		res.once('close', () => {
 			clearTimeout(this.#timer);
 			if (!res.writableFinished) {
-				this.#end('caller-left');
+				this.#end(closeReasonOf(socket));
 			}
 		});
 	}
@@ -52,6 +57,11 @@
 		});
 	}
 
+	/** Whether its connection is closed. */
+	get isClosed(): boolean {
+		return this.#res.closed;
+	}
+
 	get remainingMs(): number {
 		return this.deadlineMs - this.#clock.nowMs();
 	}
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/finish-failed.ts
@@ -18,9 +18,12 @@
 
 const ranOf = ({mayHaveRun}: FailedRequest): Outcome['ran'] => mayHaveRun ? 'unknown' : 'not-run';
 
-/** Ends a request whose caller has left or whose deadline has passed. */
+/** Log status of a request whose connection is closed. It is never sent. */
+const closedStatus = 499;
+
+/** Ends a request whose connection is closed or whose deadline has passed. */
 export const finishAborted = ({exchange}: AdmittedRequest, request: FailedRequest): Outcome => ({
-	status: exchange.endReason === 'caller-left' ? 499 : 504,
+	status: exchange.isClosed ? closedStatus : 504,
 	code: exchange.endReason ?? 'timeout',
 	ran: ranOf(request),
 	attempts: request.tries,
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -30,12 +30,15 @@
 	readonly #deps: ForwardDaemonDeps;
 	readonly #components: ForwardComponents;
 	readonly #retryWindows = new Map<string, RetryWindow>();
-	readonly #connections = new CallerConnections();
+	readonly #connections: CallerConnections;
 
 	constructor(settings: ForwardSettings, deps: ForwardDaemonDeps) {
 		this.#settings = settings;
 		this.#deps = deps;
 		this.#components = createForwardComponents(settings, deps);
+		this.#connections = new CallerConnections(reason => {
+			this.#components.metrics.countClosedConnection(reason);
+		});
 	}
 
 	/** Runs the entry until `stop` aborts. The duties end at once; the other background tasks go on until the requests have ended. */
@@ -65,7 +68,12 @@
 		const callerServer = await startCallerServer(listen.callers, (req, res) => {
 			this.#connections.recordRequest(req, res);
 			void this.#serve(req, res);
-		}, () => this.#components.config.routes?.config.limits.idleTimeoutMs);
+		}, {
+			idleLimitMs: () => this.#components.config.routes?.config.limits.idleTimeoutMs,
+			closeIdle: socket => {
+				this.#connections.close(socket, 'idle-limit');
+			},
+		});
 		this.#connections.track(callerServer);
 		const internalServers = await startInternalServers(this.#settings, {
 			isReadinessPath: path => this.#deps.platform.wire.isReadinessPath(path),
@@ -93,6 +101,7 @@
 			log: this.#deps.log,
 		});
 		backgroundStop.abort();
+		this.#connections.closeAll();
 		for (const server of [callerServer, ...internalServers]) {
 			closeHttpServer(server);
 		}
@@ -100,7 +109,7 @@
 		await background;
 		await this.#components.usage.flush();
 		await this.#components.pool.destroy();
-		this.#deps.log.write('stopped', {});
+		this.#deps.log.write('stopped', {closed: this.#connections.counts.closed});
 	}
 
 	/**
--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/graceful-stop.ts
@@ -58,7 +58,7 @@
 };
 
 /** Waits until no request runs, or may still arrive on a connection that was accepted before the listening socket was closed. */
-const waitForRequests = async ({clock, server, connections, phases, limits}: GracefulStopOptions): Promise<void> => {
+const waitForRequests = async ({clock, connections, phases, limits}: GracefulStopOptions): Promise<void> => {
 	const closedMs = clock.nowMs();
 	const hasUnanswered = (): boolean => {
 		const {running, unused} = connections.counts;
@@ -68,7 +68,7 @@
 	while (hasUnanswered() && phases.stoppingMs < limits().stopMs) {
 		await sleep(pollMs);
 		await waitForPendingInput();
-		server.closeIdleConnections();
+		connections.closeIdle();
 	}
 };
 
@@ -89,8 +89,8 @@
 	const closeReason = await waitForStep('close', options);
 	logStep('closing', closeReason);
 	await acceptPending(options);
+	connections.closeIdle();
 	server.close();
-	server.closeIdleConnections();
 	await waitForRequests(options);
 	logStep('ending');
 };
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -4,6 +4,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {CloseReason} from './caller-connections.js';
 import type {RequestEnd} from './caller-handler.js';
 import type {AttemptReport, StallReport} from './forward-types.js';
 
@@ -16,6 +17,10 @@
 		name: 'hawthorncleat_forward_requests_total', help: 'Requests by result code', labelNames: ['code'], registers: [this.registry],
 	});
 
+	readonly #closedConnections = new Counter({
+		name: 'hawthorncleat_forward_closed_connections_total', help: 'Connections of callers that the entry closed, by reason', labelNames: ['reason'], registers: [this.registry],
+	});
+
 	readonly #deniedRetries = new Counter({
 		name: 'hawthorncleat_forward_denied_retries_total', help: 'Requests that ended after a failed attempt, by what denied another attempt', labelNames: ['reason'], registers: [this.registry],
 	});
@@ -60,6 +65,10 @@
 		name: 'hawthorncleat_forward_config_version', help: 'Version of the active configuration', registers: [this.registry],
 	});
 
+	countClosedConnection(reason: CloseReason): void {
+		this.#closedConnections.inc({reason});
+	}
+
 	countRequest({tookMs, outcome}: RequestEnd): void {
 		this.#requests.inc({code: outcome.code});
 		if (outcome.retryDenied) {
--- a/packages/forward/src/servers.ts
+++ b/packages/forward/src/servers.ts
@@ -23,6 +23,13 @@
 	return server;
 };
 
+export type IdleConnectionOptions = {
+	/** The present limit of the configuration. */
+	readonly idleLimitMs: () => number | undefined;
+	/** Closes a connection that has been idle for too long. */
+	readonly closeIdle: (socket: Socket) => void;
+};
+
 /** A connection since its last request began. */
 type IdleState = {
 	/** Limit that its last answer announced. */
@@ -32,11 +39,11 @@
 };
 
 /** Closes a connection unless a request has arrived on it that was not read yet, as after a pause of this process. */
-const closeIfIdle = async (socket: Socket): Promise<void> => {
+const closeIfIdle = async (socket: Socket, close: (socket: Socket) => void): Promise<void> => {
 	const {bytesRead} = socket;
 	await waitForPendingInput();
 	if (socket.bytesRead === bytesRead) {
-		socket.destroy();
+		close(socket);
 	}
 };
 
@@ -44,7 +51,7 @@
  * Starts the server for callers. An idle connection is held longer than the limit that was announced on it and longer than the present one, which
  * may change at any time.
  */
-export const startCallerServer = async (address: Address, listener: RequestListener, idleLimitMs: () => number | undefined): Promise<Server> => {
+export const startCallerServer = async (address: Address, listener: RequestListener, {idleLimitMs, closeIdle}: IdleConnectionOptions): Promise<Server> => {
 	const states = new WeakMap<Socket, IdleState>();
 	const server = await startHttpServer(address, (req, res) => {
 		states.set(req.socket, {announcedMs: server.keepAliveTimeout, heldMs: 0});
@@ -55,7 +62,7 @@
 	server.on('timeout', (socket: Socket) => {
 		const state = states.get(socket);
 		if (!state) {
-			socket.destroy();
+			closeIdle(socket);
 			return;
 		}
 
@@ -64,7 +71,7 @@
 		if (restMs > 0) {
 			socket.setTimeout(restMs);
 		} else {
-			void closeIfIdle(socket);
+			void closeIfIdle(socket, closeIdle);
 		}
 	});
 	return server;
