Answer 504 after an exception past the deadline

What callers saw: status 499, a 4xx of our own, for a request that was proper (rule DENIED). Cause: the handler turned any end reason of the exchange into an outcome with status 499, also timeout, and sent it.

--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -147,7 +147,8 @@
 		}).catch((error: unknown) => {
 			if (exchange.endReason !== undefined) {
 				return {
-					status: 499, code: exchange.endReason, ran: 'not-run', attempts: 0,
+					// 499 is for the log only: a caller that still waits must not get a 4xx.
+					status: exchange.endReason === 'timeout' ? 504 : 499, code: exchange.endReason, ran: 'not-run', attempts: 0,
 				};
 			}
 
