Answer requests whose handling throws, in one place

Cause: ForwardDaemon destroyed the connection after an exception. Change: early-end.ts decides for every end of a request how it is answered. An exception ends it with 500 internal-error, ran unknown, and a request line.

--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -57,9 +57,9 @@
 		});
 	}
 
-	/** Whether its connection is closed. */
-	get isClosed(): boolean {
-		return this.#res.closed;
+	/** Whether the whole answer was written. */
+	get isAnswered(): boolean {
+		return this.#res.writableEnded;
 	}
 
 	get remainingMs(): number {
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -7,6 +7,7 @@
 	pickService, type ForwardAccount, type ForwardRoute, type RouteTable,
 } from '@hawthorncleat/core';
 import {CallerExchange, readBody, waitForPendingInput} from './caller-exchange.js';
+import {createEarlyOutcome, finishExchange} from './early-end.js';
 import {forwardRequest} from './forward-request.js';
 import type {ForwardDeps, Outcome} from './forward-types.js';
 import type {CallerRequest} from './ports.js';
@@ -15,6 +16,8 @@
 	readonly routes: () => RouteTable | undefined;
 	readonly isStopping: () => boolean;
 	readonly onEnd: (end: RequestEnd) => void;
+	/** Reports an exception while a request was served. */
+	readonly onError: (error: unknown) => void;
 };
 
 /** The figures of a finished request that are logged and counted. */
@@ -60,35 +63,19 @@
 	return account ? {route, account} : reject(401, 'unknown-key');
 };
 
-const finishAnswer = (deps: CallerHandlerDeps, exchange: CallerExchange, requestId: string | undefined, outcome: Outcome): void => {
-	if (outcome.code === 'answered' || outcome.code === 'caller-left') {
-		return;
-	}
-
-	if (exchange.hasSentHead) {
-		if (outcome.code === 'timeout') {
-			exchange.closeConnection();
-		}
-
-		return;
-	}
-
-	const {headers, body} = deps.wire.writeRefusal({...outcome, requestId});
-	exchange.send(outcome.status, headers, body);
-};
-
-/** Reads the body of a request, or rejects the request when it is too long or not complete at its deadline. */
+/** Reads the body of a request, or rejects the request when it is too long or not complete when the request ends. */
 const receiveBody = async (req: IncomingMessage, exchange: CallerExchange, maxBytes: number): Promise<Buffer | Outcome> => {
 	try {
 		return await Promise.race([readBody(req, maxBytes), exchange.rejectAtEnd()]) ?? reject(413, 'body-too-long');
 	} catch (error) {
-		if (exchange.endReason !== 'timeout') {
+		const {endReason} = exchange;
+		if (endReason === undefined) {
 			throw error;
 		}
 
 		// What still arrives of the body must not be read as another request.
 		exchange.closeAfterAnswer();
-		return reject(408, 'body-timeout');
+		return endReason === 'timeout' ? reject(408, 'body-timeout') : createEarlyOutcome(endReason, {ran: 'not-run', attempts: 0});
 	}
 };
 
@@ -112,9 +99,7 @@
 	// If the caller disconnected while this process was busy, the end of its connection arrived right after the request.
 	await waitForPendingInput();
 	if (req.socket.readableEnded) {
-		return {
-			status: 499, code: 'caller-left', ran: 'not-run', attempts: 0,
-		};
+		return createEarlyOutcome('caller-left', {ran: 'not-run', attempts: 0});
 	}
 
 	const service = routes.findService(pickService(route, deps.random) ?? '');
@@ -127,40 +112,53 @@
 	});
 };
 
-/** Handles one request of a caller from its head to its log line. */
-export const handleCallerRequest = async (deps: CallerHandlerDeps, req: IncomingMessage, res: ServerResponse): Promise<void> => {
-	const exchange = new CallerExchange(res, deps.clock);
-	if (deps.isStopping()) {
-		exchange.closeAfterAnswer();
-	}
+/** What is known of a request while it is served. */
+type RequestView = {
+	request?: CallerRequest;
+	admission?: Admission;
+	configVersion?: number;
+};
 
+/** Reads, authorizes and serves a request. `view` gets what is found out about it. */
+const admitAndServe = async (deps: CallerHandlerDeps, req: IncomingMessage, exchange: CallerExchange, view: RequestView): Promise<Outcome> => {
 	const routes = deps.routes();
-	const request = deps.wire.readRequest(req.method ?? '', req.url ?? '', req.headers);
-	const admission = request ? authorize(routes, request) : reject(400, 'no-request-id');
-	let outcome: Outcome;
+	view.configVersion = routes?.config.version;
+	view.request = deps.wire.readRequest(req.method ?? '', req.url ?? '', req.headers);
+	const admission = view.request ? authorize(routes, view.request) : reject(400, 'no-request-id');
 	if (isRejected(admission)) {
-		outcome = admission;
 		req.resume();
-	} else {
-		outcome = await serve(deps, request!, {
-			req, exchange, routes: routes!, admission,
-		}).catch((error: unknown) => {
-			if (exchange.endReason !== undefined) {
-				return {
-					// 499 is for the log only: a caller that still waits must not get a 4xx.
-					status: exchange.endReason === 'timeout' ? 504 : 499, code: exchange.endReason, ran: 'not-run', attempts: 0,
-				};
-			}
+		return admission;
+	}
 
-			throw error;
-		});
+	view.admission = admission;
+	return serve(deps, view.request!, {
+		req, exchange, routes: routes!, admission,
+	});
+};
+
+/** Turns an exception into an outcome: nothing is known about whether the request ran. */
+const recoverFromException = (deps: CallerHandlerDeps, exchange: CallerExchange, error: unknown): Outcome => {
+	deps.onError(error);
+	// The body may not have been read.
+	exchange.closeAfterAnswer();
+	return createEarlyOutcome('internal-error', {ran: 'unknown', attempts: 0});
+};
+
+/** Handles one request of a caller from its head to its log line. */
+export const handleCallerRequest = async (deps: CallerHandlerDeps, req: IncomingMessage, res: ServerResponse): Promise<void> => {
+	const exchange = new CallerExchange(res, deps.clock);
+	if (deps.isStopping()) {
+		exchange.closeAfterAnswer();
 	}
 
-	finishAnswer(deps, exchange, request?.id, outcome);
+	const view: RequestView = {};
+	const outcome = await admitAndServe(deps, req, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
+	const {request, admission, configVersion} = view;
+	finishExchange(exchange, deps.wire, request?.id, outcome);
 	deps.onEnd({
 		id: request?.id ?? '',
-		...!isRejected(admission) && {route: admission.route.name, account: admission.account?.name},
-		configVersion: routes?.config.version,
+		...admission && {route: admission.route.name, account: admission.account?.name},
+		configVersion,
 		...request && request.promptTokens > 0 && {promptTokens: request.promptTokens, maxOutputTokens: request.maxOutputTokens},
 		tookMs: exchange.elapsedMs,
 		outcome,
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/finish-failed.ts
@@ -1,6 +1,7 @@
 /**
  * How a request ends when none of its attempts has delivered the answer.
  */
+import {createEarlyOutcome} from './early-end.js';
 import type {
 	AdmittedRequest, FailedAttempt, ForwardDeps, Outcome,
 } from './forward-types.js';
@@ -18,16 +19,9 @@
 
 const ranOf = ({mayHaveRun}: FailedRequest): Outcome['ran'] => mayHaveRun ? 'unknown' : 'not-run';
 
-/** Log status of a request whose connection is closed. It is never sent. */
-const closedStatus = 499;
-
-/** Ends a request whose connection is closed or whose deadline has passed. */
-export const finishAborted = ({exchange}: AdmittedRequest, request: FailedRequest): Outcome => ({
-	status: exchange.isClosed ? closedStatus : 504,
-	code: exchange.endReason ?? 'timeout',
-	ran: ranOf(request),
-	attempts: request.tries,
-});
+/** Ends a request that ended before its attempts did. */
+export const finishAborted = ({exchange}: AdmittedRequest, request: FailedRequest): Outcome =>
+	createEarlyOutcome(exchange.endReason ?? 'timeout', {ran: ranOf(request), attempts: request.tries});
 
 export const finishFailed = (admitted: AdmittedRequest, request: FailedRequest): Outcome => {
 	const {lastFailure, tries} = request;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -132,7 +132,8 @@
 		try {
 			await handleCallerRequest(this.#handlerDeps, req, res);
 		} catch (error) {
-			this.#deps.log.writeError('serving a request', error);
+			// The answer itself could not be written.
+			this.#deps.log.writeError('answering a request', error);
 			res.destroy();
 		}
 	}
@@ -163,6 +164,9 @@
 			onEnd: end => {
 				this.#components.reports.recordEnd(end);
 			},
+			onError: error => {
+				this.#deps.log.writeError('serving a request', error);
+			},
 		};
 	}
 
