Answer the requests that still run at the limit of a stop

What callers saw: the connection closed without an answer when the process ended, logged as caller-left. Cause: closeHttpServer closed the connections of running requests. Change: the limit of a stop aborts the running requests. One that has certainly not run, as while its body arrives, is refused with 503 and Retry-After; another one gets 504 with the log code stop-limit. The process waits up to 0.2 s until these answers have been sent, within the rest of the grace period.

--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -1,6 +1,6 @@
 /**
- * The caller's side of one request: its body, its answer, and the signal that aborts it when the caller disconnects or the
- * deadline passes.
+ * The caller's side of one request: its body, its answer, and the signal that aborts it when the caller disconnects, the deadline passes or this entry
+ * ends.
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -8,14 +8,20 @@
 import type {Clock} from '@hawthorncleat/core';
 import type {OutgoingHeaders} from './ports.js';
 
-/** Why a request ended before its answer was complete. `entry-closed`: this entry closed the connection. */
-export type EndReason = 'caller-left' | 'entry-closed' | 'timeout';
+/** Why a request ended before its answer was complete. `entry-closed`: this entry closed the connection. `stop-limit`: this entry ends. */
+export type EndReason = 'caller-left' | 'entry-closed' | 'stop-limit' | 'timeout';
 
 const endReasonError = (reason: EndReason): Error => Object.assign(new Error(reason), {reason});
 
 /** Who closed a connection. A caller that closes it leaves the end of its data or an error. */
 const closeReasonOf = ({readableEnded, errored}: Socket): EndReason => readableEnded || errored ? 'caller-left' : 'entry-closed';
 
+export type ExchangeOptions = {
+	readonly clock: Clock;
+	/** Aborting it ends the request. */
+	readonly stopLimit: AbortSignal;
+};
+
 export class CallerExchange {
 	readonly startedMs: number;
 	deadlineMs = Number.POSITIVE_INFINITY;
@@ -25,20 +31,26 @@
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(res: ServerResponse, clock: Clock) {
+	constructor(res: ServerResponse, {clock, stopLimit}: ExchangeOptions) {
 		this.#res = res;
 		this.#clock = clock;
 		this.startedMs = clock.nowMs();
 		const {socket} = res.req;
+		const onStopLimit = (): void => {
+			this.#end('stop-limit');
+		};
+
+		stopLimit.addEventListener('abort', onStopLimit, {once: true});
 		res.once('close', () => {
 			clearTimeout(this.#timer);
+			stopLimit.removeEventListener('abort', onStopLimit);
 			if (!res.writableFinished) {
 				this.#end(closeReasonOf(socket));
 			}
 		});
 	}
 
-	/** Aborts when the caller disconnects or the deadline passes. */
+	/** Aborts when the request ends before its answer is complete. */
 	get signal(): AbortSignal {
 		return this.#controller.signal;
 	}
@@ -47,7 +59,7 @@
 		return this.#endReason;
 	}
 
-	/** Rejects when the caller disconnects or the deadline passes. */
+	/** Rejects when the request ends before its answer is complete. */
 	async rejectAtEnd(): Promise<never> {
 		this.signal.throwIfAborted();
 		return new Promise((_resolve, reject) => {
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -15,6 +15,8 @@
 export type CallerHandlerDeps = ForwardDeps & {
 	readonly routes: () => RouteTable | undefined;
 	readonly isStopping: () => boolean;
+	/** Aborts when this entry ends; the requests that still run must be answered then. */
+	readonly stopLimit: AbortSignal;
 	readonly onEnd: (end: RequestEnd) => void;
 	/** Reports an exception while a request was served. */
 	readonly onError: (error: unknown) => void;
@@ -146,7 +148,7 @@
 
 /** Handles one request of a caller from its head to its log line. */
 export const handleCallerRequest = async (deps: CallerHandlerDeps, req: IncomingMessage, res: ServerResponse): Promise<void> => {
-	const exchange = new CallerExchange(res, deps.clock);
+	const exchange = new CallerExchange(res, deps);
 	if (deps.isStopping()) {
 		exchange.closeAfterAnswer();
 	}
--- a/packages/forward/src/early-end.ts
+++ b/packages/forward/src/early-end.ts
@@ -18,12 +18,21 @@
 const answers: Readonly<Record<EarlyEnd, Answer>> = {
 	'caller-left': {status: closedStatus, code: 'caller-left'},
 	'entry-closed': {status: closedStatus, code: 'entry-closed'},
+	'stop-limit': {status: 504, code: 'stop-limit'},
 	timeout: {status: 504, code: 'timeout'},
 	'internal-error': {status: 500, code: 'internal-error'},
 };
 
+/** Retry delay of a request that this entry cannot finish before its end. Its connection closes, so the retry reaches another entry. */
+export const stoppingRetryMs = 50;
+
+/** A request that has certainly not run can be sent to another entry at once. */
+const answerOf = (end: EarlyEnd, ran: Outcome['ran']): Answer => end === 'stop-limit' && ran === 'not-run'
+	? {status: 503, code: 'stopping', retryAfterMs: stoppingRetryMs}
+	: answers[end];
+
 /** Outcome of a request that ended early. */
-export const createEarlyOutcome = (end: EarlyEnd, {ran, attempts}: Pick<Outcome, 'attempts' | 'ran'>): Outcome => ({...answers[end], ran, attempts});
+export const createEarlyOutcome = (end: EarlyEnd, {ran, attempts}: Pick<Outcome, 'attempts' | 'ran'>): Outcome => ({...answerOf(end, ran), ran, attempts});
 
 /** Sends what the outcome says, unless the answer is complete. An answer that has begun can only be cut off, so that it does not seem to be complete. */
 export const finishExchange = (exchange: CallerExchange, {writeRefusal}: Pick<WireFormat, 'writeRefusal'>, requestId: string | undefined, outcome: Outcome): void => {
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -2,6 +2,7 @@
  * The process of a forwarding entry: follows the store, serves callers, runs the leased duties when it holds the lease, and
  * stops gracefully.
  */
+import {setMaxListeners} from 'node:events';
 import type {Server} from 'node:http';
 import {getOrCreate, RetryWindow} from '@hawthorncleat/core';
 import {CallerConnections} from './caller-connections.js';
@@ -31,11 +32,14 @@
 	readonly #components: ForwardComponents;
 	readonly #retryWindows = new Map<string, RetryWindow>();
 	readonly #connections: CallerConnections;
+	readonly #stopLimit = new AbortController();
 
 	constructor(settings: ForwardSettings, deps: ForwardDaemonDeps) {
 		this.#settings = settings;
 		this.#deps = deps;
 		this.#components = createForwardComponents(settings, deps);
+		// Each running request listens.
+		setMaxListeners(0, this.#stopLimit.signal);
 		this.#connections = new CallerConnections(reason => {
 			this.#components.metrics.countClosedConnection(reason);
 		});
@@ -94,6 +98,9 @@
 			phases: this.#components.phases,
 			server: callerServer,
 			connections: this.#connections,
+			endRequests: () => {
+				this.#stopLimit.abort();
+			},
 			limits: () => {
 				const {readyAfterStopMs, outOfRotationMs, stopLimitMs} = this.#settings;
 				return {readyMs: readyAfterStopMs, outOfRotationMs, stopMs: stopLimitMs};
@@ -151,6 +158,7 @@
 			endsInMs: () => this.#components.phases.isStopping ? this.#settings.stopLimitMs - this.#components.phases.stoppingMs : Number.POSITIVE_INFINITY,
 			retryWindowOf: service => this.#retryWindowOf(service),
 			routes: () => this.#components.config.routes,
+			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
 			onRun: admitted => {
 				this.#countUsage(admitted);
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -9,6 +9,7 @@
 import {
 	AttemptRace, type AttemptPhase, type RunLimits, type RunningAttempt,
 } from './attempt-race.js';
+import {stoppingRetryMs} from './early-end.js';
 import {
 	finishAborted, finishFailed, finishQuarantined, finishWithoutRetries,
 } from './finish-failed.js';
@@ -29,8 +30,6 @@
 
 const maxTriesOf = (route: ForwardRoute): number => Math.max(maxTries, route.maxAttempts);
 
-/** Retry delay of a request that this entry cannot finish before its end. Its connection closes, so the retry reaches another entry. */
-const stoppingRetryMs = 50;
 /** A request may take this many times as long as expected, and this much longer, without being cut off by a stop. */
 const stopDurationFactor = 2;
 const stopDurationMarginMs = 1000;
--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/graceful-stop.ts
@@ -15,6 +15,9 @@
 const maxAcceptMs = 1000;
 /** How long a connection without a request may delay the end of a stop. Its request usually arrives one round trip after it. */
 const unusedConnectionMs = 500;
+/** Time for the answers to requests that still run at the limit. The platform ends the process 0.08 of its grace period after the limit, 0.64 s of 8 s. */
+const maxAnswerMs = 200;
+const answerPollMs = 10;
 
 export type GracefulStopOptions = {
 	readonly clock: Clock;
@@ -22,6 +25,8 @@
 	readonly phases: EntryPhases;
 	readonly server: Server;
 	readonly connections: CallerConnections;
+	/** Ends the requests that still run when the time of the stop is up. */
+	readonly endRequests: () => void;
 	/** May change while the stop is in progress. */
 	readonly limits: () => StopLimits;
 	readonly log: DecisionLog;
@@ -72,6 +77,15 @@
 	}
 };
 
+/** Ends the requests that still run at the limit of the stop, and waits until their answers have been sent. */
+const answerRunning = async ({clock, connections, endRequests}: GracefulStopOptions): Promise<void> => {
+	const endMs = clock.nowMs() + maxAnswerMs;
+	endRequests();
+	while (connections.running > 0 && clock.nowMs() < endMs) {
+		await sleep(answerPollMs);
+	}
+};
+
 /** Runs the stop; resolves when the process may end. */
 export const stopGracefully = async (options: GracefulStopOptions): Promise<void> => {
 	const {phases, server, connections, log} = options;
@@ -93,4 +107,5 @@
 	server.close();
 	await waitForRequests(options);
 	logStep('ending');
+	await answerRunning(options);
 };
