Keep connections with an unsent answer when a stop closes the listening socket

What callers saw: an answer that had been written but not sent, as to a caller that reads slowly, was cut when a stop closed its listening socket. Cause: close() and closeIdleConnections() of Node.js's HTTP servers count a connection as idle as soon as its answer has been written. Change: a stop closes the listening socket only, and closes idle connections itself.

--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/graceful-stop.ts
@@ -9,6 +9,7 @@
 import {waitForPendingInput} from './caller-exchange.js';
 import type {DecisionLog} from './decision-log.js';
 import type {EntryPhases} from './entry-phases.js';
+import {closeListener} from './servers.js';
 
 const pollMs = 50;
 /** Callers give up a connection on which nothing is read for a second. */
@@ -104,7 +105,7 @@
 	logStep('closing', closeReason);
 	await acceptPending(options);
 	connections.closeIdle();
-	server.close();
+	closeListener(server);
 	await waitForRequests(options);
 	logStep('ending');
 	await answerRunning(options);
--- a/packages/forward/src/servers.ts
+++ b/packages/forward/src/servers.ts
@@ -3,7 +3,7 @@
  */
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {once} from 'node:events';
-import type {Socket} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {waitForPendingInput} from './caller-exchange.js';
 import type {Address, ForwardSettings} from './ports.js';
 
@@ -77,6 +77,14 @@
 	return server;
 };
 
+/**
+ * Closes the listening socket only. The method of HTTP servers also closes connections whose answer has been written but not sent, as to a caller that
+ * reads slowly.
+ */
+export const closeListener = (server: Server): void => {
+	NetServer.prototype.close.call(server);
+};
+
 /** Closes a server and all its connections. */
 export const closeHttpServer = (server: Server): void => {
 	server.close();
