Announce the close of a connection with every answer during a stop

What callers saw: the answer to a request that had been read before the entry withdrew its readiness did not announce the close of its connection, so a caller sent its next request while the stop closed the connection. Cause: the header was set when the request was read, not when its answer began. Change: it is set when the head of the answer is written.

--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -20,6 +20,8 @@
 	readonly clock: Clock;
 	/** Aborting it ends the request. */
 	readonly stopLimit: AbortSignal;
+	/** Whether callers should open their next connection elsewhere. */
+	readonly isStopping: () => boolean;
 };
 
 export class CallerExchange {
@@ -27,13 +29,15 @@
 	deadlineMs = Number.POSITIVE_INFINITY;
 	readonly #res: ServerResponse;
 	readonly #clock: Clock;
+	readonly #isStopping: () => boolean;
 	readonly #controller = new AbortController();
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(res: ServerResponse, {clock, stopLimit}: ExchangeOptions) {
+	constructor(res: ServerResponse, {clock, stopLimit, isStopping}: ExchangeOptions) {
 		this.#res = res;
 		this.#clock = clock;
+		this.#isStopping = isStopping;
 		this.startedMs = clock.nowMs();
 		const {socket} = res.req;
 		const onStopLimit = (): void => {
@@ -98,11 +102,13 @@
 			return;
 		}
 
+		this.#announceStop();
 		this.#res.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
 		this.#res.end(body);
 	}
 
 	startStream(status: number, headers: OutgoingHeaders): void {
+		this.#announceStop();
 		this.#res.writeHead(status, headers);
 	}
 
@@ -131,6 +137,13 @@
 		this.#res.destroy();
 	}
 
+	/** A request that was read before the stop has the same effect as a later one: the connection is about to be closed. */
+	#announceStop(): void {
+		if (this.#isStopping()) {
+			this.closeAfterAnswer();
+		}
+	}
+
 	#end(reason: EndReason): void {
 		if (!this.#controller.signal.aborted) {
 			this.#endReason = reason;
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -149,9 +149,6 @@
 /** Handles one request of a caller from its head to its log line. */
 export const handleCallerRequest = async (deps: CallerHandlerDeps, req: IncomingMessage, res: ServerResponse): Promise<void> => {
 	const exchange = new CallerExchange(res, deps);
-	if (deps.isStopping()) {
-		exchange.closeAfterAnswer();
-	}
 
 	const view: RequestView = {};
 	const outcome = await admitAndServe(deps, req, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
