Wait for the rest of a head that has been read in part at the end of a stop

What callers saw: a connection was closed although part of the head of a request had been read on it, because no request was running. Cause: the end of a stop waited for connections without a request so far only. Change: both kinds are waited for, for 0.5 s as before.

--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/graceful-stop.ts
@@ -14,7 +14,7 @@
 const pollMs = 50;
 /** Callers give up a connection on which nothing is read for a second. */
 const maxAcceptMs = 1000;
-/** How long a connection without a request may delay the end of a stop. Its request usually arrives one round trip after it. */
+/** How long a connection without a complete head of a request may delay the end of a stop. The rest usually arrives within one round trip. */
 const unusedConnectionMs = 500;
 /** Time for the answers to requests that still run at the limit. The platform ends the process 0.08 of its grace period after the limit, 0.64 s of 8 s. */
 const maxAnswerMs = 200;
@@ -67,8 +67,8 @@
 const waitForRequests = async ({clock, connections, phases, limits}: GracefulStopOptions): Promise<void> => {
 	const closedMs = clock.nowMs();
 	const hasUnanswered = (): boolean => {
-		const {running, unused} = connections.counts;
-		return running > 0 || (unused > 0 && clock.nowMs() - closedMs < unusedConnectionMs);
+		const {running, unused, receiving} = connections.counts;
+		return running > 0 || (unused + receiving > 0 && clock.nowMs() - closedMs < unusedConnectionMs);
 	};
 
 	while (hasUnanswered() && phases.stoppingMs < limits().stopMs) {
