--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -1,39 +1,60 @@
 /**
- * The caller's side of one request: its body, its answer, and the signal that aborts it when the caller disconnects or the
- * deadline passes.
+ * The caller's side of one request: its body, its answer, and the signal that aborts it when the caller disconnects, the deadline passes or this entry
+ * ends.
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Clock} from '@hawthorncleat/core';
 import type {OutgoingHeaders} from './ports.js';
 
-/** Why a request ended before its answer was complete. */
-export type EndReason = 'caller-left' | 'timeout';
+/** Why a request ended before its answer was complete. `entry-closed`: this entry closed the connection. `stop-limit`: this entry ends. */
+export type EndReason = 'caller-left' | 'entry-closed' | 'stop-limit' | 'timeout';
 
 const endReasonError = (reason: EndReason): Error => Object.assign(new Error(reason), {reason});
 
+/** Who closed a connection. A caller that closes it leaves the end of its data or an error. */
+const closeReasonOf = ({readableEnded, errored}: Socket): EndReason => readableEnded || errored ? 'caller-left' : 'entry-closed';
+
+export type ExchangeOptions = {
+	readonly clock: Clock;
+	/** Aborting it ends the request. */
+	readonly stopLimit: AbortSignal;
+	/** Whether callers should open their next connection elsewhere. */
+	readonly isStopping: () => boolean;
+};
+
 export class CallerExchange {
 	readonly startedMs: number;
 	deadlineMs = Number.POSITIVE_INFINITY;
 	readonly #res: ServerResponse;
 	readonly #clock: Clock;
+	readonly #isStopping: () => boolean;
 	readonly #controller = new AbortController();
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(res: ServerResponse, clock: Clock) {
+	constructor(res: ServerResponse, {clock, stopLimit, isStopping}: ExchangeOptions) {
 		this.#res = res;
 		this.#clock = clock;
+		this.#isStopping = isStopping;
 		this.startedMs = clock.nowMs();
+		const {socket} = res.req;
+		const onStopLimit = (): void => {
+			this.#end('stop-limit');
+		};
+
+		stopLimit.addEventListener('abort', onStopLimit, {once: true});
 		res.once('close', () => {
 			clearTimeout(this.#timer);
+			stopLimit.removeEventListener('abort', onStopLimit);
 			if (!res.writableFinished) {
-				this.#end('caller-left');
+				this.#end(closeReasonOf(socket));
 			}
 		});
 	}
 
-	/** Aborts when the caller disconnects or the deadline passes. */
+	/** Aborts when the request ends before its answer is complete. */
 	get signal(): AbortSignal {
 		return this.#controller.signal;
 	}
@@ -42,7 +63,7 @@
 		return this.#endReason;
 	}
 
-	/** Rejects when the caller disconnects or the deadline passes. */
+	/** Rejects when the request ends before its answer is complete. */
 	async rejectAtEnd(): Promise<never> {
 		this.signal.throwIfAborted();
 		return new Promise((_resolve, reject) => {
@@ -52,6 +73,11 @@
 		});
 	}
 
+	/** Whether the whole answer was written. */
+	get isAnswered(): boolean {
+		return this.#res.writableEnded;
+	}
+
 	get remainingMs(): number {
 		return this.deadlineMs - this.#clock.nowMs();
 	}
@@ -76,11 +102,13 @@
 			return;
 		}
 
+		this.#announceStop();
 		this.#res.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
 		this.#res.end(body);
 	}
 
 	startStream(status: number, headers: OutgoingHeaders): void {
+		this.#announceStop();
 		this.#res.writeHead(status, headers);
 	}
 
@@ -109,6 +137,13 @@
 		this.#res.destroy();
 	}
 
+	/** A request that was read before the stop has the same effect as a later one: the connection is about to be closed. */
+	#announceStop(): void {
+		if (this.#isStopping()) {
+			this.closeAfterAnswer();
+		}
+	}
+
 	#end(reason: EndReason): void {
 		if (!this.#controller.signal.aborted) {
 			this.#endReason = reason;
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/finish-failed.ts
@@ -1,6 +1,7 @@
 /**
  * How a request ends when none of its attempts has delivered the answer.
  */
+import {createEarlyOutcome} from './early-end.js';
 import type {
 	AdmittedRequest, FailedAttempt, ForwardDeps, Outcome,
 } from './forward-types.js';
@@ -18,13 +19,9 @@
 
 const ranOf = ({mayHaveRun}: FailedRequest): Outcome['ran'] => mayHaveRun ? 'unknown' : 'not-run';
 
-/** Ends a request whose caller has left or whose deadline has passed. */
-export const finishAborted = ({exchange}: AdmittedRequest, request: FailedRequest): Outcome => ({
-	status: exchange.endReason === 'caller-left' ? 499 : 504,
-	code: exchange.endReason ?? 'timeout',
-	ran: ranOf(request),
-	attempts: request.tries,
-});
+/** Ends a request that ended before its attempts did. */
+export const finishAborted = ({exchange}: AdmittedRequest, request: FailedRequest): Outcome =>
+	createEarlyOutcome(exchange.endReason ?? 'timeout', {ran: ranOf(request), attempts: request.tries});
 
 export const finishFailed = (admitted: AdmittedRequest, request: FailedRequest): Outcome => {
 	const {lastFailure, tries} = request;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -2,6 +2,7 @@
  * The process of a forwarding entry: follows the store, serves callers, runs the leased duties when it holds the lease, and
  * stops gracefully.
  */
+import {setMaxListeners} from 'node:events';
 import type {Server} from 'node:http';
 import {getOrCreate, RetryWindow} from '@hawthorncleat/core';
 import {CallerConnections} from './caller-connections.js';
@@ -30,12 +31,18 @@
 	readonly #deps: ForwardDaemonDeps;
 	readonly #components: ForwardComponents;
 	readonly #retryWindows = new Map<string, RetryWindow>();
-	readonly #connections = new CallerConnections();
+	readonly #connections: CallerConnections;
+	readonly #stopLimit = new AbortController();
 
 	constructor(settings: ForwardSettings, deps: ForwardDaemonDeps) {
 		this.#settings = settings;
 		this.#deps = deps;
 		this.#components = createForwardComponents(settings, deps);
+		// Each running request listens.
+		setMaxListeners(0, this.#stopLimit.signal);
+		this.#connections = new CallerConnections(reason => {
+			this.#components.metrics.countClosedConnection(reason);
+		});
 	}
 
 	/** Runs the entry until `stop` aborts. The duties end at once; the other background tasks go on until the requests have ended. */
@@ -65,7 +72,12 @@
 		const callerServer = await startCallerServer(listen.callers, (req, res) => {
 			this.#connections.recordRequest(req, res);
 			void this.#serve(req, res);
-		}, () => this.#components.config.routes?.config.limits.idleTimeoutMs);
+		}, {
+			idleLimitMs: () => this.#components.config.routes?.config.limits.idleTimeoutMs,
+			closeIdle: socket => {
+				this.#connections.close(socket, 'idle-limit');
+			},
+		});
 		this.#connections.track(callerServer);
 		const internalServers = await startInternalServers(this.#settings, {
 			isReadinessPath: path => this.#deps.platform.wire.isReadinessPath(path),
@@ -86,6 +98,9 @@
 			phases: this.#components.phases,
 			server: callerServer,
 			connections: this.#connections,
+			endRequests: () => {
+				this.#stopLimit.abort();
+			},
 			limits: () => {
 				const {readyAfterStopMs, outOfRotationMs, stopLimitMs} = this.#settings;
 				return {readyMs: readyAfterStopMs, outOfRotationMs, stopMs: stopLimitMs};
@@ -93,6 +108,7 @@
 			log: this.#deps.log,
 		});
 		backgroundStop.abort();
+		this.#connections.closeAll();
 		for (const server of [callerServer, ...internalServers]) {
 			closeHttpServer(server);
 		}
@@ -100,7 +116,7 @@
 		await background;
 		await this.#components.usage.flush();
 		await this.#components.pool.destroy();
-		this.#deps.log.write('stopped', {});
+		this.#deps.log.write('stopped', {closed: this.#connections.counts.closed});
 	}
 
 	/**
@@ -123,7 +139,8 @@
 		try {
 			await handleCallerRequest(this.#handlerDeps, req, res);
 		} catch (error) {
-			this.#deps.log.writeError('serving a request', error);
+			// The answer itself could not be written.
+			this.#deps.log.writeError('answering a request', error);
 			res.destroy();
 		}
 	}
@@ -141,6 +158,7 @@
 			endsInMs: () => this.#components.phases.isStopping ? this.#settings.stopLimitMs - this.#components.phases.stoppingMs : Number.POSITIVE_INFINITY,
 			retryWindowOf: service => this.#retryWindowOf(service),
 			routes: () => this.#components.config.routes,
+			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
 			onRun: admitted => {
 				this.#countUsage(admitted);
@@ -154,6 +172,9 @@
 			onEnd: end => {
 				this.#components.reports.recordEnd(end);
 			},
+			onError: error => {
+				this.#deps.log.writeError('serving a request', error);
+			},
 		};
 	}
 
--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/graceful-stop.ts
@@ -9,12 +9,16 @@
 import {waitForPendingInput} from './caller-exchange.js';
 import type {DecisionLog} from './decision-log.js';
 import type {EntryPhases} from './entry-phases.js';
+import {closeListener} from './servers.js';
 
 const pollMs = 50;
 /** Callers give up a connection on which nothing is read for a second. */
 const maxAcceptMs = 1000;
-/** How long a connection without a request may delay the end of a stop. Its request usually arrives one round trip after it. */
+/** How long a connection without a complete head of a request may delay the end of a stop. The rest usually arrives within one round trip. */
 const unusedConnectionMs = 500;
+/** Time for the answers to requests that still run at the limit. The platform ends the process 0.08 of its grace period after the limit, 0.64 s of 8 s. */
+const maxAnswerMs = 200;
+const answerPollMs = 10;
 
 export type GracefulStopOptions = {
 	readonly clock: Clock;
@@ -22,6 +26,8 @@
 	readonly phases: EntryPhases;
 	readonly server: Server;
 	readonly connections: CallerConnections;
+	/** Ends the requests that still run when the time of the stop is up. */
+	readonly endRequests: () => void;
 	/** May change while the stop is in progress. */
 	readonly limits: () => StopLimits;
 	readonly log: DecisionLog;
@@ -58,17 +64,26 @@
 };
 
 /** Waits until no request runs, or may still arrive on a connection that was accepted before the listening socket was closed. */
-const waitForRequests = async ({clock, server, connections, phases, limits}: GracefulStopOptions): Promise<void> => {
+const waitForRequests = async ({clock, connections, phases, limits}: GracefulStopOptions): Promise<void> => {
 	const closedMs = clock.nowMs();
 	const hasUnanswered = (): boolean => {
-		const {running, unused} = connections.counts;
-		return running > 0 || (unused > 0 && clock.nowMs() - closedMs < unusedConnectionMs);
+		const {running, unused, receiving} = connections.counts;
+		return running > 0 || (unused + receiving > 0 && clock.nowMs() - closedMs < unusedConnectionMs);
 	};
 
 	while (hasUnanswered() && phases.stoppingMs < limits().stopMs) {
 		await sleep(pollMs);
 		await waitForPendingInput();
-		server.closeIdleConnections();
+		connections.closeIdle();
+	}
+};
+
+/** Ends the requests that still run at the limit of the stop, and waits until their answers have been sent. */
+const answerRunning = async ({clock, connections, endRequests}: GracefulStopOptions): Promise<void> => {
+	const endMs = clock.nowMs() + maxAnswerMs;
+	endRequests();
+	while (connections.running > 0 && clock.nowMs() < endMs) {
+		await sleep(answerPollMs);
 	}
 };
 
@@ -89,8 +104,9 @@
 	const closeReason = await waitForStep('close', options);
 	logStep('closing', closeReason);
 	await acceptPending(options);
-	server.close();
-	server.closeIdleConnections();
+	connections.closeIdle();
+	closeListener(server);
 	await waitForRequests(options);
 	logStep('ending');
+	await answerRunning(options);
 };
