Make the store's versions unique over its returns from a copy

After the store has returned from a copy some seconds old, it gives out versions again, and a conditional write whose check was read before the return passed on another row value: a holder of a lease could overwrite the row of the next one. Cause: the adapter handed the store's versions through, and read nothing of the generation that every answer names. Change: the adapter reads the generation of each answer. Versions that leave it carry the generation, so that a version of one generation never equals a version of another.

--- a/packages/forward/src/__tests__/endpoint-directory.test.ts
+++ b/packages/forward/src/__tests__/endpoint-directory.test.ts
@@ -1,11 +1,11 @@
-import type {RegisteredEndpoint} from '@hawthorncleat/core';
+import {brandAs, type RegisteredEndpoint, type StoreGeneration} from '@hawthorncleat/core';
 import {
 	createManualClock, describe, it, type ManualClock,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {EndpointDirectory} from '../endpoint-directory.js';
 import {EndpointPool} from '../endpoint-pool.js';
-import type {StoreRow} from '../ports.js';
+import type {StoreAnswer, StoreRow} from '../ports.js';
 
 type Fixture = {readonly clock: ManualClock; readonly pool: EndpointPool; readonly directory: EndpointDirectory; readonly changes: string[]};
 
@@ -34,7 +34,10 @@
 	}),
 });
 
-const answer = (...rows: StoreRow[]): {rows: StoreRow[]; version: number; storeNowMs: number} => ({rows, version: 1, storeNowMs: 0});
+const firstGeneration = brandAs<StoreGeneration>(0);
+const answer = (...rows: StoreRow[]): StoreAnswer => ({
+	rows, version: 1, storeNowMs: 0, generation: firstGeneration,
+});
 
 describe('the endpoint directory', () => {
 	it('follows endpoints that register, leave and disappear', () => {
--- a/packages/forward/src/__tests__/quarantine-rows.test.ts
+++ b/packages/forward/src/__tests__/quarantine-rows.test.ts
@@ -1,5 +1,5 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
-import {brandAs, type SegmentKey} from '@hawthorncleat/core';
+import {brandAs, type SegmentKey, type StoreGeneration} from '@hawthorncleat/core';
 import * as assert from 'uvu/assert';
 import {CorrectedClock} from '../corrected-clock.js';
 import {DecisionLog} from '../decision-log.js';
@@ -7,6 +7,7 @@
 import {QuarantineRows} from '../quarantine-rows.js';
 import {SegmentQuarantines} from '../segment-quarantines.js';
 
+const firstGeneration = brandAs<StoreGeneration>(0);
 const segments = [brandAs<SegmentKey>('models/dead')];
 /** The store's clock runs beside those of the entries, whose clocks begin anew with each start. */
 const storeClock = createManualClock(5_000_000);
@@ -24,7 +25,9 @@
 					throw new Error('the store is down');
 				}
 
-				return {rows: [...values].map(([key, value]) => ({key, value, version: 1})), version: 1, storeNowMs: storeClock.nowMs()};
+				return {
+					rows: [...values].map(([key, value]) => ({key, value, version: 1})), version: 1, storeNowMs: storeClock.nowMs(), generation: firstGeneration,
+				};
 			},
 			watch: async () => undefined,
 			async write(_table, rows) {
--- a/packages/forward/src/__tests__/table-watch.test.ts
+++ b/packages/forward/src/__tests__/table-watch.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import {brandAs, type StoreGeneration} from '@hawthorncleat/core';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {RowStore, StoreAnswer} from '../ports.js';
@@ -8,7 +9,10 @@
 /** One call in 75 ms. */
 const maxCalls = 8;
 
-const answer: StoreAnswer = {rows: [], version: 1, storeNowMs: 0};
+const firstGeneration = brandAs<StoreGeneration>(0);
+const answer: StoreAnswer = {
+	rows: [], version: 1, storeNowMs: 0, generation: firstGeneration,
+};
 
 /** Counts the watch calls to a store that answers each of them at once. */
 const countCalls = async (watchResult: StoreAnswer | undefined): Promise<number> => {
--- a/packages/forward/src/__tests__/usage-counter.test.ts
+++ b/packages/forward/src/__tests__/usage-counter.test.ts
@@ -1,9 +1,11 @@
+import {brandAs, type StoreGeneration} from '@hawthorncleat/core';
 import {createStoreError, type WriteOutcome} from '@hawthorncleat/store';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {RowStore} from '../ports.js';
 import {UsageCounter} from '../usage-counter.js';
 
+const firstGeneration = brandAs<StoreGeneration>(0);
 const windowMs = 5000;
 /** A write without an answer has taken effect, if ever, within this time. */
 const lateWriteMs = 6000;
@@ -29,7 +31,9 @@
 	let nowMs = 0;
 	const counter = new UsageCounter({
 		rows: {
-			read: async () => ({rows: [], version: 1, storeNowMs: 0}),
+			read: async () => ({
+				rows: [], version: 1, storeNowMs: 0, generation: firstGeneration,
+			}),
 			watch: async () => undefined,
 			write: async (_table, rows) => new Promise((resolve, reject) => {
 				writes.push({
--- a/packages/forward/src/__tests__/usage-duty.test.ts
+++ b/packages/forward/src/__tests__/usage-duty.test.ts
@@ -1,5 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {brandAs, type LeaseEpoch} from '@hawthorncleat/core';
+import {brandAs, type LeaseEpoch, type StoreGeneration} from '@hawthorncleat/core';
 import type {Lease, Table, TransactResult} from '@hawthorncleat/store';
 import type {TableRow, Transaction} from '@hawthorncleat/schema';
 import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
@@ -54,7 +54,9 @@
 const createRows = (fixture: Fixture): RowStore => ({
 	async read(_table, {from = '', to = ''}) {
 		const rows: StoreRow[] = [...fixture.usage].filter(([key]) => key >= from && key < to).map(([key, value]) => ({key, value, version: 1}));
-		return {rows, version: 1, storeNowMs: 0};
+		return {
+			rows, version: 1, storeNowMs: 0, generation: brandAs<StoreGeneration>(0),
+		};
 	},
 	watch: async () => undefined,
 	async write(_table, rows) {
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -4,7 +4,7 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {
-	ClientAccountName, EndpointId, EndpointRole, ForwardConfig, LeaseEpoch, PromptSegment, RegisteredEndpoint, RequestId,
+	ClientAccountName, EndpointId, EndpointRole, ForwardConfig, LeaseEpoch, PromptSegment, RegisteredEndpoint, RequestId, StoreGeneration,
 } from '@hawthorncleat/core';
 import type {Table} from '@hawthorncleat/store';
 
@@ -122,10 +122,12 @@
 
 export type StoreAnswer = {
 	readonly rows: readonly StoreRow[];
-	/** Version up to which the answer has all changes. */
+	/** Version up to which the answer has all changes. Versions of one generation never equal those of another. */
 	readonly version: number;
 	/** Reading of the store's monotonic clock. */
 	readonly storeNowMs: number;
+	/** Rises whenever the store has returned from an older copy: acknowledged writes of the last seconds are lost then. */
+	readonly generation: StoreGeneration;
 };
 
 /** Tables that the entry uses. The adapter maps them to the names of the store. */
