Don't bring back an endpoint that has left by its last registration

A removed endpoint came back into the pool when its last registration was read again, as it is when the store has returned from a copy; one that had announced that it leaves became ready again. Cause: a registration with the newest known heartbeat was applied again, whatever had happened since. Change: after a removal, or against the announcement that an endpoint leaves, only a newer heartbeat or a later start counts. The memory of removed endpoints ends after two minutes; until now it lasted as long as the process.

--- a/packages/forward/src/__tests__/endpoint-directory.test.ts
+++ b/packages/forward/src/__tests__/endpoint-directory.test.ts
@@ -79,6 +79,45 @@
 		assert.ok(pool.get('f'));
 	});
 
+	// A registration with the newest known heartbeat was applied again, whatever had happened since.
+	it('does not bring back a removed endpoint by its last registration; guards against work for an endpoint that has left', () => {
+		const {directory, pool} = createFixture();
+		directory.apply(answer(createRow('e', {heartbeat: 5})), true);
+		directory.apply(answer({key: 'e', value: undefined, version: 3}), false);
+		directory.apply(answer(createRow('e', {heartbeat: 5})), true);
+		assert.is(pool.get('e'), undefined);
+	});
+
+	it('brings back a removed endpoint that registers again or starts again; guards against endpoints that stay unused', () => {
+		const {directory, pool} = createFixture();
+		directory.apply(answer(createRow('e', {heartbeat: 5}), createRow('f', {heartbeat: 5})), true);
+		directory.apply(answer(), true);
+		directory.apply(answer(createRow('e', {heartbeat: 6}), createRow('f', {startedAt: 2, heartbeat: 1})), true);
+		assert.ok(pool.get('e') && pool.get('f'));
+	});
+
+	// A registration with the newest known heartbeat was applied again, whatever had been announced since.
+	it('keeps an endpoint leaving against its last registration; guards against work for an endpoint that has announced that it leaves', () => {
+		const {directory, pool} = createFixture();
+		directory.apply(answer(createRow('e', {isLeaving: true, heartbeat: 5})), true);
+		directory.apply(answer(createRow('e', {heartbeat: 5})), true);
+		assert.ok(pool.get('e')?.endpoint.isLeaving);
+	});
+
+	// Each id stayed in memory for ever, and ids are new after each replacement.
+	it('forgets removed endpoints after two minutes; guards against memory that grows with each replacement', () => {
+		const {clock, directory, pool} = createFixture();
+		directory.apply(answer(createRow('e', {heartbeat: 5})), true);
+		directory.apply(answer(), true);
+		clock.advance(119_000);
+		directory.apply(answer(createRow('e', {heartbeat: 5})), true);
+		assert.is(pool.get('e'), undefined);
+		clock.advance(2000);
+		directory.apply(answer(), true);
+		directory.apply(answer(createRow('e', {heartbeat: 4})), true);
+		assert.ok(pool.get('e'));
+	});
+
 	describe('after an outage of the store', () => {
 		it('removes at once an endpoint that registered again and then left; guards against work for a leaving endpoint after only this entry was cut off from the store', () => {
 			const {clock, directory, pool} = createFixture();
--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -11,6 +11,19 @@
 /** Live endpoints have registered again within this time after the store's return. */
 const reregistrationMs = 2000;
 
+/**
+ * For this time a removed endpoint does not come back by an older registration: a delayed write, or one that the store has again after its
+ * return from a copy some seconds old.
+ */
+const removedRetentionMs = 120_000;
+
+/** The newest registration of an endpoint that was applied. */
+type KnownEndpoint = Pick<RegisteredEndpoint, 'heartbeat' | 'isLeaving' | 'startedAt'> & {readonly removedAtMs?: number};
+
+type Heartbeat = Pick<RegisteredEndpoint, 'heartbeat' | 'startedAt'>;
+
+const isNewer = (a: Heartbeat, b: Heartbeat): boolean => a.startedAt > b.startedAt || (a.startedAt === b.startedAt && a.heartbeat > b.heartbeat);
+
 export type EndpointDirectoryOptions = {
 	readonly clock: Clock;
 	readonly pool: EndpointPool;
@@ -39,8 +52,8 @@
 	readonly #options: EndpointDirectoryOptions;
 	/** Endpoints whose registration is missing, with the time at which each is removed. */
 	readonly #removalTimes = new Map<string, number>();
-	/** Newest heartbeat of each endpoint's process, so that a delayed write does not restore an older state. */
-	readonly #newestHeartbeats = new Map<string, Pick<RegisteredEndpoint, 'heartbeat' | 'startedAt'>>();
+	/** Newest registration of each endpoint's process, so that an older one does not restore an older state. */
+	readonly #known = new Map<string, KnownEndpoint>();
 	/** Endpoints that have registered again since the store's return. A later removal of theirs has nothing to do with the outage. */
 	readonly #renewedSinceReturn = new Set<string>();
 	#storeReturnedMs = Number.NEGATIVE_INFINITY;
@@ -82,6 +95,7 @@
 		}
 
 		this.removeExpired();
+		this.#forgetRemoved();
 	}
 
 	/** Removes the endpoints that did not register again in time. */
@@ -117,21 +131,33 @@
 		}
 	}
 
-	#isOutdated({id, heartbeat, startedAt}: RegisteredEndpoint): boolean {
-		const newest = this.#newestHeartbeats.get(id);
-		if (newest && (startedAt < newest.startedAt || (startedAt === newest.startedAt && heartbeat < newest.heartbeat))) {
+	#isOutdated(endpoint: RegisteredEndpoint): boolean {
+		const {id, heartbeat, startedAt, isLeaving} = endpoint;
+		const known = this.#known.get(id);
+		const hasNews = known === undefined || isNewer(endpoint, known);
+		// An endpoint that has left or is leaving comes back only by a registration that it wrote after that.
+		if (!hasNews && (isNewer(known, endpoint) || known.removedAtMs !== undefined || (known.isLeaving && !isLeaving))) {
 			return true;
 		}
 
 		// The same heartbeat as before the outage proves nothing: the registration may be about to expire.
-		if (this.#isAfterOutage && newest && (startedAt > newest.startedAt || heartbeat > newest.heartbeat)) {
+		if (this.#isAfterOutage && known && hasNews) {
 			this.#renewedSinceReturn.add(id);
 		}
 
-		this.#newestHeartbeats.set(id, {heartbeat, startedAt});
+		this.#known.set(id, {heartbeat, startedAt, isLeaving});
 		return false;
 	}
 
+	#forgetRemoved(): void {
+		const nowMs = this.#options.clock.nowMs();
+		for (const [id, {removedAtMs}] of this.#known) {
+			if (removedAtMs !== undefined && nowMs - removedAtMs >= removedRetentionMs) {
+				this.#known.delete(id);
+			}
+		}
+	}
+
 	/** Removes an endpoint without a registration: at once, or shortly after an outage once it had the time to register again. */
 	#handleMissing(id: string, version: number): void {
 		if (this.#isAfterOutage && !this.#renewedSinceReturn.has(id)) {
@@ -149,9 +175,17 @@
 		const before = this.#options.pool.get(id)?.endpoint;
 		if (before) {
 			this.#options.pool.remove(id);
+			this.#recordRemoved(id);
 			this.#options.onChange({
 				id, was: describeState(before), is: describeState(undefined), version, isCrash: !before.isLeaving,
 			});
 		}
 	}
+
+	#recordRemoved(id: string): void {
+		const known = this.#known.get(id);
+		if (known) {
+			this.#known.set(id, {...known, removedAtMs: this.#options.clock.nowMs()});
+		}
+	}
 }
