Tell the components when the store has returned from a copy

After a return that broke no call, endpoints whose registration was lost were removed at once, and no line of the log showed the drill. Cause: the followed tables didn't look at the generation of the answers, and the grace for missing registrations began with a failed call only. Change: the first answer of a newer generation writes a `dependency` line with it, and begins the two seconds in which endpoints may register again. What has been seen of endpoints that leave or have left holds on.

--- /dev/null
+++ b/packages/forward/src/__tests__/store-follower.test.ts
@@ -0,0 +1,128 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	brandAs, type EndpointId, type RegisteredEndpoint, type StoreGeneration,
+} from '@hawthorncleat/core';
+import {
+	createManualClock, describe, it, waitUntil,
+} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {ActiveConfig} from '../active-config.js';
+import {CorrectedClock} from '../corrected-clock.js';
+import {DecisionLog} from '../decision-log.js';
+import {EndpointDirectory} from '../endpoint-directory.js';
+import {EndpointPool} from '../endpoint-pool.js';
+import {Membership} from '../membership.js';
+import {ForwardMetrics} from '../metrics.js';
+import type {RowStore, StoreRow, StoreTable} from '../ports.js';
+import {StoreFollower} from '../store-follower.js';
+
+type FakeStore = {generation: number; readonly rows: Map<StoreTable, StoreRow[]>};
+type Line = {readonly event: string; readonly dependency?: string; readonly generation?: number};
+type Fixture = {
+	readonly store: FakeStore;
+	readonly pool: EndpointPool;
+	readonly directory: EndpointDirectory;
+	readonly clock: ReturnType<typeof createManualClock>;
+	readonly lines: Line[];
+	/** Number of calls of `onStoreReturn`. */
+	readonly returns: () => number;
+	/** Waits until each table has been read again. */
+	readAgain(): Promise<void>;
+};
+
+/** Every watch call leads to a new snapshot, as it does in an adapter that sees a return. */
+const createRows = (store: FakeStore, onRead: (table: StoreTable) => void): RowStore => ({
+	async read(table) {
+		onRead(table);
+		return {
+			rows: store.rows.get(table) ?? [], version: 1, storeNowMs: 0, generation: brandAs<StoreGeneration>(store.generation),
+		};
+	},
+	watch: async () => undefined,
+	write: async () => undefined,
+});
+
+/** Runs a test with a follower of a store whose generation and rows the test sets. */
+const withFollower = async (body: (fixture: Fixture) => Promise<void>): Promise<void> => {
+	const clock = createManualClock(100_000);
+	const lines: Line[] = [];
+	const log = new DecisionLog(clock, {
+		write(line) {
+			lines.push(JSON.parse(line) as Line);
+		},
+		pendingBytes: () => 0,
+	}, 'e1');
+	const members = new Membership(clock, 'e1', () => undefined);
+	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => undefined});
+	const directory = new EndpointDirectory({
+		clock, pool, readEndpoint: (id: EndpointId, text: string) => ({...JSON.parse(text) as RegisteredEndpoint, id}), onChange: () => undefined,
+	});
+	const store: FakeStore = {generation: 2, rows: new Map()};
+	/** The endpoints are read least often. */
+	let endpointReads = 0;
+	let returns = 0;
+	const follower = new StoreFollower({
+		clock,
+		rows: createRows(store, table => {
+			endpointReads += table === 'endpoints' ? 1 : 0;
+		}),
+		config: new ActiveConfig({
+			readConfig: () => undefined, members, log, metrics: new ForwardMetrics(),
+		}),
+		directory,
+		members,
+		correctedClock: new CorrectedClock(clock, () => []),
+		log,
+		onStoreReturn() {
+			returns += 1;
+			directory.recordStoreReturn();
+		},
+	});
+	const controller = new AbortController();
+	const following = follower.run(controller.signal);
+	try {
+		await body({
+			store, pool, directory, clock, lines, returns: () => returns,
+			async readAgain() {
+				const before = endpointReads;
+				await waitUntil(() => endpointReads > before);
+				await nextTurn();
+			},
+		});
+	} finally {
+		controller.abort();
+		await following;
+	}
+};
+
+const registration: StoreRow = {
+	key: 'i-1',
+	version: 1,
+	value: JSON.stringify({
+		service: 's', address: '127.0.0.1', port: 1, dataCentre: 'd', slots: 1, isLeaving: false, startedAt: 1, heartbeat: 1,
+	}),
+};
+
+describe('following the store', () => {
+	it('writes one line when the store has returned from a copy; guards against a drill that the log does not show', async () => withFollower(async ({store, lines, returns, readAgain}) => {
+		await readAgain();
+		assert.is(returns(), 0);
+		store.generation = 3;
+		await readAgain();
+		assert.is(returns(), 1);
+		assert.equal(lines.filter(({event}) => event === 'dependency').map(({dependency, generation}) => ({dependency, generation})), [{dependency: 'store', generation: 3}]);
+	}));
+
+	// Endpoints without a row were removed at once, unless a call had failed.
+	it('keeps endpoints whose registration is lost for two seconds; guards against a fleet without endpoints', async () => withFollower(async ({store, pool, directory, clock, readAgain}) => {
+		store.rows.set('endpoints', [registration]);
+		await readAgain();
+		store.generation = 3;
+		store.rows.set('endpoints', []);
+		await readAgain();
+		assert.ok(pool.get('i-1'));
+		clock.advance(2100);
+		directory.removeExpired();
+		assert.is(pool.get('i-1'), undefined);
+	}));
+});
--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -1,6 +1,7 @@
 /**
  * Applies the endpoints' registrations in the store to the endpoint pool. Registrations that expired during an outage of the
- * store are renewed shortly after it, so for that time the pool keeps endpoints whose registration is missing.
+ * store, or that it lost on its return from an older copy, are renewed shortly after it, so for that time the pool keeps endpoints whose
+ * registration is missing.
  */
 import {
 	brandAs, type Clock, type EndpointId, type RegisteredEndpoint,
@@ -71,13 +72,18 @@
 	/** Records whether the store answers. */
 	setStoreAvailable(isAvailable: boolean): void {
 		if (isAvailable && !this.#isStoreAvailable) {
-			this.#storeReturnedMs = this.#options.clock.nowMs();
-			this.#renewedSinceReturn.clear();
+			this.recordStoreReturn();
 		}
 
 		this.#isStoreAvailable = isAvailable;
 	}
 
+	/** Records that registrations may be missing: they have expired in an outage of the store, or it has returned from an older copy. */
+	recordStoreReturn(): void {
+		this.#storeReturnedMs = this.#options.clock.nowMs();
+		this.#renewedSinceReturn.clear();
+	}
+
 	/** Applies rows of the store. In a snapshot, an endpoint without a row is not registered. */
 	apply({rows}: StoreAnswer, isSnapshot: boolean): void {
 		const presentKeys = new Set<string>();
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -160,7 +160,16 @@
 		},
 	});
 	const follower: StoreFollower = new StoreFollower({
-		clock, rows, config, directory, members, correctedClock, log,
+		clock,
+		rows,
+		config,
+		directory,
+		members,
+		correctedClock,
+		log,
+		onStoreReturn() {
+			directory.recordStoreReturn();
+		},
 	});
 	return {
 		metrics, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, roleChanges, gossip, directory, correctedClock, usage, follower,
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store-follower.ts
@@ -1,7 +1,8 @@
 /**
- * Follows the store's tables of configuration, endpoints and members, and applies their changes to this entry's components.
+ * Follows the store's tables of configuration, endpoints and members, and applies their changes to this entry's components. Tells them when the
+ * store has returned from an older copy, because it has then lost acknowledged writes of the last seconds.
  */
-import type {Clock} from '@hawthorncleat/core';
+import type {Clock, StoreGeneration} from '@hawthorncleat/core';
 import type {ActiveConfig} from './active-config.js';
 import type {DecisionLog} from './decision-log.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
@@ -31,12 +32,15 @@
 	readonly members: Membership;
 	readonly correctedClock: CorrectedClock;
 	readonly log: DecisionLog;
+	/** Called when the store has returned from an older copy, before rows of it are applied. */
+	readonly onStoreReturn: () => void;
 };
 
 export class StoreFollower {
 	readonly #options: StoreFollowerOptions;
 	readonly #availability = new Map<StoreTable, boolean>();
 	#hasReadEndpoints = false;
+	#generation: StoreGeneration | undefined;
 
 	constructor(options: StoreFollowerOptions) {
 		this.#options = options;
@@ -61,6 +65,7 @@
 			pauseMs: table === 'endpoints' ? endpointBatchMs : 0,
 			onAnswer: (answer, isSnapshot) => {
 				correctedClock.recordStoreTime(answer.storeNowMs);
+				this.#recordGeneration(answer.generation);
 				this.#apply(table, answer, isSnapshot);
 			},
 			onAvailability: (isAvailable, error) => {
@@ -69,6 +74,16 @@
 		}, signal);
 	}
 
+	#recordGeneration(generation: StoreGeneration): void {
+		const isReturn = this.#generation !== undefined && generation > this.#generation;
+		if (isReturn) {
+			this.#options.log.write('dependency', {dependency: 'store', generation});
+			this.#options.onStoreReturn();
+		}
+
+		this.#generation = isReturn ? generation : this.#generation ?? generation;
+	}
+
 	#apply(table: FollowedTable, answer: StoreAnswer, isSnapshot: boolean): void {
 		const {config, directory, members} = this.#options;
 		if (table === 'config') {
