Keep the wall clock of the start in a member row that is written again

Since members write their rows again after the store's return from a copy, a host whose time of day had jumped would have written the stepped clock, and with half of the hosts stepped, the usage windows would have moved. Cause: a row took the wall clock of the moment in which it was written. Change: it takes the one of the entry's start, by the steady clock. An entry follows a jump of the store's own clock. Measured: membership.test.ts, 1 of 8 tests failed before, 8 of 8 pass.

--- a/packages/forward/src/__tests__/membership.test.ts
+++ b/packages/forward/src/__tests__/membership.test.ts
@@ -1,6 +1,10 @@
-import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import {
+	createManualClock, describe, it, waitUntil,
+} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {Membership} from '../membership.js';
+import {CorrectedClock} from '../corrected-clock.js';
+import {DecisionLog} from '../decision-log.js';
+import {maintainOwnRow, Membership, type Member} from '../membership.js';
 import type {RowStore} from '../ports.js';
 
 const entries = 27;
@@ -104,3 +108,52 @@
 		assert.ok(members.hasOwnRow(ownAddresses));
 	});
 });
+
+describe('the member row of an entry', () => {
+	/** Lets an entry write its row at its start and again after a return, and gives the offsets of its wall clock in both. */
+	const writtenOffsets = async (change: (clocks: {readonly store: {nowMs: number}; readonly wall: {nowMs: number}}) => void): Promise<readonly [number, number]> => {
+		const {members, clock} = createMembers();
+		members.apply(emptySnapshot, true);
+		const store = {nowMs: 1000};
+		const wall = {nowMs: 50_000};
+		const correctedClock = new CorrectedClock(clock, () => members.wallOffsets());
+		correctedClock.recordStoreTime(store.nowMs);
+		const written: number[] = [];
+		const controller = new AbortController();
+		const maintaining = maintainOwnRow({
+			clock,
+			rows: {
+				async write(_table: string, [row]: ReadonlyArray<{readonly value: string}>) {
+					const {wallOffsetMs} = JSON.parse(row!.value) as Member;
+					written.push(wallOffsetMs);
+				},
+			} as unknown as RowStore,
+			members,
+			correctedClock,
+			wallNowMs: () => wall.nowMs,
+			log: new DecisionLog(clock, {write: () => undefined, pendingBytes: () => 0}, 'e0'),
+			ownAddresses,
+		}, controller.signal);
+		await waitUntil(() => written.length === 1);
+		change({store, wall});
+		correctedClock.recordStoreTime(store.nowMs);
+		members.recordStoreReturn();
+		await waitUntil(() => written.length === 2);
+		controller.abort();
+		await maintaining;
+		return [written[0]!, written[1]!];
+	};
+
+	// The row that was written again had the wall clock of that moment.
+	it('keeps the wall clock of the start; guards against usage windows that follow a step of the clock after a return', async () => {
+		assert.equal(await writtenOffsets(({wall}) => {
+			wall.nowMs += 3_600_000;
+		}), [49_000, 49_000]);
+	});
+
+	it('follows a jump of the clock of the store; guards against usage windows that jump with it', async () => {
+		assert.equal(await writtenOffsets(({store}) => {
+			store.nowMs -= 700;
+		}), [49_000, 49_700]);
+	});
+});
--- a/packages/forward/src/corrected-clock.ts
+++ b/packages/forward/src/corrected-clock.ts
@@ -16,7 +16,8 @@
 
 	/**
 	 * Records the clock reading in an answer of the store. The reading is older than the arrival of the answer, so the offset is
-	 * too small by the travel time of the answer, and the largest of several offsets is the most accurate one.
+	 * too small by the travel time of the answer. The newest answer counts: should the store's clock jump when the store returns from an older
+	 * copy, this entry follows it at once, and its peers' offsets as soon as they have written their member rows again.
 	 */
 	recordStoreTime(storeNowMs: number): void {
 		this.#storeOffsetMs = storeNowMs - this.#clock.nowMs();
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -199,9 +199,10 @@
 	}
 
 	async #maintainOwnRow(signal: AbortSignal): Promise<void> {
-		const {platform, wallNowMs, log} = this.#deps;
+		const {clock, platform, wallNowMs, log} = this.#deps;
 		const {listen, gossipPort, ip} = this.#settings;
 		await maintainOwnRow({
+			clock,
 			rows: platform.rows,
 			members: this.#components.members,
 			correctedClock: this.#components.correctedClock,
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -141,6 +141,8 @@
 }
 
 export type OwnRowOptions = {
+	/** Steady clock of this process, the one of the corrected clock. */
+	readonly clock: Clock;
 	readonly rows: RowStore;
 	readonly members: Membership;
 	readonly correctedClock: CorrectedClock;
@@ -152,15 +154,16 @@
 };
 
 /**
- * Writes this entry's row whenever it is missing or has other addresses, for example those of a former host of the same name.
- * Runs until `signal` aborts.
+ * Writes this entry's row whenever it is missing or has other addresses, for example those of a former host of the same name. A row that is written
+ * again has the wall clock of the start, so that a clock step since then stays without effect. Runs until `signal` aborts.
  */
-export const maintainOwnRow = async ({rows, members, correctedClock, wallNowMs, log, ownAddresses}: OwnRowOptions, signal: AbortSignal): Promise<void> => {
+export const maintainOwnRow = async ({clock, rows, members, correctedClock, wallNowMs, log, ownAddresses}: OwnRowOptions, signal: AbortSignal): Promise<void> => {
+	const wallAheadMs = wallNowMs() - clock.nowMs();
 	while (!signal.aborted) {
 		const storeNowMs = correctedClock.storeNowMs();
 		if (storeNowMs !== undefined && !members.hasOwnRow(ownAddresses)) {
 			try {
-				await members.writeOwnRow(rows, {...ownAddresses, wallOffsetMs: wallNowMs() - storeNowMs});
+				await members.writeOwnRow(rows, {...ownAddresses, wallOffsetMs: clock.nowMs() + wallAheadMs - storeNowMs});
 			} catch (error) {
 				log.writeError('writing this entry\'s member row', error);
 			}
