Write the counts of the last windows again when the store has returned

Cause: counts that the store had acknowledged were not written again, and were no longer broadcast. Change: after a return, the counts of windows that ended less than 20 s ago count as unwritten. Rows of windows that are reported already are written again as well; they stay, and nothing reads them. Measured: usage-counter.test.ts, 1 of 6 tests failed with an empty handler, 6 of 6 pass.

--- a/packages/forward/src/__tests__/usage-counter.test.ts
+++ b/packages/forward/src/__tests__/usage-counter.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {RowStore} from '../ports.js';
-import {UsageCounter} from '../usage-counter.js';
+import {UsageCounter, usageRowKey} from '../usage-counter.js';
 
 const firstGeneration = brandAs<StoreGeneration>(0);
 const windowMs = 5000;
@@ -122,6 +122,24 @@
 		});
 	});
 
+	// Counts that the store had acknowledged were never written again.
+	it('writes and broadcasts the counts of the last twenty seconds again when the store has returned from a copy; guards against a bill without lost counts', async () => {
+		const {counter, writes, countIn, advance, flush, broadcast} = createFixture();
+		for (const window of [1, 2, 3, 4, 5]) {
+			countIn(window);
+			await flush();
+		}
+
+		// Window 1 ended at 10 s.
+		advance(5500);
+		assert.equal(broadcast(), []);
+		counter.recordStoreReturn();
+		assert.equal(broadcast(), [[3, {tenant: 1}], [4, {tenant: 1}], [5, {tenant: 1}]]);
+		await flush();
+		assert.equal(writes.at(-1)!.rows.map(({key}) => key), [2, 3, 4, 5].map(window => usageRowKey(window, 'e1')));
+		assert.equal(broadcast(), []);
+	});
+
 	it('broadcasts the newest windows after a failed write; guards against notices with old windows only', async () => {
 		const {counter, writes, countIn, broadcast} = createFixture();
 		for (const window of [1, 2, 3]) {
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -170,6 +170,7 @@
 		onStoreReturn() {
 			directory.recordStoreReturn();
 			members.recordStoreReturn();
+			usage.recordStoreReturn();
 		},
 	});
 	return {
--- a/packages/forward/src/usage-counter.ts
+++ b/packages/forward/src/usage-counter.ts
@@ -28,6 +28,9 @@
 /** A write without an answer may take effect this much later, and would then replace newer counts. */
 const lateWriteMs = 5000;
 
+/** The store returns from a copy that is some seconds old. Counts of windows that ended longer ago than this were written before it. */
+const lostWritesMs = 20_000;
+
 /** Key of the row in which one process counts a window. Windows sort by number. */
 export const usageRowKey = (window: number, owner: string): string => `${String(window).padStart(12, '0')}/${owner}`;
 
@@ -83,6 +86,16 @@
 		this.#unwrittenWindows.add(window);
 	}
 
+	/** Writes and broadcasts the counts of the last windows again, because the store has lost acknowledged writes. */
+	recordStoreReturn(): void {
+		const sinceMs = (this.#options.nowMs() ?? 0) - lostWritesMs;
+		for (const window of this.#windows.keys()) {
+			if ((window + 1) * this.#options.windowMs > sinceMs) {
+				this.#unwrittenWindows.add(window);
+			}
+		}
+	}
+
 	/** This process's counts of a window. */
 	countsOf(window: number): UsageCounts {
 		return Object.fromEntries(this.#windows.get(window) ?? []);
@@ -90,7 +103,7 @@
 
 	/** Counts that are not in the store yet, to broadcast to entries that may still reach the store when this one does not. */
 	unwrittenCounts(): UsageNotice {
-		return {owner: this.#options.owner, windows: [...this.#unwrittenWindows].slice(-maxWindowsPerNotice).map(window => [window, this.countsOf(window)] as const)};
+		return {owner: this.#options.owner, windows: [...this.#unwrittenWindows].toSorted((a, b) => a - b).slice(-maxWindowsPerNotice).map(window => [window, this.countsOf(window)] as const)};
 	}
 
 	/** Takes over counts that another process has broadcast. */
