Write quarantines again when the store has returned from a copy

A fleet that is killed after the store's return would lose three more engines to a segment whose quarantine row was lost. Cause: only the beginning of a quarantine wrote its row. Change: each entry writes the quarantines in effect again after a return. `QuarantineRows.save` takes several, in one write.

--- a/packages/forward/src/__tests__/quarantine-rows.test.ts
+++ b/packages/forward/src/__tests__/quarantine-rows.test.ts
@@ -54,7 +54,7 @@
 	const guard = new SegmentQuarantines({
 		clock,
 		onQuarantine(quarantine) {
-			void quarantineRows.save(quarantine);
+			void quarantineRows.save([quarantine]);
 		},
 		onAdoption: () => undefined,
 		onQuarantineEnd(segment) {
@@ -100,6 +100,19 @@
 		assert.ok(restarted.guard.remainingMs(segments)! > 0);
 	});
 
+	// Only the beginning of a quarantine wrote its row.
+	it('are written again when the store has lost them; guards against engines lost after a return of the store and a mass restart', async () => {
+		const store = createFakeStore();
+		const clock = createManualClock(100);
+		const entry = startEntry(store, clock);
+		crashThreeTimes(entry.guard, clock);
+		store.values.clear();
+		await entry.quarantineRows.save(entry.guard.quarantines);
+		const restarted = startEntry(store, createManualClock(0));
+		await restoreIn(restarted);
+		assert.ok(restarted.guard.remainingMs(segments)! > 0);
+	});
+
 	it('are removed when they are over or a completed run has ended them', async () => {
 		const store = createFakeStore();
 		const clock = createManualClock(100);
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -171,6 +171,11 @@
 		return this.#segments.count;
 	}
 
+	/** Quarantines of prompt segments in effect. */
+	get segmentQuarantines(): readonly SegmentQuarantine[] {
+		return this.#segments.quarantines;
+	}
+
 	/** News about prompt segments for the other entries. */
 	segmentNewsToSend(): SegmentNews {
 		return this.#segments.newsToSend();
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -104,7 +104,7 @@
 	},
 	onQuarantine(quarantine) {
 		logQuarantine({clock, log}, quarantine, {isAdopted: false});
-		void quarantineRows.save(quarantine);
+		void quarantineRows.save([quarantine]);
 	},
 	onAdoption(quarantine) {
 		logQuarantine({clock, log}, quarantine, {isAdopted: true});
@@ -171,6 +171,7 @@
 			directory.recordStoreReturn();
 			members.recordStoreReturn();
 			usage.recordStoreReturn();
+			void quarantineRows.save(crashes.segmentQuarantines);
 		},
 	});
 	return {
--- a/packages/forward/src/quarantine-rows.ts
+++ b/packages/forward/src/quarantine-rows.ts
@@ -27,6 +27,10 @@
 
 const rowKey = (segment: SegmentKey): string => createHash('sha256').update(segment).digest('base64url').slice(0, keyLength);
 
+const toRow = ({segment, companions, refutedAfterMs, untilMs}: SegmentQuarantine, storeOffsetMs: number): QuarantineRow => ({
+	segment, companions, refutedAfterMs: refutedAfterMs + storeOffsetMs, untilMs: untilMs + storeOffsetMs,
+});
+
 const readRow = ({value}: StoreRow): QuarantineRow | undefined => {
 	try {
 		const row = JSON.parse(value ?? '') as Partial<QuarantineRow>;
@@ -57,20 +61,19 @@
 		this.#options = options;
 	}
 
-	/** Writes a quarantine that has begun. Without the store it is only in the memory of the entries. */
-	async save({segment, companions, refutedAfterMs, untilMs}: SegmentQuarantine): Promise<void> {
+	/** Writes quarantines that have begun, or that the store may have lost. Without the store they are only in the memory of the entries. */
+	async save(quarantines: readonly SegmentQuarantine[]): Promise<void> {
 		const {rows, correctedClock, nowMs, log} = this.#options;
 		const storeNowMs = correctedClock.storeNowMs();
-		if (storeNowMs === undefined) {
+		if (storeNowMs === undefined || quarantines.length === 0) {
 			return;
 		}
 
 		const storeOffsetMs = storeNowMs - nowMs();
-		const row: QuarantineRow = {
-			segment, companions, refutedAfterMs: refutedAfterMs + storeOffsetMs, untilMs: untilMs + storeOffsetMs,
-		};
 		try {
-			await rows.write('quarantines', [{key: rowKey(segment), value: JSON.stringify(row)}]);
+			await rows.write('quarantines', quarantines.map(quarantine => ({
+				key: rowKey(quarantine.segment), value: JSON.stringify(toRow(quarantine, storeOffsetMs)),
+			})));
 		} catch (error) {
 			log.writeError('writing a quarantine', error);
 		}
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -77,6 +77,11 @@
 		return this.#segments.quarantines.length;
 	}
 
+	/** The quarantines in effect. */
+	get quarantines(): readonly SegmentQuarantine[] {
+		return this.#segments.quarantines;
+	}
+
 	/** Records a request that is allowed to run. */
 	recordRequest(segments: readonly SegmentKey[]): void {
 		this.#segments.recordRequest(segments);
