--- a/packages/forward/src/__tests__/quarantine-rows.test.ts
+++ b/packages/forward/src/__tests__/quarantine-rows.test.ts
@@ -1,5 +1,5 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
-import {brandAs, type SegmentKey} from '@hawthorncleat/core';
+import {brandAs, type SegmentKey, type StoreGeneration} from '@hawthorncleat/core';
 import * as assert from 'uvu/assert';
 import {CorrectedClock} from '../corrected-clock.js';
 import {DecisionLog} from '../decision-log.js';
@@ -7,6 +7,7 @@
 import {QuarantineRows} from '../quarantine-rows.js';
 import {SegmentQuarantines} from '../segment-quarantines.js';
 
+const firstGeneration = brandAs<StoreGeneration>(0);
 const segments = [brandAs<SegmentKey>('models/dead')];
 /** The store's clock runs beside those of the entries, whose clocks begin anew with each start. */
 const storeClock = createManualClock(5_000_000);
@@ -24,7 +25,9 @@
 					throw new Error('the store is down');
 				}
 
-				return {rows: [...values].map(([key, value]) => ({key, value, version: 1})), version: 1, storeNowMs: storeClock.nowMs()};
+				return {
+					rows: [...values].map(([key, value]) => ({key, value, version: 1})), version: 1, storeNowMs: storeClock.nowMs(), generation: firstGeneration,
+				};
 			},
 			watch: async () => undefined,
 			async write(_table, rows) {
@@ -51,7 +54,7 @@
 	const guard = new SegmentQuarantines({
 		clock,
 		onQuarantine(quarantine) {
-			void quarantineRows.save(quarantine);
+			void quarantineRows.save([quarantine]);
 		},
 		onAdoption: () => undefined,
 		onQuarantineEnd(segment) {
@@ -97,6 +100,19 @@
 		assert.ok(restarted.guard.remainingMs(segments)! > 0);
 	});
 
+	// Only the beginning of a quarantine wrote its row.
+	it('are written again when the store has lost them; guards against engines lost after a return of the store and a mass restart', async () => {
+		const store = createFakeStore();
+		const clock = createManualClock(100);
+		const entry = startEntry(store, clock);
+		crashThreeTimes(entry.guard, clock);
+		store.values.clear();
+		await entry.quarantineRows.save(entry.guard.quarantines);
+		const restarted = startEntry(store, createManualClock(0));
+		await restoreIn(restarted);
+		assert.ok(restarted.guard.remainingMs(segments)! > 0);
+	});
+
 	it('are removed when they are over or a completed run has ended them', async () => {
 		const store = createFakeStore();
 		const clock = createManualClock(100);
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -104,7 +104,7 @@
 	},
 	onQuarantine(quarantine) {
 		logQuarantine({clock, log}, quarantine, {isAdopted: false});
-		void quarantineRows.save(quarantine);
+		void quarantineRows.save([quarantine]);
 	},
 	onAdoption(quarantine) {
 		logQuarantine({clock, log}, quarantine, {isAdopted: true});
@@ -160,7 +160,19 @@
 		},
 	});
 	const follower: StoreFollower = new StoreFollower({
-		clock, rows, config, directory, members, correctedClock, log,
+		clock,
+		rows,
+		config,
+		directory,
+		members,
+		correctedClock,
+		log,
+		onStoreReturn() {
+			directory.recordStoreReturn();
+			members.recordStoreReturn();
+			usage.recordStoreReturn();
+			void quarantineRows.save(crashes.segmentQuarantines);
+		},
 	});
 	return {
 		metrics, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, roleChanges, gossip, directory, correctedClock, usage, follower,
