Let the epochs of a lease rise with the generation of the store

A takeover that a return from a copy undid was followed by one with the same epoch, so two holders had one fencing token. Cause: the epoch was one more than the row that was read, and that row may be older than the last takeover. Change: nextEpoch() begins each generation above all epochs of the older ones. Nothing uses it yet; without a return epochs stay 1, 2, 3. Measured: with the old rule the property test over takeovers and returns fails (core lease.test.ts, seed 32); it passes now.

--- a/packages/core/src/__tests__/lease.test.ts
+++ b/packages/core/src/__tests__/lease.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import {
-	LeaseHolder, defaultLeaseDurations, LeaseTaker, parseLeaseRow,
+	brandAs, firstEpochOf, firstGeneration, generationOfEpoch, LeaseHolder, defaultLeaseDurations, LeaseTaker, nextEpoch, parseLeaseRow, type LeaseEpoch, type StoreGeneration,
 } from '../index.js';
 
 describe('lease times', () => {
@@ -60,3 +60,45 @@
 		assert.is(parseLeaseRow(null), undefined);
 	});
 });
+
+const generationOf = (count: number): StoreGeneration => brandAs<StoreGeneration>(count);
+
+describe('epochs of a lease', () => {
+	it('rise by one while the store never returns from a copy; guards against a change for tables without generations', () => {
+		const first = nextEpoch(undefined, firstGeneration);
+		const second = nextEpoch(first, firstGeneration);
+		assert.equal([first, second, nextEpoch(second, firstGeneration)], [1, 2, 3]);
+		assert.is(generationOfEpoch(second), firstGeneration);
+	});
+
+	// Guards against a fencing token that two holders use, because a return undid the takeover of the first one.
+	it('are given out once and in rising order; guards against a token of two holders after a return to an older row', () => {
+		const step = fc.oneof(fc.constant('takeover' as const), fc.record({backBy: fc.nat({max: 5}), returns: fc.integer({min: 1, max: 3})}));
+		fc.assert(fc.property(fc.array(step, {maxLength: 40}), steps => {
+			// The row after each write that the store still has.
+			let rows: Array<LeaseEpoch | undefined> = [undefined];
+			let generation = firstGeneration;
+			const given: LeaseEpoch[] = [];
+			for (const current of steps) {
+				if (current === 'takeover') {
+					const epoch = nextEpoch(rows.at(-1), generation);
+					rows.push(epoch);
+					given.push(epoch);
+					assert.is(generationOfEpoch(epoch), generation);
+				} else {
+					rows = rows.slice(0, Math.max(1, rows.length - current.backBy));
+					generation = generationOf(generation + current.returns);
+				}
+			}
+
+			assert.equal(given, [...new Set(given)].toSorted((a, b) => a - b));
+		}), {seed: 32});
+	});
+
+	it('begin above all of the older generation; guards against a later holder whose token is refused', () => {
+		const lost = nextEpoch(undefined, generationOf(3));
+		const older = brandAs<LeaseEpoch>(7);
+		assert.ok(nextEpoch(older, generationOf(4)) > lost);
+		assert.is(nextEpoch(older, generationOf(4)), firstEpochOf(generationOf(4)));
+	});
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,9 +46,13 @@
 export {
 	LeaseHolder,
 	defaultLeaseDurations,
+	firstEpochOf,
+	firstGeneration,
+	generationOfEpoch,
 	leaseEpochKey,
 	leaseKey,
 	LeaseTaker,
+	nextEpoch,
 	parseLeaseRow,
 	type LeaseDurations,
 	type LeaseObservation,
--- a/packages/core/src/lease.ts
+++ b/packages/core/src/lease.ts
@@ -3,7 +3,7 @@
  * own monotonic clocks: the holder counts from before its request was sent, the other process from after its response was
  * received, so the holder always stops first.
  */
-import type {LeaseEpoch} from './ids.js';
+import {brandAs, type LeaseEpoch, type StoreGeneration} from './ids.js';
 
 export type LeaseDurations = {
 	readonly leaseTtlMs: number;
@@ -14,6 +14,25 @@
 
 export const defaultLeaseDurations: LeaseDurations = {leaseTtlMs: 9000, leaseRenewMs: 3000, leaseMarginMs: 1500};
 
+/** The generation of a table that has never returned from a copy. */
+export const firstGeneration = brandAs<StoreGeneration>(0);
+
+/** More takeovers than one duty has between two returns of the store from a copy. */
+const epochsPerGeneration = 2 ** 20;
+
+/** The first epoch of a generation. It is higher than every epoch of an older generation. */
+export const firstEpochOf = (generation: StoreGeneration): LeaseEpoch => brandAs<LeaseEpoch>((generation * epochsPerGeneration) + 1);
+
+/** The generation in which an epoch was given out. */
+export const generationOfEpoch = (epoch: LeaseEpoch): StoreGeneration => brandAs<StoreGeneration>(Math.floor((epoch - 1) / epochsPerGeneration));
+
+/**
+ * The epoch of a takeover, from the epoch in the row that the takeover replaces. A return from a copy may have undone the last
+ * takeovers, so the row alone would let an epoch be given out twice.
+ */
+export const nextEpoch = (previous: LeaseEpoch | undefined, generation: StoreGeneration): LeaseEpoch =>
+	brandAs<LeaseEpoch>(Math.max((previous ?? 0) + 1, firstEpochOf(generation)));
+
 /** Value of the row `lease/<duty>`. An empty `holder` means that the last holder has stopped and released the lease. */
 export type LeaseRow = {
 	readonly holder: string;
