End a tenure of the lease when the store returns from a copy

After a return a holder went on under a row that was older than its takeover, a released row in the copy let another take the lease at once, and two holders could have one fencing token. Cause: the runner took the rows of the copy for the present state of the lease. Change: each generation has lease and epoch rows of its own, so neither the rows of the copy nor a write of the older generation that is carried out late counts. A missing row of a generation above 0 is taken after the duration of a lease. The store stand-in ReturningStore serves the tests. Without a return nothing changes.

--- a/packages/core/src/lease.ts
+++ b/packages/core/src/lease.ts
@@ -41,15 +41,21 @@
 	readonly state: unknown;
 };
 
+/**
+ * Each generation has rows of its own. What a return from a copy brings back, and a write of an older generation that is carried out
+ * after the return, then changes no row that counts.
+ */
+const generationSuffix = (generation: StoreGeneration): string => generation === firstGeneration ? '' : `@${generation}`;
+
 /** Key of the lease row, which every renewal and takeover changes. */
-export const leaseKey = (duty: string): string => `lease/${duty}`;
+export const leaseKey = (duty: string, generation = firstGeneration): string => `lease/${duty}${generationSuffix(generation)}`;
 
 /**
  * Key of the epoch row, which only a takeover changes, so that transactions which check it do not conflict with renewals.
  * Rule `effect` of models/lease.pml: the holder first checks its lease by its own clock, and then every transaction of the
  * duty checks this row.
  */
-export const leaseEpochKey = (duty: string): string => `lease-epoch/${duty}`;
+export const leaseEpochKey = (duty: string, generation = firstGeneration): string => `lease-epoch/${duty}${generationSuffix(generation)}`;
 
 /** Parses the value of a lease row; undefined if it is malformed. */
 export const parseLeaseRow = (value: unknown): LeaseRow | undefined => {
@@ -95,15 +101,22 @@
 }
 
 /** State of the lease row at one read; version null means that there is no row. */
-export type LeaseObservation = {readonly version: number | null; readonly released: boolean};
+export type LeaseObservation = {
+	readonly version: number | null;
+	readonly released: boolean;
+	/** Generation of the row. Absent in a table that never loses a write. */
+	readonly generation?: StoreGeneration;
+};
 
 /**
  * Rule `take` of models/lease.pml: when another process may take a lease. Without a row or after a release it may do so at
- * once, otherwise after the version has stayed the same for the duration of a lease.
+ * once, otherwise after the version has stayed the same for the duration of a lease. After a return from a copy a missing row
+ * does not show that nobody holds the lease of the older generation, so the process waits as if there were one.
  */
 export class LeaseTaker {
 	readonly #durations: LeaseDurations;
 	#observedVersion: number | null | undefined;
+	#observedGeneration = firstGeneration;
 	#firstSeenMs = 0;
 
 	constructor(durations: LeaseDurations) {
@@ -111,14 +124,15 @@
 	}
 
 	/** Records a read of the lease row and returns whether the lease may be taken at the version that was read. */
-	observe(observation: LeaseObservation, receivedMs: number): boolean {
-		if (observation.version !== this.#observedVersion) {
-			this.#observedVersion = observation.version;
+	observe({version, released, generation = firstGeneration}: LeaseObservation, receivedMs: number): boolean {
+		if (version !== this.#observedVersion || generation !== this.#observedGeneration) {
+			this.#observedVersion = version;
+			this.#observedGeneration = generation;
 			this.#firstSeenMs = receivedMs;
 		}
 
-		return observation.version === null
-			|| observation.released
+		return (version === null && generation === firstGeneration)
+			|| released
 			|| receivedMs - this.#firstSeenMs >= this.#durations.leaseTtlMs;
 	}
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -28,3 +28,4 @@
 	sendJson, startHttpServer, type Exchange, type Handler, type HttpRoute, type HttpServer,
 } from './http-server.js';
 export type {RecordFields} from './history.js';
+export {ReturningStore, type ReturningStoreCopy} from './returning-store.js';
--- a/packages/store/src/lease-runner.ts
+++ b/packages/store/src/lease-runner.ts
@@ -3,9 +3,11 @@
  * then waits until it can acquire the lease again.
  */
 import {
-	brandAs, LeaseHolder, defaultLeaseDurations, leaseEpochKey, leaseKey, LeaseTaker, parseLeaseRow, type Clock, type LeaseDurations, type LeaseEpoch, type LeaseRow, type MakeId,
+	defaultLeaseDurations, firstGeneration, generationOfEpoch, leaseEpochKey, LeaseHolder, leaseKey, LeaseTaker, nextEpoch, parseLeaseRow,
+	type Clock, type LeaseDurations, type LeaseEpoch, type LeaseRow, type MakeId, type StoreGeneration,
 } from '@hawthorncleat/core';
 import type {TablePut, TableRow} from '@hawthorncleat/schema';
+import {GenerationWatch} from './generation-watch.js';
 import {
 	createLease, requestAttestations, sleep, Tenure, type Lease, type DutyWitnessClient,
 } from './lease-tenure.js';
@@ -44,45 +46,65 @@
 	readonly #options: LeaseRunnerOptions;
 	readonly #durations: LeaseDurations;
 	readonly #signal: AbortSignal;
+	readonly #generations: GenerationWatch;
 	#lastWrite: LeaseWrite | undefined;
 
 	constructor(options: LeaseRunnerOptions, signal: AbortSignal) {
 		this.#options = options;
 		this.#durations = options.durations ?? defaultLeaseDurations;
 		this.#signal = signal;
+		this.#generations = new GenerationWatch(options.table, options.clock);
 	}
 
 	async run(): Promise<void> {
+		const watching = new AbortController();
+		const watch = this.#generations.run(AbortSignal.any([this.#signal, watching.signal]));
+		try {
+			await this.#runTenures();
+		} finally {
+			watching.abort();
+			await watch;
+		}
+	}
+
+	async #runTenures(): Promise<void> {
 		while (!this.#signal.aborted) {
 			const tenure = await this.#acquire();
-			if (tenure) {
-				await this.#runDuty(tenure);
-				await sleep(this.#durations.leaseRenewMs, this.#signal);
+			const {changed, current} = this.#generations;
+			if (tenure?.generation === current) {
+				await this.#runDuty(tenure, changed);
+				await sleep(this.#durations.leaseRenewMs, changed);
 			}
 		}
 	}
 
-	get #key(): string {
-		return leaseKey(this.#options.duty);
+	#keyIn(generation: StoreGeneration): string {
+		return leaseKey(this.#options.duty, generation);
 	}
 
 	/** Tries to acquire the lease until it succeeds or the runner is aborted. */
 	async #acquire(): Promise<Tenure | undefined> {
 		const taker = new LeaseTaker(this.#durations);
 		while (!this.#signal.aborted) {
+			const {changed} = this.#generations;
 			const tenure = await this.#tryAcquire(taker).catch(ignoreStoreError);
 			if (tenure) {
 				return tenure;
 			}
 
-			await sleep(this.#durations.leaseRenewMs, this.#signal);
+			await sleep(this.#durations.leaseRenewMs, changed);
 		}
 
 		return undefined;
 	}
 
 	async #tryAcquire(taker: LeaseTaker): Promise<Tenure | undefined> {
-		const row = await this.#options.table.read(this.#key);
+		const generation = this.#generations.current;
+		const row = await this.#options.table.read(this.#keyIn(generation));
+		if (this.#generations.current !== generation) {
+			return undefined;
+		}
+
 		const value = parseLeaseRow(row?.value);
 		if (row && value && value.writeId === this.#lastWrite?.writeId) {
 			const tenure = await this.#confirmTenure(row.version, value, this.#lastWrite.sentMs);
@@ -92,9 +114,9 @@
 			}
 		}
 
-		const observation = {version: row?.version ?? null, released: value?.holder === ''};
+		const observation = {version: row?.version ?? null, released: value?.holder === '', generation};
 		const mayTake = taker.observe(observation, this.#options.clock.nowMs());
-		return mayTake && !this.#signal.aborted ? this.#writeTakeover(row, value) : undefined;
+		return mayTake && !this.#signal.aborted ? this.#writeTakeover(generation, row, value) : undefined;
 	}
 
 	/**
@@ -102,14 +124,14 @@
 	 * models/duty-outage.pml: it checks the version that was read before the announcement, so that a holder that has renewed
 	 * the lease since then keeps it.
 	 */
-	async #writeTakeover(row: TableRow | undefined, previous: LeaseRow | undefined): Promise<Tenure | undefined> {
-		const epoch = brandAs<LeaseEpoch>((previous?.epoch ?? 0) + 1);
+	async #writeTakeover(generation: StoreGeneration, row: TableRow | undefined, previous: LeaseRow | undefined): Promise<Tenure | undefined> {
+		const epoch = nextEpoch(previous?.epoch, generation);
 		if (!await this.#mayWriteTakeover(epoch, row, previous)) {
 			return undefined;
 		}
 
 		const value = this.#createRow(epoch, previous?.state ?? null);
-		const epochRow = {key: leaseEpochKey(this.#options.duty), value: {epoch}};
+		const epochRow = {key: leaseEpochKey(this.#options.duty, generation), value: {epoch}};
 		const result = await this.#write(row?.version ?? null, value, [epochRow]);
 		return result.kind === 'written' ? this.#confirmTenure(result.version, value, this.#lastWrite!.sentMs) : undefined;
 	}
@@ -117,17 +139,22 @@
 	/** A lease that was never held or was released needs no announcement, because witnesses can't attest a holder of it. */
 	async #mayWriteTakeover(epoch: LeaseEpoch, row: TableRow | undefined, previous: LeaseRow | undefined): Promise<boolean> {
 		const {witnesses} = this.#options;
-		const isFree = row === undefined || previous?.holder === '';
+		const wasNeverHeld = row === undefined && generationOfEpoch(epoch) === firstGeneration;
+		const isFree = wasNeverHeld || previous?.holder === '';
 		return witnesses === undefined || isFree || (await witnesses.announce(epoch, this.#signal) && !this.#signal.aborted);
 	}
 
-	/** Rule `own-epoch` of models/lease.pml: the epoch row is read after the takeover and must contain this tenure's epoch. */
+	/**
+	 * Rule `own-epoch` of models/lease.pml: the epoch row is read after the takeover and must contain this tenure's epoch. A
+	 * takeover that the table carried out in a newer generation is void.
+	 */
 	async #confirmTenure(version: number, value: LeaseRow, sentMs: number): Promise<Tenure | undefined> {
 		const holder = new LeaseHolder(this.#durations, sentMs);
-		const epochRow = await this.#options.table.read(leaseEpochKey(this.#options.duty));
 		const {epoch, state} = value;
+		const generation = generationOfEpoch(epoch);
+		const epochRow = await this.#options.table.read(leaseEpochKey(this.#options.duty, generation));
 		// Another process may have taken the lease between the write and this read.
-		const isOwn = (epochRow?.value as {epoch?: number} | undefined)?.epoch === epoch;
+		const isOwn = (epochRow?.value as {epoch?: number} | undefined)?.epoch === epoch && this.#generations.current === generation;
 		return epochRow && isOwn && holder.isHeld(this.#options.clock.nowMs())
 			? new Tenure({
 				holder, epoch, epochRowVersion: epochRow.version, leaseRowVersion: version, state,
@@ -143,21 +170,23 @@
 
 	async #write(version: number | null, value: LeaseRow, furtherPuts: readonly TablePut[] = []): Promise<WriteResult> {
 		const {writeId} = value;
+		const key = this.#keyIn(generationOfEpoch(value.epoch));
 		this.#lastWrite = {writeId, sentMs: this.#options.clock.nowMs()};
 		const transaction = {
 			writeId,
-			checks: [{key: this.#key, version}],
-			puts: [{key: this.#key, value}, ...furtherPuts],
+			checks: [{key, version}],
+			puts: [{key, value}, ...furtherPuts],
 			deletes: [],
 		};
 		return transactWithReadBack(this.#options.table, transaction, {
-			key: this.#key, isOwnWrite: other => parseLeaseRow(other)?.writeId === writeId,
+			key, isOwnWrite: other => parseLeaseRow(other)?.writeId === writeId,
 		});
 	}
 
-	async #runDuty(tenure: Tenure): Promise<void> {
+	/** `changed` aborts when the table has returned from a copy, which may have undone the takeover. */
+	async #runDuty(tenure: Tenure, changed: AbortSignal): Promise<void> {
 		const controller = new AbortController();
-		const signal = AbortSignal.any([this.#signal, controller.signal]);
+		const signal = AbortSignal.any([this.#signal, controller.signal, changed]);
 		const stop = (): void => {
 			controller.abort();
 		};
@@ -248,6 +277,10 @@
 	/** Rule `renewal` of models/lease.pml: checks the lease row and leaves the epoch row unchanged. */
 	async #renew(tenure: Tenure): Promise<'renewed' | 'retry' | 'lost'> {
 		const result = await this.#write(tenure.leaseRowVersion, this.#createRow(tenure.epoch, tenure.state));
+		if (this.#generations.current !== tenure.generation) {
+			return 'lost';
+		}
+
 		if (result.kind === 'written') {
 			tenure.leaseRowVersion = result.version;
 			tenure.holder.recordRenewal(this.#lastWrite!.sentMs, this.#options.clock.nowMs());
@@ -267,7 +300,7 @@
 	 */
 	async #adoptVersion(tenure: Tenure): Promise<'adopted' | 'unread' | 'lost'> {
 		try {
-			const row = await this.#options.table.read(this.#key);
+			const row = await this.#options.table.read(this.#keyIn(tenure.generation));
 			const value = parseLeaseRow(row?.value);
 			if (!row || value?.epoch !== tenure.epoch || value.holder !== this.#options.holder) {
 				return 'lost';
@@ -282,10 +315,11 @@
 
 	/**
 	 * Rule `give-back` of models/lease.pml: releases the lease once the duty has stopped, so that others can take it at once.
-	 * If the write fails, they wait for its expiry.
+	 * If the write fails, they wait for its expiry. The row of an older generation is left as it is, because nobody reads it.
 	 */
 	async #release(tenure: Tenure): Promise<void> {
-		if (tenure.hasTableRecovered || tenure.holder.isHeld(this.#options.clock.nowMs())) {
+		const isRowCurrent = this.#generations.current === tenure.generation;
+		if (isRowCurrent && (tenure.hasTableRecovered || tenure.holder.isHeld(this.#options.clock.nowMs()))) {
 			await this.#write(tenure.leaseRowVersion, this.#createRow(tenure.epoch, tenure.state, '')).catch(() => undefined);
 		}
 
--- a/packages/store/src/lease-tenure.ts
+++ b/packages/store/src/lease-tenure.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	attestIntervalMs, leaseEpochKey, OutageAuthority, type Clock, type LeaseEpoch, type LeaseHolder, type WitnessGroup,
+	attestIntervalMs, generationOfEpoch, leaseEpochKey, OutageAuthority, type Clock, type LeaseEpoch, type LeaseHolder, type StoreGeneration, type WitnessGroup,
 } from '@hawthorncleat/core';
 import type {TableCheck} from '@hawthorncleat/schema';
 
@@ -16,7 +16,7 @@
 	readonly duty: string;
 	/** The fencing token; rises with each takeover. */
 	readonly epoch: LeaseEpoch;
-	/** The state of the lease row at the takeover, or the state that was set since then. */
+	/** The state of the lease row at the takeover, or the state that was set since then. A return of the table from a copy resets it to null. */
 	readonly state: unknown;
 	/** The check that makes a transaction fail once another process has taken the lease. */
 	check(): TableCheck;
@@ -78,6 +78,11 @@
 		this.state = state;
 	}
 
+	/** The generation of the table in which the lease was taken. The tenure ends with it. */
+	get generation(): StoreGeneration {
+		return generationOfEpoch(this.epoch);
+	}
+
 	authority(nowMs: number): Authority {
 		if (this.hasDutyStopped) {
 			return 'none';
@@ -104,7 +109,7 @@
 export const createLease = (tenure: Tenure, duty: string, clock: Clock): Lease => ({
 	duty,
 	epoch: tenure.epoch,
-	check: () => ({key: leaseEpochKey(duty), version: tenure.epochRowVersion}),
+	check: () => ({key: leaseEpochKey(duty, tenure.generation), version: tenure.epochRowVersion}),
 	isHeld: () => tenure.authority(clock.nowMs()) === 'table',
 	authority: () => tenure.authority(clock.nowMs()),
 	remainingAuthorityMs() {
