Never report a usage window anew after the store has lost its report

Cause: the recorded report in the store was the only memory of what had been reported. After a return it was that of an older window, and the later windows were summed up again from counts that were partly gone. Change: the recorded report carries its epoch, and only one of the lease's own generation is the newest for certain. Otherwise a lease that continues the last tenure of its process goes on from what that tenure knew, and any other lease skips the windows that were due when it began, with a line in the log and a metric. A row that is read when the store has returned changes nothing. Counts of reported windows that the copy brings back are deleted. Without a return all stays as it was. Tests: the fixture of usage-duty.test.ts gets a generation, the progress of the process and the skipped windows; no check is changed.

--- a/packages/forward/src/__tests__/usage-duty.test.ts
+++ b/packages/forward/src/__tests__/usage-duty.test.ts
@@ -1,22 +1,28 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {brandAs, type LeaseEpoch} from '@hawthorncleat/core';
+import {
+	brandAs, firstEpochOf, type LeaseEpoch, type StoreGeneration,
+} from '@hawthorncleat/core';
 import type {Lease, Table, TransactResult} from '@hawthorncleat/store';
 import type {TableRow, Transaction} from '@hawthorncleat/schema';
 import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {RowStore, StoreRow, UsageCounts} from '../ports.js';
 import {usageRowKey} from '../usage-counter.js';
-import {runUsageDuty} from '../usage-duty.js';
+import {runUsageDuty, type UsageProgress} from '../usage-duty.js';
 
 const windowMs = 5000;
 const countsWrittenMs = 2000;
 
+type MemoryTable = Table & {readonly rows: Map<string, TableRow>; generationCount: number};
+
 /** An in-memory table. */
-const createTable = (): Table & {readonly rows: Map<string, TableRow>} => {
+const createTable = (): MemoryTable => {
 	const rows = new Map<string, TableRow>();
 	let version = 0;
-	return {
+	const table: MemoryTable = {
 		rows,
+		generationCount: 0,
+		generation: () => brandAs<StoreGeneration>(table.generationCount),
 		read: async key => rows.get(key),
 		scan: async () => [...rows.values()],
 		async transact({checks, puts}: Transaction): Promise<TransactResult> {
@@ -33,6 +39,7 @@
 			return {ok: true, versions: Object.fromEntries(puts.map(({key}) => [key, version]))};
 		},
 	};
+	return table;
 };
 
 type SentReport = {readonly window: number; readonly counts: UsageCounts; readonly epoch: number};
@@ -45,10 +52,13 @@
 	/** The first report of this window is accepted, but its answer is lost. */
 	losesAnswerOf?: number;
 	broadcastCounts: ReadonlyMap<string, UsageCounts>;
+	/** What the process of the duty knows of the reports. */
+	progress: UsageProgress;
+	readonly skippedWindows: number[];
 };
 
 const createFixture = (): Fixture => ({
-	table: createTable(), usage: new Map(), sentReports: [], nowMs: (10 * windowMs) + countsWrittenMs + 10, broadcastCounts: new Map(),
+	table: createTable(), usage: new Map(), sentReports: [], nowMs: (10 * windowMs) + countsWrittenMs + 10, broadcastCounts: new Map(), progress: {}, skippedWindows: [],
 });
 
 const createRows = (fixture: Fixture): RowStore => ({
@@ -64,9 +74,9 @@
 	},
 });
 
-const start = async (fixture: Fixture, epoch: number, signal: AbortSignal): Promise<void> => {
+const start = async (fixture: Fixture, epoch: number, signal: AbortSignal, continuedEpoch?: number): Promise<void> => {
 	fixture.table.rows.set('lease-epoch/usage', {key: 'lease-epoch/usage', value: {epoch}, version: 1000 + epoch});
-	const lease = {epoch: brandAs<LeaseEpoch>(epoch), check: () => ({key: 'lease-epoch/usage', version: 1000 + epoch})} as unknown as Lease;
+	const lease = {epoch: brandAs<LeaseEpoch>(epoch), continuedEpoch, check: () => ({key: 'lease-epoch/usage', version: 1000 + epoch})} as unknown as Lease;
 	let id = 0;
 	return runUsageDuty({
 		rows: createRows(fixture),
@@ -91,13 +101,17 @@
 		nowMs: () => fixture.nowMs,
 		countsByProcess: () => fixture.broadcastCounts,
 		onReport() {/* The tests check the calls. */},
+		onSkip({windows}) {
+			fixture.skippedWindows.push(...windows);
+		},
 		onError() {/* Expected when an answer is lost. */},
+		progress: fixture.progress,
 	}, lease, signal);
 };
 
-const withDuty = async (fixture: Fixture, epoch: number, body: () => Promise<void>): Promise<void> => {
+const withDuty = async (fixture: Fixture, epoch: number, body: () => Promise<void>, continuedEpoch?: number): Promise<void> => {
 	const stop = new AbortController();
-	const done = start(fixture, epoch, stop.signal);
+	const done = start(fixture, epoch, stop.signal, continuedEpoch);
 	try {
 		await body();
 	} finally {
@@ -156,3 +170,119 @@
 		assert.ok(reportsOf(fixture, 8).length > 0);
 	});
 });
+
+const countRow = (window: number, count: number): [key: string, value: string] => [usageRowKey(window, 'e1/x'), JSON.stringify({acme: count})];
+
+/** Lets the epoch 1 report windows 9 and 10; the store then returns from a copy with the report of window 9 and fewer counts. */
+const reportAndReturn = async (fixture: Fixture): Promise<void> => {
+	fixture.usage.set(...countRow(9, 5));
+	let copy = new Map<string, TableRow>();
+	await withDuty(fixture, 1, async () => {
+		await waitUntil(() => reportsOf(fixture, 9).length > 0);
+		copy = new Map(fixture.table.rows);
+		fixture.usage.set(...countRow(10, 7));
+		fixture.nowMs += windowMs;
+		await waitUntil(() => reportsOf(fixture, 10).length > 0);
+	});
+	returnFrom(fixture, copy);
+	fixture.usage.set(...countRow(9, 4));
+	fixture.usage.set(...countRow(10, 1));
+};
+
+const returnFrom = ({table}: Fixture, copy: ReadonlyMap<string, TableRow>): void => {
+	table.generationCount += 1;
+	table.rows.clear();
+	for (const [key, row] of copy) {
+		table.rows.set(key, row);
+	}
+};
+
+const firstEpoch = (generation: number): number => firstEpochOf(brandAs<StoreGeneration>(generation));
+const countsOf = (fixture: Fixture, window: number): UsageCounts[] => reportsOf(fixture, window).map(({counts}) => counts);
+
+describe('the usage duty after a return of the store from a copy', () => {
+	it('goes on from what the process knows when the lease continues; guards against two figures of a window that the store has lost', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		fixture.nowMs += windowMs;
+		fixture.usage.set(...countRow(11, 3));
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => reportsOf(fixture, 11).length > 0), 1);
+		assert.equal([countsOf(fixture, 9), countsOf(fixture, 10), countsOf(fixture, 11)], [[{acme: 5}], [{acme: 7}], [{acme: 3}]]);
+		assert.equal(fixture.skippedWindows, []);
+	});
+
+	it('skips the windows that were due when the lease does not continue; guards against two figures of a window that another has reported', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		fixture.progress = {};
+		// An entry whose clock is a second ahead may have reported window 11 already.
+		fixture.nowMs += windowMs - 900;
+		await withDuty(fixture, firstEpoch(1), async () => {
+			await waitUntil(() => fixture.skippedWindows.length > 0);
+			fixture.nowMs += windowMs + 900;
+			fixture.usage.set(...countRow(12, 3));
+			await waitUntil(() => reportsOf(fixture, 12).length > 0);
+		});
+		assert.equal([countsOf(fixture, 10), countsOf(fixture, 11), countsOf(fixture, 12)], [[{acme: 7}], [], [{acme: 3}]]);
+		assert.equal(fixture.skippedWindows, [10, 11]);
+	});
+
+	it('repeats a report of the new generation; guards against a window that is skipped although its report is known', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		fixture.nowMs += windowMs;
+		fixture.usage.set(...countRow(11, 3));
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => reportsOf(fixture, 11).length > 0), 1);
+		fixture.progress = {};
+		await withDuty(fixture, firstEpoch(1) + 1, async () => waitUntil(() => reportsOf(fixture, 11).length > 1));
+		assert.equal([countsOf(fixture, 11), fixture.skippedWindows], [[{acme: 3}, {acme: 3}], []]);
+	});
+
+	it('repeats a report whose answer was lost before the return; guards against new figures of a report that may have arrived', async () => {
+		const fixture = createFixture();
+		const copy = new Map(fixture.table.rows);
+		fixture.usage.set(...countRow(9, 5));
+		fixture.losesAnswerOf = 9;
+		await withDuty(fixture, 1, async () => waitUntil(() => reportsOf(fixture, 9).length > 0));
+		returnFrom(fixture, copy);
+		fixture.usage.set(...countRow(9, 2));
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => reportsOf(fixture, 9).length > 1), 1);
+		assert.equal(countsOf(fixture, 9), [{acme: 5}, {acme: 5}]);
+	});
+
+	it('keeps what it knows when it reads the row of the copy; guards against a window that is summed up again in a tenure that ends', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		// The tenure of epoch 1 has not ended yet, and reads the recorded report again.
+		await withDuty(fixture, 1, async () => sleep(400));
+		await withDuty(fixture, firstEpoch(1), async () => sleep(400), 1);
+		assert.equal([countsOf(fixture, 9), countsOf(fixture, 10)], [[{acme: 5}], [{acme: 7}]]);
+	});
+
+	it('does not go on from a tenure that had not read the recorded report; guards against two figures of what an earlier holder reported', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		fixture.nowMs += windowMs;
+		// The process has also held the lease as epoch 3, in which it could not read what epoch 2 had reported.
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => fixture.skippedWindows.length > 0), 3);
+		assert.equal([countsOf(fixture, 10), countsOf(fixture, 11), fixture.skippedWindows], [[{acme: 7}], [], [11]]);
+	});
+
+	it('keeps the windows that it has skipped over a further return; guards against two figures after returns in quick succession', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		fixture.progress = {};
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => fixture.skippedWindows.length > 0));
+		returnFrom(fixture, new Map(fixture.table.rows));
+		await withDuty(fixture, firstEpoch(2), async () => sleep(400), firstEpoch(1));
+		assert.equal([countsOf(fixture, 10), fixture.skippedWindows], [[{acme: 7}], [10]]);
+	});
+
+	it('deletes the counts of reported windows that came back; guards against rows that nobody deletes', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		fixture.usage.set(...countRow(11, 3));
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => fixture.usage.size === 1), 1);
+		assert.equal([...fixture.usage.keys()], [usageRowKey(11, 'e1/x')]);
+	});
+});
--- a/packages/forward/src/duties.ts
+++ b/packages/forward/src/duties.ts
@@ -13,7 +13,7 @@
 import {runRoleDuty} from './role-duty.js';
 import type {CorrectedClock} from './corrected-clock.js';
 import type {UsageCounter} from './usage-counter.js';
-import {runUsageDuty, usageDutyName} from './usage-duty.js';
+import {runUsageDuty, usageDutyName, type UsageProgress} from './usage-duty.js';
 
 /** If the holder fails, another entry takes over within the time to live. Three renewals fit into it. */
 const leaseDurations = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
@@ -35,7 +35,7 @@
 	readonly onPendingRoleChanges: (changes: readonly RoleChange[]) => void;
 };
 
-const runUsageReports = async (options: DutiesOptions, lease: Lease, signal: AbortSignal): Promise<void> => {
+const runUsageReports = async (options: DutiesOptions, progress: UsageProgress, lease: Lease, signal: AbortSignal): Promise<void> => {
 	const {platform, makeId, holder, usageWindowMs, correctedClock, usage, log, metrics} = options;
 	await runUsageDuty({
 		rows: platform.rows,
@@ -50,9 +50,14 @@
 			metrics.countUsageReport(report.accepted);
 			log.write('usage', report);
 		},
+		onSkip(skipped) {
+			metrics.countSkippedUsageWindows(skipped.windows.length);
+			log.write('usage', {skippedWindows: skipped.windows, epoch: skipped.epoch});
+		},
 		onError(error) {
 			log.writeError('reporting usage', error);
 		},
+		progress,
 	}, lease, signal);
 };
 
@@ -76,6 +81,7 @@
 /** Acquires the lease whenever it is free and runs the duties while it is held. Demand is measured without the lease, too. */
 export const runDuties = async (options: DutiesOptions, signal: AbortSignal): Promise<void> => {
 	const {clock, makeId, holder, platform, log} = options;
+	const progress: UsageProgress = {};
 	let heldLease: Lease | undefined;
 	const leaseLoop = runLease({
 		duty: usageDutyName,
@@ -87,7 +93,7 @@
 		async onHeld(lease, held) {
 			log.write('lease', {duty: usageDutyName, held: true, epoch: lease.epoch});
 			heldLease = lease;
-			await runUsageReports(options, lease, held);
+			await runUsageReports(options, progress, lease, held);
 			heldLease = undefined;
 			log.write('lease', {duty: usageDutyName, held: false, epoch: lease.epoch});
 		},
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -40,6 +40,10 @@
 		name: 'hawthorncleat_forward_usage_reports_total', help: 'Usage reports by whether the platform accepted them', labelNames: ['accepted'], registers: [this.registry],
 	});
 
+	readonly #skippedUsageWindows = new Counter({
+		name: 'hawthorncleat_forward_skipped_usage_windows_total', help: 'Windows left out of the usage reports after the store had lost the newest report', registers: [this.registry],
+	});
+
 	readonly #furtherArrivals = new Counter({
 		name: 'hawthorncleat_forward_further_arrivals_total', help: 'Repeated calls that reached an endpoint for the same request', registers: [this.registry],
 	});
@@ -83,6 +87,10 @@
 		this.#usageReports.inc({accepted: String(accepted)});
 	}
 
+	countSkippedUsageWindows(windows: number): void {
+		this.#skippedUsageWindows.inc(windows);
+	}
+
 	setConfigVersion(version: number): void {
 		this.#configVersion.set(version);
 	}
