Answer every request of a connection during a stop

What callers saw: of two requests sent without waiting for the first answer, the second was read and passed on, and its connection closed with the first answer. Cause: each answer during a stop announced the close of its connection. Change: only the answer to the last request that has been read announces it. Result: the test failed before (second answer missing) and passes now.

--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -11,6 +11,8 @@
 	running: number;
 	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
 	bytesAtRest: number;
+	/** Answer to the last request that has been read. */
+	latest?: ServerResponse;
 };
 
 /**
@@ -96,6 +98,7 @@
 		if (connection) {
 			connection.requests += 1;
 			connection.running += 1;
+			connection.latest = res;
 		}
 
 		this.#running += 1;
@@ -109,6 +112,12 @@
 		});
 	}
 
+	/** Whether no later request has been read on the connection of this answer. */
+	isLatest(res: ServerResponse): boolean {
+		const connection = this.#open.get(res.req.socket);
+		return connection === undefined || connection.latest === res;
+	}
+
 	close(socket: Socket, reason: CloseReason): void {
 		if (socket.destroyed) {
 			return;
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -22,6 +22,8 @@
 	readonly stopLimit: AbortSignal;
 	/** Whether callers should open their next connection elsewhere. */
 	readonly isStopping: () => boolean;
+	/** Whether no later request has been read on the connection. */
+	readonly isLatest: () => boolean;
 };
 
 export class CallerExchange {
@@ -30,14 +32,16 @@
 	readonly #res: ServerResponse;
 	readonly #clock: Clock;
 	readonly #isStopping: () => boolean;
+	readonly #isLatest: () => boolean;
 	readonly #controller = new AbortController();
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(res: ServerResponse, {clock, stopLimit, isStopping}: ExchangeOptions) {
+	constructor(res: ServerResponse, {clock, stopLimit, isStopping, isLatest}: ExchangeOptions) {
 		this.#res = res;
 		this.#clock = clock;
 		this.#isStopping = isStopping;
+		this.#isLatest = isLatest;
 		this.startedMs = clock.nowMs();
 		const {socket} = res.req;
 		const onStopLimit = (): void => {
@@ -112,9 +116,9 @@
 		this.#res.writeHead(status, headers);
 	}
 
-	/** Announces that the connection ends with the answer. */
+	/** Announces that the connection ends with the answer, unless another request that was read on it is to be answered. */
 	closeAfterAnswer(): void {
-		if (!this.#res.headersSent) {
+		if (!this.#res.headersSent && this.#isLatest()) {
 			this.#res.setHeader('connection', 'close');
 		}
 	}
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -17,6 +17,8 @@
 	readonly isStopping: () => boolean;
 	/** Aborts when this entry ends; the requests that still run must be answered then. */
 	readonly stopLimit: AbortSignal;
+	/** Whether no later request has been read on the connection of this answer. */
+	readonly isLatest: (res: ServerResponse) => boolean;
 	readonly onEnd: (end: RequestEnd) => void;
 	/** Reports an exception while a request was served. */
 	readonly onError: (error: unknown) => void;
@@ -148,7 +150,7 @@
 
 /** Handles one request of a caller from its head to its log line. */
 export const handleCallerRequest = async (deps: CallerHandlerDeps, req: IncomingMessage, res: ServerResponse): Promise<void> => {
-	const exchange = new CallerExchange(res, deps);
+	const exchange = new CallerExchange(res, {...deps, isLatest: () => deps.isLatest(res)});
 
 	const view: RequestView = {};
 	const outcome = await admitAndServe(deps, req, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -160,6 +160,7 @@
 			routes: () => this.#components.config.routes,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
+			isLatest: res => this.#connections.isLatest(res),
 			onRun: admitted => {
 				this.#countUsage(admitted);
 			},
