Close idle connections one by one during a stop, each after reading what arrived

What callers saw: a request that arrived while a stop was closing other idle connections was closed unread. Cause: what had arrived was read once, before a hundred and more closes. Change: it is read again before each close while the stop has time.

--- a/packages/forward/src/__tests__/caller-connections.test.ts
+++ b/packages/forward/src/__tests__/caller-connections.test.ts
@@ -16,14 +16,18 @@
 	/** Exchanges in the order of their requests. */
 	readonly exchanges: CallerExchange[];
 	readonly answers: ServerResponse[];
+	/** Called when the entry closes a connection. */
+	onClose?: () => void;
 	/** Opens a connection and writes these bytes. Resolves when the server has read them. */
 	openWith(bytes: string): Promise<Socket>;
 };
 
 const withServer = async (body: (fixture: Fixture) => Promise<void>): Promise<void> => {
+	let fixture: Fixture | undefined;
 	const closeReasons: CloseReason[] = [];
 	const connections = new CallerConnections(reason => {
 		closeReasons.push(reason);
+		fixture?.onClose?.();
 	});
 	const exchanges: CallerExchange[] = [];
 	const answers: ServerResponse[] = [];
@@ -43,7 +47,7 @@
 	await once(server, 'listening');
 	const {port} = server.address() as AddressInfo;
 	try {
-		await body({
+		fixture = {
 			connections,
 			closeReasons,
 			exchanges,
@@ -57,7 +61,8 @@
 				await waitUntil(() => (accepted[index]?.bytesRead ?? -1) >= bytes.length, {what: 'the bytes'});
 				return socket;
 			},
-		});
+		};
+		await body(fixture);
 	} finally {
 		server.close();
 		server.closeAllConnections();
@@ -83,6 +88,25 @@
 		assert.equal(connections.counts.closed, {'stop-running': 1});
 	}));
 
+	// Guards against a stop that closes many idle connections at once while requests arrive on the last ones.
+	it('does not come while a request that has arrived is unread; guards against a request closed unread because another close took time', async () => withServer(async fixture => {
+		const {openWith, answers, connections, closeReasons} = fixture;
+		const sockets = [await openWith(head), await openWith(head)];
+		await waitUntil(() => answers.length === 2, {what: 'the requests'});
+		for (const res of answers) {
+			res.end('x');
+		}
+
+		await waitUntil(() => connections.running === 0, {what: 'the answers'});
+		fixture.onClose = () => {
+			sockets[1]!.write(head);
+		};
+
+		await connections.closeIdle(() => true);
+		assert.is(connections.counts.running, 1);
+		assert.equal(closeReasons, ['stop-idle']);
+	}));
+
 	it('is counted by what was read on it; guards against a stop that hides a request that was read', async () => withServer(async ({openWith, answers, connections, closeReasons}) => {
 		const idle = await openWith(head);
 		answers[0]!.end('x');
@@ -93,7 +117,7 @@
 		await waitUntil(() => connections.counts.connections === 4 && connections.counts.running === 1, {what: 'the requests'});
 		const {unused, receiving, running} = connections.counts;
 		assert.equal({unused, receiving, running}, {unused: 1, receiving: 1, running: 1});
-		connections.closeIdle();
+		await connections.closeIdle(() => true);
 		assert.equal(closeReasons, ['stop-idle']);
 		connections.closeAll();
 		assert.equal(closeReasons.toSorted(), ['stop-idle', 'stop-receiving', 'stop-running', 'stop-unused']);
--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -3,6 +3,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {waitForPendingInput} from './caller-exchange.js';
 
 type Connection = {
 	/** Requests so far. */
@@ -128,9 +129,20 @@
 		socket.destroy();
 	}
 
-	/** Closes the connections without a request during a stop. A connection that has had none yet may still get its first one. */
-	closeIdle(): void {
+	/**
+	 * Closes the connections without a request during a stop, while there is time each one right after everything that has arrived was read. A
+	 * connection that has had no request yet may still get its first one.
+	 */
+	async closeIdle(hasTime: () => boolean): Promise<void> {
 		for (const [socket, connection] of this.#open) {
+			if (stopReasonOf(socket, connection) !== 'stop-idle') {
+				continue;
+			}
+
+			if (hasTime()) {
+				await waitForPendingInput();
+			}
+
 			if (stopReasonOf(socket, connection) === 'stop-idle') {
 				this.close(socket, 'stop-idle');
 			}
--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/graceful-stop.ts
@@ -63,18 +63,20 @@
 	} while (connections.accepted > acceptedBefore && clock.nowMs() < endMs);
 };
 
+const hasTime = ({phases, limits}: GracefulStopOptions): boolean => phases.stoppingMs < limits().stopMs;
+
 /** Waits until no request runs, or may still arrive on a connection that was accepted before the listening socket was closed. */
-const waitForRequests = async ({clock, connections, phases, limits}: GracefulStopOptions): Promise<void> => {
+const waitForRequests = async (options: GracefulStopOptions): Promise<void> => {
+	const {clock, connections} = options;
 	const closedMs = clock.nowMs();
 	const hasUnanswered = (): boolean => {
 		const {running, unused, receiving} = connections.counts;
 		return running > 0 || (unused + receiving > 0 && clock.nowMs() - closedMs < unusedConnectionMs);
 	};
 
-	while (hasUnanswered() && phases.stoppingMs < limits().stopMs) {
+	while (hasUnanswered() && hasTime(options)) {
 		await sleep(pollMs);
-		await waitForPendingInput();
-		connections.closeIdle();
+		await connections.closeIdle(() => hasTime(options));
 	}
 };
 
@@ -104,8 +106,8 @@
 	const closeReason = await waitForStep('close', options);
 	logStep('closing', closeReason);
 	await acceptPending(options);
-	connections.closeIdle();
 	closeListener(server);
+	await connections.closeIdle(() => hasTime(options));
 	await waitForRequests(options);
 	logStep('ending');
 	await answerRunning(options);
