--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -3,6 +3,7 @@
  */
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {waitForPendingInput} from './caller-exchange.js';
 
 type Connection = {
 	/** Requests so far. */
@@ -11,6 +12,8 @@
 	running: number;
 	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
 	bytesAtRest: number;
+	/** Answer to the last request that has been read. */
+	latest?: ServerResponse;
 };
 
 /**
@@ -96,6 +99,7 @@
 		if (connection) {
 			connection.requests += 1;
 			connection.running += 1;
+			connection.latest = res;
 		}
 
 		this.#running += 1;
@@ -109,6 +113,12 @@
 		});
 	}
 
+	/** Whether no later request has been read on the connection of this answer. */
+	isLatest(res: ServerResponse): boolean {
+		const connection = this.#open.get(res.req.socket);
+		return connection === undefined || connection.latest === res;
+	}
+
 	close(socket: Socket, reason: CloseReason): void {
 		if (socket.destroyed) {
 			return;
@@ -119,9 +129,20 @@
 		socket.destroy();
 	}
 
-	/** Closes the connections without a request during a stop. A connection that has had none yet may still get its first one. */
-	closeIdle(): void {
+	/**
+	 * Closes the connections without a request during a stop, while there is time each one right after everything that has arrived was read. A
+	 * connection that has had no request yet may still get its first one.
+	 */
+	async closeIdle(hasTime: () => boolean): Promise<void> {
 		for (const [socket, connection] of this.#open) {
+			if (stopReasonOf(socket, connection) !== 'stop-idle') {
+				continue;
+			}
+
+			if (hasTime()) {
+				await waitForPendingInput();
+			}
+
 			if (stopReasonOf(socket, connection) === 'stop-idle') {
 				this.close(socket, 'stop-idle');
 			}
