Let the store of the soak return from an older copy

New store faults: the store returns from a copy that is 1 to 10 s old, at once or after up to 3 s away, also twice in succession. They are disturbances of the store, which excuse what has a bound on time for four seconds; usage figures and fences have no excuse.

New rule `configs do not go back`: within the life of a process, a request that is sent 250 ms after a run under some version of the configuration runs under no older one, also when the store had a fault. rules.test.ts plants a violation, and shows that a return excuses no figures, fences or runs that no configuration allows.

--- a/packages/soak/src/__tests__/rules.test.ts
+++ b/packages/soak/src/__tests__/rules.test.ts
@@ -181,6 +181,41 @@
 			assert.equal(check({configs, calls: [early], runs: [createRun(early)]}), []);
 		});
 
+		it('an older configuration after a newer one in a process that lives on, also when only the store had a fault', () => {
+			const configs = [{
+				version: 1, atMs: 0, services, keys,
+			}, {
+				version: 2, atMs: 9000, services: {...services, read: 'spare'}, keys,
+			}];
+			const calls = [createCall(), createCall({id: 'c2', sentMs: 10_400})];
+			const runs = [createRun(calls[0]!, {service: 'spare'}), createRun(calls[1]!)];
+			const storeFault = {...disturbance, fault: 'store-restored', isOfStore: true};
+			assert.equal(check({configs, calls, runs}), ['configs do not go back']);
+			assert.equal(check({
+				configs, calls, runs, disturbances: [{...storeFault, entry: undefined}],
+			}), ['configs do not go back']);
+			assert.equal(check({
+				configs, calls, runs, disturbances: [{...disturbance, fromMs: 10_100, untilMs: 10_300}],
+			}), []);
+			const atOnce = [calls[0]!, createCall({id: 'c2', sentMs: 10_200})];
+			assert.equal(check({configs, calls: atOnce, runs: [runs[0]!, createRun(atOnce[1]!)]}), []);
+		});
+
+		it('two figures of one window, a shared or lower fence and a run that no configuration allows, although the store returned from a copy', () => {
+			const storeFault = {
+				...disturbance, entry: undefined, fault: 'store-restored', isOfStore: true, fromMs: 0, untilMs: recoveredMs,
+			};
+			const report = {
+				window: 7, counts: {acme: 3}, holder: 'e1', fence: 2, isAccepted: true,
+			};
+			assert.equal(check({disturbances: [storeFault], reports: [report, {...report, counts: {acme: 4}}]}), ['reports agree']);
+			assert.equal(check({disturbances: [storeFault], reports: [report, {...report, holder: 'e2'}]}), ['fences are own']);
+			const order = {endpoint: 'i-1', holder: 'e1', fence: 5};
+			assert.equal(check({disturbances: [storeFault], orders: [order, {...order, fence: 4}]}), ['fences are own']);
+			const call = createCall();
+			assert.equal(check({disturbances: [storeFault], calls: [call], runs: [createRun(call, {service: 'spare'})]}), ['configs are followed']);
+		});
+
 		it('requests that get no answer until long after their time limit', () => {
 			const calls = Array.from({length: 5}, (_, index) => createCall({
 				id: `c${index}`, status: 504, isSealed: false, endedMs: 12_600,
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -6,6 +6,7 @@
 import type {LostBytes, SeededRandom} from '@hawthorncleat/histories';
 import type {EntryProcess} from './entry-process.js';
 import {silenceFault} from './record.js';
+import {maxCopyAgeMs} from './store-copies.js';
 import {initialConfig, type RelayedEndpoint, type World} from './world.js';
 
 /** Injects one fault. A fault with a duration has ended when the promise settles. */
@@ -80,6 +81,22 @@
 	}),
 };
 
+/** Probability that a return takes no time, so that it breaks no connection and fails no call. */
+const quickReturnFraction = 0.5;
+const maxAwayMs = 3000;
+const minCopyAgeMs = 1000;
+
+/** The store is away for a moment and returns from an older copy. */
+const returnFromCopy = async ({store, copies}: World, random: SeededRandom): Promise<void> => {
+	if (!random.chance(quickReturnFraction)) {
+		store.faults = {isUnavailable: true};
+		await sleep(random.integer(0, maxAwayMs));
+	}
+
+	store.returnFrom(copies.ofAge(random.integer(minCopyAgeMs, maxCopyAgeMs)));
+	store.faults = {};
+};
+
 const storeFaults: Track = {
 	away: createStoreFault('store-away', async ({store}, random) => {
 		store.faults = {isUnavailable: true};
@@ -96,6 +113,12 @@
 	historyDropped: createStoreFault('store-history-dropped', async ({store}) => {
 		store.dropHistory();
 	}),
+	restored: createStoreFault('store-restored', returnFromCopy),
+	restoredTwice: createStoreFault('store-restored-twice', async (world, random) => {
+		await returnFromCopy(world, random);
+		await sleep(random.integer(100, 2500));
+		await returnFromCopy(world, random);
+	}),
 	unreachable: createStoreLinkFault('store-unreachable', async (entry, _world, random) => {
 		await entry.storeRelay.refuse();
 		await sleep(random.integer(300, 5000));
--- a/packages/soak/src/rules/index.ts
+++ b/packages/soak/src/rules/index.ts
@@ -5,7 +5,7 @@
 import {fencesAreOwn, reportsAgree, stopsEnd} from './duties.js';
 import {requestsAreNotCut} from './cut-requests.js';
 import {
-	actionsRunOnce, attemptsAreLimited, configsAreFollowed, leftRequestsEnd, retriesAreFew, runsAreAsked,
+	actionsRunOnce, attemptsAreLimited, configsAreFollowed, configsDoNotGoBack, leftRequestsEnd, retriesAreFew, runsAreAsked,
 } from './runs.js';
 
 /** Every rule that the record of a run is checked against. */
@@ -21,6 +21,7 @@
 	retriesAreFew,
 	leftRequestsEnd,
 	configsAreFollowed,
+	configsDoNotGoBack,
 	reportsAgree,
 	fencesAreOwn,
 	stopsEnd,
--- a/packages/soak/src/rules/runs.ts
+++ b/packages/soak/src/rules/runs.ts
@@ -3,7 +3,9 @@
  */
 import {groupBy} from '@hawthorncleat/core';
 import {maxRouteAttempts} from '@hawthorncleat/platform/stand-ins';
-import {isUndisturbed, type Rule, type Violation} from '../record.js';
+import {
+	isProcessUndisturbed, isUndisturbed, type PublishedConfig, type Rule, type SoakRecord, type Violation,
+} from '../record.js';
 
 /** An endpoint runs only requests that a caller sent, unchanged, for the caller's account and without its key. */
 export const runsAreAsked: Rule = ({calls, runs}) => {
@@ -73,6 +75,9 @@
 		: [];
 };
 
+const allowsRun = ({services, keys}: PublishedConfig, {route, account, key}: SoakRecord['calls'][number], {service}: SoakRecord['runs'][number]): boolean =>
+	services[route] === service && (keys[account] ?? []).includes(key);
+
 /** An undisturbed entry must apply a published configuration within this time. */
 const configApplyMs = 3000;
 
@@ -88,8 +93,7 @@
 			return [];
 		}
 
-		const isAllowedBy = ({services, keys}: (typeof record.configs)[number]): boolean =>
-			services[call.route] === run.service && (keys[call.account] ?? []).includes(call.key);
+		const isAllowedBy = (config: PublishedConfig): boolean => allowsRun(config, call, run);
 		if (!record.configs.some(config => isAllowedBy(config))) {
 			return [{rule: 'configs are followed', what: `${call.id} ran at ${run.endpoint}, which no configuration allows`}];
 		}
@@ -102,3 +106,31 @@
 			: [{rule: 'configs are followed', what: `${call.id} ran at ${run.endpoint}, which only an outdated configuration allows`}];
 	});
 };
+
+/** After a run under a version of the configuration, requests that are sent this much later run under no older one. */
+const downgradeMs = 250;
+
+type VersionedRun = {readonly id: string; readonly entry: string; readonly sentMs: number; readonly atMs: number; readonly oldest: number; readonly newest: number};
+
+/** Runs with the oldest and the newest version that allow each. */
+const findVersions = ({calls, runs, configs}: SoakRecord): VersionedRun[] => {
+	const byId = new Map(calls.map(call => [call.id, call]));
+	return runs.flatMap(run => {
+		const call = byId.get(run.requestId);
+		const versions = call ? configs.filter(config => allowsRun(config, call, run)).map(({version}) => version) : [];
+		return call && versions.length > 0
+			? [{
+				id: call.id, entry: call.entry, sentMs: call.sentMs, atMs: run.atMs, oldest: Math.min(...versions), newest: Math.max(...versions),
+			}]
+			: [];
+	});
+};
+
+/**
+ * An entry whose process lives on never returns to an older configuration, whatever happens to the store: a request runs under no
+ * version that is older than that of an earlier run.
+ */
+export const configsDoNotGoBack: Rule = record => [...groupBy(findVersions(record), ({entry}) => entry)].flatMap(([entry, runs]): Violation[] => runs.flatMap(run => {
+	const earlier = runs.find(({oldest, atMs}) => oldest > run.newest && atMs + downgradeMs < run.sentMs && isProcessUndisturbed(record, entry, atMs, run.atMs));
+	return earlier ? [{rule: 'configs do not go back', what: `${run.id} ran under version ${run.newest} at most, ${earlier.id} before it under ${earlier.oldest} at least`}] : [];
+}));
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -13,6 +13,7 @@
 } from '@hawthorncleat/platform/stand-ins';
 import {findFreePort} from '@hawthorncleat/test-kit';
 import {createEntryProcess, type EntryProcess} from './entry-process.js';
+import {StoreCopies} from './store-copies.js';
 import type {
 	Disturbance, EndpointFault, PublishedConfig, SoakRecord,
 } from './record.js';
@@ -51,6 +52,7 @@
 
 export class World {
 	readonly store: StoreStandIn;
+	readonly copies: StoreCopies;
 	readonly usage: UsageStandIn;
 	readonly endpoints: readonly RelayedEndpoint[];
 	readonly entries: readonly EntryProcess[];
@@ -60,8 +62,9 @@
 	readonly #disturbances: Array<Period<Disturbance>> = [];
 	readonly #endpointFaults: Array<Period<EndpointFault>> = [];
 
-	constructor(components: Pick<World, 'endpoints' | 'entries' | 'logLines' | 'store' | 'usage'>) {
+	constructor(components: Pick<World, 'copies' | 'endpoints' | 'entries' | 'logLines' | 'store' | 'usage'>) {
 		this.store = components.store;
+		this.copies = components.copies;
 		this.usage = components.usage;
 		this.endpoints = components.endpoints;
 		this.entries = components.entries;
@@ -136,6 +139,7 @@
 	setMaxListeners(0, signal);
 	const folder = await mkdtemp(path.join(tmpdir(), 'soak-'));
 	const store = await startStoreStandIn(signal);
+	const copies = new StoreCopies(store);
 	const usage = await startUsageStandIn(signal);
 	const endpoints = await createEndpoints(store, signal);
 	const logLines: string[] = [];
@@ -147,8 +151,9 @@
 		name, storePort: store.port, usagePort: usage.port, retryLimits, folder, onLine,
 	}, signal)));
 	const world = new World({
-		store, usage, endpoints, entries, logLines,
+		store, copies, usage, endpoints, entries, logLines,
 	});
+	const copying = copies.run(signal);
 	try {
 		await world.start();
 		return await body(world, signal);
@@ -159,6 +164,7 @@
 		}
 
 		controller.abort();
+		await copying;
 		await rm(folder, {recursive: true});
 	}
 };
