Write an entry's member row until the store has taken it

What was seen: an entry whose first member row was rejected by the store (429, 503, no answer) never wrote it again. Its peers then did not know it: no gossip, no share of the limits, no configuration from it.

Cause: the entry adds its own row to the known members before it writes it, for its own clock, and the row then counted as written.

Change: the row must be written until a write of it was answered, as after a return of the store.

Measured: the new test failed before and passes now; membership.test.ts passes 9 of 9.

--- a/packages/forward/src/__tests__/membership.test.ts
+++ b/packages/forward/src/__tests__/membership.test.ts
@@ -109,6 +109,21 @@
 	});
 });
 
+/** Rows of a store that rejects the first write. */
+const createRejectingRows = (onWrite: () => void): RowStore => {
+	let calls = 0;
+	return {
+		async write() {
+			calls += 1;
+			if (calls === 1) {
+				throw new Error('the store rejects the call');
+			}
+
+			onWrite();
+		},
+	} as unknown as RowStore;
+};
+
 describe('the member row of an entry', () => {
 	/** Lets an entry write its row at its start and again after a return, and gives the offsets of its wall clock in both. */
 	const writtenOffsets = async (change: (clocks: {readonly store: {nowMs: number}; readonly wall: {nowMs: number}}) => void): Promise<readonly [number, number]> => {
@@ -151,6 +166,21 @@
 		}), [49_000, 49_000]);
 	});
 
+	// The row counted as written once the write had been sent.
+	it('is written until the store has taken it; guards against an entry that the others never know after a rejected write', async () => {
+		const {members} = createMembers();
+		members.apply(emptySnapshot, true);
+		let isWritten = false;
+		const rows = createRejectingRows(() => {
+			isWritten = true;
+		});
+		const member = {...ownAddresses, wallOffsetMs: 0};
+		await members.writeOwnRow(rows, member).catch(() => undefined);
+		assert.not.ok(members.hasOwnRow(ownAddresses));
+		await members.writeOwnRow(rows, member);
+		assert.ok(isWritten && members.hasOwnRow(ownAddresses));
+	});
+
 	it('follows a jump of the clock of the store; guards against usage windows that jump with it', async () => {
 		assert.equal(await writtenOffsets(({store}) => {
 			store.nowMs -= 700;
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -49,7 +49,7 @@
 	readonly #members = new Map<string, Member>();
 	#peers: Peer[] = [];
 	#storeReturnedMs = Number.NEGATIVE_INFINITY;
-	/** The store may have lost this entry's row. */
+	/** The store may have lost or not taken this entry's row. */
 	#mustWriteOwnRow = false;
 	/** The highest number of entries lately, and when it was last reached. */
 	#sharing = {count: 1, atMs: Number.NEGATIVE_INFINITY};
@@ -131,6 +131,7 @@
 	/** Writes this entry's row. */
 	async writeOwnRow(rows: RowStore, member: Member): Promise<void> {
 		this.#members.set(this.#ownName, member);
+		this.#mustWriteOwnRow = true;
 		await rows.write('members', [{key: this.#ownName, value: JSON.stringify(member)}]);
 		this.#mustWriteOwnRow = false;
 	}
