Keep the clock offset of an earlier process in a member row that is written again

What was seen: after a return of the store the usage windows could jump by the step of a host's clock. Order of events: the clock of a host steps; its entry is started again and keeps the row that it finds in the store, with the offset of before the step; the store returns from a copy, and the entry writes its row again, with the wall clock of its last start. With two of four hosts, or one of two, a step ahead moves the median.

Cause: the row that is written again followed the wall clock of this process, not the row that was in effect.

Change: an entry that finds its row at the start takes over its offset. A jump of the store's clock is still followed.

--- a/packages/forward/src/__tests__/membership.test.ts
+++ b/packages/forward/src/__tests__/membership.test.ts
@@ -124,11 +124,20 @@
 	} as unknown as RowStore;
 };
 
+type Clocks = {readonly store: {nowMs: number}; readonly wall: {nowMs: number}};
+/** What happens to the clocks at the return, and how often the row is written before it. */
+type ReturnPlan = {readonly writesAtStart: number; readonly change: (clocks: Clocks) => void};
+
 describe('the member row of an entry', () => {
 	/** Lets an entry write its row at its start and again after a return, and gives the offsets of its wall clock in both. */
-	const writtenOffsets = async (change: (clocks: {readonly store: {nowMs: number}; readonly wall: {nowMs: number}}) => void): Promise<readonly [number, number]> => {
+	const writtenOffsets = async (change: (clocks: Clocks) => void): Promise<readonly number[]> => {
 		const {members, clock} = createMembers();
 		members.apply(emptySnapshot, true);
+		return maintainOver(members, clock, {writesAtStart: 1, change});
+	};
+
+	/** Gives the offsets of the wall clock that an entry writes from its start until it has written its row after a return. */
+	const maintainOver = async (members: Membership, clock: Fixture['clock'], {writesAtStart, change}: ReturnPlan): Promise<readonly number[]> => {
 		const store = {nowMs: 1000};
 		const wall = {nowMs: 50_000};
 		const correctedClock = new CorrectedClock(clock, () => members.wallOffsets());
@@ -149,14 +158,14 @@
 			log: new DecisionLog(clock, {write: () => undefined, pendingBytes: () => 0}, 'e0'),
 			ownAddresses,
 		}, controller.signal);
-		await waitUntil(() => written.length === 1);
+		await waitUntil(() => written.length === writesAtStart);
 		change({store, wall});
 		correctedClock.recordStoreTime(store.nowMs);
 		members.recordStoreReturn();
-		await waitUntil(() => written.length === 2);
+		await waitUntil(() => written.length === writesAtStart + 1);
 		controller.abort();
 		await maintaining;
-		return [written[0]!, written[1]!];
+		return written;
 	};
 
 	// The row that was written again had the wall clock of that moment.
@@ -166,6 +175,12 @@
 		}), [49_000, 49_000]);
 	});
 
+	// The row that was written again had the wall clock of the last start, although the first start had left a row with another offset.
+	it('keeps the offset that it had when the process started; guards against usage windows that follow a clock step of before a restart', async () => {
+		const {members, clock} = createMembers();
+		assert.equal(await maintainOver(members, clock, {writesAtStart: 0, change: () => undefined}), [0]);
+	});
+
 	// The row counted as written once the write had been sent.
 	it('is written until the store has taken it; guards against an entry that the others never know after a rejected write', async () => {
 		const {members} = createMembers();
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -122,10 +122,15 @@
 			.map(([name, {address, gossipPort}]) => ({name, address, port: gossipPort}));
 	}
 
-	/** Whether the store has this entry's row, with its current addresses. */
-	hasOwnRow({address, gossipPort, peerPort}: Omit<Member, 'wallOffsetMs'>): boolean {
+	/** Offset of the wall clock in this entry's row; undefined without a row with its current addresses. */
+	ownWallOffsetMs({address, gossipPort, peerPort}: Omit<Member, 'wallOffsetMs'>): number | undefined {
 		const own = this.#members.get(this.#ownName);
-		return !this.#mustWriteOwnRow && own?.address === address && own.gossipPort === gossipPort && own.peerPort === peerPort;
+		return own?.address === address && own.gossipPort === gossipPort && own.peerPort === peerPort ? own.wallOffsetMs : undefined;
+	}
+
+	/** Whether the store has this entry's row, with its current addresses. */
+	hasOwnRow(ownAddresses: Omit<Member, 'wallOffsetMs'>): boolean {
+		return !this.#mustWriteOwnRow && this.ownWallOffsetMs(ownAddresses) !== undefined;
 	}
 
 	/** Writes this entry's row. */
@@ -154,20 +159,33 @@
 	readonly ownAddresses: Omit<Member, 'wallOffsetMs'>;
 };
 
+const writeMissingRow = async ({rows, members, log, ownAddresses}: OwnRowOptions, wallOffsetMs: number): Promise<void> => {
+	if (members.hasOwnRow(ownAddresses)) {
+		return;
+	}
+
+	try {
+		await members.writeOwnRow(rows, {...ownAddresses, wallOffsetMs});
+	} catch (error) {
+		log.writeError('writing this entry\'s member row', error);
+	}
+};
+
 /**
  * Writes this entry's row whenever it is missing or has other addresses, for example those of a former host of the same name. A row that is written
- * again has the wall clock of the start, so that a clock step since then stays without effect. Runs until `signal` aborts.
+ * again has the wall clock of the start, or the one of the row that an earlier process of this entry has left, so that a clock step since then stays
+ * without effect. Runs until `signal` aborts.
  */
-export const maintainOwnRow = async ({clock, rows, members, correctedClock, wallNowMs, log, ownAddresses}: OwnRowOptions, signal: AbortSignal): Promise<void> => {
-	const wallAheadMs = wallNowMs() - clock.nowMs();
+export const maintainOwnRow = async (options: OwnRowOptions, signal: AbortSignal): Promise<void> => {
+	const {clock, members, correctedClock, wallNowMs, ownAddresses} = options;
+	const startAheadMs = wallNowMs() - clock.nowMs();
+	let wallAheadMs: number | undefined;
 	while (!signal.aborted) {
 		const storeNowMs = correctedClock.storeNowMs();
-		if (storeNowMs !== undefined && !members.hasOwnRow(ownAddresses)) {
-			try {
-				await members.writeOwnRow(rows, {...ownAddresses, wallOffsetMs: clock.nowMs() + wallAheadMs - storeNowMs});
-			} catch (error) {
-				log.writeError('writing this entry\'s member row', error);
-			}
+		if (storeNowMs !== undefined) {
+			const earlierOffsetMs = members.ownWallOffsetMs(ownAddresses);
+			wallAheadMs ??= earlierOffsetMs === undefined ? startAheadMs : earlierOffsetMs + storeNowMs - clock.nowMs();
+			await writeMissingRow(options, clock.nowMs() + wallAheadMs - storeNowMs);
 		}
 
 		await sleep(rowCheckIntervalMs, undefined, {signal}).catch(() => undefined);
