Record the progress of usage reports as soon as the lease is taken after a return

What was seen: usage windows were left out although nobody had reported them, when the first holder after a return of the store ended before it had recorded a report.

Cause: the recorded report in the store is that of the copy until the first window after the return is due. A holder that finds only it skips all windows that are due, because it can't know of reports that are lost.

Change: the first holder of a generation writes the row before it reports: its pending report under its own epoch, or the number of the newest window that is reported or skipped, without figures. The next holder in this generation repeats the one and goes on after the other. It is one write for each return, under the same conditions as a report.

--- a/packages/forward/src/__tests__/usage-duty.test.ts
+++ b/packages/forward/src/__tests__/usage-duty.test.ts
@@ -240,6 +240,32 @@
 		assert.equal([countsOf(fixture, 11), fixture.skippedWindows], [[{acme: 3}, {acme: 3}], []]);
 	});
 
+	// Nothing was recorded in the new generation until the next window was due, so a next holder skipped the windows since the last record of the copy.
+	it('lets the next holder go on although no window was due yet; guards against windows that are skipped twice when the holder stops after a return', async () => {
+		const fixture = createFixture();
+		await reportAndReturn(fixture);
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => fixture.usage.size === 0), 1);
+		fixture.progress = {};
+		fixture.nowMs += windowMs;
+		fixture.usage.set(...countRow(11, 3));
+		await withDuty(fixture, firstEpoch(1) + 1, async () => waitUntil(() => reportsOf(fixture, 11).length > 0));
+		assert.equal([countsOf(fixture, 9), countsOf(fixture, 10), countsOf(fixture, 11)], [[{acme: 5}], [{acme: 7}], [{acme: 3}]]);
+		assert.equal(fixture.skippedWindows, []);
+	});
+
+	it('lets the next holder repeat a report that may not have arrived; guards against a window without a report after a return', async () => {
+		const fixture = createFixture();
+		const copy = new Map(fixture.table.rows);
+		fixture.usage.set(...countRow(9, 5));
+		fixture.losesAnswerOf = 9;
+		await withDuty(fixture, 1, async () => waitUntil(() => reportsOf(fixture, 9).length > 0));
+		returnFrom(fixture, copy);
+		await withDuty(fixture, firstEpoch(1), async () => waitUntil(() => reportsOf(fixture, 9).length > 1), 1);
+		fixture.progress = {};
+		await withDuty(fixture, firstEpoch(1) + 1, async () => waitUntil(() => reportsOf(fixture, 9).length > 2));
+		assert.equal([countsOf(fixture, 9), fixture.skippedWindows], [[{acme: 5}, {acme: 5}, {acme: 5}], []]);
+	});
+
 	it('repeats a report whose answer was lost before the return; guards against new figures of a report that may have arrived', async () => {
 		const fixture = createFixture();
 		const copy = new Map(fixture.table.rows);
--- a/packages/forward/src/usage-duty.ts
+++ b/packages/forward/src/usage-duty.ts
@@ -41,6 +41,8 @@
 	readonly writeId: string;
 	/** Epoch under which the report was recorded. Absent in rows of earlier versions. */
 	readonly epoch?: LeaseEpoch;
+	/** Set if the window is not to be reported any more: it is reported or skipped. The row then has no figures. */
+	readonly isSettled?: boolean;
 };
 
 /** What this process knows of the reports. It outlives a tenure, because the store may lose the recorded report. */
@@ -151,8 +153,13 @@
 		}
 
 		this.#recordedVersion = row?.version ?? null;
-		this.#adoptRecorded(row?.value as RecordedReport | undefined, nowMs);
+		const recorded = row?.value as RecordedReport | undefined;
+		this.#adoptRecorded(recorded, nowMs);
 		this.#progress.epoch = this.#lease.epoch;
+		if (this.#generation !== firstGeneration && !this.#isOfThisGeneration(recorded) && !await this.#recordProgress()) {
+			return false;
+		}
+
 		this.#isResumed = true;
 		if (this.#generation !== firstGeneration) {
 			await this.#deleteReportedCounts(signal);
@@ -161,11 +168,16 @@
 		return true;
 	}
 
+	#isOfThisGeneration(recorded: RecordedReport | undefined): recorded is RecordedReport {
+		return recorded !== undefined && generationOfEpoch(recorded.epoch ?? brandAs<LeaseEpoch>(1)) === this.#generation;
+	}
+
 	/** A report that was recorded in this generation is the newest one; the last holder may not have sent it. */
 	#adoptRecorded(recorded: RecordedReport | undefined, nowMs: number): void {
 		const progress = this.#progress;
-		if (recorded && generationOfEpoch(recorded.epoch ?? brandAs<LeaseEpoch>(1)) === this.#generation) {
-			progress.pendingReport = recorded;
+		if (this.#isOfThisGeneration(recorded)) {
+			progress.pendingReport = recorded.isSettled ? undefined : recorded;
+			progress.lastReportedWindow = recorded.isSettled ? Math.max(recorded.window, progress.lastReportedWindow ?? 0) : progress.lastReportedWindow;
 		} else if (this.#generation === firstGeneration) {
 			// Nothing has been reported yet: starts with the oldest window that may still be reported.
 			progress.lastReportedWindow = this.#newestDueAt(nowMs) - maxOverdueWindows;
@@ -193,6 +205,16 @@
 		}
 	}
 
+	/**
+	 * Records in a new generation up to which window usage is reported or skipped. Without it, the next holder would skip the windows that are due until
+	 * this one has recorded a report.
+	 */
+	async #recordProgress(): Promise<boolean> {
+		const {pendingReport, lastReportedWindow} = this.#progress;
+		const newest = pendingReport ?? {window: lastReportedWindow!, counts: {}, isSettled: true};
+		return this.#write({...newest, writeId: this.#options.makeId(), epoch: this.#lease.epoch});
+	}
+
 	/** Deletes counts that a copy has brought back although their windows are reported or skipped. */
 	async #deleteReportedCounts(signal: AbortSignal): Promise<void> {
 		const {lastReportedWindow, pendingReport} = this.#progress;
@@ -209,13 +231,26 @@
 
 	/** Records the sums of a window in the store while this entry holds the lease, and then deletes the counts. */
 	async #recordReport(window: number, signal: AbortSignal): Promise<RecordedReport | undefined> {
-		const {rows, table, makeId} = this.#options;
+		const {rows, makeId} = this.#options;
 		const answer = await rows.read('usage', usageRange(window), signal);
 		const counts = sumCounts(this.#collect(window, answer).values());
 		const report: RecordedReport = {
 			window, counts, writeId: makeId(), epoch: this.#lease.epoch,
 		};
-		const result = await transactWithReadBack(table, {
+		if (!await this.#write(report)) {
+			// Another holder may have recorded a report: reads it in the next round and repeats it.
+			this.#isResumed = false;
+			return undefined;
+		}
+
+		this.#progress.pendingReport = report;
+		this.#deleteCounts(answer.rows);
+		return report;
+	}
+
+	/** Writes the recorded report while this entry holds the lease. Resolves to false if it may not be the newest one. */
+	async #write(report: RecordedReport): Promise<boolean> {
+		const result = await transactWithReadBack(this.#options.table, {
 			writeId: report.writeId,
 			checks: [
 				{key: reportRowKey, version: this.#recordedVersion},
@@ -225,15 +260,11 @@
 			deletes: [],
 		}, {key: reportRowKey, isOwnWrite: value => (value as RecordedReport | undefined)?.writeId === report.writeId});
 		if (result.kind !== 'written' || !this.#isGenerationCurrent()) {
-			// Another holder may have recorded a report: reads it in the next round and repeats it.
-			this.#isResumed = false;
-			return undefined;
+			return false;
 		}
 
 		this.#recordedVersion = result.version;
-		this.#progress.pendingReport = report;
-		this.#deleteCounts(answer.rows);
-		return report;
+		return true;
 	}
 
 	/** Counts of a window by process, from the store and from gossip, whichever is newer. */
