End pipelined requests when their caller closes the connection

Callers saw nothing, but of several requests that were sent on one connection without waiting for answers, all but the first ran on at their endpoints after the caller had left. Such a request counted as running until the process ended, so each stop lasted until its limit, and its listener on the stop limit stayed in memory.

Cause: Node.js emits 'close' only for the response that is being sent, and not for those that wait for it.

Change: when a connection closes, its waiting responses are closed as well.

--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -7,8 +7,8 @@
 type Connection = {
 	/** Requests so far. */
 	requests: number;
-	/** Requests that have been read and not answered completely. */
-	running: number;
+	/** Requests that have been read and not answered completely, in the order in which they were read. */
+	readonly running: Set<ServerResponse>;
 	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
 	bytesAtRest: number;
 };
@@ -35,7 +35,7 @@
 };
 
 const stopReasonOf = (socket: Socket, {requests, running, bytesAtRest}: Connection): CloseReason => {
-	if (running > 0) {
+	if (running.size > 0) {
 		return 'stop-running';
 	}
 
@@ -46,6 +46,16 @@
 	return requests === 0 ? 'stop-unused' : 'stop-idle';
 };
 
+/** Node.js emits `close` only for the response that is being sent, and not for those that wait for it. */
+const closeQueued = (running: ReadonlySet<ServerResponse>): void => {
+	for (const res of running) {
+		if (!res.socket) {
+			res.destroy();
+			res.emit('close');
+		}
+	}
+};
+
 export class CallerConnections {
 	readonly #open = new Map<Socket, Connection>();
 	readonly #closed = new Map<CloseReason, number>();
@@ -84,9 +94,11 @@
 	track(server: Server): void {
 		server.on('connection', socket => {
 			this.#accepted += 1;
-			this.#open.set(socket, {requests: 0, running: 0, bytesAtRest: 0});
+			const connection: Connection = {requests: 0, running: new Set(), bytesAtRest: 0};
+			this.#open.set(socket, connection);
 			socket.once('close', () => {
 				this.#open.delete(socket);
+				closeQueued(connection.running);
 			});
 		});
 	}
@@ -95,7 +107,7 @@
 		const connection = this.#open.get(socket);
 		if (connection) {
 			connection.requests += 1;
-			connection.running += 1;
+			connection.running.add(res);
 		}
 
 		this.#running += 1;
@@ -103,7 +115,7 @@
 			this.#running -= 1;
 			this.#ended += 1;
 			if (connection) {
-				connection.running -= 1;
+				connection.running.delete(res);
 				connection.bytesAtRest = socket.bytesRead;
 			}
 		});
