Announce the close of a connection only with its last answer

During a stop, callers that sent several requests on one connection without waiting for answers got only the first answer. The others had been passed on, ran, and ended with a closed connection.

Cause: each answer during a stop announced the close, and Node.js closes the connection after an answer that does so, whatever else was read on it.

Change: the close is announced unless a later request has been read on the connection; then the answer to that request announces it.

Three unit tests pass the new argument of CallerExchange; their checks are unchanged.

--- a/packages/forward/src/__tests__/caller-connections.test.ts
+++ b/packages/forward/src/__tests__/caller-connections.test.ts
@@ -30,7 +30,9 @@
 	const accepted: Socket[] = [];
 	const server = createServer((req, res) => {
 		connections.recordRequest(req, res);
-		exchanges.push(new CallerExchange(res, {clock: {nowMs: () => 0}, stopLimit: new AbortController().signal, isStopping: () => false}));
+		exchanges.push(new CallerExchange(res, {
+			clock: {nowMs: () => 0}, stopLimit: new AbortController().signal, isStopping: () => false, hasLaterRequest: () => false,
+		}));
 		answers.push(res);
 	});
 	connections.track(server);
--- a/packages/forward/src/__tests__/decode-latency.test.ts
+++ b/packages/forward/src/__tests__/decode-latency.test.ts
@@ -73,7 +73,9 @@
 
 /** Runs one attempt whose caller guessed `guessedTokens` output tokens and whose stream has `events` events. */
 const stream = async (deps: ForwardDeps, events: number, guessedTokens: number, limitMs = 5000): Promise<void> => {
-	const exchange = new CallerExchange(new ServerResponse({method: 'GET'} as IncomingMessage), {clock, stopLimit: new AbortController().signal, isStopping: () => false});
+	const exchange = new CallerExchange(new ServerResponse({method: 'GET'} as IncomingMessage), {
+		clock, stopLimit: new AbortController().signal, isStopping: () => false, hasLaterRequest: () => false,
+	});
 	exchange.setTimeLimit(limitMs);
 	const admitted = {
 		request: {
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -21,7 +21,11 @@
 		return true;
 	};
 
-	return {relay: new StreamRelay(new CallerExchange(res, {clock, stopLimit: new AbortController().signal, isStopping: () => false}), undefined), written: () => text};
+	return {
+		relay: new StreamRelay(new CallerExchange(res, {
+			clock, stopLimit: new AbortController().signal, isStopping: () => false, hasLaterRequest: () => false,
+		}), undefined), written: () => text,
+	};
 };
 
 describe('the relay of a stream', () => {
--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -121,6 +121,12 @@
 		});
 	}
 
+	/** Whether another request has been read on the connection since this one. It needs the connection after this answer. */
+	hasLaterRequest(res: ServerResponse): boolean {
+		const running = this.#open.get(res.req.socket)?.running;
+		return running !== undefined && [...running].at(-1) !== res;
+	}
+
 	close(socket: Socket, reason: CloseReason): void {
 		if (socket.destroyed) {
 			return;
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -22,6 +22,8 @@
 	readonly stopLimit: AbortSignal;
 	/** Whether callers should open their next connection elsewhere. */
 	readonly isStopping: () => boolean;
+	/** Whether another request has been read on the connection since this one. */
+	readonly hasLaterRequest: (res: ServerResponse) => boolean;
 };
 
 export class CallerExchange {
@@ -30,14 +32,18 @@
 	readonly #res: ServerResponse;
 	readonly #clock: Clock;
 	readonly #isStopping: () => boolean;
+	readonly #hasLaterRequest: (res: ServerResponse) => boolean;
 	readonly #controller = new AbortController();
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(res: ServerResponse, {clock, stopLimit, isStopping}: ExchangeOptions) {
+	constructor(res: ServerResponse, {
+		clock, stopLimit, isStopping, hasLaterRequest,
+	}: ExchangeOptions) {
 		this.#res = res;
 		this.#clock = clock;
 		this.#isStopping = isStopping;
+		this.#hasLaterRequest = hasLaterRequest;
 		this.startedMs = clock.nowMs();
 		const {socket} = res.req;
 		const onStopLimit = (): void => {
@@ -112,9 +118,9 @@
 		this.#res.writeHead(status, headers);
 	}
 
-	/** Announces that the connection ends with the answer. */
+	/** Announces that the connection ends with the answer, unless a later request on it must be answered too. */
 	closeAfterAnswer(): void {
-		if (!this.#res.headersSent) {
+		if (!this.#res.headersSent && !this.#hasLaterRequest(this.#res)) {
 			this.#res.setHeader('connection', 'close');
 		}
 	}
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -6,17 +6,16 @@
 import {
 	pickService, type ForwardAccount, type ForwardRoute, type RouteTable,
 } from '@hawthorncleat/core';
-import {CallerExchange, readBody, waitForPendingInput} from './caller-exchange.js';
+import {
+	CallerExchange, readBody, waitForPendingInput, type ExchangeOptions,
+} from './caller-exchange.js';
 import {createEarlyOutcome, finishExchange} from './early-end.js';
 import {forwardRequest} from './forward-request.js';
 import type {ForwardDeps, Outcome} from './forward-types.js';
 import type {CallerRequest} from './ports.js';
 
-export type CallerHandlerDeps = ForwardDeps & {
+export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
 	readonly routes: () => RouteTable | undefined;
-	readonly isStopping: () => boolean;
-	/** Aborts when this entry ends; the requests that still run must be answered then. */
-	readonly stopLimit: AbortSignal;
 	readonly onEnd: (end: RequestEnd) => void;
 	/** Reports an exception while a request was served. */
 	readonly onError: (error: unknown) => void;
