Don't pass on a request that follows the announced close of its connection

A caller that sent another request on its connection after a stream had announced the close saw the connection end without an answer to it, although the request had run.

Cause: Node.js reads and hands over requests until the connection is closed, but sends nothing after the answer that announces the close.

Change: such a request is not passed on and is logged as 'entry-closed' with 'not-run'. Its caller knows from the earlier answer that it was not served.

--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -11,6 +11,8 @@
 	readonly running: Set<ServerResponse>;
 	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
 	bytesAtRest: number;
+	/** Whether an answer has announced its close and has been sent. */
+	isEnding: boolean;
 };
 
 /**
@@ -46,6 +48,8 @@
 	return requests === 0 ? 'stop-unused' : 'stop-idle';
 };
 
+const announcesClose = (res: ServerResponse): boolean => res.getHeader('connection') === 'close';
+
 /** Node.js emits `close` only for the response that is being sent, and not for those that wait for it. */
 const closeQueued = (running: ReadonlySet<ServerResponse>): void => {
 	for (const res of running) {
@@ -94,7 +98,9 @@
 	track(server: Server): void {
 		server.on('connection', socket => {
 			this.#accepted += 1;
-			const connection: Connection = {requests: 0, running: new Set(), bytesAtRest: 0};
+			const connection: Connection = {
+				requests: 0, running: new Set(), bytesAtRest: 0, isEnding: false,
+			};
 			this.#open.set(socket, connection);
 			socket.once('close', () => {
 				this.#open.delete(socket);
@@ -117,10 +123,22 @@
 			if (connection) {
 				connection.running.delete(res);
 				connection.bytesAtRest = socket.bytesRead;
+				connection.isEnding ||= announcesClose(res);
 			}
 		});
 	}
 
+	/** Whether an earlier answer has announced the close of the connection, so that this request cannot be answered. */
+	isAfterClose(res: ServerResponse): boolean {
+		const connection = this.#open.get(res.req.socket);
+		if (!connection) {
+			return false;
+		}
+
+		const running = [...connection.running];
+		return connection.isEnding || running.slice(0, running.indexOf(res)).some(earlier => announcesClose(earlier));
+	}
+
 	/** Whether another request has been read on the connection since this one. It needs the connection after this answer. */
 	hasLaterRequest(res: ServerResponse): boolean {
 		const running = this.#open.get(res.req.socket)?.running;
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -16,6 +16,8 @@
 
 export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
 	readonly routes: () => RouteTable | undefined;
+	/** Whether an earlier answer on the connection has announced its close. */
+	readonly isAfterClose: (res: ServerResponse) => boolean;
 	readonly onEnd: (end: RequestEnd) => void;
 	/** Reports an exception while a request was served. */
 	readonly onError: (error: unknown) => void;
@@ -121,10 +123,14 @@
 };
 
 /** Reads, authorizes and serves a request. `view` gets what is found out about it. */
-const admitAndServe = async (deps: CallerHandlerDeps, req: IncomingMessage, exchange: CallerExchange, view: RequestView): Promise<Outcome> => {
+const admitAndServe = async (deps: CallerHandlerDeps, {req, res}: {req: IncomingMessage; res: ServerResponse}, exchange: CallerExchange, view: RequestView): Promise<Outcome> => {
 	const routes = deps.routes();
 	view.configVersion = routes?.config.version;
 	view.request = deps.wire.readRequest(req.method ?? '', req.url ?? '', req.headers);
+	if (deps.isAfterClose(res)) {
+		return createEarlyOutcome('entry-closed', {ran: 'not-run', attempts: 0});
+	}
+
 	const admission = view.request ? authorize(routes, view.request) : reject(400, 'no-request-id');
 	if (isRejected(admission)) {
 		req.resume();
@@ -150,7 +156,7 @@
 	const exchange = new CallerExchange(res, deps);
 
 	const view: RequestView = {};
-	const outcome = await admitAndServe(deps, req, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
+	const outcome = await admitAndServe(deps, {req, res}, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
 	const {request, admission, configVersion} = view;
 	finishExchange(exchange, deps.wire, request?.id, outcome);
 	deps.onEnd({
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -160,6 +160,7 @@
 			routes: () => this.#components.config.routes,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
+			isAfterClose: res => this.#connections.isAfterClose(res),
 			hasLaterRequest: res => this.#connections.hasLaterRequest(res),
 			onRun: admitted => {
 				this.#countUsage(admitted);
