End requests that arrive after the limit of a stop

A request whose head arrived in the 0.2 s after the limit of a stop, and whose body was not complete, ended with a closed connection and no answer.

Cause: its exchange listened for the limit after the signal had aborted, and such a listener is never called.

Change: an exchange that begins after the limit ends at once, so the request is refused with 503.

The new test failed before (no answer) and passes now; the file passes 26 of 26.

--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -58,6 +58,9 @@
 				this.#end(closeReasonOf(socket));
 			}
 		});
+		if (stopLimit.aborted) {
+			onStopLimit();
+		}
 	}
 
 	/** Aborts when the request ends before its answer is complete. */
