Send written answers completely before an entry ends

Callers of the model entry that read slowly got a part of the answer, or of several answers in a row, when the entry ended after a drain.

Cause: the entry closed its idle connections, and Node.js counts a connection as idle as soon as its answer has been written, although it was not sent.

Change: at the end of a drain, idle connections are closed only while no written answer waits to be sent.

--- a/packages/entry/src/__tests__/draining.test.ts
+++ b/packages/entry/src/__tests__/draining.test.ts
@@ -1,7 +1,9 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {Agent, request} from 'node:http';
 import {connect} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {setTimeout} from 'node:timers/promises';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
@@ -96,4 +98,27 @@
 		});
 		agent.destroy();
 	}));
+
+	// Guards against server.close() and closeIdleConnections(), which close a connection whose answer has been written but not sent.
+	it('get the whole answer although they read it slowly; guards against an answer that is cut when the entry ends', async () => {
+		const answerBytes = 500_000;
+		const answerCount = 24;
+		let received: Promise<string> | undefined;
+		await withEntry(async world => {
+			const bodyBase64 = Buffer.from('b'.repeat(answerBytes)).toString('base64');
+			const agent = await addAgent(world, 'desk', {'service.call': () => ({status: 200, headers: {}, bodyBase64})});
+			const socket = connect({host: '127.0.0.1', port: world.entry.callerPort});
+			await once(socket, 'connect');
+			socket.pause();
+			socket.write(`GET /stock HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${goodKey}\r\n\r\n`.repeat(answerCount));
+			await until(() => agent.calls.length === answerCount, 'the calls');
+			// A drain would announce the close with answers that have not begun.
+			await setTimeout(300);
+			await world.entry.drain();
+			received = setTimeout(100).then(async () => text(socket));
+		});
+		const answers = await received;
+		assert.is(answers?.match(/HTTP\/1.1 200/g)?.length, answerCount);
+		assert.ok(answers!.length > answerBytes * answerCount, `${answers!.length} bytes`);
+	});
 });
--- a/packages/entry/src/answer-connections.ts
+++ b/packages/entry/src/answer-connections.ts
@@ -8,6 +8,11 @@
 	readonly #answers = new Set<ServerResponse>();
 	#isEnding = false;
 
+	/** Whether an answer has been written and not been sent completely, as to a caller that reads slowly. */
+	get hasUnsent(): boolean {
+		return [...this.#answers].some(res => res.writableEnded && !res.req.socket.destroyed);
+	}
+
 	add(res: ServerResponse): void {
 		this.#answers.add(res);
 		res.once('close', () => {
--- a/packages/entry/src/caller-listener.ts
+++ b/packages/entry/src/caller-listener.ts
@@ -38,18 +38,29 @@
 	stopListening(): Promise<void>;
 };
 
-/** Closes at once what is idle and lets answers that are being written be finished. */
-const closeGently = (server: Server): void => {
-	server.close();
-	const sweep = setInterval(() => {
-		server.closeIdleConnections();
-	}, pollMs);
+/**
+ * Closes what is idle and lets answers that are being written or sent be finished. Node.js counts a connection as idle as soon as its answer has been
+ * written, so nothing is closed while one is still being sent.
+ */
+const closeGently = (server: Server, connections: AnswerConnections): void => {
+	// The method of the HTTP server would close its idle connections as well.
+	NetServer.prototype.close.call(server);
+	const closeIdle = (): void => {
+		if (!connections.hasUnsent) {
+			server.closeIdleConnections();
+		}
+	};
+
+	closeIdle();
+	const sweep = setInterval(closeIdle, pollMs);
 	const limit = setTimeout(() => {
 		server.closeAllConnections();
 	}, lastAnswersMs);
 	server.once('close', () => {
 		clearInterval(sweep);
 		clearTimeout(limit);
+		// Ends the timer with which the HTTP server checks its connections.
+		server.close();
 	});
 };
 
@@ -115,7 +126,7 @@
 		serverClosed.abort();
 	});
 	signal.addEventListener('abort', () => {
-		closeGently(server);
+		closeGently(server, connections);
 	}, {once: true});
 	return {
 		port: ownPort,
