Announce the close of a connection of the model entry only with its last answer

Callers that sent several requests on one connection without waiting for answers got only the first answer when the entry began to drain, although the others ran.

Cause: the drain announced the close with each running answer, and Node.js closes the connection after the first that does so.

Change: only the last answer of each connection announces it.

--- a/packages/entry/src/__tests__/draining.test.ts
+++ b/packages/entry/src/__tests__/draining.test.ts
@@ -121,4 +121,22 @@
 		assert.is(answers?.match(/HTTP\/1.1 200/g)?.length, answerCount);
 		assert.ok(answers!.length > answerBytes * answerCount, `${answers!.length} bytes`);
 	});
+
+	// Guards against the close that was announced with the first answer, after which Node.js drops the later ones.
+	it('get all answers to requests that they sent in a row; guards against a running request whose connection ends with an earlier answer', async () => withEntry(async world => {
+		const agent = await addAgent(world, 'desk', {
+			async 'service.call'() {
+				await setTimeout(300);
+				return {status: 200, headers: {}, bodyBase64: ''};
+			},
+		});
+		const socket = connect({host: '127.0.0.1', port: world.entry.callerPort});
+		await once(socket, 'connect');
+		socket.write(`GET /stock HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${goodKey}\r\n\r\n`.repeat(3));
+		await until(() => agent.calls.length === 3, 'the calls');
+		const drained = world.entry.drain();
+		const answers = await text(socket);
+		assert.is(answers.match(/HTTP\/1.1 200/g)?.length, 3);
+		await drained;
+	}));
 });
--- a/packages/entry/src/answer-connections.ts
+++ b/packages/entry/src/answer-connections.ts
@@ -21,10 +21,12 @@
 		this.#mark(res);
 	}
 
-	/** From now on each connection ends after its answer, also after those that are under way and have not begun. */
+	/** From now on each connection ends after its last answer, also after those that are under way and have not begun. */
 	endAfterAnswers(): void {
 		this.#isEnding = true;
-		for (const res of this.#answers) {
+		// Answers are in the order of their requests, so the last one of each connection stays.
+		const lastAnswers = new Map([...this.#answers].map(res => [res.req.socket, res]));
+		for (const res of lastAnswers.values()) {
 			this.#mark(res);
 		}
 	}
