--- a/packages/entry/src/__tests__/draining.test.ts
+++ b/packages/entry/src/__tests__/draining.test.ts
@@ -1,7 +1,9 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {Agent, request} from 'node:http';
 import {connect} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {setTimeout} from 'node:timers/promises';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {
@@ -96,4 +98,45 @@
 		});
 		agent.destroy();
 	}));
+
+	// Guards against server.close() and closeIdleConnections(), which close a connection whose answer has been written but not sent.
+	it('get the whole answer although they read it slowly; guards against an answer that is cut when the entry ends', async () => {
+		const answerBytes = 500_000;
+		const answerCount = 24;
+		let received: Promise<string> | undefined;
+		await withEntry(async world => {
+			const bodyBase64 = Buffer.from('b'.repeat(answerBytes)).toString('base64');
+			const agent = await addAgent(world, 'desk', {'service.call': () => ({status: 200, headers: {}, bodyBase64})});
+			const socket = connect({host: '127.0.0.1', port: world.entry.callerPort});
+			await once(socket, 'connect');
+			socket.pause();
+			socket.write(`GET /stock HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${goodKey}\r\n\r\n`.repeat(answerCount));
+			await until(() => agent.calls.length === answerCount, 'the calls');
+			// A drain would announce the close with answers that have not begun.
+			await setTimeout(300);
+			await world.entry.drain();
+			received = setTimeout(100).then(async () => text(socket));
+		});
+		const answers = await received;
+		assert.is(answers?.match(/HTTP\/1.1 200/g)?.length, answerCount);
+		assert.ok(answers!.length > answerBytes * answerCount, `${answers!.length} bytes`);
+	});
+
+	// Guards against the close that was announced with the first answer, after which Node.js drops the later ones.
+	it('get all answers to requests that they sent in a row; guards against a running request whose connection ends with an earlier answer', async () => withEntry(async world => {
+		const agent = await addAgent(world, 'desk', {
+			async 'service.call'() {
+				await setTimeout(300);
+				return {status: 200, headers: {}, bodyBase64: ''};
+			},
+		});
+		const socket = connect({host: '127.0.0.1', port: world.entry.callerPort});
+		await once(socket, 'connect');
+		socket.write(`GET /stock HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${goodKey}\r\n\r\n`.repeat(3));
+		await until(() => agent.calls.length === 3, 'the calls');
+		const drained = world.entry.drain();
+		const answers = await text(socket);
+		assert.is(answers.match(/HTTP\/1.1 200/g)?.length, 3);
+		await drained;
+	}));
 });
--- a/packages/forward/src/__tests__/caller-connections.test.ts
+++ b/packages/forward/src/__tests__/caller-connections.test.ts
@@ -35,7 +35,7 @@
 	const server = createServer((req, res) => {
 		connections.recordRequest(req, res);
 		exchanges.push(new CallerExchange(res, {
-			clock: {nowMs: () => 0}, stopLimit: new AbortController().signal, isStopping: () => false, isLatest: () => true,
+			clock: {nowMs: () => 0}, stopLimit: new AbortController().signal, isStopping: () => false, hasLaterRequest: () => false,
 		}));
 		answers.push(res);
 	});
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -23,7 +23,7 @@
 
 	return {
 		relay: new StreamRelay(new CallerExchange(res, {
-			clock, stopLimit: new AbortController().signal, isStopping: () => false, isLatest: () => true,
+			clock, stopLimit: new AbortController().signal, isStopping: () => false, hasLaterRequest: () => false,
 		}), undefined), written: () => text,
 	};
 };
--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -8,12 +8,12 @@
 type Connection = {
 	/** Requests so far. */
 	requests: number;
-	/** Requests that have been read and not answered completely. */
-	running: number;
+	/** Requests that have been read and not answered completely, in the order in which they were read. */
+	readonly running: Set<ServerResponse>;
 	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
 	bytesAtRest: number;
-	/** Answer to the last request that has been read. */
-	latest?: ServerResponse;
+	/** Whether an answer has announced its close and has been sent. */
+	isEnding: boolean;
 };
 
 /**
@@ -38,7 +38,7 @@
 };
 
 const stopReasonOf = (socket: Socket, {requests, running, bytesAtRest}: Connection): CloseReason => {
-	if (running > 0) {
+	if (running.size > 0) {
 		return 'stop-running';
 	}
 
@@ -49,6 +49,18 @@
 	return requests === 0 ? 'stop-unused' : 'stop-idle';
 };
 
+const announcesClose = (res: ServerResponse): boolean => res.getHeader('connection') === 'close';
+
+/** Node.js emits `close` only for the response that is being sent, and not for those that wait for it. */
+const closeQueued = (running: ReadonlySet<ServerResponse>): void => {
+	for (const res of running) {
+		if (!res.socket) {
+			res.destroy();
+			res.emit('close');
+		}
+	}
+};
+
 export class CallerConnections {
 	readonly #open = new Map<Socket, Connection>();
 	readonly #closed = new Map<CloseReason, number>();
@@ -87,9 +99,13 @@
 	track(server: Server): void {
 		server.on('connection', socket => {
 			this.#accepted += 1;
-			this.#open.set(socket, {requests: 0, running: 0, bytesAtRest: 0});
+			const connection: Connection = {
+				requests: 0, running: new Set(), bytesAtRest: 0, isEnding: false,
+			};
+			this.#open.set(socket, connection);
 			socket.once('close', () => {
 				this.#open.delete(socket);
+				closeQueued(connection.running);
 			});
 		});
 	}
@@ -98,8 +114,7 @@
 		const connection = this.#open.get(socket);
 		if (connection) {
 			connection.requests += 1;
-			connection.running += 1;
-			connection.latest = res;
+			connection.running.add(res);
 		}
 
 		this.#running += 1;
@@ -107,16 +122,28 @@
 			this.#running -= 1;
 			this.#ended += 1;
 			if (connection) {
-				connection.running -= 1;
+				connection.running.delete(res);
 				connection.bytesAtRest = socket.bytesRead;
+				connection.isEnding ||= announcesClose(res);
 			}
 		});
 	}
 
-	/** Whether no later request has been read on the connection of this answer. */
-	isLatest(res: ServerResponse): boolean {
+	/** Whether an earlier answer has announced the close of the connection, so that this request cannot be answered. */
+	isAfterClose(res: ServerResponse): boolean {
 		const connection = this.#open.get(res.req.socket);
-		return connection === undefined || connection.latest === res;
+		if (!connection) {
+			return false;
+		}
+
+		const running = [...connection.running];
+		return connection.isEnding || running.slice(0, running.indexOf(res)).some(earlier => announcesClose(earlier));
+	}
+
+	/** Whether another request has been read on the connection since this one. It needs the connection after this answer. */
+	hasLaterRequest(res: ServerResponse): boolean {
+		const running = this.#open.get(res.req.socket)?.running;
+		return running !== undefined && [...running].at(-1) !== res;
 	}
 
 	close(socket: Socket, reason: CloseReason): void {
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -22,8 +22,8 @@
 	readonly stopLimit: AbortSignal;
 	/** Whether callers should open their next connection elsewhere. */
 	readonly isStopping: () => boolean;
-	/** Whether no later request has been read on the connection. */
-	readonly isLatest: () => boolean;
+	/** Whether another request has been read on the connection since this one. */
+	readonly hasLaterRequest: (res: ServerResponse) => boolean;
 };
 
 export class CallerExchange {
@@ -32,16 +32,18 @@
 	readonly #res: ServerResponse;
 	readonly #clock: Clock;
 	readonly #isStopping: () => boolean;
-	readonly #isLatest: () => boolean;
+	readonly #hasLaterRequest: (res: ServerResponse) => boolean;
 	readonly #controller = new AbortController();
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
 
-	constructor(res: ServerResponse, {clock, stopLimit, isStopping, isLatest}: ExchangeOptions) {
+	constructor(res: ServerResponse, {
+		clock, stopLimit, isStopping, hasLaterRequest,
+	}: ExchangeOptions) {
 		this.#res = res;
 		this.#clock = clock;
 		this.#isStopping = isStopping;
-		this.#isLatest = isLatest;
+		this.#hasLaterRequest = hasLaterRequest;
 		this.startedMs = clock.nowMs();
 		const {socket} = res.req;
 		const onStopLimit = (): void => {
@@ -56,6 +58,9 @@
 				this.#end(closeReasonOf(socket));
 			}
 		});
+		if (stopLimit.aborted) {
+			onStopLimit();
+		}
 	}
 
 	/** Aborts when the request ends before its answer is complete. */
@@ -116,9 +121,9 @@
 		this.#res.writeHead(status, headers);
 	}
 
-	/** Announces that the connection ends with the answer, unless another request that was read on it is to be answered. */
+	/** Announces that the connection ends with the answer, unless a later request on it must be answered too. */
 	closeAfterAnswer(): void {
-		if (!this.#res.headersSent && this.#isLatest()) {
+		if (!this.#res.headersSent && !this.#hasLaterRequest(this.#res)) {
 			this.#res.setHeader('connection', 'close');
 		}
 	}
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -6,19 +6,18 @@
 import {
 	pickService, type ForwardAccount, type ForwardRoute, type RouteTable,
 } from '@hawthorncleat/core';
-import {CallerExchange, readBody, waitForPendingInput} from './caller-exchange.js';
+import {
+	CallerExchange, readBody, waitForPendingInput, type ExchangeOptions,
+} from './caller-exchange.js';
 import {createEarlyOutcome, finishExchange} from './early-end.js';
 import {forwardRequest} from './forward-request.js';
 import type {ForwardDeps, Outcome} from './forward-types.js';
 import type {CallerRequest} from './ports.js';
 
-export type CallerHandlerDeps = ForwardDeps & {
+export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
 	readonly routes: () => RouteTable | undefined;
-	readonly isStopping: () => boolean;
-	/** Aborts when this entry ends; the requests that still run must be answered then. */
-	readonly stopLimit: AbortSignal;
-	/** Whether no later request has been read on the connection of this answer. */
-	readonly isLatest: (res: ServerResponse) => boolean;
+	/** Whether an earlier answer on the connection has announced its close. */
+	readonly isAfterClose: (res: ServerResponse) => boolean;
 	readonly onEnd: (end: RequestEnd) => void;
 	/** Reports an exception while a request was served. */
 	readonly onError: (error: unknown) => void;
@@ -124,10 +123,14 @@
 };
 
 /** Reads, authorizes and serves a request. `view` gets what is found out about it. */
-const admitAndServe = async (deps: CallerHandlerDeps, req: IncomingMessage, exchange: CallerExchange, view: RequestView): Promise<Outcome> => {
+const admitAndServe = async (deps: CallerHandlerDeps, {req, res}: {req: IncomingMessage; res: ServerResponse}, exchange: CallerExchange, view: RequestView): Promise<Outcome> => {
 	const routes = deps.routes();
 	view.configVersion = routes?.config.version;
 	view.request = deps.wire.readRequest(req.method ?? '', req.url ?? '', req.headers);
+	if (deps.isAfterClose(res)) {
+		return createEarlyOutcome('entry-closed', {ran: 'not-run', attempts: 0});
+	}
+
 	const admission = view.request ? authorize(routes, view.request) : reject(400, 'no-request-id');
 	if (isRejected(admission)) {
 		req.resume();
@@ -150,10 +153,10 @@
 
 /** Handles one request of a caller from its head to its log line. */
 export const handleCallerRequest = async (deps: CallerHandlerDeps, req: IncomingMessage, res: ServerResponse): Promise<void> => {
-	const exchange = new CallerExchange(res, {...deps, isLatest: () => deps.isLatest(res)});
+	const exchange = new CallerExchange(res, deps);
 
 	const view: RequestView = {};
-	const outcome = await admitAndServe(deps, req, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
+	const outcome = await admitAndServe(deps, {req, res}, exchange, view).catch((error: unknown) => recoverFromException(deps, exchange, error));
 	const {request, admission, configVersion} = view;
 	finishExchange(exchange, deps.wire, request?.id, outcome);
 	deps.onEnd({
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -160,7 +160,8 @@
 			routes: () => this.#components.config.routes,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
-			isLatest: res => this.#connections.isLatest(res),
+			isAfterClose: res => this.#connections.isAfterClose(res),
+			hasLaterRequest: res => this.#connections.hasLaterRequest(res),
 			onRun: admitted => {
 				this.#countUsage(admitted);
 			},
