--- a/packages/forward/src/__tests__/usage-returns-random.test.ts
+++ b/packages/forward/src/__tests__/usage-returns-random.test.ts
@@ -2,12 +2,14 @@
 import * as assert from 'uvu/assert';
 import {UsageReturnsWorld, type PlantedFault, type WorldResult} from './usage-returns-world.js';
 
+/** Each world has the next seed. */
+const firstSeed = 3200;
 const worldCount = 40;
 const runMs = 8000;
 
 /** Runs the worlds of all seeds side by side; they spend their time waiting. */
 const runWorlds = async (fault: PlantedFault, durationMs: number): Promise<WorldResult[]> =>
-	Promise.all(Array.from({length: worldCount}, async (_, index) => new UsageReturnsWorld(3200 + index, fault).run(durationMs)));
+	Promise.all(Array.from({length: worldCount}, async (_, index) => new UsageReturnsWorld(firstSeed + index, fault).run(durationMs)));
 
 const sum = (results: readonly WorldResult[], numberOf: (result: WorldResult) => number): number =>
 	results.reduce((total, result) => total + numberOf(result), 0);
