--- a/models/usage-return.pml
+++ b/models/usage-return.pml
@@ -91,7 +91,7 @@
 				|| (holder[seen] == MISSING && seen == 0)
 #endif
 			) ->
-			/* Only a first takeover in the generation continues a tenure of the older one. */
+			/* Rule `continue`: only a first takeover in the generation continues a tenure of the older one, if nobody else can have held it since. */
 			isContinued = isContinued && holder[seen] == MISSING;
 #ifndef FAULT_CONTINUE_UNREAD
 			isContinued = isContinued && isKnown;
@@ -119,6 +119,7 @@
 				pending = recordedFigure
 			:: recordedGeneration != seen && isContinued -> skip
 			:: recordedGeneration != seen && !isContinued ->
+				/* Rule `skip`: another holder may have reported the windows that are due. */
 #ifdef FAULT_NO_SKIP
 				next = recorded;
 #else
--- a/packages/forward/src/usage-duty.ts
+++ b/packages/forward/src/usage-duty.ts
@@ -193,7 +193,7 @@
 		return epoch !== undefined && (epoch === this.#lease.epoch || epoch === this.#lease.continuedEpoch);
 	}
 
-	/** Another holder may have reported each window that was due before this tenure began, with figures that are lost. */
+	/** Rule `skip` of models/usage-return.pml: another holder may have reported each window that was due before this tenure began, with figures that are lost. */
 	#skipDueWindows(recorded: RecordedReport | undefined, nowMs: number): void {
 		const newestDue = this.#newestDueAt(nowMs + maxClockDifferenceMs);
 		const lastKnown = Math.max(recorded?.window ?? 0, this.#progress.lastReportedWindow ?? 0, newestDue - maxOverdueWindows - 1);
--- a/packages/store/src/lease-runner.ts
+++ b/packages/store/src/lease-runner.ts
@@ -166,7 +166,7 @@
 	}
 
 	/**
-	 * The tenure of this process that a first takeover in the generation continues. Before the time until which that tenure was
+	 * Rule `continue` of models/usage-return.pml: the tenure of this process that a first takeover in the generation continues. Before the time until which that tenure was
 	 * exclusive, nobody else has taken the lease in an older generation. If the table had returned by then, nobody has done so at all,
 	 * and the process need not wait for the expiry of its own lease.
 	 */
