--- a/packages/core/src/forwarding/__tests__/engine-selection.test.ts
+++ b/packages/core/src/forwarding/__tests__/engine-selection.test.ts
@@ -9,7 +9,7 @@
 const random = (): number => 0.5;
 
 const createRequest = (changes: Partial<SelectionRequest> = {}): SelectionRequest => ({
-	segments: [], promptTokens: 8000, outputTokens: 300, level: 1, remainingMs: 10_000, dataCentre: 'a', excluded: new Set(), ...changes,
+	segments: [], promptTokens: 8000, outputTokens: 300, level: 1, remainingMs: 10_000, maxGapMs: 400, dataCentre: 'a', excluded: new Set(), ...changes,
 });
 
 describe('endpoint selection for a plain service', () => {
@@ -39,14 +39,14 @@
 
 	it('does not prefill at a decode engine with a backlog; guards against streams slowed down by prefills', () => {
 		const views = [createView('p', 'prefill'), createView('d', 'decode')];
-		views[0]!.prefillBacklog.add(0, 2000, 0);
-		views[1]!.prefillBacklog.add(0, 150, 0);
+		views[0]!.prefillBacklog.add('e2', {level: 0, ms: 2000}, 0);
+		views[1]!.prefillBacklog.add('e2', {level: 0, ms: 150}, 0);
 		assert.is(selectEngines(views, createRequest({promptTokens: 500}), context)?.prefillEngine?.endpoint.id, 'p');
 	});
 
 	it('uses the decode engine alone when there is no prefill engine', () => {
 		const decode = createView('d', 'decode');
-		decode.prefillBacklog.add(0, 5000, 0);
+		decode.prefillBacklog.add('e2', {level: 0, ms: 5000}, 0);
 		const selection = selectEngines([decode], createRequest(), context);
 		assert.is(selection?.decodeEngine, decode);
 		assert.is(selection?.prefillEngine, undefined);
@@ -71,11 +71,11 @@
 		const views = [createView('p0', 'prefill'), holder, createView('d', 'decode')];
 		const parts = [{id: 'shared', tokens: 5000}, {id: 'own', tokens: 3000}];
 		holder.segmentCache.add([parts[0]!]);
-		holder.prefillBacklog.add(0, 80, 0);
+		holder.prefillBacklog.add('e2', {level: 0, ms: 80}, 0);
 		const selection = selectEngines(views, createRequest({segments: parts}), context);
 		assert.is(selection?.prefillEngine, holder);
 		assert.is(selection?.uncachedTokens, 3000);
-		holder.prefillBacklog.add(0, 2000, 0);
+		holder.prefillBacklog.add('e2', {level: 0, ms: 2000}, 0);
 		assert.is(selectEngines(views, createRequest({segments: parts}), context)?.prefillEngine?.endpoint.id, 'p0');
 	});
 
--- a/packages/core/src/forwarding/__tests__/estimates.test.ts
+++ b/packages/core/src/forwarding/__tests__/estimates.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import {balanceRoles, type RoleBalance, type RoleBalanceState} from '../balance-roles.js';
 import {OutlierEjection} from '../outlier-ejection.js';
-import {PrefillLatencyModel} from '../prefill-latency-model.js';
+import {PrefillLatencyModel, type PrefillSize} from '../prefill-latency-model.js';
 import {SegmentCache} from '../segment-cache.js';
 import {PrefillBacklog} from '../prefill-backlog.js';
 import {RetryWindow} from '../retry-window.js';
@@ -11,8 +11,8 @@
 describe('prefill backlog of an engine', () => {
 	it('shrinks with time, the most urgent work first', () => {
 		const backlog = new PrefillBacklog(0);
-		backlog.add(0, 100, 0);
-		backlog.add(5, 200, 0);
+		backlog.add('e2', {level: 0, ms: 100}, 0);
+		backlog.add('e2', {level: 5, ms: 200}, 0);
 		assert.is(backlog.waitMs(0, 50), 50);
 		assert.is(backlog.waitMs(9, 150), 150);
 		assert.is(backlog.waitMs(9, 1000), 0);
@@ -20,21 +20,62 @@
 
 	it('drops all work that must have completed before a completed prefill; guards against a backlog that grows because the latency is overestimated', () => {
 		const backlog = new PrefillBacklog(0);
-		backlog.add(1, 500, 0);
+		backlog.add('e2', {level: 1, ms: 500}, 0);
 		const tracked = backlog.track(2, 500, 0);
-		backlog.add(2, 70, 0);
+		backlog.add('e2', {level: 2, ms: 70}, 0);
 		backlog.complete(tracked, 100);
 		assert.is(backlog.waitMs(9, 100), 70);
 	});
+
+	it('keeps an uncompleted prefill of this entry and all behind it; guards against short prompts sent to an engine that is busier than anyone has told', () => {
+		const backlog = new PrefillBacklog(0);
+		const first = backlog.track(2, 100, 0);
+		backlog.track(2, 300, 0);
+		assert.is(backlog.waitMs(2, 5000), 25 + 300);
+		backlog.complete(first, 5000);
+		assert.is(backlog.waitMs(2, 5000), 300);
+		assert.is(backlog.waitMs(2, 5100), 200);
+	});
+
+	it('counts the prompt that the engine has begun as ahead of a more urgent one; guards against short prompts queued behind a long one', () => {
+		const backlog = new PrefillBacklog(0);
+		backlog.track(5, 600, 0);
+		backlog.track(5, 600, 0);
+		assert.is(backlog.waitMs(0, 100), 500);
+	});
+
+	it('follows what the other entries report; guards against work that stays counted after its prefill has ended or its entry was lost', () => {
+		const backlog = new PrefillBacklog(0);
+		backlog.setPending('e2', [{level: 1, ms: 400}], 0);
+		backlog.setPending('e3', [{level: 1, ms: 100}, {level: 4, ms: 50}], 0);
+		assert.is(backlog.waitMs(1, 0), 500);
+		backlog.setPending('e2', [{level: 1, ms: 10}], 0);
+		assert.is(backlog.waitMs(9, 0), 160);
+		backlog.setPending('e2', [], 0);
+		backlog.setPending('e3', [], 0);
+		assert.is(backlog.waitMs(9, 0), 0);
+	});
+
+	it('keeps the work of others when a prefill fails; guards against an engine that seems idle after one caller has left', () => {
+		const backlog = new PrefillBacklog(0);
+		backlog.setPending('e2', [{level: 1, ms: 400}], 0);
+		backlog.remove(backlog.track(2, 100, 0), 10);
+		assert.is(backlog.waitMs(9, 10), 390);
+	});
 });
 
 describe('prefill latency of an engine', () => {
+	const size: PrefillSize = {uncachedTokens: 5000, cachedTokens: 0};
+
 	it('follows prefills that take longer than expected', () => {
 		const model = new PrefillLatencyModel('prefill');
 		const before = model.msPerToken;
+		const beforeMs = model.prefillMs(size);
 		for (let round = 0; round < 30; round += 1) {
-			const ownMs = model.prefillMs(5000);
-			model.observe({expectedMs: ownMs, ownMs, tookMs: (5000 * before * 2) + model.firstTokenDelayMs});
+			const ownMs = model.prefillMs(size);
+			model.observe({
+				expectedMs: ownMs, ownMs, tookMs: (2 * beforeMs) + model.firstTokenDelayMs, size,
+			});
 		}
 
 		assert.ok(Math.abs(model.msPerToken - (2 * before)) < before * 0.2);
@@ -43,9 +84,12 @@
 	it('hardly changes when a third of the prefills have unexplained delays; guards against an estimate that rises under load until every request is rejected', () => {
 		const model = new PrefillLatencyModel('prefill');
 		const before = model.msPerToken;
+		const ownMs = model.prefillMs(size);
 		for (let round = 0; round < 300; round += 1) {
-			const ownMs = 5000 * before;
-			model.observe({expectedMs: model.prefillMs(5000), ownMs: model.prefillMs(5000), tookMs: model.firstTokenDelayMs + (round % 3 === 0 ? ownMs * 8 : ownMs * (0.95 + ((round % 5) * 0.02)))});
+			const expectedMs = model.prefillMs(size);
+			model.observe({
+				expectedMs, ownMs: expectedMs, tookMs: model.firstTokenDelayMs + (round % 3 === 0 ? ownMs * 8 : ownMs * (0.95 + ((round % 5) * 0.02))), size,
+			});
 		}
 
 		assert.ok(Math.abs(model.msPerToken - before) < before * 0.2, `${model.msPerToken / before}`);
@@ -54,9 +98,41 @@
 	it('ignores a prefill with much work ahead of it; guards against a planner that adds prefill engines because prompts were overtaken', () => {
 		const model = new PrefillLatencyModel('prefill');
 		const before = model.msPerToken;
-		model.observe({expectedMs: 1000, ownMs: 100, tookMs: 9000});
+		model.observe({
+			expectedMs: 1000, ownMs: 100, tookMs: 9000, size,
+		});
 		assert.is(model.msPerToken, before);
 	});
+
+	it('tells the time per token from that of attention, which grows with the square of the prompt; guards against long prompts expected too early', () => {
+		const model = new PrefillLatencyModel('prefill');
+		const trueMs = ({uncachedTokens, cachedTokens}: PrefillSize): number => (uncachedTokens * 0.011) + (uncachedTokens * (cachedTokens + (uncachedTokens / 2)) * 0.7e-6);
+		const sizes = [2000, 4000, 12_000, 40_000].map(uncachedTokens => ({uncachedTokens, cachedTokens: 3000}));
+		for (let round = 0; round < 800; round += 1) {
+			const observed = sizes[round % sizes.length]!;
+			const expectedMs = model.prefillMs(observed);
+			model.observe({
+				expectedMs, ownMs: expectedMs, tookMs: trueMs(observed) + model.firstTokenDelayMs, size: observed,
+			});
+		}
+
+		for (const observed of sizes) {
+			const ratio = model.prefillMs(observed) / trueMs(observed);
+			assert.ok(ratio > 0.85 && ratio < 1.15, `${observed.uncachedTokens} tokens: ${ratio}`);
+		}
+	});
+
+	it('starts with what other engines of the role have shown; guards against a new engine that nobody selects because its delay is unknown', () => {
+		const known = new PrefillLatencyModel('prefill');
+		for (let round = 0; round < 200; round += 1) {
+			known.observe({
+				expectedMs: 10, ownMs: 10, tookMs: 14, size: {uncachedTokens: 600, cachedTokens: 0},
+			});
+		}
+
+		assert.ok(known.firstTokenDelayMs < 8);
+		assert.is(new PrefillLatencyModel('prefill', [known, new PrefillLatencyModel('prefill')]).firstTokenDelayMs, known.firstTokenDelayMs);
+	});
 });
 
 describe('segments in a cache', () => {
@@ -167,8 +243,11 @@
 describe('token rate', () => {
 	it('covers only the tokens within the window', () => {
 		const window = new TokenWindow();
-		window.add(4000, 400, 10_000);
-		assert.equal(window.rate(10_100), {promptTokensPerSecond: 1000, outputTokensPerSecond: 100});
+		window.add({uncachedTokens: 1000, cachedTokens: 500}, 100, 10_000);
+		window.add({uncachedTokens: 3000, cachedTokens: 0}, 300, 10_000);
+		assert.equal(window.rate(10_100), {
+			requestsPerSecond: 0.5, promptTokensPerSecond: 1000, millionPairsPerSecond: 5.5 / 4, outputTokensPerSecond: 100, promptVariation: 0.25,
+		});
 		assert.is(window.rate(20_000).promptTokensPerSecond, 0);
 	});
 });
--- a/packages/core/src/forwarding/__tests__/late-request-budget.test.ts
+++ b/packages/core/src/forwarding/__tests__/late-request-budget.test.ts
@@ -44,17 +44,19 @@
 	it('is later for late requests while more urgent prompts keep arriving; guards against late requests queued until their callers give up', () => {
 		const backlog = new PrefillBacklog(0);
 		for (let nowMs = 0; nowMs < 10_000; nowMs += 20) {
-			backlog.add(0, 12, nowMs);
+			backlog.add('e2', {level: 0, ms: 12}, nowMs);
 		}
 
-		const alone = backlog.waitMs(lowestPriorityLevel, 10_000) + 100;
-		assert.ok(backlog.completionMs(lowestPriorityLevel, 100, 10_000) > alone * 2);
+		backlog.add('e2', {level: 0, ms: 200}, 10_000);
+		const waitMs = backlog.waitMs(lowestPriorityLevel, 10_000);
+		assert.ok(waitMs >= 200);
+		assert.ok(backlog.completionMs(lowestPriorityLevel, 100, 10_000) > (waitMs * 2) + 100);
 		assert.is(backlog.completionMs(0, 100, 10_000), backlog.waitMs(0, 10_000) + 100);
 	});
 
 	it('depends only on the queue once no more urgent prompts arrive', () => {
 		const backlog = new PrefillBacklog(0);
-		backlog.add(0, 1900, 0);
+		backlog.add('e2', {level: 0, ms: 1900}, 0);
 		assert.ok(backlog.completionMs(lowestPriorityLevel, 100, 20_000) < 110);
 	});
 });
--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -1,8 +1,14 @@
 /**
- * Decides which role, prefill or decode, needs one more engine of a service. An engine is unavailable for seconds while its role
- * changes, so a change is made only for a lasting imbalance. Idle engines are divided before the first request arrives.
+ * Decides which engines of a service change between the roles prefill and decode. An engine is unavailable for seconds while its role
+ * changes, so a change is made only for a lasting imbalance, and only if what callers save in expected waiting over the time that the mix
+ * lasts exceeds what the engines that are away cost them. The expected waiting is that of all demand of the last half minute, because
+ * a mix that has just swung one way is likely to swing back. Several engines change at once when several are short.
+ * Idle engines are divided before the first request arrives.
  */
 import type {EndpointRole} from './deployment.js';
+import {
+	expectedWaitMs, findBestDivision, type RoleDemand, type RoleDivision, type ServiceDemand,
+} from './role-waits.js';
 
 export type RoleBalance = {
 	readonly nowMs: number;
@@ -14,34 +20,53 @@
 	/** Decode engines that the demand of the last seconds would keep busy with all their slots in use. */
 	readonly decodeNeeded: number;
 	readonly isIdle: boolean;
+	/** Mean work and squared coefficient of variation of the prompts. */
+	readonly prompts?: Omit<RoleDemand, 'neededEngines'>;
+	/** The same of the streams; the work is the time of a stream divided by the slots of an engine. */
+	readonly streams?: Omit<RoleDemand, 'neededEngines'>;
 };
 
+/** Demand at one moment. */
+export type DemandSample = {readonly atMs: number; readonly demand: ServiceDemand};
+
 /** State kept from one decision to the next. */
 export type RoleBalanceState = {
 	readonly neededRole?: EndpointRole;
 	readonly neededSinceMs?: number;
 	readonly lastChangeMs?: number;
+	/** When the engines were last idle. */
+	readonly lastIdleMs?: number;
+	/** Demand of the last `historyMs`, one sample for each `sampleIntervalMs`, oldest first. */
+	readonly history?: readonly DemandSample[];
 	/** Engines that took work at the time of the last decision. */
 	readonly engineCount?: number;
 	/** When an engine was last lost. */
 	readonly lastLossMs?: number;
 };
 
-export type RoleDecision = {readonly change?: EndpointRole; readonly state: RoleBalanceState};
+/** `count` engines are to change to the role `change`. */
+export type RoleDecision = {readonly change?: EndpointRole; readonly count: number; readonly state: RoleBalanceState};
 
 /**
  * Fraction of idle engines that get the prefill role, rounded down. A decode engine can also prefill, at less than half the speed, but a
  * prefill engine can't decode, so decode gets the odd engine.
  */
 const idlePrefillFraction = 0.5;
-/** Fraction of a decode engine's full token rate that is usable at an even load; above it, its streams slow down quickly. */
-const usableDecodeFraction = 0.8;
-/** Load of a role above which it is overloaded. */
-const overloadThreshold = 0.9;
-/** A change is worthwhile only if the best division lowers the load of the more loaded role to this fraction or less. */
-const maxRemainingLoadFraction = 0.7;
-/** Above this load requests are lost, so a change pays even for a short imbalance. */
-const severeOverloadThreshold = 2;
+/** Assumed demand of prompts and streams until requests have shown it. */
+const assumedPrompts = {serviceMs: 40, squaredVariation: 3};
+const assumedStreams = {serviceMs: 30, squaredVariation: 1};
+/** A change is worthwhile only if it shortens the expected wait by this time... */
+const minGainMs = 100;
+/** ...and to this fraction or less. */
+const maxRemainingWaitFraction = 0.7;
+/** The mix of requests swings back and forth within about this time. */
+const historyMs = 30_000;
+const sampleIntervalMs = 1000;
+/** Time for which the present mix is expected to last, and for which a changing engine is away. */
+const mixLastsMs = 15_000;
+const changeTakesMs = 4000;
+/** Beyond this load of a role requests are lost, so a change pays even for a short imbalance. */
+const severeOverload = 2;
 /** How long an imbalance must last. Shorter ones end before a change has been carried out. */
 const dwellMs = 4000;
 const severeDwellMs = 1200;
@@ -52,70 +77,113 @@
 const dwellAfterLossMs = 600;
 /** A loss longer ago than this no longer shortens the dwell time. */
 const lossMemoryMs = 4000;
+/** Idle engines are divided without knowledge of the mix, so the first demand after it is followed soon. */
+const dwellAfterIdleMs = 2500;
+const idleMemoryMs = 10_000;
+/** Fraction of the engines that may change at the same time while there is work. */
+const maxChangingFraction = 0.34;
+
+const demandOf = ({
+	prefillNeeded, decodeNeeded, prompts = assumedPrompts, streams = assumedStreams,
+}: RoleBalance): ServiceDemand => ({
+	prefill: {neededEngines: prefillNeeded, ...prompts},
+	decode: {neededEngines: decodeNeeded, ...streams},
+});
+
+/** Most engines that may be away at once. */
+const maxChanging = (engines: number): number => Math.max(1, Math.floor(engines * maxChangingFraction));
+
+const sampleDemand = (balance: RoleBalance, history: readonly DemandSample[]): readonly DemandSample[] => {
+	const {nowMs, isIdle} = balance;
+	const recent = history.filter(({atMs}) => nowMs - atMs < historyMs);
+	const isDue = nowMs - (recent.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= sampleIntervalMs;
+	return isDue && !isIdle ? [...recent, {atMs: nowMs, demand: demandOf(balance)}] : recent;
+};
 
-/** Load of the more loaded role with the given number of engines in each role. */
-const maxRoleLoad = ({prefillNeeded, decodeNeeded}: RoleBalance, prefill: number, decode: number): number =>
-	Math.max(prefillNeeded / Math.max(0.1, prefill), decodeNeeded / Math.max(0.1, decode * usableDecodeFraction));
-
-/** Number of prefill engines that minimises the load of the more loaded role. */
-const bestPrefillCount = (balance: RoleBalance): number => {
-	const engines = balance.prefill + balance.decode;
-	let best = balance.prefill;
-	for (let prefill = 1; prefill < engines; prefill += 1) {
-		if (maxRoleLoad(balance, prefill, engines - prefill) < maxRoleLoad(balance, best, engines - best)) {
-			best = prefill;
-		}
-	}
-
-	return best;
+/** Whether the shorter waits after a change outweigh the longer ones while the engines are away. */
+const isWorthwhile = (demands: readonly ServiceDemand[], current: RoleDivision, next: RoleDivision): boolean => {
+	const currentMs = expectedWaitMs(demands, current);
+	const nextMs = expectedWaitMs(demands, next);
+	const duringMs = expectedWaitMs(demands, {prefill: Math.min(current.prefill, next.prefill), decode: Math.min(current.decode, next.decode)});
+	return currentMs - nextMs >= minGainMs
+		&& nextMs <= currentMs * maxRemainingWaitFraction
+		&& (currentMs - nextMs) * mixLastsMs > (duringMs - currentMs) * changeTakesMs;
 };
 
-const findNeededRole = (balance: RoleBalance): EndpointRole | undefined => {
-	const {prefill, decode, isIdle} = balance;
-	if (decode === 0 && prefill > 0) {
-		return 'decode';
+type NeededChange = {readonly role: EndpointRole; readonly count: number};
+
+const findIdleChange = ({prefill, decode}: RoleBalance): NeededChange | undefined =>
+	prefill < Math.floor((prefill + decode) * idlePrefillFraction) ? {role: 'prefill', count: 1} : undefined;
+
+/** The largest worthwhile step towards the best division. */
+const findLoadedChange = ({prefill, decode}: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
+	const current = {prefill, decode};
+	const demands = history.map(({demand}) => demand);
+	const step = findBestDivision(demands, current).prefill - prefill;
+	const role = step > 0 ? 'prefill' : 'decode';
+	for (let count = Math.min(Math.abs(step), maxChanging(prefill + decode)); count > 0; count -= 1) {
+		const moved = role === 'prefill' ? count : -count;
+		if (isWorthwhile(demands, current, {prefill: prefill + moved, decode: decode - moved})) {
+			return {role, count};
+		}
 	}
 
-	if (isIdle) {
-		return prefill < Math.floor((prefill + decode) * idlePrefillFraction) ? 'prefill' : undefined;
-	}
+	return undefined;
+};
 
-	const currentLoad = maxRoleLoad(balance, prefill, decode);
-	const bestPrefill = bestPrefillCount(balance);
-	if (currentLoad < overloadThreshold || bestPrefill === prefill || maxRoleLoad(balance, bestPrefill, prefill + decode - bestPrefill) > currentLoad * maxRemainingLoadFraction) {
-		return undefined;
+const findNeededChange = (balance: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
+	if (balance.decode === 0 && balance.prefill > 0) {
+		return {role: 'decode', count: 1};
 	}
 
-	return bestPrefill > prefill ? 'prefill' : 'decode';
+	return balance.isIdle ? findIdleChange(balance) : findLoadedChange(balance, history);
 };
 
 /** Time of the last loss of an engine. An engine whose role is changing is still counted, so a role change is not a loss. */
 const findLastLossMs = ({nowMs, prefill, decode}: RoleBalance, {engineCount, lastLossMs}: RoleBalanceState): number | undefined =>
 	engineCount !== undefined && prefill + decode < engineCount ? nowMs : lastLossMs;
 
-const minDwell = (isSevere: boolean, sinceLossMs: number): {readonly dwellMs: number; readonly intervalMs: number} => {
-	if (sinceLossMs < lossMemoryMs) {
+/** Load of the more loaded role. */
+const maxRoleLoad = ({
+	prefill, decode, prefillNeeded, decodeNeeded,
+}: RoleBalance): number => Math.max(prefillNeeded / Math.max(0.1, prefill), decodeNeeded / Math.max(0.1, decode));
+
+const hasPassed = (sinceMs: number | undefined, nowMs: number, limitMs: number): boolean => sinceMs === undefined || nowMs - sinceMs >= limitMs;
+
+const minDwell = (balance: RoleBalance, lastLossMs: number | undefined, {lastIdleMs}: RoleBalanceState): {readonly dwellMs: number; readonly intervalMs: number} => {
+	const {nowMs} = balance;
+	if (!hasPassed(lastLossMs, nowMs, lossMemoryMs)) {
 		return {dwellMs: dwellAfterLossMs, intervalMs: 0};
 	}
 
-	return isSevere ? {dwellMs: severeDwellMs, intervalMs: severeIntervalMs} : {dwellMs, intervalMs: minIntervalMs};
+	if (!hasPassed(lastIdleMs, nowMs, idleMemoryMs)) {
+		return {dwellMs: dwellAfterIdleMs, intervalMs: severeIntervalMs};
+	}
+
+	return maxRoleLoad(balance) > severeOverload ? {dwellMs: severeDwellMs, intervalMs: severeIntervalMs} : {dwellMs, intervalMs: minIntervalMs};
 };
 
-/** Decides whether one engine changes its role, and to which role. */
+/** Decides whether engines change their role, how many, and to which role. */
 export const balanceRoles = (balance: RoleBalance, state: RoleBalanceState): RoleDecision => {
 	const {nowMs, isIdle, prefill, decode} = balance;
-	const neededRole = findNeededRole(balance);
+	const history = sampleDemand(balance, state.history ?? []);
+	const needed = findNeededChange(balance, history);
 	const lastLossMs = findLastLossMs(balance, state);
-	const nextState = {lastChangeMs: state.lastChangeMs, engineCount: prefill + decode, lastLossMs};
-	if (neededRole === undefined) {
-		return {state: nextState};
+	const nextState = {
+		lastChangeMs: state.lastChangeMs, engineCount: prefill + decode, lastLossMs, lastIdleMs: isIdle ? nowMs : state.lastIdleMs, history,
+	};
+	if (needed === undefined) {
+		return {count: 0, state: nextState};
+	}
+
+	const {role, count} = needed;
+	if (isIdle || decode === 0) {
+		return {change: role, count, state: {...nextState, lastLossMs: undefined}};
 	}
 
-	const neededSinceMs = state.neededRole === neededRole ? state.neededSinceMs ?? nowMs : nowMs;
-	const dwell = minDwell(maxRoleLoad(balance, prefill, decode) > severeOverloadThreshold, nowMs - (lastLossMs ?? Number.NEGATIVE_INFINITY));
-	const isLasting = nowMs - neededSinceMs >= dwell.dwellMs
-		&& nowMs - (state.lastChangeMs ?? Number.NEGATIVE_INFINITY) >= dwell.intervalMs;
-	return isIdle || decode === 0 || isLasting
-		? {change: neededRole, state: {...nextState, lastChangeMs: nowMs, lastLossMs: undefined}}
-		: {state: {...nextState, neededRole, neededSinceMs}};
+	const neededSinceMs = state.neededRole === role ? state.neededSinceMs ?? nowMs : nowMs;
+	const dwell = minDwell(balance, lastLossMs, state);
+	return nowMs - neededSinceMs >= dwell.dwellMs && hasPassed(state.lastChangeMs, nowMs, dwell.intervalMs)
+		? {change: role, count, state: {...nextState, lastChangeMs: nowMs, lastLossMs: undefined}}
+		: {count: 0, state: {...nextState, neededRole: role, neededSinceMs}};
 };
--- a/packages/core/src/forwarding/endpoint-selection.ts
+++ b/packages/core/src/forwarding/endpoint-selection.ts
@@ -2,7 +2,7 @@
  * State of endpoints as an entry estimates it, and the selection of an endpoint of a plain service.
  */
 import type {Random} from '../clock.js';
-import type {RegisteredEndpoint} from './deployment.js';
+import type {EndpointRole, RegisteredEndpoint} from './deployment.js';
 import type {DecodeLatencyModel} from './decode-latency-model.js';
 import type {OutlierEjection} from './outlier-ejection.js';
 import type {PrefillLatencyModel} from './prefill-latency-model.js';
@@ -24,6 +24,8 @@
 	readonly decodeLatency: DecodeLatencyModel;
 	/** Expected end of a role change; the engine rejects work until then. */
 	roleChangeUntilMs: number;
+	/** The new role, until then. */
+	newRole?: EndpointRole;
 	/** KV cache tokens of the running requests. */
 	runningTokens: number;
 };
--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -21,6 +21,8 @@
 	readonly level: number;
 	/** Time until the caller's deadline. */
 	readonly remainingMs: number;
+	/** Longest pause between two events of a stream that meets its latency target. */
+	readonly maxGapMs: number;
 	/** Data centre of the entry. */
 	readonly dataCentre: string;
 	/** Endpoints that have rejected or failed the request. */
@@ -61,14 +63,18 @@
 const splitCostMs = 12;
 /** Cost, expressed as delay, of prefilling 1,000 shared tokens that another engine has cached. */
 const recomputeMsPerThousandTokens = 25;
-/** A longer prefill backlog at a decode engine would hold up its streams and the requests whose KV cache it fetches. */
+/** A longer prefill backlog at a decode engine would hold up the requests whose KV cache it fetches. */
 const maxDirectPrefillMs = 120;
+/** The streams of a decode engine pause while it prefills. They may spend this fraction of their longest allowed pause so. */
+const maxDirectGapFraction = 0.35;
 /** Cost of a millisecond of prefill to the streams of a decode engine, in milliseconds of delay of the request. */
 const directPrefillCostFactor = 0.5;
 /** Cost of the load of a decode engine with free slots, so that streams are distributed evenly. */
 const loadCostMs = 40;
 
 type ExpectedPrefill = {
+	/** This request's work. */
+	readonly ownMs: number;
 	/** Pending work, including this request's. */
 	readonly waitMs: number;
 	/** Time until the prefill completes, including more urgent work that arrives meanwhile. */
@@ -80,13 +86,13 @@
 const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens}: {nowMs: number; mostCachedTokens: number}): ExpectedPrefill => {
 	const cachedTokens = view.segmentCache.cachedTokens(request.segments);
 	const uncachedTokens = Math.max(1, request.promptTokens - cachedTokens);
-	const ownMs = view.prefillLatency.prefillMs(uncachedTokens);
+	const ownMs = view.prefillLatency.prefillMs({uncachedTokens, cachedTokens});
 	const waitMs = view.prefillBacklog.waitMs(request.level, nowMs) + ownMs;
 	const completionMs = view.prefillBacklog.completionMs(request.level, ownMs, nowMs);
 	const recomputeMs = Math.max(0, mostCachedTokens - cachedTokens) * recomputeMsPerThousandTokens / 1000;
 	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs);
 	return {
-		waitMs, completionMs, uncachedTokens, scoreMs,
+		ownMs, waitMs, completionMs, uncachedTokens, scoreMs,
 	};
 };
 
@@ -159,10 +165,10 @@
 	const estimates = new Map(decoders.map(view => [view, estimatePrefill(view, request, {nowMs: context.nowMs, mostCachedTokens})]));
 	const eligible = prefillers.length === 0
 		? decoders
-		: decoders.filter(view => estimates.get(view)!.waitMs <= maxDirectPrefillMs);
+		: decoders.filter(view => estimates.get(view)!.waitMs <= Math.min(maxDirectPrefillMs, request.maxGapMs * maxDirectGapFraction));
 	const scoreOf = (view: EndpointView): number => {
-		const {scoreMs, uncachedTokens} = estimates.get(view)!;
-		return scoreMs + (directPrefillCostFactor * view.prefillLatency.prefillMs(uncachedTokens)) + scoreDecode(view, request, context);
+		const {scoreMs, ownMs} = estimates.get(view)!;
+		return scoreMs + (directPrefillCostFactor * ownMs) + scoreDecode(view, request, context);
 	};
 
 	const decodeEngine = pickLowest(eligible, scoreOf);
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -12,8 +12,10 @@
 	WeightedService,
 } from './deployment.js';
 export {pickService, RouteTable} from './route-table.js';
-export {priorityLevelCount, PrefillBacklog, type TrackedPrefill} from './prefill-backlog.js';
-export {PrefillLatencyModel} from './prefill-latency-model.js';
+export {PrefillLatencyModel, type PrefillSize} from './prefill-latency-model.js';
+export {
+	priorityLevelCount, PrefillBacklog, type LevelWork, type TrackedPrefill,
+} from './prefill-backlog.js';
 export {referenceLoad, DecodeLatencyModel, type ObservedStream} from './decode-latency-model.js';
 export {TokensPerEvent} from './tokens-per-event.js';
 export {LongAnswerLoadLimit} from './long-answer-load-limit.js';
--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -19,7 +19,9 @@
 	ownName: 'e1',
 	address: loopback,
 	port,
-	load: {dropStalePeers: () => undefined, ownRunningCounts: () => [], drainSent: () => []} as unknown as GossipOptions['load'],
+	load: {
+		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [],
+	} as unknown as GossipOptions['load'],
 	peers: () => [{name: 'e2', address: loopback, port: peerPort}],
 	configVersion: () => 1,
 	ownPhase: () => ({phase: 'ready', stoppingMs: 0}),
--- a/packages/forward/src/__tests__/role-changes.test.ts
+++ b/packages/forward/src/__tests__/role-changes.test.ts
@@ -42,4 +42,13 @@
 		changes.record([{endpoint: id, role: 'decode'}]);
 		assert.ok(pool.get(id)!.roleChangeUntilMs <= clock.nowMs());
 	});
+
+	it('is selected again when the entry that ordered the change withdraws it; guards against an engine unused after it has rejected the order', () => {
+		const {clock, pool, changes} = createFixture();
+		changes.recordOwn([{endpoint: id, role: 'decode'}]);
+		assert.is(pool.get(id)!.newRole, 'decode');
+		changes.recordOwn([]);
+		assert.ok(pool.get(id)!.roleChangeUntilMs <= clock.nowMs());
+		assert.is(pool.get(id)!.newRole, undefined);
+	});
 });
--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -175,6 +175,13 @@
 		assert.is(fixture.reports[0]!.status, 409);
 	}));
 
+	it('counts a change that the former holder has announced; guards against a successor that orders the same change of another engine', async () => withDuty(2, async fixture => {
+		Object.assign(fixture.pool.get('i-0')!, {roleChangeUntilMs: clock.nowMs() + 60_000, newRole: 'prefill'});
+		fixture.lease = lease;
+		await sleep(3500);
+		assert.equal(ordersOf(fixture), []);
+	}));
+
 	it('keeps its unfinished changes published when it ends; guards against requests sent to an engine that changes its role', async () => withDuty(2, async fixture => {
 		fixture.lease = lease;
 		await waitUntil(() => fixture.reports.length > 0, {what: 'an order'});
@@ -193,8 +200,11 @@
 		for (let stream = 0; stream < (streams[index] ?? 200); stream += 1) {
 			const load = [0.2, 0.5, 0.8][stream % 3]!;
 			decode.observe({tookMs: 300 * factor * (3 + (9 * load)), tokens: 300, load});
-			const expectedMs = pace.prefillMs(promptTokens);
-			pace.observe({expectedMs, ownMs: expectedMs, tookMs: pace.firstTokenDelayMs + (promptTokens * 0.016 * factor)});
+			const size = {uncachedTokens: promptTokens, cachedTokens: 0};
+			const expectedMs = pace.prefillMs(size);
+			pace.observe({
+				expectedMs, ownMs: expectedMs, tookMs: pace.firstTokenDelayMs + (promptTokens * 0.016 * factor), size,
+			});
 		}
 	}
 };
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -80,11 +80,12 @@
 	#create(endpoint: RegisteredEndpoint): PooledEndpoint {
 		const service = this.#options.serviceOf(endpoint.service);
 		const maxConnections = Math.max(4, Math.floor((service?.maxConnections ?? 64) * liveEntryConnectionFraction / Math.max(1, this.#options.entries())));
+		const sameRole = this.ofService(endpoint.service).filter(other => other.endpoint.role === endpoint.role);
 		return {
 			endpoint,
 			ejection: new OutlierEjection(),
 			prefillBacklog: new PrefillBacklog(this.#options.clock.nowMs()),
-			prefillLatency: new PrefillLatencyModel(endpoint.role ?? 'decode'),
+			prefillLatency: new PrefillLatencyModel(endpoint.role ?? 'decode', sameRole.map(({prefillLatency}) => prefillLatency)),
 			decodeLatency: new DecodeLatencyModel(),
 			stallDetector: new StallDetector(),
 			splitRejections: new SplitRejections(),
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -12,7 +12,9 @@
 import type {SentPhase} from './entry-phases.js';
 import type {SegmentNews} from './segment-quarantines.js';
 import type {UsageNotice} from './usage-counter.js';
-import type {LoadTracker, RunningCount, SentWork} from './load-tracker.js';
+import type {
+	EntryLoad, LoadTracker, PendingPrefills, RunningCount, SentWork,
+} from './load-tracker.js';
 import type {RoleChange} from './role-changes.js';
 
 /** Another entry. */
@@ -57,7 +59,10 @@
 
 type RoleChangeTuple = readonly [endpoint: string, role: EndpointRole];
 type RunningTuple = readonly [endpoint: string, requests: number, late: number, tokens: number];
-type SentTuple = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, segments: ReadonlyArray<readonly [id: string, tokens: number]>, isRefused: 0 | 1];
+type SegmentTuple = readonly [id: string, tokens: number];
+type SentTuple = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, segments: readonly SegmentTuple[], isRefused: 0 | 1, cachedTokens?: number];
+/** An engine and, by priority level, the milliseconds of its uncompleted prefill work. */
+type PrefillsTuple = readonly [endpoint: string, levels: ReadonlyArray<readonly [level: number, ms: number]>];
 
 type CrashTuple = readonly [fingerprint: string, endpoint: string, ageMs?: number, crashes?: number];
 
@@ -75,6 +80,8 @@
 	/** News about prompt segments that crash engines; absent without news. */
 	readonly segments?: SegmentNews;
 	readonly running: readonly RunningTuple[];
+	/** Prefills that have not completed. Entries of earlier versions do not report them. */
+	readonly prefills?: readonly PrefillsTuple[];
 	readonly sent: readonly SentTuple[];
 };
 
@@ -84,10 +91,11 @@
 };
 
 const isMessage = (value: unknown): value is Message => {
-	const {from, config, phase, changing, running, segments, sent} = (value ?? {}) as Partial<Message>;
+	const {from, config, phase, changing, running, prefills, segments, sent} = (value ?? {}) as Partial<Message>;
 	const hasPhase = phase === undefined || Array.isArray(phase);
 	const hasNews = segments === undefined || isSegmentNews(segments);
-	return hasPhase && hasNews && typeof from === 'string' && typeof config === 'number' && Array.isArray(changing) && Array.isArray(running) && Array.isArray(sent);
+	const hasPrefills = prefills === undefined || Array.isArray(prefills);
+	return hasPhase && hasNews && hasPrefills && typeof from === 'string' && typeof config === 'number' && Array.isArray(changing) && Array.isArray(running) && Array.isArray(sent);
 };
 
 const parseMessage = (text: string): Message | undefined => {
@@ -103,15 +111,20 @@
 const encodeRunning = ({endpoint, requests, late, tokens}: RunningCount): RunningTuple => [endpoint, requests, late, Math.round(tokens)];
 
 /** Omits the last prompt segment: it belongs to one request or session, so no other request shares its KV cache. */
-const encodeSent = ({endpoint, level, tokens, outputTokens, segments: parts, isRefused}: SentWork): SentTuple => [
+const encodeSent = ({endpoint, level, tokens, cachedTokens, outputTokens, segments: parts, isRefused}: SentWork): SentTuple => [
 	endpoint,
 	level,
 	Math.round(tokens),
 	Math.round(outputTokens),
 	parts.slice(0, Math.max(0, Math.min(maxSegmentsPerWork, parts.length - 1))).map(({id, tokens}) => [id, tokens] as const),
 	isRefused ? 1 : 0,
+	Math.round(cachedTokens),
 ];
 
+const encodePrefills = ({endpoint, work}: PendingPrefills): PrefillsTuple => [endpoint, work.map(({level, ms}) => [level, Math.round(ms)] as const)];
+
+const decodePrefills = ([endpoint, levels]: PrefillsTuple): PendingPrefills => ({endpoint, work: levels.map(([level, ms]) => ({level, ms}))});
+
 const encodeCrash = ({fingerprint, endpoint, ageMs, crashes}: CrashReport): CrashTuple => [fingerprint, endpoint, Math.round(ageMs), crashes];
 
 const decodeCrash = ([fingerprint, endpoint, ageMs = 0, crashes = 0]: CrashTuple): CrashReport => ({
@@ -132,6 +145,16 @@
 	})),
 });
 
+const decodeLoad = ({running, prefills, sent}: Message): EntryLoad => ({
+	running: running.map(([endpoint, requests, late, tokens]) => ({
+		endpoint, requests, late, tokens,
+	})),
+	prefills: prefills?.map(tuple => decodePrefills(tuple)),
+	sent: sent.map(([endpoint, level, tokens, outputTokens, segments, isRefused, cachedTokens = 0]) => ({
+		endpoint, level, tokens, cachedTokens, outputTokens, segments: segments.map(([id, tokens]) => ({id, tokens})), isRefused: isRefused === 1,
+	})),
+});
+
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
 
@@ -175,11 +198,12 @@
 		const {clock, load, configVersion, ownPhase, roleChanges, ownName} = this.#options;
 		const {phase, stoppingMs} = ownPhase();
 		const running = load.ownRunningCounts().map(count => encodeRunning(count));
+		const prefills = load.ownPendingPrefills();
 		const sent = load.drainSent().map(work => encodeSent(work));
 		const crashes = this.#options.crashReports().map(report => encodeCrash(report));
 		const segments = this.#options.segmentNews();
 		const changes = roleChanges().map(({endpoint, role}) => [endpoint, role] as const);
-		const state = JSON.stringify([running, changes, crashes.map(([fingerprint, endpoint]) => [fingerprint, endpoint]), segmentNewsKeys(segments), phase]);
+		const state = JSON.stringify([running, prefills.map(({endpoint}) => endpoint), changes, crashes.map(([fingerprint, endpoint]) => [fingerprint, endpoint]), segmentNewsKeys(segments), phase]);
 		const isKeepAliveDue = clock.nowMs() - this.#lastSentMs >= keepAliveMs;
 		const isUsageDue = clock.nowMs() - this.#lastUsageSentMs >= usageIntervalMs;
 		if (sent.length === 0 && state === this.#lastState && !isKeepAliveDue && !isUsageDue) {
@@ -194,6 +218,7 @@
 			phase: [phase, stoppingMs],
 			changing: changes,
 			running,
+			prefills: prefills.map(pending => encodePrefills(pending)),
 			sent,
 			...crashes.length > 0 && {crashes},
 			...hasSegmentNews(segments) && {segments: roundAges(segments)},
@@ -231,15 +256,7 @@
 		}
 
 		this.#lastSeen.set(peer.name, this.#options.clock.nowMs());
-		this.#options.load.applyPeerMessage(
-			peer.name,
-			message.running.map(([endpoint, requests, late, tokens]) => ({
-				endpoint, requests, late, tokens,
-			})),
-			message.sent.map(([endpoint, level, tokens, outputTokens, segments, isRefused]) => ({
-				endpoint, level, tokens, outputTokens, segments: segments.map(([id, tokens]) => ({id, tokens})), isRefused: isRefused === 1,
-			})),
-		);
+		this.#options.load.applyPeerMessage(peer.name, decodeLoad(message));
 		const [phase, stoppingMs] = message.phase ?? ['ready', 0];
 		this.#options.onPhase(peer, {phase, stoppingMs});
 		this.#options.onConfigVersion(peer, message.config);
--- a/packages/forward/src/load-tracker.ts
+++ b/packages/forward/src/load-tracker.ts
@@ -3,7 +3,7 @@
  * gossip messages. Also holds the estimators of token demand and answer lengths of each service.
  */
 import {
-	TokensPerEvent, getOrCreate, LateRequestBudget, LongAnswerLoadLimit, TokenWindow, type Clock, type PromptSegment, type TokenRate, type TrackedPrefill,
+	TokensPerEvent, getOrCreate, LateRequestBudget, LongAnswerLoadLimit, TokenWindow, type Clock, type LevelWork, type PrefillSize, type PromptSegment, type TokenRate, type TrackedPrefill,
 } from '@hawthorncleat/core';
 import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
 
@@ -13,6 +13,8 @@
 	readonly level: number;
 	/** Prompt tokens that the engine is not expected to have in its cache. */
 	readonly tokens: number;
+	/** Prompt tokens before them that it is expected to have. */
+	readonly cachedTokens: number;
 	/** Expected output tokens. */
 	readonly outputTokens: number;
 	readonly segments: readonly PromptSegment[];
@@ -23,13 +25,25 @@
 /** Requests that one entry runs at one endpoint; `late` counts those of the lowest priority class, `tokens` their KV cache. */
 export type RunningCount = {readonly endpoint: string; readonly requests: number; readonly late: number; readonly tokens: number};
 
+/** Prefills that one entry has sent to one engine and that have not completed. */
+export type PendingPrefills = {readonly endpoint: string; readonly work: readonly LevelWork[]};
+
+/** Load of one entry; `prefills` is absent in messages of entries that do not report completions. */
+export type EntryLoad = {readonly running: readonly RunningCount[]; readonly prefills?: readonly PendingPrefills[]; readonly sent: readonly SentWork[]};
+
 /** What a running request takes up at an engine: KV cache tokens, and whether it is in the lowest priority class. */
 export type RequestSize = {readonly tokens: number; readonly isLate: boolean};
 
+type PromptTokens = Pick<SentWork, 'cachedTokens' | 'tokens'>;
+
+const sizeOf = ({tokens, cachedTokens}: PromptTokens): PrefillSize => ({uncachedTokens: tokens, cachedTokens});
+
+const prefillMsOf = ({prefillLatency}: PooledEndpoint, work: PromptTokens): number => prefillLatency.prefillMs(sizeOf(work));
+
 /** Without a message for this time, the running requests of another entry no longer count. */
 const stalePeerMs = 3000;
 
-type PeerLoad = {receivedMs: number; running: readonly RunningCount[]};
+type PeerLoad = {readonly receivedMs: number; readonly running: readonly RunningCount[]; readonly prefills: readonly PendingPrefills[]};
 
 export class LoadTracker {
 	readonly #clock: Clock;
@@ -80,22 +94,27 @@
 		pooled.segmentCache.add(work.segments);
 		this.#sent.push({...work, endpoint: pooled.endpoint.id});
 		const nowMs = this.#clock.nowMs();
-		this.#demandOf(pooled.endpoint.service).add(work.tokens, work.outputTokens, nowMs);
-		return pooled.prefillBacklog.track(work.level, pooled.prefillLatency.prefillMs(work.tokens), nowMs);
+		this.#demandOf(pooled.endpoint.service).add(sizeOf(work), work.outputTokens, nowMs);
+		return pooled.prefillBacklog.track(work.level, prefillMsOf(pooled, work), nowMs);
 	}
 
 	/** Counts the demand of a request that is rejected for lack of engine capacity. */
 	recordRejected(pooled: PooledEndpoint, {tokens, outputTokens}: Pick<SentWork, 'outputTokens' | 'tokens'>): void {
 		this.#sent.push({
-			endpoint: pooled.endpoint.id, level: 0, tokens, outputTokens, segments: [], isRefused: true,
+			endpoint: pooled.endpoint.id, level: 0, tokens, cachedTokens: 0, outputTokens, segments: [], isRefused: true,
 		});
-		this.#demandOf(pooled.endpoint.service).add(tokens, outputTokens, this.#clock.nowMs());
+		this.#demandOf(pooled.endpoint.service).add({uncachedTokens: tokens, cachedTokens: 0}, outputTokens, this.#clock.nowMs());
 	}
 
-	endPrefill(pooled: PooledEndpoint, work: TrackedPrefill): void {
+	completePrefill(pooled: PooledEndpoint, work: TrackedPrefill): void {
 		pooled.prefillBacklog.complete(work, this.#clock.nowMs());
 	}
 
+	/** Forgets a prefill that has failed or was given up, which tells nothing of the work that was sent before it. */
+	abandonPrefill(pooled: PooledEndpoint, work: TrackedPrefill): void {
+		pooled.prefillBacklog.remove(work, this.#clock.nowMs());
+	}
+
 	/** Returns the work sent since the last call. */
 	drainSent(): SentWork[] {
 		const sent = this.#sent;
@@ -111,21 +130,25 @@
 			}));
 	}
 
+	/** Prefills of this entry that have not completed. */
+	ownPendingPrefills(): PendingPrefills[] {
+		const nowMs = this.#clock.nowMs();
+		return [...this.#pool.all()]
+			.map(({endpoint, prefillBacklog}) => ({endpoint: endpoint.id, work: prefillBacklog.ownPending(nowMs)}))
+			.filter(({work}) => work.length > 0);
+	}
+
 	/** Applies a gossip message of another entry. */
-	applyPeerMessage(peer: string, running: readonly RunningCount[], sent: readonly SentWork[]): void {
+	applyPeerMessage(peer: string, {running, prefills, sent}: EntryLoad): void {
 		const nowMs = this.#clock.nowMs();
 		this.#applyRunning(this.#peers.get(peer)?.running ?? [], -1);
 		this.#applyRunning(running, 1);
-		this.#peers.set(peer, {receivedMs: nowMs, running});
-		for (const {endpoint, level, tokens, outputTokens, segments, isRefused} of sent) {
-			const pooled = this.#pool.get(endpoint);
+		this.#applyPrefills(peer, prefills ?? []);
+		this.#peers.set(peer, {receivedMs: nowMs, running, prefills: prefills ?? []});
+		for (const work of sent) {
+			const pooled = this.#pool.get(work.endpoint);
 			if (pooled) {
-				if (!isRefused) {
-					pooled.prefillBacklog.add(level, pooled.prefillLatency.prefillMs(tokens), nowMs);
-					pooled.segmentCache.add(segments);
-				}
-
-				this.#demandOf(pooled.endpoint.service).add(tokens, outputTokens, nowMs);
+				this.#applySent(peer, pooled, {work, isInPrefills: prefills !== undefined});
 			}
 		}
 	}
@@ -136,6 +159,7 @@
 		for (const [peer, {receivedMs, running}] of this.#peers) {
 			if (nowMs - receivedMs > stalePeerMs) {
 				this.#applyRunning(running, -1);
+				this.#applyPrefills(peer, []);
 				this.#peers.delete(peer);
 			}
 		}
@@ -151,6 +175,37 @@
 		pooled.runningTokens += sign * tokens;
 	}
 
+	#applySent(peer: string, pooled: PooledEndpoint, {work, isInPrefills}: {work: SentWork; isInPrefills: boolean}): void {
+		const nowMs = this.#clock.nowMs();
+		this.#demandOf(pooled.endpoint.service).add(sizeOf(work), work.outputTokens, nowMs);
+		if (work.isRefused) {
+			return;
+		}
+
+		pooled.segmentCache.add(work.segments);
+		const levelWork = {level: work.level, ms: prefillMsOf(pooled, work)};
+		if (isInPrefills) {
+			pooled.prefillBacklog.recordArrival(levelWork, nowMs);
+		} else {
+			pooled.prefillBacklog.add(peer, levelWork, nowMs);
+		}
+	}
+
+	/** Replaces the pending prefills of another entry at all engines. */
+	#applyPrefills(peer: string, prefills: readonly PendingPrefills[]): void {
+		const nowMs = this.#clock.nowMs();
+		const current = new Set(prefills.map(({endpoint}) => endpoint));
+		for (const {endpoint} of this.#peers.get(peer)?.prefills ?? []) {
+			if (!current.has(endpoint)) {
+				this.#pool.get(endpoint)?.prefillBacklog.setPending(peer, [], nowMs);
+			}
+		}
+
+		for (const {endpoint, work} of prefills) {
+			this.#pool.get(endpoint)?.prefillBacklog.setPending(peer, work, nowMs);
+		}
+	}
+
 	#demandOf(service: string): TokenWindow {
 		return getOrCreate(this.#demand, service, () => new TokenWindow());
 	}
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -130,6 +130,7 @@
 		segments: request.segments,
 		promptTokens: request.promptTokens,
 		outputTokens: admitted.outputTokens,
+		maxGapMs: route.maxGapMs,
 		dataCentre: deps.dataCentre,
 		remainingMs: exchange.remainingMs,
 		excluded,
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -45,8 +45,9 @@
 	const {prefill, level = 0, uncachedTokens = 0, prefillWaitMs: waitMs = 0} = placement;
 	const {request, route, exchange, outputTokens} = admitted;
 	const startMs = deps.clock.nowMs();
+	const size = {uncachedTokens, cachedTokens: Math.max(0, request.promptTokens - uncachedTokens)};
 	const work = deps.load.startPrefill(prefill, {
-		level, tokens: uncachedTokens, outputTokens, segments: request.segments,
+		level, tokens: uncachedTokens, cachedTokens: size.cachedTokens, outputTokens, segments: request.segments,
 	});
 	const stallMs = (waitMs * stallFactor) + stallMarginMs;
 	const stallTimer = createStallTimer(stallMs, () => {
@@ -72,12 +73,17 @@
 	const end = await prefillExchange.ended;
 	limit.clear();
 	stallTimer.clear();
-	deps.load.endPrefill(prefill, work);
+	const name = end.kind === 'complete' && head?.status === 200 ? deps.wire.readHandle(body.drain().toString()) : undefined;
+	if (name === undefined) {
+		deps.load.abandonPrefill(prefill, work);
+	} else {
+		deps.load.completePrefill(prefill, work);
+	}
+
 	if (control.isSuperseded) {
 		return {...createSuperseded(end, head), mayHaveRun: false};
 	}
 
-	const name = end.kind === 'complete' && head?.status === 200 ? deps.wire.readHandle(body.drain().toString()) : undefined;
 	if (name === undefined) {
 		// A request whose prompt was only prefilled has not run, so any failure after connecting counts as a refusal.
 		const failed = classifyFailure(end, head, {failedAt: prefill, hasTimedOut: limit.isExpired});
@@ -91,6 +97,8 @@
 	}
 
 	prefill.ejection.recordSuccess();
-	prefill.prefillLatency.observe({expectedMs: waitMs, ownMs: prefill.prefillLatency.prefillMs(uncachedTokens), tookMs: deps.clock.nowMs() - startMs});
+	prefill.prefillLatency.observe({
+		expectedMs: waitMs, ownMs: prefill.prefillLatency.prefillMs(size), tookMs: deps.clock.nowMs() - startMs, size,
+	});
 	return {kind: 'prefilled', handle: {endpoint: prefill.endpoint, name}};
 };
--- a/packages/forward/src/role-changes.ts
+++ b/packages/forward/src/role-changes.ts
@@ -26,6 +26,13 @@
 	}
 
 	recordOwn(changes: readonly RoleChange[]): void {
+		const current = new Set(changes.map(({endpoint}) => endpoint));
+		for (const {endpoint} of this.#own) {
+			if (!current.has(endpoint)) {
+				this.#recordEnded(endpoint);
+			}
+		}
+
 		this.#own = changes;
 		this.record(changes);
 	}
@@ -41,7 +48,17 @@
 			const known = this.#pool.get(endpoint);
 			if (known && known.endpoint.role !== role) {
 				known.roleChangeUntilMs = untilMs;
+				known.newRole = role;
 			}
 		}
 	}
+
+	/** An engine that has changed its role, or has rejected the order, takes work again. */
+	#recordEnded(endpoint: string): void {
+		const known = this.#pool.get(endpoint);
+		if (known) {
+			known.roleChangeUntilMs = 0;
+			known.newRole = undefined;
+		}
+	}
 }
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -1,10 +1,10 @@
 /**
  * The duty of dividing the engines of each service between prefill and decode. It compares the demand of the last seconds with
- * the capacity of each role and orders role changes, one at a time.
+ * the capacity of each role and orders role changes.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, referenceLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceState, type RoleCandidate,
+	balanceRoles, engineLoad, referenceLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceState, type RoleCandidate,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {callEndpoint, type EndpointAnswer} from './call-endpoint.js';
@@ -53,14 +53,52 @@
 const orderTimeoutMs = 9000;
 const callTimeoutMs = 800;
 /** Fraction of the engines that may change at the same time while there is work. */
-const maxChangingFraction = 0.15;
+const maxChangingFraction = 0.34;
+/** A decode engine prefills at this fraction of the speed of a prefill engine. */
+const decodePrefillSpeed = 0.5;
+/** Weight of the earlier values in the moving average of the filled decode engines; it spans the time of a long stream. */
+const filledEnginesDecay = 0.93;
+/** After an idle time it takes this long until as many streams run as the demand leads to. */
+const fillingMs = 10_000;
+/**
+ * Callers overstate the lengths of their answers, and the time per token at full load is extrapolated, so the requested tokens may count at most as
+ * this multiple of what the running streams fill.
+ */
+const filledEnginesMargin = 1.25;
+/** Squared coefficient of variation of the lengths of answers; 1 is that of an exponential distribution. */
+const streamVariation = 1;
 const acceptedStatuses = new Set([200, 202]);
 
 const callWithTimeout = async (engine: PooledEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<EndpointAnswer | undefined> =>
 	withTimeLimit(callTimeoutMs, signal, async limited => callEndpoint(engine, encoded, limited));
 
+const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+
+/**
+ * Decode engines that the running streams would fill at the present rate of tokens. A stream takes longer on a fuller engine, so half the engines
+ * would run more than twice the streams each.
+ */
+const countFilledEngines = (engines: readonly PooledEndpoint[], kvTokens: number): number => {
+	let filled = 0;
+	for (const {endpoint, decodeLatency, running, runningTokens} of engines) {
+		const load = engineLoad({
+			running, tokens: runningTokens, slots: endpoint.slots, kvTokens,
+		});
+		filled += load * decodeLatency.msPerToken(1) / decodeLatency.msPerToken(Math.min(1, load));
+	}
+
+	return filled;
+};
+
 /** State of one service between two decisions. */
-type ServiceState = {memory: RoleBalanceState; engineCount: number; engineCountChangedMs: number};
+type ServiceState = {
+	memory: RoleBalanceState;
+	engineCount: number;
+	engineCountChangedMs: number;
+	/** When the engines were last idle, and since then the decode engines that the running streams would fill, as a moving average. */
+	lastIdleMs: number;
+	filledDecodeEngines?: number;
+};
 
 type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly candidates: readonly RoleCandidate[]};
 
@@ -114,19 +152,20 @@
 	}
 
 	/** Orders a role change if the balance of a service requires one. */
-	async #balance({name}: ForwardService, signal: AbortSignal): Promise<void> {
+	async #balance(service: ForwardService, signal: AbortSignal): Promise<void> {
+		const {name} = service;
 		const nowMs = this.#options.clock.nowMs();
 		const engines = this.#options.pool.ofService(name).filter(({endpoint}) => !endpoint.isLeaving && endpoint.role !== undefined);
 		const state = this.#stateOf(name, engines.length, nowMs);
-		const balance = this.#measureBalance(name, engines);
-		const pendingChanges = engines.filter(({endpoint}) => this.#pendingChanges.has(endpoint.id)).length;
+		const balance = this.#measureBalance(service, engines, state);
+		const pendingChanges = engines.filter(engine => this.#newRoleOf(engine) !== undefined).length;
 		const isAtChangeLimit = !balance.isIdle && pendingChanges >= Math.max(1, Math.floor(engines.length * maxChangingFraction));
 		const isEarly = balance.isIdle ? nowMs - state.engineCountChangedMs < registrationMs : nowMs - this.#startedMs < observationMs;
 		if (isEarly || isAtChangeLimit) {
 			return;
 		}
 
-		const {change, state: memory} = balanceRoles(balance, state.memory);
+		const {change, count, state: memory} = balanceRoles(balance, state.memory);
 		const lease = this.#options.lease();
 		if (change && !lease) {
 			// The decision stays pending, so that this entry can act at once if it acquires the lease.
@@ -138,18 +177,27 @@
 			return;
 		}
 
-		const candidates = this.#candidatesFor(change, engines);
-		const picked = pickRoleChange(candidates, change);
+		for (let ordered = 0; ordered < count && !signal.aborted; ordered += 1) {
+			await this.#orderBest(engines, {role: change, balance, lease}, signal);
+		}
+	}
+
+	/** Orders the change of the engine that is best suited for the new role, among those that are not changing. */
+	async #orderBest(engines: readonly PooledEndpoint[], {role, balance, lease}: Omit<Order, 'candidates'>, signal: AbortSignal): Promise<void> {
+		const candidates = this.#candidatesFor(role, engines);
+		const picked = pickRoleChange(candidates, role);
 		const engine = engines.find(({endpoint}) => endpoint.id === picked?.endpoint);
 		if (engine) {
 			await this.#order(engine, {
-				role: change, balance, lease, candidates,
+				role, balance, lease, candidates,
 			}, signal);
 		}
 	}
 
 	#stateOf(service: string, engineCount: number, nowMs: number): ServiceState {
-		const state = this.#states.get(service) ?? {memory: {}, engineCount: 0, engineCountChangedMs: nowMs};
+		const state = this.#states.get(service) ?? {
+			memory: {}, engineCount: 0, engineCountChangedMs: nowMs, lastIdleMs: nowMs,
+		};
 		if (state.engineCount !== engineCount) {
 			Object.assign(state, {engineCount, engineCountChangedMs: nowMs});
 		}
@@ -158,30 +206,55 @@
 		return state;
 	}
 
-	#measureBalance(service: string, engines: readonly PooledEndpoint[]): RoleBalance {
+	/**
+	 * The role to which an engine is changing. It counts also if another entry has ordered the change: a former holder of the lease tells of its
+	 * orders before the engines register with their new roles, and a successor that did not count them would order them again.
+	 */
+	#newRoleOf({endpoint, roleChangeUntilMs, newRole}: PooledEndpoint): EndpointRole | undefined {
+		const isAnnounced = this.#options.clock.nowMs() < roleChangeUntilMs && newRole !== endpoint.role;
+		return this.#pendingChanges.get(endpoint.id)?.role ?? (isAnnounced ? newRole : undefined);
+	}
+
+	#measureBalance({name, engine}: ForwardService, engines: readonly PooledEndpoint[], state: ServiceState): RoleBalance {
 		const {clock, load} = this.#options;
-		const roles = engines.map(({endpoint}) => this.#pendingChanges.get(endpoint.id)?.role ?? endpoint.role);
-		const demand = load.tokenDemand(service);
+		const roles = engines.map(engine => this.#newRoleOf(engine) ?? engine.endpoint.role);
+		const demand = load.tokenDemand(name);
 		const prefillEngines = engines.filter(({endpoint}) => endpoint.role === 'prefill');
-		const latencies = prefillEngines.map(({prefillLatency: pace}) => pace.msPerToken);
-		const msPerToken = latencies.length === 0 ? 0 : latencies.reduce((sum, latency) => sum + latency, 0) / latencies.length;
+		const work = {tokens: demand.promptTokensPerSecond, pairs: demand.millionPairsPerSecond};
+		const prefillMsPerSecond = prefillEngines.length > 0
+			? mean(prefillEngines.map(({prefillLatency}) => prefillLatency.workMs(work)))
+			: mean(engines.map(({prefillLatency}) => prefillLatency.workMs(work))) * decodePrefillSpeed;
 		const decodeEngines = engines.filter(({endpoint}) => endpoint.role === 'decode');
-		const tokensPerMsAtFullLoad = decodeEngines.reduce((sum, {endpoint, decodeLatency: decode}) => sum + (endpoint.slots / decode.msPerToken(1)), 0) / Math.max(1, decodeEngines.length);
-		const running = engines.reduce((sum, engine) => sum + engine.running, 0);
+		const tokensPerMsAtFullLoad = mean(decodeEngines.map(({endpoint, decodeLatency: decode}) => endpoint.slots / decode.msPerToken(1)));
+		const running = engines.reduce((sum, {running}) => sum + running, 0);
+		const isIdle = running === 0 && demand.promptTokensPerSecond === 0;
+		const requestedEngines = tokensPerMsAtFullLoad === 0 ? 0 : demand.outputTokensPerSecond / 1000 / tokensPerMsAtFullLoad;
+		const filledEngines = countFilledEngines(decodeEngines, engine?.kvTokens ?? 0);
+		const nowMs = clock.nowMs();
+		if (isIdle) {
+			Object.assign(state, {lastIdleMs: nowMs, filledDecodeEngines: undefined});
+		}
+
+		state.filledDecodeEngines = filledEngines + (filledEnginesDecay * ((state.filledDecodeEngines ?? filledEngines) - filledEngines));
+		const maxDecodeNeeded = nowMs - state.lastIdleMs < fillingMs ? requestedEngines : state.filledDecodeEngines * filledEnginesMargin;
 		return {
-			nowMs: clock.nowMs(),
+			nowMs,
 			prefill: roles.filter(role => role === 'prefill').length,
 			decode: roles.filter(role => role === 'decode').length,
-			prefillNeeded: demand.promptTokensPerSecond * msPerToken / 1000,
-			decodeNeeded: tokensPerMsAtFullLoad === 0 ? 0 : demand.outputTokensPerSecond / 1000 / tokensPerMsAtFullLoad,
-			isIdle: running === 0 && demand.promptTokensPerSecond === 0,
+			prefillNeeded: prefillMsPerSecond / 1000,
+			decodeNeeded: Math.min(requestedEngines, maxDecodeNeeded),
+			isIdle,
+			...demand.requestsPerSecond > 0 && tokensPerMsAtFullLoad > 0 && {
+				prompts: {serviceMs: prefillMsPerSecond / demand.requestsPerSecond, squaredVariation: demand.promptVariation},
+				streams: {serviceMs: demand.outputTokensPerSecond / demand.requestsPerSecond / tokensPerMsAtFullLoad, squaredVariation: streamVariation},
+			},
 		};
 	}
 
 	/** Engines that could change to a role. */
 	#candidatesFor(role: EndpointRole, engines: readonly PooledEndpoint[]): readonly RoleCandidate[] {
 		return engines
-			.filter(({endpoint}) => endpoint.role !== role && !this.#pendingChanges.has(endpoint.id))
+			.filter(engine => engine.endpoint.role !== role && this.#newRoleOf(engine) === undefined)
 			.map(engine => describeCandidate(engine));
 	}
 
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/run-attempt.ts
@@ -61,9 +61,10 @@
 	const {request, service, outputTokens} = admitted;
 	const startMs = deps.clock.nowMs();
 	const requestSize = {tokens: request.promptTokens + outputTokens, isLate: level === lowestPriorityLevel};
+	const size = {uncachedTokens, cachedTokens: Math.max(0, request.promptTokens - uncachedTokens)};
 	const prefillWork: TrackedPrefill | undefined = !prefill && service.engine && level !== undefined
 		? deps.load.startPrefill(target, {
-			level, tokens: uncachedTokens, outputTokens, segments: request.segments,
+			level, tokens: uncachedTokens, cachedTokens: size.cachedTokens, outputTokens, segments: request.segments,
 		})
 		: undefined;
 	let beganMs: number | undefined;
@@ -71,8 +72,10 @@
 		beganMs = deps.clock.nowMs();
 		deps.onRun(admitted);
 		if (prefillWork) {
-			deps.load.endPrefill(target, prefillWork);
-			target.prefillLatency.observe({expectedMs: prefillWaitMs, ownMs: target.prefillLatency.prefillMs(uncachedTokens), tookMs: beganMs - startMs});
+			deps.load.completePrefill(target, prefillWork);
+			target.prefillLatency.observe({
+				expectedMs: prefillWaitMs, ownMs: target.prefillLatency.prefillMs(size), tookMs: beganMs - startMs, size,
+			});
 		}
 	};
 
@@ -98,7 +101,7 @@
 	}, running);
 	deps.load.endRequest(target, requestSize);
 	if (prefillWork && beganMs === undefined) {
-		deps.load.endPrefill(target, prefillWork);
+		deps.load.abandonPrefill(target, prefillWork);
 	}
 
 	recordStream(deps, admitted, {target, progress, isWhole: result.kind === 'answered' && result.status === 200 && !isResumed});
