Compare engines by latencies that enough streams have shown

Cause: the holder of the lease ordered an engine away from decoding by the time per token of two streams. Change: the comparison starts from the assumed latency and follows an engine's own figures as streams arrive.

--- a/packages/core/src/forwarding/decode-latency-model.ts
+++ b/packages/core/src/forwarding/decode-latency-model.ts
@@ -24,6 +24,8 @@
 const slowdownRatioWeightTokens = 1500;
 /** Fraction of the accumulated weight that each new stream replaces. */
 const decayFraction = 0.02;
+/** Streams after which an engine's own figures count as much as the initial estimates when engines are compared. */
+const comparisonStreams = 20;
 const assumedMeanOutputTokens = 250;
 
 /** Load at which the latencies of engines are compared; engines usually run at about this load. */
@@ -39,6 +41,7 @@
 	#meanOutputTokens = assumedMeanOutputTokens;
 	#stepMs = assumedStepMs;
 	#fullSlowdownMs = assumedStepMs * assumedFullSlowdownRatio;
+	#streams = 0;
 
 	get meanOutputTokens(): number {
 		return this.#meanOutputTokens;
@@ -49,6 +52,13 @@
 		return this.#stepMs + (this.#fullSlowdownMs * load);
 	}
 
+	/** Time per output token for a comparison of engines: close to the initial estimate for an engine that few streams have shown. */
+	comparableMsPerToken(load: number): number {
+		const assumedMs = assumedStepMs * (1 + (assumedFullSlowdownRatio * load));
+		const confidence = this.#streams / (this.#streams + comparisonStreams);
+		return assumedMs + (confidence * (this.msPerToken(load) - assumedMs));
+	}
+
 	/** Load at which the time per output token reaches the given value; 1 or more if even a full engine is that fast. */
 	loadAtLatency(msPerToken: number): number {
 		return Math.max(0, msPerToken - this.#stepMs) / Math.max(Number.EPSILON, this.#fullSlowdownMs);
@@ -65,6 +75,7 @@
 			return;
 		}
 
+		this.#streams += 1;
 		const retained = 1 - decayFraction;
 		this.#tokens = (this.#tokens * retained) + tokens;
 		this.#loadTokens = (this.#loadTokens * retained) + (tokens * load);
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -102,8 +102,8 @@
 
 type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly candidates: readonly RoleCandidate[]};
 
-/** Time per token of an engine in its current role. */
-const latencyOf = ({endpoint, prefillLatency: pace, decodeLatency: decode}: PooledEndpoint): number => endpoint.role === 'decode' ? decode.msPerToken(referenceLoad) : pace.msPerToken;
+/** Time per token of an engine in its current role, for a comparison with others. */
+const latencyOf = ({endpoint, prefillLatency: pace, decodeLatency: decode}: PooledEndpoint): number => endpoint.role === 'decode' ? decode.comparableMsPerToken(referenceLoad) : pace.msPerToken;
 
 const describeCandidate = (engine: PooledEndpoint): RoleCandidate => ({
 	endpoint: engine.endpoint.id, dataCentre: engine.endpoint.dataCentre, running: engine.running, msPerToken: latencyOf(engine),
