Bind refusals and prefills to their request, judge streams by events, tell near entries sooner

A datagram with a damaged tuple ended the entry with an exception.

Entries of one data centre exchange load as often as if there were no others; changes of endpoints are read in batches that grow with the fleet, up to one second.

--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -1,4 +1,4 @@
-import {createSocket} from 'node:dgram';
+import {createSocket, type Socket} from 'node:dgram';
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {brandAs, type SegmentKey} from '@hawthorncleat/core';
@@ -6,7 +6,9 @@
 	createManualClock, describe, findFreePort, it, loopback,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {Gossip, sendIntervalMs, type GossipOptions} from '../gossip.js';
+import {
+	Gossip, sendIntervalMs, type GossipOptions, type Peer,
+} from '../gossip.js';
 import type {SegmentNews} from '../segment-quarantines.js';
 
 const quarantines = [{
@@ -14,15 +16,16 @@
 }];
 
 /** An entry without requests, and with a clock that stands still, so that no keep-alive is due after the first message. */
-const createIdleGossip = (port: number, peerPort: number, segmentNews: () => SegmentNews): Gossip => new Gossip({
+const createOptions = (port: number, peers: readonly Peer[]): GossipOptions => ({
 	clock: createManualClock(100_000),
 	ownName: 'e1',
+	dataCentre: 'a',
 	address: loopback,
 	port,
 	load: {
 		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [],
 	} as unknown as GossipOptions['load'],
-	peers: () => [{name: 'e2', address: loopback, port: peerPort}],
+	peers: () => peers,
 	configVersion: () => 1,
 	ownPhase: () => ({phase: 'ready', stoppingMs: 0}),
 	onPhase: () => undefined,
@@ -30,13 +33,33 @@
 	usageNotice: () => ({owner: 'e1', windows: []}),
 	crashReports: () => [],
 	onCrashReports: () => undefined,
-	segmentNews,
+	segmentNews: () => ({crashes: [], completed: [], quarantines: []}),
 	onSegmentNews: () => undefined,
 	onUsage: () => undefined,
 	onRoleChanges: () => undefined,
 	onConfigVersion: () => undefined,
 });
 
+const createIdleGossip = (port: number, peerPort: number, segmentNews: () => SegmentNews): Gossip => new Gossip({
+	...createOptions(port, [{name: 'e2', address: loopback, port: peerPort}]), segmentNews,
+});
+
+type SentMessage = {readonly sent: ReadonlyArray<readonly [endpoint: string]>};
+
+/** Receives the messages that are sent to a port. */
+const listenFor = async (port: number): Promise<{readonly socket: Socket; readonly messages: SentMessage[]}> => {
+	const socket = createSocket('udp4');
+	const messages: SentMessage[] = [];
+	socket.on('message', bytes => {
+		messages.push(JSON.parse(String(bytes)) as SentMessage);
+	});
+	socket.bind(port, loopback);
+	await once(socket, 'listening');
+	return {socket, messages};
+};
+
+const endpointsIn = (messages: readonly SentMessage[]): string[] => messages.flatMap(({sent}) => sent.map(([endpoint]) => endpoint));
+
 describe('gossip between entries', () => {
 	it('sends about as many datagrams a second to a hundred peers as to ten; guards against the smallest hosts kept busy by reading datagrams', () => {
 		const perSecond = (peers: number): number => peers * 1000 / sendIntervalMs(peers);
@@ -48,6 +71,36 @@
 		assert.is(sendIntervalMs(2300), 1000);
 	});
 
+	it('tells peers of its data centre sooner than the many elsewhere, and both of all work once; guards against choices by load that is half a second old', async () => {
+		const [port, localPort, remotePort] = [await findFreePort(), await findFreePort(), await findFreePort()];
+		const [local, remote] = await Promise.all([listenFor(localPort), listenFor(remotePort)]);
+		const others = Array.from({length: 60}, (_, index) => ({
+			name: `r${index}`, address: loopback, port: remotePort, dataCentre: 'b',
+		}));
+		const work = Array.from({length: 6}, (_, index) => ({
+			endpoint: `i-${index}`, level: 0, tokens: 1000, cachedTokens: 500, outputTokens: 10, segments: [],
+		}));
+		const gossip = new Gossip({
+			...createOptions(port, [{
+				name: 'e2', address: loopback, port: localPort, dataCentre: 'a',
+			}, ...others]),
+			load: {
+				dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => work.splice(0, 1),
+			} as unknown as GossipOptions['load'],
+		});
+		const ending = new AbortController();
+		const running = gossip.run(ending.signal);
+		await sleep(800);
+		ending.abort();
+		await running;
+		local.socket.close();
+		remote.socket.close();
+		assert.equal(endpointsIn(local.messages), ['i-0', 'i-1', 'i-2', 'i-3', 'i-4', 'i-5']);
+		assert.equal([...new Set(endpointsIn(remote.messages))], ['i-0', 'i-1', 'i-2', 'i-3', 'i-4', 'i-5']);
+		assert.is(endpointsIn(remote.messages).length, 6 * others.length);
+		assert.ok(local.messages.length >= 4 && remote.messages.length <= 2 * others.length, `${local.messages.length} and ${remote.messages.length} messages`);
+	});
+
 	it('sends quarantines of prompt segments although nothing else is new; guards against an entry that has just started and does not learn of them', async () => {
 		const [port, peerPort] = [await findFreePort(), await findFreePort()];
 		const peer = createSocket('udp4');
--- a/packages/forward/src/__tests__/segment-quarantines.test.ts
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -89,7 +89,7 @@
 		}
 
 		clock.advance(5000);
-		started.applyPeerNews(old.newsToSend());
+		started.applyPeerNews(old.newsToSend('remote'));
 		assert.ok(started.remainingMs(segments)! > 0);
 	});
 
@@ -100,7 +100,7 @@
 		});
 		const runs = [900, 600, 300, 50].map(ageMs => ({segments: [brandAs<SegmentKey>(`models/${ageMs}`)], startedMs: clock.nowMs() - ageMs}));
 		guard.recordCrash('i-1', runs, clock.nowMs());
-		assert.equal(guard.newsToSend().crashes[0]?.runs[0], ['models/50']);
+		assert.equal(guard.newsToSend('remote').crashes[0]?.runs[0], ['models/50']);
 	});
 
 	it('reports the end of a quarantine whose crashes are put down to another segment; guards against a row in the store that starting entries adopt', () => {
@@ -135,7 +135,7 @@
 			const runs = [0, 1, 2].map(run => ({segments: createSegments(run + (crash % 6)), startedMs: clock.nowMs() - 100}));
 			guard.recordCrash(`i-8dfb8398d2${crash}`, runs, clock.nowMs());
 			guard.recordCompletedRun(createSegments(30 + crash), clock.nowMs());
-			assert.ok(JSON.stringify(guard.newsToSend()).length <= maxNewsBytes);
+			assert.ok(JSON.stringify(guard.newsToSend('remote')).length <= maxNewsBytes);
 		}
 	});
 });
--- a/packages/forward/src/__tests__/segment-world.ts
+++ b/packages/forward/src/__tests__/segment-world.ts
@@ -155,7 +155,7 @@
 	}
 
 	#sendNews(entry: number, nowMs: number): void {
-		const news = this.#guards[entry]!.newsToSend();
+		const news = this.#guards[entry]!.newsToSend('remote');
 		for (const guard of this.#guards) {
 			if (guard !== this.#guards[entry] && this.#options.random() >= lostDatagrams) {
 				this.#pending.push({
--- a/packages/forward/src/__tests__/store-follower.test.ts
+++ b/packages/forward/src/__tests__/store-follower.test.ts
@@ -14,7 +14,7 @@
 import {Membership} from '../membership.js';
 import {ForwardMetrics} from '../metrics.js';
 import type {RowStore, StoreRow, StoreTable} from '../ports.js';
-import {StoreFollower} from '../store-follower.js';
+import {endpointBatchMs, StoreFollower} from '../store-follower.js';
 
 type FakeStore = {generation: number; readonly rows: Map<StoreTable, StoreRow[]>};
 type Line = {readonly event: string; readonly dependency?: string; readonly generation?: number};
@@ -72,6 +72,7 @@
 		directory,
 		members,
 		correctedClock: new CorrectedClock(clock, () => []),
+		liveEntries: () => 1,
 		log,
 		onStoreReturn() {
 			returns += 1;
@@ -126,3 +127,12 @@
 		assert.is(pool.get('i-1'), undefined);
 	}));
 });
+
+describe('batches of changes of endpoints', () => {
+	it('grow with the number of entries, but stay below the time in which a leaving endpoint may get work; guards against calls to the store that grow with every entry', () => {
+		const callsPerSecond = (entries: number): number => entries * 1000 / endpointBatchMs(entries);
+		assert.is(endpointBatchMs(4), 400);
+		assert.ok(callsPerSecond(68) <= 68);
+		assert.ok(endpointBatchMs(2300) <= 1000);
+	});
+});
--- a/packages/forward/src/__tests__/stream-watch.test.ts
+++ b/packages/forward/src/__tests__/stream-watch.test.ts
@@ -24,7 +24,7 @@
 		await sleep(stallMs * 7);
 		const before = reports();
 		assert.ok(before >= 2, `${before} reports`);
-		watch.recordBytes();
+		watch.recordProgress();
 		await sleep(stallMs / 2);
 		assert.is(reports(), before);
 		watch.end();
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -177,8 +177,8 @@
 	}
 
 	/** News about prompt segments for the other entries. */
-	segmentNewsToSend(): SegmentNews {
-		return this.#segments.newsToSend();
+	segmentNewsToSend(receivers: string): SegmentNews {
+		return this.#segments.newsToSend(receivers);
 	}
 
 	applyPeerSegmentNews(news: SegmentNews): void {
--- a/packages/forward/src/event-splitter.ts
+++ b/packages/forward/src/event-splitter.ts
@@ -7,10 +7,26 @@
 const idFieldStart = Buffer.from('id:');
 const idLineStart = Buffer.from('\nid:');
 const newline = 0x0A;
+const colon = 0x3A;
 const empty = Buffer.alloc(0);
 /** An event holds only a few tokens, so a longer one is a fault of the endpoint. */
 const maxEventBytes = 1_048_576;
 
+/** Whether each line of an event is a comment. */
+const isComment = (event: Buffer): boolean => {
+	for (let start = 0; start < event.length; start = event.indexOf(newline, start) + 1) {
+		if (event[start] !== colon) {
+			return false;
+		}
+
+		if (!event.includes(newline, start)) {
+			return true;
+		}
+	}
+
+	return true;
+};
+
 export class EventSplitter {
 	#partialEvent: Buffer = empty;
 	#lastEventId: string | undefined;
@@ -27,7 +43,7 @@
 		return this.#hasEventIds;
 	}
 
-	/** Number of complete events that have arrived. */
+	/** Number of complete events that have arrived, without those that consist of comments only. */
 	get eventCount(): number {
 		return this.#eventCount;
 	}
@@ -66,8 +82,10 @@
 	}
 
 	#count(whole: Buffer): void {
-		for (let position = whole.indexOf(eventEnd); position !== -1; position = whole.indexOf(eventEnd, position + eventEnd.length)) {
-			this.#eventCount += 1;
+		let start = 0;
+		for (let end = whole.indexOf(eventEnd); end !== -1; end = whole.indexOf(eventEnd, start)) {
+			this.#eventCount += isComment(whole.subarray(start, end)) ? 0 : 1;
+			start = end + eventEnd.length;
 		}
 	}
 
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -55,9 +55,12 @@
 
 type GossipComponents = Pick<ForwardComponents, 'config' | 'crashes' | 'load' | 'members' | 'phases' | 'roleChanges' | 'usage'>;
 
-const createGossip = ({hostName, ip, gossipPort}: ForwardSettings, clock: Clock, components: GossipComponents): Gossip => new Gossip({
+const createGossip = ({
+	hostName, ip, gossipPort, dataCentre,
+}: ForwardSettings, clock: Clock, components: GossipComponents): Gossip => new Gossip({
 	clock,
 	ownName: hostName,
+	dataCentre,
 	address: ip,
 	port: gossipPort,
 	load: components.load,
@@ -73,7 +76,7 @@
 	onCrashReports(reports) {
 		components.crashes.applyPeerReports(reports);
 	},
-	segmentNews: () => components.crashes.segmentNewsToSend(),
+	segmentNews: receivers => components.crashes.segmentNewsToSend(receivers),
 	onSegmentNews(news) {
 		components.crashes.applyPeerSegmentNews(news);
 	},
@@ -166,6 +169,7 @@
 		directory,
 		members,
 		correctedClock,
+		liveEntries: () => members.liveCount(),
 		log,
 		onStoreReturn() {
 			directory.recordStoreReturn();
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -223,7 +223,7 @@
 
 	async #maintainOwnRow(signal: AbortSignal): Promise<void> {
 		const {clock, platform, wallNowMs, log} = this.#deps;
-		const {listen, gossipPort, ip} = this.#settings;
+		const {listen, gossipPort, ip, dataCentre} = this.#settings;
 		await maintainOwnRow({
 			clock,
 			rows: platform.rows,
@@ -231,7 +231,9 @@
 			correctedClock: this.#components.correctedClock,
 			wallNowMs,
 			log,
-			ownAddresses: {address: ip, gossipPort, peerPort: listen.peers.port},
+			ownAddresses: {
+				address: ip, gossipPort, peerPort: listen.peers.port, dataCentre,
+			},
 		}, signal);
 	}
 }
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -1,28 +1,33 @@
 /**
  * Gossip between entries over UDP: each entry broadcasts which requests it runs at each endpoint and what it has sent since
  * its last message. Load reports of the endpoints would be older, so endpoint selection uses these messages instead. Losing a
- * datagram is harmless, because running requests are sent as absolute counts and not as changes.
+ * datagram is harmless, because running requests are sent as absolute counts and not as changes. Entries of the same data centre hear of each other more
+ * often than those of others: they mostly use the same engines, there are fewer of them, and traffic between data centres is billed.
  */
 import {createSocket, type Socket} from 'node:dgram';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	brandAs, type Clock, type EndpointRole, type EntryPhase, type Fingerprint,
-} from '@hawthorncleat/core';
+import type {Clock} from '@hawthorncleat/core';
 import type {CrashReport} from './crash-guard.js';
 import type {SentPhase} from './entry-phases.js';
+import {decodeMessage, encodeMessage, type GossipMessage} from './gossip-message.js';
+import type {LoadTracker, SentWork} from './load-tracker.js';
+import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
 import type {UsageNotice} from './usage-counter.js';
-import type {
-	EntryLoad, LoadTracker, PendingPrefills, RunningCount, SentWork,
-} from './load-tracker.js';
-import type {RoleChange} from './role-changes.js';
 
 /** Another entry. */
-export type Peer = {readonly name: string; readonly address: string; readonly port: number};
+export type Peer = {
+	readonly name: string;
+	readonly address: string;
+	readonly port: number;
+	/** Entries of earlier versions do not tell it. */
+	readonly dataCentre?: string;
+};
 
 export type GossipOptions = {
 	readonly clock: Clock;
 	readonly ownName: string;
+	readonly dataCentre: string;
 	readonly address: string;
 	readonly port: number;
 	readonly load: LoadTracker;
@@ -34,7 +39,8 @@
 	readonly usageNotice: () => UsageNotice;
 	readonly crashReports: () => readonly CrashReport[];
 	readonly onCrashReports: (reports: readonly CrashReport[]) => void;
-	readonly segmentNews: () => SegmentNews;
+	/** News for the peers that the name stands for; they are repeated to each of them. */
+	readonly segmentNews: (receivers: string) => SegmentNews;
 	readonly onSegmentNews: (news: SegmentNews) => void;
 	readonly onUsage: (notice: UsageNotice) => void;
 	/** Called with the engines whose role another entry is changing. */
@@ -55,119 +61,55 @@
 const usageIntervalMs = 900;
 /** A datagram fits into one Ethernet packet. */
 const maxDatagramBytes = 1400;
-const maxSegmentsPerWork = 3;
-
-type RoleChangeTuple = readonly [endpoint: string, role: EndpointRole];
-type RunningTuple = readonly [endpoint: string, requests: number, late: number, tokens: number];
-type SegmentTuple = readonly [id: string, tokens: number];
-type SentTuple = readonly [endpoint: string, level: number, tokens: number, outputTokens: number, segments: readonly SegmentTuple[], isRefused: 0 | 1, cachedTokens?: number];
-/** An engine and, by priority level, the milliseconds of its uncompleted prefill work. */
-type PrefillsTuple = readonly [endpoint: string, levels: ReadonlyArray<readonly [level: number, ms: number]>];
-
-type CrashTuple = readonly [fingerprint: string, endpoint: string, ageMs?: number, crashes?: number];
-
-type Message = {
-	readonly from: string;
-	readonly config: number;
-	/** Phase of this entry and the time since it was told to stop; absent in messages of entries without phases. */
-	readonly phase?: readonly [phase: EntryPhase, stoppingMs: number];
-	/** Engines whose role this entry is changing. */
-	readonly changing: readonly RoleChangeTuple[];
-	/** Usage that is not in the store yet. Only some messages carry it. */
-	readonly usage?: UsageNotice;
-	/** Requests that were running at endpoints that crashed. Entries of earlier versions send neither age nor count. */
-	readonly crashes?: readonly CrashTuple[];
-	/** News about prompt segments that crash engines; absent without news. */
-	readonly segments?: SegmentNews;
-	readonly running: readonly RunningTuple[];
-	/** Prefills that have not completed. Entries of earlier versions do not report them. */
-	readonly prefills?: readonly PrefillsTuple[];
-	readonly sent: readonly SentTuple[];
-};
-
-const isSegmentNews = (value: unknown): boolean => {
-	const {crashes, completed, quarantines} = (value ?? {}) as Partial<SegmentNews>;
-	return Array.isArray(crashes) && Array.isArray(completed) && Array.isArray(quarantines);
-};
-
-const isMessage = (value: unknown): value is Message => {
-	const {from, config, phase, changing, running, prefills, segments, sent} = (value ?? {}) as Partial<Message>;
-	const hasPhase = phase === undefined || Array.isArray(phase);
-	const hasNews = segments === undefined || isSegmentNews(segments);
-	const hasPrefills = prefills === undefined || Array.isArray(prefills);
-	return hasPhase && hasNews && hasPrefills && typeof from === 'string' && typeof config === 'number' && Array.isArray(changing) && Array.isArray(running) && Array.isArray(sent);
-};
-
-const parseMessage = (text: string): Message | undefined => {
-	try {
-		const value: unknown = JSON.parse(text);
-		return isMessage(value) ? value : undefined;
-	} catch {
-		// A damaged datagram counts as lost.
-		return undefined;
-	}
-};
-
-const encodeRunning = ({endpoint, requests, late, tokens}: RunningCount): RunningTuple => [endpoint, requests, late, Math.round(tokens)];
-
-/** Omits the last prompt segment: it belongs to one request or session, so no other request shares its KV cache. */
-const encodeSent = ({endpoint, level, tokens, cachedTokens, outputTokens, segments: parts, isRefused}: SentWork): SentTuple => [
-	endpoint,
-	level,
-	Math.round(tokens),
-	Math.round(outputTokens),
-	parts.slice(0, Math.max(0, Math.min(maxSegmentsPerWork, parts.length - 1))).map(({id, tokens}) => [id, tokens] as const),
-	isRefused ? 1 : 0,
-	Math.round(cachedTokens),
-];
-
-const encodePrefills = ({endpoint, work}: PendingPrefills): PrefillsTuple => [endpoint, work.map(({level, ms}) => [level, Math.round(ms)] as const)];
 
-const decodePrefills = ([endpoint, levels]: PrefillsTuple): PendingPrefills => ({endpoint, work: levels.map(([level, ms]) => ({level, ms}))});
-
-const encodeCrash = ({fingerprint, endpoint, ageMs, crashes}: CrashReport): CrashTuple => [fingerprint, endpoint, Math.round(ageMs), crashes];
-
-const decodeCrash = ([fingerprint, endpoint, ageMs = 0, crashes = 0]: CrashTuple): CrashReport => ({
-	fingerprint: brandAs<Fingerprint>(fingerprint), endpoint, ageMs, crashes,
-});
-
-const hasSegmentNews = ({crashes, completed, quarantines}: SegmentNews): boolean => crashes.length + completed.length + quarantines.length > 0;
-
-/** What is new to the receivers, without the ages, which change all the time. */
-const segmentNewsKeys = ({crashes, completed, quarantines}: SegmentNews): unknown =>
-	[crashes.map(({endpoint}) => endpoint), [...completed, ...quarantines].map(({segment}) => segment)];
-
-const roundAges = (news: SegmentNews): SegmentNews => ({
-	crashes: news.crashes.map(crash => ({...crash, ageMs: Math.round(crash.ageMs), startedBeforeMs: Math.round(crash.startedBeforeMs)})),
-	completed: news.completed.map(({segment, ageMs}) => ({segment, ageMs: Math.round(ageMs)})),
-	quarantines: news.quarantines.map(quarantine => ({
-		...quarantine, refutedAgeMs: Math.round(quarantine.refutedAgeMs), remainingMs: Math.round(quarantine.remainingMs),
-	})),
-});
-
-const decodeLoad = ({running, prefills, sent}: Message): EntryLoad => ({
-	running: running.map(([endpoint, requests, late, tokens]) => ({
-		endpoint, requests, late, tokens,
-	})),
-	prefills: prefills?.map(tuple => decodePrefills(tuple)),
-	sent: sent.map(([endpoint, level, tokens, outputTokens, segments, isRefused, cachedTokens = 0]) => ({
-		endpoint, level, tokens, cachedTokens, outputTokens, segments: segments.map(([id, tokens]) => ({id, tokens})), isRefused: isRefused === 1,
-	})),
-});
+/** What is new to the receivers, without ages and amounts, which change all the time. */
+const describeState = ({load: {running, prefills = []}, roleChanges, crashes, segments, phase}: GossipMessage): string => JSON.stringify([
+	running,
+	prefills.map(({endpoint}) => endpoint),
+	roleChanges,
+	crashes.map(({fingerprint, endpoint}) => [fingerprint, endpoint]),
+	segments?.crashes.map(({endpoint}) => endpoint),
+	[...segments?.completed ?? [], ...segments?.quarantines ?? []].map(({segment}) => segment),
+	phase.phase,
+]);
 
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
 
+/** Peers that get the same messages, and what they have got. */
+class PeerGroup {
+	readonly name: string;
+	readonly peers: () => readonly Peer[];
+	readonly intervalMs: () => number;
+	/** Work that these peers have not been told of. */
+	sent: SentWork[] = [];
+	lastSentMs = Number.NEGATIVE_INFINITY;
+	lastUsageSentMs = Number.NEGATIVE_INFINITY;
+	lastState = '';
+
+	constructor(name: string, peers: () => readonly Peer[], intervalMs: () => number) {
+		this.name = name;
+		this.peers = peers;
+		this.intervalMs = intervalMs;
+	}
+}
+
 export class Gossip {
 	readonly #options: GossipOptions;
 	readonly #socket: Socket;
 	readonly #lastSeen = new Map<string, number>();
-	#lastSentMs = Number.NEGATIVE_INFINITY;
-	#lastUsageSentMs = Number.NEGATIVE_INFINITY;
-	#lastState = '';
+	/** Peers in the own data centre, and those elsewhere. */
+	readonly #groups: readonly PeerGroup[];
 
 	constructor(options: GossipOptions) {
 		this.#options = options;
+		const {peers, dataCentre} = options;
+		const isLocal = (peer: Peer): boolean => peer.dataCentre === dataCentre;
+		const localPeers = (): Peer[] => peers().filter(peer => isLocal(peer));
+		this.#groups = [
+			new PeerGroup('local', localPeers, () => sendIntervalMs(localPeers().length)),
+			new PeerGroup('remote', () => peers().filter(peer => !isLocal(peer)), () => sendIntervalMs(peers().length)),
+		];
 		this.#socket = createSocket('udp4');
 		this.#socket.on('message', bytes => {
 			this.#receive(String(bytes));
@@ -184,85 +126,87 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {address, port} = this.#options;
 		this.#socket.bind(port, address);
+		await Promise.all(this.#groups.map(async group => this.#sendToGroup(group, signal)));
+		this.#socket.close();
+	}
+
+	async #sendToGroup(group: PeerGroup, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			await sleep(sendIntervalMs(this.#options.peers().length), undefined, {signal}).catch(() => undefined);
+			await sleep(group.intervalMs(), undefined, {signal}).catch(() => undefined);
 			this.#options.load.dropStalePeers();
-			this.#sendIfDue();
+			this.#collectSent();
+			if (group.peers().length > 0) {
+				this.#sendIfDue(group);
+			}
 		}
-
-		this.#socket.close();
 	}
 
 	/** Sends a message if there is news, or if the last message or the last usage notice is too long ago. */
-	#sendIfDue(): void {
-		const {clock, load, configVersion, ownPhase, roleChanges, ownName} = this.#options;
-		const {phase, stoppingMs} = ownPhase();
-		const running = load.ownRunningCounts().map(count => encodeRunning(count));
-		const prefills = load.ownPendingPrefills();
-		const sent = load.drainSent().map(work => encodeSent(work));
-		const crashes = this.#options.crashReports().map(report => encodeCrash(report));
-		const segments = this.#options.segmentNews();
-		const changes = roleChanges().map(({endpoint, role}) => [endpoint, role] as const);
-		const state = JSON.stringify([running, prefills.map(({endpoint}) => endpoint), changes, crashes.map(([fingerprint, endpoint]) => [fingerprint, endpoint]), segmentNewsKeys(segments), phase]);
-		const isKeepAliveDue = clock.nowMs() - this.#lastSentMs >= keepAliveMs;
-		const isUsageDue = clock.nowMs() - this.#lastUsageSentMs >= usageIntervalMs;
-		if (sent.length === 0 && state === this.#lastState && !isKeepAliveDue && !isUsageDue) {
+	#sendIfDue(group: PeerGroup): void {
+		const {clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, segmentNews, usageNotice} = this.#options;
+		const message: GossipMessage = {
+			from: ownName,
+			configVersion: configVersion(),
+			phase: ownPhase(),
+			roleChanges: roleChanges(),
+			load: {running: load.ownRunningCounts(), prefills: load.ownPendingPrefills(), sent: group.sent},
+			crashes: crashReports(),
+			segments: segmentNews(group.name),
+		};
+		group.sent = [];
+		const state = describeState(message);
+		const isKeepAliveDue = clock.nowMs() - group.lastSentMs >= keepAliveMs;
+		const isUsageDue = clock.nowMs() - group.lastUsageSentMs >= usageIntervalMs;
+		if (message.load.sent.length === 0 && state === group.lastState && !isKeepAliveDue && !isUsageDue) {
 			return;
 		}
 
-		this.#lastSentMs = clock.nowMs();
-		this.#lastState = state;
-		this.#sendToPeers({
-			from: ownName,
-			config: configVersion(),
-			phase: [phase, stoppingMs],
-			changing: changes,
-			running,
-			prefills: prefills.map(pending => encodePrefills(pending)),
-			sent,
-			...crashes.length > 0 && {crashes},
-			...hasSegmentNews(segments) && {segments: roundAges(segments)},
-			...isUsageDue && {usage: this.#createUsageNotice()},
-		});
+		group.lastSentMs = clock.nowMs();
+		group.lastUsageSentMs = isUsageDue ? group.lastSentMs : group.lastUsageSentMs;
+		group.lastState = state;
+		this.#sendToPeers(group.peers(), {...message, ...isUsageDue && {usage: usageNotice()}});
 	}
 
-	#createUsageNotice(): UsageNotice {
-		this.#lastUsageSentMs = this.#options.clock.nowMs();
-		return this.#options.usageNotice();
+	/** Keeps the latest work until each group has been told of it; a group without peers keeps none. */
+	#collectSent(): void {
+		const latest = this.#options.load.drainSent();
+		for (const group of this.#groups) {
+			group.sent = group.peers().length === 0 ? [] : [...group.sent, ...latest];
+		}
 	}
 
-	/** Sends a message to all peers, in several datagrams if it does not fit into one. */
-	#sendToPeers(message: Message): void {
-		const text = JSON.stringify(message);
-		if (text.length > maxDatagramBytes && message.sent.length > 1) {
-			const half = Math.ceil(message.sent.length / 2);
-			this.#sendToPeers({...message, sent: message.sent.slice(0, half)});
-			this.#sendToPeers({
-				...message, sent: message.sent.slice(half), usage: undefined, crashes: undefined, segments: undefined,
+	/** Sends a message to peers, in several datagrams if it does not fit into one. */
+	#sendToPeers(peers: readonly Peer[], message: GossipMessage): void {
+		const text = encodeMessage(message);
+		const {sent} = message.load;
+		if (text.length > maxDatagramBytes && sent.length > 1) {
+			const half = Math.ceil(sent.length / 2);
+			this.#sendToPeers(peers, {...message, load: {...message.load, sent: sent.slice(0, half)}});
+			this.#sendToPeers(peers, {
+				...message, load: {...message.load, sent: sent.slice(half)}, usage: undefined, crashes: [], segments: undefined,
 			});
 			return;
 		}
 
-		for (const {address, port} of this.#options.peers()) {
+		for (const {address, port} of peers) {
 			this.#socket.send(text, port, address);
 		}
 	}
 
 	#receive(text: string): void {
-		const message = parseMessage(text);
+		const message = decodeMessage(text);
 		const peer = message && this.#options.peers().find(({name}) => name === message.from);
 		if (!message || !peer) {
 			return;
 		}
 
 		this.#lastSeen.set(peer.name, this.#options.clock.nowMs());
-		this.#options.load.applyPeerMessage(peer.name, decodeLoad(message));
-		const [phase, stoppingMs] = message.phase ?? ['ready', 0];
-		this.#options.onPhase(peer, {phase, stoppingMs});
-		this.#options.onConfigVersion(peer, message.config);
-		this.#options.onRoleChanges(peer, message.changing.map(([endpoint, role]) => ({endpoint, role})));
-		if (message.crashes) {
-			this.#options.onCrashReports(message.crashes.map(crash => decodeCrash(crash)));
+		this.#options.load.applyPeerMessage(peer.name, message.load);
+		this.#options.onPhase(peer, message.phase);
+		this.#options.onConfigVersion(peer, message.configVersion);
+		this.#options.onRoleChanges(peer, message.roleChanges);
+		if (message.crashes.length > 0) {
+			this.#options.onCrashReports(message.crashes);
 		}
 
 		if (message.segments) {
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -14,6 +14,8 @@
 	readonly address: string;
 	readonly gossipPort: number;
 	readonly peerPort: number;
+	/** Absent in the rows of entries of earlier versions. */
+	readonly dataCentre?: string;
 	/** Offset of the entry's wall clock from the store's monotonic clock. */
 	readonly wallOffsetMs: number;
 };
@@ -119,7 +121,9 @@
 
 		this.#peers = [...this.#members]
 			.filter(([name]) => name !== this.#ownName)
-			.map(([name, {address, gossipPort}]) => ({name, address, port: gossipPort}));
+			.map(([name, {address, gossipPort, dataCentre}]) => ({
+				name, address, port: gossipPort, dataCentre,
+			}));
 	}
 
 	/** Offset of the wall clock in this entry's row; undefined without a row with its current addresses. */
@@ -130,7 +134,8 @@
 
 	/** Whether the store has this entry's row, with its current addresses. */
 	hasOwnRow(ownAddresses: Omit<Member, 'wallOffsetMs'>): boolean {
-		return !this.#mustWriteOwnRow && this.ownWallOffsetMs(ownAddresses) !== undefined;
+		const hasDataCentre = this.#members.get(this.#ownName)?.dataCentre === ownAddresses.dataCentre;
+		return !this.#mustWriteOwnRow && hasDataCentre && this.ownWallOffsetMs(ownAddresses) !== undefined;
 	}
 
 	/** Writes this entry's row. */
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -4,7 +4,7 @@
  */
 import {maxQueueMs} from '@hawthorncleat/core';
 import {
-	createEndpointCall, createSendDetails, createSuperseded, classifyFailure,
+	createEndpointCall, createSendDetails, createSuperseded, isAnswerToOther, classifyFailure,
 } from './attempt-helpers.js';
 import type {AttemptControl} from './attempt-race.js';
 import {startEndpointExchange} from './endpoint-exchange.js';
@@ -59,7 +59,12 @@
 	const call = createEndpointCall(deps, admitted, {...createSendDetails(admitted, prefill, level), isPrefillOnly: true});
 	const prefillExchange = startEndpointExchange(prefill.connections, call, {
 		onHead(status, headers) {
-			head = deps.wire.readAnswer(status, headers);
+			const answer = deps.wire.readAnswer(status, headers);
+			if (isAnswerToOther(answer, admitted)) {
+				return false;
+			}
+
+			head = answer;
 			return true;
 		},
 		onData(chunk) {
--- a/packages/forward/src/relay-buffered-answer.ts
+++ b/packages/forward/src/relay-buffered-answer.ts
@@ -4,7 +4,7 @@
 import type {AttemptControl} from './attempt-race.js';
 import {startEndpointExchange} from './endpoint-exchange.js';
 import {
-	createEndpointCall, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
+	createEndpointCall, createSendDetails, createSuperseded, classifyFailure, isAnswerToOther, isAnswerToRequest, minServerErrorStatus,
 } from './attempt-helpers.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
@@ -43,7 +43,12 @@
 	const stallTimer = watchForStall(admitted, control);
 	const endpointExchange = startEndpointExchange(target.connections, createEndpointCall(deps, admitted, createSendDetails(admitted, target, undefined)), {
 		onHead(status, headers) {
-			head = deps.wire.readAnswer(status, headers);
+			const answer = deps.wire.readAnswer(status, headers);
+			if (isAnswerToOther(answer, admitted)) {
+				return false;
+			}
+
+			head = answer;
 			isValid = isAnswerToRequest(head, admitted) && !head.isNotRun && !head.isFromOtherEndpoint;
 			return isValid || head.isNotRun || head.isFromOtherEndpoint;
 		},
--- a/packages/forward/src/relay-stream.ts
+++ b/packages/forward/src/relay-stream.ts
@@ -4,7 +4,7 @@
 import type {Buffer} from 'node:buffer';
 import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from './answer-buffer.js';
 import {
-	createEndpointCall, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
+	createEndpointCall, createSendDetails, createSuperseded, classifyFailure, isAnswerToOther, isAnswerToRequest, minServerErrorStatus,
 } from './attempt-helpers.js';
 import type {AttemptControl} from './attempt-race.js';
 import {startEndpointExchange, type ExchangeEnd} from './endpoint-exchange.js';
@@ -82,9 +82,14 @@
 
 	const endpointExchange = startEndpointExchange(target.connections, createEndpointCall(deps, admitted, details), {
 		onHead(status, headers) {
-			head = deps.wire.readAnswer(status, headers);
+			const answer = deps.wire.readAnswer(status, headers);
+			if (isAnswerToOther(answer, admitted)) {
+				return false;
+			}
+
+			head = answer;
 			isValid = isAnswerToRequest(head, admitted);
-			watch.recordBytes();
+			watch.recordProgress();
 			// Two endpoints may not work on the rest of one stream, so the other attempt ends when this one has begun, and not with its first event.
 			if (isValid && status === 200 && details.lastEventId !== undefined) {
 				control.claim();
@@ -93,7 +98,6 @@
 			return isValid || head.isNotRun || head.isFromOtherEndpoint;
 		},
 		onData(chunk) {
-			watch.recordBytes();
 			if (!isValid || head!.status !== 200) {
 				if (!errorBody.append(chunk)) {
 					endpointExchange.abort(answerTooLongError);
@@ -110,7 +114,11 @@
 			}
 
 			onEvents(splitter.eventCount - eventsBefore);
-			watch.start();
+			if (splitter.eventCount > eventsBefore) {
+				watch.recordProgress();
+				watch.start();
+			}
+
 			if (!mayContinue) {
 				watch.pause();
 			}
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -65,7 +65,8 @@
 	#sentCrashes: SentCrash[] = [];
 	/** Cleared segments to send, with the time until which each is repeated. */
 	readonly #sentCompleted = new Map<SegmentKey, number>();
-	#quarantinesSentMs = Number.NEGATIVE_INFINITY;
+	/** When the quarantines were sent last, by their receivers. */
+	readonly #quarantinesSentMs = new Map<string, number>();
 
 	constructor(options: SegmentQuarantinesOptions) {
 		this.#options = options;
@@ -114,8 +115,8 @@
 		return this.#segments.quarantineRemainingMs(segments);
 	}
 
-	/** News for the other entries: quarantines from time to time, and otherwise crashes and cleared segments. */
-	newsToSend(): SegmentNews {
+	/** News for other entries: quarantines from time to time for each group of receivers, and otherwise crashes and cleared segments. */
+	newsToSend(receivers: string): SegmentNews {
 		const nowMs = this.#options.clock.nowMs();
 		this.#sentCrashes = this.#sentCrashes.filter(({untilMs}) => nowMs < untilMs);
 		for (const [segment, untilMs] of this.#sentCompleted) {
@@ -124,7 +125,7 @@
 			}
 		}
 
-		const quarantines = this.#quarantinesToSend(nowMs);
+		const quarantines = this.#quarantinesToSend(receivers, nowMs);
 		if (quarantines.length > 0) {
 			return {crashes: [], completed: [], quarantines};
 		}
@@ -208,12 +209,12 @@
 		});
 	}
 
-	#quarantinesToSend(nowMs: number): SentQuarantine[] {
-		if (nowMs - this.#quarantinesSentMs < quarantineIntervalMs) {
+	#quarantinesToSend(receivers: string, nowMs: number): SentQuarantine[] {
+		if (nowMs - (this.#quarantinesSentMs.get(receivers) ?? Number.NEGATIVE_INFINITY) < quarantineIntervalMs) {
 			return [];
 		}
 
-		this.#quarantinesSentMs = nowMs;
+		this.#quarantinesSentMs.set(receivers, nowMs);
 		return this.#segments.quarantines.slice(-maxQuarantinesPerMessage).map(({segment, companions, refutedAfterMs, untilMs}) => ({
 			segment, companions: companions.slice(0, maxCompanionsPerQuarantine), refutedAgeMs: nowMs - refutedAfterMs, remainingMs: untilMs - nowMs,
 		}));
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store-follower.ts
@@ -17,10 +17,16 @@
  */
 const waitMs = {config: 3000, endpoints: 3000, members: 15_000} as const;
 /**
- * Changes of endpoints are read in batches of this length, a fifth of the time in which a leaving endpoint may still get work.
- * Every heartbeat is a change, so with shorter pauses each entry would make a call for almost every heartbeat.
+ * Changes of endpoints are read in batches. Every heartbeat is a change, so with shorter pauses each entry would make a call for almost every
+ * heartbeat. The store's rate of calls is shared by all entries, so the batches grow with their number, up to half of the
+ * shortest time in which a leaving endpoint may still get work.
  */
-const endpointBatchMs = 400;
+const minEndpointBatchMs = 400;
+const endpointBatchPerEntryMs = 40;
+const maxEndpointBatchMs = 1000;
+
+/** Length of a batch of changes of endpoints, by the number of live entries. */
+export const endpointBatchMs = (entries: number): number => Math.min(maxEndpointBatchMs, Math.max(minEndpointBatchMs, entries * endpointBatchPerEntryMs));
 
 type FollowedTable = keyof typeof waitMs;
 
@@ -31,6 +37,7 @@
 	readonly directory: EndpointDirectory;
 	readonly members: Membership;
 	readonly correctedClock: CorrectedClock;
+	readonly liveEntries: () => number;
 	readonly log: DecisionLog;
 	/** Called when the store has returned from an older copy, before rows of it are applied. */
 	readonly onStoreReturn: () => void;
@@ -62,7 +69,7 @@
 			rows,
 			clock,
 			waitMs: waitMs[table],
-			pauseMs: table === 'endpoints' ? endpointBatchMs : 0,
+			pauseMs: () => table === 'endpoints' ? endpointBatchMs(this.#options.liveEntries()) : 0,
 			onAnswer: (answer, isSnapshot) => {
 				correctedClock.recordStoreTime(answer.storeNowMs);
 				this.#recordGeneration(answer.generation);
--- a/packages/forward/src/stream-watch.ts
+++ b/packages/forward/src/stream-watch.ts
@@ -1,12 +1,13 @@
 /**
- * Watches one stream for a stall: by the bytes of the stream itself and, through the stall detector of its endpoint, by those of all streams
- * there. A stream that waits for its caller to read is not stalled.
+ * Watches one stream for a stall: by the events of the stream itself and, through the stall detector of its endpoint, by those of all streams
+ * there. Comments and parts of events are no progress, so an endpoint that sends a byte now and then does not hold a caller. A stream that waits for
+ * its caller to read is not stalled.
  */
 import type {StallDetector, StallListener} from '@hawthorncleat/core';
 import {createStallTimer, type StallTimer} from './stall-timer.js';
 
 export type StreamWatchOptions = {
-	/** Time without bytes of this stream after which it has stalled. */
+	/** Time without events of this stream after which it has stalled. */
 	readonly stallMs: number;
 	/** Called repeatedly while the stream is stalled. */
 	readonly onStall: () => void;
@@ -33,7 +34,8 @@
 		this.#startTimer();
 	}
 
-	recordBytes(): void {
+	/** Records that the head of the answer or a complete event has arrived. */
+	recordProgress(): void {
 		this.#timer?.restart();
 		this.#detector.recordBytes();
 	}
--- a/packages/forward/src/table-watch.ts
+++ b/packages/forward/src/table-watch.ts
@@ -13,7 +13,7 @@
 	/** Longest time that one call waits for changes. A stalled connection is detected only after it. */
 	readonly waitMs: number;
 	/** Pause between calls, which limits their number while the table changes all the time. */
-	readonly pauseMs: number;
+	readonly pauseMs: () => number;
 	/** In a snapshot, rows that are missing do not exist. */
 	readonly onAnswer: (answer: StoreAnswer, isSnapshot: boolean) => void;
 	/** Called after each call with whether the store answered. */
@@ -55,7 +55,7 @@
 			}
 
 			retryMs = firstRetryMs;
-			await pause(isEmpty ? Math.max(pauseMs, emptyResultPauseMs) : pauseMs, signal);
+			await pause(isEmpty ? Math.max(pauseMs(), emptyResultPauseMs) : pauseMs(), signal);
 		} catch (error) {
 			if (signal.aborted) {
 				return;
