Hold role changes towards decode until streams have accumulated, and end a stop within its limit

Change: during the first 10 s after an idle time engines move only towards prefill; at most 15 of 100 change at once. The last write of usage counts is given up at the stop limit, after a running one; its tests use a store that does not answer.

--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -20,6 +20,8 @@
 	/** Decode engines that the demand of the last seconds would keep busy with all their slots in use. */
 	readonly decodeNeeded: number;
 	readonly isIdle: boolean;
+	/** Streams are still accumulating after an idle time, so `decodeNeeded` is an upper bound. */
+	readonly isFilling?: boolean;
 	/** Mean work and squared coefficient of variation of the prompts. */
 	readonly prompts?: Omit<RoleDemand, 'neededEngines'>;
 	/** The same of the streams; the work is the time of a stream divided by the slots of an engine. */
@@ -27,7 +29,7 @@
 };
 
 /** Demand at one moment. */
-export type DemandSample = {readonly atMs: number; readonly demand: ServiceDemand};
+export type DemandSample = {readonly atMs: number; readonly demand: ServiceDemand; readonly isFilling: boolean};
 
 /** State kept from one decision to the next. */
 export type RoleBalanceState = {
@@ -81,7 +83,7 @@
 const dwellAfterIdleMs = 2500;
 const idleMemoryMs = 10_000;
 /** Fraction of the engines that may change at the same time while there is work. */
-const maxChangingFraction = 0.34;
+const maxChangingFraction = 0.15;
 
 const demandOf = ({
 	prefillNeeded, decodeNeeded, prompts = assumedPrompts, streams = assumedStreams,
@@ -94,10 +96,11 @@
 const maxChanging = (engines: number): number => Math.max(1, Math.floor(engines * maxChangingFraction));
 
 const sampleDemand = (balance: RoleBalance, history: readonly DemandSample[]): readonly DemandSample[] => {
-	const {nowMs, isIdle} = balance;
-	const recent = history.filter(({atMs}) => nowMs - atMs < historyMs);
+	const {nowMs, isIdle, isFilling = false} = balance;
+	// Once the number of running streams is known, it replaces the upper bounds.
+	const recent = history.filter(sample => nowMs - sample.atMs < historyMs && (isFilling || !sample.isFilling));
 	const isDue = nowMs - (recent.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY) >= sampleIntervalMs;
-	return isDue && !isIdle ? [...recent, {atMs: nowMs, demand: demandOf(balance)}] : recent;
+	return isDue && !isIdle ? [...recent, {atMs: nowMs, demand: demandOf(balance), isFilling}] : recent;
 };
 
 /** Whether the shorter waits after a change outweigh the longer ones while the engines are away. */
@@ -116,11 +119,15 @@
 	prefill < Math.floor((prefill + decode) * idlePrefillFraction) ? {role: 'prefill', count: 1} : undefined;
 
 /** The largest worthwhile step towards the best division. */
-const findLoadedChange = ({prefill, decode}: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
+const findLoadedChange = ({prefill, decode, isFilling}: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
 	const current = {prefill, decode};
 	const demands = history.map(({demand}) => demand);
 	const step = findBestDivision(demands, current).prefill - prefill;
 	const role = step > 0 ? 'prefill' : 'decode';
+	if (role === 'decode' && isFilling) {
+		return undefined;
+	}
+
 	for (let count = Math.min(Math.abs(step), maxChanging(prefill + decode)); count > 0; count -= 1) {
 		const moved = role === 'prefill' ? count : -count;
 		if (isWorthwhile(demands, current, {prefill: prefill + moved, decode: decode - moved})) {
--- a/packages/forward/src/__tests__/usage-counter.test.ts
+++ b/packages/forward/src/__tests__/usage-counter.test.ts
@@ -1,6 +1,6 @@
 import {brandAs, type StoreGeneration} from '@hawthorncleat/core';
 import {createStoreError, type WriteOutcome} from '@hawthorncleat/store';
-import {describe, it} from '@hawthorncleat/test-kit';
+import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {RowStore} from '../ports.js';
 import {UsageCounter, usageRowKey} from '../usage-counter.js';
@@ -153,3 +153,31 @@
 		assert.equal(broadcast(), [[2, {tenant: 1}], [3, {tenant: 1}], [4, {tenant: 1}]]);
 	});
 });
+
+describe('usage counts at the end of the process', () => {
+	it('are given up after the limit when the store does not answer; guards against a stop that outlasts its grace time', async () => {
+		const {counter, writes, countIn} = createFixture();
+		countIn(1);
+		void counter.flush();
+		countIn(1);
+		const startMs = performance.now();
+		await counter.finish(100);
+		assert.ok(performance.now() - startMs < 1000);
+		assert.is(writes.length, 1);
+	});
+
+	it('are written after a write that is running; guards against older counts that take effect last', async () => {
+		const {counter, writes, countIn} = createFixture();
+		countIn(1);
+		void counter.flush();
+		countIn(1);
+		const finished = counter.finish(1000);
+		await Promise.resolve();
+		assert.is(writes.length, 1);
+		writes[0]!.succeed();
+		await waitUntil(() => writes.length === 2, {what: 'the last write'});
+		writes[1]!.succeed();
+		await finished;
+		assert.equal(JSON.parse(writes[1]!.rows[0]!.value!), {tenant: 2});
+	});
+});
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -26,6 +26,9 @@
 	}, {once: true});
 });
 
+/** Time for the last write of usage counts when the requests have taken all the time of the stop; a store that is up answers sooner. */
+const minFinishMs = 300;
+
 class ForwardDaemon {
 	#settings: ForwardSettings;
 	readonly #deps: ForwardDaemonDeps;
@@ -114,7 +117,7 @@
 		}
 
 		await background;
-		await this.#components.usage.flush();
+		await this.#components.usage.finish(Math.max(minFinishMs, this.#settings.stopLimitMs - this.#components.phases.stoppingMs));
 		await this.#components.pool.destroy();
 		this.#deps.log.write('stopped', {closed: this.#connections.counts.closed});
 	}
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -53,7 +53,7 @@
 const orderTimeoutMs = 9000;
 const callTimeoutMs = 800;
 /** Fraction of the engines that may change at the same time while there is work. */
-const maxChangingFraction = 0.34;
+const maxChangingFraction = 0.15;
 /** A decode engine prefills at this fraction of the speed of a prefill engine. */
 const decodePrefillSpeed = 0.5;
 /** Weight of the earlier values in the moving average of the filled decode engines; it spans the time of a long stream. */
@@ -236,7 +236,8 @@
 		}
 
 		state.filledDecodeEngines = filledEngines + (filledEnginesDecay * ((state.filledDecodeEngines ?? filledEngines) - filledEngines));
-		const maxDecodeNeeded = nowMs - state.lastIdleMs < fillingMs ? requestedEngines : state.filledDecodeEngines * filledEnginesMargin;
+		const isFilling = nowMs - state.lastIdleMs < fillingMs;
+		const maxDecodeNeeded = isFilling ? requestedEngines : state.filledDecodeEngines * filledEnginesMargin;
 		return {
 			nowMs,
 			prefill: roles.filter(role => role === 'prefill').length,
@@ -244,6 +245,7 @@
 			prefillNeeded: prefillMsPerSecond / 1000,
 			decodeNeeded: Math.min(requestedEngines, maxDecodeNeeded),
 			isIdle,
+			isFilling,
 			...demand.requestsPerSecond > 0 && tokensPerMsAtFullLoad > 0 && {
 				prompts: {serviceMs: prefillMsPerSecond / demand.requestsPerSecond, squaredVariation: demand.promptVariation},
 				streams: {serviceMs: demand.outputTokensPerSecond / demand.requestsPerSecond / tokensPerMsAtFullLoad, squaredVariation: streamVariation},
--- a/packages/forward/src/usage-counter.ts
+++ b/packages/forward/src/usage-counter.ts
@@ -65,6 +65,7 @@
 	readonly #unwrittenWindows = new Set<number>();
 	/** Until this time an earlier write may still take effect. */
 	#lateWriteUntilMs = Number.NEGATIVE_INFINITY;
+	#running: Promise<void> = Promise.resolve();
 	/** Counts received from other processes, by window and process. */
 	readonly #peerCounts = new Map<number, Map<string, UsageCounts>>();
 
@@ -122,15 +123,46 @@
 		return new Map([...this.#peerCounts.get(window) ?? [], [this.#options.owner, this.countsOf(window)]]);
 	}
 
+	/** Writes the counts from time to time until `signal` aborts; a write that is running then goes on. */
 	async run(signal: AbortSignal): Promise<void> {
+		const aborted = new Promise<void>(resolve => {
+			signal.addEventListener('abort', () => {
+				resolve();
+			}, {once: true});
+		});
 		while (!signal.aborted) {
 			await sleep(Math.max(minFlushIntervalMs, this.#options.liveEntries() * flushIntervalPerEntryMs), undefined, {signal}).catch(() => undefined);
+			if (!signal.aborted) {
+				await Promise.race([this.flush(), aborted]);
+			}
+		}
+	}
+
+	/**
+	 * Writes the remaining counts before the process ends. A running write comes first, because it could otherwise take effect last with
+	 * older counts. Both are given up after the limit, so that a store without answers does not hold up the end of the process.
+	 */
+	async finish(limitMs: number): Promise<void> {
+		const giveUp = new AbortController();
+		const finished = (async () => {
+			await this.#running;
 			await this.flush();
+			return true;
+		})();
+		const isFinished = await Promise.race([finished, sleep(limitMs, false, {signal: giveUp.signal}).catch(() => false)]);
+		giveUp.abort();
+		if (!isFinished) {
+			this.#options.onError(new Error(`the last usage counts were not written within ${Math.round(limitMs)} ms`));
 		}
 	}
 
 	/** Writes the counts that are not in the store yet. They stay unwritten until the store has confirmed them. */
 	async flush(): Promise<void> {
+		this.#running = this.#write();
+		await this.#running;
+	}
+
+	async #write(): Promise<void> {
 		const written = [...this.#unwrittenWindows].map(window => ({window, value: this.#rowValueOf(window)}));
 		if (written.length === 0) {
 			return;
