Measure the demand on roles in a module of its own

Its measurement moves to role-demand.ts, with tests: requested tokens do not count beyond what running streams fill, an engine that changes counts with its new role, and prompts are counted without prefill engines.

--- /dev/null
+++ b/packages/forward/src/__tests__/role-demand.test.ts
@@ -0,0 +1,70 @@
+import {
+	brandAs, type EndpointId, type EndpointRole, type RoleBalance, type TokenRate,
+} from '@hawthorncleat/core';
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import * as assert from 'uvu/assert';
+import {EndpointPool, type PooledEndpoint} from '../endpoint-pool.js';
+import {measureRoleBalance, type DecodeUsage} from '../role-demand.js';
+
+const kvTokens = 100_000;
+const slots = 10;
+
+const createEngines = (roles: readonly EndpointRole[]): readonly PooledEndpoint[] => {
+	const pool = new EndpointPool({clock: createManualClock(0), entries: () => 1, serviceOf: () => ({maxConnections: 10, engine: {kvTokens}})});
+	for (const [index, role] of roles.entries()) {
+		pool.put({
+			id: brandAs<EndpointId>(`i-${index}`), service: 'models', address: '127.0.0.1', port: 1, dataCentre: 'a', slots, isLeaving: false, role, startedAt: 1, heartbeat: 1,
+		});
+	}
+
+	return pool.ofService('models');
+};
+
+/** Far more output tokens are requested than the running streams show. */
+const overstated: TokenRate = {
+	requestsPerSecond: 10, promptTokensPerSecond: 20_000, millionPairsPerSecond: 20, outputTokensPerSecond: 5000, promptVariation: 2,
+};
+const noDemand: TokenRate = {
+	requestsPerSecond: 0, promptTokensPerSecond: 0, millionPairsPerSecond: 0, outputTokensPerSecond: 0, promptVariation: 0,
+};
+
+const measureFor = (engines: readonly PooledEndpoint[], usage: DecodeUsage, fromMs: number, toMs: number): RoleBalance => {
+	let balance: RoleBalance | undefined;
+	for (let nowMs = fromMs; nowMs <= toMs; nowMs += 400) {
+		balance = measureRoleBalance({
+			nowMs, engines, newRoleOf: () => undefined, demand: overstated, kvTokens,
+		}, usage);
+	}
+
+	return balance!;
+};
+
+describe('the demand on the roles', () => {
+	it('for decode follows the running streams when callers request more; guards against engines taken from prefill for streams that do not exist', () => {
+		const engines = createEngines(['prefill', 'decode', 'decode']);
+		const usage: DecodeUsage = {lastIdleMs: 0};
+		for (const engine of engines.filter(({endpoint}) => endpoint.role === 'decode')) {
+			engine.running = 1;
+		}
+
+		const early = measureFor(engines, usage, 400, 4000);
+		const late = measureFor(engines, usage, 4400, 30_000);
+		assert.ok(early.isFilling && early.decodeNeeded > 2);
+		assert.ok(!late.isFilling && late.decodeNeeded < 0.6, `${late.decodeNeeded}`);
+	});
+
+	it('counts an engine that is changing with its new role', () => {
+		const engines = createEngines(['decode', 'decode']);
+		const balance = measureRoleBalance({
+			nowMs: 0, engines, newRoleOf: engine => engine.endpoint.id === 'i-0' ? 'prefill' : undefined, demand: noDemand, kvTokens,
+		}, {lastIdleMs: 0});
+		assert.equal([balance.prefill, balance.decode, balance.isIdle], [1, 1, true]);
+	});
+
+	it('for prefill is known without prefill engines; guards against a service that never gets one under load', () => {
+		const balance = measureRoleBalance({
+			nowMs: 0, engines: createEngines(['decode', 'decode']), newRoleOf: () => undefined, demand: overstated, kvTokens,
+		}, {lastIdleMs: 0});
+		assert.ok(balance.prefillNeeded > 0.2);
+	});
+});
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -4,13 +4,14 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, engineLoad, referenceLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceState, type RoleCandidate,
+	balanceRoles, referenceLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceState, type RoleCandidate,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {callEndpoint, type EndpointAnswer} from './call-endpoint.js';
 import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {RoleChange} from './role-changes.js';
+import {measureRoleBalance, type DecodeUsage} from './role-demand.js';
 import {withTimeLimit} from './time-limit.js';
 import type {EncodedCall, WireFormat} from './ports.js';
 
@@ -54,51 +55,13 @@
 const callTimeoutMs = 800;
 /** Fraction of the engines that may change at the same time while there is work. */
 const maxChangingFraction = 0.15;
-/** A decode engine prefills at this fraction of the speed of a prefill engine. */
-const decodePrefillSpeed = 0.5;
-/** Weight of the earlier values in the moving average of the filled decode engines; it spans the time of a long stream. */
-const filledEnginesDecay = 0.93;
-/** After an idle time it takes this long until as many streams run as the demand leads to. */
-const fillingMs = 10_000;
-/**
- * Callers overstate the lengths of their answers, and the time per token at full load is extrapolated, so the requested tokens may count at most as
- * this multiple of what the running streams fill.
- */
-const filledEnginesMargin = 1.25;
-/** Squared coefficient of variation of the lengths of answers; 1 is that of an exponential distribution. */
-const streamVariation = 1;
 const acceptedStatuses = new Set([200, 202]);
 
 const callWithTimeout = async (engine: PooledEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<EndpointAnswer | undefined> =>
 	withTimeLimit(callTimeoutMs, signal, async limited => callEndpoint(engine, encoded, limited));
 
-const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
-
-/**
- * Decode engines that the running streams would fill at the present rate of tokens. A stream takes longer on a fuller engine, so half the engines
- * would run more than twice the streams each.
- */
-const countFilledEngines = (engines: readonly PooledEndpoint[], kvTokens: number): number => {
-	let filled = 0;
-	for (const {endpoint, decodeLatency, running, runningTokens} of engines) {
-		const load = engineLoad({
-			running, tokens: runningTokens, slots: endpoint.slots, kvTokens,
-		});
-		filled += load * decodeLatency.msPerToken(1) / decodeLatency.msPerToken(Math.min(1, load));
-	}
-
-	return filled;
-};
-
 /** State of one service between two decisions. */
-type ServiceState = {
-	memory: RoleBalanceState;
-	engineCount: number;
-	engineCountChangedMs: number;
-	/** When the engines were last idle, and since then the decode engines that the running streams would fill, as a moving average. */
-	lastIdleMs: number;
-	filledDecodeEngines?: number;
-};
+type ServiceState = {memory: RoleBalanceState; engineCount: number; engineCountChangedMs: number; readonly usage: DecodeUsage};
 
 type Order = {readonly role: EndpointRole; readonly balance: RoleBalance; readonly lease: Lease; readonly candidates: readonly RoleCandidate[]};
 
@@ -157,7 +120,9 @@
 		const nowMs = this.#options.clock.nowMs();
 		const engines = this.#options.pool.ofService(name).filter(({endpoint}) => !endpoint.isLeaving && endpoint.role !== undefined);
 		const state = this.#stateOf(name, engines.length, nowMs);
-		const balance = this.#measureBalance(service, engines, state);
+		const balance = measureRoleBalance({
+			nowMs, engines, newRoleOf: engine => this.#newRoleOf(engine), demand: this.#options.load.tokenDemand(name), kvTokens: service.engine?.kvTokens ?? 0,
+		}, state.usage);
 		const pendingChanges = engines.filter(engine => this.#newRoleOf(engine) !== undefined).length;
 		const isAtChangeLimit = !balance.isIdle && pendingChanges >= Math.max(1, Math.floor(engines.length * maxChangingFraction));
 		const isEarly = balance.isIdle ? nowMs - state.engineCountChangedMs < registrationMs : nowMs - this.#startedMs < observationMs;
@@ -196,7 +161,7 @@
 
 	#stateOf(service: string, engineCount: number, nowMs: number): ServiceState {
 		const state = this.#states.get(service) ?? {
-			memory: {}, engineCount: 0, engineCountChangedMs: nowMs, lastIdleMs: nowMs,
+			memory: {}, engineCount: 0, engineCountChangedMs: nowMs, usage: {lastIdleMs: nowMs},
 		};
 		if (state.engineCount !== engineCount) {
 			Object.assign(state, {engineCount, engineCountChangedMs: nowMs});
@@ -215,44 +180,6 @@
 		return this.#pendingChanges.get(endpoint.id)?.role ?? (isAnnounced ? newRole : undefined);
 	}
 
-	#measureBalance({name, engine}: ForwardService, engines: readonly PooledEndpoint[], state: ServiceState): RoleBalance {
-		const {clock, load} = this.#options;
-		const roles = engines.map(engine => this.#newRoleOf(engine) ?? engine.endpoint.role);
-		const demand = load.tokenDemand(name);
-		const prefillEngines = engines.filter(({endpoint}) => endpoint.role === 'prefill');
-		const work = {tokens: demand.promptTokensPerSecond, pairs: demand.millionPairsPerSecond};
-		const prefillMsPerSecond = prefillEngines.length > 0
-			? mean(prefillEngines.map(({prefillLatency}) => prefillLatency.workMs(work)))
-			: mean(engines.map(({prefillLatency}) => prefillLatency.workMs(work))) * decodePrefillSpeed;
-		const decodeEngines = engines.filter(({endpoint}) => endpoint.role === 'decode');
-		const tokensPerMsAtFullLoad = mean(decodeEngines.map(({endpoint, decodeLatency: decode}) => endpoint.slots / decode.msPerToken(1)));
-		const running = engines.reduce((sum, {running}) => sum + running, 0);
-		const isIdle = running === 0 && demand.promptTokensPerSecond === 0;
-		const requestedEngines = tokensPerMsAtFullLoad === 0 ? 0 : demand.outputTokensPerSecond / 1000 / tokensPerMsAtFullLoad;
-		const filledEngines = countFilledEngines(decodeEngines, engine?.kvTokens ?? 0);
-		const nowMs = clock.nowMs();
-		if (isIdle) {
-			Object.assign(state, {lastIdleMs: nowMs, filledDecodeEngines: undefined});
-		}
-
-		state.filledDecodeEngines = filledEngines + (filledEnginesDecay * ((state.filledDecodeEngines ?? filledEngines) - filledEngines));
-		const isFilling = nowMs - state.lastIdleMs < fillingMs;
-		const maxDecodeNeeded = isFilling ? requestedEngines : state.filledDecodeEngines * filledEnginesMargin;
-		return {
-			nowMs,
-			prefill: roles.filter(role => role === 'prefill').length,
-			decode: roles.filter(role => role === 'decode').length,
-			prefillNeeded: prefillMsPerSecond / 1000,
-			decodeNeeded: Math.min(requestedEngines, maxDecodeNeeded),
-			isIdle,
-			isFilling,
-			...demand.requestsPerSecond > 0 && tokensPerMsAtFullLoad > 0 && {
-				prompts: {serviceMs: prefillMsPerSecond / demand.requestsPerSecond, squaredVariation: demand.promptVariation},
-				streams: {serviceMs: demand.outputTokensPerSecond / demand.requestsPerSecond / tokensPerMsAtFullLoad, squaredVariation: streamVariation},
-			},
-		};
-	}
-
 	/** Engines that could change to a role. */
 	#candidatesFor(role: EndpointRole, engines: readonly PooledEndpoint[]): readonly RoleCandidate[] {
 		return engines
