--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -67,6 +67,11 @@
 /** Time for which the present mix is expected to last, and for which a changing engine is away. */
 const mixLastsMs = 15_000;
 const changeTakesMs = 4000;
+/**
+ * With less load, streams find slots, and another decode engine would gain them little; an engine that stops prefilling loses its cached prompts
+ * for that.
+ */
+const minDecodeLoad = 0.8;
 /** Beyond this load of a role requests are lost, so a change pays even for a short imbalance. */
 const severeOverload = 2;
 /** How long an imbalance must last. Shorter ones end before a change has been carried out. */
@@ -119,12 +124,12 @@
 	prefill < Math.floor((prefill + decode) * idlePrefillFraction) ? {role: 'prefill', count: 1} : undefined;
 
 /** The largest worthwhile step towards the best division. */
-const findLoadedChange = ({prefill, decode, isFilling}: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
+const findLoadedChange = ({prefill, decode, decodeNeeded, isFilling = false}: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
 	const current = {prefill, decode};
 	const demands = history.map(({demand}) => demand);
 	const step = findBestDivision(demands, current).prefill - prefill;
 	const role = step > 0 ? 'prefill' : 'decode';
-	if (role === 'decode' && isFilling) {
+	if (role === 'decode' && (isFilling || decodeNeeded < decode * minDecodeLoad)) {
 		return undefined;
 	}
 
--- a/packages/core/src/forwarding/role-waits.ts
+++ b/packages/core/src/forwarding/role-waits.ts
@@ -30,7 +30,7 @@
 /** Probability that a given engine is away during the horizon of a division. */
 const lossProbability = 0.01;
 /** Factor by which the demand of one role rises when the mix swings. */
-const swingFactor = 1.4;
+const swingFactor = 1.2;
 const swings = [{prefill: 1, decode: 1}, {prefill: swingFactor, decode: 1}, {prefill: 1, decode: swingFactor}] as const;
 
 /** Mean wait in a queue with general service times, by Sakasegawa's approximation of several servers. */
