--- a/packages/core/src/forwarding/__tests__/estimates.test.ts
+++ b/packages/core/src/forwarding/__tests__/estimates.test.ts
@@ -243,10 +243,10 @@
 describe('token rate', () => {
 	it('covers only the tokens within the window', () => {
 		const window = new TokenWindow();
-		window.add({uncachedTokens: 1000, cachedTokens: 500}, 100, 10_000);
-		window.add({uncachedTokens: 3000, cachedTokens: 0}, 300, 10_000);
+		window.add({uncachedTokens: 1000, cachedTokens: 500}, 100, {nowMs: 10_000, isRejected: true});
+		window.add({uncachedTokens: 3000, cachedTokens: 0}, 300, {nowMs: 10_000});
 		assert.equal(window.rate(10_100), {
-			requestsPerSecond: 0.5, promptTokensPerSecond: 1000, millionPairsPerSecond: 5.5 / 4, outputTokensPerSecond: 100, promptVariation: 0.25,
+			requestsPerSecond: 0.5, promptTokensPerSecond: 1000, millionPairsPerSecond: 5.5 / 4, outputTokensPerSecond: 100, promptVariation: 0.25, rejectedFraction: 0.25,
 		});
 		assert.is(window.rate(20_000).promptTokensPerSecond, 0);
 	});
--- a/packages/core/src/forwarding/__tests__/role-waits.test.ts
+++ b/packages/core/src/forwarding/__tests__/role-waits.test.ts
@@ -98,6 +98,24 @@
 		assert.ok(changedMs !== undefined && changedMs <= 3200, `${changedMs}`);
 	});
 
+	it('follow a loss that leaves one role far beyond its capacity, although the other one is overloaded too; guards against one decode engine beside three for prefill', () => {
+		let state: RoleBalanceState = {};
+		const decide = (nowMs: number, prefill: number, decode: number, decodeNeeded: number): string | undefined => {
+			const decision = balanceRoles({
+				nowMs, prefill, decode, prefillNeeded: 3.4, decodeNeeded, isIdle: false,
+			}, state);
+			state = decision.state;
+			return decision.change;
+		};
+
+		for (let nowMs = 0; nowMs < 12_000; nowMs += 400) {
+			decide(nowMs, 3, 3, 1.4);
+		}
+
+		const changes = [12_000, 12_400, 12_800, 13_200].map(nowMs => decide(nowMs, 3, 1, 2.5)).filter(change => change !== undefined);
+		assert.equal(changes, ['decode']);
+	});
+
 	it('do not follow a forecast that one second has shown; guards against a change for a single long prompt', () => {
 		let state: RoleBalanceState = {};
 		for (let nowMs = 0; nowMs <= 20_000; nowMs += 400) {
--- a/packages/core/src/forwarding/balance-roles.ts
+++ b/packages/core/src/forwarding/balance-roles.ts
@@ -7,7 +7,7 @@
  */
 import type {EndpointRole} from './deployment.js';
 import {
-	expectedWaitMs, findBestDivision, type RoleDemand, type RoleDivision, type ServiceDemand,
+	expectedWaitMs, findBestDivision, usableDecodeFraction, type RoleDemand, type RoleDivision, type ServiceDemand,
 } from './role-waits.js';
 
 export type RoleBalance = {
@@ -74,6 +74,8 @@
 const minDecodeLoad = 0.8;
 /** Beyond this load of a role requests are lost, so a change pays even for a short imbalance. */
 const severeOverload = 2;
+/** A change for an overload must lower the load of the more loaded role to this fraction or less. */
+const maxRemainingLoadFraction = 0.7;
 /** How long an imbalance must last. Shorter ones end before a change has been carried out. */
 const dwellMs = 4000;
 const severeDwellMs = 1200;
@@ -97,6 +99,13 @@
 	decode: {neededEngines: decodeNeeded, ...streams},
 });
 
+const prefillLoad = ({prefill, prefillNeeded}: RoleBalance): number => prefillNeeded / Math.max(0.1, prefill);
+
+const decodeLoad = ({decode, decodeNeeded}: RoleBalance): number => decodeNeeded / Math.max(0.1, decode * usableDecodeFraction);
+
+/** Load of the more loaded role. */
+const maxRoleLoad = (balance: RoleBalance): number => Math.max(prefillLoad(balance), decodeLoad(balance));
+
 /** Most engines that may be away at once. */
 const maxChanging = (engines: number): number => Math.max(1, Math.floor(engines * maxChangingFraction));
 
@@ -143,23 +152,32 @@
 	return undefined;
 };
 
+/**
+ * A change of one engine that relieves a role far beyond its capacity. The waits of two overloaded roles hardly differ by the division, but with one
+ * role much worse off than the other, as after a loss of its engines, nearly all of its requests are lost.
+ */
+const findOverloadChange = (balance: RoleBalance): NeededChange | undefined => {
+	const {prefill, decode} = balance;
+	const currentLoad = maxRoleLoad(balance);
+	const role = prefillLoad(balance) < decodeLoad(balance) ? 'decode' : 'prefill';
+	const moved = role === 'prefill' ? 1 : -1;
+	const next = {...balance, prefill: prefill + moved, decode: decode - moved};
+	const isPossible = next.prefill > 0 && next.decode > 0;
+	return isPossible && currentLoad > severeOverload && maxRoleLoad(next) <= currentLoad * maxRemainingLoadFraction ? {role, count: 1} : undefined;
+};
+
 const findNeededChange = (balance: RoleBalance, history: readonly DemandSample[]): NeededChange | undefined => {
 	if (balance.decode === 0 && balance.prefill > 0) {
 		return {role: 'decode', count: 1};
 	}
 
-	return balance.isIdle ? findIdleChange(balance) : findLoadedChange(balance, history);
+	return balance.isIdle ? findIdleChange(balance) : findLoadedChange(balance, history) ?? findOverloadChange(balance);
 };
 
 /** Time of the last loss of an engine. An engine whose role is changing is still counted, so a role change is not a loss. */
 const findLastLossMs = ({nowMs, prefill, decode}: RoleBalance, {engineCount, lastLossMs}: RoleBalanceState): number | undefined =>
 	engineCount !== undefined && prefill + decode < engineCount ? nowMs : lastLossMs;
 
-/** Load of the more loaded role. */
-const maxRoleLoad = ({
-	prefill, decode, prefillNeeded, decodeNeeded,
-}: RoleBalance): number => Math.max(prefillNeeded / Math.max(0.1, prefill), decodeNeeded / Math.max(0.1, decode));
-
 const hasPassed = (sinceMs: number | undefined, nowMs: number, limitMs: number): boolean => sinceMs === undefined || nowMs - sinceMs >= limitMs;
 
 const minDwell = (balance: RoleBalance, lastLossMs: number | undefined, {lastIdleMs}: RoleBalanceState): {readonly dwellMs: number; readonly intervalMs: number} => {
--- a/packages/core/src/forwarding/role-waits.ts
+++ b/packages/core/src/forwarding/role-waits.ts
@@ -26,7 +26,7 @@
 /** Wait in a role without engines: callers give up. */
 const unservedMs = 10_000;
 /** Fraction of a decode engine's full token rate that is usable at an even load; above it, its streams slow down quickly. */
-const usableDecodeFraction = 0.8;
+export const usableDecodeFraction = 0.8;
 /** Probability that a given engine is away during the horizon of a division. */
 const lossProbability = 0.01;
 /** Factor by which the demand of one role rises when the mix swings. */
--- a/packages/core/src/forwarding/token-window.ts
+++ b/packages/core/src/forwarding/token-window.ts
@@ -12,13 +12,15 @@
 	readonly outputTokensPerSecond: number;
 	/** Squared coefficient of variation of the prompt tokens of a request; 0 without requests. */
 	readonly promptVariation: number;
+	/** Fraction of the output tokens whose requests were rejected. */
+	readonly rejectedFraction: number;
 };
 
 const bucketMs = 500;
 const bucketCount = 8;
 
 const sums = {
-	requests: 0, prompt: 0, squaredPrompt: 0, pairs: 0, output: 0,
+	requests: 0, prompt: 0, squaredPrompt: 0, pairs: 0, output: 0, rejectedOutput: 0,
 };
 
 type Sums = typeof sums;
@@ -30,7 +32,8 @@
 export class TokenWindow {
 	readonly #buckets: Bucket[] = Array.from({length: bucketCount}, () => ({index: -1, ...sums}));
 
-	add(size: PrefillSize, outputTokens: number, nowMs: number): void {
+	/** Adds a request; a rejected one counts as demand as well. */
+	add(size: PrefillSize, outputTokens: number, {nowMs, isRejected = false}: {readonly nowMs: number; readonly isRejected?: boolean}): void {
 		const index = Math.floor(nowMs / bucketMs);
 		const bucket = this.#buckets[index % bucketCount]!;
 		if (bucket.index !== index) {
@@ -42,6 +45,7 @@
 		bucket.squaredPrompt += size.uncachedTokens ** 2;
 		bucket.pairs += millionPairs(size);
 		bucket.output += outputTokens;
+		bucket.rejectedOutput += isRejected ? outputTokens : 0;
 	}
 
 	rate(nowMs: number): TokenRate {
@@ -61,6 +65,7 @@
 			promptTokensPerSecond: total.prompt / seconds,
 			millionPairsPerSecond: total.pairs / seconds,
 			outputTokensPerSecond: total.output / seconds,
+			rejectedFraction: total.output === 0 ? 0 : total.rejectedOutput / total.output,
 			promptVariation: total.prompt === 0 ? 0 : Math.max(0, (total.requests * total.squaredPrompt / (total.prompt ** 2)) - 1),
 		};
 	}
--- a/packages/forward/src/__tests__/role-demand.test.ts
+++ b/packages/forward/src/__tests__/role-demand.test.ts
@@ -22,17 +22,17 @@
 
 /** Far more output tokens are requested than the running streams show. */
 const overstated: TokenRate = {
-	requestsPerSecond: 10, promptTokensPerSecond: 20_000, millionPairsPerSecond: 20, outputTokensPerSecond: 5000, promptVariation: 2,
+	requestsPerSecond: 10, promptTokensPerSecond: 20_000, millionPairsPerSecond: 20, outputTokensPerSecond: 5000, promptVariation: 2, rejectedFraction: 0,
 };
 const noDemand: TokenRate = {
-	requestsPerSecond: 0, promptTokensPerSecond: 0, millionPairsPerSecond: 0, outputTokensPerSecond: 0, promptVariation: 0,
+	requestsPerSecond: 0, promptTokensPerSecond: 0, millionPairsPerSecond: 0, outputTokensPerSecond: 0, promptVariation: 0, rejectedFraction: 0,
 };
 
-const measureFor = (engines: readonly PooledEndpoint[], usage: DecodeUsage, fromMs: number, toMs: number): RoleBalance => {
+const measureFor = (engines: readonly PooledEndpoint[], usage: DecodeUsage, {fromMs, toMs, demand = overstated}: {fromMs: number; toMs: number; demand?: TokenRate}): RoleBalance => {
 	let balance: RoleBalance | undefined;
 	for (let nowMs = fromMs; nowMs <= toMs; nowMs += 400) {
 		balance = measureRoleBalance({
-			nowMs, engines, newRoleOf: () => undefined, demand: overstated, kvTokens,
+			nowMs, engines, newRoleOf: () => undefined, demand, kvTokens,
 		}, usage);
 	}
 
@@ -47,12 +47,20 @@
 			engine.running = 1;
 		}
 
-		const early = measureFor(engines, usage, 400, 4000);
-		const late = measureFor(engines, usage, 4400, 30_000);
+		const early = measureFor(engines, usage, {fromMs: 400, toMs: 4000});
+		const late = measureFor(engines, usage, {fromMs: 4400, toMs: 30_000});
 		assert.ok(early.isFilling && early.decodeNeeded > 2);
 		assert.ok(!late.isFilling && late.decodeNeeded < 0.6, `${late.decodeNeeded}`);
 	});
 
+	it('for decode is what callers request once streams are rejected; guards against a lost decode engine that is not replaced because what is rejected does not run', () => {
+		const engines = createEngines(['prefill', 'prefill', 'prefill', 'decode']);
+		engines[3]!.running = 7;
+		const half = measureFor(engines, {lastIdleMs: 0}, {fromMs: 400, toMs: 30_000, demand: {...overstated, rejectedFraction: 0.5}});
+		const none = measureFor(engines, {lastIdleMs: 0}, {fromMs: 400, toMs: 30_000});
+		assert.ok(half.decodeNeeded > 2 && none.decodeNeeded <= 1, `${half.decodeNeeded} and ${none.decodeNeeded}`);
+	});
+
 	it('counts an engine that is changing with its new role', () => {
 		const engines = createEngines(['decode', 'decode']);
 		const balance = measureRoleBalance({
--- a/packages/forward/src/load-tracker.ts
+++ b/packages/forward/src/load-tracker.ts
@@ -94,7 +94,7 @@
 		pooled.segmentCache.add(work.segments);
 		this.#sent.push({...work, endpoint: pooled.endpoint.id});
 		const nowMs = this.#clock.nowMs();
-		this.#demandOf(pooled.endpoint.service).add(sizeOf(work), work.outputTokens, nowMs);
+		this.#demandOf(pooled.endpoint.service).add(sizeOf(work), work.outputTokens, {nowMs});
 		return pooled.prefillBacklog.track(work.level, prefillMsOf(pooled, work), nowMs);
 	}
 
@@ -103,7 +103,7 @@
 		this.#sent.push({
 			endpoint: pooled.endpoint.id, level: 0, tokens, cachedTokens: 0, outputTokens, segments: [], isRefused: true,
 		});
-		this.#demandOf(pooled.endpoint.service).add({uncachedTokens: tokens, cachedTokens: 0}, outputTokens, this.#clock.nowMs());
+		this.#demandOf(pooled.endpoint.service).add({uncachedTokens: tokens, cachedTokens: 0}, outputTokens, {nowMs: this.#clock.nowMs(), isRejected: true});
 	}
 
 	completePrefill(pooled: PooledEndpoint, work: TrackedPrefill): void {
@@ -177,7 +177,7 @@
 
 	#applySent(peer: string, pooled: PooledEndpoint, {work, isInPrefills}: {work: SentWork; isInPrefills: boolean}): void {
 		const nowMs = this.#clock.nowMs();
-		this.#demandOf(pooled.endpoint.service).add(sizeOf(work), work.outputTokens, nowMs);
+		this.#demandOf(pooled.endpoint.service).add(sizeOf(work), work.outputTokens, {nowMs, isRejected: work.isRefused});
 		if (work.isRefused) {
 			return;
 		}
--- a/packages/forward/src/role-demand.ts
+++ b/packages/forward/src/role-demand.ts
@@ -33,6 +33,11 @@
 const filledEnginesDecay = 0.93;
 /** After an idle time it takes this long until as many streams run as the demand leads to. */
 const fillingMs = 10_000;
+/**
+ * Callers overstate the lengths of their answers, and the time per token at full load is extrapolated, so the running streams limit what counts as
+ * requested. Rejected streams do not run, so with more rejections than this the running ones say little.
+ */
+const maxRejectedFraction = 0.05;
 /** Squared coefficient of variation of the lengths of answers; 1 is that of an exponential distribution. */
 const streamVariation = 1;
 
@@ -90,8 +95,7 @@
 		prefill: roles.filter(role => role === 'prefill').length,
 		decode: roles.filter(role => role === 'decode').length,
 		prefillNeeded: promptMs / msPerSecond,
-		// Callers overstate the lengths of their answers, and the time per token at full load is extrapolated.
-		decodeNeeded: isFilling ? requestedEngines : Math.min(requestedEngines, usage.filledEngines ?? 0),
+		decodeNeeded: isFilling || demand.rejectedFraction > maxRejectedFraction ? requestedEngines : Math.min(requestedEngines, usage.filledEngines ?? 0),
 		isIdle,
 		isFilling,
 		...hasDemand && {
