--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -45,6 +45,8 @@
 	#orders = 0;
 	#born = Date.now();
 	#isClosed = false;
+	#isLeaving = false;
+	#registered = '';
 
 	/** Options: `id`, `service`, `zone`, `slots`, `workMs`, `store`, and `stage` for an engine. */
 	constructor(options, recorder) {
@@ -73,6 +75,13 @@
 		}, heartbeatMs);
 	}
 
+	/** Leaves without reporting `draining`: its row is removed, and it goes on serving and says in its answers that it leaves. */
+	leave() {
+		this.#isLeaving = true;
+		this.#options.store.put('servers', this.id, undefined);
+		this.#recorder.note('store-ack', {row: `servers/${this.id}`, isRemoved: true});
+	}
+
 	/** Ends the runner for good. */
 	end() {
 		this.#isClosed = true;
@@ -85,10 +94,10 @@
 		this.#server.close();
 	}
 
+	/** A heartbeat changes the row only if more than its number changes. */
 	#register() {
 		const {id, service, zone, stage, slots = 6, store} = this.#options;
-		this.#heartbeats += 1;
-		store.put('servers', id, {
+		const row = {
 			service,
 			address: `${loopback}:${this.port}`,
 			zone,
@@ -96,13 +105,21 @@
 			slots,
 			state: 'ready',
 			coldRemainingMs: 0,
-			seq: this.#heartbeats,
 			born: this.#born,
 			...stage && {stage, models: [{name: 'm', version: 1, adapters: []}]},
-		});
+		};
+		this.#heartbeats += 1;
+		if (!this.#isLeaving && JSON.stringify(row) !== this.#registered) {
+			this.#registered = JSON.stringify(row);
+			store.put('servers', id, {...row, seq: this.#heartbeats});
+		}
 	}
 
 	async #answer(req, res, body) {
+		if (this.#isLeaving) {
+			res.setHeader('server-leaving', '1');
+		}
+
 		const expected = req.headers['expect-instance'];
 		if (expected !== undefined && expected !== this.id) {
 			res.writeHead(421, {'instance-id': this.id});
