--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -15,8 +15,8 @@
 const loadMs = 6000;
 const pauseMs = 100;
 const clientsPerEntry = 8;
-/** Time from the silence until the first orders. By then the machines are in touch, and have read that the runner is gone. */
-const firstOrdersMs = 4600;
+/** Time from the silence until the first orders. The machines are in touch again then. */
+const firstOrdersMs = 3300;
 
 await runCase(process.argv[2], async (world, hasTrouble) => {
 	const {recorder, entries, proxies, runners} = world;
