--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -19,11 +19,13 @@
 
 const clock = {nowMs: () => performance.now()};
 
+const damagedReport = '{"isBusy":fal';
+
 /** A wire format of plain JSON. */
 const wire = {
 	readAnswer: (status: number, {leaving}: IncomingHttpHeaders) => ({status, isEndpointLeaving: leaving !== undefined}),
 	writeReportCall: () => ({method: 'GET', path: '/report', headers: {}}),
-	readReport: (body: string) => JSON.parse(body) as {isBusy: boolean; ordersAccepted: number},
+	readReport: (body: string) => body === damagedReport ? undefined : JSON.parse(body) as {isBusy: boolean; ordersAccepted: number},
 	writeRoleOrder: ({epoch, afterOrders, role, holder}: RoleOrder) => ({
 		method: 'POST', path: '/order', headers: {}, body: JSON.stringify({
 			epoch, afterOrders, role, holder,
@@ -31,13 +33,21 @@
 	}),
 } as unknown as WireFormat;
 
-type Engine = {readonly orders: Array<Record<string, unknown>>; isBusy: boolean; isLeaving: boolean; status: number; readonly server: Server; readonly endpoint: RegisteredEndpoint};
+type Engine = {
+	readonly orders: Array<Record<string, unknown>>;
+	isBusy: boolean;
+	isLeaving: boolean;
+	isReportDamaged: boolean;
+	status: number;
+	readonly server: Server;
+	readonly endpoint: RegisteredEndpoint;
+};
 
 const startEngine = async (id: string, role: EndpointRole): Promise<Engine> => {
 	const server = createServer((req, res) => {
 		if (req.url === '/report') {
 			res.writeHead(200, engine.isLeaving ? {leaving: '1'} : {});
-			res.end(JSON.stringify({isBusy: engine.isBusy, ordersAccepted: 7}));
+			res.end(engine.isReportDamaged ? damagedReport : JSON.stringify({isBusy: engine.isBusy, ordersAccepted: 7}));
 			return;
 		}
 
@@ -56,6 +66,7 @@
 		orders: [],
 		isBusy: false,
 		isLeaving: false,
+		isReportDamaged: false,
 		status: 202,
 		server,
 		endpoint: {
@@ -78,6 +89,8 @@
 	readonly engines: readonly Engine[];
 	readonly pool: EndpointPool;
 	readonly reports: RoleOrderReport[];
+	/** Engines whose report could not be read. */
+	readonly damaged: string[];
 	lease: Lease | undefined;
 	/** Changes in progress, as the duty has published them last. */
 	pendingChanges: readonly RoleChange[];
@@ -100,6 +113,7 @@
 		engines,
 		pool,
 		reports: [],
+		damaged: [],
 		lease: undefined,
 		pendingChanges: [],
 		async stop() {
@@ -125,6 +139,9 @@
 		onOrder(order) {
 			fixture.reports.push(order);
 		},
+		onDamagedReport({id}) {
+			fixture.damaged.push(id);
+		},
 		onPendingChanges(changes) {
 			fixture.pendingChanges = changes;
 		},
@@ -199,6 +216,21 @@
 		assert.is(fixture.reports[0]!.status, 409);
 	}));
 
+	it('does not order an engine whose report cannot be read, tells of it, and asks again; guards against a damaged answer that ends the duties', async () => withDuty(2, async fixture => {
+		for (const engine of fixture.engines) {
+			engine.isReportDamaged = true;
+		}
+
+		fixture.lease = lease;
+		await waitUntil(() => fixture.damaged.length > 1, {what: 'two damaged reports'});
+		assert.equal(ordersOf(fixture), []);
+		for (const engine of fixture.engines) {
+			engine.isReportDamaged = false;
+		}
+
+		await waitUntil(() => fixture.reports.length > 0, {what: 'an order'});
+	}));
+
 	it('counts a change that the former holder has announced; guards against a successor that orders the same change of another engine', async () => withDuty(2, async fixture => {
 		Object.assign(fixture.pool.get('i-0')!, {roleChangeUntilMs: clock.nowMs() + 60_000, newRole: 'prefill'});
 		fixture.lease = lease;
--- a/packages/forward/src/duties.ts
+++ b/packages/forward/src/duties.ts
@@ -77,6 +77,9 @@
 		onOrder(order) {
 			log.write('role', order);
 		},
+		onDamagedReport({id, service}) {
+			log.write('role', {service, endpoint: id, problem: 'its report cannot be read'});
+		},
 		onPendingChanges: onPendingRoleChanges,
 	}, signal);
 };
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -117,6 +117,7 @@
 	writeRefusal(refusal: Refusal): {readonly headers: OutgoingHeaders; readonly body: string};
 	writeHandleRelease(handle: KvHandle): EncodedCall;
 	writeReportCall(endpoint: RegisteredEndpoint): EncodedCall;
+	/** Returns undefined if the body is not a report. */
 	readReport(body: string): EngineReport | undefined;
 	writeRoleOrder(order: RoleOrder): EncodedCall;
 	isReadinessPath(path: string): boolean;
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, referenceLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RoleBalance, type RoleBalanceState, type RoleCandidate,
+	balanceRoles, referenceLoad, pickRoleChange, type Clock, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {createRequestLimits} from './attempt-helpers.js';
@@ -15,7 +15,7 @@
 import type {RoleChange} from './role-changes.js';
 import {measureRoleBalance, type DecodeUsage} from './role-demand.js';
 import {withTimeLimit} from './time-limit.js';
-import type {EncodedCall, WireFormat} from './ports.js';
+import type {EncodedCall, EngineReport, WireFormat} from './ports.js';
 
 export type RoleDutyOptions = {
 	readonly clock: Clock;
@@ -26,6 +26,8 @@
 	readonly holder: string;
 	readonly services: () => readonly ForwardService[];
 	readonly onOrder: (order: RoleOrderReport) => void;
+	/** Called with an engine whose report cannot be read. It gets no order. */
+	readonly onDamagedReport: (engine: RegisteredEndpoint) => void;
 	/** The lease, while this entry holds it. */
 	readonly lease: () => Lease | undefined;
 	/**
@@ -193,8 +195,7 @@
 	}: Order, signal: AbortSignal): Promise<void> {
 		const {wire, holder, onOrder, clock, pool} = this.#options;
 		const {endpoint} = engine;
-		const report = await this.#call(engine, wire.writeReportCall(endpoint), signal);
-		const state = report?.status === 200 ? wire.readReport(report.body) : undefined;
+		const state = await this.#readReport(engine, signal);
 		// An engine may announce in the report itself that it leaves, or have begun a backoff meanwhile.
 		if (!state || state.isBusy || !lease.isHeld() || !pool.maySend(engine)) {
 			return;
@@ -222,6 +223,21 @@
 		});
 	}
 
+	async #readReport(engine: PooledEndpoint, signal: AbortSignal): Promise<EngineReport | undefined> {
+		const {wire, onDamagedReport} = this.#options;
+		const answer = await this.#call(engine, wire.writeReportCall(engine.endpoint), signal);
+		if (answer?.status !== 200) {
+			return undefined;
+		}
+
+		const report = wire.readReport(answer.body);
+		if (!report) {
+			onDamagedReport(engine.endpoint);
+		}
+
+		return report;
+	}
+
 	/** An engine that has begun to leave, or wants no calls, is neither asked nor ordered. */
 	async #call(engine: PooledEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<EndpointAnswer | undefined> {
 		return withTimeLimit(callTimeoutMs, signal, async limited => callEndpoint(this.#options, engine, encoded, createRequestLimits(this.#options.pool, engine, limited)));
