--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -25,6 +25,7 @@
 	dataCentre: 'a',
 	address: loopback,
 	port,
+	supervise: async (_name, task, signal) => task(signal),
 	load: {
 		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [],
 	} as unknown as GossipOptions['load'],
--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -15,7 +15,7 @@
 import {LoadTracker} from '../load-tracker.js';
 import type {RoleOrder, WireFormat} from '../ports.js';
 import type {RoleChange} from '../role-changes.js';
-import {runRoleDuty, type RoleOrderReport} from '../role-duty.js';
+import {RoleDuty, type RoleOrderReport} from '../role-duty.js';
 
 const clock = {nowMs: () => performance.now()};
 
@@ -121,7 +121,7 @@
 			await running;
 		},
 	};
-	const running = runRoleDuty({
+	const running = new RoleDuty({
 		clock,
 		wire,
 		answerListener: {
@@ -145,7 +145,7 @@
 		onPendingChanges(changes) {
 			fixture.pendingChanges = changes;
 		},
-	}, stop.signal);
+	}).run(stop.signal);
 	try {
 		await body(fixture);
 	} finally {
--- a/packages/forward/src/__tests__/store-follower.test.ts
+++ b/packages/forward/src/__tests__/store-follower.test.ts
@@ -74,6 +74,7 @@
 		correctedClock: new CorrectedClock(clock, () => []),
 		liveEntries: () => 1,
 		log,
+		supervise: async (_name, task, signal) => task(signal),
 		onStoreReturn() {
 			returns += 1;
 			directory.recordStoreReturn();
--- a/packages/forward/src/decision-log.ts
+++ b/packages/forward/src/decision-log.ts
@@ -63,6 +63,11 @@
 		this.write('error', {what, problem: error instanceof Error ? error.message : String(error)});
 	}
 
+	/** Logs the exception of a background task with its stack. `restartMs` is the pause until the task starts again. */
+	writeTaskFailure({task, error, restartMs}: {readonly task: string; readonly error: unknown; readonly restartMs?: number}): void {
+		this.write('error', {what: `running the task ${task}`, problem: error instanceof Error ? error.stack ?? error.message : String(error), restartMs});
+	}
+
 	#mayWrite(event: LogEvent, nowMs: number): boolean {
 		if (this.#output.pendingBytes() > maxPendingBytes) {
 			return false;
--- a/packages/forward/src/duties.ts
+++ b/packages/forward/src/duties.ts
@@ -11,7 +11,8 @@
 import type {LoadTracker} from './load-tracker.js';
 import type {Platform} from './ports.js';
 import type {RoleChange} from './role-changes.js';
-import {runRoleDuty} from './role-duty.js';
+import {RoleDuty} from './role-duty.js';
+import type {Supervise} from './supervisor.js';
 import type {CorrectedClock} from './corrected-clock.js';
 import type {UsageCounter} from './usage-counter.js';
 import {runUsageDuty, usageDutyName, type UsageProgress} from './usage-duty.js';
@@ -31,6 +32,8 @@
 	readonly correctedClock: CorrectedClock;
 	readonly usage: UsageCounter;
 	readonly log: DecisionLog;
+	/** Runs the lease and the duties. */
+	readonly supervise: Supervise;
 	readonly metrics: ForwardMetrics;
 	readonly services: () => readonly ForwardService[];
 	/** Called with the role changes that this entry has ordered and that are not finished. */
@@ -63,9 +66,9 @@
 	}, lease, signal);
 };
 
-const runRoleOrders = async (options: DutiesOptions, lease: () => Lease | undefined, signal: AbortSignal): Promise<void> => {
+const createRoleDuty = (options: DutiesOptions, lease: () => Lease | undefined): RoleDuty => {
 	const {clock, platform, answerListener, pool, load, holder, services, log, onPendingRoleChanges} = options;
-	await runRoleDuty({
+	return new RoleDuty({
 		clock,
 		wire: platform.wire,
 		answerListener,
@@ -81,15 +84,15 @@
 			log.write('role', {service, endpoint: id, problem: 'its report cannot be read'});
 		},
 		onPendingChanges: onPendingRoleChanges,
-	}, signal);
+	});
 };
 
 /** Acquires the lease whenever it is free and runs the duties while it is held. Demand is measured without the lease, too. */
 export const runDuties = async (options: DutiesOptions, signal: AbortSignal): Promise<void> => {
-	const {clock, makeId, holder, platform, log} = options;
+	const {clock, makeId, holder, platform, log, supervise} = options;
 	const progress: UsageProgress = {};
 	let heldLease: Lease | undefined;
-	const leaseLoop = runLease({
+	const keepLease = async (): Promise<void> => runLease({
 		duty: usageDutyName,
 		holder,
 		table: platform.table,
@@ -107,5 +110,6 @@
 			log.writeError('running the leased duties', error);
 		},
 	}, signal);
-	await Promise.all([leaseLoop, runRoleOrders(options, () => heldLease?.isHeld() ? heldLease : undefined, signal)]);
+	const roleDuty = createRoleDuty(options, () => heldLease?.isHeld() ? heldLease : undefined);
+	await Promise.all([supervise('duties/lease', keepLease, signal), supervise('duties/roles', async () => roleDuty.run(signal), signal)]);
 };
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -22,6 +22,7 @@
 import {RequestReports} from './request-reports.js';
 import {RoleChanges} from './role-changes.js';
 import {StoreFollower} from './store-follower.js';
+import {createSupervisor, type Supervise} from './supervisor.js';
 import {CorrectedClock} from './corrected-clock.js';
 import {UsageCounter} from './usage-counter.js';
 
@@ -39,6 +40,8 @@
 
 export type ForwardComponents = {
 	readonly metrics: ForwardMetrics;
+	/** Runs the background tasks. */
+	readonly supervise: Supervise;
 	readonly members: Membership;
 	readonly phases: EntryPhases;
 	readonly reports: RequestReports;
@@ -56,7 +59,7 @@
 	readonly follower: StoreFollower;
 };
 
-type GossipComponents = Pick<ForwardComponents, 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'phases' | 'roleChanges' | 'usage'>;
+type GossipComponents = Pick<ForwardComponents, 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'phases' | 'roleChanges' | 'supervise' | 'usage'>;
 
 const createGossip = ({
 	hostName, ip, gossipPort, dataCentre,
@@ -67,6 +70,7 @@
 	address: ip,
 	port: gossipPort,
 	load: components.load,
+	supervise: components.supervise,
 	peers: () => components.members.peers(),
 	configVersion: () => components.config.version,
 	ownPhase: () => components.phases.own,
@@ -130,6 +134,13 @@
 	const {clock, platform, makeId, log, random} = deps;
 	const {rows} = platform;
 	const metrics = new ForwardMetrics();
+	const supervise = createSupervisor({
+		clock,
+		onFailure(failure) {
+			metrics.countTaskFailure(failure.task);
+			log.writeTaskFailure(failure);
+		},
+	});
 	const members: Membership = new Membership(clock, settings.hostName, peer => gossip.lastSeenMs(peer));
 	const config = new ActiveConfig({
 		readConfig: platform.readConfig, members, log, metrics,
@@ -182,7 +193,7 @@
 		},
 	};
 	const gossip: Gossip = createGossip(settings, clock, {
-		roleChanges, config, crashes, directory, load, members, phases, usage,
+		roleChanges, config, crashes, directory, load, members, phases, supervise, usage,
 	});
 	const follower: StoreFollower = new StoreFollower({
 		clock,
@@ -193,6 +204,7 @@
 		correctedClock,
 		liveEntries: () => members.liveCount(),
 		log,
+		supervise,
 		onStoreReturn() {
 			directory.recordStoreReturn();
 			members.recordStoreReturn();
@@ -201,7 +213,7 @@
 		},
 	});
 	return {
-		metrics, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, roleChanges, gossip, directory, answerListener,
+		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, roleChanges, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
 };
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -68,24 +68,15 @@
 		const {listen} = this.#settings;
 		const backgroundStop = new AbortController();
 		const {signal} = backgroundStop;
+		const {follower, gossip, usage, supervise} = this.#components;
 		const background = Promise.all([
-			this.#components.follower.run(signal),
-			this.#components.gossip.run(signal),
-			this.#components.usage.run(signal),
-			this.#maintainOwnRow(signal),
-			this.#restoreQuarantines(signal),
+			follower.run(signal),
+			gossip.run(signal),
 			this.#runDuties(stop),
-			runPeriodicChecks({
-				clock: this.#deps.clock,
-				pool: this.#components.pool,
-				directory: this.#components.directory,
-				isReady: () => this.#components.phases.isReady,
-				liveEntries: () => this.#components.members.liveCount(),
-				onCheck: () => {
-					this.#accepts.check();
-				},
-				log: this.#deps.log,
-			}, signal),
+			supervise('usage-counts', async () => usage.run(signal), signal),
+			supervise('member-row', async () => this.#maintainOwnRow(signal), signal),
+			supervise('quarantines', async () => this.#restoreQuarantines(signal), signal),
+			supervise('checks', async () => this.#runChecks(signal), signal),
 		]);
 		const callerServer = await startCallerServer(listen.callers, (req, res) => {
 			this.#connections.recordRequest(req, res);
@@ -231,6 +222,7 @@
 			correctedClock: this.#components.correctedClock,
 			usage: this.#components.usage,
 			log,
+			supervise: this.#components.supervise,
 			metrics: this.#components.metrics,
 			services: () => this.#components.config.routes?.config.services ?? [],
 			onPendingRoleChanges: changes => {
@@ -239,6 +231,21 @@
 		}, signal);
 	}
 
+	async #runChecks(signal: AbortSignal): Promise<void> {
+		const {pool, directory, phases, members} = this.#components;
+		await runPeriodicChecks({
+			clock: this.#deps.clock,
+			pool,
+			directory,
+			isReady: () => phases.isReady,
+			liveEntries: () => members.liveCount(),
+			onCheck: () => {
+				this.#accepts.check();
+			},
+			log: this.#deps.log,
+		}, signal);
+	}
+
 	async #restoreQuarantines(signal: AbortSignal): Promise<void> {
 		const {quarantineRows, crashes} = this.#components;
 		await quarantineRows.restore(quarantines => {
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -14,6 +14,7 @@
 import type {LoadTracker, SentWork} from './load-tracker.js';
 import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
+import type {Supervise} from './supervisor.js';
 import type {UsageNotice} from './usage-counter.js';
 
 /** Another entry. */
@@ -32,6 +33,8 @@
 	readonly address: string;
 	readonly port: number;
 	readonly load: LoadTracker;
+	/** Runs the loops that send. */
+	readonly supervise: Supervise;
 	readonly peers: () => readonly Peer[];
 	readonly configVersion: () => number;
 	readonly ownPhase: () => SentPhase;
@@ -134,7 +137,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {address, port} = this.#options;
 		this.#socket.bind(port, address);
-		await Promise.all(this.#groups.map(async group => this.#sendToGroup(group, signal)));
+		await Promise.all(this.#groups.map(async group => this.#options.supervise(`gossip/${group.name}`, async () => this.#sendToGroup(group, signal), signal)));
 		this.#socket.close();
 	}
 
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -40,6 +40,10 @@
 		registers: [this.registry],
 	});
 
+	readonly #taskFailures = new Counter({
+		name: 'hawthorncleat_forward_task_failures_total', help: 'Exceptions of background tasks, each followed by a restart of the task', labelNames: ['task'], registers: [this.registry],
+	});
+
 	readonly #deniedRetries = new Counter({
 		name: 'hawthorncleat_forward_denied_retries_total', help: 'Requests that ended after a failed attempt, by what denied another attempt', labelNames: ['reason'], registers: [this.registry],
 	});
@@ -165,6 +169,10 @@
 		}
 	}
 
+	countTaskFailure(task: string): void {
+		this.#taskFailures.inc({task});
+	}
+
 	countUsageReport(accepted: boolean): void {
 		this.#usageReports.inc({accepted: String(accepted)});
 	}
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -74,7 +74,8 @@
 	endpoint: engine.endpoint.id, dataCentre: engine.endpoint.dataCentre, running: engine.running, msPerToken: latencyOf(engine),
 });
 
-class RoleDuty {
+/** Measures the demand all the time, and orders role changes while the lease is held. Its state outlasts a run, so that it can be started again. */
+export class RoleDuty {
 	readonly #options: RoleDutyOptions;
 	readonly #states = new Map<string, ServiceState>();
 	readonly #pendingChanges = new Map<string, {role: EndpointRole; untilMs: number}>();
@@ -243,8 +244,3 @@
 		return withTimeLimit(callTimeoutMs, signal, async limited => callEndpoint(this.#options, engine, encoded, createRequestLimits(this.#options.pool, engine, limited)));
 	}
 }
-
-/** Measures the demand all the time, and orders role changes while the lease is held. */
-export const runRoleDuty = async (options: RoleDutyOptions, signal: AbortSignal): Promise<void> => {
-	await new RoleDuty(options).run(signal);
-};
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store-follower.ts
@@ -8,6 +8,7 @@
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {Membership} from './membership.js';
 import type {RowStore, StoreAnswer, StoreTable} from './ports.js';
+import type {Supervise} from './supervisor.js';
 import {watchTable} from './table-watch.js';
 import type {CorrectedClock} from './corrected-clock.js';
 
@@ -39,6 +40,8 @@
 	readonly correctedClock: CorrectedClock;
 	readonly liveEntries: () => number;
 	readonly log: DecisionLog;
+	/** Runs the loops that follow the tables. */
+	readonly supervise: Supervise;
 	/** Called when the store has returned from an older copy, before rows of it are applied. */
 	readonly onStoreReturn: () => void;
 };
@@ -59,7 +62,8 @@
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		await Promise.all([this.#watch('config', signal), this.#watch('endpoints', signal), this.#watch('members', signal)]);
+		const tables = Object.keys(waitMs) as FollowedTable[];
+		await Promise.all(tables.map(async table => this.#options.supervise(`store/${table}`, async () => this.#watch(table, signal), signal)));
 	}
 
 	async #watch(table: FollowedTable, signal: AbortSignal): Promise<void> {
