--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -27,7 +27,7 @@
 	port,
 	supervise: async (_name, task, signal) => task(signal),
 	load: {
-		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [],
+		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [], applyPeerMessage: () => undefined,
 	} as unknown as GossipOptions['load'],
 	peers: () => peers,
 	configVersion: () => 1,
@@ -44,6 +44,7 @@
 	onUsage: () => undefined,
 	onRoleChanges: () => undefined,
 	onConfigVersion: () => undefined,
+	onError: () => undefined,
 });
 
 const createIdleGossip = (port: number, peerPort: number, segmentNews: () => SegmentNews): Gossip => new Gossip({
@@ -141,6 +142,42 @@
 		assert.ok(messages.every(({length}) => length <= 1400), messages.map(({length}) => length).join(' '));
 	});
 
+	// The exception reached the socket, where it ended the process.
+	it('goes on after a message whose content cannot be applied; guards against a datagram that ends the process', async () => {
+		const [port, peerPort] = [await findFreePort(), await findFreePort()];
+		const errors: unknown[] = [];
+		const versions: number[] = [];
+		const gossip = new Gossip({
+			...createOptions(port, [{name: 'e2', address: loopback, port: peerPort}]),
+			onConfigVersion(_peer, version) {
+				versions.push(version);
+				if (version === 1) {
+					throw new Error('cannot be applied');
+				}
+			},
+			onError(error) {
+				errors.push(error);
+			},
+		});
+		const ending = new AbortController();
+		const running = gossip.run(ending.signal);
+		const peer = createSocket('udp4');
+		for (const config of [1, 2]) {
+			// The socket of the entry is bound by then.
+			await sleep(50);
+			peer.send(JSON.stringify({
+				from: 'e2', config, changing: [], running: [], sent: [],
+			}), port, loopback);
+		}
+
+		await sleep(50);
+		ending.abort();
+		await running;
+		peer.close();
+		assert.equal(versions, [1, 2]);
+		assert.is(errors.length, 1);
+	});
+
 	it('sends quarantines of prompt segments although nothing else is new; guards against an entry that has just started and does not learn of them', async () => {
 		const [port, peerPort] = [await findFreePort(), await findFreePort()];
 		const peer = createSocket('udp4');
--- a/packages/forward/src/__tests__/membership.test.ts
+++ b/packages/forward/src/__tests__/membership.test.ts
@@ -128,6 +128,22 @@
 /** What happens to the clocks at the return, and how often the row is written before it. */
 type ReturnPlan = {readonly writesAtStart: number; readonly change: (clocks: Clocks) => void};
 
+describe('member rows of other writers', () => {
+	// A datagram to a port that does not exist is an exception of the sender, and no peer behind it in the list got any.
+	it('name no peer if their address or port is none; guards against gossip that stops because of one row', () => {
+		const {members} = createMembers();
+		const before = members.peers().length;
+		const row = {
+			address: '127.0.0.1', gossipPort: 1, peerPort: 2, wallOffsetMs: 0,
+		};
+		const damaged = [{address: ''}, {address: 'host'}, {gossipPort: 0}, {gossipPort: 70_000}, {gossipPort: 1.5}, {peerPort: -1}].map((changes, index) => ({
+			key: `other-${index}`, value: JSON.stringify({...row, ...changes}), version: 2,
+		}));
+		members.apply({rows: [...damaged, {key: 'late', value: JSON.stringify(row), version: 2}]} as unknown as Rows, false);
+		assert.equal(members.peers().slice(before).map(({name}) => name), ['late']);
+	});
+});
+
 describe('the member row of an entry', () => {
 	/** Lets an entry write its row at its start and again after a return, and gives the offsets of its wall clock in both. */
 	const writtenOffsets = async (change: (clocks: Clocks) => void): Promise<readonly number[]> => {
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -63,7 +63,7 @@
 
 const createGossip = ({
 	hostName, ip, gossipPort, dataCentre,
-}: ForwardSettings, clock: Clock, components: GossipComponents): Gossip => new Gossip({
+}: ForwardSettings, {clock, log}: Pick<ForwardDaemonDeps, 'clock' | 'log'>, components: GossipComponents): Gossip => new Gossip({
 	clock,
 	ownName: hostName,
 	dataCentre,
@@ -100,6 +100,9 @@
 	onRoleChanges(_peer, changes) {
 		components.roleChanges.record(changes);
 	},
+	onError(error) {
+		log.writeError('applying a message of a peer', error);
+	},
 });
 
 const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs}: SegmentQuarantine, {isAdopted}: {readonly isAdopted: boolean}): void => {
@@ -192,7 +195,7 @@
 			metrics.countDamagedLeaving();
 		},
 	};
-	const gossip: Gossip = createGossip(settings, clock, {
+	const gossip: Gossip = createGossip(settings, deps, {
 		roleChanges, config, crashes, directory, load, members, phases, supervise, usage,
 	});
 	const follower: StoreFollower = new StoreFollower({
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -54,6 +54,8 @@
 	readonly onRoleChanges: (peer: Peer, changes: readonly RoleChange[]) => void;
 	/** Called with the configuration version of another entry. */
 	readonly onConfigVersion: (peer: Peer, version: number) => void;
+	/** Called with an exception of what a message of a peer has called. */
+	readonly onError: (error: unknown) => void;
 };
 
 /** The load in a message is up to this old when it is sent; half the time of a short prefill. */
@@ -123,7 +125,11 @@
 		];
 		this.#socket = createSocket('udp4');
 		this.#socket.on('message', bytes => {
-			this.#receive(String(bytes));
+			try {
+				this.#receive(String(bytes));
+			} catch (error) {
+				options.onError(error);
+			}
 		});
 		// The kernel reports an error when a peer that has just ended has closed its port.
 		this.#socket.on('error', () => undefined);
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -2,6 +2,7 @@
  * Tracks the entries of the fleet by the member rows that they write into the store. A row outlives its entry, so a peer counts
  * as live only while its gossip messages arrive.
  */
+import {isIPv4} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
 import type {DecisionLog} from './decision-log.js';
@@ -33,10 +34,15 @@
 /** Entries have noticed the store's return from an older copy within 4 s, the longest wait of a call for the configuration, and have then written their rows again. */
 const rewriteMs = 5000;
 
+/** A datagram to another address or port is an error of the sender, so such a row is not of an entry. */
+const isPort = (value: unknown): value is number => Number.isInteger(value) && (value as number) > 0 && (value as number) < 65_536;
+
+const isAddress = (value: unknown): value is string => typeof value === 'string' && isIPv4(value);
+
 const readMember = (text: string): Member | undefined => {
 	try {
 		const value = JSON.parse(text) as Partial<Member>;
-		return typeof value.address === 'string' && typeof value.gossipPort === 'number' && typeof value.peerPort === 'number' && typeof value.wallOffsetMs === 'number'
+		return isAddress(value.address) && isPort(value.gossipPort) && isPort(value.peerPort) && typeof value.wallOffsetMs === 'number'
 			? value as Member
 			: undefined;
 	} catch {
