--- a/packages/forward/src/__tests__/store-follower.test.ts
+++ b/packages/forward/src/__tests__/store-follower.test.ts
@@ -14,7 +14,7 @@
 import {Membership} from '../membership.js';
 import {ForwardMetrics} from '../metrics.js';
 import type {RowStore, StoreRow, StoreTable} from '../ports.js';
-import {endpointBatchMs, StoreFollower} from '../store-follower.js';
+import {changeWaitMs, endpointBatchMs, StoreFollower} from '../store-follower.js';
 
 type FakeStore = {generation: number; readonly rows: Map<StoreTable, StoreRow[]>};
 type Line = {readonly event: string; readonly dependency?: string; readonly generation?: number};
@@ -72,6 +72,7 @@
 		directory,
 		members,
 		correctedClock: new CorrectedClock(clock, () => []),
+		silenceLimitMs: 3000,
 		liveEntries: () => 1,
 		log,
 		supervise: async (_name, task, signal) => task(signal),
@@ -129,6 +130,24 @@
 	}));
 });
 
+describe('the wait of a call for changes', () => {
+	/** Time for an answer, for the pause after a failed call, and for a snapshot on a new connection. */
+	const afterWaitMs = 900 + 100 + 100;
+
+	it('leaves time to notice a silent connection and to read again within the limit, for every number of entries; guards against changes applied too late', () => {
+		for (const limitMs of [3000, 3600, 5000]) {
+			for (const entries of [1, 4, 24, 68, 2300]) {
+				const pauseMs = endpointBatchMs(entries);
+				assert.ok(pauseMs + changeWaitMs(limitMs, pauseMs) + afterWaitMs < limitMs, `${entries} entries within ${limitMs} ms`);
+			}
+		}
+	});
+
+	it('is not too short for a very short limit; guards against calls all the time', () => {
+		assert.is(changeWaitMs(100, 400), 500);
+	});
+});
+
 describe('batches of changes of endpoints', () => {
 	it('grow with the number of entries, but stay below the time in which a leaving endpoint may get work; guards against calls to the store that grow with every entry', () => {
 		const callsPerSecond = (entries: number): number => entries * 1000 / endpointBatchMs(entries);
--- a/packages/forward/src/__tests__/table-watch.test.ts
+++ b/packages/forward/src/__tests__/table-watch.test.ts
@@ -27,7 +27,7 @@
 	};
 	const controller = new AbortController();
 	const watching = watchTable({
-		table: 'config', rows, clock: {nowMs: () => performance.now()}, waitMs: 3000, pauseMs: () => 0, onAnswer() {/* Not checked. */}, onAvailability() {/* Not checked. */},
+		table: 'config', rows, clock: {nowMs: () => performance.now()}, waitMs: () => 3000, answerMs: 900, pauseMs: () => 0, onAnswer() {/* Not checked. */}, onAvailability() {/* Not checked. */},
 	}, controller.signal);
 	await sleep(runMs);
 	controller.abort();
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -205,6 +205,7 @@
 		directory,
 		members,
 		correctedClock,
+		silenceLimitMs: settings.silenceLimitMs,
 		liveEntries: () => members.liveCount(),
 		log,
 		supervise,
--- a/packages/forward/src/index.ts
+++ b/packages/forward/src/index.ts
@@ -1,6 +1,6 @@
 export {runForwardDaemon} from './forward-daemon.js';
 export type {ForwardDaemonDeps} from './forward-components.js';
-export {withTimeLimit} from './time-limit.js';
+export {createTimeLimit, withTimeLimit} from './time-limit.js';
 export {DecisionLog, type LineOutput, type LogEvent} from './decision-log.js';
 export type {
 	Address,
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -146,8 +146,11 @@
 
 export type RowStore = {
 	read(table: StoreTable, range: {readonly from?: string; readonly to?: string}, signal: AbortSignal): Promise<StoreAnswer>;
-	/** Waits for changes after a version. Resolves to undefined if the store no longer has the history since then. */
-	watch(table: StoreTable, options: {readonly after: number; readonly waitMs: number}, signal: AbortSignal): Promise<StoreAnswer | undefined>;
+	/**
+	 * Waits for changes after a version. Resolves to undefined if the store no longer has the history since then; rejects if there is no answer
+	 * `answerMs` after the end of the wait, or if another call shows that the connections have gone silent.
+	 */
+	watch(table: StoreTable, options: {readonly after: number; readonly waitMs: number; readonly answerMs: number}, signal: AbortSignal): Promise<StoreAnswer | undefined>;
 	/** Writes and removes rows unconditionally. */
 	write(table: StoreTable, rows: ReadonlyArray<{readonly key: string; readonly value: string | undefined}>): Promise<void>;
 };
@@ -188,6 +191,8 @@
 	readonly metricsPort: number;
 	/** Interval between two heartbeats of an endpoint in the store. */
 	readonly heartbeatMs: number;
+	/** Time within which changes must be read again after the open connections to the store have gone silent. */
+	readonly silenceLimitMs: number;
 	readonly retries: {readonly windowMs: number; readonly ratio: number; readonly allowance: number};
 	readonly usage: {readonly windowMs: number};
 	/** Longest time that an entry may stay ready after it was told to stop while other entries are ready. */
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store-follower.ts
@@ -12,11 +12,15 @@
 import {watchTable} from './table-watch.js';
 import type {CorrectedClock} from './corrected-clock.js';
 
-/**
- * Longest wait of one call. A stalled connection is detected only after it, and changes of the configuration and of endpoints
- * must still be applied within five seconds of the stall. Members may wait longer, because gossip works without the store.
- */
-const waitMs = {config: 3000, endpoints: 3000, members: 15_000} as const;
+const followedTables = ['config', 'endpoints', 'members'] as const;
+/** Members may be read late, because gossip works without the store. */
+const membersWaitMs = 15_000;
+/** A store that answers slowly has answered by this time after the end of the wait for changes. */
+const answerMs = 900;
+/** Covers the pauses after an empty answer and after a failed call, a new connection, and the snapshot that is read on it. */
+const recoveryMs = 500;
+/** With shorter waits an entry would make calls all the time. */
+const minWaitMs = 500;
 /**
  * Changes of endpoints are read in batches. Every heartbeat is a change, so with shorter pauses each entry would make a call for almost every
  * heartbeat. The store's rate of calls is shared by all entries, so the batches grow with their number, up to half of the
@@ -29,7 +33,13 @@
 /** Length of a batch of changes of endpoints, by the number of live entries. */
 export const endpointBatchMs = (entries: number): number => Math.min(maxEndpointBatchMs, Math.max(minEndpointBatchMs, entries * endpointBatchPerEntryMs));
 
-type FollowedTable = keyof typeof waitMs;
+/**
+ * Longest wait of one call. If the connections go silent right after an answer, the next call begins after the pause between two calls and is given up
+ * when its wait and the time for its answer are over; then a snapshot has the changes. All of this must fit into the limit.
+ */
+export const changeWaitMs = (silenceLimitMs: number, pauseMs: number): number => Math.max(minWaitMs, silenceLimitMs - pauseMs - answerMs - recoveryMs);
+
+type FollowedTable = typeof followedTables[number];
 
 export type StoreFollowerOptions = {
 	readonly clock: Clock;
@@ -38,6 +48,8 @@
 	readonly directory: EndpointDirectory;
 	readonly members: Membership;
 	readonly correctedClock: CorrectedClock;
+	/** Changes must be read again within this time after the open connections to the store have gone silent. */
+	readonly silenceLimitMs: number;
 	readonly liveEntries: () => number;
 	readonly log: DecisionLog;
 	/** Runs the loops that follow the tables. */
@@ -62,18 +74,19 @@
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		const tables = Object.keys(waitMs) as FollowedTable[];
-		await Promise.all(tables.map(async table => this.#options.supervise(`store/${table}`, async () => this.#watch(table, signal), signal)));
+		await Promise.all(followedTables.map(async table => this.#options.supervise(`store/${table}`, async () => this.#watch(table, signal), signal)));
 	}
 
 	async #watch(table: FollowedTable, signal: AbortSignal): Promise<void> {
-		const {clock, rows, correctedClock} = this.#options;
+		const {clock, rows, correctedClock, silenceLimitMs} = this.#options;
+		const pauseMs = (): number => table === 'endpoints' ? endpointBatchMs(this.#options.liveEntries()) : 0;
 		await watchTable({
 			table,
 			rows,
 			clock,
-			waitMs: waitMs[table],
-			pauseMs: () => table === 'endpoints' ? endpointBatchMs(this.#options.liveEntries()) : 0,
+			waitMs: () => table === 'members' ? membersWaitMs : changeWaitMs(silenceLimitMs, pauseMs()),
+			answerMs,
+			pauseMs,
 			onAnswer: (answer, isSnapshot) => {
 				correctedClock.recordStoreTime(answer.storeNowMs);
 				this.#recordGeneration(answer.generation);
--- a/packages/forward/src/table-watch.ts
+++ b/packages/forward/src/table-watch.ts
@@ -10,8 +10,10 @@
 	readonly table: StoreTable;
 	readonly rows: RowStore;
 	readonly clock: Clock;
-	/** Longest time that one call waits for changes. A stalled connection is detected only after it. */
-	readonly waitMs: number;
+	/** Longest time that one call waits for changes. A connection that has gone silent is detected only after it. */
+	readonly waitMs: () => number;
+	/** How much later than the end of its wait the answer to a call may arrive. */
+	readonly answerMs: number;
 	/** Pause between calls, which limits their number while the table changes all the time. */
 	readonly pauseMs: () => number;
 	/** In a snapshot, rows that are missing do not exist. */
@@ -32,7 +34,7 @@
 
 /** Follows the table until `signal` aborts. */
 export const watchTable = async (options: TableWatchOptions, signal: AbortSignal): Promise<void> => {
-	const {table, rows, waitMs, pauseMs, onAnswer, onAvailability} = options;
+	const {table, rows, waitMs, answerMs, pauseMs, onAnswer, onAvailability} = options;
 	let after: number | undefined;
 	let retryMs = firstRetryMs;
 	while (!signal.aborted) {
@@ -44,7 +46,7 @@
 				onAnswer(answer, true);
 				after = answer.version;
 			} else {
-				const answer = await rows.watch(table, {after, waitMs}, signal);
+				const answer = await rows.watch(table, {after, waitMs: waitMs(), answerMs}, signal);
 				onAvailability(true);
 				isEmpty = answer === undefined || answer.rows.length === 0;
 				if (answer && !isEmpty) {
