--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -1,8 +1,9 @@
 /**
  * Applies the endpoints' registrations in the store to the endpoint pool. Registrations that expired during an outage of the
  * store, or that it lost on its return from an older copy, are renewed shortly after it, so for that time the pool keeps endpoints whose
- * registration is missing. After an outage it keeps only those whose heartbeats stopped long enough ago: any other registration has been removed
- * because its endpoint has left.
+ * registration is missing. A failed call is no outage: the connection may have been lost while the store was up. An outage is a time without any answer
+ * of the store in which a registration can have expired; after a shorter one a registration is missing because its endpoint has left. The age of a
+ * heartbeat tells nothing, because a store may not show the heartbeats that change nothing else.
  */
 import {
 	brandAs, type Clock, type EndpointId, type RegisteredEndpoint,
@@ -16,10 +17,13 @@
 /** Live endpoints have registered again within this time after the store's return. */
 const reregistrationMs = 2000;
 
-/** The store removes a registration after this many intervals without a heartbeat, so until then it is missing only if the endpoint has left. */
+/** The store removes a registration after this many intervals without a heartbeat. */
 const heartbeatsBeforeExpiry = 3;
-/** A heartbeat is read up to this time after the store has it: the longest batch of changes. */
-const maxReadDelayMs = 1000;
+/** A live endpoint has written up to one interval before an outage, so in a shorter one than this none can expire. */
+const certainHeartbeats = heartbeatsBeforeExpiry - 1;
+
+/** Time without an answer of the store after which missing registrations can have expired. */
+export const registrationExpiryMs = (heartbeatMs: number): number => heartbeatsBeforeExpiry * heartbeatMs;
 
 /**
  * For this time a removed endpoint does not come back by an older registration: a delayed write, or one that the store has again after its
@@ -48,8 +52,8 @@
 	readonly isCrash?: boolean;
 	/** Absent if the change was read in the store. */
 	readonly source?: LeavingSource;
-	/** Time since its last heartbeat was read, if its registration is missing: whether it can have expired decides if the endpoint is kept. */
-	readonly heartbeatAgeMs?: number;
+	/** The last time without an answer of the store, if its registration is missing: whether it can have expired then decides if the endpoint is kept. */
+	readonly outageMs?: number;
 };
 
 const describeState = (endpoint: RegisteredEndpoint | undefined): string => {
@@ -71,8 +75,10 @@
 	readonly #renewedSinceReturn = new Set<string>();
 	/** Processes that have said in an answer that they leave. */
 	readonly #leaving: LeavingProcesses;
-	/** End of the last outage as this entry sees it, and the last return of the store from an older copy. */
-	#outageEndMs = Number.NEGATIVE_INFINITY;
+	/** The last time without an answer of the store in which registrations may have expired. */
+	#outage = {endMs: Number.NEGATIVE_INFINITY, lengthMs: 0};
+	#lastAnswerMs: number;
+	/** The last return of the store from an older copy. */
 	#copyReturnMs = Number.NEGATIVE_INFINITY;
 	#isStoreAvailable = true;
 
@@ -81,21 +87,35 @@
 		this.#known = new KnownEndpoints(options.clock);
 		this.#departures = new Departures(options.clock);
 		this.#leaving = new LeavingProcesses(options.clock);
+		this.#lastAnswerMs = options.clock.nowMs();
 	}
 
 	/** Until when endpoints may not have registered again after an outage of the store or its return from an older copy. */
 	get #reregistrationEndMs(): number {
-		return Math.max(this.#outageEndMs, this.#copyReturnMs) + reregistrationMs;
+		return Math.max(this.#outage.endMs, this.#copyReturnMs) + reregistrationMs;
 	}
 
-	/** Records whether the store answers. Registrations may have expired while it did not. */
+	/** Records whether registrations can be read. While they cannot, a missing endpoint may have registered again. */
 	setStoreAvailable(isAvailable: boolean): void {
-		if (isAvailable && !this.#isStoreAvailable) {
-			this.#outageEndMs = this.#options.clock.nowMs();
-			this.#renewedSinceReturn.clear();
+		this.#isStoreAvailable = isAvailable;
+		if (isAvailable) {
+			this.recordStoreAnswer();
 		}
+	}
 
-		this.#isStoreAvailable = isAvailable;
+	/** Records that the store has answered a call for any table, so that it was up. */
+	recordStoreAnswer(): void {
+		const nowMs = this.#options.clock.nowMs();
+		const lengthMs = nowMs - this.#lastAnswerMs;
+		this.#lastAnswerMs = nowMs;
+		if (lengthMs < certainHeartbeats * this.#options.heartbeatMs) {
+			return;
+		}
+
+		// Endpoints may not have registered again since the outage before, if the store was back for a short time only.
+		const isContinued = nowMs - lengthMs < this.#outage.endMs + reregistrationMs;
+		this.#outage = {endMs: nowMs, lengthMs: isContinued ? Math.max(lengthMs, this.#outage.lengthMs) : lengthMs};
+		this.#renewedSinceReturn.clear();
 	}
 
 	/** Records that the store has returned from an older copy, so that registrations since then are missing, however recent their heartbeats were. */
@@ -174,7 +194,7 @@
 
 		const endpoint = this.#leaving.has(registered) ? {...registered, isLeaving: true} : registered;
 		const age = this.#known.record(endpoint);
-		if (age === 'earlier-process') {
+		if (age === 'earlier-process' && !this.#removalTimes.has(key)) {
 			// The registration of the process in use is missing; if it is live, it replaces this one with its next heartbeat.
 			this.#keepForNow(key, version, this.#options.clock.nowMs() + reregistrationMs);
 		}
@@ -249,14 +269,14 @@
 
 	/** Removes an endpoint without a registration: at once, or shortly after an outage if its registration may have expired or been lost in it. */
 	#handleMissing(id: string, version: number, {isDamaged}: {readonly isDamaged: boolean}): void {
-		if (this.#mayRegisterAgain(id, 0)) {
+		if (this.#mayRegisterAgain(id, registrationExpiryMs(this.#options.heartbeatMs))) {
 			this.#keepForNow(id, version, this.#reregistrationEndMs);
 			return;
 		}
 
 		const before = this.#options.pool.get(id)?.endpoint;
 		// Peers remove it, too, so they are told only what is certain. They know of one that leaves, and may be able to read what this entry cannot.
-		if (before && !before.isLeaving && !isDamaged && !this.#mayRegisterAgain(id, maxReadDelayMs)) {
+		if (before && !before.isLeaving && !isDamaged && !this.#mayRegisterAgain(id, certainHeartbeats * this.#options.heartbeatMs)) {
 			this.#departures.record({
 				id: before.id, startedAt: before.startedAt, kind: 'removed', heartbeat: this.#known.heartbeatOf(id),
 			});
@@ -265,23 +285,34 @@
 		this.#remove(id, version);
 	}
 
-	/** Whether the registration of a live endpoint may be missing, if its last heartbeat was read `readDelayMs` after the store had it. */
-	#mayRegisterAgain(id: string, readDelayMs: number): boolean {
-		const nowMs = this.#options.clock.nowMs();
-		if (nowMs >= this.#reregistrationEndMs || this.#renewedSinceReturn.has(id)) {
+	/** Whether the registration of a live endpoint may be missing, if one can expire in an outage of `expiryMs`. */
+	#mayRegisterAgain(id: string, expiryMs: number): boolean {
+		if (this.#renewedSinceReturn.has(id)) {
 			return false;
 		}
 
+		const nowMs = this.#options.clock.nowMs();
 		const isAfterCopyReturn = nowMs - this.#copyReturnMs < reregistrationMs;
-		return isAfterCopyReturn || this.#known.heartbeatAgeMs(id) + readDelayMs >= heartbeatsBeforeExpiry * this.#options.heartbeatMs;
+		const isAfterOutage = nowMs - this.#outage.endMs < reregistrationMs && this.#outage.lengthMs >= expiryMs;
+		return isAfterCopyReturn || isAfterOutage;
+	}
+
+	get #recentOutageMs(): number | undefined {
+		const {endMs, lengthMs} = this.#outage;
+		return this.#options.clock.nowMs() - endMs < reregistrationMs ? Math.round(lengthMs) : undefined;
 	}
 
 	#keepForNow(id: string, version: number, untilMs: number): void {
 		const before = this.#options.pool.get(id)?.endpoint;
-		if (before && !this.#removalTimes.has(id)) {
-			this.#removalTimes.set(id, untilMs);
+		if (!before) {
+			return;
+		}
+
+		const isFirst = !this.#removalTimes.has(id);
+		this.#removalTimes.set(id, untilMs);
+		if (isFirst) {
 			this.#options.onChange({
-				id, was: describeState(before), is: 'unregistered', version, heartbeatAgeMs: this.#known.heartbeatAgeMs(id),
+				id, was: describeState(before), is: 'unregistered', version, outageMs: this.#recentOutageMs,
 			});
 		}
 	}
@@ -292,7 +323,7 @@
 			this.#options.pool.remove(id);
 			this.#known.recordRemoved(id);
 			this.#options.onChange({
-				id, was: describeState(before), is: describeState(undefined), version, source, isCrash: !before.isLeaving, heartbeatAgeMs: this.#known.heartbeatAgeMs(id),
+				id, was: describeState(before), is: describeState(undefined), version, source, isCrash: !before.isLeaving, outageMs: this.#recentOutageMs,
 			});
 		}
 	}
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -9,7 +9,7 @@
 import {CrashGuard} from './crash-guard.js';
 import type {DecisionLog} from './decision-log.js';
 import type {AnswerListener} from './endpoint-answer.js';
-import {EndpointDirectory} from './endpoint-directory.js';
+import {EndpointDirectory, registrationExpiryMs} from './endpoint-directory.js';
 import {EntryPhases} from './entry-phases.js';
 import {EndpointPool} from './endpoint-pool.js';
 import {Gossip} from './gossip.js';
@@ -205,7 +205,8 @@
 		directory,
 		members,
 		correctedClock,
-		silenceLimitMs: settings.silenceLimitMs,
+		// In a longer time without an answer, registrations could have expired.
+		silenceLimitMs: Math.min(settings.silenceLimitMs, registrationExpiryMs(settings.heartbeatMs)),
 		liveEntries: () => members.liveCount(),
 		log,
 		supervise,
--- a/packages/forward/src/known-endpoints.ts
+++ b/packages/forward/src/known-endpoints.ts
@@ -8,11 +8,6 @@
 type Heartbeat = Pick<RegisteredEndpoint, 'heartbeat' | 'startedAt'>;
 
 type KnownEndpoint = Pick<RegisteredEndpoint, 'heartbeat' | 'isLeaving' | 'startedAt'> & {
-	/**
-	 * When its heartbeat was first read. The store had it up to one batch earlier, so a registration that expired in the meantime counts as removed.
-	 * This is the safer error: a live endpoint is back with its next heartbeat, but one that has left may not be used.
-	 */
-	readonly heartbeatReadMs: number;
 	readonly removedAtMs?: number;
 };
 
@@ -39,9 +34,7 @@
 			return startedAt < known.startedAt ? 'earlier-process' : 'outdated';
 		}
 
-		this.#byId.set(id, {
-			heartbeat, startedAt, isLeaving, heartbeatReadMs: hasNews ? this.#clock.nowMs() : known.heartbeatReadMs,
-		});
+		this.#byId.set(id, {heartbeat, startedAt, isLeaving});
 		if (!known) {
 			return 'first';
 		}
@@ -59,7 +52,7 @@
 
 		const isRemoved = kind === 'removed' || !known || known.removedAtMs !== undefined;
 		this.#byId.set(id, {
-			startedAt, heartbeat, isLeaving: true, heartbeatReadMs: known?.heartbeatReadMs ?? nowMs, ...isRemoved && {removedAtMs: known?.removedAtMs ?? nowMs},
+			startedAt, heartbeat, isLeaving: true, ...isRemoved && {removedAtMs: known?.removedAtMs ?? nowMs},
 		});
 		return true;
 	}
@@ -76,11 +69,6 @@
 		return this.#byId.get(id)?.heartbeat ?? 0;
 	}
 
-	/** Time since the last new heartbeat was read. */
-	heartbeatAgeMs(id: string): number {
-		return this.#clock.nowMs() - (this.#byId.get(id)?.heartbeatReadMs ?? Number.NEGATIVE_INFINITY);
-	}
-
 	/** Forgets the endpoints that were removed some time ago. */
 	forget(retentionMs: number): void {
 		const nowMs = this.#clock.nowMs();
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store-follower.ts
@@ -126,6 +126,8 @@
 		const {directory, log} = this.#options;
 		if (table === 'endpoints') {
 			directory.setStoreAvailable(isAvailable);
+		} else if (isAvailable) {
+			directory.recordStoreAnswer();
 		}
 
 		if ((this.#availability.get(table) ?? true) !== isAvailable) {
