--- a/packages/forward/src/__tests__/directory-fixture.ts
+++ b/packages/forward/src/__tests__/directory-fixture.ts
@@ -16,6 +16,8 @@
 	/** What the directory reported, as texts. */
 	readonly changes: string[];
 	readonly reports: EndpointChange[];
+	/** Keys of the rows that could not be applied. */
+	readonly failedRows: string[];
 	/** Whether requests may be sent to the endpoint. */
 	isUsed(id: string): boolean;
 };
@@ -24,6 +26,7 @@
 	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => undefined});
 	const changes: string[] = [];
 	const reports: EndpointChange[] = [];
+	const failedRows: string[] = [];
 	const directory = new EndpointDirectory({
 		clock,
 		pool,
@@ -34,9 +37,12 @@
 			reports.push(change);
 			changes.push(`${id}: ${was} -> ${is}${source ? ` (${source})` : ''}`);
 		},
+		onRowError(key) {
+			failedRows.push(key);
+		},
 	});
 	return {
-		clock, pool, directory, changes, reports, isUsed: id => pool.get(id)?.endpoint.isLeaving === false,
+		clock, pool, directory, changes, reports, failedRows, isUsed: id => pool.get(id)?.endpoint.isLeaving === false,
 	};
 };
 
--- a/packages/forward/src/__tests__/endpoint-directory.test.ts
+++ b/packages/forward/src/__tests__/endpoint-directory.test.ts
@@ -37,6 +37,14 @@
 		assert.is(pool.get('f'), undefined);
 	});
 
+	// The exception left the others of the answer unread, in each snapshot again.
+	it('applies the other rows of an answer in which one cannot be applied; guards against a fleet without endpoints because of one row', () => {
+		const {directory, isUsed, failedRows} = createDirectory();
+		directory.apply(answer(createRow('d'), createRow('e', {address: ''}), createRow('f')), true);
+		assert.ok(isUsed('d') && isUsed('f'));
+		assert.equal(failedRows, ['e']);
+	});
+
 	it('removes endpoints that are missing from a snapshot', () => {
 		const {directory, pool} = createDirectory();
 		directory.apply(answer(createRow('e'), createRow('f')), true);
--- a/packages/forward/src/__tests__/store-follower.test.ts
+++ b/packages/forward/src/__tests__/store-follower.test.ts
@@ -55,7 +55,7 @@
 	const members = new Membership(clock, 'e1', () => undefined);
 	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => undefined});
 	const directory = new EndpointDirectory({
-		clock, pool, heartbeatMs: 1200, readEndpoint: (id: EndpointId, text: string) => ({...JSON.parse(text) as RegisteredEndpoint, id}), onChange: () => undefined,
+		clock, pool, heartbeatMs: 1200, readEndpoint: (id: EndpointId, text: string) => ({...JSON.parse(text) as RegisteredEndpoint, id}), onChange: () => undefined, onRowError: () => undefined,
 	});
 	const store: FakeStore = {generation: 2, rows: new Map()};
 	/** The endpoints are read least often. */
--- a/packages/forward/src/__tests__/table-watch.test.ts
+++ b/packages/forward/src/__tests__/table-watch.test.ts
@@ -27,7 +27,15 @@
 	};
 	const controller = new AbortController();
 	const watching = watchTable({
-		table: 'config', rows, clock: {nowMs: () => performance.now()}, waitMs: () => 3000, answerMs: 900, pauseMs: () => 0, onAnswer() {/* Not checked. */}, onAvailability() {/* Not checked. */},
+		table: 'config',
+		rows,
+		clock: {nowMs: () => performance.now()},
+		waitMs: () => 3000,
+		answerMs: 900,
+		pauseMs: () => 0,
+		onAnswer() {/* Not checked. */},
+		onApplyError() {/* Not checked. */},
+		onAvailability() {/* Not checked. */},
 	}, controller.signal);
 	await sleep(runMs);
 	controller.abort();
@@ -41,6 +49,43 @@
 		assert.ok(calls > 0 && calls <= maxCalls, `${calls} calls`);
 	});
 
+	// The exception counted as a failed call, so that the same snapshot was read again and again.
+	it('goes on behind an answer that cannot be applied; guards against one damaged row that ends the following of a table', async () => {
+		const seen: number[] = [];
+		const errors: unknown[] = [];
+		const availability: boolean[] = [];
+		const controller = new AbortController();
+		await watchTable({
+			table: 'endpoints',
+			rows: {
+				read: async () => answer,
+				watch: async (_table, {after}) => ({...answer, rows: [{key: 'e', version: after + 1, value: ''}], version: after + 1}),
+				write: async () => undefined,
+			},
+			clock: {nowMs: () => performance.now()},
+			waitMs: () => 3000,
+			answerMs: 900,
+			pauseMs: () => 0,
+			onAnswer({version}) {
+				seen.push(version);
+				if (version === 4) {
+					controller.abort();
+				}
+
+				throw new Error('cannot be applied');
+			},
+			onApplyError(error) {
+				errors.push(error);
+			},
+			onAvailability(isAvailable) {
+				availability.push(isAvailable);
+			},
+		}, controller.signal);
+		assert.equal(seen, [1, 2, 3, 4]);
+		assert.is(errors.length, 4);
+		assert.ok(availability.every(Boolean));
+	});
+
 	it('pauses when the store has lost its history; guards against a tight loop of snapshot reads', async () => {
 		const calls = await countCalls(undefined);
 		assert.ok(calls > 0 && calls <= maxCalls, `${calls} calls`);
--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -38,6 +38,8 @@
 	readonly heartbeatMs: number;
 	readonly readEndpoint: (id: EndpointId, text: string) => RegisteredEndpoint | undefined;
 	readonly onChange: (change: EndpointChange) => void;
+	/** Called with the key of a registration that could not be applied. */
+	readonly onRowError: (key: string, error: unknown) => void;
 };
 
 /** How this entry learned that a process leaves, other than by its registration. */
@@ -158,7 +160,7 @@
 		const presentKeys = new Set<string>();
 		for (const row of rows) {
 			presentKeys.add(row.key);
-			this.#applyRow(row);
+			this.#tryApplyRow(row);
 		}
 
 		if (isSnapshot) {
@@ -185,6 +187,15 @@
 		}
 	}
 
+	/** A row that cannot be applied costs the others nothing. */
+	#tryApplyRow(row: StoreRow): void {
+		try {
+			this.#applyRow(row);
+		} catch (error) {
+			this.#options.onRowError(row.key, error);
+		}
+	}
+
 	#applyRow({key, value, version}: StoreRow): void {
 		const registered = value === undefined ? undefined : this.#options.readEndpoint(brandAs<EndpointId>(key), value);
 		if (!registered) {
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -183,6 +183,9 @@
 				crashes.recordCrash(change.id);
 			}
 		},
+		onRowError(key, error) {
+			log.writeError(`applying the registration of ${key}`, error);
+		},
 	});
 	const answerListener: AnswerListener = {
 		onRetryAfter(target, head) {
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store-follower.ts
@@ -92,6 +92,9 @@
 				this.#recordGeneration(answer.generation);
 				this.#apply(table, answer, isSnapshot);
 			},
+			onApplyError: error => {
+				this.#options.log.writeError(`applying changes of ${table}`, error);
+			},
 			onAvailability: (isAvailable, error) => {
 				this.#recordAvailability(table, isAvailable, error);
 			},
--- a/packages/forward/src/table-watch.ts
+++ b/packages/forward/src/table-watch.ts
@@ -18,6 +18,8 @@
 	readonly pauseMs: () => number;
 	/** In a snapshot, rows that are missing do not exist. */
 	readonly onAnswer: (answer: StoreAnswer, isSnapshot: boolean) => void;
+	/** Called with an exception of `onAnswer`. The table is followed on behind that answer, since it would throw again each time that it is read. */
+	readonly onApplyError: (error: unknown) => void;
 	/** Called after each call with whether the store answered. */
 	readonly onAvailability: (isAvailable: boolean, error?: unknown) => void;
 };
@@ -32,9 +34,17 @@
 
 const pause = async (ms: number, signal: AbortSignal): Promise<void> => sleep(ms, undefined, {signal}).catch(() => undefined);
 
+const applyAnswer = ({onAnswer, onApplyError}: TableWatchOptions, answer: StoreAnswer, isSnapshot: boolean): void => {
+	try {
+		onAnswer(answer, isSnapshot);
+	} catch (error) {
+		onApplyError(error);
+	}
+};
+
 /** Follows the table until `signal` aborts. */
 export const watchTable = async (options: TableWatchOptions, signal: AbortSignal): Promise<void> => {
-	const {table, rows, waitMs, answerMs, pauseMs, onAnswer, onAvailability} = options;
+	const {table, rows, waitMs, answerMs, pauseMs, onAvailability} = options;
 	let after: number | undefined;
 	let retryMs = firstRetryMs;
 	while (!signal.aborted) {
@@ -43,14 +53,14 @@
 			if (after === undefined) {
 				const answer = await rows.read(table, {}, signal);
 				onAvailability(true);
-				onAnswer(answer, true);
+				applyAnswer(options, answer, true);
 				after = answer.version;
 			} else {
 				const answer = await rows.watch(table, {after, waitMs: waitMs(), answerMs}, signal);
 				onAvailability(true);
 				isEmpty = answer === undefined || answer.rows.length === 0;
 				if (answer && !isEmpty) {
-					onAnswer(answer, false);
+					applyAnswer(options, answer, false);
 				}
 
 				after = answer?.version;
