--- a/packages/core/src/suspect-requests.ts
+++ b/packages/core/src/suspect-requests.ts
@@ -8,6 +8,8 @@
 const defaultRetentionMs = 600_000;
 /** Reports of the same crash arrive over several paths within this time and count once. */
 const sameCrashWindowMs = 5000;
+/** An endpoint that has crashed is not back within this time, so a run that began later was in a process that has started since then. */
+const minRestartMs = 500;
 const defaultQuarantineCrashes = 2;
 
 /** Whether a request is suspected of crashing engines. A quarantined request must not run. */
@@ -63,7 +65,9 @@
 		const reports = this.#crashReports.get(fingerprint) ?? [];
 		const isSameCrash = (earlier: CrashReport): boolean => {
 			const distanceMs = Math.abs(atMs - earlier.atMs);
-			return earlier.source === source ? distanceMs < sameCrashWindowMs : distanceMs < this.#sameCauseWindowMs && runStartedMs < earlier.atMs;
+			return earlier.source === source
+				? distanceMs < sameCrashWindowMs && runStartedMs < earlier.atMs + minRestartMs
+				: distanceMs < this.#sameCauseWindowMs && runStartedMs < earlier.atMs;
 		};
 
 		if (reports.some(report => isSameCrash(report))) {
--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -175,6 +175,67 @@
 		assert.is(receiver.quarantineRemainingMs(createRequest('')), undefined);
 	});
 
+	// Crashes of one endpoint within five seconds counted once, and a quarantine let the request through as each of its crashes got a minute old.
+	for (const endpointCount of [1, 4, 30]) {
+		it(`is let through three times at most in an hour after its third crash, with ${endpointCount} endpoints; guards against endpoints that crash all the time`, () => {
+			const clock = createManualClock();
+			const guards = [createGuard(clock), createGuard(clock)];
+			const crashesMs: number[] = [];
+			const runsMs: number[] = [];
+			for (let turn = 0; clock.nowMs() < 3_600_000; turn += 1) {
+				const guard = guards[turn % guards.length]!;
+				if (guard.quarantineRemainingMs(createRequest('bad')) === undefined) {
+					const startedMs = clock.nowMs();
+					runsMs.push(startedMs);
+					clock.advance(20);
+					crashAt(guard, `i-${turn % endpointCount}`, 'bad', startedMs);
+					crashesMs.push(clock.nowMs());
+				}
+
+				for (let sent = 0; sent < 3; sent += 1) {
+					clock.advance(60);
+					for (const receiver of guards) {
+						for (const sender of guards.filter(other => other !== receiver)) {
+							receiver.applyPeerReports(sender.reportsToSend());
+						}
+					}
+				}
+
+				clock.advance(2200);
+			}
+
+			const countedMs = crashesMs[2]! + 3000;
+			assert.ok(runsMs.filter(startedMs => startedMs > countedMs).length <= 3, runsMs.join(' '));
+		});
+	}
+
+	it('is quarantined anew at its first crash after a quarantine, at all entries, and forgotten when it completes; guards against quarantines that start over', () => {
+		const clock = createManualClock();
+		const [first, second] = [createGuard(clock), createGuard(clock)];
+		const tell = (): void => {
+			second.applyPeerReports(first.reportsToSend());
+		};
+
+		for (const endpoint of ['i-1', 'i-2', 'i-3']) {
+			crashAt(first, endpoint, 'bad');
+			tell();
+			clock.advance(crashIntervalMs);
+		}
+
+		clock.advance(61_000);
+		assert.is(second.quarantineRemainingMs(createRequest('bad')), undefined);
+		crashAt(first, 'i-4', 'bad', clock.nowMs());
+		tell();
+		for (const guard of [first, second]) {
+			assert.ok(guard.quarantineRemainingMs(createRequest('bad'))! > 200_000);
+		}
+
+		clock.advance(241_000);
+		second.recordCompletedRequest(createRequest('bad'));
+		crashAt(second, 'i-5', 'bad', clock.nowMs());
+		assert.is(second.quarantineRemainingMs(createRequest('bad')), undefined);
+	});
+
 	it('has its endpoint checked once at a time, and counts a refused connection as a crash', async () => {
 		const clock = createManualClock();
 		let checks = 0;
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -10,6 +10,7 @@
 } from '@hawthorncleat/core';
 import {segmentKeysOf} from './attempt-helpers.js';
 import type {AdmittedRequest} from './forward-types.js';
+import {RequestQuarantines} from './request-quarantines.js';
 import {SegmentQuarantines, type SegmentNews, type SentQuarantine} from './segment-quarantines.js';
 
 /** The registration of a crashed endpoint expires within this time, so a crash is detected within it. */
@@ -77,6 +78,7 @@
 export class CrashGuard {
 	readonly #options: CrashGuardOptions;
 	readonly #suspects: SuspectRequests;
+	readonly #quarantines: RequestQuarantines;
 	readonly #segments: SegmentQuarantines;
 	readonly #brokenRequests = new Map<string, BrokenRequest[]>();
 	readonly #checks = new Map<string, Promise<void>>();
@@ -85,6 +87,7 @@
 	constructor(options: CrashGuardOptions) {
 		this.#options = options;
 		this.#suspects = new SuspectRequests(options.clock, {quarantineCrashes, retentionMs: suspicionMs, sameCauseWindowMs: commonCauseMs});
+		this.#quarantines = new RequestQuarantines(options.clock);
 		this.#segments = new SegmentQuarantines(options);
 	}
 
@@ -122,6 +125,10 @@
 		this.#brokenRequests.delete(endpoint);
 		this.#segments.recordCrash(endpoint, broken, broken.at(-1)?.atMs ?? nowMs);
 		const suspects = broken.filter(({fingerprint, startedMs, atMs}) => this.#suspects.recordCrash(fingerprint, endpoint, {atMs, runStartedMs: startedMs}));
+		for (const {fingerprint} of suspects) {
+			this.#quarantineIfDue(fingerprint);
+		}
+
 		if (suspects.length > 0) {
 			this.#resentReports.push(...suspects.map(({fingerprint, atMs}) => ({
 				fingerprint, endpoint, atMs, untilMs: nowMs + resendMs,
@@ -133,12 +140,7 @@
 	/** Time until a quarantined request may run again; undefined if it is not quarantined. */
 	quarantineRemainingMs(request: RequestContent): number | undefined {
 		const segmentsMs = this.#segments.remainingMs(segmentKeysOf(request));
-		if (segmentsMs !== undefined || this.#suspects.size === 0) {
-			return segmentsMs;
-		}
-
-		const fingerprint = fingerprintOf(request);
-		return this.#suspects.classify(fingerprint) === 'quarantined' ? this.#suspects.retryAfterMs(fingerprint) : undefined;
+		return segmentsMs !== undefined || this.#quarantines.size === 0 ? segmentsMs : this.#quarantines.remainingMs(fingerprintOf(request));
 	}
 
 	/** Records a request that is allowed to run: a segment that many requests have is not the one that crashes engines. */
@@ -152,7 +154,7 @@
 		this.#resentReports = this.#resentReports.filter(({untilMs}) => nowMs < untilMs);
 		return this.#resentReports
 			.map(({fingerprint, endpoint, atMs}) => ({
-				fingerprint, endpoint, ageMs: nowMs - atMs, crashes: this.#suspects.countCrashes(fingerprint),
+				fingerprint, endpoint, ageMs: nowMs - atMs, crashes: this.#crashesToTell(fingerprint),
 			}))
 			.toSorted((a, b) => b.crashes - a.crashes)
 			.slice(0, maxReportsPerMessage);
@@ -161,8 +163,11 @@
 	applyPeerReports(reports: readonly CrashReport[]): void {
 		const nowMs = this.#options.clock.nowMs();
 		for (const {fingerprint, endpoint, ageMs, crashes} of reports) {
-			this.#suspects.recordCrash(fingerprint, endpoint, {atMs: nowMs - ageMs});
+			const isNew = this.#suspects.recordCrash(fingerprint, endpoint, {atMs: nowMs - ageMs});
 			this.#suspects.adoptCount(fingerprint, crashes);
+			if (isNew || crashes >= quarantineCrashes) {
+				this.#quarantineIfDue(fingerprint);
+			}
 		}
 	}
 
@@ -197,11 +202,23 @@
 
 	/** Clears the suspicion against a request that has completed; equal requests, such as reads of one path, share its fingerprint. */
 	recordCompletedRequest(request: RequestContent): void {
-		if (this.#suspects.size > 0) {
-			this.#suspects.clear(fingerprintOf(request));
+		if (this.#suspects.size + this.#quarantines.size > 0) {
+			const fingerprint = fingerprintOf(request);
+			this.#suspects.clear(fingerprint);
+			this.#quarantines.clear(fingerprint);
 		}
 	}
 
+	#quarantineIfDue(fingerprint: Fingerprint): void {
+		this.#quarantines.recordCrash(fingerprint, {isConfirmed: this.#suspects.classify(fingerprint) === 'quarantined'});
+	}
+
+	/** A quarantined request is told as such, because its first crashes no longer count when it has begun anew. */
+	#crashesToTell(fingerprint: Fingerprint): number {
+		const count = this.#suspects.countCrashes(fingerprint);
+		return this.#quarantines.remainingMs(fingerprint) === undefined ? count : Math.max(count, quarantineCrashes);
+	}
+
 	/** Forgets endpoints that have not crashed; ids of endpoints are new after each replacement. */
 	#dropOldBrokenRequests(nowMs: number): void {
 		for (const [endpoint, broken] of this.#brokenRequests) {
