--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -1,9 +1,7 @@
 /**
  * Applies the endpoints' registrations in the store to the endpoint pool. Registrations that expired during an outage of the
  * store, or that it lost on its return from an older copy, are renewed shortly after it, so for that time the pool keeps endpoints whose
- * registration is missing. A failed call is no outage: the connection may have been lost while the store was up. An outage is a time without any answer
- * of the store in which a registration can have expired; after a shorter one a registration is missing because its endpoint has left. The age of a
- * heartbeat tells nothing, because a store may not show the heartbeats that change nothing else.
+ * registration is missing.
  */
 import {
 	brandAs, type Clock, type EndpointId, type RegisteredEndpoint,
@@ -13,17 +11,7 @@
 import {KnownEndpoints} from './known-endpoints.js';
 import {LeavingProcesses, type EndpointProcess} from './leaving-processes.js';
 import type {StoreAnswer, StoreRow} from './ports.js';
-
-/** Live endpoints have registered again within this time after the store's return. */
-const reregistrationMs = 2000;
-
-/** The store removes a registration after this many intervals without a heartbeat. */
-const heartbeatsBeforeExpiry = 3;
-/** A live endpoint has written up to one interval before an outage, so in a shorter one than this none can expire. */
-const certainHeartbeats = heartbeatsBeforeExpiry - 1;
-
-/** Time without an answer of the store after which missing registrations can have expired. */
-export const registrationExpiryMs = (heartbeatMs: number): number => heartbeatsBeforeExpiry * heartbeatMs;
+import {RegistrationOutages, reregistrationMs} from './registration-outages.js';
 
 /**
  * For this time a removed endpoint does not come back by an older registration: a delayed write, or one that the store has again after its
@@ -77,11 +65,7 @@
 	readonly #renewedSinceReturn = new Set<string>();
 	/** Processes that have said in an answer that they leave. */
 	readonly #leaving: LeavingProcesses;
-	/** The last time without an answer of the store in which registrations may have expired. */
-	#outage = {endMs: Number.NEGATIVE_INFINITY, lengthMs: 0};
-	#lastAnswerMs: number;
-	/** The last return of the store from an older copy. */
-	#copyReturnMs = Number.NEGATIVE_INFINITY;
+	readonly #outages: RegistrationOutages;
 	#isStoreAvailable = true;
 
 	constructor(options: EndpointDirectoryOptions) {
@@ -89,12 +73,7 @@
 		this.#known = new KnownEndpoints(options.clock);
 		this.#departures = new Departures(options.clock);
 		this.#leaving = new LeavingProcesses(options.clock);
-		this.#lastAnswerMs = options.clock.nowMs();
-	}
-
-	/** Until when endpoints may not have registered again after an outage of the store or its return from an older copy. */
-	get #reregistrationEndMs(): number {
-		return Math.max(this.#outage.endMs, this.#copyReturnMs) + reregistrationMs;
+		this.#outages = new RegistrationOutages(options.clock, options.heartbeatMs);
 	}
 
 	/** Records whether registrations can be read. While they cannot, a missing endpoint may have registered again. */
@@ -107,22 +86,14 @@
 
 	/** Records that the store has answered a call for any table, so that it was up. */
 	recordStoreAnswer(): void {
-		const nowMs = this.#options.clock.nowMs();
-		const lengthMs = nowMs - this.#lastAnswerMs;
-		this.#lastAnswerMs = nowMs;
-		if (lengthMs < certainHeartbeats * this.#options.heartbeatMs) {
-			return;
+		if (this.#outages.recordAnswer()) {
+			this.#renewedSinceReturn.clear();
 		}
-
-		// Endpoints may not have registered again since the outage before, if the store was back for a short time only.
-		const isContinued = nowMs - lengthMs < this.#outage.endMs + reregistrationMs;
-		this.#outage = {endMs: nowMs, lengthMs: isContinued ? Math.max(lengthMs, this.#outage.lengthMs) : lengthMs};
-		this.#renewedSinceReturn.clear();
 	}
 
 	/** Records that the store has returned from an older copy, so that registrations since then are missing, however recent their heartbeats were. */
 	recordStoreReturn(): void {
-		this.#copyReturnMs = this.#options.clock.nowMs();
+		this.#outages.recordCopyReturn();
 		this.#renewedSinceReturn.clear();
 	}
 
@@ -215,7 +186,7 @@
 		}
 
 		// The same heartbeat as before the outage proves nothing: the registration may be about to expire.
-		if (age === 'newer' && this.#options.clock.nowMs() < this.#reregistrationEndMs) {
+		if (age === 'newer' && this.#options.clock.nowMs() < this.#outages.reregistrationEndMs) {
 			this.#renewedSinceReturn.add(key);
 		}
 
@@ -280,14 +251,15 @@
 
 	/** Removes an endpoint without a registration: at once, or shortly after an outage if its registration may have expired or been lost in it. */
 	#handleMissing(id: string, version: number, {isDamaged}: {readonly isDamaged: boolean}): void {
-		if (this.#mayRegisterAgain(id, registrationExpiryMs(this.#options.heartbeatMs))) {
-			this.#keepForNow(id, version, this.#reregistrationEndMs);
+		const reason = this.#renewedSinceReturn.has(id) ? 'left' : this.#outages.explainMissing();
+		if (reason === 'expired') {
+			this.#keepForNow(id, version, this.#outages.reregistrationEndMs);
 			return;
 		}
 
 		const before = this.#options.pool.get(id)?.endpoint;
 		// Peers remove it, too, so they are told only what is certain. They know of one that leaves, and may be able to read what this entry cannot.
-		if (before && !before.isLeaving && !isDamaged && !this.#mayRegisterAgain(id, certainHeartbeats * this.#options.heartbeatMs)) {
+		if (before && !before.isLeaving && !isDamaged && reason === 'left') {
 			this.#departures.record({
 				id: before.id, startedAt: before.startedAt, kind: 'removed', heartbeat: this.#known.heartbeatOf(id),
 			});
@@ -296,23 +268,6 @@
 		this.#remove(id, version);
 	}
 
-	/** Whether the registration of a live endpoint may be missing, if one can expire in an outage of `expiryMs`. */
-	#mayRegisterAgain(id: string, expiryMs: number): boolean {
-		if (this.#renewedSinceReturn.has(id)) {
-			return false;
-		}
-
-		const nowMs = this.#options.clock.nowMs();
-		const isAfterCopyReturn = nowMs - this.#copyReturnMs < reregistrationMs;
-		const isAfterOutage = nowMs - this.#outage.endMs < reregistrationMs && this.#outage.lengthMs >= expiryMs;
-		return isAfterCopyReturn || isAfterOutage;
-	}
-
-	get #recentOutageMs(): number | undefined {
-		const {endMs, lengthMs} = this.#outage;
-		return this.#options.clock.nowMs() - endMs < reregistrationMs ? Math.round(lengthMs) : undefined;
-	}
-
 	#keepForNow(id: string, version: number, untilMs: number): void {
 		const before = this.#options.pool.get(id)?.endpoint;
 		if (!before) {
@@ -323,7 +278,7 @@
 		this.#removalTimes.set(id, untilMs);
 		if (isFirst) {
 			this.#options.onChange({
-				id, was: describeState(before), is: 'unregistered', version, outageMs: this.#recentOutageMs,
+				id, was: describeState(before), is: 'unregistered', version, outageMs: this.#outages.recentOutageMs,
 			});
 		}
 	}
@@ -334,7 +289,7 @@
 			this.#options.pool.remove(id);
 			this.#known.recordRemoved(id);
 			this.#options.onChange({
-				id, was: describeState(before), is: describeState(undefined), version, source, isCrash: !before.isLeaving, outageMs: this.#recentOutageMs,
+				id, was: describeState(before), is: describeState(undefined), version, source, isCrash: !before.isLeaving, outageMs: this.#outages.recentOutageMs,
 			});
 		}
 	}
