--- a/packages/forward/src/duties.ts
+++ b/packages/forward/src/duties.ts
@@ -2,7 +2,9 @@
  * Runs the duties that one entry at a time has: usage reports and role orders. Both are held under one lease, and its epoch is
  * the fencing token of their calls.
  */
-import type {Clock, ForwardService, MakeId} from '@hawthorncleat/core';
+import type {
+	Clock, ForwardService, MakeId, Random,
+} from '@hawthorncleat/core';
 import {runLease, type Lease} from '@hawthorncleat/store';
 import type {DecisionLog} from './decision-log.js';
 import type {AnswerListener} from './endpoint-answer.js';
@@ -18,11 +20,26 @@
 import {runUsageDuty, usageDutyName, type UsageProgress} from './usage-duty.js';
 
 /** If the holder fails, another entry takes over within the time to live. Three renewals fit into it. */
-const leaseDurations = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
+export const leaseDurations = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
+/** Up to this number each entry reads the lease as often as its holder renews it. */
+const frequentReaders = 4;
+/** A takeover takes the time to live and the pause of the entry that happens to read first, which is short among many. */
+const maxPauseFactor = 4;
+/** Entries that have started together must not read at the same moments. */
+const pauseJitter = 0.5;
+
+/** Pause between two reads of a lease that another entry holds, by the number of live entries: their reads are rate-limited together and billed. */
+export const leaseWatchPauseMs = (entries: number, random: Random): number => {
+	const factor = Math.min(maxPauseFactor, Math.max(1, entries / frequentReaders));
+	return leaseDurations.leaseRenewMs * factor * (1 - (pauseJitter / 2) + (pauseJitter * random()));
+};
 
 export type DutiesOptions = {
 	readonly clock: Clock;
 	readonly makeId: MakeId;
+	readonly random: Random;
+	/** Number of live entries, including this one. */
+	readonly liveEntries: () => number;
 	readonly holder: string;
 	readonly usageWindowMs: number;
 	readonly platform: Platform;
@@ -89,7 +106,7 @@
 
 /** Acquires the lease whenever it is free and runs the duties while it is held. Demand is measured without the lease, too. */
 export const runDuties = async (options: DutiesOptions, signal: AbortSignal): Promise<void> => {
-	const {clock, makeId, holder, platform, log, supervise} = options;
+	const {clock, makeId, random, liveEntries, holder, platform, log, supervise} = options;
 	const progress: UsageProgress = {};
 	let heldLease: Lease | undefined;
 	const keepLease = async (): Promise<void> => runLease({
@@ -99,6 +116,7 @@
 		clock,
 		makeId,
 		durations: leaseDurations,
+		watchPauseMs: () => leaseWatchPauseMs(liveEntries(), random),
 		async onHeld(lease, held) {
 			log.write('lease', {duty: usageDutyName, held: true, epoch: lease.epoch});
 			heldLease = lease;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -209,10 +209,12 @@
 	}
 
 	async #runDuties(signal: AbortSignal): Promise<void> {
-		const {clock, makeId, platform, log} = this.#deps;
+		const {clock, makeId, random, platform, log} = this.#deps;
 		await runDuties({
 			clock,
 			makeId,
+			random,
+			liveEntries: () => this.#components.members.liveCount(),
 			holder: this.#settings.hostName,
 			usageWindowMs: this.#settings.usage.windowMs,
 			platform,
--- a/packages/store/src/lease-runner.ts
+++ b/packages/store/src/lease-runner.ts
@@ -28,6 +28,8 @@
 	/** Receives the error of a failed duty; without it `runLease` rejects. */
 	readonly onError?: (error: unknown) => void;
 	readonly durations?: LeaseDurations;
+	/** Pause between two reads of a lease that another process holds, in ms. By default that between two renewals. */
+	readonly watchPauseMs?: () => number;
 	/** Without it the duty stops when its lease expires, also during a table outage. */
 	readonly witnesses?: DutyWitnessClient;
 };
@@ -94,7 +96,7 @@
 				return tenure;
 			}
 
-			await sleep(this.#durations.leaseRenewMs, changed);
+			await sleep(this.#options.watchPauseMs?.() ?? this.#durations.leaseRenewMs, changed);
 		}
 
 		return undefined;
