--- a/packages/forward/src/connections.ts
+++ b/packages/forward/src/connections.ts
@@ -1,7 +1,7 @@
 /**
  * Connections to one endpoint. A connection reset always counts as a failure. The HTTP client treats it as the end of an
  * answer without a length, and Node reports a reset that arrives together with data as an ordinary end; in both cases a
- * truncated answer would look complete.
+ * truncated answer would look complete. In the other direction, a connection is reset when the entry gives it up.
  */
 import type {Socket} from 'node:net';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
@@ -22,6 +22,22 @@
 /** The socket of a reset connection has lost its remote address; one that was closed properly still has it. */
 const hasNoRemoteAddress = (socket: Socket): boolean => socket.remoteAddress === undefined;
 
+/**
+ * Resets a connection that is given up instead of closing it. A connection that is closed still delivers what was written to it, so a request that a full or
+ * a cut link holds would reach its endpoint although nobody waits for it any more.
+ */
+const resetWhenGivenUp = (socket: Socket): void => {
+	const destroy = socket.destroy.bind(socket);
+	socket.destroy = error => {
+		// The HTTP client gives up a connection with an error. A reset alone would wait until everything has been written.
+		if (error && !socket.destroyed) {
+			socket.resetAndDestroy();
+		}
+
+		return destroy(error);
+	};
+};
+
 /** Creates a pool that connects to an endpoint on demand. */
 export const createConnections = (origin: string, maxConnections: number): Connections => {
 	let isReset = false;
@@ -48,6 +64,7 @@
 				const [, socket] = result;
 				if (socket) {
 					detectResets(socket);
+					resetWhenGivenUp(socket);
 				}
 
 				callback(...result);
