--- a/packages/forward/src/caller-connections.ts
+++ b/packages/forward/src/caller-connections.ts
@@ -102,6 +102,8 @@
 		server.on('connection', socket => {
 			this.#accepted += 1;
 			this.#onAccept();
+			// Each of the requests that are sent without waiting for answers listens to the end of the connection.
+			socket.setMaxListeners(0);
 			const connection: Connection = {
 				requests: 0, running: new Set(), bytesAtRest: 0, isEnding: false,
 			};
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/caller-exchange.ts
@@ -58,9 +58,18 @@
 			this.#end('stop-limit');
 		};
 
+		// Node.js ends its own side at the end of a caller's, and emits `close` only once that has been sent, behind the rest of the answer.
+		const onCallerEnd = (): void => {
+			if (!res.writableEnded) {
+				this.#end('caller-left');
+			}
+		};
+
 		stopLimit.addEventListener('abort', onStopLimit, {once: true});
+		socket.once('end', onCallerEnd);
 		res.once('close', () => {
 			clearTimeout(this.#timer);
+			socket.removeListener('end', onCallerEnd);
 			stopLimit.removeEventListener('abort', onStopLimit);
 			if (!res.writableFinished) {
 				this.#end(closeReasonOf(socket));
