--- a/packages/forward/src/__tests__/registration-outages.test.ts
+++ b/packages/forward/src/__tests__/registration-outages.test.ts
@@ -112,6 +112,27 @@
 			assert.equal(ids.filter(id => isUsed(id)), ['d', 'f', 'g', 'h']);
 		});
 
+		// A release replaces each endpoint by one with another id, so most are missing after it as they are after an outage.
+		it('removes most endpoints at once that others have replaced; guards against work for endpoints that left in a release behind the cut', () => {
+			const {directory, isUsed} = returnFromCut();
+			const replaced = ['e', 'f', 'g', 'h'].flatMap(id => [createRow(`new-${id}`), {key: id, value: undefined, version: 2}]);
+			directory.apply(answer(...replaced), false);
+			assert.equal(ids.filter(id => isUsed(id)), ['d']);
+		});
+
+		it('removes endpoints at once that others have replaced in an earlier answer; guards against work for them if each batch of changes is looked at alone', () => {
+			const {directory, isUsed} = returnFromCut();
+			directory.apply(answer(...['e', 'f', 'g', 'h'].map(id => createRow(`new-${id}`))), false);
+			directory.apply(answer(...['e', 'f', 'g', 'h'].map(id => ({key: id, value: undefined, version: 2}))), false);
+			assert.equal(ids.filter(id => isUsed(id)), ['d']);
+		});
+
+		it('keeps the endpoints if most have expired and one is new; guards against removing live ones beside a start', () => {
+			const {directory, isUsed} = returnFromCut();
+			directory.apply(answer(createRow('new-e')), true);
+			assert.equal(ids.filter(id => isUsed(id)), ids);
+		});
+
 		it('removes an endpoint at once that is missing from a snapshot; guards against work for it after the history is gone', () => {
 			const {directory, isUsed} = returnFromCut();
 			directory.apply(answer(...['d', 'f', 'g', 'h'].map(id => createRow(id))), true);
--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoint-directory.ts
@@ -135,6 +135,7 @@
 	/** Applies rows of the store. In a snapshot, an endpoint without a row is not registered. */
 	apply({rows}: StoreAnswer, isSnapshot: boolean): void {
 		this.#outages.recordMissing(this.#findMissing(rows, isSnapshot));
+		this.#outages.recordNewcomers(rows.filter(row => this.#isNewcomer(row)).map(({key}) => key));
 		for (const row of rows) {
 			this.#tryApplyRow(row);
 		}
@@ -172,6 +173,20 @@
 			.filter(id => values.get(id) === undefined && (isSnapshot || values.has(id)));
 	}
 
+	/** Whether a row is the first registration of an endpoint. */
+	#isNewcomer({key, value}: StoreRow): boolean {
+		if (value === undefined || this.#known.has(key)) {
+			return false;
+		}
+
+		try {
+			return this.#options.readEndpoint(brandAs<EndpointId>(key), value) !== undefined;
+		} catch {
+			// The error is reported when the row is applied.
+			return false;
+		}
+	}
+
 	/** A row that cannot be applied costs the others nothing. */
 	#tryApplyRow(row: StoreRow): void {
 		try {
--- a/packages/forward/src/known-endpoints.ts
+++ b/packages/forward/src/known-endpoints.ts
@@ -64,6 +64,11 @@
 		}
 	}
 
+	/** Whether the endpoint has been registered, also if it was removed some time ago. */
+	has(id: string): boolean {
+		return this.#byId.has(id);
+	}
+
 	/** The newest heartbeat of a process. */
 	heartbeatOf(id: string): number {
 		return this.#byId.get(id)?.heartbeat ?? 0;
--- a/packages/forward/src/registration-outages.ts
+++ b/packages/forward/src/registration-outages.ts
@@ -4,7 +4,8 @@
  * which a registration can have expired. The age of a heartbeat tells nothing, because a store may not show the heartbeats that change nothing else.
  *
  * An entry that was cut off from a store that was up has the same view as one whose store was down, but not the same registrations: an outage of
- * the store costs those of most endpoints, while behind a cut only the endpoints that have left are missing.
+ * the store costs those of most endpoints, while behind a cut only the endpoints that have left are missing. A release behind a cut replaces most endpoints, so
+ * as many as are new are taken for replaced.
  */
 import type {Clock} from '@hawthorncleat/core';
 
@@ -41,6 +42,8 @@
 	/** Endpoints that were registered before the last outage, and those of them whose registration has been missing since. */
 	#knownCount = 0;
 	readonly #missing = new Set<string>();
+	/** Endpoints that were registered for the first time since the last outage. */
+	readonly #newcomers = new Set<string>();
 
 	constructor(clock: Clock, heartbeatMs: number) {
 		this.#clock = clock;
@@ -74,6 +77,7 @@
 		if (!isContinued) {
 			this.#knownCount = endpointCount;
 			this.#missing.clear();
+			this.#newcomers.clear();
 		}
 
 		return true;
@@ -90,6 +94,17 @@
 		}
 	}
 
+	/** Records endpoints that are registered for the first time. */
+	recordNewcomers(ids: Iterable<string>): void {
+		if (!this.#isRecent(this.#outage.endMs)) {
+			return;
+		}
+
+		for (const id of ids) {
+			this.#newcomers.add(id);
+		}
+	}
+
 	/** Records that the store has returned from an older copy, so that registrations since then are missing, however recent their heartbeats were. */
 	recordCopyReturn(): void {
 		this.#copyReturnMs = this.#clock.nowMs();
@@ -105,7 +120,8 @@
 			return 'left';
 		}
 
-		const haveMostExpired = this.#outage.lengthMs >= registrationExpiryMs(this.#heartbeatMs) && this.#missing.size >= this.#knownCount * minExpiredFraction;
+		const unreplaced = this.#missing.size - this.#newcomers.size;
+		const haveMostExpired = this.#outage.lengthMs >= registrationExpiryMs(this.#heartbeatMs) && unreplaced >= this.#knownCount * minExpiredFraction;
 		return haveMostExpired ? 'expired' : 'may-have-expired';
 	}
 
