--- a/packages/forward/src/connections.ts
+++ b/packages/forward/src/connections.ts
@@ -29,8 +29,9 @@
 const resetWhenGivenUp = (socket: Socket): void => {
 	const destroy = socket.destroy.bind(socket);
 	socket.destroy = error => {
-		// The HTTP client gives up a connection with an error. A reset alone would wait until everything has been written.
-		if (error && !socket.destroyed) {
+		// The HTTP client gives up a connection with an error, and so does Node.js when the connection itself fails, which must be reported as it is.
+		if (error && !('syscall' in error) && !socket.destroyed) {
+			// By itself the reset would wait until everything has been written.
 			socket.resetAndDestroy();
 		}
 
