--- a/packages/forward/src/__tests__/decode-latency.test.ts
+++ b/packages/forward/src/__tests__/decode-latency.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer, ServerResponse, type IncomingMessage} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {Socket, type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
@@ -73,7 +73,7 @@
 
 /** Runs one attempt whose caller guessed `guessedTokens` output tokens and whose stream has `events` events. */
 const stream = async (deps: ForwardDeps, events: number, guessedTokens: number, limitMs = 5000): Promise<void> => {
-	const exchange = new CallerExchange(new ServerResponse({method: 'GET'} as IncomingMessage), {
+	const exchange = new CallerExchange(new ServerResponse({method: 'GET', socket: new Socket()} as IncomingMessage), {
 		clock, stopLimit: new AbortController().signal, isStopping: () => false, hasLaterRequest: () => false,
 	});
 	exchange.setTimeLimit(limitMs);
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {ServerResponse, type IncomingMessage} from 'node:http';
+import {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
@@ -14,7 +15,7 @@
 
 /** A relay and what it has written to the caller. */
 const createRelay = (): {readonly relay: StreamRelay; readonly written: () => string} => {
-	const res = new ServerResponse({method: 'GET'} as IncomingMessage);
+	const res = new ServerResponse({method: 'GET', socket: new Socket()} as IncomingMessage);
 	let text = '';
 	res.write = (chunk: unknown) => {
 		text += String(chunk);
