--- /dev/null
+++ b/packages/core/src/forwarding/__tests__/endpoint-rate-limit.test.ts
@@ -0,0 +1,236 @@
+/** Limits of requests that endpoints name, shared by entries that know each other's demand late. */
+import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import {EndpointRateLimit, RatePlace} from '../endpoint-rate-limit.js';
+import {RateShares} from '../rate-shares.js';
+
+const service = 's';
+const stepMs = 20;
+const windowMs = 4000;
+/** Entries tell each other their demand this often. */
+const gossipMs = 200;
+/** What the users allow in a window. */
+const maxInWindow = (perSecond: number): number => (perSecond * windowMs / 1000 * 1.5) + 5;
+
+type Entry = {readonly shares: RateShares; readonly limit: EndpointRateLimit; demandPerSecond: number; dueRequests: number};
+
+/** Entries before one endpoint, on one clock. Each offers its requests to the endpoint; what it may not take goes elsewhere. */
+class Fleet {
+	readonly clock = createManualClock(100_000);
+	readonly arrivalsMs: number[] = [];
+	readonly entries: Entry[];
+	/** Fraction of the messages that are lost. */
+	lossFraction = 0;
+	readonly #random: () => number;
+
+	constructor(demands: readonly number[], random: () => number) {
+		this.#random = random;
+		this.entries = demands.map(demandPerSecond => {
+			const shares = new RateShares({clock: this.clock, entries: () => demands.length});
+			return {
+				shares, limit: new EndpointRateLimit({share: () => shares.share(service), random}), demandPerSecond, dueRequests: 0,
+			};
+		});
+	}
+
+	/** Each entry learns of the limit from an answer. */
+	state(perSecond: number | undefined): void {
+		const nowMs = this.clock.nowMs();
+		for (const {limit} of this.entries) {
+			limit.recordAnswer({perSecond, statedMs: nowMs, askedMs: nowMs});
+		}
+	}
+
+	run(forMs: number): void {
+		for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
+			this.clock.advance(stepMs);
+			for (const entry of this.entries) {
+				this.#offer(entry);
+			}
+
+			if (this.clock.nowMs() % gossipMs === 0) {
+				this.#gossip();
+			}
+		}
+	}
+
+	mostInWindow(sinceMs: number): number {
+		const arrivals = this.arrivalsMs.filter(atMs => atMs >= sinceMs);
+		let most = 0;
+		let first = 0;
+		for (const [last, atMs] of arrivals.entries()) {
+			while (arrivals[first]! <= atMs - windowMs) {
+				first += 1;
+			}
+
+			most = Math.max(most, last - first + 1);
+		}
+
+		return most;
+	}
+
+	#offer(entry: Entry): void {
+		const {shares, limit, demandPerSecond} = entry;
+		entry.dueRequests += demandPerSecond * stepMs / 1000;
+		while (entry.dueRequests >= 1) {
+			entry.dueRequests -= 1;
+			shares.recordRequest(service);
+			if (limit.tryTake(this.clock.nowMs())) {
+				this.arrivalsMs.push(this.clock.nowMs());
+			}
+		}
+	}
+
+	#gossip(): void {
+		for (const [sender, {shares}] of this.entries.entries()) {
+			for (const receiver of this.entries) {
+				if (receiver.shares !== shares && this.#random() >= this.lossFraction) {
+					receiver.shares.recordPeer(`e${sender}`, [{service, perSecond: shares.ownDemand(service)}]);
+				}
+			}
+		}
+	}
+}
+
+/** A sequence of numbers that a seed determines. */
+const createRandom = (seed: number): (() => number) => {
+	let state = seed;
+	return () => {
+		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
+		return state / 2_147_483_648;
+	};
+};
+
+describe('the limit of an endpoint', () => {
+	describe('that all entries use', () => {
+		for (const [count, perSecond] of [[1, 4.3], [4, 4.3], [4, 0.8], [30, 4.3], [30, 20], [68, 12]] as const) {
+			it(`is kept and used up by ${count} entries at ${perSecond} a second; guards against shares that add up to another rate`, () => {
+				const fleet = new Fleet(Array.from({length: count}, () => 200 / count), createRandom(count));
+				fleet.run(3000);
+				fleet.state(perSecond);
+				fleet.run(2000);
+				const sinceMs = fleet.clock.nowMs();
+				fleet.run(30_000);
+				const arrivals = fleet.arrivalsMs.filter(atMs => atMs >= sinceMs).length;
+				assert.ok(arrivals >= 30 * perSecond * 0.9, `${arrivals} of ${30 * perSecond} in 30 s`);
+				assert.ok(arrivals <= (30 * perSecond * 1.1) + count, `${arrivals} of ${30 * perSecond} in 30 s`);
+				const most = fleet.mostInWindow(sinceMs);
+				assert.ok(most <= maxInWindow(perSecond), `${most} of ${maxInWindow(perSecond)}`);
+			});
+		}
+	});
+
+	describe('that one entry uses', () => {
+		for (const count of [4, 30, 68]) {
+			it(`is used up by it among ${count} entries; guards against shares that lie idle`, () => {
+				const fleet = new Fleet([100, ...Array.from({length: count - 1}, () => 0)], createRandom(count));
+				fleet.run(3000);
+				fleet.state(4.3);
+				fleet.run(2000);
+				const sinceMs = fleet.clock.nowMs();
+				fleet.run(30_000);
+				const arrivals = fleet.arrivalsMs.filter(atMs => atMs >= sinceMs).length;
+				assert.ok(arrivals >= 30 * 4.3 * 0.9, `${arrivals} of ${30 * 4.3} in 30 s`);
+				assert.ok(fleet.mostInWindow(sinceMs) <= maxInWindow(4.3));
+			});
+		}
+	});
+
+	it('is kept while callers move between entries and messages are lost; guards against shares that follow the demand at different times', () => {
+		fc.assert(fc.property(
+			fc.record({
+				seed: fc.integer({min: 1, max: 1_000_000}),
+				perSecond: fc.double({min: 1, max: 20, noNaN: true}),
+				lossFraction: fc.double({min: 0, max: 0.3, noNaN: true}),
+				moves: fc.array(fc.record({afterMs: fc.integer({min: 1, max: 40}), demands: fc.array(fc.integer({min: 0, max: 60}), {minLength: 4, maxLength: 4})}), {minLength: 1, maxLength: 8}),
+			}),
+			({seed, perSecond, lossFraction, moves}) => {
+				const fleet = new Fleet([15, 15, 15, 15], createRandom(seed));
+				fleet.lossFraction = lossFraction;
+				fleet.run(2000);
+				fleet.state(perSecond);
+				const sinceMs = fleet.clock.nowMs();
+				for (const {afterMs, demands} of moves) {
+					fleet.run(afterMs * 100);
+					for (const [index, demand] of demands.entries()) {
+						fleet.entries[index]!.demandPerSecond = demand;
+					}
+				}
+
+				fleet.run(5000);
+				assert.ok(fleet.mostInWindow(sinceMs) <= maxInWindow(perSecond));
+			},
+		), {seed: 561, numRuns: 300});
+	});
+
+	describe('by statements that contradict each other', () => {
+		const createLimit = (): EndpointRateLimit => new EndpointRateLimit({share: () => 1, random: () => 0});
+
+		it('does not end by a late answer to an earlier request; guards against a limit that an old answer ends', () => {
+			const limit = createLimit();
+			assert.is(limit.recordAnswer({perSecond: 4, statedMs: 1000, askedMs: 900}), 'began');
+			assert.is(limit.recordAnswer({perSecond: undefined, statedMs: 1100, askedMs: 950}), undefined);
+			assert.ok(limit.isLimited(1100));
+			assert.is(limit.recordAnswer({perSecond: undefined, statedMs: 1200, askedMs: 1010}), 'ended');
+		});
+
+		it('does not begin again by a late answer; guards against a limit that an old answer brings back', () => {
+			const limit = createLimit();
+			limit.recordAnswer({perSecond: 4, statedMs: 1000, askedMs: 900});
+			limit.recordAnswer({perSecond: undefined, statedMs: 2000, askedMs: 1900});
+			assert.is(limit.recordAnswer({perSecond: 4, statedMs: 2100, askedMs: 1950}), undefined);
+			assert.is(limit.recordHeard({perSecond: 4, statedMs: 1990}, 2100), undefined);
+			assert.is(limit.statement?.perSecond, undefined);
+		});
+
+		it('begins and ends by what a peer tells; guards against entries that overrun an endpoint because they have not called it lately', () => {
+			const limit = createLimit();
+			assert.is(limit.recordHeard({perSecond: 4, statedMs: 1000}, 1010), 'began');
+			assert.ok(limit.isLimited(1010));
+			assert.is(limit.recordHeard({perSecond: undefined, statedMs: 1500}, 1510), 'ended');
+		});
+
+		it('is a request each five seconds if the endpoint names nought; guards against an endpoint that is never asked again', () => {
+			const limit = createLimit();
+			limit.recordAnswer({perSecond: 0, statedMs: 0, askedMs: 0});
+			assert.is(limit.remainingMs(0), 5000);
+			assert.not.ok(limit.tryTake(4900));
+			assert.ok(limit.tryTake(5000));
+		});
+	});
+
+	describe('that has ended', () => {
+		it('lets requests through at a rate that doubles; guards against all work going to an endpoint that has just recovered', () => {
+			const limit = new EndpointRateLimit({share: () => 1, random: () => 0});
+			limit.recordAnswer({perSecond: 4, statedMs: 0, askedMs: 0});
+			limit.recordAnswer({perSecond: undefined, statedMs: 10_000, askedMs: 9000});
+			let taken = 0;
+			while (limit.tryTake(10_010)) {
+				taken += 1;
+			}
+
+			assert.ok(taken <= 4, `${taken} at once`);
+			assert.not.ok(limit.isLimited(12_000));
+		});
+	});
+
+	describe('of which a place is reserved', () => {
+		it('has it free again if the call was not sent; guards against shares that are lost by calls that were not sent', () => {
+			const limit = new EndpointRateLimit({share: () => 1, random: () => 0});
+			limit.recordAnswer({perSecond: 1, statedMs: 0, askedMs: 0});
+			const place = new RatePlace(limit, 1000);
+			assert.ok(place.confirm(1500));
+			assert.not.ok(new RatePlace(limit, 1000).confirm(1000));
+			place.release();
+			assert.ok(new RatePlace(limit, 1000).confirm(1000));
+		});
+
+		it('is asked again if the limit began after the selection; guards against calls that were placed before it', () => {
+			const limit = new EndpointRateLimit({share: () => 1, random: () => 0});
+			const place = new RatePlace(limit, 0);
+			limit.recordAnswer({perSecond: 1, statedMs: 100, askedMs: 100});
+			assert.not.ok(place.confirm(100));
+		});
+	});
+});
--- a/packages/core/src/forwarding/__tests__/fixtures.ts
+++ b/packages/core/src/forwarding/__tests__/fixtures.ts
@@ -3,6 +3,7 @@
 import type {EndpointRole, RegisteredEndpoint} from '../deployment.js';
 import {DecodeLatencyModel} from '../decode-latency-model.js';
 import {EndpointBackoff} from '../endpoint-backoff.js';
+import {EndpointRateLimit} from '../endpoint-rate-limit.js';
 import {OutlierEjection} from '../outlier-ejection.js';
 import {PrefillLatencyModel} from '../prefill-latency-model.js';
 import {SegmentCache} from '../segment-cache.js';
@@ -25,6 +26,7 @@
 	endpoint: createEndpoint(id, {role, ...changes}),
 	ejection: new OutlierEjection(),
 	backoff: new EndpointBackoff(),
+	rateLimit: new EndpointRateLimit({share: () => 1, random: () => 0}),
 	running: 0,
 	lateRequests: 0,
 	prefillBacklog: new PrefillBacklog(0),
--- a/packages/core/src/forwarding/endpoint-selection.ts
+++ b/packages/core/src/forwarding/endpoint-selection.ts
@@ -5,6 +5,7 @@
 import type {EndpointRole, RegisteredEndpoint} from './deployment.js';
 import type {DecodeLatencyModel} from './decode-latency-model.js';
 import type {EndpointBackoff} from './endpoint-backoff.js';
+import type {EndpointRateLimit} from './endpoint-rate-limit.js';
 import type {OutlierEjection} from './outlier-ejection.js';
 import type {PrefillLatencyModel} from './prefill-latency-model.js';
 import type {SegmentCache} from './segment-cache.js';
@@ -15,6 +16,7 @@
 	readonly endpoint: RegisteredEndpoint;
 	readonly ejection: OutlierEjection;
 	readonly backoff: EndpointBackoff;
+	readonly rateLimit: EndpointRateLimit;
 	/** Requests that all entries together have running there. */
 	running: number;
 	/** Running requests that already missed their latency target; the engine serves them after all others. */
@@ -38,17 +40,20 @@
 /** Whether the endpoint takes requests as far as its registration and its role say. */
 const takesRequests = ({endpoint, roleChangeUntilMs: changesUntilMs}: EndpointView, nowMs: number): boolean => !endpoint.isLeaving && nowMs >= changesUntilMs;
 
+/** Time until the endpoint may get a request, as far as its own statements say. */
+const remainingMs = ({backoff, rateLimit}: EndpointView, nowMs: number): number => Math.max(backoff.remainingMs(nowMs), rateLimit.remainingMs(nowMs));
+
 /** Endpoints that may receive a request; ejected ones only if there is no other. An endpoint that wants no requests never is among them. */
 export const findSelectable = (views: readonly EndpointView[], excluded: ReadonlySet<string>, nowMs: number): EndpointView[] => {
-	const candidates = views.filter(view => takesRequests(view, nowMs) && !excluded.has(view.endpoint.id) && view.backoff.remainingMs(nowMs) === 0);
+	const candidates = views.filter(view => takesRequests(view, nowMs) && !excluded.has(view.endpoint.id) && remainingMs(view, nowMs) === 0);
 	const usable = candidates.filter(({ejection: trust}) => !trust.isEjected(nowMs));
 	return usable.length > 0 ? usable : candidates;
 };
 
 /** Time until the first of these endpoints may get a request again; 0 if one of them may get one now, undefined if none takes requests at all. */
 export const earliestReturnMs = (views: readonly EndpointView[], nowMs: number): number | undefined => {
-	const remainingMs = views.filter(view => takesRequests(view, nowMs)).map(({backoff}) => backoff.remainingMs(nowMs));
-	return remainingMs.length === 0 ? undefined : Math.min(...remainingMs);
+	const returns = views.filter(view => takesRequests(view, nowMs)).map(view => remainingMs(view, nowMs));
+	return returns.length === 0 ? undefined : Math.min(...returns);
 };
 
 /** Mean of the fractions of an engine's slots and memory that are in use; above 1 requests wait. */
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -35,6 +35,10 @@
 } from './balance-roles.js';
 export {pickRoleChange, type RoleCandidate} from './pick-role-change.js';
 export {OutlierEjection} from './outlier-ejection.js';
+export {
+	EndpointRateLimit, RatePlace, type AnsweredStatement, type RateChange, type RateLimitOptions, type RateStatement,
+} from './endpoint-rate-limit.js';
+export {RateShares, type RateSharesOptions, type ServiceDemand} from './rate-shares.js';
 export {EndpointBackoff, maxBackoffMs, RetainedBackoffs} from './endpoint-backoff.js';
 export {
 	areMostReady, decideStop, type EntryPhase, type PeerPhase, type StopDecision, type StopLimits,
--- /dev/null
+++ b/packages/core/src/forwarding/rate-shares.ts
@@ -0,0 +1,102 @@
+/**
+ * Shares of the entries in the limits of endpoints, by the requests that callers make of each entry. An equal fraction for each would leave most of a
+ * limit unused where callers come to a few entries only. Each entry tells its demand; the shares of entries that know the same demands add up to one.
+ */
+import type {Clock} from '../clock.js';
+
+/** Demand is measured over this time: longer than a share of a second, shorter than a burst. */
+const demandWindowMs = 2000;
+const bucketCount = 10;
+/** Demand of an entry without callers, in requests a second. It keeps a share small that may be used at any moment. */
+const minDemand = 0.05;
+/** What a peer has told counts for this time; datagrams get lost. */
+const toldMs = 3000;
+const msPerSecond = 1000;
+
+/** Requests a second of the callers of one entry for a service. */
+export type ServiceDemand = {readonly service: string; readonly perSecond: number};
+
+export type RateSharesOptions = {
+	readonly clock: Clock;
+	/** Number of entries that share the limits. Those that have told no demand count as much as this one. */
+	readonly entries: () => number;
+};
+
+type Told = {readonly perSecond: number; readonly atMs: number};
+
+/** Requests within the last window. */
+class DemandMeter {
+	readonly #buckets = Array.from({length: bucketCount}, () => ({index: -1, count: 0}));
+
+	record(nowMs: number): void {
+		const index = this.#indexAt(nowMs);
+		const bucket = this.#buckets[index % bucketCount]!;
+		if (bucket.index !== index) {
+			Object.assign(bucket, {index, count: 0});
+		}
+
+		bucket.count += 1;
+	}
+
+	perSecond(nowMs: number): number {
+		const index = this.#indexAt(nowMs);
+		const count = this.#buckets.filter(bucket => bucket.index > index - bucketCount).reduce((sum, bucket) => sum + bucket.count, 0);
+		return count / demandWindowMs * msPerSecond;
+	}
+
+	#indexAt(nowMs: number): number {
+		return Math.floor(nowMs * bucketCount / demandWindowMs);
+	}
+}
+
+export class RateShares {
+	readonly #options: RateSharesOptions;
+	readonly #meters = new Map<string, DemandMeter>();
+	/** Demands that peers have told, by service and peer. */
+	readonly #told = new Map<string, Map<string, Told>>();
+
+	constructor(options: RateSharesOptions) {
+		this.#options = options;
+	}
+
+	/** Records a request of a caller. */
+	recordRequest(service: string): void {
+		const meter = this.#meters.get(service) ?? new DemandMeter();
+		this.#meters.set(service, meter);
+		meter.record(this.#options.clock.nowMs());
+	}
+
+	/** Requests a second of this entry's own callers. */
+	ownDemand(service: string): number {
+		return Math.max(minDemand, this.#meters.get(service)?.perSecond(this.#options.clock.nowMs()) ?? 0);
+	}
+
+	/** Records what a peer has told. */
+	recordPeer(peer: string, demands: readonly ServiceDemand[]): void {
+		for (const {service, perSecond} of demands) {
+			const told = this.#told.get(service) ?? new Map<string, Told>();
+			this.#told.set(service, told);
+			told.set(peer, {perSecond: Math.max(minDemand, perSecond), atMs: this.#options.clock.nowMs()});
+		}
+	}
+
+	/** Fraction of the limits of the service's endpoints that this entry uses. */
+	share(service: string): number {
+		const own = this.ownDemand(service);
+		const told = this.#recentlyTold(service);
+		const untold = Math.max(0, this.#options.entries() - 1 - told.length);
+		return own / (own + (untold * own) + told.reduce((sum, {perSecond}) => sum + perSecond, 0));
+	}
+
+	#recentlyTold(service: string): Told[] {
+		const sinceMs = this.#options.clock.nowMs() - toldMs;
+		const told = this.#told.get(service);
+		for (const [peer, {atMs}] of told ?? []) {
+			if (atMs < sinceMs) {
+				told!.delete(peer);
+			}
+		}
+
+		return [...told?.values() ?? []];
+	}
+}
--- a/packages/forward/src/__tests__/endpoint-answer.test.ts
+++ b/packages/forward/src/__tests__/endpoint-answer.test.ts
@@ -30,6 +30,7 @@
 			onRetryAfter(_target, {retryAfterMs}) {
 				announced.retryAfterMs.push(retryAfterMs);
 			},
+			onRateLimit: () => undefined,
 			onLeaving(leaving) {
 				announced.processes.push(leaving);
 			},
--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -41,6 +41,8 @@
 	onCrashReports: () => undefined,
 	departures: () => [],
 	onDepartures: () => undefined,
+	limitNews: () => ({limits: [], demands: []}),
+	onLimitNews: () => undefined,
 	segmentNews: () => ({crashes: [], completed: [], quarantines: []}),
 	onSegmentNews: () => undefined,
 	onUsage: () => undefined,
--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/__tests__/role-duty.test.ts
@@ -126,6 +126,7 @@
 		wire,
 		answerListener: {
 			onRetryAfter: () => undefined,
+			onRateLimit: () => undefined,
 			onLeaving({id}) {
 				pool.put({...pool.get(id)!.endpoint, isLeaving: true});
 			},
--- a/packages/forward/src/__tests__/withdrawn-exchange.test.ts
+++ b/packages/forward/src/__tests__/withdrawn-exchange.test.ts
@@ -2,7 +2,9 @@
 import {createServer, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {brandAs, type EndpointId, type RegisteredEndpoint} from '@hawthorncleat/core';
+import {
+	brandAs, RatePlace, type EndpointId, type RegisteredEndpoint,
+} from '@hawthorncleat/core';
 import {
 	createManualClock, describe, it, waitUntil,
 } from '@hawthorncleat/test-kit';
@@ -40,7 +42,8 @@
 	});
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
-	const pool = new EndpointPool({clock: createManualClock(), entries: () => 1, serviceOf: () => ({maxConnections: connectionCount})});
+	const clock = createManualClock();
+	const pool = new EndpointPool({clock, entries: () => 1, serviceOf: () => ({maxConnections: connectionCount})});
 	const registration: RegisteredEndpoint = {
 		id: brandAs<EndpointId>('e1'), service: 's', address: '127.0.0.1', port: (server.address() as AddressInfo).port, dataCentre: 'd', slots: 9, isLeaving: false, startedAt: 1, heartbeat: 1,
 	};
@@ -51,7 +54,7 @@
 			pool, registration, target, paths, held,
 			connectionCount: () => connections,
 			start: (path, limits) => startEndpointExchange(target.connections, {method: 'GET', path, headers: {}}, {onHead: () => true, onData: () => true}, {
-				...createRequestLimits(pool, target, new AbortController().signal), ...limits,
+				...createRequestLimits({pool, clock}, {target, place: new RatePlace(target.rateLimit, 0)}, new AbortController().signal), ...limits,
 			}),
 		});
 	} finally {
--- a/packages/forward/src/attempt-helpers.ts
+++ b/packages/forward/src/attempt-helpers.ts
@@ -3,10 +3,10 @@
  * a failure.
  */
 import {
-	brandAs, type FailureKind, type ForwardRoute, type SegmentKey,
+	brandAs, type FailureKind, type ForwardRoute, type RatePlace, type SegmentKey,
 } from '@hawthorncleat/core';
 import type {EndpointCall, ExchangeEnd, ExchangeLimits} from './endpoint-exchange.js';
-import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
+import type {PooledEndpoint} from './endpoint-pool.js';
 import type {
 	AdmittedRequest, FailedAttempt, ForwardDeps, SupersededAttempt,
 } from './forward-types.js';
@@ -73,9 +73,13 @@
 	...body && body.length > 0 && {body},
 });
 
-/** Limits of a new request for an endpoint: it is not written once the endpoint has begun to leave or wants no requests. */
-export const createRequestLimits = (pool: EndpointPool, target: PooledEndpoint, signal: AbortSignal): ExchangeLimits => ({
-	signal, withdrawal: target.withdrawal.signal, maySend: () => pool.maySend(target),
+/** Limits of a new request for an endpoint: it is not written once the endpoint has begun to leave or wants no requests, nor beyond the limit that it names. */
+export const createRequestLimits = (
+	{pool, clock}: Pick<ForwardDeps, 'clock' | 'pool'>,
+	{target, place}: {readonly target: PooledEndpoint; readonly place: RatePlace},
+	signal: AbortSignal,
+): ExchangeLimits => ({
+	signal, withdrawal: target.withdrawal.signal, maySend: () => pool.maySend(target) && place.confirm(clock.nowMs()),
 });
 
 export const createSendDetails = ({account, exchange}: AdmittedRequest, target: PooledEndpoint, level: number | undefined): SendDetails => ({
--- a/packages/forward/src/endpoint-answer.ts
+++ b/packages/forward/src/endpoint-answer.ts
@@ -12,6 +12,8 @@
 export type AnswerListener = {
 	/** The endpoint states for how long it wants no requests, or its statement cannot be read. */
 	readonly onRetryAfter: (target: PooledEndpoint, head: AnswerHead) => void;
+	/** The head tells whether the process names a limit of requests. */
+	readonly onRateLimit: (call: AnsweredCall, head: AnswerHead) => void;
 	/** The process has announced that it leaves. */
 	readonly onLeaving: (process: EndpointProcess) => void;
 	/** An announcement has a value that cannot be read. */
@@ -21,7 +23,12 @@
 export type AnswerReader = {readonly wire: Pick<WireFormat, 'readAnswer'>; readonly answerListener: AnswerListener};
 
 /** A call that is being answered. `requestId` is absent for calls that are not requests of callers. */
-export type AnsweredCall = {readonly target: PooledEndpoint; readonly requestId?: RequestId};
+export type AnsweredCall = {
+	readonly target: PooledEndpoint;
+	readonly requestId?: RequestId;
+	/** When the call was begun. */
+	readonly askedMs?: number;
+};
 
 /** A success without the id of its request may be of any request, and so of any process that has had the address. */
 const firstStatusWithoutId = 300;
@@ -56,9 +63,12 @@
 		answerListener.onDamagedLeaving();
 	}
 
-	if (head.isEndpointLeaving && isFromTarget(head, call)) {
-		const {id, startedAt} = call.target.endpoint;
-		answerListener.onLeaving({id, startedAt});
+	if (isFromTarget(head, call)) {
+		answerListener.onRateLimit(call, head);
+		if (head.isEndpointLeaving) {
+			const {id, startedAt} = call.target.endpoint;
+			answerListener.onLeaving({id, startedAt});
+		}
 	}
 
 	return head;
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -4,7 +4,8 @@
 import {setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	DecodeLatencyModel, OutlierEjection, PrefillLatencyModel, RetainedBackoffs, SegmentCache, PrefillBacklog, SplitRejections, StallDetector, type Clock, type EndpointView, type RegisteredEndpoint,
+	DecodeLatencyModel, EndpointRateLimit, OutlierEjection, PrefillLatencyModel, RetainedBackoffs, SegmentCache, PrefillBacklog, SplitRejections, StallDetector,
+	type Clock, type EndpointView, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
 import {createConnections, type Connections} from './connections.js';
 
@@ -30,6 +31,8 @@
 	readonly clock: Clock;
 	/** Number of live entries, which share the endpoints. */
 	readonly entries: () => number;
+	/** The limit of an endpoint's process, which outlasts its registration. By default there is none. */
+	readonly rateLimitOf?: (endpoint: RegisteredEndpoint) => EndpointRateLimit;
 	readonly serviceOf: (name: string) => {readonly maxConnections: number; readonly engine?: {readonly kvTokens: number}} | undefined;
 };
 
@@ -43,6 +46,8 @@
 	return controller;
 };
 
+const createUnlimited = (): EndpointRateLimit => new EndpointRateLimit({share: () => 1, random: () => 0});
+
 export class EndpointPool {
 	readonly #options: EndpointPoolOptions;
 	readonly #byId = new Map<string, PooledEndpoint>();
@@ -133,6 +138,7 @@
 			endpoint,
 			ejection: new OutlierEjection(),
 			backoff: this.#backoffs.restore(endpoint),
+			rateLimit: this.#options.rateLimitOf?.(endpoint) ?? createUnlimited(),
 			prefillBacklog: new PrefillBacklog(this.#options.clock.nowMs()),
 			prefillLatency: new PrefillLatencyModel(endpoint.role ?? 'decode', sameRole.map(({prefillLatency}) => prefillLatency)),
 			decodeLatency: new DecodeLatencyModel(),
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/finish-failed.ts
@@ -33,16 +33,24 @@
 };
 
 /** Refuses a request that has not run. If no endpoint of its service wants requests, it may come back when the first of them does. */
-const refuse = ({pool, clock}: ForwardDeps, {service}: AdmittedRequest, {lastFailure, tries}: FailedRequest): Outcome => {
+const refuse = ({pool, clock, random}: ForwardDeps, {service}: AdmittedRequest, {lastFailure, tries}: FailedRequest): Outcome => {
 	const nowMs = clock.nowMs();
 	const usable = pool.ofService(service.name).filter(({endpoint}) => endpoint.role !== 'prefill');
 	const returnMs = earliestReturnMs(usable, nowMs) ?? 0;
 	const refusal = {status: 503, ran: 'not-run' as const, attempts: tries};
-	return returnMs > 0
-		? {
-			...refusal, code: 'endpoints-backoff', retryAfterMs: returnMs, inputs: countKeptOut(usable, nowMs),
-		}
-		: {...refusal, code: lastFailure ? 'endpoints-full' : 'no-endpoint', retryAfterMs: notRunRetryMs};
+	if (returnMs > 0) {
+		const inputs = countKeptOut(usable, nowMs);
+		return inputs.limit > 0
+			// One place becomes free at that time, and not one for each caller that is refused until then.
+			? {
+				...refusal, code: 'endpoints-limited', retryAfterMs: returnMs * (1 + random()), inputs,
+			}
+			: {
+				...refusal, code: 'endpoints-backoff', retryAfterMs: returnMs, inputs,
+			};
+	}
+
+	return {...refusal, code: lastFailure ? 'endpoints-full' : 'no-endpoint', retryAfterMs: notRunRetryMs};
 };
 
 /**
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -1,8 +1,8 @@
 /**
  * Creates the components of a forwarding entry and connects them to each other.
  */
-import type {
-	Clock, MakeId, Random, SegmentQuarantine,
+import {
+	RateShares, type Clock, type MakeId, type Random, type SegmentQuarantine,
 } from '@hawthorncleat/core';
 import {ActiveConfig} from './active-config.js';
 import {BackoffRecorder} from './backoff-recorder.js';
@@ -18,6 +18,7 @@
 import {LoadTracker} from './load-tracker.js';
 import type {ForwardSettings, Platform} from './ports.js';
 import {QuarantineRows} from './quarantine-rows.js';
+import {RateLimits} from './rate-limits.js';
 import {refusesConnections} from './refuses-connections.js';
 import {registrationExpiryMs} from './registration-outages.js';
 import {RequestReports} from './request-reports.js';
@@ -51,6 +52,8 @@
 	readonly crashes: CrashGuard;
 	readonly quarantineRows: QuarantineRows;
 	readonly load: LoadTracker;
+	readonly rateShares: RateShares;
+	readonly rateLimits: RateLimits;
 	readonly roleChanges: RoleChanges;
 	readonly gossip: Gossip;
 	readonly directory: EndpointDirectory;
@@ -63,7 +66,7 @@
 /** Fraction of the time until a version must be in force in which the store delivers it; a peer can still deliver it in the rest. */
 const storeDeliveryFraction = 0.5;
 
-type GossipComponents = Pick<ForwardComponents, 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'metrics' | 'phases' | 'roleChanges' | 'supervise' | 'usage'>;
+type GossipComponents = Pick<ForwardComponents, 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'metrics' | 'phases' | 'rateLimits' | 'roleChanges' | 'supervise' | 'usage'>;
 
 const createGossip = ({
 	hostName, ip, gossipPort, dataCentre,
@@ -92,6 +95,10 @@
 	onDepartures(departures) {
 		components.directory.applyDepartures(departures);
 	},
+	limitNews: () => components.rateLimits.newsToSend(),
+	onLimitNews(peer, news) {
+		components.rateLimits.applyNews(peer.name, news);
+	},
 	segmentNews: receivers => components.crashes.segmentNewsToSend(receivers),
 	onSegmentNews(news) {
 		components.crashes.applyPeerSegmentNews(news);
@@ -160,8 +167,12 @@
 		log,
 		metrics,
 	});
-	const pool = new EndpointPool({
-		clock, entries: () => members.liveCount(), serviceOf: name => config.routes?.findService(name),
+	const rateShares = new RateShares({clock, entries: () => members.sharingCount()});
+	const rateLimits: RateLimits = new RateLimits({
+		clock, random, shares: rateShares, pool: () => pool, log, metrics,
+	});
+	const pool: EndpointPool = new EndpointPool({
+		clock, entries: () => members.liveCount(), rateLimitOf: endpoint => rateLimits.limitOf(endpoint), serviceOf: name => config.routes?.findService(name),
 	});
 	const backoffs = new BackoffRecorder({
 		clock, random, pool, log, metrics,
@@ -203,6 +214,9 @@
 		onRetryAfter(target, head) {
 			backoffs.record(target, head);
 		},
+		onRateLimit(call, head) {
+			rateLimits.recordAnswer(call, head);
+		},
 		onLeaving(process) {
 			directory.recordLeaving(process, 'answer');
 		},
@@ -211,7 +225,7 @@
 		},
 	};
 	const gossip: Gossip = createGossip(settings, deps, {
-		roleChanges, config, crashes, directory, load, members, metrics, phases, supervise, usage,
+		roleChanges, config, crashes, directory, load, members, metrics, phases, rateLimits, supervise, usage,
 	});
 	const follower: StoreFollower = new StoreFollower({
 		clock,
@@ -234,7 +248,8 @@
 		},
 	});
 	return {
-		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, roleChanges, gossip, directory, answerListener,
+		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
 };
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -178,6 +178,9 @@
 			dataCentre: this.#settings.dataCentre,
 			stop: this.#stopTimes,
 			retryWindowOf: service => this.#retryWindowOf(service),
+			onRequest: service => {
+				this.#components.rateShares.recordRequest(service);
+			},
 			routes: () => this.#components.config.routes,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -131,6 +131,7 @@
 	protectFromStop(authorized, deps.stop);
 	const retryWindow = deps.retryWindowOf(service.name);
 	retryWindow.recordFirstCall();
+	deps.onRequest(service.name);
 	if (relay) {
 		const requestedAnswer = {kind: route.name, guessedTokens: request.guessedTokens, limitMs: exchange.remainingMs};
 		deps.load.longAnswerLoadLimit(service.name).recordRequested(requestedAnswer, deps.clock.nowMs());
--- a/packages/forward/src/forward-types.ts
+++ b/packages/forward/src/forward-types.ts
@@ -40,6 +40,8 @@
 	readonly dataCentre: string;
 	readonly stop: StopTimes;
 	readonly retryWindowOf: (service: string) => RetryWindow;
+	/** Called with the service of each request, for the shares in the limits of its endpoints. */
+	readonly onRequest: (service: string) => void;
 	/** Called when an endpoint has begun to run a request, so that it counts as usage of its account. */
 	readonly onRun: (admitted: AdmittedRequest) => void;
 	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream' | 'recordCrash'>;
--- a/packages/forward/src/gossip-message.ts
+++ b/packages/forward/src/gossip-message.ts
@@ -4,7 +4,7 @@
  * version may send other ones; a message without its required fields counts as lost.
  */
 import {
-	brandAs, priorityLevelCount, type EndpointId, type EndpointRole, type EntryPhase, type Fingerprint, type LevelWork, type PromptSegment,
+	brandAs, priorityLevelCount, type EndpointId, type EndpointRole, type EntryPhase, type Fingerprint, type LevelWork, type PromptSegment, type ServiceDemand,
 } from '@hawthorncleat/core';
 import type {CrashReport} from './crash-guard.js';
 import {departureKinds, type Departure, type DepartureKind} from './departures.js';
@@ -12,6 +12,7 @@
 import type {
 	EntryLoad, PendingPrefills, RunningCount, SentWork,
 } from './load-tracker.js';
+import type {LimitNews, ToldLimit} from './rate-limits.js';
 import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
 import type {UsageNotice} from './usage-counter.js';
@@ -32,6 +33,8 @@
 	readonly crashes: readonly CrashReport[];
 	/** Processes of endpoints that have left or are leaving. */
 	readonly departures: readonly Departure[];
+	/** Limits that endpoints name, and the demand of the sender's callers for their services. */
+	readonly limitNews?: LimitNews;
 	/** News about prompt segments that crash engines. */
 	readonly segments?: SegmentNews;
 	/** Usage that is not in the store yet. Only some messages carry it. */
@@ -108,6 +111,22 @@
 		}
 		: undefined;
 
+const encodeLimit = ({id, startedAt, perSecond, ageMs}: ToldLimit): Tuple => [id, startedAt, perSecond ?? null, Math.round(ageMs)];
+
+const encodeLimitNews = ({limits, demands}: LimitNews): {readonly limits: readonly Tuple[]; readonly demands: readonly Tuple[]} => ({
+	limits: limits.map(limit => encodeLimit(limit)),
+	demands: demands.map(({service, perSecond}) => [service, perSecond]),
+});
+
+const decodeLimit = ([id, startedAt, perSecond, ageMs]: Tuple): ToldLimit | undefined =>
+	isText(id) && isAmount(startedAt) && (perSecond === null || isAmount(perSecond)) && isAmount(ageMs)
+		? {
+			id: brandAs<EndpointId>(id), startedAt, perSecond: perSecond ?? undefined, ageMs,
+		}
+		: undefined;
+
+const decodeDemand = ([service, perSecond]: Tuple): ServiceDemand | undefined => isText(service) && isAmount(perSecond) ? {service, perSecond} : undefined;
+
 const roles = new Set<unknown>(['prefill', 'decode'] satisfies EndpointRole[]);
 const phases = new Set<unknown>(['starting', 'ready', 'waiting', 'leaving'] satisfies EntryPhase[]);
 
@@ -147,7 +166,7 @@
 
 /** The text of a message. The fields keep the names that entries of earlier versions read. */
 export const encodeMessage = ({
-	from, configVersion, phase, roleChanges, load, crashes, departures, segments, usage,
+	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, segments, usage,
 }: GossipMessage): string => JSON.stringify({
 	from,
 	config: configVersion,
@@ -158,6 +177,7 @@
 	sent: load.sent.map(work => encodeSent(work)),
 	...crashes.length > 0 && {crashes: crashes.map(report => encodeCrash(report))},
 	...departures.length > 0 && {departures: departures.map(departure => encodeDeparture(departure))},
+	...limitNews && limitNews.limits.length > 0 && encodeLimitNews(limitNews),
 	...segments && hasSegmentNews(segments) && {segments: roundAges(segments)},
 	...usage && {usage},
 });
@@ -171,7 +191,7 @@
 /** Decodes a datagram; undefined if it is no message. */
 export const decodeMessage = (text: string): GossipMessage | undefined => {
 	const {
-		from, config, phase, changing, running, prefills, sent, crashes, departures, segments, usage,
+		from, config, phase, changing, running, prefills, sent, crashes, departures, limits, demands, segments, usage,
 	} = parseFields(text);
 	if (!isText(from) || !isAmount(config) || !isTuple(changing) || !isTuple(running) || !isTuple(sent)) {
 		return undefined;
@@ -189,6 +209,7 @@
 		},
 		crashes: decodeList(crashes, tuple => decodeCrash(tuple)),
 		departures: decodeList(departures, tuple => decodeDeparture(tuple)),
+		...isTuple(limits) && {limitNews: {limits: decodeList(limits, tuple => decodeLimit(tuple)), demands: decodeList(demands, tuple => decodeDemand(tuple))}},
 		...isSegmentNews(segments) && {segments},
 		...isUsageNotice(usage) && {usage},
 	};
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -13,6 +13,7 @@
 import {decodeMessage, encodeMessage, type GossipMessage} from './gossip-message.js';
 import type {LoadTracker, SentWork} from './load-tracker.js';
 import type {ForwardMetrics} from './metrics.js';
+import type {LimitNews} from './rate-limits.js';
 import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
 import type {Supervise} from './supervisor.js';
@@ -48,6 +49,8 @@
 	/** Departures of endpoints for the peers that the name stands for. */
 	readonly departures: (receivers: string) => readonly Departure[];
 	readonly onDepartures: (departures: readonly Departure[]) => void;
+	readonly limitNews: () => LimitNews;
+	readonly onLimitNews: (peer: Peer, news: LimitNews) => void;
 	/** News for the peers that the name stands for; they are repeated to each of them. */
 	readonly segmentNews: (receivers: string) => SegmentNews;
 	readonly onSegmentNews: (news: SegmentNews) => void;
@@ -74,19 +77,20 @@
 const maxDatagramBytes = 1400;
 
 /** What is new to the receivers, without ages and amounts, which change all the time. */
-const describeState = ({load: {running, prefills = []}, roleChanges, crashes, segments, phase}: GossipMessage): string => JSON.stringify([
+const describeState = ({load: {running, prefills = []}, roleChanges, crashes, limitNews, segments, phase}: GossipMessage): string => JSON.stringify([
 	running,
 	prefills.map(({endpoint}) => endpoint),
 	roleChanges,
 	crashes.map(({fingerprint, endpoint}) => [fingerprint, endpoint]),
 	segments?.crashes.map(({endpoint}) => endpoint),
 	[...segments?.completed ?? [], ...segments?.quarantines ?? []].map(({segment}) => segment),
+	limitNews?.limits.map(({id, perSecond}) => [id, perSecond]),
 	phase.phase,
 ]);
 
 /** Whether a message has parts that can be sent in another datagram. The load of running requests is in each of them. */
-const isDivisible = ({load: {sent}, crashes, departures, segments, usage}: GossipMessage): boolean =>
-	sent.length > 1 || (departures.length > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
+const isDivisible = ({load: {sent}, crashes, departures, limitNews, segments, usage}: GossipMessage): boolean =>
+	sent.length > 1 || (departures.length + (limitNews?.limits.length ?? 0) > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
 
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
@@ -163,7 +167,7 @@
 	/** Sends a message if there is news, or if the last message or the last usage notice is too long ago. */
 	#sendIfDue(group: PeerGroup): void {
 		const {
-			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, segmentNews, usageNotice,
+			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, segmentNews, usageNotice,
 		} = this.#options;
 		const message: GossipMessage = {
 			from: ownName,
@@ -173,6 +177,7 @@
 			load: {running: load.ownRunningCounts(), prefills: load.ownPendingPrefills(), sent: group.sent},
 			crashes: crashReports(),
 			departures: departures(group.name),
+			limitNews: limitNews(),
 			segments: segmentNews(group.name),
 		};
 		group.sent = [];
@@ -203,7 +208,9 @@
 		const {sent} = message.load;
 		if (text.length > maxDatagramBytes && isDivisible(message)) {
 			const half = Math.ceil(sent.length / 2);
-			this.#sendToPeers(peers, {...message, load: {...message.load, sent: sent.slice(0, half)}, departures: []});
+			this.#sendToPeers(peers, {
+				...message, load: {...message.load, sent: sent.slice(0, half)}, departures: [], limitNews: undefined,
+			});
 			this.#sendToPeers(peers, {
 				...message, load: {...message.load, sent: sent.slice(half)}, usage: undefined, crashes: [], segments: undefined,
 			});
@@ -237,6 +244,10 @@
 			this.#options.onDepartures(message.departures);
 		}
 
+		if (message.limitNews) {
+			this.#options.onLimitNews(peer, message.limitNews);
+		}
+
 		if (message.segments) {
 			this.#options.onSegmentNews(message.segments);
 		}
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -4,6 +4,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {RateChange} from '@hawthorncleat/core';
 import type {CloseReason} from './caller-connections.js';
 import type {RequestEnd} from './caller-handler.js';
 import type {AttemptReport, StallReport} from './forward-types.js';
@@ -73,6 +74,14 @@
 		name: 'hawthorncleat_forward_endpoint_backoffs_total', help: 'Times that an endpoint stated for how long it wants no requests', registers: [this.registry],
 	});
 
+	readonly #rateLimits = new Counter({
+		name: 'hawthorncleat_forward_rate_limit_changes_total', help: 'Times that the limit that an endpoint names began, changed or ended', labelNames: ['change'], registers: [this.registry],
+	});
+
+	readonly #invalidRateLimits = new Counter({
+		name: 'hawthorncleat_forward_invalid_rate_limits_total', help: 'Answers whose limit of requests could not be read', registers: [this.registry],
+	});
+
 	readonly #invalidRetryAfters = new Counter({
 		name: 'hawthorncleat_forward_invalid_retry_after_total', help: 'Retry delays of endpoints that could not be read or were cut, by problem', labelNames: ['problem'], registers: [this.registry],
 	});
@@ -178,6 +187,14 @@
 		this.#backoffs.inc();
 	}
 
+	countRateLimit(change: RateChange): void {
+		this.#rateLimits.inc({change});
+	}
+
+	countInvalidRateLimit(): void {
+		this.#invalidRateLimits.inc();
+	}
+
 	countInvalidRetryAfter(problem: 'too-long' | 'unreadable'): void {
 		this.#invalidRetryAfters.inc({problem});
 	}
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -70,6 +70,10 @@
 	readonly invalidRetryAfter?: string;
 	/** Id of the endpoint that has answered, if the answer has it. */
 	readonly endpointId?: string;
+	/** The process that has answered takes this many requests a second from all entries together; absent if it names no limit. */
+	readonly requestsPerSecond?: number;
+	/** Its limit, as far as it could not be read. */
+	readonly invalidRateLimit?: string;
 	/** The process that has answered announces that it leaves. */
 	readonly isEndpointLeaving: boolean;
 	/** The answer has an announcement of that kind with a value that cannot be read. */
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -2,7 +2,7 @@
  * The first call of a split request: one engine prefills the prompt and holds its KV cache until the decode engine has
  * fetched it.
  */
-import {maxQueueMs} from '@hawthorncleat/core';
+import {maxQueueMs, type RatePlace} from '@hawthorncleat/core';
 import {
 	createEndpointCall, createRequestLimits, createSendDetails, createSuperseded, classifyFailure,
 } from './attempt-helpers.js';
@@ -42,7 +42,12 @@
 
 type PrefillPlacement = Placement & {readonly prefill: PooledEndpoint};
 
-export const runPrefill = async (deps: ForwardDeps, admitted: AdmittedRequest, placement: PrefillPlacement, control: AttemptControl): Promise<PrefillResult> => {
+export const runPrefill = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	placement: PrefillPlacement,
+	{control, place}: {readonly control: AttemptControl; readonly place: RatePlace},
+): Promise<PrefillResult> => {
 	const {prefill, level = 0, uncachedTokens = 0, prefillWaitMs: waitMs = 0} = placement;
 	const {request, route, exchange, outputTokens} = admitted;
 	const startMs = deps.clock.nowMs();
@@ -60,7 +65,7 @@
 	const call = createEndpointCall(deps, admitted, {...createSendDetails(admitted, prefill, level), isPrefillOnly: true});
 	const prefillExchange = startEndpointExchange(prefill.connections, call, {
 		onHead(status, headers) {
-			const answer = readEndpointAnswer(deps, {target: prefill, requestId: request.id}, status, headers);
+			const answer = readEndpointAnswer(deps, {target: prefill, requestId: request.id, askedMs: startMs}, status, headers);
 			if (!answer) {
 				return false;
 			}
@@ -75,7 +80,7 @@
 
 			return true;
 		},
-	}, createRequestLimits(deps.pool, prefill, limit.signal));
+	}, createRequestLimits(deps, {target: prefill, place}, limit.signal));
 	const end = await prefillExchange.ended;
 	limit.clear();
 	stallTimer.clear();
--- a/packages/forward/src/relay-buffered-answer.ts
+++ b/packages/forward/src/relay-buffered-answer.ts
@@ -1,6 +1,7 @@
 /**
  * Runs a request that is not a stream and relays its answer.
  */
+import type {RatePlace} from '@hawthorncleat/core';
 import type {AttemptControl} from './attempt-race.js';
 import {readEndpointAnswer} from './endpoint-answer.js';
 import {startEndpointExchange} from './endpoint-exchange.js';
@@ -36,15 +37,21 @@
  * Buffers the complete answer before it sends any of it to the caller, so that the request can be retried if the answer is
  * truncated. An answer that is too long to be buffered is relayed as it arrives.
  */
-export const relayBufferedAnswer = async (deps: ForwardDeps, admitted: AdmittedRequest, {target}: Placement, control: AttemptControl): Promise<AttemptResult> => {
+export const relayBufferedAnswer = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	{target}: Placement,
+	{control, place}: {readonly control: AttemptControl; readonly place: RatePlace},
+): Promise<AttemptResult> => {
 	const {exchange} = admitted;
+	const askedMs = deps.clock.nowMs();
 	const body = new AnswerBuffer(maxBufferedAnswerBytes);
 	let head: AnswerHead | undefined;
 	let isValid = false;
 	const stallTimer = watchForStall(admitted, control);
 	const endpointExchange = startEndpointExchange(target.connections, createEndpointCall(deps, admitted, createSendDetails(admitted, target, undefined)), {
 		onHead(status, headers) {
-			const answer = readEndpointAnswer(deps, {target, requestId: admitted.request.id}, status, headers);
+			const answer = readEndpointAnswer(deps, {target, requestId: admitted.request.id, askedMs}, status, headers);
 			if (!answer) {
 				return false;
 			}
@@ -71,7 +78,7 @@
 
 			return true;
 		},
-	}, createRequestLimits(deps.pool, target, control.signal));
+	}, createRequestLimits(deps, {target, place}, control.signal));
 	exchange.onDrain(() => {
 		endpointExchange.resume();
 	});
--- a/packages/forward/src/relay-stream.ts
+++ b/packages/forward/src/relay-stream.ts
@@ -2,6 +2,7 @@
  * Relays the stream of one attempt to the caller: only complete events, and only while no other attempt of the request has delivered first.
  */
 import type {Buffer} from 'node:buffer';
+import type {RatePlace} from '@hawthorncleat/core';
 import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from './answer-buffer.js';
 import {
 	createEndpointCall, createRequestLimits, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
@@ -48,10 +49,16 @@
 const checkStreamEnd = (end: ExchangeEnd, head: AnswerHead | undefined, {isInsideEvent}: EventSplitter): ExchangeEnd =>
 	end.kind === 'complete' && head && isEventStream(head) && isInsideEvent ? {kind: 'broken', error: truncatedStreamError} : end;
 
-export const relayStream = async (deps: ForwardDeps, admitted: AdmittedRequest, source: StreamSource, {relay, control}: {relay: StreamRelay; control: AttemptControl}): Promise<AttemptResult> => {
+export const relayStream = async (
+	deps: ForwardDeps,
+	admitted: AdmittedRequest,
+	source: StreamSource,
+	{relay, control, place}: {relay: StreamRelay; control: AttemptControl; place: RatePlace},
+): Promise<AttemptResult> => {
 	const {
 		target, level, kvSource, onFirstEvent, onEvents,
 	} = source;
+	const askedMs = deps.clock.nowMs();
 	const details = {...createSendDetails(admitted, target, level), kvSource, lastEventId: relay.lastEventId};
 	const watch = createStreamWatch(source, admitted, control);
 	const splitter = new EventSplitter();
@@ -83,7 +90,7 @@
 
 	const endpointExchange = startEndpointExchange(target.connections, createEndpointCall(deps, admitted, details), {
 		onHead(status, headers) {
-			const answer = readEndpointAnswer(deps, {target, requestId: admitted.request.id}, status, headers);
+			const answer = readEndpointAnswer(deps, {target, requestId: admitted.request.id, askedMs}, status, headers);
 			if (!answer) {
 				return false;
 			}
@@ -126,7 +133,7 @@
 
 			return mayContinue;
 		},
-	}, createRequestLimits(deps.pool, target, control.signal));
+	}, createRequestLimits(deps, {target, place}, control.signal));
 	const end = checkStreamEnd(await endpointExchange.ended, head, splitter);
 	watch.end();
 	if (control.isSuperseded) {
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, maxRoleChanges, pickRoleChange, referenceLoad,
+	balanceRoles, maxRoleChanges, pickRoleChange, RatePlace, referenceLoad,
 	type Clock, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
@@ -240,6 +240,8 @@
 
 	/** An engine that has begun to leave, or wants no calls, is neither asked nor ordered. */
 	async #call(engine: PooledEndpoint, encoded: EncodedCall, signal: AbortSignal): Promise<EndpointAnswer | undefined> {
-		return withTimeLimit(callTimeoutMs, signal, async limited => callEndpoint(this.#options, engine, encoded, createRequestLimits(this.#options.pool, engine, limited)));
+		return withTimeLimit(callTimeoutMs, signal, async limited => callEndpoint(this.#options, engine, encoded, createRequestLimits(this.#options, {
+			target: engine, place: new RatePlace(engine.rateLimit, this.#options.clock.nowMs()),
+		}, limited)));
 	}
 }
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/run-attempt.ts
@@ -3,7 +3,7 @@
  * request itself, whose answer is relayed to the caller. Also records the load and the measured latencies of the engines.
  */
 import {
-	engineLoad, lowestPriorityLevel, type TrackedPrefill,
+	engineLoad, lowestPriorityLevel, RatePlace, type TrackedPrefill,
 } from '@hawthorncleat/core';
 import type {AttemptControl} from './attempt-race.js';
 import {isNotRunFailure} from './attempt-helpers.js';
@@ -52,11 +52,14 @@
 	});
 };
 
+/** What the run of a stream works with. */
+type RunningStream = {readonly relay: StreamRelay; readonly control: AttemptControl; readonly place: RatePlace};
+
 const runDecode = async (
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
 	{placement: {target, decodeLevel: level, prefill, uncachedTokens = 0, prefillWaitMs = 0, firstTokenMs = 0}, kvSource}: {placement: Placement; kvSource: KvHandle | undefined},
-	running: {relay: StreamRelay; control: AttemptControl},
+	running: RunningStream,
 ): Promise<AttemptResult> => {
 	const {relay} = running;
 	const {request, service, outputTokens} = admitted;
@@ -111,10 +114,12 @@
 	};
 };
 
-/** Counts a call, unless none of it was sent. */
-const recordArrival = (state: AttemptState, result: AttemptResult | PrefillResult): void => {
+/** Counts a call, unless none of it was sent; then its place under the limit of the endpoint is free again. */
+const recordArrival = (state: AttemptState, result: AttemptResult | PrefillResult, place: RatePlace): void => {
 	const isUnsent = (result.kind === 'failed' && result.failure === 'not-connected') || (result.kind === 'superseded' && !result.wasSent);
-	if (!isUnsent && state.request.arrivals.record({isPrefilled: result.kind === 'prefilled'})) {
+	if (isUnsent) {
+		place.release();
+	} else if (state.request.arrivals.record({isPrefilled: result.kind === 'prefilled'})) {
 		state.extraCalls += 1;
 	}
 };
@@ -129,16 +134,17 @@
 };
 
 /** Runs a request of a plain service. */
-const runPlain = async (deps: ForwardDeps, admitted: AdmittedRequest, placement: Placement, state: AttemptState): Promise<AttemptResult> => {
+const runPlain = async (deps: ForwardDeps, admitted: AdmittedRequest, placement: Placement, {state, place}: {readonly state: AttemptState; readonly place: RatePlace}): Promise<AttemptResult> => {
 	const {target} = placement;
 	if (!state.control.startRun()) {
+		place.release();
 		return {kind: 'superseded', wasSent: false, mayHaveRun: false};
 	}
 
 	deps.load.startRequest(target, plainRequestSize);
-	const result = await relayBufferedAnswer(deps, admitted, placement, state.control);
+	const result = await relayBufferedAnswer(deps, admitted, placement, {control: state.control, place});
 	deps.load.endRequest(target, plainRequestSize);
-	recordArrival(state, result);
+	recordArrival(state, result, place);
 	if (mayHaveRun(result)) {
 		deps.onRun(admitted);
 	}
@@ -169,11 +175,11 @@
 	deps: ForwardDeps,
 	admitted: AdmittedRequest,
 	source: {placement: Placement; kvSource: KvHandle | undefined},
-	running: {relay: StreamRelay; control: AttemptControl},
+	running: RunningStream,
 ): Promise<AttemptResult> => {
 	const {target} = source.placement;
 	// Without this check the attempt would count among those that run, and end others whose prefill is in vain then.
-	if (!deps.pool.maySend(target)) {
+	if (!deps.pool.maySend(target) || !running.place.confirm(deps.clock.nowMs())) {
 		return {
 			kind: 'failed', failure: 'not-connected', detail: 'the endpoint takes no new requests any more', failedAt: target, isWithdrawn: true,
 		};
@@ -194,17 +200,21 @@
 	const {prefill} = placement;
 	const {request, control} = state;
 	const {relay} = request;
+	// Both places are reserved at once: other requests are placed before this one has been prefilled.
+	const place = new RatePlace(placement.target.rateLimit, deps.clock.nowMs());
 	if (!relay) {
-		return runPlain(deps, admitted, placement, state);
+		return runPlain(deps, admitted, placement, {state, place});
 	}
 
 	let {kvSource} = placement;
 	let prefillMs: number | undefined;
 	if (prefill && !kvSource) {
 		const startMs = deps.clock.nowMs();
-		const prefilled = await runPrefill(deps, admitted, {...placement, prefill}, control);
-		recordArrival(state, prefilled);
+		const prefillPlace = new RatePlace(prefill.rateLimit, startMs);
+		const prefilled = await runPrefill(deps, admitted, {...placement, prefill}, {control, place: prefillPlace});
+		recordArrival(state, prefilled, prefillPlace);
 		if (prefilled.kind !== 'prefilled') {
+			place.release();
 			return prefilled;
 		}
 
@@ -215,8 +225,8 @@
 		}
 	}
 
-	const result = await startRun(deps, admitted, {placement, kvSource}, {relay, control});
-	recordArrival(state, result);
+	const result = await startRun(deps, admitted, {placement, kvSource}, {relay, control, place});
+	recordArrival(state, result, place);
 	if (prefill && kvSource) {
 		keepOrReleaseKvCache(deps, request, {engine: prefill, handle: kvSource, result});
 	}
