--- a/packages/forward/src/rate-limits.ts
+++ b/packages/forward/src/rate-limits.ts
@@ -31,7 +31,7 @@
 const maxPerMessage = 8;
 /** Every peer in touch has learned of the end of a limit by then. */
 const toldAfterEndMs = 5000;
-/** A limit without a request to its endpoint is not confirmed. Then entries tell it less and less reliably, so it is told no longer. */
+/** A limit that no answer has confirmed for longer may have ended, so it is told no longer. */
 const maxAgeMs = 30_000;
 /** A faulty endpoint may send another value with each answer. */
 const minLogIntervalMs = 1000;
--- a/packages/soak/src/__tests__/rules.test.ts
+++ b/packages/soak/src/__tests__/rules.test.ts
@@ -37,7 +37,7 @@
 /** Returns the names of the rules that a record with these changes breaks. */
 const check = (changes: Partial<SoakRecord>): string[] => {
 	const record: SoakRecord = {
-		runs: [], reports: [], orders: [], disturbances: [], endpointFaults: [], stops: [], retryLimits, recoveredMs, configs: [{
+		runs: [], reports: [], orders: [], disturbances: [], endpointFaults: [], limits: [], stops: [], retryLimits, recoveredMs, configs: [{
 			version: 1, atMs: 0, services, keys,
 		}], ...changes, calls: [...changes.calls ?? [], ...createLaterCalls()],
 	};
@@ -257,6 +257,23 @@
 			assert.equal(check({orders: [order, {...order, holder: 'e2', fence: 4}]}), ['fences are own']);
 		});
 
+		it('an endpoint that gets more requests than the limit that it named; guards against entries that overrun an endpoint in need', () => {
+			const limit = {
+				endpoint: 'i-1', perSecond: 1, fromMs: 5000, untilMs: 14_000,
+			};
+			const calls = Array.from({length: 12}, (_, index) => createCall({id: `limited${index}`, sentMs: 9000 + (index * 100)}));
+			const runs = calls.map(call => createRun(call));
+			assert.equal(check({calls, runs, limits: [limit]}), ['limits are kept']);
+			assert.equal(check({calls, runs: runs.slice(0, 11), limits: [limit]}), []);
+			assert.equal(check({calls, runs, limits: [{...limit, fromMs: 8000}]}), []);
+			assert.equal(check({
+				calls, runs, limits: [limit], disturbances: [{...disturbance, fromMs: 8900, untilMs: 9100}],
+			}), []);
+			assert.equal(check({
+				calls, runs, limits: [limit], endpointFaults: [{...fault, fromMs: 8900, untilMs: 9100}],
+			}), []);
+		});
+
 		it('an entry that does not serve again after the faults, and a planned stop that fails or takes too long', () => {
 			assert.equal(check({calls: createLaterCalls(503).map(call => ({...call, entry: 'e2'}))}), ['serves again']);
 			assert.equal(check({stops: [{entry: 'e1', code: 1, lastedMs: 10}]}), ['stops end']);
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,6 +1,6 @@
 /**
- * Injects random faults from outside the entries. There are six tracks: entries, the store, endpoints, changes by the operator,
- * silences of endpoints and spoiled values. The faults of one track run one after the other; those of different tracks overlap.
+ * Injects random faults from outside the entries. There are seven tracks: entries, the store, endpoints, changes by the operator,
+ * silences of endpoints, spoiled values and limits that endpoints name. The faults of one track run one after the other; those of different tracks overlap.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LostBytes, SeededRandom} from '@hawthorncleat/histories';
@@ -236,7 +236,24 @@
 	},
 };
 
-const tracks: readonly Track[] = [entryFaults, storeFaults, endpointFaults, operatorChanges, silences, spoiledValues];
+/** Longer than it takes until the limit has to be kept, by less than what the rest of a run takes. */
+const minLimitMs = 5000;
+const maxLimitMs = 8000;
+
+const limits: Track = {
+	async limited(world, random) {
+		await world.limit(random.pick(world.endpoints).endpoint, random.integer(5, 30) / 10, async () => sleep(random.integer(minLimitMs, maxLimitMs)));
+	},
+	async limitedAnew(world, random) {
+		const {endpoint} = random.pick(world.endpoints);
+		for (let round = 0; round < 3; round += 1) {
+			await world.limit(endpoint, random.integer(5, 60) / 10, async () => sleep(random.integer(200, minLimitMs)));
+			await sleep(random.integer(0, 500));
+		}
+	},
+};
+
+const tracks: readonly Track[] = [entryFaults, storeFaults, endpointFaults, operatorChanges, silences, spoiledValues, limits];
 const maxPauseBetweenFaultsMs = 1500;
 
 const runTrack = async (track: Track, world: World, random: SeededRandom, signal: AbortSignal): Promise<string[]> => {
--- a/packages/soak/src/record.ts
+++ b/packages/soak/src/record.ts
@@ -29,6 +29,14 @@
 	readonly untilMs: number;
 };
 
+/** A period in which an endpoint named a limit. */
+export type NamedLimit = {
+	readonly endpoint: string;
+	readonly perSecond: number;
+	readonly fromMs: number;
+	readonly untilMs: number;
+};
+
 /** A configuration that the store has acknowledged. */
 export type PublishedConfig = {
 	readonly version: number;
@@ -46,6 +54,7 @@
 	readonly configs: readonly PublishedConfig[];
 	readonly disturbances: readonly Disturbance[];
 	readonly endpointFaults: readonly EndpointFault[];
+	readonly limits: readonly NamedLimit[];
 	/** Retry budget in the settings of the entries. */
 	readonly retryLimits: RetryLimits;
 	/** From this time on no fault is active and all processes have had time to recover. */
--- a/packages/soak/src/rules/index.ts
+++ b/packages/soak/src/rules/index.ts
@@ -2,6 +2,7 @@
 import {
 	answersAreOwn, limitsHold, refusalsAreTrue, servesAgain,
 } from './answers.js';
+import {limitsAreKept} from './limits.js';
 import {fencesAreOwn, reportsAgree, stopsEnd} from './duties.js';
 import {requestsAreNotCut} from './cut-requests.js';
 import {
@@ -19,6 +20,7 @@
 	actionsRunOnce,
 	attemptsAreLimited,
 	retriesAreFew,
+	limitsAreKept,
 	leftRequestsEnd,
 	configsAreFollowed,
 	configsDoNotGoBack,
--- a/packages/soak/src/run-seed.ts
+++ b/packages/soak/src/run-seed.ts
@@ -42,6 +42,7 @@
 	configs: world.configs,
 	disturbances: world.disturbances,
 	endpointFaults: world.endpointFaults,
+	limits: world.limits,
 	retryLimits,
 	recoveredMs,
 	stops: world.stops,
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -15,7 +15,7 @@
 import {createEntryProcess, type EntryProcess} from './entry-process.js';
 import {StoreCopies} from './store-copies.js';
 import type {
-	Disturbance, EndpointFault, PublishedConfig, SoakRecord,
+	Disturbance, EndpointFault, NamedLimit, PublishedConfig, SoakRecord,
 } from './record.js';
 
 /** An endpoint and the relay through which entries reach it. */
@@ -39,10 +39,10 @@
 const narrowBytesPerSecond = 875_000;
 
 /** A period that may not have ended yet. */
-type Period<Fault extends Disturbance | EndpointFault> = Fault & {untilMs: number};
+type Period<Fault extends Disturbance | EndpointFault | NamedLimit> = Fault & {untilMs: number};
 
 /** Records a fault for as long as `body` runs. */
-const recordPeriod = async <Fault extends Disturbance | EndpointFault>(periods: Array<Period<Fault>>, period: Period<Fault>, body: () => Promise<void>): Promise<void> => {
+const recordPeriod = async <Fault extends Disturbance | EndpointFault | NamedLimit>(periods: Array<Period<Fault>>, period: Period<Fault>, body: () => Promise<void>): Promise<void> => {
 	periods.push(period);
 	try {
 		await body();
@@ -64,6 +64,7 @@
 	readonly logLines: string[];
 	readonly #disturbances: Array<Period<Disturbance>> = [];
 	readonly #endpointFaults: Array<Period<EndpointFault>> = [];
+	readonly #limits: Array<Period<NamedLimit>> = [];
 
 	constructor(components: Pick<World, 'copies' | 'endpoints' | 'entries' | 'logLines' | 'store' | 'usage'>) {
 		this.store = components.store;
@@ -82,6 +83,10 @@
 		return this.#endpointFaults;
 	}
 
+	get limits(): readonly NamedLimit[] {
+		return this.#limits;
+	}
+
 	get newestConfig(): PublishedConfig {
 		return this.configs.at(-1)!;
 	}
@@ -108,6 +113,13 @@
 		}, body);
 	}
 
+	/** Lets an endpoint name a limit while `body` runs. */
+	async limit(endpoint: EndpointStandIn, perSecond: number, body: () => Promise<void>): Promise<void> {
+		endpoint.requestsPerSecond = perSecond;
+		await recordPeriod(this.#limits, {endpoint: endpoint.options.id, perSecond, ...beginPeriod()}, body);
+		endpoint.requestsPerSecond = undefined;
+	}
+
 	async start(): Promise<void> {
 		this.publish({});
 		await Promise.all(this.endpoints.map(async ({endpoint}) => endpoint.start()));
