Split the types of a request by what they describe, and break the circle of seven files

forward-types held the request, its state, its outcome, the results and reports of attempts and the dependencies of all, so that seven modules imported each other through it. Each has a module of its own now; the names of shared prompt segments stand with the request. No logic has changed; no circle is left in packages/forward.

--- a/packages/forward/src/__tests__/attempt-race.test.ts
+++ b/packages/forward/src/__tests__/attempt-race.test.ts
@@ -1,7 +1,7 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {AttemptRace, type AttemptControl} from '../attempt-race.js';
-import type {AttemptResult} from '../forward-types.js';
+import type {AttemptResult} from '../attempt-result.js';
 import type {Placement} from '../placement.js';
 
 const placement = {} as unknown as Placement;
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/__tests__/stream-relay.test.ts
@@ -6,7 +6,7 @@
 import * as assert from 'uvu/assert';
 import {CallerExchange} from '../caller-exchange.js';
 import {EventSplitter} from '../event-splitter.js';
-import type {AdmittedRequest} from '../forward-types.js';
+import type {AdmittedRequest} from '../admitted-request.js';
 import type {AnswerHead} from '../ports.js';
 import {streamStallMs, StreamRelay} from '../stream-relay.js';
 
--- a/packages/forward/src/attempt-helpers.ts
+++ b/packages/forward/src/attempt-helpers.ts
@@ -7,9 +7,9 @@
 } from '@hawthorncleat/core';
 import type {EndpointCall, ExchangeEnd, ExchangeLimits} from './endpoint-exchange.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
-import type {
-	AdmittedRequest, FailedAttempt, ForwardDeps, SupersededAttempt,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {FailedAttempt, SupersededAttempt} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
 import type {AnswerHead, CallerRequest, SendDetails} from './ports.js';
 
 /** Lowest status that is an error of the endpoint. */
@@ -88,10 +88,3 @@
 	remainingMs: Math.max(1, Math.floor(exchange.remainingMs)),
 	level,
 });
-
-/** Ids of the prompt segments that other requests may share. The last segment belongs to one request or session. */
-export const sharedSegmentIds = ({segments}: CallerRequest): string[] => segments.slice(0, -1).map(({id}) => id);
-
-/** The prompt segments of a request that other requests of its service may share. */
-export const segmentKeysOf = ({request, service}: Pick<AdmittedRequest, 'request' | 'service'>): SegmentKey[] =>
-	sharedSegmentIds(request).map(id => brandAs<SegmentKey>(`${service.name}/${id}`));
--- a/packages/forward/src/attempt-race.ts
+++ b/packages/forward/src/attempt-race.ts
@@ -3,12 +3,10 @@
  * starts beside it if the retry budget and the endpoints allow it, and the first that delivers ends the others.
  */
 import type {PooledEndpoint} from './endpoint-pool.js';
-import type {AttemptResult} from './forward-types.js';
+import type {AttemptPhase} from './attempt-report.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {Placement} from './placement.js';
 
-/** Part of an attempt: the prefill at a separate engine, or the call that runs the request. */
-export type AttemptPhase = 'prefill' | 'run';
-
 /** What a running attempt uses to follow and to inform the race. */
 export type AttemptControl = {
 	/** Aborts when the request ends or another attempt has delivered first. */
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -11,7 +11,8 @@
 } from './caller-exchange.js';
 import {createEarlyOutcome, finishExchange} from './early-end.js';
 import {forwardRequest} from './forward-request.js';
-import type {ForwardDeps, Outcome} from './forward-types.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {Outcome} from './outcome.js';
 import {waitForPendingInput} from './pending-input.js';
 import type {CallerRequest} from './ports.js';
 
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -8,8 +8,7 @@
 import {
 	brandAs, SuspectRequests, type Clock, type Fingerprint, type RegisteredEndpoint, type SegmentKey, type SegmentQuarantine,
 } from '@hawthorncleat/core';
-import {segmentKeysOf} from './attempt-helpers.js';
-import type {AdmittedRequest} from './forward-types.js';
+import {segmentKeysOf, type AdmittedRequest} from './admitted-request.js';
 import {RequestQuarantines} from './request-quarantines.js';
 import {SegmentQuarantines, type SegmentNews, type SentQuarantine} from './segment-quarantines.js';
 
--- a/packages/forward/src/early-end.ts
+++ b/packages/forward/src/early-end.ts
@@ -3,7 +3,7 @@
  * gets an answer or a refusal, unless its connection is gone or its answer has begun.
  */
 import type {CallerExchange, EndReason} from './caller-exchange.js';
-import type {Outcome} from './forward-types.js';
+import type {Outcome} from './outcome.js';
 import type {WireFormat} from './ports.js';
 
 /** What ends a request early. `internal-error`: an exception while it was served. */
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/finish-failed.ts
@@ -5,9 +5,10 @@
 import {isRepeatable} from './attempt-helpers.js';
 import {createEarlyOutcome} from './early-end.js';
 import {countKeptOut} from './kept-out.js';
-import type {
-	AdmittedRequest, DeferredAnswer, FailedAttempt, ForwardDeps, Outcome,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {DeferredAnswer, FailedAttempt} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {Outcome} from './outcome.js';
 
 /** Retry delay after endpoints refused the request; a caller that retries sooner finds the same queue. */
 const notRunRetryMs = 250;
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -11,7 +11,7 @@
 import {ConfigServer} from './config-transfer.js';
 import {runDuties} from './duties.js';
 import {createForwardComponents, type ForwardDaemonDeps, type ForwardComponents} from './forward-components.js';
-import type {AdmittedRequest} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
 import {stopGracefully} from './graceful-stop.js';
 import {ListeningQueue} from './listening-queue.js';
 import {createStopTimes, type StopTimes} from './stop-times.js';
--- /dev/null
+++ b/packages/forward/src/forward-deps.ts
@@ -0,0 +1,31 @@
+/**
+ * What the modules that serve one request work with.
+ */
+import type {Clock, Random, RetryWindow} from '@hawthorncleat/core';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {AttemptReport, StallReport} from './attempt-report.js';
+import type {CrashGuard} from './crash-guard.js';
+import type {AnswerListener} from './endpoint-answer.js';
+import type {EndpointPool} from './endpoint-pool.js';
+import type {LoadTracker} from './load-tracker.js';
+import type {WireFormat} from './ports.js';
+import type {StopTimes} from './stop-times.js';
+
+export type ForwardDeps = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly wire: WireFormat;
+	readonly answerListener: AnswerListener;
+	readonly pool: EndpointPool;
+	readonly load: LoadTracker;
+	readonly dataCentre: string;
+	readonly stop: StopTimes;
+	readonly retryWindowOf: (service: string) => RetryWindow;
+	/** Called with the service of each request, for the shares in the limits of its endpoints. */
+	readonly onRequest: (service: string) => void;
+	/** Called when an endpoint has begun to run a request, so that it counts as usage of its account. */
+	readonly onRun: (admitted: AdmittedRequest) => void;
+	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream' | 'recordCrash'>;
+	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
+	readonly onStall: (admitted: AdmittedRequest, stall: StallReport) => void;
+};
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -3,13 +3,14 @@
  */
 import {RequestArrivals, type ForwardRoute} from '@hawthorncleat/core';
 import {isNotRunFailure, isRepeatable} from './attempt-helpers.js';
-import {
-	AttemptRace, type AttemptPhase, type RunLimits, type RunningAttempt,
-} from './attempt-race.js';
+import type {AttemptPhase} from './attempt-report.js';
+import {AttemptRace, type RunLimits, type RunningAttempt} from './attempt-race.js';
 import {finishAborted, finishFailed} from './finish-failed.js';
-import type {
-	AdmittedRequest, AttemptResult, ForwardDeps, Outcome, RequestState,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {Outcome} from './outcome.js';
+import type {RequestState} from './request-state.js';
 import {
 	findRetryDenial, replaceStalled, startNextAttempt, type RequestProgress,
 } from './next-attempt.js';
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/metrics.ts
@@ -7,7 +7,7 @@
 import type {RateChange} from '@hawthorncleat/core';
 import type {CloseReason} from './caller-connections.js';
 import type {RequestEnd} from './caller-handler.js';
-import type {AttemptReport, StallReport} from './forward-types.js';
+import type {AttemptReport, StallReport} from './attempt-report.js';
 import type {KeptOutReason} from './kept-out.js';
 
 /** What traffic that is not for callers is for: a table of the store, the configuration of another entry, or messages between entries. */
--- a/packages/forward/src/next-attempt.ts
+++ b/packages/forward/src/next-attempt.ts
@@ -5,12 +5,15 @@
 	decideRetry, type FailureKind, type ForwardRoute,
 } from '@hawthorncleat/core';
 import {isRepeatable} from './attempt-helpers.js';
-import type {AttemptPhase, AttemptRace, RunningAttempt} from './attempt-race.js';
+import {type AttemptPhase, type StallDecision} from './attempt-report.js';
+import type {AttemptRace, RunningAttempt} from './attempt-race.js';
 import {stoppingRetryMs} from './early-end.js';
 import {finishFailed, finishQuarantined, finishWithoutRetries} from './finish-failed.js';
-import type {
-	AdmittedRequest, FailedAttempt, ForwardDeps, Outcome, RequestState, RetryDenial, StallDecision,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {FailedAttempt} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {Outcome, RetryDenial} from './outcome.js';
+import type {RequestState} from './request-state.js';
 import {
 	choosePlacement, type Overload, type Placement, type PlacementOptions,
 } from './placement.js';
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/placement.ts
@@ -6,7 +6,9 @@
 	choosePriorityLevel, selectEngines, selectEndpoint, lowestPriorityLevel, maxQueueMs, type EngineSelection, type SelectionRequest,
 } from '@hawthorncleat/core';
 import type {PooledEndpoint} from './endpoint-pool.js';
-import type {AdmittedRequest, DecodeView, ForwardDeps} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {DecodeView} from './attempt-report.js';
+import type {ForwardDeps} from './forward-deps.js';
 import type {KvHandle} from './ports.js';
 
 /** A prompt whose KV cache is still held by its prefill engine, because no decode engine has fetched it. */
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -14,9 +14,9 @@
 import {createStallTimer} from './stall-timer.js';
 import {createTimeLimit, withTimeLimit} from './time-limit.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
-import type {
-	AdmittedRequest, FailedAttempt, ForwardDeps, SupersededAttempt,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {FailedAttempt, SupersededAttempt} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
 import type {Placement} from './placement.js';
 import type {AnswerHead, KvHandle} from './ports.js';
 
--- a/packages/forward/src/record-attempt-result.ts
+++ b/packages/forward/src/record-attempt-result.ts
@@ -2,8 +2,8 @@
  * Outlier ejection: records the result of an attempt for the endpoints that took part in it.
  */
 import type {FailureKind} from '@hawthorncleat/core';
-import type {AttemptPhase} from './attempt-race.js';
-import type {AttemptResult, FailedAttempt} from './forward-types.js';
+import type {AttemptPhase} from './attempt-report.js';
+import type {AttemptResult, FailedAttempt} from './attempt-result.js';
 import type {Placement} from './placement.js';
 
 /** Failures that count towards the ejection of an endpoint. An error answer of the service does not. */
--- a/packages/forward/src/relay-buffered-answer.ts
+++ b/packages/forward/src/relay-buffered-answer.ts
@@ -10,7 +10,9 @@
 } from './attempt-helpers.js';
 import type {CallerExchange} from './caller-exchange.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
-import type {AdmittedRequest, AttemptResult, ForwardDeps} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
 import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from './answer-buffer.js';
 import type {Placement} from './placement.js';
 import type {AnswerHead} from './ports.js';
--- a/packages/forward/src/report-attempt.ts
+++ b/packages/forward/src/report-attempt.ts
@@ -3,9 +3,10 @@
  */
 import {isRepeatable} from './attempt-helpers.js';
 import type {AttemptControl} from './attempt-race.js';
-import type {
-	AdmittedRequest, AttemptResult, ForwardDeps, RequestState,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {RequestState} from './request-state.js';
 import {findKeptOut} from './kept-out.js';
 import type {Placement} from './placement.js';
 import {recordAttemptResult} from './record-attempt-result.js';
--- a/packages/forward/src/request-reports.ts
+++ b/packages/forward/src/request-reports.ts
@@ -1,12 +1,11 @@
 /**
  * Writes the log lines and counts the metrics of requests and their attempts.
  */
-import {sharedSegmentIds} from './attempt-helpers.js';
 import type {RequestEnd} from './caller-handler.js';
 import type {DecisionLog} from './decision-log.js';
-import type {
-	AdmittedRequest, AttemptReport, AttemptResult, StallReport,
-} from './forward-types.js';
+import {sharedSegmentIds, type AdmittedRequest} from './admitted-request.js';
+import type {AttemptReport, StallReport} from './attempt-report.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {ForwardMetrics} from './metrics.js';
 
 const decimalFactor = 100;
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/run-attempt.ts
@@ -8,9 +8,10 @@
 import type {AttemptControl} from './attempt-race.js';
 import {isNotRunFailure} from './attempt-helpers.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
-import type {
-	AdmittedRequest, AttemptResult, AttemptState, ForwardDeps, RequestState,
-} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {AttemptState, RequestState} from './request-state.js';
 import type {Placement} from './placement.js';
 import type {KvHandle} from './ports.js';
 import {releaseKvHandle, runPrefill, type PrefillResult} from './prefill.js';
--- a/packages/forward/src/stop-times.ts
+++ b/packages/forward/src/stop-times.ts
@@ -5,8 +5,7 @@
  */
 import {areMostReady, maxQueueMs} from '@hawthorncleat/core';
 import type {EntryPhases} from './entry-phases.js';
-import type {AdmittedRequest} from './forward-types.js';
-import type {Placement} from './placement.js';
+import type {AdmittedRequest} from './admitted-request.js';
 import type {ForwardSettings} from './ports.js';
 
 export type StopTimes = {
@@ -39,7 +38,11 @@
 const stopDurationFactor = 2;
 const stopDurationMarginMs = 1000;
 
-type Timing = Pick<Placement, 'decode' | 'firstTokenMs'>;
+/** Expected times of a placed request, as far as they are known. */
+type Timing = {
+	readonly decode?: {readonly msPerToken: number};
+	readonly firstTokenMs?: number;
+};
 
 const decodeMs = ({outputTokens}: AdmittedRequest, {decode}: Timing): number => decode ? outputTokens * decode.msPerToken : 0;
 
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -5,7 +5,7 @@
 import type {Buffer} from 'node:buffer';
 import type {CallerExchange} from './caller-exchange.js';
 import type {EventSplitter} from './event-splitter.js';
-import type {AdmittedRequest} from './forward-types.js';
+import type {AdmittedRequest} from './admitted-request.js';
 import type {AnswerHead} from './ports.js';
 
 /** Minimum time without bytes after which a stream counts as stalled. Callers disconnect after two seconds at the earliest. */
