--- a/packages/forward/src/connections.ts
+++ b/packages/forward/src/connections.ts
@@ -28,14 +28,16 @@
  */
 const resetWhenGivenUp = (socket: Socket): void => {
 	const destroy = socket.destroy.bind(socket);
+	let reason: Error | undefined;
 	socket.destroy = error => {
 		// The HTTP client gives up a connection with an error, and so does Node.js when the connection itself fails, which must be reported as it is.
-		if (error && !('syscall' in error) && !socket.destroyed) {
-			// By itself the reset would wait until everything has been written.
-			socket.resetAndDestroy();
+		if (error && !('syscall' in error) && !socket.destroyed && reason === undefined) {
+			reason = error;
+			// Calls `destroy` once more, without the error.
+			return socket.resetAndDestroy();
 		}
 
-		return destroy(error);
+		return destroy(error ?? reason);
 	};
 };
 
