--- a/packages/soak/src/__tests__/rules.test.ts
+++ b/packages/soak/src/__tests__/rules.test.ts
@@ -90,6 +90,29 @@
 			}
 		});
 
+		it('when the connection ends on which its answer was lost; guards against blame for the end of a connection that had gone silent before', () => {
+			const call = createCall({...cutCalls[2], endedMs: 10_900});
+			const runs = [createRun(call, {endedMs: 10_180})];
+			const silent = {
+				...fault, fault: 'connections-silent', fromMs: 9700, untilMs: 9700,
+			};
+			const cut = {
+				...fault, fault: 'cut', fromMs: 10_880, untilMs: 10_880,
+			};
+			assert.equal(check({calls: [call], runs, endpointFaults: [silent, cut]}), []);
+			for (const endpointFaults of [
+				[silent],
+				[cut],
+				[{...silent, endpoint: 'i-2'}, cut],
+				[silent, {...cut, endpoint: 'i-2'}],
+				[{...silent, fromMs: 10_300, untilMs: 10_300}, cut],
+				[{...silent, fromMs: 7900, untilMs: 7900}, cut],
+				[silent, {...cut, fromMs: 11_100, untilMs: 11_100}],
+			]) {
+				assert.equal(check({calls: [call], runs, endpointFaults}), ['requests are not cut'], JSON.stringify(endpointFaults));
+			}
+		});
+
 		it('on its way to an endpoint of its service that failed; guards against blame for a connection that was lost before the run', () => {
 			const call = createCall({...cutCalls[0]});
 			const prefill = createRun(call, {isPrefill: true});
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -5,7 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {LostBytes, SeededRandom} from '@hawthorncleat/histories';
 import type {EntryProcess} from './entry-process.js';
-import {silenceFault} from './record.js';
+import {silenceFault, silentConnectionsFault} from './record.js';
 import {spoiledValues} from './spoiled-values.js';
 import {maxCopyAgeMs} from './store-copies.js';
 import {initialConfig, type RelayedEndpoint, type World} from './world.js';
@@ -156,7 +156,7 @@
 			await endpoint.start();
 		});
 	},
-	silent: createEndpointFault('connections-silent', async ({relay}, random) => {
+	silent: createEndpointFault(silentConnectionsFault, async ({relay}, random) => {
 		relay.silenceOpen(random.pick(lossDirections));
 	}),
 	cut: createEndpointFault('cut', async ({relay}) => {
--- a/packages/soak/src/record.ts
+++ b/packages/soak/src/record.ts
@@ -19,6 +19,8 @@
 
 /** Name of the fault of an endpoint that writes nothing for a while and then goes on. All others end requests or their connections. */
 export const silenceFault = 'silence';
+/** Name of the fault after which nothing arrives any more on the open connections to an endpoint, in one direction or both, until they are closed. */
+export const silentConnectionsFault = 'connections-silent';
 
 /** A period in which an endpoint had a fault. */
 export type EndpointFault = {
--- a/packages/soak/src/rules/cut-requests.ts
+++ b/packages/soak/src/rules/cut-requests.ts
@@ -5,7 +5,7 @@
 import {groupBy} from '@hawthorncleat/core';
 import {routeTimeoutMs, type Call, type Run} from '@hawthorncleat/platform/stand-ins';
 import {
-	isProcessUndisturbed, silenceFault, type EndpointFault, type Rule, type SoakRecord, type Violation,
+	isProcessUndisturbed, silenceFault, silentConnectionsFault, type EndpointFault, type Rule, type SoakRecord, type Violation,
 } from '../record.js';
 
 /** The times of runs and faults are those of the stand-ins. Bytes take this long at most through a relay of a busy test process. */
@@ -23,10 +23,22 @@
 const overlaps = ({fromMs, untilMs}: EndpointFault, period: Period): boolean =>
 	fromMs <= period.untilMs + maxRelayDelayMs && untilMs >= period.fromMs - maxRelayDelayMs;
 
-/** Whether a fault other than a silence may have ended a request at one of the endpoints that ran it. */
+/** Whether the answer of a run may have been lost on a connection that had gone silent. A request on one ends within its time limit, and the connection with it. */
+const isAnswerLost = (faults: readonly EndpointFault[], {endpoint, atMs}: Run, endedMs: number): boolean =>
+	faults.some(fault => fault.fault === silentConnectionsFault && fault.endpoint === endpoint && fault.fromMs <= endedMs && fault.fromMs >= atMs - routeTimeoutMs);
+
+/**
+ * Whether a fault other than a silence may have ended a request at one of the endpoints that ran it. After the end of a run, only the end of its
+ * connection may have, and only if the answer was lost on it.
+ */
 const hasFailedRun = (faults: readonly EndpointFault[], runs: readonly Run[], {endedMs: callEndedMs}: Call): boolean =>
-	runs.some(({endpoint, atMs, endedMs = callEndedMs}) =>
-		faults.some(fault => fault.endpoint === endpoint && overlaps(fault, {fromMs: atMs, untilMs: Math.min(endedMs, callEndedMs)})));
+	runs.some(run => {
+		const {endpoint, atMs, endedMs = callEndedMs} = run;
+		const untilMs = Math.min(endedMs, callEndedMs);
+		const ofEndpoint = faults.filter(fault => fault.endpoint === endpoint);
+		return ofEndpoint.some(fault => overlaps(fault, {fromMs: atMs, untilMs}))
+			|| (isAnswerLost(ofEndpoint, run, untilMs) && ofEndpoint.some(fault => fault.fault !== silentConnectionsFault && overlaps(fault, {fromMs: untilMs, untilMs: callEndedMs})));
+	});
 
 /** Whether such a fault may have ended a request on its way to an endpoint of its route. */
 const hasFailedBeforeRun = ({configs}: SoakRecord, faults: readonly EndpointFault[], {route, sentMs, endedMs}: Call): boolean => {
