--- a/packages/core/src/forwarding/__tests__/endpoint-rate-limit.test.ts
+++ b/packages/core/src/forwarding/__tests__/endpoint-rate-limit.test.ts
@@ -13,7 +13,16 @@
 /** What the users allow in a window. */
 const maxInWindow = (perSecond: number): number => (perSecond * windowMs / 1000 * 1.5) + 5;
 
-type Entry = {readonly shares: RateShares; readonly limit: EndpointRateLimit; demandPerSecond: number; dueRequests: number};
+type Entry = {
+	shares: RateShares;
+	limit: EndpointRateLimit;
+	demandPerSecond: number;
+	dueRequests: number;
+	/** It does nothing until then. */
+	frozenUntilMs: number;
+	/** Nothing passes between it and the others until then. */
+	cutUntilMs: number;
+};
 
 /** Entries before one endpoint, on one clock. Each offers its requests to the endpoint; what it may not take goes elsewhere. */
 class Fleet {
@@ -26,12 +35,14 @@
 
 	constructor(demands: readonly number[], random: () => number) {
 		this.#random = random;
-		this.entries = demands.map(demandPerSecond => {
-			const shares = new RateShares({clock: this.clock, entries: () => demands.length});
-			return {
-				shares, limit: new EndpointRateLimit({share: () => shares.share(service), random}), demandPerSecond, dueRequests: 0,
-			};
-		});
+		this.entries = demands.map(demandPerSecond => ({
+			...this.#createState(demands.length), demandPerSecond, dueRequests: 0, frozenUntilMs: 0, cutUntilMs: 0,
+		}));
+	}
+
+	/** The entry begins without memory. */
+	restart(entry: Entry): void {
+		Object.assign(entry, this.#createState(this.entries.length), {dueRequests: 0});
 	}
 
 	/** Each entry learns of the limit from an answer. */
@@ -70,27 +81,54 @@
 		return most;
 	}
 
+	#createState(entries: number): Pick<Entry, 'limit' | 'shares'> {
+		const shares = new RateShares({clock: this.clock, entries: () => entries});
+		return {shares, limit: new EndpointRateLimit({share: () => shares.share(service), random: this.#random})};
+	}
+
+	#isFrozen({frozenUntilMs}: Entry): boolean {
+		return this.clock.nowMs() < frozenUntilMs;
+	}
+
+	#isInTouch(entry: Entry): boolean {
+		return !this.#isFrozen(entry) && this.clock.nowMs() >= entry.cutUntilMs;
+	}
+
 	#offer(entry: Entry): void {
 		const {shares, limit, demandPerSecond} = entry;
+		if (this.#isFrozen(entry)) {
+			return;
+		}
+
 		entry.dueRequests += demandPerSecond * stepMs / 1000;
 		while (entry.dueRequests >= 1) {
 			entry.dueRequests -= 1;
 			shares.recordRequest(service);
-			if (limit.tryTake(this.clock.nowMs())) {
+			// The users' rule counts entries that know of the limit.
+			const isCounted = limit.statement !== undefined;
+			if (limit.tryTake(this.clock.nowMs()) && isCounted) {
 				this.arrivalsMs.push(this.clock.nowMs());
 			}
 		}
 	}
 
 	#gossip(): void {
-		for (const [sender, {shares}] of this.entries.entries()) {
+		for (const [index, sender] of this.entries.entries()) {
 			for (const receiver of this.entries) {
-				if (receiver.shares !== shares && this.#random() >= this.lossFraction) {
-					receiver.shares.recordPeer(`e${sender}`, [{service, perSecond: shares.measureDemand(service)}]);
+				const isDelivered = receiver !== sender && this.#isInTouch(sender) && this.#isInTouch(receiver) && this.#random() >= this.lossFraction;
+				if (isDelivered) {
+					this.#tell(sender, index, receiver);
 				}
 			}
 		}
 	}
+
+	#tell({shares, limit: {statement}}: Entry, index: number, receiver: Entry): void {
+		receiver.shares.recordPeer(`e${index}`, [{service, perSecond: shares.measureDemand(service)}]);
+		if (statement) {
+			receiver.limit.recordHeard(statement, this.clock.nowMs());
+		}
+	}
 }
 
 /** A sequence of numbers that a seed determines. */
@@ -164,6 +202,41 @@
 		), {seed: 561, numRuns: 300});
 	});
 
+	it('is kept while entries start again, freeze and are cut off; guards against shares that count an entry twice or not at all', () => {
+		const eventOf = fc.record({
+			kind: fc.constantFrom('restart', 'freeze', 'cut'), entry: fc.nat({max: 3}), afterMs: fc.integer({min: 1, max: 25}), forMs: fc.integer({min: 1, max: 60}),
+			demand: fc.integer({min: 0, max: 60}),
+		});
+		fc.assert(fc.property(
+			fc.record({
+				seed: fc.integer({min: 1, max: 1_000_000}), perSecond: fc.double({min: 1, max: 20, noNaN: true}), events: fc.array(eventOf, {minLength: 1, maxLength: 10}),
+			}),
+			({seed, perSecond, events}) => {
+				const fleet = new Fleet([15, 15, 15, 15], createRandom(seed));
+				fleet.run(2000);
+				fleet.state(perSecond);
+				const sinceMs = fleet.clock.nowMs();
+				for (const {kind, entry: index, afterMs, forMs, demand} of events) {
+					fleet.run(afterMs * 100);
+					const entry = fleet.entries[index]!;
+					const untilMs = fleet.clock.nowMs() + (forMs * 100);
+					entry.demandPerSecond = demand;
+					if (kind === 'restart') {
+						fleet.restart(entry);
+					} else if (kind === 'freeze') {
+						entry.frozenUntilMs = untilMs;
+					} else {
+						entry.cutUntilMs = untilMs;
+					}
+				}
+
+				fleet.run(8000);
+				const most = fleet.mostInWindow(sinceMs);
+				assert.ok(most <= maxInWindow(perSecond), `${most} of ${maxInWindow(perSecond)}`);
+			},
+		), {seed: 571, numRuns: 300});
+	});
+
 	describe('by statements that contradict each other', () => {
 		const createLimit = (): EndpointRateLimit => new EndpointRateLimit({share: () => 1, random: () => 0});
 
