--- a/packages/core/src/forwarding/endpoint-rate-limit.ts
+++ b/packages/core/src/forwarding/endpoint-rate-limit.ts
@@ -100,6 +100,14 @@
 		return true;
 	}
 
+	/** Records a call that is sent whatever the limit allows. */
+	recordSent(nowMs: number): void {
+		if (this.isLimited(nowMs)) {
+			this.#refill(nowMs);
+			this.#level -= 1;
+		}
+	}
+
 	/** Returns a request that was not sent. */
 	giveBack(): void {
 		this.#level += 1;
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/prefill.ts
@@ -35,8 +35,12 @@
 const giveUpFraction = 0.9;
 const releaseTimeoutMs = 1000;
 
-/** Frees a KV cache that no decode engine will fetch, also at an engine that leaves. If this call fails, the KV cache expires at its engine. */
+/**
+ * Frees a KV cache that no decode engine will fetch, also at an engine that leaves or has reached its rate limit: it has more room afterwards. If this call
+ * fails, the KV cache expires at its engine.
+ */
 export const releaseKvHandle = (deps: ForwardDeps, engine: PooledEndpoint, handle: KvHandle): void => {
+	engine.rateLimit.recordSent(deps.clock.nowMs());
 	void withTimeLimit(releaseTimeoutMs, undefined, async signal => callEndpoint(deps, engine, deps.wire.writeHandleRelease(handle), {signal}));
 };
 
