--- a/packages/core/src/forwarding/__tests__/crashing-segments.test.ts
+++ b/packages/core/src/forwarding/__tests__/crashing-segments.test.ts
@@ -18,7 +18,7 @@
 
 const createWorld = (): World => {
 	const clock = createManualClock();
-	const segments = new CrashingSegments(clock);
+	const segments = new CrashingSegments(clock, () => ({index: 0, count: 1}));
 	return {
 		segments,
 		clock,
--- a/packages/core/src/forwarding/crashing-segments.ts
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -3,12 +3,16 @@
  * their other segments, so segments are suspected one by one: each counts the crashes of engines that had just begun a run with it. A run that completes
  * clears its segments of the crashes before it began. A segment with which runs have completed before is suspected only if the crashed run had no
  * other segments. Segments that were present at the same crashes are quarantined together, until a run that has only some of them completes.
+ *
+ * After its quarantine a segment is tried by one run at a time in the whole fleet, as each may cost an engine: the entries take turns, and the entry that
+ * starts the run quarantines the segment again for everything else until the run has shown whether it crashes its engine.
  */
 import type {Clock} from '../clock.js';
 import type {SegmentKey} from '../ids.js';
 import {
 	SegmentCrashes, wasAnyPresent, type CrashGroup, type SegmentCrash,
 } from './segment-crashes.js';
+import {trialWaitMs, type EntryPosition} from './trial-turns.js';
 
 /** A request that merely starts beside the one that crashes the engine is present at one or two crashes by chance. */
 const quarantineCrashes = 3;
@@ -28,7 +32,14 @@
 /** A quarantine ends by itself, because the segment may have been present by chance or the engines repaired. It doubles each time, because a trial may cost an engine. */
 const firstQuarantineMs = 20_000;
 const maxQuarantineMs = 300_000;
-/** For this time after its quarantine a segment returns to it at the next crash. */
+/** A run shows within this time whether it crashes its engine: by then most have waited for the engine, had their prompts read and begun to decode. */
+const trialMs = 10_000;
+/** Requests of this time tell how often a segment is asked for. */
+const arrivalWindowMs = 10_000;
+/** With more arrivals in the window, an entry shares its turn with no other. */
+const maxArrivalTimes = 16;
+const msPerSecond = 1000;
+/** For this time after its quarantine a segment is tried by one run at a time, and returns to quarantine at the next crash. */
 const probationMs = 600_000;
 /** Few runs begin at one engine at the same moment. */
 const maxRunsPerCrash = 12;
@@ -59,16 +70,21 @@
 
 export class CrashingSegments {
 	readonly #clock: Clock;
+	readonly #position: () => EntryPosition;
 	readonly #crashes = new SegmentCrashes();
 	/** When the latest completed run of each segment began, the latest one last. */
 	readonly #completedMs = new Map<SegmentKey, number>();
 	/** Times of the latest requests of this entry with each segment that were allowed to run, the latest segment last. */
 	readonly #requestTimesMs = new Map<SegmentKey, number[]>();
 	readonly #quarantines = new Map<SegmentKey, SegmentQuarantine>();
+	/** Times of the latest requests with each segment that has been in quarantine, with those that were rejected. */
+	readonly #arrivalTimesMs = new Map<SegmentKey, number[]>();
 	readonly #quarantineCounts = new Map<SegmentKey, number>();
 
-	constructor(clock: Clock) {
+	/** `position`: that of this entry among those of the fleet. */
+	constructor(clock: Clock, position: () => EntryPosition) {
 		this.#clock = clock;
+		this.#position = position;
 	}
 
 	/** Quarantines that are in effect. */
@@ -121,17 +137,24 @@
 		return suspects;
 	}
 
+	/** Records a request that has arrived, whether it may run or not. */
+	recordArrival(segments: readonly SegmentKey[]): void {
+		for (const {segment} of this.#quarantinesOf(segments)) {
+			const timesMs = [...this.#arrivalTimesMs.get(segment) ?? [], this.#clock.nowMs()];
+			putLatest(this.#arrivalTimesMs, segment, timesMs.slice(-maxArrivalTimes));
+		}
+	}
+
 	/** Time until a request with these segments may run; undefined if it may run now. */
 	quarantineRemainingMs(segments: readonly SegmentKey[]): number | undefined {
-		const nowMs = this.#clock.nowMs();
-		for (const segment of segments) {
-			const quarantine = this.#quarantines.get(segment);
-			if (quarantine && nowMs < quarantine.untilMs && hasAll(segments, quarantine.companions)) {
-				return quarantine.untilMs - nowMs;
-			}
-		}
+		const waitsMs = this.#quarantinesOf(segments).map(quarantine => this.#waitMs(quarantine));
+		const waitMs = Math.max(0, ...waitsMs);
+		return waitMs > 0 ? waitMs : undefined;
+	}
 
-		return undefined;
+	/** Records that a run with these segments starts. Returns the quarantines that hold back others while this run tries their segments. */
+	recordStart(segments: readonly SegmentKey[]): SegmentQuarantine[] {
+		return this.#quarantinesOf(segments).map(quarantine => this.#extend(quarantine, this.#clock.nowMs() + trialMs));
 	}
 
 	/**
@@ -155,15 +178,59 @@
 			return true;
 		}
 
-		this.#quarantines.set(segment, {
+		const adopted = {
 			segment,
 			companions: quarantine.companions.filter(companion => (own?.companions ?? [companion]).includes(companion) && !this.#hasCompletedSince(companion, quarantine.refutedAfterMs)),
 			refutedAfterMs: Math.max(quarantine.refutedAfterMs, own?.refutedAfterMs ?? quarantine.refutedAfterMs),
-			untilMs: Math.max(quarantine.untilMs, own?.untilMs ?? quarantine.untilMs),
-		});
+			untilMs: own?.untilMs ?? quarantine.untilMs,
+		};
+		this.#extend(adopted, quarantine.untilMs);
 		return true;
 	}
 
+	/** Quarantines that concern a request with these segments, with those that have ended and whose segments have not been tried since. */
+	#quarantinesOf(segments: readonly SegmentKey[]): SegmentQuarantine[] {
+		const quarantines: SegmentQuarantine[] = [];
+		// Most of the time there are none.
+		if (this.#quarantines.size === 0) {
+			return quarantines;
+		}
+
+		for (const segment of segments) {
+			const quarantine = this.#quarantines.get(segment);
+			if (quarantine && hasAll(segments, quarantine.companions)) {
+				quarantines.push(quarantine);
+			}
+		}
+
+		return quarantines;
+	}
+
+	/** Time until this entry may run a request that a quarantine concerns; 0 if it may run now. */
+	#waitMs({segment, untilMs}: SegmentQuarantine): number {
+		const nowMs = this.#clock.nowMs();
+		return nowMs < untilMs ? untilMs - nowMs : trialWaitMs(nowMs - untilMs, this.#position(), this.#arrivalsPerSecond(segment));
+	}
+
+	#arrivalsPerSecond(segment: SegmentKey): number {
+		const sinceMs = this.#clock.nowMs() - arrivalWindowMs;
+		const arrivals = (this.#arrivalTimesMs.get(segment) ?? []).filter(atMs => atMs >= sinceMs).length;
+		return Math.max(1, arrivals) / arrivalWindowMs * msPerSecond;
+	}
+
+	/** Keeps a quarantine, until at least the time given. One that begins again after its end counts as another one. */
+	#extend(quarantine: SegmentQuarantine, untilMs: number): SegmentQuarantine {
+		const {segment} = quarantine;
+		const nowMs = this.#clock.nowMs();
+		if (this.#quarantines.has(segment) && quarantine.untilMs <= nowMs && nowMs < untilMs) {
+			this.#quarantineCounts.set(segment, (this.#quarantineCounts.get(segment) ?? 1) + 1);
+		}
+
+		const extended = {...quarantine, untilMs: Math.max(quarantine.untilMs, untilMs)};
+		this.#quarantines.set(segment, extended);
+		return extended;
+	}
+
 	#hasCompletedSince(segment: SegmentKey, sinceMs: number): boolean {
 		return (this.#completedMs.get(segment) ?? Number.NEGATIVE_INFINITY) >= sinceMs;
 	}
@@ -222,7 +289,8 @@
 			untilMs: Math.max(nowMs + durationMs, own?.untilMs ?? 0),
 		};
 		this.#quarantines.set(segment, quarantine);
-		return isInEffect ? [] : [quarantine];
+		const isOwnKept = isInEffect && quarantine.untilMs - own.untilMs < trialMs;
+		return isOwnKept ? [] : [quarantine];
 	}
 
 	/**
@@ -272,6 +340,7 @@
 			if (nowMs >= untilMs + probationMs) {
 				this.#quarantines.delete(segment);
 				this.#quarantineCounts.delete(segment);
+				this.#arrivalTimesMs.delete(segment);
 			}
 		}
 	}
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -25,6 +25,7 @@
 export {SegmentCache} from './segment-cache.js';
 export {CrashingSegments, type SegmentQuarantine} from './crashing-segments.js';
 export {type SegmentCrash} from './segment-crashes.js';
+export {type EntryPosition} from './trial-turns.js';
 export {RequestArrivals, type ArrivingCall, type PlannedAttempt} from './request-arrivals.js';
 export {
 	RetryWindow, type RetryLimits, type RetryReservation, type RetryWindowOptions, type RetryWindowState,
--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/__tests__/crash-guard.test.ts
@@ -39,7 +39,14 @@
 
 const createGuard = (clock = createManualClock(), refusesConnections = async (): Promise<boolean> => false): CrashGuard =>
 	new CrashGuard({
-		clock, refusesConnections, onCrash: () => undefined, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+		clock,
+		position: () => ({index: 0, count: 1}),
+		onTrial: () => undefined,
+		refusesConnections,
+		onCrash: () => undefined,
+		onQuarantine: () => undefined,
+		onAdoption: () => undefined,
+		onQuarantineEnd: () => undefined,
 	});
 
 /** The run began before any crash, unless `startedMs` says otherwise. */
--- a/packages/forward/src/__tests__/quarantine-rows.test.ts
+++ b/packages/forward/src/__tests__/quarantine-rows.test.ts
@@ -53,6 +53,8 @@
 	});
 	const guard = new SegmentQuarantines({
 		clock,
+		position: () => ({index: 0, count: 1}),
+		onTrial: () => undefined,
 		onQuarantine(quarantine) {
 			void quarantineRows.save([quarantine]);
 		},
--- a/packages/forward/src/__tests__/segment-quarantines.test.ts
+++ b/packages/forward/src/__tests__/segment-quarantines.test.ts
@@ -6,6 +6,8 @@
 import {SegmentWorld, type WorldOptions, type WorldResult} from './segment-world.js';
 
 const seeds = Array.from({length: 20}, (_, index) => index + 1);
+/** For the longer plays. */
+const fewSeeds = seeds.slice(0, 10);
 const randomValues = 40_000;
 const randomScale = 1_000_000;
 
@@ -39,6 +41,9 @@
 	assert.ok(late <= maxLateRequests, `${what}: ${late} requests reached engines later than ${contactMs} ms after the fifth crash`);
 };
 
+/** A quarantine that began with the crashes after 4 s has ended, and a request has come to an entry in its turn. */
+const servedAgainMs = 60_000;
+
 /** A datagram has 1400 bytes; the load of the engines needs the other half. */
 const maxNewsBytes = 700;
 /** Stricter than the users' rule, which allows half: a wrong quarantine may reject the requests of about one rare segment. */
@@ -67,6 +72,20 @@
 				}
 			});
 
+			it('tries a segment once at a time after its quarantine, 10 seeds; guards against several engines that crash whenever a quarantine ends (BUDGET)', () => {
+				for (const seed of fewSeeds) {
+					assertRule(play(seed, site, {deadlyFraction: 0.08, endMs: 75_000}), `seed ${seed}`);
+				}
+			});
+
+			it('lets a segment pass again once the engines are repaired, 10 seeds; guards against requests rejected for good', () => {
+				for (const seed of fewSeeds) {
+					const {soundRejectedMs} = play(seed, site, {deadlyFraction: 0.08, repairedMs: 15_000, endMs: 75_000});
+					const lastMs = soundRejectedMs.at(-1) ?? 0;
+					assert.ok(lastMs < servedAgainMs, `seed ${seed}: rejected after ${lastMs} ms`);
+				}
+			});
+
 			it('rejects nothing when engines crash for other reasons only, 20 seeds; guards against quarantines of sound segments', () => {
 				for (const seed of seeds) {
 					const result = play(seed, site, {deadlyFraction: 0, powerFailuresMs: [3000, 4000, 5000, 6000, 7000, 9000, 12_000, 15_000]});
@@ -79,7 +98,7 @@
 	it('reaches an entry that has just started; guards against an entry that lets requests pass until it has lost engines itself', () => {
 		const clock = createManualClock();
 		const create = (): SegmentQuarantines => new SegmentQuarantines({
-			clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+			clock, position: () => ({index: 0, count: 1}), onQuarantine: () => undefined, onTrial: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
 		});
 		const [old, started] = [create(), create()];
 		const segments = [brandAs<SegmentKey>('models/dead')];
@@ -96,7 +115,7 @@
 	it('tells the others of the runs that began last; guards against engines that crash until the entry with the deadly run alone has learned it', () => {
 		const clock = createManualClock(10_000);
 		const guard = new SegmentQuarantines({
-			clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+			clock, position: () => ({index: 0, count: 1}), onQuarantine: () => undefined, onTrial: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
 		});
 		const runs = [900, 600, 300, 50].map(ageMs => ({segments: [brandAs<SegmentKey>(`models/${ageMs}`)], startedMs: clock.nowMs() - ageMs}));
 		guard.recordCrash('i-1', runs, clock.nowMs());
@@ -108,7 +127,9 @@
 		const ended: string[] = [];
 		const guard = new SegmentQuarantines({
 			clock,
+			position: () => ({index: 0, count: 1}),
 			onQuarantine: () => undefined,
+			onTrial: () => undefined,
 			onAdoption: () => undefined,
 			onQuarantineEnd(segment) {
 				ended.push(segment);
@@ -127,7 +148,7 @@
 	it('needs at most half of a datagram; guards against gossip that is split into packets and lost', () => {
 		const clock = createManualClock(1_000_000);
 		const guard = new SegmentQuarantines({
-			clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+			clock, position: () => ({index: 0, count: 1}), onQuarantine: () => undefined, onTrial: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
 		});
 		const createSegments = (run: number): SegmentKey[] => Array.from({length: 5}, (_, index) => brandAs<SegmentKey>(`prompt-hall/${(0xA0_00_00_00 + (run * 16) + index).toString(16)}`));
 		for (let crash = 0; crash < 12; crash += 1) {
--- a/packages/forward/src/__tests__/segment-world.ts
+++ b/packages/forward/src/__tests__/segment-world.ts
@@ -14,6 +14,8 @@
 	/** Fraction of the requests that have the deadly segment, from `deadlyFromMs` on. */
 	readonly deadlyFraction: number;
 	readonly deadlyFromMs: number;
+	/** From then on, requests with the segment crash no engines any more. */
+	readonly repairedMs?: number;
 	readonly endMs: number;
 	/** Times at which a quarter of the engines crash at once for another reason. */
 	readonly powerFailuresMs?: readonly number[];
@@ -68,7 +70,7 @@
 
 	constructor(options: WorldOptions) {
 		this.#options = options;
-		this.#guards = Array.from({length: options.entries}, () => this.#createGuard());
+		this.#guards = Array.from({length: options.entries}, (_, index) => this.#createGuard(index));
 		this.#downUntilMs = Array.from({length: options.engines}, () => 0);
 	}
 
@@ -83,7 +85,8 @@
 			}
 
 			if (restartsMs.includes(nowMs)) {
-				this.#guards[this.#integer(entries)] = this.#createGuard();
+				const entry = this.#integer(entries);
+				this.#guards[entry] = this.#createGuard(entry);
 			}
 
 			for (let entry = 0; entry < entries; entry += 1) {
@@ -99,9 +102,14 @@
 		return this.#result;
 	}
 
-	#createGuard(): SegmentQuarantines {
+	#createGuard(index: number): SegmentQuarantines {
 		return new SegmentQuarantines({
-			clock: this.#clock, onQuarantine: () => undefined, onAdoption: () => undefined, onQuarantineEnd: () => undefined,
+			clock: this.#clock,
+			position: () => ({index, count: this.#options.entries}),
+			onQuarantine: () => undefined,
+			onAdoption: () => undefined,
+			onTrial: () => undefined,
+			onQuarantineEnd: () => undefined,
 		});
 	}
 
@@ -169,17 +177,19 @@
 	}
 
 	#sendRequests(nowMs: number): void {
-		const {random, requestsPerSecond, deadlyFraction, deadlyFromMs} = this.#options;
+		const {random, requestsPerSecond, deadlyFraction, deadlyFromMs, repairedMs = Number.POSITIVE_INFINITY} = this.#options;
 		if (random() >= requestsPerSecond * stepMs / 1000) {
 			return;
 		}
 
-		const isDeadly = nowMs >= deadlyFromMs && random() < deadlyFraction;
+		const hasSegment = nowMs >= deadlyFromMs && random() < deadlyFraction;
+		const isDeadly = hasSegment && nowMs < repairedMs;
 		const first = key(`first-${this.#integer(firstSegments)}`);
 		const second = key(`second-${this.#integer(secondSegments)}`);
-		const segments = isDeadly ? [first, key('dead'), second] : [first, second];
+		const segments = hasSegment ? [first, key('dead'), second] : [first, second];
 		this.#result.soundRequests += isDeadly ? 0 : 1;
 		const entry = this.#integer(this.#guards.length);
+		this.#guards[entry]!.recordArrival(segments);
 		if (this.#guards[entry]!.remainingMs(segments) !== undefined) {
 			if (!isDeadly) {
 				this.#result.soundRejectedMs.push(nowMs);
@@ -201,6 +211,7 @@
 			return;
 		}
 
+		this.#guards[entry]!.recordStart(segments);
 		if (isDeadly) {
 			this.#result.deadlySentMs.push(nowMs);
 		}
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -6,7 +6,7 @@
  */
 import {createHash} from 'node:crypto';
 import {
-	brandAs, SuspectRequests, type Clock, type Fingerprint, type RegisteredEndpoint, type SegmentKey, type SegmentQuarantine,
+	brandAs, SuspectRequests, type Clock, type EntryPosition, type Fingerprint, type RegisteredEndpoint, type SegmentKey, type SegmentQuarantine,
 } from '@hawthorncleat/core';
 import {segmentKeysOf, type AdmittedRequest} from './admitted-request.js';
 import {RequestQuarantines} from './request-quarantines.js';
@@ -56,6 +56,8 @@
 
 export type CrashGuardOptions = {
 	readonly clock: Clock;
+	/** Position of this entry among the live ones. */
+	readonly position: () => EntryPosition;
 	/** Whether the endpoint refuses connections, as it does when its process has crashed. */
 	readonly refusesConnections: (endpoint: RegisteredEndpoint) => Promise<boolean>;
 	/** Called when a crash is detected; `requests` is the number of new suspect requests. */
@@ -63,6 +65,8 @@
 	/** Called when this entry quarantines a prompt segment, or adopts its quarantine. */
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
 	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
+	/** Called when a run of this entry tries a prompt segment whose quarantine has ended. */
+	readonly onTrial: (quarantine: SegmentQuarantine) => void;
 	/** Called when the quarantine of a prompt segment has ended early: a run with it has completed, or its crashes are put down to another segment. */
 	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
@@ -142,11 +146,21 @@
 		return segmentsMs !== undefined || this.#quarantines.size === 0 ? segmentsMs : this.#quarantines.remainingMs(fingerprintOf(request));
 	}
 
+	/** Records a request that has arrived, whether it may run or not. */
+	recordArrival(request: RequestContent): void {
+		this.#segments.recordArrival(segmentKeysOf(request));
+	}
+
 	/** Records a request that is allowed to run: a segment that many requests have is not the one that crashes engines. */
 	recordAllowedRequest(request: RequestContent): void {
 		this.#segments.recordRequest(segmentKeysOf(request));
 	}
 
+	/** Records that a run starts, which may be the one that tries a prompt segment after its quarantine. */
+	recordStart(request: RequestContent): void {
+		this.#segments.recordStart(segmentKeysOf(request));
+	}
+
 	/** Crash reports to broadcast to the other entries, with the requests that are closest to quarantine first. */
 	reportsToSend(): CrashReport[] {
 		const nowMs = this.#options.clock.nowMs();
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -117,14 +117,19 @@
 	},
 });
 
-const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs}: SegmentQuarantine, {isAdopted}: {readonly isAdopted: boolean}): void => {
+type LoggedQuarantine = SegmentQuarantine & {readonly isAdopted?: boolean; readonly isTrial?: boolean};
+
+const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs, isAdopted, isTrial}: LoggedQuarantine): void => {
 	log.write('quarantine', {
-		segment, companions, forMs: Math.round(untilMs - clock.nowMs()), isAdopted,
+		segment, companions, forMs: Math.round(untilMs - clock.nowMs()), isAdopted, isTrial,
 	});
 };
 
-const createCrashGuard = (clock: Clock, log: DecisionLog, quarantineRows: QuarantineRows): CrashGuard => new CrashGuard({
+type CrashGuardComponents = Pick<ForwardComponents, 'members' | 'quarantineRows'>;
+
+const createCrashGuard = (clock: Clock, log: DecisionLog, {members, quarantineRows}: CrashGuardComponents): CrashGuard => new CrashGuard({
 	clock,
+	position: () => members.position(),
 	refusesConnections,
 	onCrash({endpoint, requests}) {
 		log.write('endpoint', {
@@ -132,11 +137,15 @@
 		});
 	},
 	onQuarantine(quarantine) {
-		logQuarantine({clock, log}, quarantine, {isAdopted: false});
+		logQuarantine({clock, log}, {...quarantine, isAdopted: false});
 		void quarantineRows.save([quarantine]);
 	},
 	onAdoption(quarantine) {
-		logQuarantine({clock, log}, quarantine, {isAdopted: true});
+		logQuarantine({clock, log}, {...quarantine, isAdopted: true});
+	},
+	onTrial(quarantine) {
+		logQuarantine({clock, log}, {...quarantine, isTrial: true});
+		void quarantineRows.save([quarantine]);
 	},
 	onQuarantineEnd(segment) {
 		log.write('quarantine', {segment, forMs: 0});
@@ -181,7 +190,7 @@
 	const quarantineRows = new QuarantineRows({
 		rows, correctedClock, nowMs: () => clock.nowMs(), log,
 	});
-	const crashes = createCrashGuard(clock, log, quarantineRows);
+	const crashes = createCrashGuard(clock, log, {members, quarantineRows});
 	const load = new LoadTracker(clock, pool);
 	const roleChanges = new RoleChanges(clock, pool);
 	const usage = new UsageCounter({
--- a/packages/forward/src/forward-deps.ts
+++ b/packages/forward/src/forward-deps.ts
@@ -25,7 +25,11 @@
 	readonly onRequest: (service: string) => void;
 	/** Called when an endpoint has begun to run a request, so that it counts as usage of its account. */
 	readonly onRun: (admitted: AdmittedRequest) => void;
-	readonly crashes: Pick<CrashGuard, 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream' | 'recordCrash'>;
+	readonly crashes: Pick<
+		CrashGuard,
+		| 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordArrival' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream'
+		| 'recordCrash' | 'recordStart'
+	>;
 	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
 	readonly onStall: (admitted: AdmittedRequest, stall: StallReport) => void;
 };
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/membership.ts
@@ -4,7 +4,7 @@
  */
 import {isIPv4} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Clock} from '@hawthorncleat/core';
+import type {Clock, EntryPosition} from '@hawthorncleat/core';
 import type {DecisionLog} from './decision-log.js';
 import type {Peer} from './gossip.js';
 import type {RowStore, StoreAnswer} from './ports.js';
@@ -89,8 +89,13 @@
 
 	/** Number of live entries, including this one. */
 	liveCount(): number {
-		const liveSinceMs = this.#clock.nowMs() - peerTimeoutMs;
-		return 1 + this.#peers.filter(({name}) => (this.#lastSeenMs(name) ?? Number.NEGATIVE_INFINITY) > liveSinceMs).length;
+		return 1 + this.#livePeers().length;
+	}
+
+	/** Position of this entry among the live ones. Entries that see the same ones have different positions. */
+	position(): EntryPosition {
+		const peers = this.#livePeers();
+		return {index: peers.filter(({name}) => name < this.#ownName).length, count: 1 + peers.length};
 	}
 
 	/**
@@ -158,6 +163,11 @@
 		this.#mustWriteOwnRow = false;
 	}
 
+	#livePeers(): Peer[] {
+		const liveSinceMs = this.#clock.nowMs() - peerTimeoutMs;
+		return this.#peers.filter(({name}) => (this.#lastSeenMs(name) ?? Number.NEGATIVE_INFINITY) > liveSinceMs);
+	}
+
 	#hasHeardPeers(): boolean {
 		return this.#peers.some(({name}) => this.#lastSeenMs(name) !== undefined);
 	}
--- a/packages/forward/src/next-attempt.ts
+++ b/packages/forward/src/next-attempt.ts
@@ -75,6 +75,7 @@
 const startAttempt = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress, placement: Placement): void => {
 	const {request, race} = progress;
 	progress.tries += 1;
+	deps.crashes.recordStart(admitted);
 	progress.expectedMs = expectedAnswerMs(admitted, placement);
 	if (placement.kvSource) {
 		request.prefilled = undefined;
@@ -120,6 +121,10 @@
 /** Selects the endpoints of the next attempt and starts it, or ends the request. A request that certainly cannot run ends at once. */
 export const startNextAttempt = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress): Outcome | undefined => {
 	const {excluded, tries, withdrawn, mayHaveRun} = progress;
+	if (tries === 0) {
+		deps.crashes.recordArrival(admitted);
+	}
+
 	const quarantinedMs = deps.crashes.quarantineRemainingMs(admitted);
 	if (quarantinedMs !== undefined) {
 		return finishQuarantined(deps, admitted, {...progress, quarantinedMs});
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -3,7 +3,7 @@
  * runs had just begun at engines that crashed, which suspected segments have completed a run since, and which segments are quarantined.
  */
 import {
-	CrashingSegments, type Clock, type SegmentCrash, type SegmentKey, type SegmentQuarantine,
+	CrashingSegments, type Clock, type EntryPosition, type SegmentCrash, type SegmentKey, type SegmentQuarantine,
 } from '@hawthorncleat/core';
 
 /** News is sent again for this time, because datagrams get lost. */
@@ -52,9 +52,13 @@
 
 export type SegmentQuarantinesOptions = {
 	readonly clock: Clock;
+	/** Position of this entry among the live ones. */
+	readonly position: () => EntryPosition;
 	readonly onQuarantine: (quarantine: SegmentQuarantine) => void;
 	/** Called when the quarantine of another entry or of the store is adopted. */
 	readonly onAdoption: (quarantine: SegmentQuarantine) => void;
+	/** Called when a run of this entry tries a segment whose quarantine has ended. */
+	readonly onTrial: (quarantine: SegmentQuarantine) => void;
 	/** Called when a quarantine has ended early: a run with its segment has completed, or its crashes are put down to another segment. */
 	readonly onQuarantineEnd: (segment: SegmentKey) => void;
 };
@@ -70,7 +74,7 @@
 
 	constructor(options: SegmentQuarantinesOptions) {
 		this.#options = options;
-		this.#segments = new CrashingSegments(options.clock);
+		this.#segments = new CrashingSegments(options.clock, options.position);
 	}
 
 	/** Number of segments in quarantine. */
@@ -83,11 +87,24 @@
 		return this.#segments.quarantines;
 	}
 
+	/** Records a request that has arrived, whether it may run or not. */
+	recordArrival(segments: readonly SegmentKey[]): void {
+		this.#segments.recordArrival(segments);
+	}
+
 	/** Records a request that is allowed to run. */
 	recordRequest(segments: readonly SegmentKey[]): void {
 		this.#segments.recordRequest(segments);
 	}
 
+	/** Records that a run with these segments starts. If it tries a segment after its quarantine, the other entries are told with the next message. */
+	recordStart(segments: readonly SegmentKey[]): void {
+		for (const quarantine of this.#segments.recordStart(segments)) {
+			this.#quarantinesSentMs.clear();
+			this.#options.onTrial(quarantine);
+		}
+	}
+
 	/** Records a crash of an endpoint at which these runs had just begun. */
 	recordCrash(endpoint: string, brokenRuns: readonly CrashedRun[], atMs: number): void {
 		// The latest first: a deadly run crashes its engine soon after it begins, and messages have room for the first runs only.
