--- a/packages/forward/src/__tests__/role-demand.test.ts
+++ b/packages/forward/src/__tests__/role-demand.test.ts
@@ -69,6 +69,27 @@
 		assert.equal([balance.prefill, balance.decode, balance.isIdle], [1, 1, true]);
 	});
 
+	it('has an engine that names a limit do only a part of the work; guards against a role that is short of engines because one of them is in need', () => {
+		const engines = createEngines(['prefill', 'prefill', 'decode', 'decode']);
+		const measure = (): RoleBalance => measureRoleBalance({
+			nowMs: 0, engines, newRoleOf: () => undefined, demand: {...overstated, rejectedFraction: 0.5}, kvTokens,
+		}, {lastIdleMs: 0});
+		const state = (index: number, perSecond: number | undefined): void => {
+			engines[index]!.rateLimit.recordAnswer({perSecond, statedMs: 0, askedMs: 0});
+		};
+
+		const free = measure();
+		const capacity = (role: 'prompts' | 'streams'): number => 1000 / free[role]!.serviceMs;
+		state(0, capacity('prompts') / 4);
+		state(2, capacity('streams') * 2);
+		const limited = measure();
+		assert.ok(Math.abs(limited.prefillNeeded - free.prefillNeeded - 0.75) < 0.001, `${limited.prefillNeeded} and ${free.prefillNeeded}`);
+		assert.is(limited.decodeNeeded, free.decodeNeeded);
+		state(3, capacity('streams') / 2);
+		assert.ok(Math.abs(measure().decodeNeeded - free.decodeNeeded - 0.5) < 0.001);
+		assert.equal([limited.prefill, limited.decode], [2, 2]);
+	});
+
 	it('for prefill is known without prefill engines; guards against a service that never gets one under load', () => {
 		const balance = measureRoleBalance({
 			nowMs: 0, engines: createEngines(['decode', 'decode']), newRoleOf: () => undefined, demand: overstated, kvTokens,
--- a/packages/forward/src/role-demand.ts
+++ b/packages/forward/src/role-demand.ts
@@ -78,6 +78,17 @@
 	usage.filledEngines = filledEngines + (filledEnginesDecay * ((usage.filledEngines ?? filledEngines) - filledEngines));
 };
 
+/** Engines of a role that are lost to the limits that some of them name, given the time for which one request occupies an engine. */
+const countLimitedAway = (engines: readonly PooledEndpoint[], serviceMs: number): number => {
+	let away = 0;
+	for (const {rateLimit} of engines) {
+		const perSecond = rateLimit.statement?.perSecond ?? Number.POSITIVE_INFINITY;
+		away += 1 - Math.min(1, perSecond * serviceMs / msPerSecond);
+	}
+
+	return away;
+};
+
 /** Measures the demand on both roles and the present division; updates `usage`. */
 export const measureRoleBalance = ({nowMs, engines, newRoleOf, demand, kvTokens}: RoleDemandInput, usage: DecodeUsage): RoleBalance => {
 	const roles = engines.map(engine => newRoleOf(engine) ?? engine.endpoint.role);
@@ -90,17 +101,22 @@
 	updateUsage(usage, countFilledEngines(decodeEngines, kvTokens), {isIdle, nowMs});
 	const isFilling = nowMs - usage.lastIdleMs < fillingMs;
 	const hasDemand = demand.requestsPerSecond > 0 && tokensPerMsAtFullLoad > 0;
+	const promptServiceMs = promptMs / demand.requestsPerSecond;
+	const streamServiceMs = demand.outputTokensPerSecond / demand.requestsPerSecond / tokensPerMsAtFullLoad;
+	const ofRole = (role: EndpointRole): PooledEndpoint[] => engines.filter((_, index) => roles[index] === role);
+	const awayOf = (role: EndpointRole, serviceMs: number): number => hasDemand ? countLimitedAway(ofRole(role), serviceMs) : 0;
+	const decodeNeeded = isFilling || demand.rejectedFraction > maxRejectedFraction ? requestedEngines : Math.min(requestedEngines, usage.filledEngines ?? 0);
 	return {
 		nowMs,
-		prefill: roles.filter(role => role === 'prefill').length,
-		decode: roles.filter(role => role === 'decode').length,
-		prefillNeeded: promptMs / msPerSecond,
-		decodeNeeded: isFilling || demand.rejectedFraction > maxRejectedFraction ? requestedEngines : Math.min(requestedEngines, usage.filledEngines ?? 0),
+		prefill: ofRole('prefill').length,
+		decode: ofRole('decode').length,
+		prefillNeeded: (promptMs / msPerSecond) + awayOf('prefill', promptServiceMs),
+		decodeNeeded: decodeNeeded + awayOf('decode', streamServiceMs),
 		isIdle,
 		isFilling,
 		...hasDemand && {
-			prompts: {serviceMs: promptMs / demand.requestsPerSecond, squaredVariation: demand.promptVariation},
-			streams: {serviceMs: demand.outputTokensPerSecond / demand.requestsPerSecond / tokensPerMsAtFullLoad, squaredVariation: streamVariation},
+			prompts: {serviceMs: promptServiceMs, squaredVariation: demand.promptVariation},
+			streams: {serviceMs: streamServiceMs, squaredVariation: streamVariation},
 		},
 	};
 };
