--- a/packages/core/src/forwarding/__tests__/endpoint-rate-limit.test.ts
+++ b/packages/core/src/forwarding/__tests__/endpoint-rate-limit.test.ts
@@ -1,150 +1,15 @@
 /** Limits of requests that endpoints name, shared by entries that know each other's demand late. */
-import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
+import {describe, it} from '@hawthorncleat/test-kit';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import {EndpointRateLimit, RatePlace} from '../endpoint-rate-limit.js';
-import {RateShares} from '../rate-shares.js';
-
-const service = 's';
-const stepMs = 20;
-const windowMs = 4000;
-/** Entries tell each other their demand this often. */
-const gossipMs = 200;
-/** What the users allow in a window. */
-const maxInWindow = (perSecond: number): number => (perSecond * windowMs / 1000 * 1.5) + 5;
-
-type Entry = {
-	shares: RateShares;
-	limit: EndpointRateLimit;
-	demandPerSecond: number;
-	dueRequests: number;
-	/** It does nothing until then. */
-	frozenUntilMs: number;
-	/** Nothing passes between it and the others until then. */
-	cutUntilMs: number;
-};
-
-/** Entries before one endpoint, on one clock. Each offers its requests to the endpoint; what it may not take goes elsewhere. */
-class Fleet {
-	readonly clock = createManualClock(100_000);
-	readonly arrivalsMs: number[] = [];
-	readonly entries: Entry[];
-	/** Fraction of the messages that are lost. */
-	lossFraction = 0;
-	readonly #random: () => number;
-
-	constructor(demands: readonly number[], random: () => number) {
-		this.#random = random;
-		this.entries = demands.map(demandPerSecond => ({
-			...this.#createState(demands.length), demandPerSecond, dueRequests: 0, frozenUntilMs: 0, cutUntilMs: 0,
-		}));
-	}
-
-	/** The entry begins without memory. */
-	restart(entry: Entry): void {
-		Object.assign(entry, this.#createState(this.entries.length), {dueRequests: 0});
-	}
-
-	/** Each entry learns of the limit from an answer. */
-	state(perSecond: number | undefined): void {
-		const nowMs = this.clock.nowMs();
-		for (const {limit} of this.entries) {
-			limit.recordAnswer({perSecond, statedMs: nowMs, askedMs: nowMs});
-		}
-	}
-
-	run(forMs: number): void {
-		for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
-			this.clock.advance(stepMs);
-			for (const entry of this.entries) {
-				this.#offer(entry);
-			}
-
-			if (this.clock.nowMs() % gossipMs === 0) {
-				this.#gossip();
-			}
-		}
-	}
-
-	mostInWindow(sinceMs: number): number {
-		const arrivals = this.arrivalsMs.filter(atMs => atMs >= sinceMs);
-		let most = 0;
-		let first = 0;
-		for (const [last, atMs] of arrivals.entries()) {
-			while (arrivals[first]! <= atMs - windowMs) {
-				first += 1;
-			}
-
-			most = Math.max(most, last - first + 1);
-		}
-
-		return most;
-	}
-
-	#createState(entries: number): Pick<Entry, 'limit' | 'shares'> {
-		const shares = new RateShares({clock: this.clock, entries: () => entries});
-		return {shares, limit: new EndpointRateLimit({share: () => shares.share(service), random: this.#random})};
-	}
-
-	#isFrozen({frozenUntilMs}: Entry): boolean {
-		return this.clock.nowMs() < frozenUntilMs;
-	}
-
-	#isInTouch(entry: Entry): boolean {
-		return !this.#isFrozen(entry) && this.clock.nowMs() >= entry.cutUntilMs;
-	}
-
-	#offer(entry: Entry): void {
-		const {shares, limit, demandPerSecond} = entry;
-		if (this.#isFrozen(entry)) {
-			return;
-		}
-
-		entry.dueRequests += demandPerSecond * stepMs / 1000;
-		while (entry.dueRequests >= 1) {
-			entry.dueRequests -= 1;
-			shares.recordRequest(service);
-			// The users' rule counts entries that know of the limit.
-			const isCounted = limit.statement !== undefined;
-			if (limit.tryTake(this.clock.nowMs()) && isCounted) {
-				this.arrivalsMs.push(this.clock.nowMs());
-			}
-		}
-	}
-
-	#gossip(): void {
-		for (const [index, sender] of this.entries.entries()) {
-			for (const receiver of this.entries) {
-				const isDelivered = receiver !== sender && this.#isInTouch(sender) && this.#isInTouch(receiver) && this.#random() >= this.lossFraction;
-				if (isDelivered) {
-					this.#tell(sender, index, receiver);
-				}
-			}
-		}
-	}
-
-	#tell({shares, limit: {statement}}: Entry, index: number, receiver: Entry): void {
-		receiver.shares.recordPeer(`e${index}`, [{service, perSecond: shares.measureDemand(service)}]);
-		if (statement) {
-			receiver.limit.recordHeard(statement, this.clock.nowMs());
-		}
-	}
-}
-
-/** A sequence of numbers that a seed determines. */
-const createRandom = (seed: number): (() => number) => {
-	let state = seed;
-	return () => {
-		state = ((state * 1_103_515_245) + 12_345) % 2_147_483_648;
-		return state / 2_147_483_648;
-	};
-};
+import {createRandom, LimitedFleet, maxInWindow} from './limited-fleet.js';
 
 describe('the limit of an endpoint', () => {
 	describe('that all entries use', () => {
 		for (const [count, perSecond] of [[1, 4.3], [4, 4.3], [4, 0.8], [30, 4.3], [30, 20], [68, 12], [300, 4.3]] as const) {
 			it(`is kept and used up by ${count} entries at ${perSecond} a second; guards against shares that add up to another rate`, () => {
-				const fleet = new Fleet(Array.from({length: count}, () => 200 / count), createRandom(count));
+				const fleet = new LimitedFleet(Array.from({length: count}, () => 200 / count), createRandom(count));
 				fleet.run(3000);
 				fleet.state(perSecond);
 				fleet.run(2000);
@@ -162,7 +27,7 @@
 	describe('that one entry uses', () => {
 		for (const count of [4, 30, 68, 300]) {
 			it(`is used up by it among ${count} entries; guards against shares that lie idle`, () => {
-				const fleet = new Fleet([100, ...Array.from({length: count - 1}, () => 0)], createRandom(count));
+				const fleet = new LimitedFleet([100, ...Array.from({length: count - 1}, () => 0)], createRandom(count));
 				fleet.run(3000);
 				fleet.state(4.3);
 				fleet.run(2000);
@@ -184,7 +49,7 @@
 				moves: fc.array(fc.record({afterMs: fc.integer({min: 1, max: 40}), demands: fc.array(fc.integer({min: 0, max: 60}), {minLength: 4, maxLength: 4})}), {minLength: 1, maxLength: 8}),
 			}),
 			({seed, perSecond, lossFraction, moves}) => {
-				const fleet = new Fleet([15, 15, 15, 15], createRandom(seed));
+				const fleet = new LimitedFleet([15, 15, 15, 15], createRandom(seed));
 				fleet.lossFraction = lossFraction;
 				fleet.run(2000);
 				fleet.state(perSecond);
@@ -212,7 +77,7 @@
 				seed: fc.integer({min: 1, max: 1_000_000}), perSecond: fc.double({min: 1, max: 20, noNaN: true}), events: fc.array(eventOf, {minLength: 1, maxLength: 10}),
 			}),
 			({seed, perSecond, events}) => {
-				const fleet = new Fleet([15, 15, 15, 15], createRandom(seed));
+				const fleet = new LimitedFleet([15, 15, 15, 15], createRandom(seed));
 				fleet.run(2000);
 				fleet.state(perSecond);
 				const sinceMs = fleet.clock.nowMs();
