--- a/packages/core/src/forwarding/__tests__/fixtures.ts
+++ b/packages/core/src/forwarding/__tests__/fixtures.ts
@@ -26,7 +26,7 @@
 	endpoint: createEndpoint(id, {role, ...changes}),
 	ejection: new OutlierEjection(),
 	backoff: new EndpointBackoff(),
-	rateLimit: new EndpointRateLimit({share: () => 1, random: () => 0}),
+	rateLimit: new EndpointRateLimit({share: () => 1, phase: () => 0}),
 	running: 0,
 	lateRequests: 0,
 	prefillBacklog: new PrefillBacklog(0),
--- a/packages/core/src/forwarding/__tests__/limited-fleet.ts
+++ b/packages/core/src/forwarding/__tests__/limited-fleet.ts
@@ -36,14 +36,14 @@
 
 	constructor(demands: readonly number[], random: () => number) {
 		this.#random = random;
-		this.entries = demands.map(demandPerSecond => ({
-			...this.#createState(demands.length), demandPerSecond, dueRequests: 0, frozenUntilMs: 0, cutUntilMs: 0,
+		this.entries = demands.map((demandPerSecond, index) => ({
+			...this.#createState(index, demands.length), demandPerSecond, dueRequests: 0, frozenUntilMs: 0, cutUntilMs: 0,
 		}));
 	}
 
 	/** The entry begins without memory. */
 	restart(entry: Entry): void {
-		Object.assign(entry, this.#createState(this.entries.length), {dueRequests: 0});
+		Object.assign(entry, this.#createState(this.entries.indexOf(entry), this.entries.length), {dueRequests: 0});
 	}
 
 	/** Each entry learns of the limit from an answer. */
@@ -82,9 +82,9 @@
 		return most;
 	}
 
-	#createState(entries: number): Pick<Entry, 'limit' | 'shares'> {
+	#createState(index: number, entries: number): Pick<Entry, 'limit' | 'shares'> {
 		const shares = new RateShares({clock: this.clock, entries: () => entries});
-		return {shares, limit: new EndpointRateLimit({share: () => shares.share(service), random: this.#random})};
+		return {shares, limit: new EndpointRateLimit({share: () => shares.share(service), phase: () => index / entries})};
 	}
 
 	#isFrozen({frozenUntilMs}: Entry): boolean {
--- a/packages/core/src/forwarding/endpoint-rate-limit.ts
+++ b/packages/core/src/forwarding/endpoint-rate-limit.ts
@@ -3,7 +3,6 @@
  * it, so that no request waits for a counter that the entries have in common. Statements reach an entry in its own answers and from its peers, and may be
  * late or contradict each other, so a statement only counts if it is newer than the one in force.
  */
-import type {Random} from '../clock.js';
 
 /** An endpoint that names less still gets a request each five seconds, whose answer tells when its limit has ended. */
 const minPerSecond = 0.2;
@@ -37,7 +36,8 @@
 export type RateLimitOptions = {
 	/** Fraction of the limit that this entry uses. */
 	readonly share: () => number;
-	readonly random: Random;
+	/** Part of a request that this entry has ready when it learns of a limit. Entries with evenly spread parts use a limit at an even pace. */
+	readonly phase: () => number;
 };
 
 export class EndpointRateLimit {
@@ -121,8 +121,7 @@
 		}
 
 		if (!this.isLimited(nowMs)) {
-			// All entries learn of a limit at about the same time, so each begins at another moment.
-			this.#level = this.#options.random();
+			this.#level = this.#options.phase();
 			this.#updatedMs = nowMs;
 		}
 
--- a/packages/forward/src/endpoint-pool.ts
+++ b/packages/forward/src/endpoint-pool.ts
@@ -46,7 +46,7 @@
 	return controller;
 };
 
-const createUnlimited = (): EndpointRateLimit => new EndpointRateLimit({share: () => 1, random: () => 0});
+const createUnlimited = (): EndpointRateLimit => new EndpointRateLimit({share: () => 1, phase: () => 0});
 
 export class EndpointPool {
 	readonly #options: EndpointPoolOptions;
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -178,7 +178,7 @@
 	});
 	const rateShares = new RateShares({clock, entries: () => members.sharingCount()});
 	const rateLimits: RateLimits = new RateLimits({
-		clock, random, shares: rateShares, pool: () => pool, log, metrics,
+		clock, position: () => members.position(), shares: rateShares, pool: () => pool, log, metrics,
 	});
 	const pool: EndpointPool = new EndpointPool({
 		clock, entries: () => members.liveCount(), rateLimitOf: endpoint => rateLimits.limitOf(endpoint), serviceOf: name => config.routes?.findService(name),
--- a/packages/forward/src/rate-limits.ts
+++ b/packages/forward/src/rate-limits.ts
@@ -3,7 +3,7 @@
  * registers again or changes its role, and a later start of the endpoint begins without it.
  */
 import {
-	EndpointRateLimit, type Clock, type EndpointId, type Random, type RateChange, type RateShares, type RegisteredEndpoint, type ServiceDemand,
+	EndpointRateLimit, type Clock, type EndpointId, type EntryPosition, type RateChange, type RateShares, type RegisteredEndpoint, type ServiceDemand,
 } from '@hawthorncleat/core';
 import type {DecisionLog} from './decision-log.js';
 import type {AnsweredCall} from './endpoint-answer.js';
@@ -40,13 +40,16 @@
 
 export type RateLimitsOptions = {
 	readonly clock: Clock;
-	readonly random: Random;
+	/** Position of this entry among the live ones. */
+	readonly position: () => EntryPosition;
 	readonly shares: RateShares;
 	readonly pool: () => Pick<EndpointPool, 'get' | 'withdrawWaiting'>;
 	readonly log: Pick<DecisionLog, 'write'>;
 	readonly metrics: Pick<ForwardMetrics, 'countInvalidRateLimit' | 'countRateLimit'>;
 };
 
+const phaseOf = ({index, count}: EntryPosition): number => index / count;
+
 type ProcessLimit = EndpointProcess & {readonly service: string; readonly limit: EndpointRateLimit; lastLogMs: number};
 
 export class RateLimits {
@@ -68,8 +71,8 @@
 		}
 
 		this.#forget();
-		const {shares, random} = this.#options;
-		const limit = new EndpointRateLimit({share: () => shares.share(service), random});
+		const {shares, position} = this.#options;
+		const limit = new EndpointRateLimit({share: () => shares.share(service), phase: () => phaseOf(position())});
 		this.#byId.set(id, {
 			id, startedAt, service, limit, lastLogMs: Number.NEGATIVE_INFINITY,
 		});
