Keep sums over a sliding window in one class

Cause: DemandMeter of the rate shares repeated the buckets of RetryWindow and TokenWindow. Change: SlidingSums has the buckets of all three; no logic changes.

--- a/packages/core/src/forwarding/rate-shares.ts
+++ b/packages/core/src/forwarding/rate-shares.ts
@@ -3,6 +3,7 @@
  * limit unused where callers come to a few entries only. Each entry tells its demand; the shares of entries that know the same demands add up to one.
  */
 import type {Clock} from '../clock.js';
+import {SlidingSums} from './sliding-sums.js';
 
 /** Demand is measured over this time: longer than a share of a second, shorter than a burst. */
 const demandWindowMs = 2000;
@@ -26,36 +27,11 @@
 
 type Told = {readonly perSecond: number; readonly atMs: number};
 
-/** Requests within the last window. */
-class DemandMeter {
-	readonly #buckets = Array.from({length: bucketCount}, () => ({index: -1, count: 0}));
-
-	record(nowMs: number): void {
-		const index = this.#indexAt(nowMs);
-		const bucket = this.#buckets[index % bucketCount]!;
-		if (bucket.index !== index) {
-			Object.assign(bucket, {index, count: 0});
-		}
-
-		bucket.count += 1;
-	}
-
-	perSecond(nowMs: number): number {
-		const index = this.#indexAt(nowMs);
-		const count = this.#buckets.filter(bucket => bucket.index > index - bucketCount).reduce((sum, bucket) => sum + bucket.count, 0);
-		return count / demandWindowMs * msPerSecond;
-	}
-
-	#indexAt(nowMs: number): number {
-		return Math.floor(nowMs * bucketCount / demandWindowMs);
-	}
-}
-
 export class RateShares {
 	readonly #options: RateSharesOptions;
 	/** What this entry has last told. */
 	readonly #own = new Map<string, Told>();
-	readonly #meters = new Map<string, DemandMeter>();
+	readonly #requests = new Map<string, SlidingSums<'requests'>>();
 	/** Demands that peers have told, by service and peer. */
 	readonly #told = new Map<string, Map<string, Told>>();
 
@@ -65,15 +41,16 @@
 
 	/** Records a request of a caller. */
 	recordRequest(service: string): void {
-		const meter = this.#meters.get(service) ?? new DemandMeter();
-		this.#meters.set(service, meter);
-		meter.record(this.#options.clock.nowMs());
+		const requests = this.#requests.get(service) ?? new SlidingSums({windowMs: demandWindowMs, buckets: bucketCount, names: ['requests']});
+		this.#requests.set(service, requests);
+		requests.add(this.#options.clock.nowMs(), {requests: 1});
 	}
 
 	/** Measures the requests a second of this entry's own callers, to be told to the others. */
 	measureDemand(service: string): number {
 		const nowMs = this.#options.clock.nowMs();
-		const perSecond = Math.max(minDemand, this.#meters.get(service)?.perSecond(nowMs) ?? 0);
+		const requests = this.#requests.get(service)?.totals(nowMs).requests ?? 0;
+		const perSecond = Math.max(minDemand, requests / demandWindowMs * msPerSecond);
 		this.#own.set(service, {perSecond, atMs: nowMs});
 		return perSecond;
 	}
--- a/packages/core/src/forwarding/retry-window.ts
+++ b/packages/core/src/forwarding/retry-window.ts
@@ -3,6 +3,7 @@
  * coordination: each uses an equal fraction of the fixed allowance and a ratio of its own first calls.
  */
 import type {Clock} from '../clock.js';
+import {SlidingSums} from './sliding-sums.js';
 
 export type RetryLimits = {
 	/** Extra calls allowed for each request. */
@@ -45,30 +46,26 @@
 const firstWindowAllowanceFraction = 0.4;
 const bucketCount = 20;
 
-type Bucket = {index: number; firstCalls: number; extraCalls: number};
-
 /** Calls to one service within the last window. */
 export class RetryWindow {
 	readonly #clock: Clock;
 	readonly #options: RetryWindowOptions;
 	readonly #startMs: number;
-	readonly #buckets: Bucket[] = Array.from({length: bucketCount}, () => ({index: -1, firstCalls: 0, extraCalls: 0}));
+	readonly #calls: SlidingSums<'extraCalls' | 'firstCalls'>;
 
 	constructor(clock: Clock, options: RetryWindowOptions) {
 		this.#clock = clock;
 		this.#options = options;
 		this.#startMs = clock.nowMs();
+		this.#calls = new SlidingSums({windowMs: options.windowMs, buckets: bucketCount, names: ['firstCalls', 'extraCalls']});
 	}
 
 	recordFirstCall(): void {
-		this.#currentBucket().firstCalls += 1;
+		this.#calls.add(this.#clock.nowMs(), {firstCalls: 1});
 	}
 
 	get state(): RetryWindowState {
-		const index = this.#currentIndex();
-		const recent = this.#buckets.filter(bucket => bucket.index > index - bucketCount);
-		const firstCalls = recent.reduce((sum, bucket) => sum + bucket.firstCalls, 0);
-		const extraCalls = recent.reduce((sum, bucket) => sum + bucket.extraCalls, 0);
+		const {firstCalls, extraCalls} = this.#calls.totals(this.#clock.nowMs());
 		const {limits, windowMs} = this.#options;
 		const {ratio, allowance} = limits();
 		const entries = Math.max(1, this.#options.entries());
@@ -86,30 +83,11 @@
 			return undefined;
 		}
 
-		const bucket = this.#currentBucket();
-		const {index} = bucket;
-		bucket.extraCalls += calls;
+		const takeBack = this.#calls.add(this.#clock.nowMs(), {extraCalls: calls});
 		return {
 			release(unused) {
-				// The bucket may have been reused for a later interval.
-				if (bucket.index === index) {
-					bucket.extraCalls -= unused;
-				}
+				takeBack({extraCalls: unused});
 			},
 		};
 	}
-
-	#currentIndex(): number {
-		return Math.floor(this.#clock.nowMs() * bucketCount / this.#options.windowMs);
-	}
-
-	#currentBucket(): Bucket {
-		const index = this.#currentIndex();
-		const bucket = this.#buckets[index % bucketCount]!;
-		if (bucket.index !== index) {
-			Object.assign(bucket, {index, firstCalls: 0, extraCalls: 0});
-		}
-
-		return bucket;
-	}
 }
--- a/packages/core/src/forwarding/token-window.ts
+++ b/packages/core/src/forwarding/token-window.ts
@@ -2,6 +2,7 @@
  * Rate of the requests that callers sent and of their prompt and output tokens, measured over a sliding window.
  */
 import {millionPairs, type PrefillSize} from './prefill-latency-model.js';
+import {SlidingSums} from './sliding-sums.js';
 
 export type TokenRate = {
 	readonly requestsPerSecond: number;
@@ -16,50 +17,29 @@
 	readonly rejectedFraction: number;
 };
 
-const bucketMs = 500;
+const windowMs = 4000;
 const bucketCount = 8;
-
-const sums = {
-	requests: 0, prompt: 0, squaredPrompt: 0, pairs: 0, output: 0, rejectedOutput: 0,
-};
-
-type Sums = typeof sums;
-
-type Bucket = Sums & {index: number};
-
-const sumNames = Object.keys(sums) as ReadonlyArray<keyof Sums>;
+const msPerSecond = 1000;
+const sumNames = ['requests', 'prompt', 'squaredPrompt', 'pairs', 'output', 'rejectedOutput'] as const;
 
 export class TokenWindow {
-	readonly #buckets: Bucket[] = Array.from({length: bucketCount}, () => ({index: -1, ...sums}));
+	readonly #sums = new SlidingSums({windowMs, buckets: bucketCount, names: sumNames});
 
 	/** Adds a request; a rejected one counts as demand as well. */
 	add(size: PrefillSize, outputTokens: number, {nowMs, isRejected = false}: {readonly nowMs: number; readonly isRejected?: boolean}): void {
-		const index = Math.floor(nowMs / bucketMs);
-		const bucket = this.#buckets[index % bucketCount]!;
-		if (bucket.index !== index) {
-			Object.assign(bucket, {index, ...sums});
-		}
-
-		bucket.requests += 1;
-		bucket.prompt += size.uncachedTokens;
-		bucket.squaredPrompt += size.uncachedTokens ** 2;
-		bucket.pairs += millionPairs(size);
-		bucket.output += outputTokens;
-		bucket.rejectedOutput += isRejected ? outputTokens : 0;
+		this.#sums.add(nowMs, {
+			requests: 1,
+			prompt: size.uncachedTokens,
+			squaredPrompt: size.uncachedTokens ** 2,
+			pairs: millionPairs(size),
+			output: outputTokens,
+			rejectedOutput: isRejected ? outputTokens : 0,
+		});
 	}
 
 	rate(nowMs: number): TokenRate {
-		const newestExpiredIndex = Math.floor(nowMs / bucketMs) - bucketCount;
-		const total = {...sums};
-		for (const bucket of this.#buckets) {
-			if (bucket.index > newestExpiredIndex) {
-				for (const name of sumNames) {
-					total[name] += bucket[name];
-				}
-			}
-		}
-
-		const seconds = bucketCount * bucketMs / 1000;
+		const total = this.#sums.totals(nowMs);
+		const seconds = windowMs / msPerSecond;
 		return {
 			requestsPerSecond: total.requests / seconds,
 			promptTokensPerSecond: total.prompt / seconds,
