--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/crash-guard.ts
@@ -156,9 +156,9 @@
 		this.#segments.recordRequest(segmentKeysOf(request));
 	}
 
-	/** Records that a run starts, which may be the one that tries a prompt segment after its quarantine. */
-	recordStart(request: RequestContent): void {
-		this.#segments.recordStart(segmentKeysOf(request));
+	/** Records that a run starts. Returns whether it is the one that tries a prompt segment after its quarantine. */
+	recordStart(request: RequestContent): boolean {
+		return this.#segments.recordStart(segmentKeysOf(request));
 	}
 
 	/** Crash reports to broadcast to the other entries, with the requests that are closest to quarantine first. */
@@ -208,8 +208,8 @@
 		this.#segments.adopt(quarantines);
 	}
 
-	/** Clears the segments of a stream that has completed of the suspicion that they crash engines. `beganMs`: time of its first token. */
-	recordCompletedStream(request: RequestContent, beganMs: number): void {
+	/** Clears the segments of a run that has completed of the suspicion that they crash engines. `beganMs`: time of its first token, or of its start. */
+	recordCompletedRun(request: RequestContent, beganMs: number): void {
 		this.#segments.recordCompletedRun(segmentKeysOf(request), beganMs);
 	}
 
--- a/packages/forward/src/forward-deps.ts
+++ b/packages/forward/src/forward-deps.ts
@@ -27,7 +27,7 @@
 	readonly onRun: (admitted: AdmittedRequest) => void;
 	readonly crashes: Pick<
 		CrashGuard,
-		| 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordArrival' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedStream'
+		| 'checkEndpoint' | 'quarantineRemainingMs' | 'recordAllowedRequest' | 'recordArrival' | 'recordBrokenRequest' | 'recordCompletedRequest' | 'recordCompletedRun'
 		| 'recordCrash' | 'recordStart'
 	>;
 	readonly onAttempt: (admitted: AdmittedRequest, attempt: AttemptReport) => void;
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -143,7 +143,7 @@
 	const reserved = new ReservedCalls(retryWindow);
 	try {
 		return await runAttempts(deps, admitted, {
-			mayHaveRun: false, tries: 0, withdrawn: 0, request: state, race, reserved, excluded: new Set(), earlierFailures: [],
+			mayHaveRun: false, tries: 0, withdrawn: 0, isTrial: false, request: state, race, reserved, excluded: new Set(), earlierFailures: [],
 		});
 	} finally {
 		await race.close();
--- a/packages/forward/src/next-attempt.ts
+++ b/packages/forward/src/next-attempt.ts
@@ -33,6 +33,8 @@
 	tries: number;
 	/** Those of which nothing was written because their endpoint began to leave or wants no requests. They do not count towards the limit on tries. */
 	withdrawn: number;
+	/** Whether the request tries a prompt segment after its quarantine, which holds back all others meanwhile. */
+	isTrial: boolean;
 	readonly request: RequestState;
 	readonly race: AttemptRace;
 	readonly reserved: ReservedCalls;
@@ -46,11 +48,16 @@
 /** `decideRetry` charges no budget: the number of calls is known, and charged, only once the endpoints of the next attempt are selected. */
 const unlimitedBudget = {take: () => true};
 
+/** Time until the request may run with its prompt. The one that tries a segment may go on until an endpoint may have run it. */
+const quarantineRemainingMs = ({crashes}: ForwardDeps, admitted: AdmittedRequest, {isTrial, mayHaveRun, race}: RequestProgress): number | undefined =>
+	isTrial && !mayHaveRun && race.running.length === 0 ? undefined : crashes.quarantineRemainingMs(admitted);
+
 /** Why no attempt may follow one that has failed, or that has stalled and still runs; undefined if one may. */
-export const findRetryDenial = ({crashes}: ForwardDeps, admitted: AdmittedRequest, {tries, withdrawn, earlierFailures}: RequestProgress, failure: FailureKind): RetryDenial | undefined => {
+export const findRetryDenial = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress, failure: FailureKind): RetryDenial | undefined => {
 	const {route} = admitted;
+	const {tries, withdrawn, earlierFailures} = progress;
 	// Its own attempts, or those of other entries, may have brought it into quarantine since it arrived.
-	if (crashes.quarantineRemainingMs(admitted) !== undefined) {
+	if (quarantineRemainingMs(deps, admitted, progress) !== undefined) {
 		return 'crashes-endpoints';
 	}
 
@@ -75,7 +82,7 @@
 const startAttempt = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress, placement: Placement): void => {
 	const {request, race} = progress;
 	progress.tries += 1;
-	deps.crashes.recordStart(admitted);
+	progress.isTrial = deps.crashes.recordStart(admitted) || progress.isTrial;
 	progress.expectedMs = expectedAnswerMs(admitted, placement);
 	if (placement.kvSource) {
 		request.prefilled = undefined;
@@ -125,7 +132,7 @@
 		deps.crashes.recordArrival(admitted);
 	}
 
-	const quarantinedMs = deps.crashes.quarantineRemainingMs(admitted);
+	const quarantinedMs = quarantineRemainingMs(deps, admitted, progress);
 	if (quarantinedMs !== undefined) {
 		return finishQuarantined(deps, admitted, {...progress, quarantinedMs});
 	}
--- a/packages/forward/src/report-attempt.ts
+++ b/packages/forward/src/report-attempt.ts
@@ -23,8 +23,9 @@
 ): Promise<void> => {
 	if (result.kind === 'answered') {
 		crashes.recordCompletedRequest(admitted);
-		if (result.status === 200 && result.stream && result.stream.events > 0) {
-			crashes.recordCompletedStream(admitted, result.beganMs ?? startMs);
+		// An answer without a stream is whole.
+		if (result.status === 200 && result.stream?.events !== 0) {
+			crashes.recordCompletedRun(admitted, result.beganMs ?? startMs);
 		}
 	} else if (result.kind === 'failed' && result.isDown) {
 		crashes.recordCrash(result.failedAt.endpoint.id);
--- a/packages/forward/src/segment-quarantines.ts
+++ b/packages/forward/src/segment-quarantines.ts
@@ -97,12 +97,15 @@
 		this.#segments.recordRequest(segments);
 	}
 
-	/** Records that a run with these segments starts. If it tries a segment after its quarantine, the other entries are told with the next message. */
-	recordStart(segments: readonly SegmentKey[]): void {
-		for (const quarantine of this.#segments.recordStart(segments)) {
+	/** Records that a run with these segments starts. If it tries a segment after its quarantine, returns true and tells the other entries with the next message. */
+	recordStart(segments: readonly SegmentKey[]): boolean {
+		const quarantines = this.#segments.recordStart(segments);
+		for (const quarantine of quarantines) {
 			this.#quarantinesSentMs.clear();
 			this.#options.onTrial(quarantine);
 		}
+
+		return quarantines.length > 0;
 	}
 
 	/** Records a crash of an endpoint at which these runs had just begun. */
