--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -49,6 +49,7 @@
 	onRoleChanges: () => undefined,
 	onConfigVersion: () => undefined,
 	onError: () => undefined,
+	onPortFailure: () => undefined,
 });
 
 const createIdleGossip = (port: number, peerPort: number, segmentNews: () => SegmentNews): Gossip => new Gossip({
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -115,6 +115,9 @@
 	onError(error) {
 		log.writeError('applying a message of a peer', error);
 	},
+	onPortFailure(port, error) {
+		log.writeError(`listening on the port of ${port}`, error);
+	},
 });
 
 type LoggedQuarantine = SegmentQuarantine & {readonly isAdopted?: boolean; readonly isTrial?: boolean};
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -18,8 +18,11 @@
 import {countKeptOut} from './kept-out.js';
 import {runPeriodicChecks} from './periodic-checks.js';
 import {maintainOwnRow} from './membership.js';
+import type {OpenPortOptions} from './open-port.js';
 import type {ForwardSettings} from './ports.js';
-import {closeHttpServer, startCallerServer, startInternalServers} from './servers.js';
+import {
+	closeHttpServer, startCallerServer, startInternalServers, startMetricsServer,
+} from './servers.js';
 
 const waitUntilAborted = async (signal: AbortSignal): Promise<void> => new Promise(resolve => {
 	if (signal.aborted) {
@@ -81,10 +84,19 @@
 			supervise('quarantines', async () => this.#restoreQuarantines(signal), signal),
 			supervise('checks', async () => this.#runChecks(signal), signal),
 		]);
+		const ports: OpenPortOptions = {
+			signal: stop,
+			onFailure: (port, error) => {
+				this.#deps.log.writeError(`listening on the port of ${port}`, error);
+			},
+		};
+		// The entry serves without metrics, so it does not wait for this port.
+		const metricsServer = startMetricsServer(this.#settings, async () => this.#metricsText(), ports);
 		const callerServer = await startCallerServer(listen.callers, (req, res) => {
 			this.#connections.recordRequest(req, res);
 			void this.#serve(req, res);
 		}, {
+			...ports,
 			idleLimitMs: () => this.#components.config.routes?.config.limits.idleTimeoutMs,
 			closeIdle: socket => {
 				this.#connections.close(socket, 'idle-limit');
@@ -101,15 +113,7 @@
 			answerConfig(req, res) {
 				void configServer.answer(req, res);
 			},
-			metricsText: async () => {
-				this.#components.metrics.setKeptOutEndpoints(countKeptOut(this.#components.pool.all(), this.#deps.clock.nowMs()));
-				this.#components.metrics.setDroppedLines(this.#deps.log.droppedLines);
-				this.#components.metrics.setLiveEntries(this.#components.members.liveCount());
-				this.#components.metrics.setEventLoop({turns: this.#accepts.counts.turns, acceptRunMs: this.#accepts.runMs});
-				this.#components.metrics.setQuarantinedSegments(this.#components.crashes.quarantinedSegments);
-				return this.#components.metrics.registry.metrics();
-			},
-		});
+		}, ports);
 		this.#deps.log.write('start', {callers: listen.callers, dataCentre: this.#settings.dataCentre});
 		await waitUntilAborted(stop);
 		const {readyAfterStopMs, outOfRotationMs, stopLimitMs} = this.#settings;
@@ -127,7 +131,7 @@
 		});
 		backgroundStop.abort();
 		this.#connections.closeAll();
-		for (const server of [callerServer, ...internalServers]) {
+		for (const server of [callerServer, ...internalServers, await metricsServer]) {
 			closeHttpServer(server);
 		}
 
@@ -137,6 +141,16 @@
 		this.#deps.log.write('stopped', {closed: this.#connections.counts.closed});
 	}
 
+	async #metricsText(): Promise<string> {
+		const {metrics, pool, members, crashes} = this.#components;
+		metrics.setKeptOutEndpoints(countKeptOut(pool.all(), this.#deps.clock.nowMs()));
+		metrics.setDroppedLines(this.#deps.log.droppedLines);
+		metrics.setLiveEntries(members.liveCount());
+		metrics.setEventLoop({turns: this.#accepts.counts.turns, acceptRunMs: this.#accepts.runMs});
+		metrics.setQuarantinedSegments(crashes.quarantinedSegments);
+		return metrics.registry.metrics();
+	}
+
 	/**
 	 * Applies reloaded limits at once; addresses stay those of the start, and the limit of a stop is the one with which it began. Retries already made
 	 * still count unless the length of their window changes.
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -5,6 +5,7 @@
  * often than those of others: they mostly use the same engines, there are fewer of them, and traffic between data centres is billed.
  */
 import {createSocket, type Socket} from 'node:dgram';
+import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
 import type {CrashReport} from './crash-guard.js';
@@ -13,6 +14,7 @@
 import {decodeMessage, encodeMessage, type GossipMessage} from './gossip-message.js';
 import type {LoadTracker, SentWork} from './load-tracker.js';
 import type {ForwardMetrics} from './metrics.js';
+import {openPort, type PortFailureListener} from './open-port.js';
 import type {LimitNews} from './rate-limits.js';
 import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
@@ -61,6 +63,7 @@
 	readonly onConfigVersion: (peer: Peer, version: number) => void;
 	/** Called with an exception of what a message of a peer has called. */
 	readonly onError: (error: unknown) => void;
+	readonly onPortFailure: PortFailureListener;
 };
 
 /** The load in a message is up to this old when it is sent; half the time of a short prefill. */
@@ -117,6 +120,7 @@
 	readonly #options: GossipOptions;
 	readonly #socket: Socket;
 	readonly #lastSeen = new Map<string, number>();
+	#isOpen = false;
 	/** Peers in the own data centre, and those elsewhere. */
 	readonly #groups: readonly PeerGroup[];
 
@@ -147,12 +151,21 @@
 	}
 
 	async run(signal: AbortSignal): Promise<void> {
-		const {address, port} = this.#options;
-		this.#socket.bind(port, address);
-		await Promise.all(this.#groups.map(async group => this.#options.supervise(`gossip/${group.name}`, async () => this.#sendToGroup(group, signal), signal)));
+		await Promise.all([
+			this.#open(signal),
+			...this.#groups.map(async group => this.#options.supervise(`gossip/${group.name}`, async () => this.#sendToGroup(group, signal), signal)),
+		]);
 		this.#socket.close();
 	}
 
+	async #open(signal: AbortSignal): Promise<void> {
+		const {address, port, onPortFailure} = this.#options;
+		this.#isOpen = await openPort('gossip', async () => {
+			this.#socket.bind(port, address);
+			await once(this.#socket, 'listening');
+		}, {signal, onFailure: onPortFailure});
+	}
+
 	async #sendToGroup(group: PeerGroup, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			await sleep(group.intervalMs(), undefined, {signal}).catch(() => undefined);
@@ -204,6 +217,11 @@
 
 	/** Sends a message to peers, in several datagrams if it does not fit into one. */
 	#sendToPeers(peers: readonly Peer[], message: GossipMessage): void {
+		// A socket that sends before it is bound gets a port of its own, at which no peer reaches it.
+		if (!this.#isOpen) {
+			return;
+		}
+
 		const text = encodeMessage(message);
 		const {sent} = message.load;
 		if (text.length > maxDatagramBytes && isDivisible(message)) {
--- a/packages/forward/src/servers.ts
+++ b/packages/forward/src/servers.ts
@@ -5,6 +5,7 @@
 import {once} from 'node:events';
 import {Server as NetServer, type Socket} from 'node:net';
 import {startLength} from './listening-queue.js';
+import {openPort, type OpenPortOptions} from './open-port.js';
 import {waitForPendingInput} from './pending-input.js';
 import type {Address, ForwardSettings} from './ports.js';
 
@@ -14,17 +15,34 @@
 /** A request that was sent within the announced limit arrives within this time after it. */
 const closeMarginMs = 1000;
 
-/** Starts a server and waits until it listens. `queueLength`: length of its listening queue, if not the default. */
-export const startHttpServer = async ({address, port}: Address, listener: RequestListener, queueLength?: number): Promise<Server> => {
+/** What a server listens on. */
+export type ListenOptions = OpenPortOptions & {
+	/** Names the port in reports of failures. */
+	readonly name: string;
+	/** Length of the listening queue, if not the default. */
+	readonly queueLength?: number;
+};
+
+/** Starts a server and waits until it listens or the signal aborts. */
+export const startHttpServer = async ({address, port}: Address, listener: RequestListener, {name, queueLength, ...options}: ListenOptions): Promise<Server> => {
 	const server = createServer({
 		maxHeaderSize: maxRequestHeadBytes, keepAliveTimeout: idleTimeoutMs, requestTimeout: 0, noDelay: true,
 	}, listener);
-	server.listen({host: address, port, backlog: queueLength});
-	await once(server, 'listening');
+	const isOpen = await openPort(name, async () => {
+		server.listen({host: address, port, backlog: queueLength});
+		await once(server, 'listening');
+	}, options);
+	if (isOpen) {
+		// Without a listener, a connection that cannot be accepted would end the process.
+		server.on('error', error => {
+			options.onFailure(name, error);
+		});
+	}
+
 	return server;
 };
 
-export type IdleConnectionOptions = {
+export type CallerServerOptions = OpenPortOptions & {
 	/** The present limit of the configuration. */
 	readonly idleLimitMs: () => number | undefined;
 	/** Closes a connection that has been idle for too long. */
@@ -52,13 +70,13 @@
  * Starts the server for callers. An idle connection is held longer than the limit that was announced on it and longer than the present one, which
  * may change at any time.
  */
-export const startCallerServer = async (address: Address, listener: RequestListener, {idleLimitMs, closeIdle}: IdleConnectionOptions): Promise<Server> => {
+export const startCallerServer = async (address: Address, listener: RequestListener, {idleLimitMs, closeIdle, ...options}: CallerServerOptions): Promise<Server> => {
 	const states = new WeakMap<Socket, IdleState>();
 	const server = await startHttpServer(address, (req, res) => {
 		states.set(req.socket, {announcedMs: server.keepAliveTimeout, heldMs: 0});
 		server.keepAliveTimeout = idleLimitMs() ?? idleTimeoutMs;
 		listener(req, res);
-	}, startLength);
+	}, {...options, name: 'callers', queueLength: startLength});
 	// With a listener, the server closes no connection by itself when it has been idle for `keepAliveTimeout`.
 	server.on('timeout', (socket: Socket) => {
 		const state = states.get(socket);
@@ -96,19 +114,21 @@
 	readonly isReadinessPath: (path: string) => boolean;
 	readonly isReady: () => boolean;
 	readonly answerConfig: RequestListener;
-	readonly metricsText: () => Promise<string>;
 };
 
-/** Starts the servers for the load balancer, the other entries and the metrics collector. */
-export const startInternalServers = async ({listen, ip, metricsPort}: ForwardSettings, sources: InternalServerSources): Promise<Server[]> => Promise.all([
+/** Starts the servers for the load balancer and the other entries. */
+export const startInternalServers = async ({listen}: ForwardSettings, sources: InternalServerSources, options: OpenPortOptions): Promise<Server[]> => Promise.all([
 	startHttpServer(listen.readiness, (req, res) => {
 		res.writeHead(sources.isReadinessPath(req.url ?? '') && sources.isReady() ? 200 : 503);
 		res.end();
-	}),
-	startHttpServer(listen.peers, sources.answerConfig),
+	}, {...options, name: 'readiness'}),
+	startHttpServer(listen.peers, sources.answerConfig, {...options, name: 'peers'}),
+]);
+
+/** Starts the server for the metrics collector. */
+export const startMetricsServer = async ({ip, metricsPort}: ForwardSettings, metricsText: () => Promise<string>, options: OpenPortOptions): Promise<Server> =>
 	startHttpServer({address: ip, port: metricsPort}, (_req, res) => {
 		void (async () => {
-			res.end(await sources.metricsText());
+			res.end(await metricsText());
 		})();
-	}),
-]);
+	}, {...options, name: 'metrics'});
