--- a/packages/forward/src/__tests__/servers.test.ts
+++ b/packages/forward/src/__tests__/servers.test.ts
@@ -1,4 +1,6 @@
-import {describe, findFreePort, it, loopback} from '@hawthorncleat/test-kit';
+import {
+	describe, findFreePort, it, loopback,
+} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {closeHttpServer, startHttpServer} from '../servers.js';
 
