--- a/packages/core/src/forwarding/deployment.ts
+++ b/packages/core/src/forwarding/deployment.ts
@@ -1,8 +1,8 @@
 /**
  * Types that describe the deployment of a forwarding entry: its active configuration and the registered endpoints.
  */
-import type {
-	ClientAccountName, ConfigVersion, EndpointId,
+import {
+	brandAs, type ClientAccountName, type ConfigVersion, type EndpointId, type SoftwareVersion,
 } from '../ids.js';
 
 /** Whether a request may run more than once: an idempotent one may, an action may not, a stream may if its route is resumable. */
@@ -83,11 +83,18 @@
 	readonly isLeaving: boolean;
 	/** Absent for plain services. */
 	readonly role?: EndpointRole;
+	/** Absent if its registration does not tell it. */
+	readonly softwareVersion?: SoftwareVersion;
 	/** Start time of its process; differs after a restart under the same id. */
 	readonly startedAt: number;
 	/** Increases with each message of its process. */
 	readonly heartbeat: number;
 };
 
+const untoldVersion = brandAs<SoftwareVersion>('');
+
+/** Endpoints whose registration does not tell their version count as having the same one. */
+export const softwareVersionOf = ({softwareVersion = untoldVersion}: Pick<RegisteredEndpoint, 'softwareVersion'>): SoftwareVersion => softwareVersion;
+
 /** A segment of a prompt that other requests may share. */
 export type PromptSegment = {readonly id: string; readonly tokens: number};
--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -3,12 +3,14 @@
  * its prompt (a split request). Long prompts queue at prefill engines, and a decode engine prefills only short ones itself, because
  * prefilling slows down every stream that runs there.
  */
+import {groupBy} from '../group-by.js';
+import type {SoftwareVersion} from '../ids.js';
 import {findNearFastest} from '../similar-latencies.js';
 import {
 	dataCentreCrossings, engineLoad, findSelectable, pickLowest, type EndpointView,
 } from './endpoint-selection.js';
 import {referenceLoad} from './decode-latency-model.js';
-import type {PromptSegment} from './deployment.js';
+import {softwareVersionOf, type PromptSegment} from './deployment.js';
 import {lowestPriorityLevel} from './priority-level.js';
 
 export type SelectionRequest = {
@@ -158,6 +160,20 @@
 	return {decoders, prefillers, mostCachedTokens};
 };
 
+/** The candidates of each software version. What two versions write does not fit together, so the engines of one request have the same one. */
+const splitByVersion = (candidates: Candidates): Candidates[] => {
+	const {decoders, prefillers, mostCachedTokens} = candidates;
+	const versionOf = ({endpoint}: EndpointView): SoftwareVersion => softwareVersionOf(endpoint);
+	const [first] = decoders;
+	if (!first || [...decoders, ...prefillers].every(view => versionOf(view) === versionOf(first))) {
+		return [candidates];
+	}
+
+	const prefillersOf = groupBy(prefillers, view => versionOf(view));
+	return [...groupBy(decoders, view => versionOf(view))]
+		.map(([version, ofVersion]) => ({decoders: ofVersion, prefillers: prefillersOf.get(version) ?? [], mostCachedTokens}));
+};
+
 type ScoredSelection = {readonly selection: EngineSelection; readonly scoreMs: number};
 
 /** Selects the best decode engine that prefills the prompt itself. */
@@ -251,21 +267,25 @@
 	};
 };
 
+/** Of equal scores the later one counts: without a difference, an engine that prefills the prompt itself. */
+const pickBest = (selections: readonly ScoredSelection[]): ScoredSelection | undefined => pickLowest(selections.toReversed(), ({scoreMs}) => scoreMs) ?? selections.at(-1);
+
 /** Selects the engines of a model request; undefined if no engine can decode it. */
 export const selectEngines = (views: readonly EndpointView[], request: SelectionRequest, context: SelectionContext): EngineSelection | undefined => {
 	const candidates = findCandidates(views, request, context.nowMs);
 	const reservedEngine = findReservedEngine(candidates.decoders);
 	const isLongAnswer = candidates.decoders.some(view => view !== reservedEngine && overrunMs(view, request, context) > 0);
 	const {prefilledAt} = request;
+	const groups = splitByVersion(candidates);
 	if (prefilledAt) {
-		return selectForPrefilled(candidates, {...request, prefilledAt, isLongAnswer}, {...context, reservedEngine});
-	}
-
-	const direct = selectDirect(candidates, {...request, isLongAnswer}, {...context, reservedEngine});
-	const split = selectSplit(candidates, {...request, isLongAnswer}, {...context, reservedEngine});
-	if (direct && split) {
-		return split.scoreMs < direct.scoreMs ? split.selection : direct.selection;
+		const version = softwareVersionOf(prefilledAt.endpoint);
+		const group = groups.find(({decoders: [first]}) => first && softwareVersionOf(first.endpoint) === version);
+		return group && selectForPrefilled(group, {...request, prefilledAt, isLongAnswer}, {...context, reservedEngine});
 	}
 
-	return (split ?? direct)?.selection;
+	const selections = groups.flatMap(group => [
+		selectSplit(group, {...request, isLongAnswer}, {...context, reservedEngine}),
+		selectDirect(group, {...request, isLongAnswer}, {...context, reservedEngine}),
+	]).filter(scored => scored !== undefined);
+	return pickBest(selections)?.selection;
 };
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -11,6 +11,7 @@
 	RequestKind,
 	WeightedService,
 } from './deployment.js';
+export {softwareVersionOf} from './deployment.js';
 export {pickService, RouteTable} from './route-table.js';
 export {PrefillLatencyModel, type PrefillSize} from './prefill-latency-model.js';
 export {
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -25,6 +25,8 @@
 export type StoreGeneration = Branded<number, 'StoreGeneration'>;
 export type WindowId = Branded<string, 'WindowId'>;
 export type Fingerprint = Branded<string, 'Fingerprint'>;
+/** Version of the software of an endpoint, not of the weights that it serves. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** A prompt segment of one service. */
 export type SegmentKey = Branded<string, 'SegmentKey'>;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
 	type OrderNumber,
 	type RequestId,
 	type SegmentKey,
+	type SoftwareVersion,
 	type StoreGeneration,
 	type WindowId,
 } from './ids.js';
--- a/packages/forward/src/__tests__/gossip-message.test.ts
+++ b/packages/forward/src/__tests__/gossip-message.test.ts
@@ -31,6 +31,7 @@
 			segment: brandAs<SegmentKey>('models/x'), companions: [], refutedAgeMs: 10, remainingMs: 500,
 		}],
 	},
+	streams: [{service: 'models', softwareVersion: 'v1', ids: ['9c41d07be2a35f68']}],
 	usage: {owner: 'e1', windows: [[4, {planning: 12}]]},
 } as unknown as GossipMessage;
 
--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/__tests__/gossip.test.ts
@@ -45,6 +45,8 @@
 	onLimitNews: () => undefined,
 	segmentNews: () => ({crashes: [], completed: [], quarantines: []}),
 	onSegmentNews: () => undefined,
+	streamNews: () => [],
+	onStreamNews: () => undefined,
 	onUsage: () => undefined,
 	onRoleChanges: () => undefined,
 	onConfigVersion: () => undefined,
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/caller-handler.ts
@@ -36,6 +36,8 @@
 	/** Size of a model request, so that rejections can be compared by size. */
 	readonly promptTokens?: number;
 	readonly maxOutputTokens?: number;
+	/** The request that began the stream, if the caller resumes one. */
+	readonly resumedId?: string;
 	readonly tookMs: number;
 	/** Time since this entry was told to stop; absent if it was not. */
 	readonly stoppingMs?: number;
@@ -117,7 +119,7 @@
 		return createEarlyOutcome('caller-left', {ran: 'not-run', attempts: 0});
 	}
 
-	const service = routes.findService(pickService(route, deps.random) ?? '');
+	const service = routes.findService(deps.streams.serviceOf(request, route) ?? pickService(route, deps.random) ?? '');
 	if (!service) {
 		return reject(503, 'no-service', notReadyRetryMs);
 	}
@@ -182,6 +184,7 @@
 		...admission && {route: admission.route.name, account: admission.account?.name},
 		configVersion,
 		...request && request.promptTokens > 0 && {promptTokens: request.promptTokens, maxOutputTokens: request.maxOutputTokens},
+		...request?.lastEventId !== undefined && {resumedId: request.resumedId},
 		tookMs: exchange.elapsedMs,
 		...stoppingMs !== undefined && {stoppingMs: Math.round(stoppingMs)},
 		...exchange.isBuffered && {isBuffered: true},
--- a/packages/forward/src/decision-log.ts
+++ b/packages/forward/src/decision-log.ts
@@ -12,7 +12,7 @@
 
 /** Events that are rare and explain the others. They are exempt from the rate limit and dropped only while the reader is slow. */
 const unlimitedEvents = [
-	'start', 'accept', 'ready', 'stop', 'stopped', 'reload', 'config', 'endpoint', 'peer', 'dependency', 'lease', 'usage', 'role', 'quarantine',
+	'start', 'accept', 'ready', 'stop', 'stopped', 'reload', 'config', 'endpoint', 'peer', 'dependency', 'lease', 'usage', 'role', 'quarantine', 'software',
 ] as const;
 
 export type LogEvent = typeof unlimitedEvents[number] | 'attempt' | 'error' | 'request' | 'stall';
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -12,7 +12,7 @@
 import {EndpointDirectory} from './endpoint-directory.js';
 import {EntryPhases} from './entry-phases.js';
 import {EndpointPool} from './endpoint-pool.js';
-import {Gossip} from './gossip.js';
+import {Gossip, sendIntervalMs} from './gossip.js';
 import {Membership} from './membership.js';
 import {ForwardMetrics} from './metrics.js';
 import {LoadTracker} from './load-tracker.js';
@@ -22,8 +22,13 @@
 import {refusesConnections} from './refuses-connections.js';
 import {registrationExpiryMs} from './registration-outages.js';
 import {RequestReports} from './request-reports.js';
+import {ResumedStreams} from './resumed-streams.js';
 import {RoleChanges} from './role-changes.js';
+import {SoftwareRows} from './software-rows.js';
+import {SoftwareVersions} from './software-versions.js';
 import {StoreFollower} from './store-follower.js';
+import {StreamOrigins} from './stream-origins.js';
+import {StreamRows} from './stream-rows.js';
 import {createSupervisor, type Supervise} from './supervisor.js';
 import {CorrectedClock} from './corrected-clock.js';
 import {UsageCounter} from './usage-counter.js';
@@ -55,6 +60,10 @@
 	readonly rateShares: RateShares;
 	readonly rateLimits: RateLimits;
 	readonly roleChanges: RoleChanges;
+	readonly softwareVersions: SoftwareVersions;
+	readonly streamOrigins: StreamOrigins;
+	readonly streamRows: StreamRows;
+	readonly streams: ResumedStreams;
 	readonly gossip: Gossip;
 	readonly directory: EndpointDirectory;
 	readonly answerListener: AnswerListener;
@@ -66,7 +75,13 @@
 /** Fraction of the time until a version must be in force in which the store delivers it; a peer can still deliver it in the rest. */
 const storeDeliveryFraction = 0.5;
 
-type GossipComponents = Pick<ForwardComponents, 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'metrics' | 'phases' | 'rateLimits' | 'roleChanges' | 'supervise' | 'usage'>;
+/** News of a peer has arrived after so many intervals between its messages, even if a datagram was lost. */
+const newsRounds = 3;
+
+type GossipComponents = Pick<
+	ForwardComponents,
+	| 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'metrics' | 'phases' | 'rateLimits' | 'roleChanges' | 'softwareVersions' | 'streamOrigins' | 'supervise' | 'usage'
+>;
 
 const createGossip = ({
 	hostName, ip, gossipPort, dataCentre,
@@ -103,6 +118,13 @@
 	onSegmentNews(news) {
 		components.crashes.applyPeerSegmentNews(news);
 	},
+	streamNews: receivers => components.streamOrigins.newsToSend(receivers),
+	onStreamNews(news) {
+		components.streamOrigins.applyNews(news);
+		for (const origin of news) {
+			components.softwareVersions.note(origin);
+		}
+	},
 	onUsage(notice) {
 		components.usage.applyNotice(notice);
 	},
@@ -236,8 +258,27 @@
 			metrics.countDamagedLeaving();
 		},
 	};
+	const softwareVersions = new SoftwareVersions({
+		clock,
+		pool,
+		rows: new SoftwareRows(rows, log),
+		position: () => members.position(),
+		onChange(change) {
+			log.write('software', change);
+		},
+	});
+	const streamOrigins = new StreamOrigins({clock, isTold: service => softwareVersions.isMixed(service)});
+	const streamRows = new StreamRows({
+		rows, origins: streamOrigins, ownName: settings.hostName, correctedClock, nowMs: () => clock.nowMs(), position: () => members.position(), log,
+	});
+	const streams = new ResumedStreams({
+		origins: streamOrigins,
+		versions: softwareVersions,
+		rows: streamRows,
+		newsMs: () => newsRounds * sendIntervalMs(members.peers().length),
+	});
 	const gossip: Gossip = createGossip(settings, deps, {
-		roleChanges, config, crashes, directory, load, members, metrics, phases, rateLimits, supervise, usage,
+		softwareVersions, streamOrigins, roleChanges, config, crashes, directory, load, members, metrics, phases, rateLimits, supervise, usage,
 	});
 	const follower: StoreFollower = new StoreFollower({
 		clock,
@@ -261,7 +302,7 @@
 	});
 	return {
 		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
-		gossip, directory, answerListener,
+		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
 };
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -188,6 +188,7 @@
 			answerListener: this.#components.answerListener,
 			pool: this.#components.pool,
 			load: this.#components.load,
+			streams: this.#components.streams,
 			crashes: this.#components.crashes,
 			dataCentre: this.#settings.dataCentre,
 			stop: this.#stopTimes,
@@ -260,7 +261,9 @@
 	}
 
 	async #runChecks(signal: AbortSignal): Promise<void> {
-		const {config, pool, directory, phases, members} = this.#components;
+		const {
+			config, pool, directory, phases, members, softwareVersions, streamRows,
+		} = this.#components;
 		await runPeriodicChecks({
 			clock: this.#deps.clock,
 			pool,
@@ -271,6 +274,8 @@
 				this.#accepts.check();
 				this.#listeningQueue?.adjust();
 				config.fetchIfDue();
+				softwareVersions.update();
+				void streamRows.saveIfDue();
 			},
 			log: this.#deps.log,
 		}, signal);
--- a/packages/forward/src/forward-deps.ts
+++ b/packages/forward/src/forward-deps.ts
@@ -9,6 +9,7 @@
 import type {EndpointPool} from './endpoint-pool.js';
 import type {LoadTracker} from './load-tracker.js';
 import type {WireFormat} from './ports.js';
+import type {ResumedStreams} from './resumed-streams.js';
 import type {StopTimes} from './stop-times.js';
 
 export type ForwardDeps = {
@@ -18,6 +19,7 @@
 	readonly answerListener: AnswerListener;
 	readonly pool: EndpointPool;
 	readonly load: LoadTracker;
+	readonly streams: Pick<ResumedStreams, 'findVersion' | 'recordBegun' | 'serviceOf'>;
 	readonly dataCentre: string;
 	readonly stop: StopTimes;
 	readonly retryWindowOf: (service: string) => RetryWindow;
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -1,7 +1,8 @@
 /**
  * Forwards one request: runs its attempts one after the other, or beside each other after a stall, until it is answered or none is left.
  */
-import {RequestArrivals, type ForwardRoute} from '@hawthorncleat/core';
+import {RequestArrivals, softwareVersionOf, type ForwardRoute} from '@hawthorncleat/core';
+import {createEarlyOutcome} from './early-end.js';
 import {isNotRunFailure, isRepeatable} from './attempt-helpers.js';
 import type {AttemptPhase} from './attempt-report.js';
 import {AttemptRace, type RunLimits, type RunningAttempt} from './attempt-race.js';
@@ -124,10 +125,35 @@
 	? Math.min(request.maxOutputTokens, load.longAnswerLoadLimit(service.name).expectedTokens(route.name, request.guessedTokens))
 	: 0;
 
+/** Lets a resumed stream go on at the version that began it only. Returns the outcome if the request ends with that. */
+const resumeStream = async ({streams, pool}: ForwardDeps, authorized: AuthorizedRequest, relay: StreamRelay): Promise<Outcome | undefined> => {
+	const {exchange, service} = authorized;
+	const version = await streams.findVersion(authorized);
+	if (exchange.signal.aborted) {
+		return createEarlyOutcome(exchange.endReason ?? 'timeout', {ran: 'not-run', attempts: 0});
+	}
+
+	const refuse = (code: string): Outcome => ({
+		status: 503, code, ran: 'not-run', attempts: 0,
+	});
+	if (version === undefined) {
+		return refuse('unknown-version');
+	}
+
+	relay.begin(version);
+	const isInUse = pool.ofService(service.name).some(({endpoint}) => !endpoint.isLeaving && softwareVersionOf(endpoint) === version);
+	return isInUse ? undefined : refuse('version-gone');
+};
+
 /** Runs attempts until the request is answered or no retry is left. */
 export const forwardRequest = async (deps: ForwardDeps, authorized: AuthorizedRequest): Promise<Outcome> => {
 	const {exchange, request, route, service} = authorized;
 	const relay = route.kind === 'stream' ? new StreamRelay(exchange, request.lastEventId) : undefined;
+	const refused = relay && request.lastEventId !== undefined ? await resumeStream(deps, authorized, relay) : undefined;
+	if (refused) {
+		return refused;
+	}
+
 	const state: RequestState = {relay, arrivals: new RequestArrivals()};
 	protectFromStop(authorized, deps.stop);
 	const retryWindow = deps.retryWindowOf(service.name);
--- a/packages/forward/src/gossip-message.ts
+++ b/packages/forward/src/gossip-message.ts
@@ -4,7 +4,8 @@
  * version may send other ones; a message without its required fields counts as lost.
  */
 import {
-	brandAs, priorityLevelCount, type EndpointId, type EndpointRole, type EntryPhase, type Fingerprint, type LevelWork, type PromptSegment, type ServiceDemand,
+	brandAs, priorityLevelCount, type EndpointId, type EndpointRole, type EntryPhase, type Fingerprint, type LevelWork, type PromptSegment, type RequestId, type ServiceDemand,
+	type SoftwareVersion,
 } from '@hawthorncleat/core';
 import type {CrashReport} from './crash-guard.js';
 import {departureKinds, type Departure, type DepartureKind} from './departures.js';
@@ -15,6 +16,7 @@
 import type {LimitNews, ToldLimit} from './rate-limits.js';
 import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
+import type {StreamNews} from './stream-origins.js';
 import type {UsageNotice} from './usage-counter.js';
 import {isUsageCounts} from './usage-sums.js';
 import {
@@ -37,6 +39,8 @@
 	readonly limitNews?: LimitNews;
 	/** News about prompt segments that crash engines. */
 	readonly segments?: SegmentNews;
+	/** Streams that the sender has begun, while several software versions are in use. */
+	readonly streams?: readonly StreamNews[];
 	/** Usage that is not in the store yet. Only some messages carry it. */
 	readonly usage?: UsageNotice;
 };
@@ -127,6 +131,13 @@
 
 const decodeDemand = ([service, perSecond]: Tuple): ServiceDemand | undefined => isText(service) && isAmount(perSecond) ? {service, perSecond} : undefined;
 
+const encodeStreams = ({service, softwareVersion, ids}: StreamNews): Tuple => [service, softwareVersion, ids];
+
+const decodeStreams = ([service, softwareVersion, ids]: Tuple): StreamNews | undefined =>
+	isText(service) && typeof softwareVersion === 'string' && isListOf(ids, isText)
+		? {service, softwareVersion: brandAs<SoftwareVersion>(softwareVersion), ids: ids.map(id => brandAs<RequestId>(id))}
+		: undefined;
+
 const roles = new Set<unknown>(['prefill', 'decode'] satisfies EndpointRole[]);
 const phases = new Set<unknown>(['starting', 'ready', 'waiting', 'leaving'] satisfies EntryPhase[]);
 
@@ -166,7 +177,7 @@
 
 /** The text of a message. The fields keep the names that entries of earlier versions read. */
 export const encodeMessage = ({
-	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, segments, usage,
+	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, segments, streams, usage,
 }: GossipMessage): string => JSON.stringify({
 	from,
 	config: configVersion,
@@ -179,6 +190,7 @@
 	...departures.length > 0 && {departures: departures.map(departure => encodeDeparture(departure))},
 	...limitNews && limitNews.limits.length > 0 && encodeLimitNews(limitNews),
 	...segments && hasSegmentNews(segments) && {segments: roundAges(segments)},
+	...streams && streams.length > 0 && {streams: streams.map(news => encodeStreams(news))},
 	...usage && {usage},
 });
 
@@ -191,7 +203,7 @@
 /** Decodes a datagram; undefined if it is no message. */
 export const decodeMessage = (text: string): GossipMessage | undefined => {
 	const {
-		from, config, phase, changing, running, prefills, sent, crashes, departures, limits, demands, segments, usage,
+		from, config, phase, changing, running, prefills, sent, crashes, departures, limits, demands, segments, streams, usage,
 	} = parseFields(text);
 	if (!isText(from) || !isAmount(config) || !isTuple(changing) || !isTuple(running) || !isTuple(sent)) {
 		return undefined;
@@ -211,6 +223,7 @@
 		departures: decodeList(departures, tuple => decodeDeparture(tuple)),
 		...isTuple(limits) && {limitNews: {limits: decodeList(limits, tuple => decodeLimit(tuple)), demands: decodeList(demands, tuple => decodeDemand(tuple))}},
 		...isSegmentNews(segments) && {segments},
+		...isTuple(streams) && {streams: decodeList(streams, tuple => decodeStreams(tuple))},
 		...isUsageNotice(usage) && {usage},
 	};
 };
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/gossip.ts
@@ -18,6 +18,7 @@
 import type {LimitNews} from './rate-limits.js';
 import type {RoleChange} from './role-changes.js';
 import type {SegmentNews} from './segment-quarantines.js';
+import type {StreamNews} from './stream-origins.js';
 import type {Supervise} from './supervisor.js';
 import type {UsageNotice} from './usage-counter.js';
 
@@ -56,6 +57,9 @@
 	/** News for the peers that the name stands for; they are repeated to each of them. */
 	readonly segmentNews: (receivers: string) => SegmentNews;
 	readonly onSegmentNews: (news: SegmentNews) => void;
+	/** Streams that this entry has begun, for the peers that the name stands for. */
+	readonly streamNews: (receivers: string) => readonly StreamNews[];
+	readonly onStreamNews: (news: readonly StreamNews[]) => void;
 	readonly onUsage: (notice: UsageNotice) => void;
 	/** Called with the engines whose role another entry is changing. */
 	readonly onRoleChanges: (peer: Peer, changes: readonly RoleChange[]) => void;
@@ -92,8 +96,8 @@
 ]);
 
 /** Whether a message has parts that can be sent in another datagram. The load of running requests is in each of them. */
-const isDivisible = ({load: {sent}, crashes, departures, limitNews, segments, usage}: GossipMessage): boolean =>
-	sent.length > 1 || (departures.length + (limitNews?.limits.length ?? 0) > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
+const isDivisible = ({load: {sent}, crashes, departures, limitNews, segments, streams = [], usage}: GossipMessage): boolean =>
+	sent.length > 1 || (departures.length + streams.length + (limitNews?.limits.length ?? 0) > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
 
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
@@ -180,9 +184,9 @@
 	/** Sends a message if there is news, or if the last message or the last usage notice is too long ago. */
 	#sendIfDue(group: PeerGroup): void {
 		const {
-			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, segmentNews, usageNotice,
+			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, segmentNews, streamNews, usageNotice,
 		} = this.#options;
-		const message: GossipMessage = {
+		const message = {
 			from: ownName,
 			configVersion: configVersion(),
 			phase: ownPhase(),
@@ -192,12 +196,14 @@
 			departures: departures(group.name),
 			limitNews: limitNews(),
 			segments: segmentNews(group.name),
-		};
+			streams: streamNews(group.name),
+		} satisfies GossipMessage;
 		group.sent = [];
 		const state = describeState(message);
 		const isKeepAliveDue = clock.nowMs() - group.lastSentMs >= keepAliveMs;
 		const isUsageDue = clock.nowMs() - group.lastUsageSentMs >= usageIntervalMs;
-		if (message.load.sent.length + message.departures.length === 0 && state === group.lastState && !isKeepAliveDue && !isUsageDue) {
+		const news = message.load.sent.length + message.departures.length + message.streams.length;
+		if (news === 0 && state === group.lastState && !isKeepAliveDue && !isUsageDue) {
 			return;
 		}
 
@@ -227,7 +233,7 @@
 		if (text.length > maxDatagramBytes && isDivisible(message)) {
 			const half = Math.ceil(sent.length / 2);
 			this.#sendToPeers(peers, {
-				...message, load: {...message.load, sent: sent.slice(0, half)}, departures: [], limitNews: undefined,
+				...message, load: {...message.load, sent: sent.slice(0, half)}, departures: [], limitNews: undefined, streams: [],
 			});
 			this.#sendToPeers(peers, {
 				...message, load: {...message.load, sent: sent.slice(half)}, usage: undefined, crashes: [], segments: undefined,
@@ -270,6 +276,10 @@
 			this.#options.onSegmentNews(message.segments);
 		}
 
+		if (message.streams && message.streams.length > 0) {
+			this.#options.onStreamNews(message.streams);
+		}
+
 		if (message.usage) {
 			this.#options.onUsage(message.usage);
 		}
--- a/packages/forward/src/next-attempt.ts
+++ b/packages/forward/src/next-attempt.ts
@@ -2,7 +2,7 @@
  * Decides whether a request may have another attempt, selects its endpoints and starts it. A request that gets none ends here.
  */
 import {
-	decideRetry, type FailureKind, type ForwardRoute,
+	decideRetry, softwareVersionOf, type FailureKind, type ForwardRoute, type SoftwareVersion,
 } from '@hawthorncleat/core';
 import {isRepeatable} from './attempt-helpers.js';
 import {type AttemptPhase, type StallDecision} from './attempt-report.js';
@@ -93,7 +93,15 @@
 
 type Selection = {readonly selected: Overload | Placement; readonly denial?: undefined} | {readonly selected?: undefined; readonly denial: RetryDenial};
 
-/** Selects the endpoints of one more attempt. Once as many endpoints as may run the request have been reached, only these are left. */
+/** Endpoints at which a stream that has begun may not go on. */
+const findOtherVersions = ({pool}: ForwardDeps, {service}: AdmittedRequest, begunAt: SoftwareVersion | undefined): string[] => begunAt === undefined
+	? []
+	: pool.ofService(service.name).filter(({endpoint}) => softwareVersionOf(endpoint) !== begunAt).map(({endpoint}) => endpoint.id);
+
+/**
+ * Selects the endpoints of one more attempt. Once as many endpoints as may run the request have been reached, only these are left, and of a stream that has
+ * begun only those of its software version.
+ */
 const selectPlacement = (deps: ForwardDeps, admitted: AdmittedRequest, {race, request}: RequestProgress, options: Omit<PlacementOptions, 'prefilled'>): Selection => {
 	const {route, service} = admitted;
 	const {reached} = race;
@@ -101,7 +109,10 @@
 	const unreached = isLimitReached
 		? deps.pool.ofService(service.name).filter(target => target.endpoint.role !== 'prefill' && !reached.has(target)).map(({endpoint}) => endpoint.id)
 		: [];
-	const selected = choosePlacement(deps, admitted, {...options, excluded: new Set([...options.excluded, ...unreached]), prefilled: request.prefilled});
+	const excluded = new Set([...options.excluded, ...unreached, ...findOtherVersions(deps, admitted, request.relay?.softwareVersion)]);
+	// Without an engine that can fetch the KV cache, the prompt is prefilled once more.
+	const selected = choosePlacement(deps, admitted, {...options, excluded, prefilled: request.prefilled})
+		?? (request.prefilled && choosePlacement(deps, admitted, {...options, excluded}));
 	return selected ? {selected} : {denial: isLimitReached ? 'attempts-used' : 'no-endpoint'};
 };
 
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -31,6 +31,8 @@
 	readonly segments: readonly PromptSegment[];
 	/** Set if the caller resumes a stream. */
 	readonly lastEventId?: string;
+	/** The request that began the stream, if the caller resumes one. */
+	readonly resumedId?: RequestId;
 	/** Headers to pass on to the endpoint. */
 	readonly headers: OutgoingHeaders;
 };
@@ -150,7 +152,7 @@
 };
 
 /** Tables that the entry uses. The adapter maps them to the names of the store. */
-export type StoreTable = 'config' | 'endpoints' | 'members' | 'quarantines' | 'usage';
+export type StoreTable = 'config' | 'endpoints' | 'members' | 'quarantines' | 'software' | 'streams' | 'usage';
 
 export type RowStore = {
 	read(table: StoreTable, range: {readonly from?: string; readonly to?: string}, signal: AbortSignal): Promise<StoreAnswer>;
--- a/packages/forward/src/relay-stream.ts
+++ b/packages/forward/src/relay-stream.ts
@@ -2,7 +2,7 @@
  * Relays the stream of one attempt to the caller: only complete events, and only while no other attempt of the request has delivered first.
  */
 import type {Buffer} from 'node:buffer';
-import type {RatePlace} from '@hawthorncleat/core';
+import {softwareVersionOf, type RatePlace} from '@hawthorncleat/core';
 import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from './answer-buffer.js';
 import {
 	createEndpointCall, createRequestLimits, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
@@ -25,6 +25,8 @@
 	readonly expectedMs: number;
 	readonly level: number | undefined;
 	readonly kvSource?: KvHandle;
+	/** Called before the first event of this endpoint is relayed. */
+	readonly onBegin: () => void;
 	readonly onFirstEvent: () => void;
 	/** Called with the number of complete events that arrived together. */
 	readonly onEvents: (events: number) => void;
@@ -58,7 +60,7 @@
 	{relay, control, place}: {relay: StreamRelay; control: AttemptControl; place: RatePlace},
 ): Promise<AttemptResult> => {
 	const {
-		target, level, kvSource, onFirstEvent, onEvents,
+		target, level, kvSource, onBegin, onFirstEvent, onEvents,
 	} = source;
 	const askedMs = deps.clock.nowMs();
 	const details = {...createSendDetails(admitted, target, level), kvSource, lastEventId: relay.lastEventId};
@@ -75,6 +77,8 @@
 
 		if (!hasRelayed) {
 			hasRelayed = true;
+			onBegin();
+			relay.begin(softwareVersionOf(target.endpoint));
 			relay.onDrain(() => {
 				watch.resume();
 				endpointExchange.resume();
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/run-attempt.ts
@@ -99,6 +99,9 @@
 		level,
 		expectedMs: firstTokenMs,
 		kvSource,
+		onBegin() {
+			deps.streams.recordBegun(admitted, target);
+		},
 		onFirstEvent,
 		onEvents(events) {
 			progress.record({events, load: currentLoad(), atMs: deps.clock.nowMs()});
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/stream-relay.ts
@@ -3,6 +3,7 @@
  * keeps the headers of the first endpoint.
  */
 import type {Buffer} from 'node:buffer';
+import type {SoftwareVersion} from '@hawthorncleat/core';
 import type {CallerExchange} from './caller-exchange.js';
 import type {EventSplitter} from './event-splitter.js';
 import type {AdmittedRequest} from './admitted-request.js';
@@ -21,6 +22,7 @@
 
 export class StreamRelay {
 	readonly #exchange: CallerExchange;
+	#softwareVersion: SoftwareVersion | undefined;
 	#lastEventId: string | undefined;
 	#hasEventIds = false;
 	#drainListener: (() => void) | undefined;
@@ -38,11 +40,21 @@
 		return this.#lastEventId;
 	}
 
+	/** Software version of the endpoint that began the stream, the only one at which it may go on; undefined until it has begun. */
+	get softwareVersion(): SoftwareVersion | undefined {
+		return this.#softwareVersion;
+	}
+
 	/** Whether an event with an id has been relayed. */
 	get hasEventIds(): boolean {
 		return this.#hasEventIds;
 	}
 
+	/** Records the software version that begins the stream. Later calls have no effect. */
+	begin(version: SoftwareVersion): void {
+		this.#softwareVersion ??= version;
+	}
+
 	onDrain(listener: () => void): void {
 		this.#drainListener = listener;
 	}
