--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -35,6 +35,7 @@
 export {
 	balanceRoles, maxRoleChanges, type RoleBalance, type RoleBalanceState, type RoleDecision,
 } from './balance-roles.js';
+export {findNeededDecoders, findSpareDecoders, type VersionedEngine} from './version-roles.js';
 export {pickRoleChange, type RoleCandidate} from './pick-role-change.js';
 export {OutlierEjection} from './outlier-ejection.js';
 export {
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/role-duty.ts
@@ -4,8 +4,8 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	balanceRoles, maxRoleChanges, pickRoleChange, RatePlace, referenceLoad,
-	type Clock, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate,
+	balanceRoles, findNeededDecoders, findSpareDecoders, maxRoleChanges, pickRoleChange, RatePlace, referenceLoad, softwareVersionOf,
+	type Clock, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate, type VersionedEngine,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {createRequestLimits} from './attempt-helpers.js';
@@ -132,8 +132,14 @@
 			return;
 		}
 
-		const {change, count, state: memory} = balanceRoles(balance, state.memory);
 		const lease = this.#options.lease();
+		const neededDecoders = new Set(findNeededDecoders(this.#versionedEngines(engines)).map(({endpoint}) => endpoint));
+		if (lease && neededDecoders.size > 0 && nowMs - state.engineCountChangedMs >= registrationMs) {
+			await this.#orderBest(engines.filter(({endpoint}) => neededDecoders.has(endpoint.id)), {role: 'decode', balance, lease}, signal);
+			return;
+		}
+
+		const {change, count, state: memory} = balanceRoles(balance, state.memory);
 		if (change && !lease) {
 			// The decision stays pending, so that this entry can act at once if it acquires the lease.
 			return;
@@ -182,11 +188,19 @@
 		return this.#pendingChanges.get(endpoint.id)?.role ?? (isAnnounced ? newRole : undefined);
 	}
 
+	#versionedEngines(engines: readonly PooledEndpoint[]): VersionedEngine[] {
+		return engines.map(engine => ({
+			endpoint: engine.endpoint.id, version: softwareVersionOf(engine.endpoint), role: this.#newRoleOf(engine) ?? engine.endpoint.role ?? 'decode',
+		}));
+	}
+
 	/** Engines that could change to a role. The orders to those that want no calls wait. */
 	#candidatesFor(role: EndpointRole, engines: readonly PooledEndpoint[]): readonly RoleCandidate[] {
 		const nowMs = this.#options.clock.nowMs();
+		const spare = new Set(findSpareDecoders(this.#versionedEngines(engines)).map(({endpoint}) => endpoint));
 		return engines
 			.filter(engine => engine.endpoint.role !== role && this.#newRoleOf(engine) === undefined && !engine.backoff.isActive(nowMs))
+			.filter(({endpoint}) => role === 'decode' || spare.has(endpoint.id))
 			.map(engine => describeCandidate(engine));
 	}
 
