--- a/packages/forward/src/attempt-helpers.ts
+++ b/packages/forward/src/attempt-helpers.ts
@@ -15,6 +15,9 @@
 /** Lowest status that is an error of the endpoint. */
 export const minServerErrorStatus = 500;
 
+/** HTTP has no higher status. */
+const maxStatus = 599;
+
 /** Whether a request of the route may run more than once. */
 export const isRepeatable = ({kind, isResumable}: ForwardRoute): boolean => kind === 'idempotent' || (kind === 'stream' && isResumable);
 
@@ -64,7 +67,7 @@
  * the endpoint; any other status may lack both, but must not bear another id.
  */
 export const isAnswerToRequest = (head: AnswerHead, {request}: AdmittedRequest): boolean =>
-	(head.requestId === undefined ? head.status >= 300 : head.requestId === request.id) && (head.isSealed || head.status >= 300);
+	head.status <= maxStatus && (head.requestId === undefined ? head.status >= 300 : head.requestId === request.id) && (head.isSealed || head.status >= 300);
 
 export const createEndpointCall = (deps: ForwardDeps, {request, body}: AdmittedRequest, details: SendDetails): EndpointCall => ({
 	method: request.method,
