--- a/packages/forward/src/__tests__/software-versions.test.ts
+++ b/packages/forward/src/__tests__/software-versions.test.ts
@@ -120,6 +120,15 @@
 		assert.equal(world.rows, ['v1', 'v2']);
 	});
 
+	it('are written again after a return of the store from a copy; guards against a version whose row is lost', async () => {
+		const world = createWorld();
+		await pass(world, 1000);
+		world.rows = [];
+		world.versions.recordStoreReturn();
+		await pass(world, 1000);
+		assert.equal(world.rows, ['v1']);
+	});
+
 	it('are written again when they come back; guards against a version that has no row while it is used', async () => {
 		const world = createWorld();
 		await pass(world, 1000);
--- a/packages/forward/src/__tests__/stream-origins.test.ts
+++ b/packages/forward/src/__tests__/stream-origins.test.ts
@@ -18,7 +18,7 @@
 describe('origins of streams', () => {
 	it('reach a peer although every second datagram is lost; guards against streams that only their entry can go on with', () => {
 		const clock = createManualClock(0);
-		const [own, peer] = [new StreamOrigins({clock, isTold: () => true}), new StreamOrigins({clock, isTold: () => true})];
+		const [own, peer] = [new StreamOrigins({clock, isTold: () => true, isAnyTold: () => true}), new StreamOrigins({clock, isTold: () => true, isAnyTold: () => true})];
 		const random = createSeededRandom(59);
 		let begun = 0;
 		for (let message = 0; message < 200; message += 1) {
@@ -42,7 +42,7 @@
 
 	it('are told to each group of peers, a few in a message, and only twice; guards against datagrams that do not fit and never end', () => {
 		const clock = createManualClock(0);
-		const own = new StreamOrigins({clock, isTold: () => true});
+		const own = new StreamOrigins({clock, isTold: () => true, isAnyTold: () => true});
 		for (let number = 0; number < 30; number += 1) {
 			own.recordBegun(requestId(`s${number}`), origin);
 		}
@@ -58,7 +58,7 @@
 	it('are told from before the second version came into use, and not without one; guards against streams that nobody knows when a release begins', () => {
 		const clock = createManualClock(0);
 		let isMixed = false;
-		const own = new StreamOrigins({clock, isTold: () => isMixed});
+		const own = new StreamOrigins({clock, isTold: () => isMixed, isAnyTold: () => isMixed});
 		own.recordBegun(requestId('s1'), origin);
 		assert.equal(own.newsToSend('local'), []);
 		assert.equal(own.unsaved(), []);
@@ -72,7 +72,7 @@
 
 	it('end the wait of a request that asks for one, whose wait ends with the caller and the limit as well; guards against resumed streams that hang', async () => {
 		const clock = createManualClock(0);
-		const origins = new StreamOrigins({clock, isTold: () => true});
+		const origins = new StreamOrigins({clock, isTold: () => true, isAnyTold: () => true});
 		const leaving = new AbortController();
 		const told = origins.waitForOrigin(requestId('s1'), 10_000, new AbortController().signal);
 		const left = origins.waitForOrigin(requestId('s2'), 10_000, leaving.signal);
@@ -84,9 +84,23 @@
 		assert.is(await limited, undefined);
 	});
 
+	it('are written again after a return of the store from a copy; guards against streams that only the lost rows had', () => {
+		const own = new StreamOrigins({clock: createManualClock(0), isTold: () => true, isAnyTold: () => true});
+		own.recordBegun(requestId('s1'), origin);
+		own.recordSaved(own.unsaved());
+		own.recordStoreReturn();
+		assert.equal(idsIn(own.unsaved()), ['s1']);
+	});
+
+	it('have ids of a limited length; guards against memory filled by ids that callers choose', () => {
+		const own = new StreamOrigins({clock: createManualClock(0), isTold: () => true, isAnyTold: () => true});
+		own.recordBegun(requestId('x'.repeat(10_000)), origin);
+		assert.is(own.size, 0);
+	});
+
 	it('are forgotten after a minute; guards against memory that grows with each stream', () => {
 		const clock = createManualClock(0);
-		const origins = new StreamOrigins({clock, isTold: () => true});
+		const origins = new StreamOrigins({clock, isTold: () => true, isAnyTold: () => true});
 		for (let number = 0; number < 1000; number += 1) {
 			origins.recordBegun(requestId(`s${number}`), origin);
 			clock.advance(1000);
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -267,7 +267,9 @@
 			log.write('software', change);
 		},
 	});
-	const streamOrigins = new StreamOrigins({clock, isTold: service => softwareVersions.isMixed(service)});
+	const streamOrigins = new StreamOrigins({
+		clock, isTold: service => softwareVersions.isMixed(service), isAnyTold: () => softwareVersions.isAnyMixed,
+	});
 	const streamRows = new StreamRows({
 		rows, origins: streamOrigins, ownName: settings.hostName, correctedClock, nowMs: () => clock.nowMs(), position: () => members.position(), log,
 	});
@@ -297,6 +299,8 @@
 			directory.recordStoreReturn();
 			members.recordStoreReturn();
 			usage.recordStoreReturn();
+			softwareVersions.recordStoreReturn();
+			streamOrigins.recordStoreReturn();
 			void quarantineRows.save(crashes.segmentQuarantines);
 		},
 	});
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/forward-request.ts
@@ -141,8 +141,9 @@
 	}
 
 	relay.begin(version);
-	const isInUse = pool.ofService(service.name).some(({endpoint}) => !endpoint.isLeaving && softwareVersionOf(endpoint) === version);
-	return isInUse ? undefined : refuse('version-gone');
+	const serving = pool.ofService(service.name).filter(({endpoint}) => !endpoint.isLeaving);
+	const isGone = serving.length > 0 && serving.every(({endpoint}) => softwareVersionOf(endpoint) !== version);
+	return isGone ? refuse('version-gone') : undefined;
 };
 
 /** Runs attempts until the request is answered or no retry is left. */
--- a/packages/forward/src/software-versions.ts
+++ b/packages/forward/src/software-versions.ts
@@ -59,6 +59,18 @@
 		return (this.#services.get(service)?.size ?? 0) > 1;
 	}
 
+	/** Whether this is so for any service. */
+	get isAnyMixed(): boolean {
+		return [...this.#services.values()].some(({size}) => size > 1);
+	}
+
+	/** Records that the store has returned from an older copy, which may lack any of the rows. */
+	recordStoreReturn(): void {
+		for (const known of [...this.#services.values()].flatMap(versions => [...versions.values()])) {
+			known.isSaved = false;
+		}
+	}
+
 	/** Records a version that is in use. */
 	note({service, softwareVersion}: StreamOrigin, {isSaved = false}: {readonly isSaved?: boolean} = {}): void {
 		const versions = getOrCreate(this.#services, service, () => new Map<SoftwareVersion, KnownVersion>());
--- a/packages/forward/src/stream-origins.ts
+++ b/packages/forward/src/stream-origins.ts
@@ -14,6 +14,8 @@
 	readonly clock: Clock;
 	/** Whether entries tell each other of the streams of a service. */
 	readonly isTold: (service: string) => boolean;
+	/** Whether they do so for any service; mostly they do not. */
+	readonly isAnyTold: () => boolean;
 };
 
 /** A stream of this entry or of a peer. */
@@ -33,12 +35,12 @@
 const maxOrigins = 50_000;
 /** When a second version comes into use, peers are told of streams that began so long ago at most; most of the others have ended. */
 const tellMs = 15_000;
-/** With this limit the ids of a row fill half of it. */
-const maxUnsaved = 1000;
+/** With this limit streams fit into a row. */
+const maxUnsaved = 500;
 /** With this limit the news fills at most a third of a datagram. */
 const maxNewPerMessage = 12;
-/** Longer ids would not fit into a datagram. */
-const maxToldLength = 40;
+/** Callers choose the ids, and each is kept for a minute. A stream with a longer one counts as unknown. */
+const maxIdLength = 64;
 
 export class StreamOrigins {
 	readonly #options: StreamOriginsOptions;
@@ -63,12 +65,12 @@
 
 	/** Records that this entry relays the first event of a stream. A stream that is resumed keeps the id of its first request. */
 	recordBegun(id: RequestId, {service, softwareVersion}: StreamOrigin): void {
-		const begunMs = this.#options.clock.nowMs();
-		this.#remember(id, {service, softwareVersion});
-		if (id.length > maxToldLength) {
+		if (id.length > maxIdLength) {
 			return;
 		}
 
+		const begunMs = this.#options.clock.nowMs();
+		this.#remember(id, {service, softwareVersion});
 		this.#begun += 1;
 		this.#own.push({
 			id, service, softwareVersion, number: this.#begun, begunMs,
@@ -80,6 +82,10 @@
 
 	/** News for the peers that the name stands for. Each stream is told to them twice. */
 	newsToSend(receivers: string): StreamNews[] {
+		if (!this.#options.isAnyTold()) {
+			return [];
+		}
+
 		const {twice, once} = this.#told.get(receivers) ?? {twice: 0, once: 0};
 		const sinceMs = this.#options.clock.nowMs() - tellMs;
 		const untold = this.#own.filter(({service, number, begunMs}) => number > twice && begunMs >= sinceMs && this.#options.isTold(service));
@@ -100,10 +106,14 @@
 
 	/** Streams that the store does not have, as far as this entry knows. */
 	unsaved(): StreamNews[] {
+		if (!this.#options.isAnyTold()) {
+			return [];
+		}
+
 		const sinceMs = this.#options.clock.nowMs() - tellMs;
 		const streams: Array<StreamOrigin & {readonly id: RequestId}> = [];
 		for (const [id, {origin, knownMs, isSaved}] of this.#origins) {
-			if (!isSaved && knownMs >= sinceMs && id.length <= maxToldLength && this.#options.isTold(origin.service)) {
+			if (!isSaved && knownMs >= sinceMs && this.#options.isTold(origin.service)) {
 				streams.push({...origin, id});
 			}
 		}
@@ -121,6 +131,13 @@
 		}
 	}
 
+	/** Records that the store has returned from an older copy, which may lack any of these streams. */
+	recordStoreReturn(): void {
+		for (const known of this.#origins.values()) {
+			known.isSaved = false;
+		}
+	}
+
 	/** Waits until the origin of a stream is known, the limit has passed or the signal aborts. */
 	async waitForOrigin(id: RequestId, limitMs: number, signal: AbortSignal): Promise<StreamOrigin | undefined> {
 		if (!this.#origins.has(id) && !signal.aborted) {
