--- a/packages/forward/src/__tests__/software-versions.test.ts
+++ b/packages/forward/src/__tests__/software-versions.test.ts
@@ -1,7 +1,6 @@
-import {brandAs, type RegisteredEndpoint, type SoftwareVersion} from '@hawthorncleat/core';
+import {brandAs, type SoftwareVersion} from '@hawthorncleat/core';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import type {EndpointPool} from '../endpoint-pool.js';
 import {SoftwareVersions} from '../software-versions.js';
 import type {StreamOrigin} from '../stream-origins.js';
 
@@ -22,6 +21,7 @@
 	writes: number;
 	reads: number;
 	index: number;
+	hearsPeers: boolean;
 };
 
 const createWorld = (): World => {
@@ -34,12 +34,12 @@
 		writes: 0,
 		reads: 0,
 		index: 0,
+		hearsPeers: true,
 		versions: new SoftwareVersions({
 			clock,
-			pool: {
-				all: () => world.registered.map(version => ({endpoint: originOf(version) as unknown as RegisteredEndpoint}))[Symbol.iterator]() as ReturnType<EndpointPool['all']>,
-			},
+			endpoints: () => world.registered.map(version => originOf(version)),
 			position: () => ({index: world.index, count: 2}),
+			hearsPeers: () => world.hearsPeers,
 			rows: {
 				async read() {
 					world.reads += 1;
@@ -99,6 +99,8 @@
 		assert.is(await world.versions.findOnly('models'), undefined);
 		await pass(world, 40_000);
 		assert.is(await world.versions.findOnly('models'), 'v1');
+		world.hearsPeers = false;
+		assert.is(await world.versions.findOnly('models'), undefined);
 	});
 
 	it('are read for many resumed streams at once with few calls; guards against a crowd that makes a call for each stream', async () => {
--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -260,9 +260,10 @@
 	};
 	const softwareVersions = new SoftwareVersions({
 		clock,
-		pool,
+		endpoints: () => [...pool.all()].map(({endpoint}) => endpoint),
 		rows: new SoftwareRows(rows, log),
 		position: () => members.position(),
+		hearsPeers: () => members.liveCount() > 1 || members.peers().length === 0,
 		onChange(change) {
 			log.write('software', change);
 		},
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/run-attempt.ts
@@ -100,7 +100,7 @@
 		expectedMs: firstTokenMs,
 		kvSource,
 		onBegin() {
-			deps.streams.recordBegun(admitted, target);
+			deps.streams.recordBegun(admitted, target.endpoint);
 		},
 		onFirstEvent,
 		onEvents(events) {
--- a/packages/forward/src/software-versions.ts
+++ b/packages/forward/src/software-versions.ts
@@ -3,18 +3,20 @@
  * store has, which outlast a moment in which all entries end. A version is forgotten, and its row removed, some time after its last endpoint has left.
  */
 import {
-	getOrCreate, softwareVersionOf, type Clock, type EntryPosition, type SoftwareVersion,
+	getOrCreate, softwareVersionOf, type Clock, type EntryPosition, type RegisteredEndpoint, type SoftwareVersion,
 } from '@hawthorncleat/core';
-import type {EndpointPool} from './endpoint-pool.js';
 import type {SoftwareRows} from './software-rows.js';
 import type {StreamOrigin} from './stream-origins.js';
 
 export type SoftwareVersionsOptions = {
 	readonly clock: Clock;
-	readonly pool: Pick<EndpointPool, 'all'>;
+	/** The registered endpoints. */
+	readonly endpoints: () => ReadonlyArray<Pick<RegisteredEndpoint, 'service' | 'softwareVersion'>>;
 	readonly rows: Pick<SoftwareRows, 'read' | 'remove' | 'save'>;
 	/** Position of this entry among the live ones. The first one removes rows. */
 	readonly position: () => EntryPosition;
+	/** Whether a peer has been heard lately, or there is none. Peers tell of versions that are new. */
+	readonly hearsPeers: () => boolean;
 	/** Called when another version of a service has come into use. */
 	readonly onChange: (change: {readonly service: string; readonly versions: readonly SoftwareVersion[]}) => void;
 };
@@ -90,7 +92,7 @@
 
 	/** Records the versions of the registered endpoints, writes new ones into the store and forgets those that are out of use. */
 	update(): void {
-		for (const {endpoint} of this.#options.pool.all()) {
+		for (const endpoint of this.#options.endpoints()) {
 			this.note({service: endpoint.service, softwareVersion: softwareVersionOf(endpoint)});
 		}
 
@@ -108,7 +110,7 @@
 		}
 
 		const isRead = await this.#readOnce();
-		const mayRely = isRead || this.#options.clock.nowMs() - this.#createdMs >= startedMs;
+		const mayRely = isRead || (this.#options.hearsPeers() && this.#options.clock.nowMs() - this.#createdMs >= startedMs);
 		const [only, ...others] = this.versionsOf(service);
 		return mayRely && others.length === 0 ? only : undefined;
 	}
