--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -12,7 +12,8 @@
 import {EndpointDirectory} from './endpoint-directory.js';
 import {EntryPhases} from './entry-phases.js';
 import {EndpointPool} from './endpoint-pool.js';
-import {Gossip, sendIntervalMs} from './gossip.js';
+import {createGossip} from './create-gossip.js';
+import {sendIntervalMs, type Gossip} from './gossip.js';
 import {Membership} from './membership.js';
 import {ForwardMetrics} from './metrics.js';
 import {LoadTracker} from './load-tracker.js';
@@ -78,70 +79,6 @@
 /** News of a peer has arrived after so many intervals between its messages, even if a datagram was lost. */
 const newsRounds = 3;
 
-type GossipComponents = Pick<
-	ForwardComponents,
-	| 'config' | 'crashes' | 'directory' | 'load' | 'members' | 'metrics' | 'phases' | 'rateLimits' | 'roleChanges' | 'softwareVersions' | 'streamOrigins' | 'supervise' | 'usage'
->;
-
-const createGossip = ({
-	hostName, ip, gossipPort, dataCentre,
-}: ForwardSettings, {clock, log}: Pick<ForwardDaemonDeps, 'clock' | 'log'>, components: GossipComponents): Gossip => new Gossip({
-	clock,
-	ownName: hostName,
-	dataCentre,
-	address: ip,
-	port: gossipPort,
-	load: components.load,
-	metrics: components.metrics,
-	supervise: components.supervise,
-	peers: () => components.members.peers(),
-	configVersion: () => components.config.version,
-	ownPhase: () => components.phases.own,
-	onPhase(peer, phase) {
-		components.phases.record(peer.name, phase);
-	},
-	roleChanges: () => components.roleChanges.own,
-	usageNotice: () => components.usage.unwrittenCounts(),
-	crashReports: () => components.crashes.reportsToSend(),
-	onCrashReports(reports) {
-		components.crashes.applyPeerReports(reports);
-	},
-	departures: receivers => components.directory.departuresToSend(receivers),
-	onDepartures(departures) {
-		components.directory.applyDepartures(departures);
-	},
-	limitNews: () => components.rateLimits.newsToSend(),
-	onLimitNews(peer, news) {
-		components.rateLimits.applyNews(peer.name, news);
-	},
-	segmentNews: receivers => components.crashes.segmentNewsToSend(receivers),
-	onSegmentNews(news) {
-		components.crashes.applyPeerSegmentNews(news);
-	},
-	streamNews: receivers => components.streamOrigins.newsToSend(receivers),
-	onStreamNews(news) {
-		components.streamOrigins.applyNews(news);
-		for (const origin of news) {
-			components.softwareVersions.note(origin);
-		}
-	},
-	onUsage(notice) {
-		components.usage.applyNotice(notice);
-	},
-	onConfigVersion(peer, version) {
-		components.config.recordPeerVersion(peer, version);
-	},
-	onRoleChanges(_peer, changes) {
-		components.roleChanges.record(changes);
-	},
-	onError(error) {
-		log.writeError('applying a message of a peer', error);
-	},
-	onPortFailure(port, error) {
-		log.writeError(`listening on the port of ${port}`, error);
-	},
-});
-
 type LoggedQuarantine = SegmentQuarantine & {readonly isAdopted?: boolean; readonly isTrial?: boolean};
 
 const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs, isAdopted, isTrial}: LoggedQuarantine): void => {
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -15,10 +15,10 @@
 import {stopGracefully} from './graceful-stop.js';
 import {ListeningQueue} from './listening-queue.js';
 import {createStopTimes, type StopTimes} from './stop-times.js';
-import {countKeptOut} from './kept-out.js';
 import {runPeriodicChecks} from './periodic-checks.js';
 import {maintainOwnRow} from './membership.js';
 import type {OpenPortOptions} from './open-port.js';
+import {readMetrics} from './read-metrics.js';
 import type {ForwardSettings} from './ports.js';
 import {
 	closeHttpServer, startCallerServer, startInternalServers, startMetricsServer,
@@ -91,7 +91,9 @@
 			},
 		};
 		// The entry serves without metrics, so it does not wait for this port.
-		const metricsServer = startMetricsServer(this.#settings, async () => this.#metricsText(), ports);
+		const metricsServer = startMetricsServer(this.#settings, async () => readMetrics({
+			...this.#components, log: this.#deps.log, accepts: this.#accepts, nowMs: this.#deps.clock.nowMs(),
+		}), ports);
 		const callerServer = await startCallerServer(listen.callers, (req, res) => {
 			this.#connections.recordRequest(req, res);
 			void this.#serve(req, res);
@@ -141,16 +143,6 @@
 		this.#deps.log.write('stopped', {closed: this.#connections.counts.closed});
 	}
 
-	async #metricsText(): Promise<string> {
-		const {metrics, pool, members, crashes} = this.#components;
-		metrics.setKeptOutEndpoints(countKeptOut(pool.all(), this.#deps.clock.nowMs()));
-		metrics.setDroppedLines(this.#deps.log.droppedLines);
-		metrics.setLiveEntries(members.liveCount());
-		metrics.setEventLoop({turns: this.#accepts.counts.turns, acceptRunMs: this.#accepts.runMs});
-		metrics.setQuarantinedSegments(crashes.quarantinedSegments);
-		return metrics.registry.metrics();
-	}
-
 	/**
 	 * Applies reloaded limits at once; addresses stay those of the start, and the limit of a stop is the one with which it began. Retries already made
 	 * still count unless the length of their window changes.
--- /dev/null
+++ b/packages/forward/src/read-metrics.ts
@@ -0,0 +1,31 @@
+/**
+ * Reads the metrics that are not counted as things happen, and returns the text of all.
+ */
+import type {AcceptMonitor} from './accept-monitor.js';
+import type {CrashGuard} from './crash-guard.js';
+import type {DecisionLog} from './decision-log.js';
+import type {EndpointPool} from './endpoint-pool.js';
+import {countKeptOut} from './kept-out.js';
+import type {Membership} from './membership.js';
+import type {ForwardMetrics} from './metrics.js';
+
+export type MetricSources = {
+	readonly metrics: ForwardMetrics;
+	readonly pool: EndpointPool;
+	readonly members: Membership;
+	readonly crashes: Pick<CrashGuard, 'quarantinedSegments'>;
+	readonly log: Pick<DecisionLog, 'droppedLines'>;
+	readonly accepts: Pick<AcceptMonitor, 'counts' | 'runMs'>;
+	readonly nowMs: number;
+};
+
+export const readMetrics = async ({
+	metrics, pool, members, crashes, log, accepts, nowMs,
+}: MetricSources): Promise<string> => {
+	metrics.setKeptOutEndpoints(countKeptOut(pool.all(), nowMs));
+	metrics.setDroppedLines(log.droppedLines);
+	metrics.setLiveEntries(members.liveCount());
+	metrics.setEventLoop({turns: accepts.counts.turns, acceptRunMs: accepts.runMs});
+	metrics.setQuarantinedSegments(crashes.quarantinedSegments);
+	return metrics.registry.metrics();
+};
