--- a/packages/forward/src/forward-components.ts
+++ b/packages/forward/src/forward-components.ts
@@ -78,6 +78,8 @@
 
 /** News of a peer has arrived after so many intervals between its messages, even if a datagram was lost. */
 const newsRounds = 3;
+/** Callers wait for it, and news of an entry that was killed never comes. */
+const maxNewsMs = 600;
 
 type LoggedQuarantine = SegmentQuarantine & {readonly isAdopted?: boolean; readonly isTrial?: boolean};
 
@@ -215,7 +217,7 @@
 		origins: streamOrigins,
 		versions: softwareVersions,
 		rows: streamRows,
-		newsMs: () => newsRounds * sendIntervalMs(members.peers().length),
+		newsMs: () => Math.min(maxNewsMs, newsRounds * sendIntervalMs(members.peers().length)),
 	});
 	const gossip: Gossip = createGossip(settings, deps, {
 		softwareVersions, streamOrigins, roleChanges, config, crashes, directory, load, members, metrics, phases, rateLimits, supervise, usage,
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/forward-daemon.ts
@@ -15,6 +15,7 @@
 import {stopGracefully} from './graceful-stop.js';
 import {ListeningQueue} from './listening-queue.js';
 import {createStopTimes, type StopTimes} from './stop-times.js';
+import {waitUntilAborted} from './wait-until-aborted.js';
 import {runPeriodicChecks} from './periodic-checks.js';
 import {maintainOwnRow} from './membership.js';
 import type {OpenPortOptions} from './open-port.js';
@@ -24,16 +25,6 @@
 	closeHttpServer, startCallerServer, startInternalServers, startMetricsServer,
 } from './servers.js';
 
-const waitUntilAborted = async (signal: AbortSignal): Promise<void> => new Promise(resolve => {
-	if (signal.aborted) {
-		resolve();
-	}
-
-	signal.addEventListener('abort', () => {
-		resolve();
-	}, {once: true});
-});
-
 /** Time for the last write of usage counts when the requests have taken all the time of the stop; a store that is up answers sooner. */
 const minFinishMs = 300;
 
