--- a/packages/forward/src/__tests__/accept-monitor.test.ts
+++ b/packages/forward/src/callers/__tests__/accept-monitor.test.ts
@@ -1,8 +1,8 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {AcceptMonitor} from '../accept-monitor.js';
-import {DecisionLog} from '../decision-log.js';
-import {ForwardMetrics} from '../metrics.js';
+import {DecisionLog} from '../../telemetry/decision-log.js';
+import {ForwardMetrics} from '../../telemetry/metrics.js';
 
 type Fixture = {
 	readonly monitor: AcceptMonitor;
--- a/packages/forward/src/accept-monitor.ts
+++ b/packages/forward/src/callers/accept-monitor.ts
@@ -4,8 +4,8 @@
  * queue may not have been empty; that time is an upper bound of the wait, and needs no connection of the entry to itself.
  */
 import {performance} from 'node:perf_hooks';
-import type {DecisionLog} from './decision-log.js';
-import type {ForwardMetrics} from './metrics.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
 
 /** The log line is written at most this often. */
 const logIntervalMs = 1000;
--- a/packages/forward/src/caller-exchange.ts
+++ b/packages/forward/src/callers/caller-exchange.ts
@@ -7,9 +7,9 @@
 import type {Socket} from 'node:net';
 import {finished} from 'node:stream/promises';
 import type {Clock} from '@hawthorncleat/core';
-import {AnswerBuffer, maxWholeAnswerBytes} from './answer-buffer.js';
-import type {OutgoingHeaders} from './ports.js';
-import {withTimeLimit} from './time-limit.js';
+import {AnswerBuffer, maxWholeAnswerBytes} from '../utils/answer-buffer.js';
+import type {OutgoingHeaders} from '../ports.js';
+import {withTimeLimit} from '../utils/time-limit.js';
 
 /** Why a request ended before its answer was complete. `entry-closed`: this entry closed the connection. `stop-limit`: this entry ends. */
 export type EndReason = 'caller-left' | 'entry-closed' | 'stop-limit' | 'timeout';
--- a/packages/forward/src/caller-handler.ts
+++ b/packages/forward/src/callers/caller-handler.ts
@@ -6,15 +6,15 @@
 import {
 	pickService, type ForwardAccount, type ForwardRoute, type RouteTable,
 } from '@hawthorncleat/core';
+import {forwardRequest} from '../requests/forward-request.js';
+import type {ForwardDeps} from '../requests/forward-deps.js';
+import type {Outcome} from '../requests/outcome.js';
+import type {CallerRequest} from '../ports.js';
+import {waitForPendingInput} from './pending-input.js';
+import {createEarlyOutcome, finishExchange} from './early-end.js';
 import {
 	CallerExchange, discardBody, readBody, type ExchangeOptions,
 } from './caller-exchange.js';
-import {createEarlyOutcome, finishExchange} from './early-end.js';
-import {forwardRequest} from './forward-request.js';
-import type {ForwardDeps} from './forward-deps.js';
-import type {Outcome} from './outcome.js';
-import {waitForPendingInput} from './pending-input.js';
-import type {CallerRequest} from './ports.js';
 
 export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
 	readonly routes: () => RouteTable | undefined;
--- a/packages/forward/src/early-end.ts
+++ b/packages/forward/src/callers/early-end.ts
@@ -2,9 +2,9 @@
  * The one place that decides how a request is answered that ends before an attempt has delivered its answer: whatever ends it, a request that was read
  * gets an answer or a refusal, unless its connection is gone or its answer has begun.
  */
+import type {Outcome} from '../requests/outcome.js';
+import type {WireFormat} from '../ports.js';
 import type {CallerExchange, EndReason} from './caller-exchange.js';
-import type {Outcome} from './outcome.js';
-import type {WireFormat} from './ports.js';
 
 /** What ends a request early. `internal-error`: an exception while it was served. */
 export type EarlyEnd = EndReason | 'internal-error';
--- a/packages/forward/src/servers.ts
+++ b/packages/forward/src/callers/servers.ts
@@ -4,10 +4,10 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {once} from 'node:events';
 import {Server as NetServer, type Socket} from 'node:net';
+import {openPort, type OpenPortOptions} from '../utils/open-port.js';
+import type {Address, ForwardSettings} from '../ports.js';
 import {startLength} from './listening-queue.js';
-import {openPort, type OpenPortOptions} from './open-port.js';
 import {waitForPendingInput} from './pending-input.js';
-import type {Address, ForwardSettings} from './ports.js';
 
 /** Larger request heads are refused before they are parsed. The limit in the configuration is lower. */
 const maxRequestHeadBytes = 64 * 1024;
--- a/packages/forward/src/duties.ts
+++ b/packages/forward/src/daemon/duties.ts
@@ -6,18 +6,18 @@
 	Clock, ForwardService, MakeId, Random,
 } from '@hawthorncleat/core';
 import {runLease, type Lease} from '@hawthorncleat/store';
-import type {DecisionLog} from './decision-log.js';
-import type {AnswerListener} from './endpoint-answer.js';
-import type {EndpointPool} from './endpoint-pool.js';
-import type {ForwardMetrics} from './metrics.js';
-import type {LoadTracker} from './load-tracker.js';
-import type {Platform} from './ports.js';
-import type {RoleChange} from './role-changes.js';
-import {RoleDuty} from './role-duty.js';
-import type {Supervise} from './supervisor.js';
-import type {CorrectedClock} from './corrected-clock.js';
-import type {UsageCounter} from './usage-counter.js';
-import {runUsageDuty, usageDutyName, type UsageProgress} from './usage-duty.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {AnswerListener} from '../endpoints/endpoint-answer.js';
+import type {EndpointPool} from '../endpoints/endpoint-pool.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import type {LoadTracker} from '../endpoints/load-tracker.js';
+import type {Platform} from '../ports.js';
+import type {RoleChange} from '../roles/role-changes.js';
+import {RoleDuty} from '../roles/role-duty.js';
+import type {Supervise} from '../utils/supervisor.js';
+import type {CorrectedClock} from '../store/corrected-clock.js';
+import type {UsageCounter} from '../usage/usage-counter.js';
+import {runUsageDuty, usageDutyName, type UsageProgress} from '../usage/usage-duty.js';
 
 /** If the holder fails, another entry takes over within the time to live. Three renewals fit into it. */
 export const leaseDurations = {leaseTtlMs: 4000, leaseRenewMs: 1300, leaseMarginMs: 700};
--- a/packages/forward/src/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -5,25 +5,25 @@
 import {setMaxListeners} from 'node:events';
 import type {Server} from 'node:http';
 import {getOrCreate, RetryWindow} from '@hawthorncleat/core';
-import {AcceptMonitor} from './accept-monitor.js';
-import {CallerConnections} from './caller-connections.js';
-import {handleCallerRequest, type CallerHandlerDeps} from './caller-handler.js';
-import {ConfigServer} from './config-transfer.js';
-import {runDuties} from './duties.js';
-import {createForwardComponents, type ForwardDaemonDeps, type ForwardComponents} from './forward-components.js';
-import type {AdmittedRequest} from './admitted-request.js';
-import {stopGracefully} from './graceful-stop.js';
-import {ListeningQueue} from './listening-queue.js';
-import {createStopTimes, type StopTimes} from './stop-times.js';
-import {waitUntilAborted} from './wait-until-aborted.js';
-import {runPeriodicChecks} from './periodic-checks.js';
-import {maintainOwnRow} from './membership.js';
-import type {OpenPortOptions} from './open-port.js';
-import {readMetrics} from './read-metrics.js';
-import type {ForwardSettings} from './ports.js';
+import {AcceptMonitor} from '../callers/accept-monitor.js';
+import {CallerConnections} from '../callers/caller-connections.js';
+import {handleCallerRequest, type CallerHandlerDeps} from '../callers/caller-handler.js';
+import {ConfigServer} from '../store/config-transfer.js';
+import type {AdmittedRequest} from '../requests/admitted-request.js';
+import {ListeningQueue} from '../callers/listening-queue.js';
+import {createStopTimes, type StopTimes} from '../requests/stop-times.js';
+import {waitUntilAborted} from '../utils/wait-until-aborted.js';
+import {maintainOwnRow} from '../peers/membership.js';
+import type {OpenPortOptions} from '../utils/open-port.js';
+import {readMetrics} from '../telemetry/read-metrics.js';
+import type {ForwardSettings} from '../ports.js';
 import {
 	closeHttpServer, startCallerServer, startInternalServers, startMetricsServer,
-} from './servers.js';
+} from '../callers/servers.js';
+import {runPeriodicChecks} from './periodic-checks.js';
+import {stopGracefully} from './graceful-stop.js';
+import {createForwardComponents, type ForwardDaemonDeps, type ForwardComponents} from './forward-components.js';
+import {runDuties} from './duties.js';
 
 /** Time for the last write of usage counts when the requests have taken all the time of the stop; a store that is up answers sooner. */
 const minFinishMs = 300;
--- a/packages/forward/src/graceful-stop.ts
+++ b/packages/forward/src/daemon/graceful-stop.ts
@@ -5,11 +5,11 @@
 import type {Server} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {decideStop, type Clock, type StopLimits} from '@hawthorncleat/core';
-import type {CallerConnections} from './caller-connections.js';
-import {waitForPendingInput} from './pending-input.js';
-import type {DecisionLog} from './decision-log.js';
+import type {CallerConnections} from '../callers/caller-connections.js';
+import {waitForPendingInput} from '../callers/pending-input.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import {closeListener} from '../callers/servers.js';
 import type {EntryPhases} from './entry-phases.js';
-import {closeListener} from './servers.js';
 
 const pollMs = 50;
 /** Callers give up a connection on which nothing is read for a second. */
--- a/packages/forward/src/periodic-checks.ts
+++ b/packages/forward/src/daemon/periodic-checks.ts
@@ -4,9 +4,9 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
-import type {DecisionLog} from './decision-log.js';
-import type {EndpointDirectory} from './endpoint-directory.js';
-import type {EndpointPool} from './endpoint-pool.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {EndpointDirectory} from '../endpoints/endpoint-directory.js';
+import type {EndpointPool} from '../endpoints/endpoint-pool.js';
 
 /** A quarter of the shortest stall that counts. */
 const checkIntervalMs = 100;
--- a/packages/forward/src/__tests__/decode-latency.test.ts
+++ b/packages/forward/src/endpoints/__tests__/decode-latency.test.ts
@@ -8,15 +8,15 @@
 } from '@hawthorncleat/core';
 import {describe, it, loopback} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {runAttempt} from '../run-attempt.js';
-import {AttemptRace, RunningAttempt} from '../attempt-race.js';
-import {CallerExchange} from '../caller-exchange.js';
+import {runAttempt} from '../../requests/run-attempt.js';
+import {AttemptRace, RunningAttempt} from '../../requests/attempt-race.js';
+import {CallerExchange} from '../../callers/caller-exchange.js';
 import {EndpointPool} from '../endpoint-pool.js';
-import type {AdmittedRequest} from '../admitted-request.js';
-import type {ForwardDeps} from '../forward-deps.js';
+import type {AdmittedRequest} from '../../requests/admitted-request.js';
+import type {ForwardDeps} from '../../requests/forward-deps.js';
 import {LoadTracker} from '../load-tracker.js';
-import type {WireFormat} from '../ports.js';
-import {StreamRelay} from '../stream-relay.js';
+import type {WireFormat} from '../../ports.js';
+import {StreamRelay} from '../../streams/stream-relay.js';
 
 const clock = {nowMs: () => performance.now()};
 const service = {name: 'models', maxConnections: 10, engine: {kvTokens: 100_000}};
--- a/packages/forward/src/__tests__/departures.test.ts
+++ b/packages/forward/src/endpoints/__tests__/departures.test.ts
@@ -3,8 +3,8 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import type {Departure} from '../departures.js';
-import {sendIntervalMs} from '../gossip.js';
-import {decodeMessage, encodeMessage} from '../gossip-message.js';
+import {sendIntervalMs} from '../../peers/gossip.js';
+import {decodeMessage, encodeMessage} from '../../peers/gossip-message.js';
 import {
 	answer, createDirectory, createRow, heartbeatMs, type DirectoryFixture,
 } from './directory-fixture.js';
--- a/packages/forward/src/__tests__/directory-fixture.ts
+++ b/packages/forward/src/endpoints/__tests__/directory-fixture.ts
@@ -5,7 +5,7 @@
 import {createManualClock, type ManualClock} from '@hawthorncleat/test-kit';
 import {EndpointDirectory, type EndpointChange} from '../endpoint-directory.js';
 import {EndpointPool} from '../endpoint-pool.js';
-import type {StoreAnswer, StoreRow} from '../ports.js';
+import type {StoreAnswer, StoreRow} from '../../ports.js';
 
 export const heartbeatMs = 1200;
 
--- a/packages/forward/src/__tests__/directory-world.ts
+++ b/packages/forward/src/endpoints/__tests__/directory-world.ts
@@ -4,14 +4,14 @@
  */
 import {brandAs, type EndpointId, type StoreGeneration} from '@hawthorncleat/core';
 import {createManualClock} from '@hawthorncleat/test-kit';
-import {decodeMessage, encodeMessage} from '../gossip-message.js';
-import type {StoreRow} from '../ports.js';
+import {decodeMessage, encodeMessage} from '../../peers/gossip-message.js';
+import type {StoreRow} from '../../ports.js';
+import {
+	expiryMs, SimulatedFleet, stepMs, type ProcessKey, type Rows,
+} from '../../peers/__tests__/simulated-fleet.js';
 import {
 	createDirectory, createRow, heartbeatMs, type DirectoryFixture,
 } from './directory-fixture.js';
-import {
-	expiryMs, SimulatedFleet, stepMs, type ProcessKey, type Rows,
-} from './simulated-fleet.js';
 
 const readIntervalMs = 400;
 const gossipIntervalMs = 300;
--- a/packages/forward/src/__tests__/endpoint-answer.test.ts
+++ b/packages/forward/src/endpoints/__tests__/endpoint-answer.test.ts
@@ -8,7 +8,7 @@
 import {readEndpointAnswer, type AnswerReader} from '../endpoint-answer.js';
 import {EndpointPool, type PooledEndpoint} from '../endpoint-pool.js';
 import type {EndpointProcess} from '../leaving-processes.js';
-import type {AnswerHead} from '../ports.js';
+import type {AnswerHead} from '../../ports.js';
 
 const requestId = brandAs<RequestId>('r1');
 const process = {id: brandAs<EndpointId>('e1'), startedAt: 7};
--- a/packages/forward/src/__tests__/endpoint-backoff-random.test.ts
+++ b/packages/forward/src/endpoints/__tests__/endpoint-backoff-random.test.ts
@@ -8,7 +8,7 @@
 import * as assert from 'uvu/assert';
 import {BackoffRecorder} from '../backoff-recorder.js';
 import {EndpointPool, type PooledEndpoint} from '../endpoint-pool.js';
-import type {AnswerHead} from '../ports.js';
+import type {AnswerHead} from '../../ports.js';
 
 const ids = ['i-a', 'i-b', 'i-c'];
 /** Requests that are under way when an endpoint answers may still reach it for this long. */
--- a/packages/forward/src/__tests__/endpoint-directory-random.test.ts
+++ b/packages/forward/src/endpoints/__tests__/endpoint-directory-random.test.ts
@@ -2,8 +2,8 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
+import {stepMs} from '../../peers/__tests__/simulated-fleet.js';
 import {DirectoryWorld, type Occurrences} from './directory-world.js';
-import {stepMs} from './simulated-fleet.js';
 
 const ids = ['i-0', 'i-1', 'i-2'] as const;
 
--- a/packages/forward/src/__tests__/withdrawn-exchange.test.ts
+++ b/packages/forward/src/endpoints/__tests__/withdrawn-exchange.test.ts
@@ -9,7 +9,7 @@
 	createManualClock, describe, it, waitUntil,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {createRequestLimits} from '../attempt-helpers.js';
+import {createRequestLimits} from '../../requests/attempt-helpers.js';
 import {startEndpointExchange, type EndpointExchange, type ExchangeLimits} from '../endpoint-exchange.js';
 import {EndpointPool, type PooledEndpoint} from '../endpoint-pool.js';
 
--- a/packages/forward/src/backoff-recorder.ts
+++ b/packages/forward/src/endpoints/backoff-recorder.ts
@@ -2,10 +2,10 @@
  * Records for how long endpoints want no requests, as the heads of their answers state it.
  */
 import {maxBackoffMs, type Clock, type Random} from '@hawthorncleat/core';
-import type {DecisionLog} from './decision-log.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import type {AnswerHead} from '../ports.js';
 import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
-import type {ForwardMetrics} from './metrics.js';
-import type {AnswerHead} from './ports.js';
 
 /** One faulty endpoint can send an unreadable time with each answer. */
 const minLogIntervalMs = 1000;
--- a/packages/forward/src/call-endpoint.ts
+++ b/packages/forward/src/endpoints/call-endpoint.ts
@@ -1,10 +1,10 @@
 /**
  * A call to an endpoint with a short answer that this process reads itself instead of relaying it.
  */
+import {answerTooLongError, AnswerBuffer, maxControlAnswerBytes} from '../utils/answer-buffer.js';
 import {readEndpointAnswer, type AnswerReader} from './endpoint-answer.js';
 import {startEndpointExchange, type EndpointCall, type ExchangeLimits} from './endpoint-exchange.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
-import {answerTooLongError, AnswerBuffer, maxControlAnswerBytes} from './answer-buffer.js';
 
 export type EndpointAnswer = {readonly status: number; readonly body: string};
 
--- a/packages/forward/src/endpoint-answer.ts
+++ b/packages/forward/src/endpoints/endpoint-answer.ts
@@ -4,9 +4,9 @@
  */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {RequestId} from '@hawthorncleat/core';
+import type {AnswerHead, WireFormat} from '../ports.js';
 import type {PooledEndpoint} from './endpoint-pool.js';
 import type {EndpointProcess} from './leaving-processes.js';
-import type {AnswerHead, WireFormat} from './ports.js';
 
 /** Receives what answers say of the endpoints themselves. */
 export type AnswerListener = {
--- a/packages/forward/src/endpoint-directory.ts
+++ b/packages/forward/src/endpoints/endpoint-directory.ts
@@ -6,11 +6,11 @@
 import {
 	brandAs, type Clock, type EndpointId, type RegisteredEndpoint,
 } from '@hawthorncleat/core';
+import type {StoreAnswer, StoreRow} from '../ports.js';
 import {Departures, maxDepartureAgeMs, type Departure} from './departures.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import {KnownEndpoints} from './known-endpoints.js';
 import {LeavingProcesses, type EndpointProcess} from './leaving-processes.js';
-import type {StoreAnswer, StoreRow} from './ports.js';
 import {RegistrationOutages, reregistrationMs} from './registration-outages.js';
 
 /**
--- a/packages/forward/src/endpoint-exchange.ts
+++ b/packages/forward/src/endpoints/endpoint-exchange.ts
@@ -5,8 +5,8 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Dispatcher} from 'undici';
+import type {OutgoingHeaders} from '../ports.js';
 import type {Connections} from './connections.js';
-import type {OutgoingHeaders} from './ports.js';
 
 export type EndpointCall = {
 	readonly method: string;
--- a/packages/forward/src/rate-limits.ts
+++ b/packages/forward/src/endpoints/rate-limits.ts
@@ -5,12 +5,12 @@
 import {
 	EndpointRateLimit, type Clock, type EndpointId, type EntryPosition, type RateChange, type RateShares, type RegisteredEndpoint, type ServiceDemand,
 } from '@hawthorncleat/core';
-import type {DecisionLog} from './decision-log.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import type {AnswerHead} from '../ports.js';
 import type {AnsweredCall} from './endpoint-answer.js';
 import type {EndpointPool} from './endpoint-pool.js';
 import type {EndpointProcess} from './leaving-processes.js';
-import type {ForwardMetrics} from './metrics.js';
-import type {AnswerHead} from './ports.js';
 
 /** What a process says of its limit, as entries tell it to each other. */
 export type ToldLimit = EndpointProcess & {
--- a/packages/forward/src/index.ts
+++ b/packages/forward/src/index.ts
@@ -1,11 +1,11 @@
-export {runForwardDaemon} from './forward-daemon.js';
-export type {ForwardDaemonDeps} from './forward-components.js';
-export {readAnswer} from './read-answer.js';
-export {createProgressLimit, withTimeLimit} from './time-limit.js';
+export {runForwardDaemon} from './daemon/forward-daemon.js';
+export type {ForwardDaemonDeps} from './daemon/forward-components.js';
+export {readAnswer} from './utils/read-answer.js';
+export {createProgressLimit, withTimeLimit} from './utils/time-limit.js';
 export {
 	isFields, isListOf, isText, parseJson, type Fields,
-} from './value-checks.js';
-export {DecisionLog, type LineOutput, type LogEvent} from './decision-log.js';
+} from './utils/value-checks.js';
+export {DecisionLog, type LineOutput, type LogEvent} from './telemetry/decision-log.js';
 export type {
 	Address,
 	AnswerHead,
--- a/packages/forward/src/__tests__/gossip.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip.test.ts
@@ -11,9 +11,9 @@
 import {
 	Gossip, sendIntervalMs, type GossipOptions, type Peer,
 } from '../gossip.js';
-import type {Departure} from '../departures.js';
-import {ForwardMetrics} from '../metrics.js';
-import type {SegmentNews} from '../segment-quarantines.js';
+import type {Departure} from '../../endpoints/departures.js';
+import {ForwardMetrics} from '../../telemetry/metrics.js';
+import type {SegmentNews} from '../../quarantines/segment-quarantines.js';
 
 const quarantines = [{
 	segment: brandAs<SegmentKey>('models/dead'), companions: [], refutedAgeMs: 1000, remainingMs: 10_000,
--- a/packages/forward/src/__tests__/membership.test.ts
+++ b/packages/forward/src/peers/__tests__/membership.test.ts
@@ -2,10 +2,10 @@
 	createManualClock, describe, it, waitUntil,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {CorrectedClock} from '../corrected-clock.js';
-import {DecisionLog} from '../decision-log.js';
+import {CorrectedClock} from '../../store/corrected-clock.js';
+import {DecisionLog} from '../../telemetry/decision-log.js';
 import {maintainOwnRow, Membership, type Member} from '../membership.js';
-import type {RowStore} from '../ports.js';
+import type {RowStore} from '../../ports.js';
 
 const entries = 27;
 /** The users' retry window: what silent peers spent shortly before they fell silent still counts for this time. */
--- a/packages/forward/src/__tests__/readers-random.test.ts
+++ b/packages/forward/src/peers/__tests__/readers-random.test.ts
@@ -6,10 +6,10 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import {Membership} from '../membership.js';
-import type {StoreAnswer} from '../ports.js';
-import {decodeQuarantines} from '../quarantine-rows.js';
-import {usageRowKey} from '../usage-counter.js';
-import {sumWindow} from '../usage-sums.js';
+import type {StoreAnswer} from '../../ports.js';
+import {decodeQuarantines} from '../../quarantines/quarantine-rows.js';
+import {usageRowKey} from '../../usage/usage-counter.js';
+import {sumWindow} from '../../usage/usage-sums.js';
 
 const runs = {seed: 52, numRuns: 2000};
 
--- a/packages/forward/src/__tests__/simulated-fleet.ts
+++ b/packages/forward/src/peers/__tests__/simulated-fleet.ts
@@ -4,7 +4,7 @@
  */
 import type {RegisteredEndpoint} from '@hawthorncleat/core';
 import type {ManualClock} from '@hawthorncleat/test-kit';
-import {heartbeatMs} from './directory-fixture.js';
+import {heartbeatMs} from '../../endpoints/__tests__/directory-fixture.js';
 
 export const stepMs = 100;
 export const expiryMs = 3 * heartbeatMs;
--- a/packages/forward/src/create-gossip.ts
+++ b/packages/forward/src/peers/create-gossip.ts
@@ -2,22 +2,22 @@
  * Connects gossip to the components whose news it sends and that take the news of peers.
  */
 import type {Clock} from '@hawthorncleat/core';
-import type {ActiveConfig} from './active-config.js';
-import type {CrashGuard} from './crash-guard.js';
-import type {DecisionLog} from './decision-log.js';
-import type {EndpointDirectory} from './endpoint-directory.js';
-import type {EntryPhases} from './entry-phases.js';
-import {Gossip} from './gossip.js';
-import type {LoadTracker} from './load-tracker.js';
+import type {ActiveConfig} from '../store/active-config.js';
+import type {CrashGuard} from '../quarantines/crash-guard.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {EndpointDirectory} from '../endpoints/endpoint-directory.js';
+import type {EntryPhases} from '../daemon/entry-phases.js';
+import type {LoadTracker} from '../endpoints/load-tracker.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import type {ForwardSettings} from '../ports.js';
+import type {RateLimits} from '../endpoints/rate-limits.js';
+import type {RoleChanges} from '../roles/role-changes.js';
+import type {SoftwareVersions} from '../versions/software-versions.js';
+import type {StreamOrigins} from '../streams/stream-origins.js';
+import type {Supervise} from '../utils/supervisor.js';
+import type {UsageCounter} from '../usage/usage-counter.js';
 import type {Membership} from './membership.js';
-import type {ForwardMetrics} from './metrics.js';
-import type {ForwardSettings} from './ports.js';
-import type {RateLimits} from './rate-limits.js';
-import type {RoleChanges} from './role-changes.js';
-import type {SoftwareVersions} from './software-versions.js';
-import type {StreamOrigins} from './stream-origins.js';
-import type {Supervise} from './supervisor.js';
-import type {UsageCounter} from './usage-counter.js';
+import {Gossip} from './gossip.js';
 
 export type GossipSources = {
 	readonly config: ActiveConfig;
--- a/packages/forward/src/gossip-message.ts
+++ b/packages/forward/src/peers/gossip-message.ts
@@ -7,21 +7,21 @@
 	brandAs, priorityLevelCount, type EndpointId, type EndpointRole, type EntryPhase, type Fingerprint, type LevelWork, type PromptSegment, type RequestId, type ServiceDemand,
 	type SoftwareVersion,
 } from '@hawthorncleat/core';
-import type {CrashReport} from './crash-guard.js';
-import {departureKinds, type Departure, type DepartureKind} from './departures.js';
-import type {SentPhase} from './entry-phases.js';
+import type {CrashReport} from '../quarantines/crash-guard.js';
+import {departureKinds, type Departure, type DepartureKind} from '../endpoints/departures.js';
+import type {SentPhase} from '../daemon/entry-phases.js';
 import type {
 	EntryLoad, PendingPrefills, RunningCount, SentWork,
-} from './load-tracker.js';
-import type {LimitNews, ToldLimit} from './rate-limits.js';
-import type {RoleChange} from './role-changes.js';
-import type {SegmentNews} from './segment-quarantines.js';
-import type {StreamNews} from './stream-origins.js';
-import type {UsageNotice} from './usage-counter.js';
-import {isUsageCounts} from './usage-sums.js';
+} from '../endpoints/load-tracker.js';
+import type {LimitNews, ToldLimit} from '../endpoints/rate-limits.js';
+import type {RoleChange} from '../roles/role-changes.js';
+import type {SegmentNews} from '../quarantines/segment-quarantines.js';
+import type {StreamNews} from '../streams/stream-origins.js';
+import type {UsageNotice} from '../usage/usage-counter.js';
+import {isUsageCounts} from '../usage/usage-sums.js';
 import {
 	isAmount, isFields, isListOf, isText, parseJson, type Fields,
-} from './value-checks.js';
+} from '../utils/value-checks.js';
 
 /** What one entry tells another. */
 export type GossipMessage = {
--- a/packages/forward/src/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -8,19 +8,19 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
-import type {CrashReport} from './crash-guard.js';
-import type {Departure} from './departures.js';
-import type {SentPhase} from './entry-phases.js';
+import type {CrashReport} from '../quarantines/crash-guard.js';
+import type {Departure} from '../endpoints/departures.js';
+import type {SentPhase} from '../daemon/entry-phases.js';
+import type {LoadTracker, SentWork} from '../endpoints/load-tracker.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import {openPort, type PortFailureListener} from '../utils/open-port.js';
+import type {LimitNews} from '../endpoints/rate-limits.js';
+import type {RoleChange} from '../roles/role-changes.js';
+import type {SegmentNews} from '../quarantines/segment-quarantines.js';
+import type {StreamNews} from '../streams/stream-origins.js';
+import type {Supervise} from '../utils/supervisor.js';
+import type {UsageNotice} from '../usage/usage-counter.js';
 import {decodeMessage, encodeMessage, type GossipMessage} from './gossip-message.js';
-import type {LoadTracker, SentWork} from './load-tracker.js';
-import type {ForwardMetrics} from './metrics.js';
-import {openPort, type PortFailureListener} from './open-port.js';
-import type {LimitNews} from './rate-limits.js';
-import type {RoleChange} from './role-changes.js';
-import type {SegmentNews} from './segment-quarantines.js';
-import type {StreamNews} from './stream-origins.js';
-import type {Supervise} from './supervisor.js';
-import type {UsageNotice} from './usage-counter.js';
 
 /** Another entry. */
 export type Peer = {
--- a/packages/forward/src/membership.ts
+++ b/packages/forward/src/peers/membership.ts
@@ -5,11 +5,11 @@
 import {isIPv4} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, EntryPosition} from '@hawthorncleat/core';
-import type {DecisionLog} from './decision-log.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {RowStore, StoreAnswer} from '../ports.js';
+import type {CorrectedClock} from '../store/corrected-clock.js';
+import {isFields, isText, parseJson} from '../utils/value-checks.js';
 import type {Peer} from './gossip.js';
-import type {RowStore, StoreAnswer} from './ports.js';
-import type {CorrectedClock} from './corrected-clock.js';
-import {isFields, isText, parseJson} from './value-checks.js';
 
 /** The row that an entry writes about itself. */
 export type Member = {
--- a/packages/forward/src/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/quarantines/__tests__/crash-guard.test.ts
@@ -5,7 +5,7 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {CrashGuard} from '../crash-guard.js';
-import type {AdmittedRequest} from '../admitted-request.js';
+import type {AdmittedRequest} from '../../requests/admitted-request.js';
 
 type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request' | 'service'>;
 
--- a/packages/forward/src/__tests__/quarantine-rows.test.ts
+++ b/packages/forward/src/quarantines/__tests__/quarantine-rows.test.ts
@@ -1,9 +1,9 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import {brandAs, type SegmentKey, type StoreGeneration} from '@hawthorncleat/core';
 import * as assert from 'uvu/assert';
-import {CorrectedClock} from '../corrected-clock.js';
-import {DecisionLog} from '../decision-log.js';
-import type {RowStore} from '../ports.js';
+import {CorrectedClock} from '../../store/corrected-clock.js';
+import {DecisionLog} from '../../telemetry/decision-log.js';
+import type {RowStore} from '../../ports.js';
 import {QuarantineRows} from '../quarantine-rows.js';
 import {SegmentQuarantines} from '../segment-quarantines.js';
 
--- a/packages/forward/src/crash-guard.ts
+++ b/packages/forward/src/quarantines/crash-guard.ts
@@ -8,7 +8,7 @@
 import {
 	brandAs, SuspectRequests, type Clock, type EntryPosition, type Fingerprint, type RegisteredEndpoint, type SegmentKey, type SegmentQuarantine,
 } from '@hawthorncleat/core';
-import {segmentKeysOf, type AdmittedRequest} from './admitted-request.js';
+import {segmentKeysOf, type AdmittedRequest} from '../requests/admitted-request.js';
 import {RequestQuarantines} from './request-quarantines.js';
 import {SegmentQuarantines, type SegmentNews, type SentQuarantine} from './segment-quarantines.js';
 
--- a/packages/forward/src/quarantine-rows.ts
+++ b/packages/forward/src/quarantines/quarantine-rows.ts
@@ -5,13 +5,13 @@
 import {createHash} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {brandAs, type SegmentKey, type SegmentQuarantine} from '@hawthorncleat/core';
-import type {CorrectedClock} from './corrected-clock.js';
-import type {DecisionLog} from './decision-log.js';
-import type {RowStore, StoreAnswer, StoreRow} from './ports.js';
-import type {SentQuarantine} from './segment-quarantines.js';
+import type {CorrectedClock} from '../store/corrected-clock.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {RowStore, StoreAnswer, StoreRow} from '../ports.js';
 import {
 	isFields, isListOf, isText, parseJson,
-} from './value-checks.js';
+} from '../utils/value-checks.js';
+import type {SentQuarantine} from './segment-quarantines.js';
 
 const retryMs = 500;
 /** Row keys are short; segments are named by callers. */
--- a/packages/forward/src/__tests__/record-attempt-result.test.ts
+++ b/packages/forward/src/requests/__tests__/record-attempt-result.test.ts
@@ -1,7 +1,7 @@
 import {OutlierEjection, SplitRejections} from '@hawthorncleat/core';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import type {PooledEndpoint} from '../endpoint-pool.js';
+import type {PooledEndpoint} from '../../endpoints/endpoint-pool.js';
 import type {FailedAttempt} from '../attempt-result.js';
 import {recordAttemptResult} from '../record-attempt-result.js';
 
--- a/packages/forward/src/admitted-request.ts
+++ b/packages/forward/src/requests/admitted-request.ts
@@ -5,8 +5,8 @@
 import {
 	brandAs, type ForwardAccount, type ForwardRoute, type ForwardService, type SegmentKey,
 } from '@hawthorncleat/core';
-import type {CallerExchange} from './caller-exchange.js';
-import type {CallerRequest} from './ports.js';
+import type {CallerExchange} from '../callers/caller-exchange.js';
+import type {CallerRequest} from '../ports.js';
 
 export type AdmittedRequest = {
 	readonly request: CallerRequest;
--- a/packages/forward/src/attempt-helpers.ts
+++ b/packages/forward/src/requests/attempt-helpers.ts
@@ -5,12 +5,12 @@
 import {
 	brandAs, type FailureKind, type ForwardRoute, type RatePlace, type SegmentKey,
 } from '@hawthorncleat/core';
-import type {EndpointCall, ExchangeEnd, ExchangeLimits} from './endpoint-exchange.js';
-import type {PooledEndpoint} from './endpoint-pool.js';
+import type {EndpointCall, ExchangeEnd, ExchangeLimits} from '../endpoints/endpoint-exchange.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import type {AnswerHead, CallerRequest, SendDetails} from '../ports.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {FailedAttempt, SupersededAttempt} from './attempt-result.js';
 import type {ForwardDeps} from './forward-deps.js';
-import type {AnswerHead, CallerRequest, SendDetails} from './ports.js';
 
 /** Lowest status that is an error of the endpoint. */
 export const minServerErrorStatus = 500;
--- a/packages/forward/src/attempt-race.ts
+++ b/packages/forward/src/requests/attempt-race.ts
@@ -2,7 +2,7 @@
  * The attempts of one request that run at the same time. An attempt that stalls is not given up, because its endpoint may go on: another one
  * starts beside it if the retry budget and the endpoints allow it, and the first that delivers ends the others.
  */
-import type {PooledEndpoint} from './endpoint-pool.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
 import type {AttemptPhase} from './attempt-report.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {Placement} from './placement.js';
--- a/packages/forward/src/attempt-result.ts
+++ b/packages/forward/src/requests/attempt-result.ts
@@ -2,7 +2,7 @@
  * The result of one attempt of a request, and the figures of its stream.
  */
 import type {FailureKind} from '@hawthorncleat/core';
-import type {PooledEndpoint} from './endpoint-pool.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
 
 /** Progress of a stream and the load of its engine. */
 export type StreamView = {
--- a/packages/forward/src/finish-failed.ts
+++ b/packages/forward/src/requests/finish-failed.ts
@@ -2,8 +2,8 @@
  * How a request ends when none of its attempts has delivered the answer.
  */
 import {earliestReturnMs} from '@hawthorncleat/core';
+import {createEarlyOutcome} from '../callers/early-end.js';
 import {isRepeatable} from './attempt-helpers.js';
-import {createEarlyOutcome} from './early-end.js';
 import {countKeptOut} from './kept-out.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {DeferredAnswer, FailedAttempt} from './attempt-result.js';
--- a/packages/forward/src/forward-deps.ts
+++ b/packages/forward/src/requests/forward-deps.ts
@@ -2,14 +2,14 @@
  * What the modules that serve one request work with.
  */
 import type {Clock, Random, RetryWindow} from '@hawthorncleat/core';
-import type {AdmittedRequest} from './admitted-request.js';
+import type {CrashGuard} from '../quarantines/crash-guard.js';
+import type {AnswerListener} from '../endpoints/endpoint-answer.js';
+import type {EndpointPool} from '../endpoints/endpoint-pool.js';
+import type {LoadTracker} from '../endpoints/load-tracker.js';
+import type {WireFormat} from '../ports.js';
+import type {ResumedStreams} from '../streams/resumed-streams.js';
 import type {AttemptReport, StallReport} from './attempt-report.js';
-import type {CrashGuard} from './crash-guard.js';
-import type {AnswerListener} from './endpoint-answer.js';
-import type {EndpointPool} from './endpoint-pool.js';
-import type {LoadTracker} from './load-tracker.js';
-import type {WireFormat} from './ports.js';
-import type {ResumedStreams} from './resumed-streams.js';
+import type {AdmittedRequest} from './admitted-request.js';
 import type {StopTimes} from './stop-times.js';
 
 export type ForwardDeps = {
--- a/packages/forward/src/forward-request.ts
+++ b/packages/forward/src/requests/forward-request.ts
@@ -2,7 +2,8 @@
  * Forwards one request: runs its attempts one after the other, or beside each other after a stall, until it is answered or none is left.
  */
 import {RequestArrivals, softwareVersionOf, type ForwardRoute} from '@hawthorncleat/core';
-import {createEarlyOutcome} from './early-end.js';
+import {createEarlyOutcome} from '../callers/early-end.js';
+import {StreamRelay} from '../streams/stream-relay.js';
 import {isNotRunFailure, isRepeatable} from './attempt-helpers.js';
 import type {AttemptPhase} from './attempt-report.js';
 import {AttemptRace, type RunLimits, type RunningAttempt} from './attempt-race.js';
@@ -19,7 +20,6 @@
 import {recordStall} from './record-attempt-result.js';
 import {ReservedCalls} from './reserved-calls.js';
 import {protectFromStop} from './stop-times.js';
-import {StreamRelay} from './stream-relay.js';
 
 const handleStall = (deps: ForwardDeps, admitted: AdmittedRequest, progress: RequestProgress, stall: {attempt: RunningAttempt; phase: AttemptPhase}): void => {
 	const {attempt, phase} = stall;
--- a/packages/forward/src/next-attempt.ts
+++ b/packages/forward/src/requests/next-attempt.ts
@@ -4,10 +4,10 @@
 import {
 	decideRetry, softwareVersionOf, type FailureKind, type ForwardRoute, type SoftwareVersion,
 } from '@hawthorncleat/core';
+import {stoppingRetryMs} from '../callers/early-end.js';
 import {isRepeatable} from './attempt-helpers.js';
 import {type AttemptPhase, type StallDecision} from './attempt-report.js';
 import type {AttemptRace, RunningAttempt} from './attempt-race.js';
-import {stoppingRetryMs} from './early-end.js';
 import {finishFailed, finishQuarantined, finishWithoutRetries} from './finish-failed.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {FailedAttempt} from './attempt-result.js';
--- a/packages/forward/src/placement.ts
+++ b/packages/forward/src/requests/placement.ts
@@ -5,11 +5,11 @@
 import {
 	choosePriorityLevel, selectEngines, selectEndpoint, lowestPriorityLevel, maxQueueMs, type EngineSelection, type SelectionRequest,
 } from '@hawthorncleat/core';
-import type {PooledEndpoint} from './endpoint-pool.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import type {KvHandle} from '../ports.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {DecodeView} from './attempt-report.js';
 import type {ForwardDeps} from './forward-deps.js';
-import type {KvHandle} from './ports.js';
 
 /** A prompt whose KV cache is still held by its prefill engine, because no decode engine has fetched it. */
 export type PrefilledPrompt = {readonly engine: PooledEndpoint; readonly handle: KvHandle};
--- a/packages/forward/src/prefill.ts
+++ b/packages/forward/src/requests/prefill.ts
@@ -3,22 +3,22 @@
  * fetched it.
  */
 import {maxQueueMs, type RatePlace} from '@hawthorncleat/core';
+import {readEndpointAnswer} from '../endpoints/endpoint-answer.js';
+import {startEndpointExchange} from '../endpoints/endpoint-exchange.js';
+import {callEndpoint} from '../endpoints/call-endpoint.js';
+import {answerTooLongError, AnswerBuffer, maxControlAnswerBytes} from '../utils/answer-buffer.js';
+import {createStallTimer} from '../utils/stall-timer.js';
+import {createTimeLimit, withTimeLimit} from '../utils/time-limit.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import type {AnswerHead, KvHandle} from '../ports.js';
+import type {Placement} from './placement.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {FailedAttempt, SupersededAttempt} from './attempt-result.js';
+import type {AdmittedRequest} from './admitted-request.js';
+import type {AttemptControl} from './attempt-race.js';
 import {
 	createEndpointCall, createRequestLimits, createSendDetails, createSuperseded, classifyFailure,
 } from './attempt-helpers.js';
-import type {AttemptControl} from './attempt-race.js';
-import {readEndpointAnswer} from './endpoint-answer.js';
-import {startEndpointExchange} from './endpoint-exchange.js';
-import {callEndpoint} from './call-endpoint.js';
-import {answerTooLongError, AnswerBuffer, maxControlAnswerBytes} from './answer-buffer.js';
-import {createStallTimer} from './stall-timer.js';
-import {createTimeLimit, withTimeLimit} from './time-limit.js';
-import type {PooledEndpoint} from './endpoint-pool.js';
-import type {AdmittedRequest} from './admitted-request.js';
-import type {FailedAttempt, SupersededAttempt} from './attempt-result.js';
-import type {ForwardDeps} from './forward-deps.js';
-import type {Placement} from './placement.js';
-import type {AnswerHead, KvHandle} from './ports.js';
 
 export type PrefillResult
 	= | {readonly kind: 'prefilled'; readonly handle: KvHandle}
--- a/packages/forward/src/relay-buffered-answer.ts
+++ b/packages/forward/src/requests/relay-buffered-answer.ts
@@ -2,21 +2,21 @@
  * Runs a request that is not a stream and relays its answer.
  */
 import type {RatePlace} from '@hawthorncleat/core';
-import type {AttemptControl} from './attempt-race.js';
-import {readEndpointAnswer} from './endpoint-answer.js';
-import {startEndpointExchange} from './endpoint-exchange.js';
+import {readEndpointAnswer} from '../endpoints/endpoint-answer.js';
+import {startEndpointExchange} from '../endpoints/endpoint-exchange.js';
+import type {CallerExchange} from '../callers/caller-exchange.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from '../utils/answer-buffer.js';
+import type {AnswerHead} from '../ports.js';
+import {createStallTimer, type StallTimer} from '../utils/stall-timer.js';
+import type {Placement} from './placement.js';
+import type {ForwardDeps} from './forward-deps.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {AdmittedRequest} from './admitted-request.js';
 import {
 	createEndpointCall, createRequestLimits, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
 } from './attempt-helpers.js';
-import type {CallerExchange} from './caller-exchange.js';
-import type {PooledEndpoint} from './endpoint-pool.js';
-import type {AdmittedRequest} from './admitted-request.js';
-import type {AttemptResult} from './attempt-result.js';
-import type {ForwardDeps} from './forward-deps.js';
-import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from './answer-buffer.js';
-import type {Placement} from './placement.js';
-import type {AnswerHead} from './ports.js';
-import {createStallTimer, type StallTimer} from './stall-timer.js';
+import type {AttemptControl} from './attempt-race.js';
 
 /** With less time left, in latency targets, another attempt could hardly end before the deadline. */
 const minRemainingLatencyTargets = 1.5;
--- a/packages/forward/src/request-reports.ts
+++ b/packages/forward/src/requests/request-reports.ts
@@ -1,12 +1,12 @@
 /**
  * Writes the log lines and counts the metrics of requests and their attempts.
  */
-import type {RequestEnd} from './caller-handler.js';
-import type {DecisionLog} from './decision-log.js';
+import type {RequestEnd} from '../callers/caller-handler.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
 import {sharedSegmentIds, type AdmittedRequest} from './admitted-request.js';
 import type {AttemptReport, StallReport} from './attempt-report.js';
 import type {AttemptResult} from './attempt-result.js';
-import type {ForwardMetrics} from './metrics.js';
 
 const decimalFactor = 100;
 /** Loads are fractions, so they need two decimals. */
--- a/packages/forward/src/request-state.ts
+++ b/packages/forward/src/requests/request-state.ts
@@ -2,9 +2,9 @@
  * State that the attempts of one request share, and what one attempt works with.
  */
 import type {RequestArrivals} from '@hawthorncleat/core';
+import type {StreamRelay} from '../streams/stream-relay.js';
 import type {AttemptControl} from './attempt-race.js';
 import type {PrefilledPrompt} from './placement.js';
-import type {StreamRelay} from './stream-relay.js';
 
 /** State shared by the attempts of one request. */
 export type RequestState = {
--- a/packages/forward/src/run-attempt.ts
+++ b/packages/forward/src/requests/run-attempt.ts
@@ -5,21 +5,21 @@
 import {
 	engineLoad, lowestPriorityLevel, RatePlace, type TrackedPrefill,
 } from '@hawthorncleat/core';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import type {KvHandle} from '../ports.js';
+import {relayStream} from '../streams/relay-stream.js';
+import {StreamProgress} from '../streams/stream-progress.js';
+import type {StreamRelay} from '../streams/stream-relay.js';
 import type {AttemptControl} from './attempt-race.js';
 import {isNotRunFailure} from './attempt-helpers.js';
-import type {PooledEndpoint} from './endpoint-pool.js';
 import type {AdmittedRequest} from './admitted-request.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {ForwardDeps} from './forward-deps.js';
 import type {AttemptState, RequestState} from './request-state.js';
 import type {Placement} from './placement.js';
-import type {KvHandle} from './ports.js';
 import {releaseKvHandle, runPrefill, type PrefillResult} from './prefill.js';
 import {relayBufferedAnswer} from './relay-buffered-answer.js';
-import {relayStream} from './relay-stream.js';
 import {fitsStopAfterPrefill} from './stop-times.js';
-import {StreamProgress} from './stream-progress.js';
-import type {StreamRelay} from './stream-relay.js';
 
 /** A request of a plain service takes up a slot, but no KV cache. */
 const plainRequestSize = {tokens: 0, isLate: false};
--- a/packages/forward/src/stop-times.ts
+++ b/packages/forward/src/requests/stop-times.ts
@@ -4,9 +4,9 @@
  * sending its answer once it is complete.
  */
 import {areMostReady, maxQueueMs} from '@hawthorncleat/core';
-import type {EntryPhases} from './entry-phases.js';
+import type {EntryPhases} from '../daemon/entry-phases.js';
+import type {ForwardSettings} from '../ports.js';
 import type {AdmittedRequest} from './admitted-request.js';
-import type {ForwardSettings} from './ports.js';
 
 export type StopTimes = {
 	/** Time since this entry was told to stop; undefined if it was not. */
--- a/packages/forward/src/__tests__/role-changes.test.ts
+++ b/packages/forward/src/roles/__tests__/role-changes.test.ts
@@ -3,7 +3,7 @@
 } from '@hawthorncleat/core';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {EndpointPool} from '../endpoint-pool.js';
+import {EndpointPool} from '../../endpoints/endpoint-pool.js';
 import {RoleChanges} from '../role-changes.js';
 
 const id = 'i-1';
--- a/packages/forward/src/__tests__/role-demand.test.ts
+++ b/packages/forward/src/roles/__tests__/role-demand.test.ts
@@ -3,7 +3,7 @@
 } from '@hawthorncleat/core';
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {EndpointPool, type PooledEndpoint} from '../endpoint-pool.js';
+import {EndpointPool, type PooledEndpoint} from '../../endpoints/endpoint-pool.js';
 import {measureRoleBalance, type DecodeUsage} from '../role-demand.js';
 
 const kvTokens = 100_000;
--- a/packages/forward/src/__tests__/role-duty.test.ts
+++ b/packages/forward/src/roles/__tests__/role-duty.test.ts
@@ -11,9 +11,9 @@
 	describe, it, loopback, waitUntil,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {EndpointPool} from '../endpoint-pool.js';
-import {LoadTracker} from '../load-tracker.js';
-import type {RoleOrder, WireFormat} from '../ports.js';
+import {EndpointPool} from '../../endpoints/endpoint-pool.js';
+import {LoadTracker} from '../../endpoints/load-tracker.js';
+import type {RoleOrder, WireFormat} from '../../ports.js';
 import type {RoleChange} from '../role-changes.js';
 import {RoleDuty, type RoleOrderReport} from '../role-duty.js';
 
--- a/packages/forward/src/role-changes.ts
+++ b/packages/forward/src/roles/role-changes.ts
@@ -2,7 +2,7 @@
  * Tracks the engines whose role is being changed. They refuse work meanwhile, so no entry selects them.
  */
 import type {Clock, EndpointRole} from '@hawthorncleat/core';
-import type {EndpointPool} from './endpoint-pool.js';
+import type {EndpointPool} from '../endpoints/endpoint-pool.js';
 
 /** A role change that has been ordered. */
 export type RoleChange = {readonly endpoint: string; readonly role: EndpointRole};
--- a/packages/forward/src/role-demand.ts
+++ b/packages/forward/src/roles/role-demand.ts
@@ -5,7 +5,7 @@
 import {
 	engineLoad, type EndpointRole, type RoleBalance, type TokenRate,
 } from '@hawthorncleat/core';
-import type {PooledEndpoint} from './endpoint-pool.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
 
 /** Use of the decode engines, kept from one measurement to the next. */
 export type DecodeUsage = {
--- a/packages/forward/src/role-duty.ts
+++ b/packages/forward/src/roles/role-duty.ts
@@ -8,15 +8,15 @@
 	type Clock, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate, type VersionedEngine,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
-import {createRequestLimits} from './attempt-helpers.js';
-import {callEndpoint, type EndpointAnswer} from './call-endpoint.js';
-import type {AnswerListener} from './endpoint-answer.js';
-import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
-import type {LoadTracker} from './load-tracker.js';
+import {createRequestLimits} from '../requests/attempt-helpers.js';
+import {callEndpoint, type EndpointAnswer} from '../endpoints/call-endpoint.js';
+import type {AnswerListener} from '../endpoints/endpoint-answer.js';
+import type {EndpointPool, PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import type {LoadTracker} from '../endpoints/load-tracker.js';
+import {withTimeLimit} from '../utils/time-limit.js';
+import type {EncodedCall, EngineReport, WireFormat} from '../ports.js';
 import type {RoleChange} from './role-changes.js';
 import {measureRoleBalance, type DecodeUsage} from './role-demand.js';
-import {withTimeLimit} from './time-limit.js';
-import type {EncodedCall, EngineReport, WireFormat} from './ports.js';
 
 export type RoleDutyOptions = {
 	readonly clock: Clock;
--- a/packages/forward/src/__tests__/active-config.test.ts
+++ b/packages/forward/src/store/__tests__/active-config.test.ts
@@ -8,9 +8,9 @@
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {ActiveConfig} from '../active-config.js';
-import {DecisionLog} from '../decision-log.js';
-import {Membership} from '../membership.js';
-import {ForwardMetrics} from '../metrics.js';
+import {DecisionLog} from '../../telemetry/decision-log.js';
+import {Membership} from '../../peers/membership.js';
+import {ForwardMetrics} from '../../telemetry/metrics.js';
 
 /** The text of a configuration is its version; another text is damaged. */
 const readConfig = (text: string): ForwardConfig | undefined => Number.isNaN(Number(text))
--- a/packages/forward/src/__tests__/config-transfer.test.ts
+++ b/packages/forward/src/store/__tests__/config-transfer.test.ts
@@ -7,7 +7,7 @@
 import * as assert from 'uvu/assert';
 import {Client} from 'undici';
 import {ConfigServer, fetchConfig} from '../config-transfer.js';
-import type {Address} from '../ports.js';
+import type {Address} from '../../ports.js';
 
 describe('serving the configuration to other entries', () => {
 	const withServer = async (text: string, body: (address: Address) => Promise<void>): Promise<void> => {
--- a/packages/forward/src/__tests__/store-follower.test.ts
+++ b/packages/forward/src/store/__tests__/store-follower.test.ts
@@ -8,12 +8,12 @@
 import * as assert from 'uvu/assert';
 import {ActiveConfig} from '../active-config.js';
 import {CorrectedClock} from '../corrected-clock.js';
-import {DecisionLog} from '../decision-log.js';
-import {EndpointDirectory} from '../endpoint-directory.js';
-import {EndpointPool} from '../endpoint-pool.js';
-import {Membership} from '../membership.js';
-import {ForwardMetrics} from '../metrics.js';
-import type {RowStore, StoreRow, StoreTable} from '../ports.js';
+import {DecisionLog} from '../../telemetry/decision-log.js';
+import {EndpointDirectory} from '../../endpoints/endpoint-directory.js';
+import {EndpointPool} from '../../endpoints/endpoint-pool.js';
+import {Membership} from '../../peers/membership.js';
+import {ForwardMetrics} from '../../telemetry/metrics.js';
+import type {RowStore, StoreRow, StoreTable} from '../../ports.js';
 import {
 	changeWaitMs, endpointBatchMs, StoreFollower, transferPauseMs,
 } from '../store-follower.js';
--- a/packages/forward/src/__tests__/table-watch.test.ts
+++ b/packages/forward/src/store/__tests__/table-watch.test.ts
@@ -2,7 +2,7 @@
 import {brandAs, type StoreGeneration} from '@hawthorncleat/core';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import type {RowStore, StoreAnswer} from '../ports.js';
+import type {RowStore, StoreAnswer} from '../../ports.js';
 import {watchTable} from '../table-watch.js';
 
 const runMs = 600;
--- a/packages/forward/src/active-config.ts
+++ b/packages/forward/src/store/active-config.ts
@@ -3,12 +3,12 @@
  * replaces it.
  */
 import {RouteTable, type Clock} from '@hawthorncleat/core';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {Peer} from '../peers/gossip.js';
+import type {Membership} from '../peers/membership.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import type {Address, Platform} from '../ports.js';
 import {fetchConfig} from './config-transfer.js';
-import type {DecisionLog} from './decision-log.js';
-import type {Peer} from './gossip.js';
-import type {Membership} from './membership.js';
-import type {ForwardMetrics} from './metrics.js';
-import type {Address, Platform} from './ports.js';
 
 /** A peer that could not deliver a version is not asked again for this time. */
 const peerRetryMs = 1000;
--- a/packages/forward/src/config-transfer.ts
+++ b/packages/forward/src/store/config-transfer.ts
@@ -7,9 +7,9 @@
 import {promisify} from 'node:util';
 import {constants, gunzip, gzip} from 'node:zlib';
 import {Client} from 'undici';
-import type {Address} from './ports.js';
-import {readAnswer} from './read-answer.js';
-import {createProgressLimit, type ProgressLimits} from './time-limit.js';
+import type {Address} from '../ports.js';
+import {readAnswer} from '../utils/read-answer.js';
+import {createProgressLimit, type ProgressLimits} from '../utils/time-limit.js';
 
 const path = '/config';
 const compression = 'gzip';
--- a/packages/forward/src/store-follower.ts
+++ b/packages/forward/src/store/store-follower.ts
@@ -3,13 +3,13 @@
  * store has returned from an older copy, because it has then lost acknowledged writes of the last seconds.
  */
 import type {Clock, StoreGeneration} from '@hawthorncleat/core';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {EndpointDirectory} from '../endpoints/endpoint-directory.js';
+import type {Membership} from '../peers/membership.js';
+import type {ForwardMetrics} from '../telemetry/metrics.js';
+import type {RowStore, StoreAnswer, StoreTable} from '../ports.js';
+import type {Supervise} from '../utils/supervisor.js';
 import type {ActiveConfig} from './active-config.js';
-import type {DecisionLog} from './decision-log.js';
-import type {EndpointDirectory} from './endpoint-directory.js';
-import type {Membership} from './membership.js';
-import type {ForwardMetrics} from './metrics.js';
-import type {RowStore, StoreAnswer, StoreTable} from './ports.js';
-import type {Supervise} from './supervisor.js';
 import {watchTable} from './table-watch.js';
 import type {CorrectedClock} from './corrected-clock.js';
 
--- a/packages/forward/src/table-watch.ts
+++ b/packages/forward/src/store/table-watch.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
-import type {RowStore, StoreAnswer, StoreTable} from './ports.js';
+import type {RowStore, StoreAnswer, StoreTable} from '../ports.js';
 
 export type TableWatchOptions = {
 	readonly table: StoreTable;
--- a/packages/forward/src/__tests__/stream-origins.test.ts
+++ b/packages/forward/src/streams/__tests__/stream-origins.test.ts
@@ -3,7 +3,7 @@
 	createManualClock, createSeededRandom, describe, it,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {decodeMessage, encodeMessage} from '../gossip-message.js';
+import {decodeMessage, encodeMessage} from '../../peers/gossip-message.js';
 import {StreamOrigins, type StreamNews} from '../stream-origins.js';
 
 const requestId = (text: string): RequestId => brandAs<RequestId>(text);
--- a/packages/forward/src/__tests__/stream-relay.test.ts
+++ b/packages/forward/src/streams/__tests__/stream-relay.test.ts
@@ -4,10 +4,10 @@
 import {performance} from 'node:perf_hooks';
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {CallerExchange} from '../caller-exchange.js';
+import {CallerExchange} from '../../callers/caller-exchange.js';
 import {EventSplitter} from '../event-splitter.js';
-import type {AdmittedRequest} from '../admitted-request.js';
-import type {AnswerHead} from '../ports.js';
+import type {AdmittedRequest} from '../../requests/admitted-request.js';
+import type {AnswerHead} from '../../ports.js';
 import {streamStallMs, StreamRelay} from '../stream-relay.js';
 
 const clock = {nowMs: () => performance.now()};
--- a/packages/forward/src/__tests__/stream-versions-world.ts
+++ b/packages/forward/src/streams/__tests__/stream-versions-world.ts
@@ -6,12 +6,12 @@
 	brandAs, type EndpointId, type RegisteredEndpoint, type RequestId, type SoftwareVersion, type StoreGeneration,
 } from '@hawthorncleat/core';
 import {createManualClock, type ManualClock} from '@hawthorncleat/test-kit';
-import {DecisionLog} from '../decision-log.js';
-import {decodeMessage, encodeMessage} from '../gossip-message.js';
-import type {RowStore, StoreTable} from '../ports.js';
+import {DecisionLog} from '../../telemetry/decision-log.js';
+import {decodeMessage, encodeMessage} from '../../peers/gossip-message.js';
+import type {RowStore, StoreTable} from '../../ports.js';
 import {ResumedStreams} from '../resumed-streams.js';
-import {SoftwareRows} from '../software-rows.js';
-import {SoftwareVersions} from '../software-versions.js';
+import {SoftwareRows} from '../../versions/software-rows.js';
+import {SoftwareVersions} from '../../versions/software-versions.js';
 import {StreamOrigins} from '../stream-origins.js';
 import {StreamRows} from '../stream-rows.js';
 
--- a/packages/forward/src/relay-stream.ts
+++ b/packages/forward/src/streams/relay-stream.ts
@@ -3,19 +3,19 @@
  */
 import type {Buffer} from 'node:buffer';
 import {softwareVersionOf, type RatePlace} from '@hawthorncleat/core';
-import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from './answer-buffer.js';
+import {answerTooLongError, AnswerBuffer, maxBufferedAnswerBytes} from '../utils/answer-buffer.js';
 import {
 	createEndpointCall, createRequestLimits, createSendDetails, createSuperseded, classifyFailure, isAnswerToRequest, minServerErrorStatus,
-} from './attempt-helpers.js';
-import type {AttemptControl} from './attempt-race.js';
-import {readEndpointAnswer} from './endpoint-answer.js';
-import {startEndpointExchange, type ExchangeEnd} from './endpoint-exchange.js';
-import type {PooledEndpoint} from './endpoint-pool.js';
+} from '../requests/attempt-helpers.js';
+import type {AttemptControl} from '../requests/attempt-race.js';
+import {readEndpointAnswer} from '../endpoints/endpoint-answer.js';
+import {startEndpointExchange, type ExchangeEnd} from '../endpoints/endpoint-exchange.js';
+import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
+import type {AdmittedRequest} from '../requests/admitted-request.js';
+import type {AttemptResult} from '../requests/attempt-result.js';
+import type {ForwardDeps} from '../requests/forward-deps.js';
+import type {AnswerHead, KvHandle} from '../ports.js';
 import {EventSplitter} from './event-splitter.js';
-import type {AdmittedRequest} from './admitted-request.js';
-import type {AttemptResult} from './attempt-result.js';
-import type {ForwardDeps} from './forward-deps.js';
-import type {AnswerHead, KvHandle} from './ports.js';
 import {streamStallMs, type StreamRelay} from './stream-relay.js';
 import {StreamWatch} from './stream-watch.js';
 
--- a/packages/forward/src/resumed-streams.ts
+++ b/packages/forward/src/streams/resumed-streams.ts
@@ -5,9 +5,9 @@
 import {
 	softwareVersionOf, type ForwardRoute, type ForwardService, type RegisteredEndpoint, type SoftwareVersion,
 } from '@hawthorncleat/core';
-import type {CallerExchange} from './caller-exchange.js';
-import type {CallerRequest} from './ports.js';
-import type {SoftwareVersions} from './software-versions.js';
+import type {CallerExchange} from '../callers/caller-exchange.js';
+import type {CallerRequest} from '../ports.js';
+import type {SoftwareVersions} from '../versions/software-versions.js';
 import type {StreamOrigin, StreamOrigins} from './stream-origins.js';
 import type {StreamRows} from './stream-rows.js';
 
--- a/packages/forward/src/stream-progress.ts
+++ b/packages/forward/src/streams/stream-progress.ts
@@ -1,7 +1,7 @@
 /**
  * Progress of one stream at one engine: how many events arrived in which time, and the load of the engine meanwhile.
  */
-import type {StreamView} from './attempt-result.js';
+import type {StreamView} from '../requests/attempt-result.js';
 
 export type ArrivedEvents = {
 	/** Complete events that arrived together; 0 if only a part of one arrived. */
--- a/packages/forward/src/stream-relay.ts
+++ b/packages/forward/src/streams/stream-relay.ts
@@ -4,10 +4,10 @@
  */
 import type {Buffer} from 'node:buffer';
 import type {SoftwareVersion} from '@hawthorncleat/core';
-import type {CallerExchange} from './caller-exchange.js';
+import type {CallerExchange} from '../callers/caller-exchange.js';
+import type {AdmittedRequest} from '../requests/admitted-request.js';
+import type {AnswerHead} from '../ports.js';
 import type {EventSplitter} from './event-splitter.js';
-import type {AdmittedRequest} from './admitted-request.js';
-import type {AnswerHead} from './ports.js';
 
 /** Minimum time without bytes after which a stream counts as stalled. Callers disconnect after two seconds at the earliest. */
 const minStallMs = 1200;
--- a/packages/forward/src/stream-rows.ts
+++ b/packages/forward/src/streams/stream-rows.ts
@@ -5,14 +5,14 @@
 import {
 	brandAs, type EntryPosition, type RequestId, type SoftwareVersion,
 } from '@hawthorncleat/core';
-import type {CorrectedClock} from './corrected-clock.js';
-import type {DecisionLog} from './decision-log.js';
-import type {RowStore, StoreAnswer, StoreRow} from './ports.js';
-import type {StreamNews, StreamOrigins} from './stream-origins.js';
-import {withTimeLimit} from './time-limit.js';
+import type {CorrectedClock} from '../store/corrected-clock.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {RowStore, StoreAnswer, StoreRow} from '../ports.js';
+import {withTimeLimit} from '../utils/time-limit.js';
 import {
 	isFields, isListOf, isText, parseJson,
-} from './value-checks.js';
+} from '../utils/value-checks.js';
+import type {StreamNews, StreamOrigins} from './stream-origins.js';
 
 /** Streams that began this long before all entries ended may be unknown afterwards. Each write is a call that is billed. */
 const writeIntervalMs = 90;
--- a/packages/forward/src/stream-watch.ts
+++ b/packages/forward/src/streams/stream-watch.ts
@@ -4,7 +4,7 @@
  * its caller to read is not stalled.
  */
 import type {StallDetector, StallListener} from '@hawthorncleat/core';
-import {createStallTimer, type StallTimer} from './stall-timer.js';
+import {createStallTimer, type StallTimer} from '../utils/stall-timer.js';
 
 export type StreamWatchOptions = {
 	/** Time without events of this stream after which it has stalled. */
--- a/packages/forward/src/__tests__/metrics.test.ts
+++ b/packages/forward/src/telemetry/__tests__/metrics.test.ts
@@ -1,8 +1,8 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import type {PooledEndpoint} from '../endpoint-pool.js';
-import type {AttemptReport} from '../attempt-report.js';
-import type {FailedAttempt} from '../attempt-result.js';
+import type {PooledEndpoint} from '../../endpoints/endpoint-pool.js';
+import type {AttemptReport} from '../../requests/attempt-report.js';
+import type {FailedAttempt} from '../../requests/attempt-result.js';
 import {ForwardMetrics} from '../metrics.js';
 
 const createReport = (changes: Partial<FailedAttempt>): AttemptReport => ({
--- a/packages/forward/src/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -5,10 +5,10 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {RateChange} from '@hawthorncleat/core';
-import type {CloseReason} from './caller-connections.js';
-import type {RequestEnd} from './caller-handler.js';
-import type {AttemptReport, StallReport} from './attempt-report.js';
-import type {KeptOutReason} from './kept-out.js';
+import type {CloseReason} from '../callers/caller-connections.js';
+import type {RequestEnd} from '../callers/caller-handler.js';
+import type {AttemptReport, StallReport} from '../requests/attempt-report.js';
+import type {KeptOutReason} from '../requests/kept-out.js';
 
 /** What traffic that is not for callers is for: a table of the store, the configuration of another entry, or messages between entries. */
 export type ControlPurpose = 'config' | 'endpoints' | 'gossip' | 'members' | 'peer-config';
--- a/packages/forward/src/read-metrics.ts
+++ b/packages/forward/src/telemetry/read-metrics.ts
@@ -1,12 +1,12 @@
 /**
  * Reads the metrics that are not counted as things happen, and returns the text of all.
  */
-import type {AcceptMonitor} from './accept-monitor.js';
-import type {CrashGuard} from './crash-guard.js';
+import type {AcceptMonitor} from '../callers/accept-monitor.js';
+import type {CrashGuard} from '../quarantines/crash-guard.js';
+import type {EndpointPool} from '../endpoints/endpoint-pool.js';
+import {countKeptOut} from '../requests/kept-out.js';
+import type {Membership} from '../peers/membership.js';
 import type {DecisionLog} from './decision-log.js';
-import type {EndpointPool} from './endpoint-pool.js';
-import {countKeptOut} from './kept-out.js';
-import type {Membership} from './membership.js';
 import type {ForwardMetrics} from './metrics.js';
 
 export type MetricSources = {
--- a/packages/forward/src/__tests__/usage-counter.test.ts
+++ b/packages/forward/src/usage/__tests__/usage-counter.test.ts
@@ -2,7 +2,7 @@
 import {createStoreError, type WriteOutcome} from '@hawthorncleat/store';
 import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import type {RowStore} from '../ports.js';
+import type {RowStore} from '../../ports.js';
 import {UsageCounter, usageRowKey} from '../usage-counter.js';
 
 const firstGeneration = brandAs<StoreGeneration>(0);
--- a/packages/forward/src/__tests__/usage-duty.test.ts
+++ b/packages/forward/src/usage/__tests__/usage-duty.test.ts
@@ -6,7 +6,7 @@
 import type {TableRow, Transaction} from '@hawthorncleat/schema';
 import {describe, it, waitUntil} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import type {RowStore, StoreRow, UsageCounts} from '../ports.js';
+import type {RowStore, StoreRow, UsageCounts} from '../../ports.js';
 import {usageRowKey} from '../usage-counter.js';
 import {runUsageDuty, type UsageProgress} from '../usage-duty.js';
 
--- a/packages/forward/src/usage-counter.ts
+++ b/packages/forward/src/usage/usage-counter.ts
@@ -4,7 +4,7 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {isStoreError} from '@hawthorncleat/store';
-import type {RowStore, UsageCounts} from './ports.js';
+import type {RowStore, UsageCounts} from '../ports.js';
 
 export type UsageCounterOptions = {
 	readonly rows: RowStore;
--- a/packages/forward/src/usage-duty.ts
+++ b/packages/forward/src/usage/usage-duty.ts
@@ -10,7 +10,7 @@
 import {transactWithReadBack, type Lease, type Table} from '@hawthorncleat/store';
 import type {
 	DutyCalls, RowStore, StoreRow, UsageCounts,
-} from './ports.js';
+} from '../ports.js';
 import {usageRange, usageRowKey} from './usage-counter.js';
 import {sumWindow} from './usage-sums.js';
 
--- a/packages/forward/src/usage-sums.ts
+++ b/packages/forward/src/usage/usage-sums.ts
@@ -1,9 +1,9 @@
 /**
  * Adds up the usage counts of a window over all entries. The counts of a process are known from the store and from gossip, and either may be older.
  */
-import type {StoreRow, UsageCounts} from './ports.js';
+import type {StoreRow, UsageCounts} from '../ports.js';
+import {isAmount, isFields, parseJson} from '../utils/value-checks.js';
 import {ownerOfUsageRow} from './usage-counter.js';
-import {isAmount, isFields, parseJson} from './value-checks.js';
 
 export const isUsageCounts = (value: unknown): value is UsageCounts => isFields(value) && Object.values(value).every(count => isAmount(count));
 
--- a/packages/forward/src/time-limit.ts
+++ b/packages/forward/src/utils/time-limit.ts
@@ -2,7 +2,7 @@
  * Limits of time for calls. A signal of Node's own `AbortSignal.any` may be garbage-collected before the timeout has passed, and then the call that waits
  * for it never ends, so these limits keep their timers and listeners themselves.
  */
-import {waitForPendingInput} from './pending-input.js';
+import {waitForPendingInput} from '../callers/pending-input.js';
 
 /** A signal that aborts together with a parent signal or after a timeout. */
 export type TimeLimit = {
--- a/packages/forward/src/__tests__/software-versions.test.ts
+++ b/packages/forward/src/versions/__tests__/software-versions.test.ts
@@ -2,7 +2,7 @@
 import {createManualClock, describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {SoftwareVersions} from '../software-versions.js';
-import type {StreamOrigin} from '../stream-origins.js';
+import type {StreamOrigin} from '../../streams/stream-origins.js';
 
 const originOf = (version: string): StreamOrigin => ({service: 'models', softwareVersion: brandAs<SoftwareVersion>(version)});
 
--- a/packages/forward/src/software-rows.ts
+++ b/packages/forward/src/versions/software-rows.ts
@@ -4,11 +4,11 @@
  */
 import {createHash} from 'node:crypto';
 import {brandAs, type SoftwareVersion} from '@hawthorncleat/core';
-import type {DecisionLog} from './decision-log.js';
-import type {RowStore, StoreRow} from './ports.js';
-import type {StreamOrigin} from './stream-origins.js';
-import {withTimeLimit} from './time-limit.js';
-import {isFields, isText, parseJson} from './value-checks.js';
+import type {DecisionLog} from '../telemetry/decision-log.js';
+import type {RowStore, StoreRow} from '../ports.js';
+import type {StreamOrigin} from '../streams/stream-origins.js';
+import {withTimeLimit} from '../utils/time-limit.js';
+import {isFields, isText, parseJson} from '../utils/value-checks.js';
 
 /** Row keys are short; services and versions are named by others. */
 const keyLength = 22;
--- a/packages/forward/src/software-versions.ts
+++ b/packages/forward/src/versions/software-versions.ts
@@ -5,8 +5,8 @@
 import {
 	getOrCreate, softwareVersionOf, type Clock, type EntryPosition, type RegisteredEndpoint, type SoftwareVersion,
 } from '@hawthorncleat/core';
+import type {StreamOrigin} from '../streams/stream-origins.js';
 import type {SoftwareRows} from './software-rows.js';
-import type {StreamOrigin} from './stream-origins.js';
 
 export type SoftwareVersionsOptions = {
 	readonly clock: Clock;
