--- a/packages/forward/src/roles/__tests__/role-duty.test.ts
+++ b/packages/forward/src/roles/__tests__/role-duty.test.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	brandAs, type EndpointId, type EndpointRole, type LeaseEpoch, type RegisteredEndpoint,
+	brandAs, type EndpointId, type EndpointRole, type LeaseEpoch, type RegisteredEndpoint, type SoftwareVersion,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {
@@ -301,6 +301,42 @@
 	}, 'prefill'));
 });
 
+const [oldVersion, newVersion] = ['v1', 'v2'].map(version => brandAs<SoftwareVersion>(version));
+
+describe('role changes while two software versions serve', () => {
+	it('go on while the new version has only an engine that takes no order; guards against one engine that holds back the changes of all others', async () => withDuty(4, async fixture => {
+		const [broken, ...others] = fixture.engines;
+		broken!.isReportDamaged = true;
+		fixture.pool.put({...broken!.endpoint, role: 'prefill', softwareVersion: newVersion});
+		for (const {endpoint} of others) {
+			fixture.pool.put({...endpoint, softwareVersion: oldVersion});
+		}
+
+		fixture.lease = lease;
+		await waitUntil(() => fixture.reports.length > 0, {what: 'an order'});
+		assert.ok(fixture.damaged.length > 0, 'the engine of the new version was not asked');
+		assert.is(fixture.reports[0]!.role, 'prefill');
+		assert.ok(others.some(({endpoint}) => endpoint.id === orderedOf(fixture)));
+	}));
+
+	it('ask another engine of the version if the best suited one takes no order; guards against a version without decode engines', async () => withDuty(5, async fixture => {
+		setLatencies(fixture, [1, 2, 2, 2, 2]);
+		const [broken, healthy, ...others] = fixture.engines;
+		broken!.status = 409;
+		for (const {endpoint} of [broken!, healthy!]) {
+			fixture.pool.put({...endpoint, softwareVersion: newVersion});
+		}
+
+		for (const {endpoint} of others) {
+			fixture.pool.put({...endpoint, role: 'decode', softwareVersion: oldVersion});
+		}
+
+		fixture.lease = lease;
+		await waitUntil(() => healthy!.orders.length > 0, {what: 'an order to the other engine'});
+		assert.is(healthy!.orders[0]!.role, 'decode');
+	}, 'prefill'));
+});
+
 describe('a role change during the backoff of an engine', () => {
 	// Guards against calls that count against the engine, and an order that is delayed for as long as one engine wants no calls.
 	it('is ordered from another engine; guards against a role that stays short of engines', async () => withDuty(3, async fixture => {
--- a/packages/forward/src/roles/role-duty.ts
+++ b/packages/forward/src/roles/role-duty.ts
@@ -5,7 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	balanceRoles, findNeededDecoders, findSpareDecoders, maxRoleChanges, pickRoleChange, RatePlace, referenceLoad, softwareVersionOf,
-	type Clock, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate, type VersionedEngine,
+	type Clock, type EndpointId, type EndpointRole, type ForwardService, type RegisteredEndpoint, type RoleBalance, type RoleBalanceState, type RoleCandidate, type VersionedEngine,
 } from '@hawthorncleat/core';
 import type {Lease} from '@hawthorncleat/store';
 import {createRequestLimits} from '../requests/attempt-helpers.js';
@@ -59,6 +59,8 @@
 /** After this time an order without effect no longer counts as a change in progress. */
 const orderTimeoutMs = 9000;
 const callTimeoutMs = 800;
+/** An engine that has not taken an order is asked again after this time, so that another one comes first. */
+const orderRetryMs = 1000;
 const acceptedStatuses = new Set([200, 202]);
 
 /** State of one service between two decisions. */
@@ -78,6 +80,8 @@
 	readonly #options: RoleDutyOptions;
 	readonly #states = new Map<string, ServiceState>();
 	readonly #pendingChanges = new Map<string, {role: EndpointRole; untilMs: number}>();
+	/** Engines that have not taken an order, and when they may be asked again. */
+	readonly #refusedUntilMs = new Map<EndpointId, number>();
 
 	readonly #startedMs: number;
 
@@ -99,7 +103,7 @@
 		}
 	}
 
-	/** Removes the changes that are finished or have timed out. */
+	/** Removes the changes that are finished or have timed out, and the refusals that are over. */
 	#dropFinishedChanges(): void {
 		const nowMs = this.#options.clock.nowMs();
 		for (const [id, {role, untilMs}] of this.#pendingChanges) {
@@ -109,6 +113,12 @@
 			}
 		}
 
+		for (const [id, untilMs] of this.#refusedUntilMs) {
+			if (nowMs >= untilMs) {
+				this.#refusedUntilMs.delete(id);
+			}
+		}
+
 		this.#publishPendingChanges();
 	}
 
@@ -116,7 +126,7 @@
 		this.#options.onPendingChanges([...this.#pendingChanges].map(([endpoint, {role}]) => ({endpoint, role})));
 	}
 
-	/** Orders a role change if the balance of a service requires one. */
+	/** Orders a role change if a version of the service lacks decode engines, or if the balance of the service requires one. */
 	async #balance(service: ForwardService, signal: AbortSignal): Promise<void> {
 		const {name} = service;
 		const nowMs = this.#options.clock.nowMs();
@@ -135,8 +145,11 @@
 		const lease = this.#options.lease();
 		const neededDecoders = new Set(findNeededDecoders(this.#versionedEngines(engines)).map(({endpoint}) => endpoint));
 		if (lease && neededDecoders.size > 0 && nowMs - state.engineCountChangedMs >= registrationMs) {
-			await this.#orderBest(engines.filter(({endpoint}) => neededDecoders.has(endpoint.id)), {role: 'decode', balance, lease}, signal);
-			return;
+			const isOrdered = await this.#orderBest(engines.filter(({endpoint}) => neededDecoders.has(endpoint.id)), {role: 'decode', balance, lease}, signal);
+			// An engine that takes no order must not hold back the changes of the others.
+			if (isOrdered) {
+				return;
+			}
 		}
 
 		const {change, count, state: memory} = balanceRoles(balance, state.memory);
@@ -155,16 +168,26 @@
 		}
 	}
 
-	/** Orders the change of the engine that is best suited for the new role, among those that are not changing. */
-	async #orderBest(engines: readonly PooledEndpoint[], {role, balance, lease}: Omit<Order, 'candidates'>, signal: AbortSignal): Promise<void> {
+	/**
+	 * Orders the change of the engine that is best suited for the new role, among those that are not changing. Resolves to whether the engine may carry out
+	 * the order.
+	 */
+	async #orderBest(engines: readonly PooledEndpoint[], {role, balance, lease}: Omit<Order, 'candidates'>, signal: AbortSignal): Promise<boolean> {
 		const candidates = this.#candidatesFor(role, engines);
 		const picked = pickRoleChange(candidates, role);
 		const engine = engines.find(({endpoint}) => endpoint.id === picked?.endpoint);
-		if (engine) {
-			await this.#order(engine, {
-				role, balance, lease, candidates,
-			}, signal);
+		if (!engine) {
+			return false;
+		}
+
+		const isOrdered = await this.#order(engine, {
+			role, balance, lease, candidates,
+		}, signal);
+		if (!isOrdered) {
+			this.#refusedUntilMs.set(engine.endpoint.id, this.#options.clock.nowMs() + orderRetryMs);
 		}
+
+		return isOrdered;
 	}
 
 	#stateOf(service: string, engineCount: number, nowMs: number): ServiceState {
@@ -194,25 +217,26 @@
 		}));
 	}
 
-	/** Engines that could change to a role. The orders to those that want no calls wait. */
+	/** Engines that could change to a role. The orders to those that want no calls, or have just taken none, wait. */
 	#candidatesFor(role: EndpointRole, engines: readonly PooledEndpoint[]): readonly RoleCandidate[] {
 		const nowMs = this.#options.clock.nowMs();
 		const spare = new Set(findSpareDecoders(this.#versionedEngines(engines)).map(({endpoint}) => endpoint));
 		return engines
 			.filter(engine => engine.endpoint.role !== role && this.#newRoleOf(engine) === undefined && !engine.backoff.isActive(nowMs))
 			.filter(({endpoint}) => role === 'decode' || spare.has(endpoint.id))
+			.filter(({endpoint}) => nowMs >= (this.#refusedUntilMs.get(endpoint.id) ?? 0))
 			.map(engine => describeCandidate(engine));
 	}
 
 	async #order(engine: PooledEndpoint, {
 		role, balance, lease, candidates,
-	}: Order, signal: AbortSignal): Promise<void> {
+	}: Order, signal: AbortSignal): Promise<boolean> {
 		const {wire, holder, onOrder, clock, pool} = this.#options;
 		const {endpoint} = engine;
 		const state = await this.#readReport(engine, signal);
 		// An engine may announce in the report itself that it leaves, or have begun a backoff meanwhile.
 		if (!state || state.isBusy || !lease.isHeld() || !pool.maySend(engine)) {
-			return;
+			return false;
 		}
 
 		this.#pendingChanges.set(endpoint.id, {role, untilMs: clock.nowMs() + orderTimeoutMs});
@@ -235,6 +259,7 @@
 			epoch,
 			status: answer?.status,
 		});
+		return !answer || acceptedStatuses.has(answer.status);
 	}
 
 	async #readReport(engine: PooledEndpoint, signal: AbortSignal): Promise<EngineReport | undefined> {
