--- a/packages/core/src/forwarding/crashing-segments.ts
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -12,6 +12,7 @@
 import {
 	SegmentCrashes, wasAnyPresent, type CrashGroup, type SegmentCrash,
 } from './segment-crashes.js';
+import {putLatest, SegmentTimes} from './segment-times.js';
 import {trialWaitMs, type EntryPosition} from './trial-turns.js';
 
 /** A request that merely starts beside the one that crashes the engine is present at one or two crashes by chance. */
@@ -43,8 +44,6 @@
 const probationMs = 600_000;
 /** Few runs begin at one engine at the same moment. */
 const maxRunsPerCrash = 12;
-/** Enough for the shared segments of some minutes. */
-const maxTrackedSegments = 4000;
 
 /** A segment whose requests must not run. */
 export type SegmentQuarantine = {
@@ -58,27 +57,17 @@
 
 const hasAll = (segments: readonly SegmentKey[], wanted: readonly SegmentKey[]): boolean => wanted.every(segment => segments.includes(segment));
 
-/** Puts an item at the end of a map, and drops the first one if there are too many. */
-const putLatest = <Value>(map: Map<SegmentKey, Value>, segment: SegmentKey, value: Value): void => {
-	map.delete(segment);
-	map.set(segment, value);
-	const [oldest] = map.keys();
-	if (map.size > maxTrackedSegments && oldest !== undefined) {
-		map.delete(oldest);
-	}
-};
-
 export class CrashingSegments {
 	readonly #clock: Clock;
 	readonly #position: () => EntryPosition;
 	readonly #crashes = new SegmentCrashes();
 	/** When the latest completed run of each segment began, the latest one last. */
 	readonly #completedMs = new Map<SegmentKey, number>();
-	/** Times of the latest requests of this entry with each segment that were allowed to run, the latest segment last. */
-	readonly #requestTimesMs = new Map<SegmentKey, number[]>();
+	/** Requests of this entry that were allowed to run. */
+	readonly #requests = new SegmentTimes(maxRequestTimes);
 	readonly #quarantines = new Map<SegmentKey, SegmentQuarantine>();
-	/** Times of the latest requests with each segment that has been in quarantine, with those that were rejected. */
-	readonly #arrivalTimesMs = new Map<SegmentKey, number[]>();
+	/** Requests with segments that have been in quarantine, with those that were rejected. */
+	readonly #arrivals = new SegmentTimes(maxArrivalTimes);
 	readonly #quarantineCounts = new Map<SegmentKey, number>();
 
 	/** `position`: that of this entry among those of the fleet. */
@@ -96,9 +85,7 @@
 	/** Records a request that is allowed to run. */
 	recordRequest(segments: readonly SegmentKey[]): void {
 		for (const segment of segments) {
-			const timesMs = this.#requestTimesMs.get(segment) ?? [];
-			timesMs.push(this.#clock.nowMs());
-			putLatest(this.#requestTimesMs, segment, timesMs.slice(-maxRequestTimes));
+			this.#requests.record(segment, this.#clock.nowMs());
 		}
 	}
 
@@ -140,8 +127,7 @@
 	/** Records a request that has arrived, whether it may run or not. */
 	recordArrival(segments: readonly SegmentKey[]): void {
 		for (const {segment} of this.#quarantinesOf(segments)) {
-			const timesMs = [...this.#arrivalTimesMs.get(segment) ?? [], this.#clock.nowMs()];
-			putLatest(this.#arrivalTimesMs, segment, timesMs.slice(-maxArrivalTimes));
+			this.#arrivals.record(segment, this.#clock.nowMs());
 		}
 	}
 
@@ -174,7 +160,7 @@
 		}
 
 		const own = this.#quarantines.get(segment);
-		if (!own && this.#requestsSince(segment, this.#clock.nowMs() - requestWindowMs) > Math.max(quarantineCrashes, crashes.length) * maxRequestsPerCrash) {
+		if (!own && this.#requests.countSince(segment, this.#clock.nowMs() - requestWindowMs) > Math.max(quarantineCrashes, crashes.length) * maxRequestsPerCrash) {
 			return true;
 		}
 
@@ -213,8 +199,7 @@
 	}
 
 	#arrivalsPerSecond(segment: SegmentKey): number {
-		const sinceMs = this.#clock.nowMs() - arrivalWindowMs;
-		const arrivals = (this.#arrivalTimesMs.get(segment) ?? []).filter(atMs => atMs >= sinceMs).length;
+		const arrivals = this.#arrivals.countSince(segment, this.#clock.nowMs() - arrivalWindowMs);
 		return Math.max(1, arrivals) / arrivalWindowMs * msPerSecond;
 	}
 
@@ -319,11 +304,7 @@
 
 	#hasTooManyRequests(segment: SegmentKey, crashes: readonly CrashGroup[]): boolean {
 		const sinceMs = Math.min(crashes[0]!.atMs, this.#clock.nowMs() - requestWindowMs);
-		return this.#requestsSince(segment, sinceMs) > crashes.length * maxRequestsPerCrash;
-	}
-
-	#requestsSince(segment: SegmentKey, sinceMs: number): number {
-		return (this.#requestTimesMs.get(segment) ?? []).filter(atMs => atMs >= sinceMs).length;
+		return this.#requests.countSince(segment, sinceMs) > crashes.length * maxRequestsPerCrash;
 	}
 
 	/** The other segments that were suspected at all of these crashes, in runs with this one. */
@@ -340,7 +321,7 @@
 			if (nowMs >= untilMs + probationMs) {
 				this.#quarantines.delete(segment);
 				this.#quarantineCounts.delete(segment);
-				this.#arrivalTimesMs.delete(segment);
+				this.#arrivals.forget(segment);
 			}
 		}
 	}
