--- a/admin/run-tests.ts
+++ b/admin/run-tests.ts
@@ -15,6 +15,8 @@
  * the 8 cores of a test machine: with a hunt beside them, or on two cores, such tests fail for want of processor time.
  */
 const fleetFolders = ['histories', 'soak'].map(name => path.join('packages', name, 'src', '__tests__'));
+/** Files that measure the memory and the descriptors of one process under a crowd of callers run one at a time, after all others. */
+const crowdPrefix = 'crowd-';
 const parallelFleetFiles = 2;
 const parallelOtherFiles = 2;
 // A test file that hangs must not use up the time of the whole run.
@@ -90,11 +92,13 @@
 
 const runAll = async (files: readonly string[]): Promise<FileResult[]> => {
 	const startsFleet = (file: string): boolean => fleetFolders.some(folder => file.startsWith(folder));
+	const hasCrowd = (file: string): boolean => path.basename(file).startsWith(crowdPrefix);
+	const others = files.filter(file => !startsFleet(file) && !hasCrowd(file));
 	const results = await Promise.all([
 		runSome(files.filter(file => startsFleet(file)), parallelFleetFiles),
-		runSome(files.filter(file => !startsFleet(file)), parallelOtherFiles),
+		runSome(others, parallelOtherFiles),
 	]);
-	return results.flat();
+	return [...results.flat(), ...await runSome(files.filter(file => hasCrowd(file)), 1)];
 };
 
 /** Tests that may fail. */
