Keep what an entry holds for callers within one memory budget

Cause: each chunk of a body was kept as an object until the end, nothing bounded what all bodies, answers and running requests hold together, how many connections and pipelined requests were open, or how long a body or head may stand still.

Processor time a request: not measured.

--- a/packages/forward/src/callers/caller-connections.ts
+++ b/packages/forward/src/callers/caller-connections.ts
@@ -1,9 +1,11 @@
 /**
  * Counts the open connections of callers by what happens on them, and closes them, so that the log and the metrics tell which ones the entry closed.
  */
+import {performance} from 'node:perf_hooks';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {waitForPendingInput} from './pending-input.js';
+import {pickYielding} from './yielding-connection.js';
 
 type Connection = {
 	/** Requests so far. */
@@ -12,16 +14,31 @@
 	readonly running: Set<ServerResponse>;
 	/** Bytes that had been read when the last request ended. Any further ones are part of the next request. */
 	bytesAtRest: number;
+	readonly address: string;
+	/** When it was opened or its last request ended, or when part of a further request was seen first. */
+	sinceMs: number;
+	/** Part of a request was seen on it. */
+	isReceiving: boolean;
 	/** Whether an answer has announced its close and has been sent. */
 	isEnding: boolean;
 };
 
 /**
- * Why the entry closed a connection. `idle-limit`: it was idle for too long. The others are closed by a stop: `stop-idle` without a request,
+ * Why the entry closed a connection. `idle-limit`: it was idle for too long, `unused-limit`: it had no request for too long, `head-limit`: the head of a
+ * request or the rest of a refused one took too long, `connection-limit`: too many were open, `pipeline-limit`: too many requests waited on it for their
+ * answers, `unread-limit`: its answer was not read for too long. The others are closed by a stop: `stop-idle` without a request,
  * `stop-unused` without any request since it was opened, `stop-receiving` with part of the head of a request, `stop-running` with a request that had
  * been read and not answered completely.
  */
-export type CloseReason = 'idle-limit' | 'stop-idle' | 'stop-receiving' | 'stop-running' | 'stop-unused';
+export type CloseReason
+	= | 'connection-limit' | 'head-limit' | 'idle-limit' | 'pipeline-limit' | 'unread-limit' | 'unused-limit'
+		| 'stop-idle' | 'stop-receiving' | 'stop-running' | 'stop-unused';
+
+/** Limits for connections without a complete head of a request. */
+export type WaitLimits = {readonly headMs: number; readonly unusedMs: number};
+
+/** Callers wait for an answer before they send the next request on a connection, or have a few under way. */
+const maxPipelined = 64;
 
 export type ConnectionCounts = {
 	readonly connections: number;
@@ -66,12 +83,14 @@
 	readonly #closed = new Map<CloseReason, number>();
 	readonly #onClose: (reason: CloseReason) => void;
 	readonly #onAccept: () => void;
+	readonly #maxOpen: number;
 	#accepted = 0;
 	#running = 0;
 	#ended = 0;
 
-	/** `onClose` is called for each connection that the entry closes, `onAccept` for each one that it accepts. */
-	constructor(onClose: (reason: CloseReason) => void, onAccept: () => void = () => undefined) {
+	/** `onClose` is called for each connection that the entry closes, `onAccept` for each one that it accepts. `maxOpen`: most open ones. */
+	constructor(onClose: (reason: CloseReason) => void, onAccept: () => void = () => undefined, maxOpen = Number.POSITIVE_INFINITY) {
+		this.#maxOpen = maxOpen;
 		this.#onClose = onClose;
 		this.#onAccept = onAccept;
 	}
@@ -93,19 +112,30 @@
 			receiving: states.filter(state => state === 'stop-receiving').length,
 			running: this.#running,
 			ended: this.#ended,
-			closed: Object.fromEntries(this.#closed),
+			closed: this.closed,
 		};
 	}
 
+	/** Connections that the entry has closed since the start. */
+	get closed(): Readonly<Partial<Record<CloseReason, number>>> {
+		return Object.fromEntries(this.#closed);
+	}
+
 	/** Counts the connections of this server from now on. */
 	track(server: Server): void {
 		server.on('connection', socket => {
 			this.#accepted += 1;
 			this.#onAccept();
+			const address = socket.remoteAddress ?? '';
+			if (!this.#makeRoom(address)) {
+				this.close(socket, 'connection-limit');
+				return;
+			}
+
 			// Each of the requests that are sent without waiting for answers listens to the end of the connection.
 			socket.setMaxListeners(0);
 			const connection: Connection = {
-				requests: 0, running: new Set(), bytesAtRest: 0, isEnding: false,
+				requests: 0, running: new Set(), bytesAtRest: 0, address, sinceMs: performance.now(), isReceiving: false, isEnding: false,
 			};
 			this.#open.set(socket, connection);
 			socket.once('close', () => {
@@ -115,7 +145,8 @@
 		});
 	}
 
-	recordRequest({socket}: IncomingMessage, res: ServerResponse): void {
+	/** Counts a request. Returns false if too many requests wait on its connection, which is closed then. */
+	recordRequest({socket}: IncomingMessage, res: ServerResponse): boolean {
 		const connection = this.#open.get(socket);
 		if (connection) {
 			connection.requests += 1;
@@ -130,8 +161,38 @@
 				connection.running.delete(res);
 				connection.bytesAtRest = socket.bytesRead;
 				connection.isEnding ||= announcesClose(res);
+				connection.sinceMs = performance.now();
+				connection.isReceiving = false;
 			}
 		});
+		if (connection && connection.running.size > maxPipelined) {
+			this.close(socket, 'pipeline-limit');
+		}
+
+		return !socket.destroyed;
+	}
+
+	/** Whether a request has been read on the connection and not answered completely. */
+	isServing(socket: Socket): boolean {
+		return (this.#open.get(socket)?.running.size ?? 0) > 0;
+	}
+
+	/** Closes the connections that have waited too long for the head of a request. What had arrived at this process is read before. */
+	async closeLate({headMs, unusedMs}: WaitLimits): Promise<void> {
+		const late = this.#findLate(headMs, unusedMs);
+		if (late.length === 0) {
+			return;
+		}
+
+		await waitForPendingInput();
+		for (const [socket, connection] of late) {
+			const state = stopReasonOf(socket, connection);
+			if (state === 'stop-receiving' && connection.isReceiving) {
+				this.close(socket, 'head-limit');
+			} else if (state === 'stop-unused') {
+				this.close(socket, 'unused-limit');
+			}
+		}
 	}
 
 	/** Whether an earlier answer has announced the close of the connection, so that this request cannot be answered. */
@@ -181,6 +242,36 @@
 		}
 	}
 
+	/** The connections in order of their age that have waited too long. Notes which ones have part of a head. */
+	#findLate(headMs: number, unusedMs: number): Array<[Socket, Connection]> {
+		const nowMs = performance.now();
+		return [...this.#open].filter(([socket, connection]) => {
+			const state = stopReasonOf(socket, connection);
+			if (state === 'stop-receiving' && !connection.isReceiving) {
+				connection.isReceiving = true;
+				connection.sinceMs = nowMs;
+			}
+
+			return (state === 'stop-receiving' && nowMs - connection.sinceMs > headMs) || (state === 'stop-unused' && nowMs - connection.sinceMs > unusedMs);
+		});
+	}
+
+	/** Closes a connection without a request if there are too many; false if there is none to close. */
+	#makeRoom(address: string): boolean {
+		if (this.#open.size < this.#maxOpen) {
+			return true;
+		}
+
+		const candidates = [...this.#open].map(([socket, {address: from, running}]) => ({socket, address: from, isServing: running.size > 0}));
+		const yielding = pickYielding(candidates, address);
+		if (yielding) {
+			this.#open.delete(yielding.socket);
+			this.close(yielding.socket, 'connection-limit');
+		}
+
+		return yielding !== undefined;
+	}
+
 	/** Closes the connections that are left when the entry ends. */
 	closeAll(): void {
 		for (const [socket, connection] of this.#open) {
--- a/packages/forward/src/callers/caller-exchange.ts
+++ b/packages/forward/src/callers/caller-exchange.ts
@@ -3,13 +3,15 @@
  * ends.
  */
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {finished} from 'node:stream/promises';
 import type {Clock} from '@hawthorncleat/core';
 import {AnswerBuffer, maxWholeAnswerBytes} from '../utils/answer-buffer.js';
 import type {OutgoingHeaders} from '../ports.js';
-import {withTimeLimit} from '../utils/time-limit.js';
+import type {Holding} from './held-bytes.js';
+
+/** A connection whose answer makes no progress for this time is closed. */
+const maxUnreadMs = 20_000;
 
 /** Why a request ended before its answer was complete. `entry-closed`: this entry closed the connection. `stop-limit`: this entry ends. */
 export type EndReason = 'caller-left' | 'entry-closed' | 'stop-limit' | 'timeout';
@@ -41,6 +43,8 @@
 	readonly #controller = new AbortController();
 	#endReason: EndReason | undefined;
 	#timer: NodeJS.Timeout | undefined;
+	/** What is kept for this request, from the memory budget. */
+	#holding: Holding | undefined;
 	/** Bytes of an answer that is sent only once it is complete. */
 	#buffer: AnswerBuffer | undefined;
 	#bufferedStart: AnswerStart | undefined;
@@ -69,6 +73,7 @@
 		socket.once('end', onCallerEnd);
 		res.once('close', () => {
 			clearTimeout(this.#timer);
+			this.#holding?.release();
 			socket.removeListener('end', onCallerEnd);
 			stopLimit.removeEventListener('abort', onStopLimit);
 			if (!res.writableFinished) {
@@ -99,6 +104,19 @@
 		});
 	}
 
+	/** Counts what is kept for this request from now on, until its answer was sent or its connection has closed. */
+	holdWith(holding: Holding): void {
+		this.#holding = holding;
+		if (this.#res.closed) {
+			holding.release();
+		}
+	}
+
+	/** Takes bytes of an answer from the memory budget; false if there is no room for them. */
+	mayHold(bytes: number): boolean {
+		return this.#holding?.take(bytes) ?? true;
+	}
+
 	/** Whether the whole answer was written. */
 	get isAnswered(): boolean {
 		return this.#res.writableEnded;
@@ -151,6 +169,7 @@
 		this.#announceStop();
 		this.#res.writeHead(status, {...headers, 'content-length': String(Buffer.byteLength(body))});
 		this.#res.end(body);
+		this.#limitUnread();
 	}
 
 	startStream(status: number, headers: OutgoingHeaders): void {
@@ -173,7 +192,7 @@
 	/** Returns false while the caller reads more slowly than the stream arrives. */
 	write(chunk: Buffer): boolean {
 		if (this.#buffer) {
-			if (!this.#buffer.append(chunk)) {
+			if (!this.#buffer.append(chunk) || !this.mayHold(chunk.length)) {
 				this.endForStop();
 			}
 
@@ -195,6 +214,7 @@
 		}
 
 		this.#res.end(lastBytes);
+		this.#limitUnread();
 	}
 
 	/** Closes the connection, so that the caller cannot take a partial answer for a complete one. */
@@ -209,6 +229,13 @@
 		}
 	}
 
+	/** The server closes the connection if nothing of the answer is taken for too long. Node.js sets another limit once it was sent. */
+	#limitUnread(): void {
+		if (!this.#res.writableFinished) {
+			this.#res.req.socket.setTimeout(maxUnreadMs);
+		}
+	}
+
 	#end(reason: EndReason): void {
 		if (!this.#controller.signal.aborted) {
 			this.#endReason = reason;
@@ -216,32 +243,3 @@
 		}
 	}
 }
-
-/**
- * Reads the body of a request; undefined if it is too long. Then its rest is discarded as it arrives, because a caller may read its answer only
- * after it has sent everything. Rejects when the caller disconnects.
- */
-export const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined> => {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	for await (const chunk of req.iterator({destroyOnReturn: false})) {
-		chunks.push(chunk as Buffer);
-		size += (chunk as Buffer).length;
-		if (size > maxBytes) {
-			break;
-		}
-	}
-
-	if (size > maxBytes) {
-		req.resume();
-		return undefined;
-	}
-
-	return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-};
-
-/** Discards the rest of a body; resolves when it has arrived, after the limit, or when the request has ended. */
-export const discardBody = async (req: IncomingMessage, limitMs: number, signal: AbortSignal): Promise<void> => {
-	req.resume();
-	await withTimeLimit(limitMs, signal, async limited => finished(req, {signal: limited})).catch(() => undefined);
-};
--- a/packages/forward/src/callers/caller-handler.ts
+++ b/packages/forward/src/callers/caller-handler.ts
@@ -12,11 +12,12 @@
 import type {CallerRequest} from '../ports.js';
 import {waitForPendingInput} from './pending-input.js';
 import {createEarlyOutcome, finishExchange} from './early-end.js';
-import {
-	CallerExchange, discardBody, readBody, type ExchangeOptions,
-} from './caller-exchange.js';
+import {CallerExchange, type ExchangeOptions} from './caller-exchange.js';
+import type {HeldBytes, Holding} from './held-bytes.js';
+import {discardBody, readBody, type BodyRefusal} from './read-body.js';
 
 export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
+	readonly heldBytes: HeldBytes;
 	readonly routes: () => RouteTable | undefined;
 	/** Whether an earlier answer on the connection has announced its close. */
 	readonly isAfterClose: (res: ServerResponse) => boolean;
@@ -52,10 +53,23 @@
 /** Longest wait for the rest of the body of a request that is refused. The rest usually arrives within one round trip. */
 const refusedBodyMs = 500;
 
+/** Retry delay while there is no memory for a request: most that hold some have ended by then. */
+const noMemoryRetryMs = 500;
+/** Memory of a request beside its body and its answer. */
+const requestBytes = 16_384;
+
 const reject = (status: number, code: string, retryAfterMs?: number): Outcome => ({
 	status, code, ran: 'not-run', attempts: 0, retryAfterMs,
 });
 
+const noMemory = (): Outcome => reject(503, 'no-memory', noMemoryRetryMs);
+
+const refusals: Readonly<Record<BodyRefusal, () => Outcome>> = {
+	'no-room': noMemory,
+	stalled: () => reject(408, 'body-stalled'),
+	'too-long': () => reject(413, 'body-too-long'),
+};
+
 type Admission = {readonly route: ForwardRoute; readonly account: ForwardAccount | undefined};
 
 const isRejected = (value: Admission | Outcome): value is Outcome => 'status' in value;
@@ -80,9 +94,10 @@
 };
 
 /** Reads the body of a request, or rejects the request when it is too long or not complete when the request ends. */
-const receiveBody = async (req: IncomingMessage, exchange: CallerExchange, maxBytes: number): Promise<Buffer | Outcome> => {
+const receiveBody = async (req: IncomingMessage, exchange: CallerExchange, limits: {readonly maxBytes: number; readonly holding: Holding}): Promise<Buffer | Outcome> => {
 	try {
-		return await Promise.race([readBody(req, maxBytes), exchange.rejectAtEnd()]) ?? reject(413, 'body-too-long');
+		const body = await Promise.race([readBody(req, limits), exchange.rejectAtEnd()]);
+		return typeof body === 'string' ? refusals[body]() : body;
 	} catch (error) {
 		const {endReason} = exchange;
 		if (endReason === undefined) {
@@ -102,9 +117,16 @@
 ): Promise<Outcome> => {
 	const {route, account} = admission;
 	exchange.setTimeLimit(Math.min(request.timeoutMs ?? route.timeoutMs, route.timeoutMs));
+	const holding = deps.heldBytes.open([`address ${req.socket.remoteAddress ?? ''}`, ...account ? [`account ${account.name}`] : []]);
+	exchange.holdWith(holding);
+	if (!holding.take(requestBytes)) {
+		req.resume();
+		return noMemory();
+	}
+
 	let body: Buffer | undefined;
 	if (req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined) {
-		const received = await receiveBody(req, exchange, routes.config.limits.maxBodyBytes);
+		const received = await receiveBody(req, exchange, {maxBytes: routes.config.limits.maxBodyBytes, holding});
 		if ('status' in received) {
 			return received;
 		}
--- a/packages/forward/src/callers/servers.ts
+++ b/packages/forward/src/callers/servers.ts
@@ -47,6 +47,10 @@
 	readonly idleLimitMs: () => number | undefined;
 	/** Closes a connection that has been idle for too long. */
 	readonly closeIdle: (socket: Socket) => void;
+	/** Whether a request on the connection has not been answered completely. */
+	readonly isServing: (socket: Socket) => boolean;
+	/** Closes a connection whose answer has not been read for too long. */
+	readonly closeUnread: (socket: Socket) => void;
 };
 
 /** A connection since its last request began. */
@@ -70,7 +74,9 @@
  * Starts the server for callers. An idle connection is held longer than the limit that was announced on it and longer than the present one, which
  * may change at any time.
  */
-export const startCallerServer = async (address: Address, listener: RequestListener, {idleLimitMs, closeIdle, ...options}: CallerServerOptions): Promise<Server> => {
+export const startCallerServer = async (address: Address, listener: RequestListener, {
+	idleLimitMs, closeIdle, isServing, closeUnread, ...options
+}: CallerServerOptions): Promise<Server> => {
 	const states = new WeakMap<Socket, IdleState>();
 	const server = await startHttpServer(address, (req, res) => {
 		states.set(req.socket, {announcedMs: server.keepAliveTimeout, heldMs: 0});
@@ -79,6 +85,14 @@
 	}, {...options, name: 'callers', queueLength: startLength});
 	// With a listener, the server closes no connection by itself when it has been idle for `keepAliveTimeout`.
 	server.on('timeout', (socket: Socket) => {
+		if (isServing(socket)) {
+			if (socket.writableLength > 0) {
+				closeUnread(socket);
+			}
+
+			return;
+		}
+
 		const state = states.get(socket);
 		if (!state) {
 			closeIdle(socket);
--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -15,6 +15,8 @@
 import {sendIntervalMs, type Gossip} from '../peers/gossip.js';
 import {Membership} from '../peers/membership.js';
 import {ForwardMetrics} from '../telemetry/metrics.js';
+import {HeldBytes} from '../callers/held-bytes.js';
+import {createHostBudget, type HostBudget} from '../callers/host-budget.js';
 import {LoadTracker} from '../endpoints/load-tracker.js';
 import type {ForwardSettings, Platform} from '../ports.js';
 import {QuarantineRows} from '../quarantines/quarantine-rows.js';
@@ -47,6 +49,9 @@
 };
 
 export type ForwardComponents = {
+	readonly hostBudget: HostBudget;
+	/** Memory budget of callers. */
+	readonly heldBytes: HeldBytes;
 	readonly metrics: ForwardMetrics;
 	/** Runs the background tasks. */
 	readonly supervise: Supervise;
@@ -122,6 +127,8 @@
 	const {clock, platform, makeId, log, random} = deps;
 	const {rows} = platform;
 	const metrics = new ForwardMetrics();
+	const hostBudget = createHostBudget(settings);
+	const heldBytes = new HeldBytes(hostBudget.heldBytes);
 	const supervise = createSupervisor({
 		clock,
 		onFailure(failure) {
@@ -245,7 +252,7 @@
 		},
 	});
 	return {
-		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		hostBudget, heldBytes, metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
 		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
--- a/packages/forward/src/daemon/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -6,6 +6,7 @@
 import type {Server} from 'node:http';
 import {getOrCreate, RetryWindow} from '@hawthorncleat/core';
 import {AcceptMonitor} from '../callers/accept-monitor.js';
+import {CallerChecks} from '../callers/caller-checks.js';
 import {CallerConnections} from '../callers/caller-connections.js';
 import {handleCallerRequest, type CallerHandlerDeps} from '../callers/caller-handler.js';
 import {ConfigServer} from '../store/config-transfer.js';
@@ -39,6 +40,7 @@
 	readonly #connections: CallerConnections;
 	readonly #accepts: AcceptMonitor;
 	#listeningQueue: ListeningQueue | undefined;
+	readonly #callerChecks: CallerChecks;
 	readonly #stopLimit = new AbortController();
 	readonly #stopTimes: StopTimes;
 
@@ -53,6 +55,13 @@
 			this.#components.metrics.countClosedConnection(reason);
 		}, () => {
 			this.#accepts.recordAccept();
+		}, this.#components.hostBudget.connections);
+		this.#callerChecks = new CallerChecks({
+			nowMs: () => deps.clock.nowMs(),
+			connections: this.#connections,
+			heldBytes: this.#components.heldBytes,
+			limits: () => this.#components.config.routes?.config.limits,
+			log: deps.log,
 		});
 		this.#accepts = new AcceptMonitor({nowMs: () => deps.clock.nowMs(), log: deps.log, metrics: this.#components.metrics});
 	}
@@ -86,14 +95,19 @@
 			...this.#components, log: this.#deps.log, accepts: this.#accepts, nowMs: this.#deps.clock.nowMs(),
 		}), ports);
 		const callerServer = await startCallerServer(listen.callers, (req, res) => {
-			this.#connections.recordRequest(req, res);
-			void this.#serve(req, res);
+			if (this.#connections.recordRequest(req, res)) {
+				void this.#serve(req, res);
+			}
 		}, {
 			...ports,
 			idleLimitMs: () => this.#components.config.routes?.config.limits.idleTimeoutMs,
 			closeIdle: socket => {
 				this.#connections.close(socket, 'idle-limit');
 			},
+			isServing: socket => this.#connections.isServing(socket),
+			closeUnread: socket => {
+				this.#connections.close(socket, 'unread-limit');
+			},
 		});
 		this.#connections.track(callerServer);
 		this.#listeningQueue = new ListeningQueue(callerServer, this.#accepts);
@@ -107,7 +121,8 @@
 				void configServer.answer(req, res);
 			},
 		}, ports);
-		this.#deps.log.write('start', {callers: listen.callers, dataCentre: this.#settings.dataCentre});
+		const {hostBudget} = this.#components;
+		this.#deps.log.write('start', {callers: listen.callers, dataCentre: this.#settings.dataCentre, ...Number.isFinite(hostBudget.connections) && {hostBudget}});
 		await waitUntilAborted(stop);
 		const {readyAfterStopMs, outOfRotationMs, stopLimitMs} = this.#settings;
 		await stopGracefully({
@@ -179,6 +194,7 @@
 			onRequest: service => {
 				this.#components.rateShares.recordRequest(service);
 			},
+			heldBytes: this.#components.heldBytes,
 			routes: () => this.#components.config.routes,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
@@ -256,6 +272,7 @@
 			onCheck: () => {
 				this.#accepts.check();
 				this.#listeningQueue?.adjust();
+				this.#callerChecks.run();
 				config.fetchIfDue();
 				softwareVersions.update();
 				void streamRows.saveIfDue();
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -205,6 +205,8 @@
 	readonly silenceLimitMs: number;
 	/** Time within which an acknowledged configuration must be in force. */
 	readonly configApplyMs: number;
+	/** Limits of the host for this process; without them the entry assumes little memory and does not count descriptors. */
+	readonly hostLimits?: {readonly memoryBytes?: number; readonly descriptors?: number};
 	readonly retries: {readonly windowMs: number; readonly ratio: number; readonly allowance: number};
 	readonly usage: {readonly windowMs: number};
 	/** Longest time that an entry may stay ready after it was told to stop while other entries are ready. */
--- a/packages/forward/src/requests/relay-buffered-answer.ts
+++ b/packages/forward/src/requests/relay-buffered-answer.ts
@@ -29,15 +29,15 @@
 		})
 		: undefined;
 
-/** Starts to relay an answer that is too long to be buffered. */
-const startRelaying = (exchange: CallerExchange, {status, headers}: AnswerHead, buffered: AnswerBuffer): void => {
+/** Starts to relay an answer that is too long to be buffered. Returns false while the caller reads more slowly than it arrives. */
+const startRelaying = (exchange: CallerExchange, {status, headers}: AnswerHead, buffered: AnswerBuffer): boolean => {
 	exchange.startStream(status, headers);
-	exchange.write(buffered.drain());
+	return exchange.write(buffered.drain());
 };
 
 /**
  * Buffers the complete answer before it sends any of it to the caller, so that the request can be retried if the answer is
- * truncated. An answer that is too long to be buffered is relayed as it arrives.
+ * truncated. An answer that is too long to be buffered, or for which there is no memory, is relayed as it arrives.
  */
 export const relayBufferedAnswer = async (
 	deps: ForwardDeps,
@@ -67,17 +67,16 @@
 				return exchange.write(chunk);
 			}
 
-			if (body.append(chunk)) {
+			if (body.append(chunk) && exchange.mayHold(chunk.length)) {
 				return true;
 			}
 
 			if (isValid && head!.status < minServerErrorStatus && control.claim()) {
 				stallTimer?.clear();
-				startRelaying(exchange, head!, body);
-			} else {
-				endpointExchange.abort(answerTooLongError);
+				return startRelaying(exchange, head!, body);
 			}
 
+			endpointExchange.abort(answerTooLongError);
 			return true;
 		},
 	}, createRequestLimits(deps, {target, place}, control.signal));
--- a/packages/forward/src/telemetry/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -32,6 +32,14 @@
 		name: 'hawthorncleat_forward_accepted_connections_total', help: 'Connections of callers that the entry accepted', registers: [this.registry],
 	});
 
+	readonly #heldBytes = new Gauge({
+		name: 'hawthorncleat_forward_held_bytes', help: 'Bytes kept for callers: bodies, answers that are not sent yet, and running requests', registers: [this.registry],
+	});
+
+	readonly #refusedBytes = new Gauge({
+		name: 'hawthorncleat_forward_held_bytes_refusals', help: 'How often there was no memory for bytes of a caller since the start', registers: [this.registry],
+	});
+
 	readonly #leftRequests = new Counter({
 		name: 'hawthorncleat_forward_left_requests_total', help: 'Requests whose caller had left before they were served', registers: [this.registry],
 	});
@@ -144,6 +152,11 @@
 		this.#closedConnections.inc({reason});
 	}
 
+	setHeldBytes({held, refused}: {readonly held: number; readonly refused: number}): void {
+		this.#heldBytes.set(held);
+		this.#refusedBytes.set(refused);
+	}
+
 	countAccepted(): void {
 		this.#acceptedConnections.inc();
 	}
--- a/packages/forward/src/telemetry/read-metrics.ts
+++ b/packages/forward/src/telemetry/read-metrics.ts
@@ -2,6 +2,7 @@
  * Reads the metrics that are not counted as things happen, and returns the text of all.
  */
 import type {AcceptMonitor} from '../callers/accept-monitor.js';
+import type {HeldBytes} from '../callers/held-bytes.js';
 import type {CrashGuard} from '../quarantines/crash-guard.js';
 import type {EndpointPool} from '../endpoints/endpoint-pool.js';
 import {countKeptOut} from '../requests/kept-out.js';
@@ -16,16 +17,18 @@
 	readonly crashes: Pick<CrashGuard, 'quarantinedSegments'>;
 	readonly log: Pick<DecisionLog, 'droppedLines'>;
 	readonly accepts: Pick<AcceptMonitor, 'counts' | 'runMs'>;
+	readonly heldBytes: Pick<HeldBytes, 'held' | 'refused'>;
 	readonly nowMs: number;
 };
 
 export const readMetrics = async ({
-	metrics, pool, members, crashes, log, accepts, nowMs,
+	metrics, pool, members, crashes, log, accepts, heldBytes, nowMs,
 }: MetricSources): Promise<string> => {
 	metrics.setKeptOutEndpoints(countKeptOut(pool.all(), nowMs));
 	metrics.setDroppedLines(log.droppedLines);
 	metrics.setLiveEntries(members.liveCount());
 	metrics.setEventLoop({turns: accepts.counts.turns, acceptRunMs: accepts.runMs});
+	metrics.setHeldBytes(heldBytes);
 	metrics.setQuarantinedSegments(crashes.quarantinedSegments);
 	return metrics.registry.metrics();
 };
