--- a/packages/forward/src/callers/caller-handler.ts
+++ b/packages/forward/src/callers/caller-handler.ts
@@ -18,6 +18,8 @@
 
 export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
 	readonly heldBytes: HeldBytes;
+	/** The same rule for requests that run, each of which takes a connection to an endpoint. */
+	readonly requestSlots: HeldBytes;
 	readonly routes: () => RouteTable | undefined;
 	/** Whether an earlier answer on the connection has announced its close. */
 	readonly isAfterClose: (res: ServerResponse) => boolean;
@@ -146,9 +148,18 @@
 		return reject(503, 'no-service', notReadyRetryMs);
 	}
 
-	return forwardRequest(deps, {
-		request, body, route, service, account, exchange,
-	});
+	const slot = deps.requestSlots.open(account ? [account.name] : []);
+	if (!slot.take(1)) {
+		return reject(503, 'no-descriptors', noMemoryRetryMs);
+	}
+
+	try {
+		return await forwardRequest(deps, {
+			request, body, route, service, account, exchange,
+		});
+	} finally {
+		slot.release();
+	}
 };
 
 /** What is known of a request while it is served. */
--- a/packages/forward/src/callers/host-budget.ts
+++ b/packages/forward/src/callers/host-budget.ts
@@ -9,6 +9,8 @@
 	readonly heldBytes: number;
 	/** Connections of callers. */
 	readonly connections: number;
+	/** Requests that run at the same time; each takes a connection to an endpoint. */
+	readonly requests: number;
 };
 
 /** Assumed without a setting. */
@@ -19,15 +21,18 @@
 const connectionBytes = 24_576;
 /** Descriptors that are kept for files. */
 const fileDescriptors = 200;
-/** The others are for connections to endpoints, the store and other entries. */
-const callerDescriptorFraction = 0.5;
+const callerDescriptorFraction = 0.4;
+/** The others are for the store, other entries and further attempts. */
+const endpointDescriptorFraction = 0.35;
 
 export const createHostBudget = ({hostLimits = {}}: Pick<ForwardSettings, 'hostLimits'>): HostBudget => {
 	const {memoryBytes = defaultMemoryBytes, descriptors = Number.POSITIVE_INFINITY} = hostLimits;
 	const byMemory = Math.floor(memoryBytes * connectionsFraction / connectionBytes);
-	const byDescriptors = Math.floor((descriptors - fileDescriptors) * callerDescriptorFraction);
+	const sockets = descriptors - fileDescriptors;
+	const byDescriptors = Math.floor(sockets * callerDescriptorFraction);
 	return {
 		heldBytes: Math.floor(memoryBytes * heldFraction),
 		connections: Math.max(1, Math.min(byMemory, byDescriptors)),
+		requests: Math.max(1, Math.floor(sockets * endpointDescriptorFraction)),
 	};
 };
--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -52,6 +52,8 @@
 	readonly hostBudget: HostBudget;
 	/** Memory budget of callers. */
 	readonly heldBytes: HeldBytes;
+	/** Requests that run at the same time. */
+	readonly requestSlots: HeldBytes;
 	readonly metrics: ForwardMetrics;
 	/** Runs the background tasks. */
 	readonly supervise: Supervise;
@@ -129,6 +131,7 @@
 	const metrics = new ForwardMetrics();
 	const hostBudget = createHostBudget(settings);
 	const heldBytes = new HeldBytes(hostBudget.heldBytes);
+	const requestSlots = new HeldBytes(hostBudget.requests);
 	const supervise = createSupervisor({
 		clock,
 		onFailure(failure) {
@@ -252,7 +255,7 @@
 		},
 	});
 	return {
-		hostBudget, heldBytes, metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		hostBudget, heldBytes, requestSlots, metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
 		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
--- a/packages/forward/src/daemon/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -195,6 +195,7 @@
 				this.#components.rateShares.recordRequest(service);
 			},
 			heldBytes: this.#components.heldBytes,
+			requestSlots: this.#components.requestSlots,
 			routes: () => this.#components.config.routes,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
