--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -224,6 +224,7 @@
 	});
 	const follower: StoreFollower = new StoreFollower({
 		clock,
+		random,
 		rows,
 		config,
 		directory,
@@ -231,7 +232,7 @@
 		correctedClock,
 		// In a longer time without an answer, registrations could have expired.
 		silenceLimitMs: Math.min(settings.silenceLimitMs, registrationExpiryMs(settings.heartbeatMs)),
-		liveEntries: () => members.liveCount(),
+		pollBounds: settings,
 		log,
 		metrics,
 		supervise,
--- a/packages/forward/src/peers/membership.ts
+++ b/packages/forward/src/peers/membership.ts
@@ -26,6 +26,8 @@
 const rowCheckIntervalMs = 250;
 /** An entry without a message for this time no longer counts among those that share the limits. */
 const peerTimeoutMs = 4000;
+/** Peers send at least once a second, so one that is heard has sent within the time of two messages. */
+const hearingMs = 2000;
 /**
  * Peers count among those that share the limits for this time after they fell silent: what they spent still counts within the window of a limit, and behind a
  * cut they go on spending.
@@ -92,6 +94,13 @@
 		return 1 + this.#livePeers().length;
 	}
 
+	/** The other entries in the store, and those of them with a recent message. A row outlives its entry. */
+	hearing(): {readonly registered: number; readonly heard: number} {
+		const sinceMs = this.#clock.nowMs() - hearingMs;
+		const heard = this.#peers.filter(({name}) => (this.#lastSeenMs(name) ?? Number.NEGATIVE_INFINITY) > sinceMs);
+		return {registered: this.#peers.length, heard: heard.length};
+	}
+
 	/** Position of this entry among the live ones. Entries that see the same ones have different positions. */
 	position(): EntryPosition {
 		const peers = this.#livePeers();
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -203,6 +203,8 @@
 	readonly heartbeatMs: number;
 	/** Time within which changes must be read again after the open connections to the store have gone silent. */
 	readonly silenceLimitMs: number;
+	/** A leaving endpoint serves for this time after the store has acknowledged its registration; no request may reach it later. */
+	readonly drainMs: number;
 	/** Time within which an acknowledged configuration must be in force. */
 	readonly configApplyMs: number;
 	readonly retries: {readonly windowMs: number; readonly ratio: number; readonly allowance: number};
--- a/packages/forward/src/store/__tests__/store-follower.test.ts
+++ b/packages/forward/src/store/__tests__/store-follower.test.ts
@@ -15,8 +15,9 @@
 import {ForwardMetrics} from '../../telemetry/metrics.js';
 import type {RowStore, StoreRow, StoreTable} from '../../ports.js';
 import {
-	changeWaitMs, endpointBatchMs, StoreFollower, transferPauseMs,
+	changeWaitMs, StoreFollower, transferPauseMs,
 } from '../store-follower.js';
+import {endpointBatchMs} from '../poll-intervals.js';
 
 type FakeStore = {generation: number; readonly rows: Map<StoreTable, StoreRow[]>};
 type Line = {readonly event: string; readonly dependency?: string; readonly generation?: number};
@@ -65,6 +66,7 @@
 	let returns = 0;
 	const follower = new StoreFollower({
 		clock,
+		random: () => 0.5,
 		rows: createRows(store, table => {
 			endpointReads += table === 'endpoints' ? 1 : 0;
 		}),
@@ -75,7 +77,7 @@
 		members,
 		correctedClock: new CorrectedClock(clock, () => []),
 		silenceLimitMs: 3000,
-		liveEntries: () => 1,
+		pollBounds: {drainMs: 2000, heartbeatMs: 1200},
 		log,
 		metrics: new ForwardMetrics(),
 		supervise: async (_name, task, signal) => task(signal),
--- a/packages/forward/src/store/store-follower.ts
+++ b/packages/forward/src/store/store-follower.ts
@@ -2,7 +2,7 @@
  * Follows the store's tables of configuration, endpoints and members, and applies their changes to this entry's components. Tells them when the
  * store has returned from an older copy, because it has then lost acknowledged writes of the last seconds.
  */
-import type {Clock, StoreGeneration} from '@hawthorncleat/core';
+import type {Clock, Random, StoreGeneration} from '@hawthorncleat/core';
 import type {DecisionLog} from '../telemetry/decision-log.js';
 import type {EndpointDirectory} from '../endpoints/endpoint-directory.js';
 import type {Membership} from '../peers/membership.js';
@@ -10,8 +10,11 @@
 import type {RowStore, StoreAnswer, StoreTable} from '../ports.js';
 import type {Supervise} from '../utils/supervisor.js';
 import type {ActiveConfig} from './active-config.js';
-import {watchTable} from './table-watch.js';
 import type {CorrectedClock} from './corrected-clock.js';
+import {
+	configWaitMs, endpointBatchMs, endpointPauseMs, isToldByPeers, type PollBounds, type PollSituation,
+} from './poll-intervals.js';
+import {watchTable} from './table-watch.js';
 
 const followedTables = ['config', 'endpoints', 'members'] as const;
 /** Members may be read late, because gossip works without the store. */
@@ -22,21 +25,9 @@
 const recoveryMs = 500;
 /** With shorter waits an entry would make calls all the time. */
 const minWaitMs = 500;
-/**
- * Changes of endpoints are read in batches. Every heartbeat is a change, so with shorter pauses each entry would make a call for almost every
- * heartbeat. The store's rate of calls is shared by all entries, so the batches grow with their number, up to half of the
- * shortest time in which a leaving endpoint may still get work.
- */
-const minEndpointBatchMs = 400;
-const endpointBatchPerEntryMs = 40;
-const maxEndpointBatchMs = 1000;
-
 /** Longest pause after a transfer. Together with the next transfer of a configuration of 1 MB it is within the time in which a version must be in force. */
 const maxTransferPauseMs = 500;
 
-/** Length of a batch of changes of endpoints, by the number of live entries. */
-export const endpointBatchMs = (entries: number): number => Math.min(maxEndpointBatchMs, Math.max(minEndpointBatchMs, entries * endpointBatchPerEntryMs));
-
 /**
  * Longest wait of one call. If the connections go silent right after an answer, the next call begins after the pause between two calls and is given up
  * when its wait and the time for its answer are over; then a snapshot has the changes. All of this must fit into the limit.
@@ -53,6 +44,7 @@
 
 export type StoreFollowerOptions = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly rows: RowStore;
 	readonly config: ActiveConfig;
 	readonly directory: EndpointDirectory;
@@ -60,7 +52,7 @@
 	readonly correctedClock: CorrectedClock;
 	/** Changes must be read again within this time after the open connections to the store have gone silent. */
 	readonly silenceLimitMs: number;
-	readonly liveEntries: () => number;
+	readonly pollBounds: PollBounds;
 	readonly log: DecisionLog;
 	readonly metrics: Pick<ForwardMetrics, 'countControlTransfer' | 'countFailedControlTransfer'>;
 	/** Runs the loops that follow the tables. */
@@ -74,6 +66,8 @@
 	readonly #availability = new Map<StoreTable, boolean>();
 	#hasReadEndpoints = false;
 	#generation: StoreGeneration | undefined;
+	/** Since when all calls have been answered, by a store that has not returned from a copy. */
+	#steadySinceMs: number | undefined;
 
 	constructor(options: StoreFollowerOptions) {
 		this.#options = options;
@@ -93,17 +87,50 @@
 		await Promise.all(followedTables.map(async table => this.#options.supervise(`store/${table}`, async () => this.#watch(table, signal), signal)));
 	}
 
+	get #situation(): PollSituation {
+		const {clock, members} = this.#options;
+		const {registered, heard} = members.hearing();
+		return {
+			entries: members.liveCount(), registeredPeers: registered, heardPeers: heard, steadyMs: clock.nowMs() - (this.#steadySinceMs ?? clock.nowMs()),
+		};
+	}
+
+	/** Pause after an answer that took that long to transfer. */
+	#pauseMs(table: FollowedTable, transferMs: number): number {
+		const {pollBounds, random, members} = this.#options;
+		if (table === 'endpoints') {
+			return endpointPauseMs(this.#situation, pollBounds, random);
+		}
+
+		// Entries that start together write their rows one after another.
+		return table === 'members' ? endpointBatchMs(members.liveCount()) : transferPauseMs(transferMs);
+	}
+
+	#waitMs(table: FollowedTable, transferMs: number): number {
+		if (table === 'members') {
+			return membersWaitMs;
+		}
+
+		const situation = this.#situation;
+		if (table === 'endpoints') {
+			// The pause has used up the time between two answers.
+			return isToldByPeers(situation) ? 0 : changeWaitMs(this.#options.silenceLimitMs, endpointBatchMs(situation.entries));
+		}
+
+		return configWaitMs(situation, changeWaitMs(this.#options.silenceLimitMs, transferPauseMs(transferMs)));
+	}
+
 	async #watch(table: FollowedTable, signal: AbortSignal): Promise<void> {
-		const {clock, rows, correctedClock, silenceLimitMs} = this.#options;
+		const {clock, random, rows, correctedClock} = this.#options;
 		let transferMs = 0;
-		const pauseMs = (): number => table === 'endpoints' ? endpointBatchMs(this.#options.liveEntries()) : transferPauseMs(transferMs);
 		await watchTable({
 			table,
 			rows,
 			clock,
-			waitMs: () => table === 'members' ? membersWaitMs : changeWaitMs(silenceLimitMs, pauseMs()),
+			random,
+			waitMs: () => this.#waitMs(table, transferMs),
 			answerMs,
-			pauseMs,
+			pauseMs: () => this.#pauseMs(table, transferMs),
 			onAnswer: (answer, isSnapshot) => {
 				transferMs = answer.transferMs;
 				this.#options.metrics.countControlTransfer({purpose: table, direction: 'in', bytes: answer.bytes});
@@ -124,6 +151,7 @@
 		const isReturn = this.#generation !== undefined && generation > this.#generation;
 		if (isReturn) {
 			this.#options.log.write('dependency', {dependency: 'store', generation});
+			this.#steadySinceMs = this.#options.clock.nowMs();
 			this.#options.onStoreReturn();
 		}
 
@@ -145,8 +173,10 @@
 	}
 
 	#recordAvailability(table: FollowedTable, isAvailable: boolean, error: unknown): void {
-		const {directory, log, metrics} = this.#options;
+		const {clock, directory, log, metrics} = this.#options;
+		this.#steadySinceMs ??= clock.nowMs();
 		if (!isAvailable) {
+			this.#steadySinceMs = undefined;
 			metrics.countFailedControlTransfer(table);
 		}
 
--- a/packages/forward/src/store/table-watch.ts
+++ b/packages/forward/src/store/table-watch.ts
@@ -3,14 +3,19 @@
  * it has read, so that nothing is transferred twice. Only when the store no longer has the history since then, it reads a new snapshot.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {Clock} from '@hawthorncleat/core';
+import type {Clock, Random} from '@hawthorncleat/core';
 import type {RowStore, StoreAnswer, StoreTable} from '../ports.js';
+import {hedgedRead} from './hedged-read.js';
 
 export type TableWatchOptions = {
 	readonly table: StoreTable;
 	readonly rows: RowStore;
 	readonly clock: Clock;
-	/** Longest time that one call waits for changes. A connection that has gone silent is detected only after it. */
+	readonly random: Random;
+	/**
+	 * Longest time that one call waits for changes. A connection that has gone silent is detected only after it. A call that waits is ended and made again
+	 * when much shorter waits have become necessary.
+	 */
 	readonly waitMs: () => number;
 	/** How much later than the end of its wait the answer to a call may arrive. */
 	readonly answerMs: number;
@@ -31,6 +36,14 @@
  */
 const emptyResultPauseMs = 100;
 const maxRetryMs = 800;
+/** An entry without a snapshot cannot serve, and its calls are few beside those that all entries make in steady state. */
+const maxFirstRetryMs = 400;
+/** Entries that lost the store together do not call again at the same moments. */
+const retrySpread = 0.5;
+/** How often a call that waits is checked. */
+const waitCheckMs = 500;
+/** A wait goes on unless the present one is shorter by this factor. */
+const shorterWaitFactor = 2;
 
 const pause = async (ms: number, signal: AbortSignal): Promise<void> => sleep(ms, undefined, {signal}).catch(() => undefined);
 
@@ -42,9 +55,33 @@
 	}
 };
 
+type Changes = {readonly answer?: StoreAnswer; readonly isEnded: boolean};
+
+/** Waits for changes; resolves to `isEnded` when the wait has become too long. */
+const waitForChanges = async (options: TableWatchOptions, {after, waitMs}: {readonly after: number; readonly waitMs: number}, signal: AbortSignal): Promise<Changes> => {
+	const {table, rows, waitMs: currentWaitMs, answerMs} = options;
+	const ended = new AbortController();
+	const check = setInterval(() => {
+		if (currentWaitMs() * shorterWaitFactor < waitMs) {
+			ended.abort();
+		}
+	}, waitCheckMs);
+	try {
+		return {answer: await rows.watch(table, {after, waitMs, answerMs}, AbortSignal.any([signal, ended.signal])), isEnded: false};
+	} catch (error) {
+		if (ended.signal.aborted && !signal.aborted) {
+			return {isEnded: true};
+		}
+
+		throw error;
+	} finally {
+		clearInterval(check);
+	}
+};
+
 /** Follows the table until `signal` aborts. */
 export const watchTable = async (options: TableWatchOptions, signal: AbortSignal): Promise<void> => {
-	const {table, rows, waitMs, answerMs, pauseMs, onAvailability} = options;
+	const {table, rows, random, waitMs, pauseMs, onAvailability} = options;
 	let after: number | undefined;
 	let retryMs = firstRetryMs;
 	/** The first call after a failed one does not wait for changes, because its answer shows that the store is back. */
@@ -53,12 +90,16 @@
 		let isEmpty = false;
 		try {
 			if (after === undefined) {
-				const answer = await rows.read(table, {}, signal);
+				const answer = await hedgedRead(async callSignal => rows.read(table, {}, callSignal), random, signal);
 				onAvailability(true);
 				applyAnswer(options, answer, true);
 				after = answer.version;
 			} else {
-				const answer = await rows.watch(table, {after, waitMs: isResuming ? 0 : waitMs(), answerMs}, signal);
+				const {answer, isEnded} = await waitForChanges(options, {after, waitMs: isResuming ? 0 : waitMs()}, signal);
+				if (isEnded) {
+					continue;
+				}
+
 				onAvailability(true);
 				isEmpty = answer === undefined || answer.rows.length === 0;
 				if (answer && !isEmpty) {
@@ -78,8 +119,8 @@
 
 			onAvailability(false, error);
 			isResuming = true;
-			await pause(retryMs, signal);
-			retryMs = Math.min(maxRetryMs, retryMs * 2);
+			await pause(retryMs * (1 - (retrySpread / 2) + (retrySpread * random())), signal);
+			retryMs = Math.min(after === undefined ? maxFirstRetryMs : maxRetryMs, retryMs * 2);
 		}
 	}
 };
