--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -163,6 +163,8 @@
 		windowMs: settings.usage.windowMs,
 		nowMs: () => correctedClock.nowMs(),
 		liveEntries: () => members.liveCount(),
+		isShared: () => follower.isToldByPeers,
+		position: () => members.position(),
 		onError(error) {
 			log.writeError('writing usage counts', error);
 		},
--- a/packages/forward/src/store/store-follower.ts
+++ b/packages/forward/src/store/store-follower.ts
@@ -83,6 +83,11 @@
 		return this.#hasReadEndpoints;
 	}
 
+	/** Whether the store answers and the fleet tells this entry what changes, so that entries may read and write for each other. */
+	get isToldByPeers(): boolean {
+		return isToldByPeers(this.#situation);
+	}
+
 	async run(signal: AbortSignal): Promise<void> {
 		await Promise.all(followedTables.map(async table => this.#options.supervise(`store/${table}`, async () => this.#watch(table, signal), signal)));
 	}
--- a/packages/forward/src/usage/__tests__/usage-counter.test.ts
+++ b/packages/forward/src/usage/__tests__/usage-counter.test.ts
@@ -49,6 +49,8 @@
 		windowMs,
 		nowMs: () => nowMs,
 		liveEntries: () => 1,
+		isShared: () => false,
+		position: () => ({index: 0, count: 1}),
 		onError: () => undefined,
 	});
 	return {
--- a/packages/forward/src/usage/usage-counter.ts
+++ b/packages/forward/src/usage/usage-counter.ts
@@ -3,8 +3,12 @@
  * broadcast to the other entries, so that they survive a crash of this process.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {EntryPosition} from '@hawthorncleat/core';
 import {isStoreError} from '@hawthorncleat/store';
 import type {RowStore, UsageCounts} from '../ports.js';
+import {
+	isWindowNeeded, isWriterIn, relayedRows, roundMs, roundOf,
+} from './usage-rounds.js';
 
 export type UsageCounterOptions = {
 	readonly rows: RowStore;
@@ -14,6 +18,10 @@
 	readonly nowMs: () => number | undefined;
 	/** Number of entries that write counts, including this one. */
 	readonly liveEntries: () => number;
+	/** Whether the entries hear each other, so that a few write the counts of all. */
+	readonly isShared: () => boolean;
+	/** Position of this entry among the live ones. */
+	readonly position: () => EntryPosition;
 	readonly onError: (error: unknown) => void;
 };
 
@@ -24,6 +32,8 @@
  * entries are lost.
  */
 const flushIntervalPerEntryMs = 150;
+/** A round is noticed soon after its begin, so that writes of different rounds do not come together. */
+const checksPerRound = 5;
 
 /** A write without an answer may take effect this much later, and would then replace newer counts. */
 const lateWriteMs = 5000;
@@ -66,6 +76,8 @@
 	/** Until this time an earlier write may still take effect. */
 	#lateWriteUntilMs = Number.NEGATIVE_INFINITY;
 	#running: Promise<void> = Promise.resolve();
+	/** The last round in which this process wrote the counts of all. */
+	#lastRound = Number.NEGATIVE_INFINITY;
 	/** Counts received from other processes, by window and process. */
 	readonly #peerCounts = new Map<number, Map<string, UsageCounts>>();
 
@@ -104,7 +116,10 @@
 
 	/** Counts that are not in the store yet, to broadcast to entries that may still reach the store when this one does not. */
 	unwrittenCounts(): UsageNotice {
-		return {owner: this.#options.owner, windows: [...this.#unwrittenWindows].toSorted((a, b) => a - b).slice(-maxWindowsPerNotice).map(window => [window, this.countsOf(window)] as const)};
+		const {owner, isShared} = this.#options;
+		// Among entries that write for each other, each writes its own counts so late that older windows would only fill the messages.
+		const windows = [...this.#unwrittenWindows].filter(window => !isShared() || this.#isNeeded(window));
+		return {owner, windows: windows.toSorted((a, b) => a - b).slice(-maxWindowsPerNotice).map(window => [window, this.countsOf(window)] as const)};
 	}
 
 	/** Takes over counts that another process has broadcast. */
@@ -131,8 +146,12 @@
 			}, {once: true});
 		});
 		while (!signal.aborted) {
-			await sleep(Math.max(minFlushIntervalMs, this.#options.liveEntries() * flushIntervalPerEntryMs), undefined, {signal}).catch(() => undefined);
-			if (!signal.aborted) {
+			const {liveEntries, isShared} = this.#options;
+			const wasShared = isShared();
+			const pauseMs = wasShared ? roundMs / checksPerRound : Math.max(minFlushIntervalMs, liveEntries() * flushIntervalPerEntryMs);
+			await sleep(pauseMs, undefined, {signal}).catch(() => undefined);
+			// An entry that has just lost its peers writes its own counts at once.
+			if (!signal.aborted && (!wasShared || !isShared() || this.#takeTurn())) {
 				await Promise.race([this.flush(), aborted]);
 			}
 		}
@@ -162,16 +181,40 @@
 		await this.#running;
 	}
 
+	/** Whether it is this entry's turn to write the counts of all, once in each of its rounds. */
+	#takeTurn(): boolean {
+		const {nowMs, position} = this.#options;
+		const round = roundOf(nowMs() ?? 0);
+		if (round === this.#lastRound || !isWriterIn(round, position())) {
+			return false;
+		}
+
+		this.#lastRound = round;
+		return true;
+	}
+
+	#isNeeded(window: number): boolean {
+		return isWindowNeeded(window, this.#options.windowMs, this.#options.nowMs() ?? 0);
+	}
+
+	/** Rows with the counts of the other processes, for windows that may still be reported. */
+	#relayedRows(): Array<{readonly key: string; readonly value: string}> {
+		return [...this.#peerCounts]
+			.filter(([window]) => this.#isNeeded(window))
+			.flatMap(([window, counts]) => relayedRows(this.#options.owner, counts, owner => usageRowKey(window, owner)));
+	}
+
 	async #write(): Promise<void> {
 		const written = [...this.#unwrittenWindows].map(window => ({window, value: this.#rowValueOf(window)}));
-		if (written.length === 0) {
+		const relayed = this.#options.isShared() ? this.#relayedRows() : [];
+		if (written.length + relayed.length === 0) {
 			return;
 		}
 
 		const sentMs = this.#options.nowMs() ?? 0;
 		const rows = written.map(({window, value}) => ({key: usageRowKey(window, this.#options.owner), value}));
 		try {
-			await this.#options.rows.write('usage', rows);
+			await this.#options.rows.write('usage', [...rows, ...relayed]);
 		} catch (error) {
 			this.#handleWriteError(error);
 			return;
--- a/packages/forward/src/usage/usage-sums.ts
+++ b/packages/forward/src/usage/usage-sums.ts
@@ -4,6 +4,7 @@
 import type {StoreRow, UsageCounts} from '../ports.js';
 import {isAmount, isFields, parseJson} from '../utils/value-checks.js';
 import {ownerOfUsageRow} from './usage-counter.js';
+import {readRelayedCounts} from './usage-rounds.js';
 
 export const isUsageCounts = (value: unknown): value is UsageCounts => isFields(value) && Object.values(value).every(count => isAmount(count));
 
@@ -22,6 +23,12 @@
 	return Object.fromEntries([...sums].toSorted(([a], [b]) => a < b ? -1 : 1));
 };
 
+/** Counts of a row by process. They may be damaged. */
+const readCounts = (key: string, value: string): ReadonlyArray<readonly [owner: string, counts: unknown]> => {
+	const relayed = readRelayedCounts(value);
+	return relayed ? Object.entries(relayed) : [[ownerOfUsageRow(key), parseJson(value)]];
+};
+
 /**
  * Sums of a window by account, from the counts by process received by gossip and from the rows of the store, whichever are newer. A damaged row counts as
  * missing, since the window would never be reported otherwise; `onDamagedRow` is called with its key.
@@ -29,12 +36,12 @@
 export const sumWindow = (gossiped: ReadonlyMap<string, UsageCounts>, rows: readonly StoreRow[], onDamagedRow: (key: string) => void): UsageCounts => {
 	const counts = new Map(gossiped);
 	for (const {key, value} of rows) {
-		const owner = ownerOfUsageRow(key);
-		const stored = parseJson(value ?? '');
-		if (isUsageCounts(stored)) {
-			counts.set(owner, mergeCounts(stored, counts.get(owner) ?? {}));
-		} else {
-			onDamagedRow(key);
+		for (const [owner, stored] of readCounts(key, value ?? '')) {
+			if (isUsageCounts(stored)) {
+				counts.set(owner, mergeCounts(stored, counts.get(owner) ?? {}));
+			} else {
+				onDamagedRow(key);
+			}
 		}
 	}
 
