--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -5,6 +5,7 @@
 	RateShares, type Clock, type MakeId, type Random, type SegmentQuarantine,
 } from '@hawthorncleat/core';
 import {ActiveConfig} from '../store/active-config.js';
+import {countStoreCalls} from '../store/counted-platform.js';
 import {BackoffRecorder} from '../endpoints/backoff-recorder.js';
 import {CrashGuard} from '../quarantines/crash-guard.js';
 import type {DecisionLog} from '../telemetry/decision-log.js';
@@ -48,6 +49,8 @@
 
 export type ForwardComponents = {
 	readonly metrics: ForwardMetrics;
+	/** Counts its calls to the store. */
+	readonly platform: Platform;
 	/** Runs the background tasks. */
 	readonly supervise: Supervise;
 	readonly members: Membership;
@@ -119,9 +122,12 @@
 
 /** Creates the components without starting any of them. */
 export const createForwardComponents = (settings: ForwardSettings, deps: ForwardDaemonDeps): ForwardComponents => {
-	const {clock, platform, makeId, log, random} = deps;
-	const {rows} = platform;
+	const {clock, makeId, log, random} = deps;
 	const metrics = new ForwardMetrics();
+	const platform = countStoreCalls(deps.platform, call => {
+		metrics.countStoreCall(call);
+	});
+	const {rows} = platform;
 	const supervise = createSupervisor({
 		clock,
 		onFailure(failure) {
@@ -248,7 +254,7 @@
 		},
 	});
 	return {
-		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		metrics, platform, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
 		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
--- a/packages/forward/src/daemon/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -219,7 +219,7 @@
 	}
 
 	async #runDuties(signal: AbortSignal): Promise<void> {
-		const {clock, makeId, random, platform, log} = this.#deps;
+		const {clock, makeId, random, log} = this.#deps;
 		await runDuties({
 			clock,
 			makeId,
@@ -229,7 +229,7 @@
 			position: () => this.#components.members.position(),
 			holder: this.#settings.hostName,
 			usageWindowMs: this.#settings.usage.windowMs,
-			platform,
+			platform: this.#components.platform,
 			answerListener: this.#components.answerListener,
 			pool: this.#components.pool,
 			load: this.#components.load,
@@ -274,11 +274,11 @@
 	}
 
 	async #maintainOwnRow(signal: AbortSignal): Promise<void> {
-		const {clock, platform, wallNowMs, log} = this.#deps;
+		const {clock, wallNowMs, log} = this.#deps;
 		const {listen, gossipPort, ip, dataCentre} = this.#settings;
 		await maintainOwnRow({
 			clock,
-			rows: platform.rows,
+			rows: this.#components.platform.rows,
 			members: this.#components.members,
 			correctedClock: this.#components.correctedClock,
 			wallNowMs,
--- a/packages/forward/src/store/__tests__/table-watch.test.ts
+++ b/packages/forward/src/store/__tests__/table-watch.test.ts
@@ -88,6 +88,51 @@
 		assert.ok(availability.every(Boolean));
 	});
 
+	// The promise about age would depend on messages that no longer come.
+	it('ends a long wait when much shorter ones are needed; guards against an entry that waits for its peers\' news after it has lost them', async () => {
+		const waits: number[] = [];
+		const failures: unknown[] = [];
+		const controller = new AbortController();
+		let hearsPeers = true;
+		setTimeout(() => {
+			hearsPeers = false;
+		}, 100);
+		await watchTable({
+			table: 'config',
+			rows: {
+				read: async () => answer,
+				async watch(_table, {waitMs}, signal) {
+					waits.push(waitMs);
+					if (!hearsPeers) {
+						controller.abort();
+					}
+
+					return new Promise((_resolve, reject) => {
+						signal.addEventListener('abort', () => {
+							reject(new Error('ended'));
+						}, {once: true});
+						signal.throwIfAborted();
+					});
+				},
+				write: async () => undefined,
+			},
+			clock: {nowMs: () => performance.now()},
+			random: () => 0.5,
+			waitMs: () => hearsPeers ? 16_000 : 1600,
+			answerMs: 900,
+			pauseMs: () => 0,
+			onAnswer() {/* Not checked. */},
+			onApplyError() {/* Not checked. */},
+			onAvailability(isAvailable, error) {
+				if (!isAvailable) {
+					failures.push(error);
+				}
+			},
+		}, controller.signal);
+		assert.equal(waits, [16_000, 1600]);
+		assert.equal(failures, []);
+	});
+
 	it('pauses when the store has lost its history; guards against a tight loop of snapshot reads', async () => {
 		const calls = await countCalls(undefined);
 		assert.ok(calls > 0 && calls <= maxCalls, `${calls} calls`);
--- a/packages/forward/src/store/poll-intervals.ts
+++ b/packages/forward/src/store/poll-intervals.ts
@@ -46,7 +46,12 @@
 const pauseSpread = 0.1;
 
 /** How many times longer the wait for a configuration is in a fleet that tells its versions. */
-const sharedWaitFactor = 5;
+const sharedWaitFactor = 10;
+
+/** Members may be read late, because gossip works without the store. */
+const membersWaitMs = 15_000;
+/** The store waits for 30 s at the most. */
+const sharedMembersWaitMs = 28_000;
 
 /** Whether the fleet tells this entry what changes. */
 export const isToldByPeers = ({registeredPeers, heardPeers, steadyMs}: PollSituation): boolean =>
@@ -70,3 +75,6 @@
  * then peers tell of the version and hand it on.
  */
 export const configWaitMs = (situation: PollSituation, aloneMs: number): number => isToldByPeers(situation) ? aloneMs * sharedWaitFactor : aloneMs;
+
+/** Longest wait of a call for member rows. A new entry's row ends it at once. */
+export const membersWaitMsIn = (situation: PollSituation): number => isToldByPeers(situation) ? sharedMembersWaitMs : membersWaitMs;
--- a/packages/forward/src/store/store-follower.ts
+++ b/packages/forward/src/store/store-follower.ts
@@ -12,13 +12,11 @@
 import type {ActiveConfig} from './active-config.js';
 import type {CorrectedClock} from './corrected-clock.js';
 import {
-	configWaitMs, endpointBatchMs, endpointPauseMs, isToldByPeers, type PollBounds, type PollSituation,
+	configWaitMs, endpointBatchMs, endpointPauseMs, isToldByPeers, membersWaitMsIn, type PollBounds, type PollSituation,
 } from './poll-intervals.js';
 import {watchTable} from './table-watch.js';
 
 const followedTables = ['config', 'endpoints', 'members'] as const;
-/** Members may be read late, because gossip works without the store. */
-const membersWaitMs = 15_000;
 /** A store that answers slowly has answered by this time after the end of the wait for changes. */
 const answerMs = 900;
 /** Covers the pauses after an empty answer and after a failed call, a new connection, and the snapshot that is read on it. */
@@ -112,11 +110,11 @@
 	}
 
 	#waitMs(table: FollowedTable, transferMs: number): number {
+		const situation = this.#situation;
 		if (table === 'members') {
-			return membersWaitMs;
+			return membersWaitMsIn(situation);
 		}
 
-		const situation = this.#situation;
 		if (table === 'endpoints') {
 			// The pause has used up the time between two answers.
 			return isToldByPeers(situation) ? 0 : changeWaitMs(this.#options.silenceLimitMs, endpointBatchMs(situation.entries));
--- a/packages/forward/src/telemetry/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -5,6 +5,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {RateChange} from '@hawthorncleat/core';
+import type {StoreCall} from '../store/counted-platform.js';
 import type {CloseReason} from '../callers/caller-connections.js';
 import type {RequestEnd} from '../callers/caller-handler.js';
 import type {AttemptReport, StallReport} from '../requests/attempt-report.js';
@@ -136,6 +137,13 @@
 		registers: [this.registry],
 	});
 
+	readonly #storeCalls = new Counter({
+		name: 'hawthorncleat_forward_store_calls_total',
+		help: 'Calls to the platform\'s store, by table and operation',
+		labelNames: ['table', 'operation'],
+		registers: [this.registry],
+	});
+
 	readonly #configVersion = new Gauge({
 		name: 'hawthorncleat_forward_config_version', help: 'Version of the active configuration', registers: [this.registry],
 	});
@@ -228,6 +236,10 @@
 		this.#controlTransfers.inc({purpose, result: 'failed'});
 	}
 
+	countStoreCall({table, operation}: StoreCall): void {
+		this.#storeCalls.inc({table, operation});
+	}
+
 	setConfigVersion(version: number): void {
 		this.#configVersion.set(version);
 	}
