--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -5,6 +5,7 @@
 	RateShares, type Clock, type MakeId, type Random, type SegmentQuarantine,
 } from '@hawthorncleat/core';
 import {ActiveConfig} from '../store/active-config.js';
+import {countStoreCalls} from '../store/counted-platform.js';
 import {BackoffRecorder} from '../endpoints/backoff-recorder.js';
 import {CrashGuard} from '../quarantines/crash-guard.js';
 import type {DecisionLog} from '../telemetry/decision-log.js';
@@ -55,6 +56,8 @@
 	/** Requests that run at the same time. */
 	readonly requestSlots: HeldBytes;
 	readonly metrics: ForwardMetrics;
+	/** Counts its calls to the store. */
+	readonly platform: Platform;
 	/** Runs the background tasks. */
 	readonly supervise: Supervise;
 	readonly members: Membership;
@@ -126,12 +129,15 @@
 
 /** Creates the components without starting any of them. */
 export const createForwardComponents = (settings: ForwardSettings, deps: ForwardDaemonDeps): ForwardComponents => {
-	const {clock, platform, makeId, log, random} = deps;
-	const {rows} = platform;
+	const {clock, makeId, log, random} = deps;
 	const metrics = new ForwardMetrics();
 	const hostBudget = createHostBudget(settings);
 	const heldBytes = new HeldBytes(hostBudget.heldBytes);
 	const requestSlots = new HeldBytes(hostBudget.requests);
+	const platform = countStoreCalls(deps.platform, call => {
+		metrics.countStoreCall(call);
+	});
+	const {rows} = platform;
 	const supervise = createSupervisor({
 		clock,
 		onFailure(failure) {
@@ -173,6 +179,8 @@
 		windowMs: settings.usage.windowMs,
 		nowMs: () => correctedClock.nowMs(),
 		liveEntries: () => members.liveCount(),
+		isShared: () => follower.isToldByPeers,
+		position: () => members.position(),
 		onError(error) {
 			log.writeError('writing usage counts', error);
 		},
@@ -234,6 +242,7 @@
 	});
 	const follower: StoreFollower = new StoreFollower({
 		clock,
+		random,
 		rows,
 		config,
 		directory,
@@ -241,7 +250,7 @@
 		correctedClock,
 		// In a longer time without an answer, registrations could have expired.
 		silenceLimitMs: Math.min(settings.silenceLimitMs, registrationExpiryMs(settings.heartbeatMs)),
-		liveEntries: () => members.liveCount(),
+		pollBounds: settings,
 		log,
 		metrics,
 		supervise,
@@ -255,7 +264,7 @@
 		},
 	});
 	return {
-		hostBudget, heldBytes, requestSlots, metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		hostBudget, heldBytes, requestSlots, metrics, platform, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
 		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
