--- a/packages/core/src/forwarding/deployment.ts
+++ b/packages/core/src/forwarding/deployment.ts
@@ -54,11 +54,24 @@
 	readonly idleTimeoutMs: number;
 };
 
+/** What all entries together may serve of an account's requests: a token bucket in requests or in tokens. */
+export type ForwardAccountLimit = {
+	readonly unit: 'requests' | 'tokens';
+	readonly perSecond: number;
+	readonly burst: number;
+	/** Tokens of a request that tells no token count. */
+	readonly tokensWithoutCount: number;
+};
+
 export type ForwardAccount = {
 	readonly name: ClientAccountName;
 	readonly keys: readonly string[];
 	/** Takes precedence over the route's priority. */
 	readonly priority?: number;
+	/** Absent if the account has no limit. */
+	readonly limit?: ForwardAccountLimit;
+	/** The configured limit, as far as it could not be read; the last one that could be read stays in force. */
+	readonly invalidLimit?: string;
 };
 
 export type ForwardConfig = {
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -3,6 +3,7 @@
 	EndpointRole,
 	EngineLimits,
 	ForwardAccount,
+	ForwardAccountLimit,
 	ForwardConfig,
 	ForwardRoute,
 	ForwardService,
@@ -41,7 +42,12 @@
 export {
 	EndpointRateLimit, RatePlace, type AnsweredStatement, type RateChange, type RateLimitOptions, type RateStatement,
 } from './endpoint-rate-limit.js';
-export {RateShares, type RateSharesOptions, type ServiceDemand} from './rate-shares.js';
+export {
+	AccountLimit, type AccountLimitOptions, type AccountLimitState, type AccountRate, type FleetPart, type ToldSpending,
+} from './account-limit.js';
+export {
+	RateShares, type RateSharesOptions, type ServiceDemand, type ToldDemand,
+} from './rate-shares.js';
 export {EndpointBackoff, maxBackoffMs, RetainedBackoffs} from './endpoint-backoff.js';
 export {
 	areMostReady, decideStop, type EntryPhase, type PeerPhase, type StopDecision, type StopLimits,
--- a/packages/forward/src/callers/caller-handler.ts
+++ b/packages/forward/src/callers/caller-handler.ts
@@ -6,6 +6,7 @@
 import {
 	pickService, type ForwardAccount, type ForwardRoute, type RouteTable,
 } from '@hawthorncleat/core';
+import {settleCharge, type AccountCharge, type AccountLimits} from '../accounts/account-limits.js';
 import {forwardRequest} from '../requests/forward-request.js';
 import type {ForwardDeps} from '../requests/forward-deps.js';
 import type {Outcome} from '../requests/outcome.js';
@@ -18,6 +19,7 @@
 
 export type CallerHandlerDeps = ExchangeOptions & ForwardDeps & {
 	readonly routes: () => RouteTable | undefined;
+	readonly accountLimits: Pick<AccountLimits, 'admit'>;
 	/** Whether an earlier answer on the connection has announced its close. */
 	readonly isAfterClose: (res: ServerResponse) => boolean;
 	/** Called for a request whose caller had left when it was read. */
@@ -56,7 +58,7 @@
 	status, code, ran: 'not-run', attempts: 0, retryAfterMs,
 });
 
-type Admission = {readonly route: ForwardRoute; readonly account: ForwardAccount | undefined};
+type Admission = {readonly route: ForwardRoute; readonly account: ForwardAccount | undefined; readonly charge?: AccountCharge};
 
 const isRejected = (value: Admission | Outcome): value is Outcome => 'status' in value;
 
@@ -79,6 +81,20 @@
 	return account ? {route, account} : reject(401, 'unknown-key');
 };
 
+/** Time limit of a request: its caller's, if that is shorter than the route's. */
+const timeLimitOf = ({timeoutMs = Number.POSITIVE_INFINITY}: CallerRequest, route: ForwardRoute): number => Math.min(timeoutMs, route.timeoutMs);
+
+/** Charges an authorized request to the limit of its account, or rejects it. */
+const chargeAccount = ({accountLimits}: CallerHandlerDeps, request: CallerRequest, admission: Admission): Admission | Outcome => {
+	const {account, route} = admission;
+	if (!account) {
+		return admission;
+	}
+
+	const charged = accountLimits.admit(account, request, timeLimitOf(request, route));
+	return 'charge' in charged ? {...admission, charge: charged.charge} : reject(429, 'account-limit', charged.retryAfterMs);
+};
+
 /** Reads the body of a request, or rejects the request when it is too long or not complete when the request ends. */
 const receiveBody = async (req: IncomingMessage, exchange: CallerExchange, maxBytes: number): Promise<Buffer | Outcome> => {
 	try {
@@ -101,7 +117,7 @@
 	{req, exchange, routes, admission}: {readonly req: IncomingMessage; readonly exchange: CallerExchange; readonly routes: RouteTable; readonly admission: Admission},
 ): Promise<Outcome> => {
 	const {route, account} = admission;
-	exchange.setTimeLimit(Math.min(request.timeoutMs ?? route.timeoutMs, route.timeoutMs));
+	exchange.setTimeLimit(timeLimitOf(request, route));
 	let body: Buffer | undefined;
 	if (req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined) {
 		const received = await receiveBody(req, exchange, routes.config.limits.maxBodyBytes);
@@ -145,7 +161,12 @@
 		return createEarlyOutcome('entry-closed', {ran: 'not-run', attempts: 0});
 	}
 
-	const admission = view.request ? authorize(routes, view.request) : reject(400, 'no-request-id');
+	const authorized = view.request ? authorize(routes, view.request) : reject(400, 'no-request-id');
+	const admission = isRejected(authorized) ? authorized : chargeAccount(deps, view.request!, authorized);
+	if (!isRejected(authorized)) {
+		view.admission = authorized;
+	}
+
 	if (isRejected(admission)) {
 		// A connection that closes with its answer while the body still arrives is reset, and its caller may lose the answer.
 		if (deps.isStopping() && !req.complete) {
@@ -156,10 +177,14 @@
 		return admission;
 	}
 
-	view.admission = admission;
-	return serve(deps, view.request!, {
+	const outcome = await serve(deps, view.request!, {
 		req, exchange, routes: routes!, admission,
 	});
+	if (admission.charge) {
+		settleCharge(admission.charge, outcome);
+	}
+
+	return outcome;
 };
 
 /** Turns an exception into an outcome: nothing is known about whether the request ran. */
--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -2,8 +2,9 @@
  * Creates the components of a forwarding entry and connects them to each other.
  */
 import {
-	RateShares, type Clock, type MakeId, type Random, type SegmentQuarantine,
+	RateShares, type Clock, type FleetPart, type MakeId, type Random, type SegmentQuarantine,
 } from '@hawthorncleat/core';
+import {AccountLimits} from '../accounts/account-limits.js';
 import {ActiveConfig} from '../store/active-config.js';
 import {BackoffRecorder} from '../endpoints/backoff-recorder.js';
 import {CrashGuard} from '../quarantines/crash-guard.js';
@@ -60,6 +61,7 @@
 	readonly load: LoadTracker;
 	readonly rateShares: RateShares;
 	readonly rateLimits: RateLimits;
+	readonly accountLimits: AccountLimits;
 	readonly roleChanges: RoleChanges;
 	readonly softwareVersions: SoftwareVersions;
 	readonly streamOrigins: StreamOrigins;
@@ -81,6 +83,9 @@
 /** Callers wait for it, and news of an entry that was killed never comes. */
 const maxNewsMs = 600;
 
+/** A peer without a message for this time is not in touch. Each sends one a second, and one may be lost. */
+const inTouchMs = 2500;
+
 type LoggedQuarantine = SegmentQuarantine & {readonly isAdopted?: boolean; readonly isTrial?: boolean};
 
 const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs, isAdopted, isTrial}: LoggedQuarantine): void => {
@@ -117,6 +122,13 @@
 	},
 });
 
+/** The entries that share the limits, and those of them that are in touch. */
+const describeFleet = (clock: Clock, members: Membership, lastSeenMs: (peer: string) => number | undefined): FleetPart => {
+	const sinceMs = clock.nowMs() - inTouchMs;
+	const peers = members.peers().filter(({name}) => (lastSeenMs(name) ?? Number.NEGATIVE_INFINITY) > sinceMs);
+	return {entries: members.sharingCount(), inTouch: 1 + peers.length};
+};
+
 /** Creates the components without starting any of them. */
 export const createForwardComponents = (settings: ForwardSettings, deps: ForwardDaemonDeps): ForwardComponents => {
 	const {clock, platform, makeId, log, random} = deps;
@@ -144,6 +156,15 @@
 	const rateLimits: RateLimits = new RateLimits({
 		clock, position: () => members.position(), shares: rateShares, pool: () => pool, log, metrics,
 	});
+	const accountLimits = new AccountLimits({
+		clock,
+		random,
+		shares: new RateShares({clock, entries: () => members.sharingCount()}),
+		fleet: () => describeFleet(clock, members, peer => gossip.lastSeenMs(peer)),
+		routes: () => config.routes,
+		log,
+		metrics,
+	});
 	const pool: EndpointPool = new EndpointPool({
 		clock, entries: () => members.liveCount(), rateLimitOf: endpoint => rateLimits.limitOf(endpoint), serviceOf: name => config.routes?.findService(name),
 	});
@@ -220,7 +241,7 @@
 		newsMs: () => Math.min(maxNewsMs, newsRounds * sendIntervalMs(members.peers().length)),
 	});
 	const gossip: Gossip = createGossip(settings, deps, {
-		softwareVersions, streamOrigins, roleChanges, config, crashes, directory, load, members, metrics, phases, rateLimits, supervise, usage,
+		softwareVersions, streamOrigins, roleChanges, config, crashes, directory, load, members, metrics, phases, rateLimits, accountLimits, supervise, usage,
 	});
 	const follower: StoreFollower = new StoreFollower({
 		clock,
@@ -245,7 +266,7 @@
 		},
 	});
 	return {
-		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, accountLimits, roleChanges,
 		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
--- a/packages/forward/src/daemon/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -180,6 +180,7 @@
 				this.#components.rateShares.recordRequest(service);
 			},
 			routes: () => this.#components.config.routes,
+			accountLimits: this.#components.accountLimits,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
 			isAfterClose: res => this.#connections.isAfterClose(res),
--- a/packages/forward/src/index.ts
+++ b/packages/forward/src/index.ts
@@ -3,7 +3,7 @@
 export {readAnswer} from './utils/read-answer.js';
 export {createProgressLimit, withTimeLimit} from './utils/time-limit.js';
 export {
-	isFields, isListOf, isText, parseJson, type Fields,
+	isAmount, isFields, isListOf, isText, parseJson, type Fields,
 } from './utils/value-checks.js';
 export {DecisionLog, type LineOutput, type LogEvent} from './telemetry/decision-log.js';
 export type {
--- a/packages/forward/src/peers/__tests__/gossip.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip.test.ts
@@ -43,6 +43,8 @@
 	onDepartures: () => undefined,
 	limitNews: () => ({limits: [], demands: []}),
 	onLimitNews: () => undefined,
+	accountNews: () => undefined,
+	onAccountNews: () => undefined,
 	segmentNews: () => ({crashes: [], completed: [], quarantines: []}),
 	onSegmentNews: () => undefined,
 	streamNews: () => [],
--- a/packages/forward/src/peers/create-gossip.ts
+++ b/packages/forward/src/peers/create-gossip.ts
@@ -2,6 +2,7 @@
  * Connects gossip to the components whose news it sends and that take the news of peers.
  */
 import type {Clock} from '@hawthorncleat/core';
+import type {AccountLimits} from '../accounts/account-limits.js';
 import type {ActiveConfig} from '../store/active-config.js';
 import type {CrashGuard} from '../quarantines/crash-guard.js';
 import type {DecisionLog} from '../telemetry/decision-log.js';
@@ -20,6 +21,7 @@
 import {Gossip} from './gossip.js';
 
 export type GossipSources = {
+	readonly accountLimits: AccountLimits;
 	readonly config: ActiveConfig;
 	readonly crashes: CrashGuard;
 	readonly directory: EndpointDirectory;
@@ -67,6 +69,10 @@
 	onLimitNews(peer, news) {
 		components.rateLimits.applyNews(peer.name, news);
 	},
+	accountNews: receivers => components.accountLimits.newsToSend(receivers),
+	onAccountNews(peer, news) {
+		components.accountLimits.applyNews(peer.name, news);
+	},
 	segmentNews: receivers => components.crashes.segmentNewsToSend(receivers),
 	onSegmentNews(news) {
 		components.crashes.applyPeerSegmentNews(news);
--- a/packages/forward/src/peers/gossip-message.ts
+++ b/packages/forward/src/peers/gossip-message.ts
@@ -7,6 +7,7 @@
 	brandAs, priorityLevelCount, type EndpointId, type EndpointRole, type EntryPhase, type Fingerprint, type LevelWork, type PromptSegment, type RequestId, type ServiceDemand,
 	type SoftwareVersion,
 } from '@hawthorncleat/core';
+import {decodeAccountNews, encodeAccountNews, type AccountNews} from '../accounts/account-news.js';
 import type {CrashReport} from '../quarantines/crash-guard.js';
 import {departureKinds, type Departure, type DepartureKind} from '../endpoints/departures.js';
 import type {SentPhase} from '../daemon/entry-phases.js';
@@ -37,6 +38,8 @@
 	readonly departures: readonly Departure[];
 	/** Limits that endpoints name, and the demand of the sender's callers for their services. */
 	readonly limitNews?: LimitNews;
+	/** What the sender has spent of the limits of client accounts. */
+	readonly accounts?: AccountNews;
 	/** News about prompt segments that crash engines. */
 	readonly segments?: SegmentNews;
 	/** Streams that the sender has begun, while several software versions are in use. */
@@ -177,7 +180,7 @@
 
 /** The text of a message. The fields keep the names that entries of earlier versions read. */
 export const encodeMessage = ({
-	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, segments, streams, usage,
+	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, accounts, segments, streams, usage,
 }: GossipMessage): string => JSON.stringify({
 	from,
 	config: configVersion,
@@ -189,6 +192,7 @@
 	...crashes.length > 0 && {crashes: crashes.map(report => encodeCrash(report))},
 	...departures.length > 0 && {departures: departures.map(departure => encodeDeparture(departure))},
 	...limitNews && limitNews.limits.length > 0 && encodeLimitNews(limitNews),
+	...accounts && {accounts: encodeAccountNews(accounts)},
 	...segments && hasSegmentNews(segments) && {segments: roundAges(segments)},
 	...streams && streams.length > 0 && {streams: streams.map(news => encodeStreams(news))},
 	...usage && {usage},
@@ -203,12 +207,13 @@
 /** Decodes a datagram; undefined if it is no message. */
 export const decodeMessage = (text: string): GossipMessage | undefined => {
 	const {
-		from, config, phase, changing, running, prefills, sent, crashes, departures, limits, demands, segments, streams, usage,
+		from, config, phase, changing, running, prefills, sent, crashes, departures, limits, demands, accounts, segments, streams, usage,
 	} = parseFields(text);
 	if (!isText(from) || !isAmount(config) || !isTuple(changing) || !isTuple(running) || !isTuple(sent)) {
 		return undefined;
 	}
 
+	const accountNews = decodeAccountNews(accounts);
 	return {
 		from,
 		configVersion: config,
@@ -222,6 +227,7 @@
 		crashes: decodeList(crashes, tuple => decodeCrash(tuple)),
 		departures: decodeList(departures, tuple => decodeDeparture(tuple)),
 		...isTuple(limits) && {limitNews: {limits: decodeList(limits, tuple => decodeLimit(tuple)), demands: decodeList(demands, tuple => decodeDemand(tuple))}},
+		...accountNews && {accounts: accountNews},
 		...isSegmentNews(segments) && {segments},
 		...isTuple(streams) && {streams: decodeList(streams, tuple => decodeStreams(tuple))},
 		...isUsageNotice(usage) && {usage},
--- a/packages/forward/src/peers/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -8,6 +8,7 @@
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock} from '@hawthorncleat/core';
+import type {AccountNews} from '../accounts/account-news.js';
 import type {CrashReport} from '../quarantines/crash-guard.js';
 import type {Departure} from '../endpoints/departures.js';
 import type {SentPhase} from '../daemon/entry-phases.js';
@@ -54,6 +55,9 @@
 	readonly onDepartures: (departures: readonly Departure[]) => void;
 	readonly limitNews: () => LimitNews;
 	readonly onLimitNews: (peer: Peer, news: LimitNews) => void;
+	/** What this entry has spent of the limits of client accounts, for the peers that the name stands for; undefined if there is nothing to tell. */
+	readonly accountNews: (receivers: string) => AccountNews | undefined;
+	readonly onAccountNews: (peer: Peer, news: AccountNews) => void;
 	/** News for the peers that the name stands for; they are repeated to each of them. */
 	readonly segmentNews: (receivers: string) => SegmentNews;
 	readonly onSegmentNews: (news: SegmentNews) => void;
@@ -96,8 +100,8 @@
 ]);
 
 /** Whether a message has parts that can be sent in another datagram. The load of running requests is in each of them. */
-const isDivisible = ({load: {sent}, crashes, departures, limitNews, segments, streams = [], usage}: GossipMessage): boolean =>
-	sent.length > 1 || (departures.length + streams.length + (limitNews?.limits.length ?? 0) > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
+const isDivisible = ({load: {sent}, crashes, departures, limitNews, accounts, segments, streams = [], usage}: GossipMessage): boolean =>
+	sent.length > 1 || (departures.length + streams.length + (limitNews?.limits.length ?? 0) + (accounts?.accounts.length ?? 0) > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
 
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
@@ -184,7 +188,7 @@
 	/** Sends a message if there is news, or if the last message or the last usage notice is too long ago. */
 	#sendIfDue(group: PeerGroup): void {
 		const {
-			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, segmentNews, streamNews, usageNotice,
+			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, accountNews, segmentNews, streamNews, usageNotice,
 		} = this.#options;
 		const message = {
 			from: ownName,
@@ -195,6 +199,7 @@
 			crashes: crashReports(),
 			departures: departures(group.name),
 			limitNews: limitNews(),
+			accounts: accountNews(group.name),
 			segments: segmentNews(group.name),
 			streams: streamNews(group.name),
 		} satisfies GossipMessage;
@@ -233,7 +238,7 @@
 		if (text.length > maxDatagramBytes && isDivisible(message)) {
 			const half = Math.ceil(sent.length / 2);
 			this.#sendToPeers(peers, {
-				...message, load: {...message.load, sent: sent.slice(0, half)}, departures: [], limitNews: undefined, streams: [],
+				...message, load: {...message.load, sent: sent.slice(0, half)}, departures: [], limitNews: undefined, accounts: undefined, streams: [],
 			});
 			this.#sendToPeers(peers, {
 				...message, load: {...message.load, sent: sent.slice(half)}, usage: undefined, crashes: [], segments: undefined,
@@ -272,6 +277,10 @@
 			this.#options.onLimitNews(peer, message.limitNews);
 		}
 
+		if (message.accounts) {
+			this.#options.onAccountNews(peer, message.accounts);
+		}
+
 		if (message.segments) {
 			this.#options.onSegmentNews(message.segments);
 		}
--- a/packages/forward/src/ports.ts
+++ b/packages/forward/src/ports.ts
@@ -23,6 +23,8 @@
 	readonly key?: string;
 	/** How long the caller waits for the answer. */
 	readonly timeoutMs?: number;
+	/** Whether the caller tells the numbers of tokens; without them, they are 0. */
+	readonly hasTokenCount: boolean;
 	readonly promptTokens: number;
 	/** Number of output tokens that the caller expects; without an estimate, its limit. */
 	readonly guessedTokens: number;
--- a/packages/forward/src/quarantines/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/quarantines/__tests__/crash-guard.test.ts
@@ -19,6 +19,7 @@
 			method: 'POST',
 			target: '/plan/x',
 			hostname: 'h.example',
+			hasTokenCount: true,
 			promptTokens: 0,
 			guessedTokens: 0,
 			maxOutputTokens: 0,
--- a/packages/forward/src/requests/forward-request.ts
+++ b/packages/forward/src/requests/forward-request.ts
@@ -169,9 +169,12 @@
 	const race = new AttemptRace(exchange.signal, runLimitsOf(route));
 	const reserved = new ReservedCalls(retryWindow);
 	try {
-		return await runAttempts(deps, admitted, {
+		const outcome = await runAttempts(deps, admitted, {
 			mayHaveRun: false, tries: 0, withdrawn: 0, isTrial: false, request: state, race, reserved, excluded: new Set(), earlierFailures: [],
 		});
+		// The attempt that answered is not among those reached.
+		const furtherRuns = race.reached.size - (outcome.code === 'answered' ? 0 : 1);
+		return furtherRuns > 0 ? {...outcome, furtherRuns} : outcome;
 	} finally {
 		await race.close();
 		reserved.settle(state.arrivals.extraCalls);
--- a/packages/forward/src/requests/outcome.ts
+++ b/packages/forward/src/requests/outcome.ts
@@ -15,6 +15,8 @@
 	readonly ran: 'not-run' | 'ran' | 'unknown';
 	readonly attempts: number;
 	readonly retryAfterMs?: number;
+	/** Runs of the request beyond the first one, certain or possible. */
+	readonly furtherRuns?: number;
 	/** Why a failed attempt was not followed by another one. */
 	readonly retryDenied?: RetryDenial;
 	/** Figures that decided a rejection, or the state of the retry window that denied another attempt. */
--- a/packages/forward/src/telemetry/decision-log.ts
+++ b/packages/forward/src/telemetry/decision-log.ts
@@ -15,7 +15,7 @@
 	'start', 'accept', 'ready', 'stop', 'stopped', 'reload', 'config', 'endpoint', 'peer', 'dependency', 'lease', 'usage', 'role', 'quarantine', 'software',
 ] as const;
 
-export type LogEvent = typeof unlimitedEvents[number] | 'attempt' | 'error' | 'request' | 'stall';
+export type LogEvent = typeof unlimitedEvents[number] | 'account' | 'attempt' | 'error' | 'request' | 'stall';
 
 /** Limit for all events outside `unlimitedEvents`. At the busiest entries a request writes two lines. */
 const maxRequestLinesPerSecond = 400;
--- a/packages/forward/src/telemetry/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -4,7 +4,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import type {RateChange} from '@hawthorncleat/core';
+import type {ForwardAccountLimit, RateChange} from '@hawthorncleat/core';
 import type {CloseReason} from '../callers/caller-connections.js';
 import type {RequestEnd} from '../callers/caller-handler.js';
 import type {AttemptReport, StallReport} from '../requests/attempt-report.js';
@@ -15,6 +15,13 @@
 
 export type ControlTransfer = {readonly purpose: ControlPurpose; readonly direction: 'in' | 'out'; readonly bytes: number};
 
+/** What became of a request of an account with a limit, and its cost in the unit of the limit. */
+export type AccountRequest = {
+	readonly outcome: 'admitted' | 'refused' | 'repeated' | 'returned';
+	readonly unit: ForwardAccountLimit['unit'];
+	readonly amount: number;
+};
+
 /** Close together around the usual latency targets. */
 const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 1, 2, 4, 8];
 
@@ -82,6 +89,31 @@
 		name: 'hawthorncleat_forward_invalid_rate_limits_total', help: 'Answers whose limit of requests could not be read', registers: [this.registry],
 	});
 
+	readonly #accountRequests = new Counter({
+		name: 'hawthorncleat_forward_account_limit_requests_total',
+		help: 'Requests of client accounts with a limit: admitted, refused, returned to the limit because they have not run, or charged again because they ran again',
+		labelNames: ['outcome', 'unit'],
+		registers: [this.registry],
+	});
+
+	readonly #accountAmounts = new Counter({
+		name: 'hawthorncleat_forward_account_limit_used_total',
+		help: 'Cost of these requests, in requests or in tokens',
+		labelNames: ['outcome', 'unit'],
+		registers: [this.registry],
+	});
+
+	readonly #accountRates = new Gauge({
+		name: 'hawthorncleat_forward_account_limit_per_second',
+		help: 'Sum of the limits of all client accounts, in requests or in tokens a second',
+		labelNames: ['unit'],
+		registers: [this.registry],
+	});
+
+	readonly #limitedAccounts = new Gauge({
+		name: 'hawthorncleat_forward_limited_accounts', help: 'Client accounts with a limit', labelNames: ['unit'], registers: [this.registry],
+	});
+
 	readonly #invalidRetryAfters = new Counter({
 		name: 'hawthorncleat_forward_invalid_retry_after_total', help: 'Retry delays of endpoints that could not be read or were cut, by problem', labelNames: ['problem'], registers: [this.registry],
 	});
@@ -195,6 +227,19 @@
 		this.#invalidRateLimits.inc();
 	}
 
+	countAccountRequest({outcome, unit, amount}: AccountRequest): void {
+		this.#accountRequests.inc({outcome, unit});
+		this.#accountAmounts.inc({outcome, unit}, amount);
+	}
+
+	setLimitedAccounts(limits: readonly ForwardAccountLimit[]): void {
+		for (const unit of ['requests', 'tokens'] as const) {
+			const ofUnit = limits.filter(limit => limit.unit === unit);
+			this.#limitedAccounts.set({unit}, ofUnit.length);
+			this.#accountRates.set({unit}, ofUnit.reduce((sum, {perSecond}) => sum + perSecond, 0));
+		}
+	}
+
 	countInvalidRetryAfter(problem: 'too-long' | 'unreadable'): void {
 		this.#invalidRetryAfters.inc({problem});
 	}
