--- a/packages/core/src/forwarding/account-limit.ts
+++ b/packages/core/src/forwarding/account-limit.ts
@@ -70,12 +70,14 @@
 	#spent = 0;
 	#largest = {cost: 0, sinceMs: Number.NEGATIVE_INFINITY};
 	#updatedMs: number;
+	#creditMs: number;
 	readonly #createdMs: number;
 
 	constructor(options: AccountLimitOptions, rate: AccountRate, nowMs: number) {
 		this.#options = options;
 		this.#rate = rate;
 		this.#updatedMs = nowMs;
+		this.#creditMs = nowMs;
 		this.#createdMs = nowMs;
 	}
 
@@ -96,9 +98,9 @@
 
 	/** Changes the limit. A lower burst cuts the bucket at once. */
 	setRate(rate: AccountRate, nowMs: number): void {
-		this.#refill(nowMs);
+		this.#refillLevel(nowMs);
 		this.#rate = rate;
-		this.#refill(nowMs);
+		this.#clampLevel();
 	}
 
 	/** Takes the cost of a request from the limit if there is room for it. */
@@ -146,7 +148,7 @@
 
 	/** Records what a peer has told. */
 	recordPeer(peer: string, told: ToldSpending, nowMs: number): void {
-		this.#refill(nowMs);
+		this.#refillLevel(nowMs);
 		const known = this.#told.get(peer);
 		if (!known) {
 			this.#forgetPeers(nowMs);
@@ -232,12 +234,17 @@
 		return Math.max(Number.MIN_VALUE, this.#sharePerSecond(nowMs, this.#available(nowMs)));
 	}
 
-	#refill(nowMs: number): void {
-		const {perSecond} = this.#rate;
+	#refillLevel(nowMs: number): void {
 		const elapsedMs = Math.max(0, nowMs - this.#updatedMs);
 		this.#updatedMs = nowMs;
-		this.#level += perSecond * this.#part * elapsedMs / msPerSecond;
+		this.#level += this.#rate.perSecond * this.#part * elapsedMs / msPerSecond;
 		this.#clampLevel();
+	}
+
+	#refill(nowMs: number): void {
+		this.#refillLevel(nowMs);
+		const elapsedMs = Math.max(0, nowMs - this.#creditMs);
+		this.#creditMs = nowMs;
 		const available = this.#available(nowMs);
 		const stock = Math.max(minStock, this.#options.shares.shareAmongTold(this.#options.name) * available);
 		this.#credit = Math.min(stock, this.#credit + (this.#sharePerSecond(nowMs, available) * elapsedMs / msPerSecond));
--- a/packages/forward/src/accounts/account-limits.ts
+++ b/packages/forward/src/accounts/account-limits.ts
@@ -84,7 +84,7 @@
 		this.#applyConfig();
 		const nowMs = this.#options.clock.nowMs();
 		const due = [...this.#accounts].filter(([, limited]) => limited.isDue(receivers, nowMs));
-		const order = due.sort(([, a], [, b]) => b.untold(receivers) - a.untold(receivers) || a.toldMs(receivers) - b.toldMs(receivers));
+		const order = due.toSorted(([, a], [, b]) => b.untold(receivers) - a.untold(receivers) || a.toldMs(receivers) - b.toldMs(receivers));
 		const accounts = order.slice(0, maxPerMessage).map(([account, limited]) => {
 			limited.recordTold(receivers, nowMs);
 			return {account, spent: limited.limit.spent, perSecond: this.#options.shares.measureDemand(account)};
