--- a/packages/forward/src/daemon/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -197,6 +197,7 @@
 			heldBytes: this.#components.heldBytes,
 			requestSlots: this.#components.requestSlots,
 			routes: () => this.#components.config.routes,
+			accountLimits: this.#components.accountLimits,
 			stopLimit: this.#stopLimit.signal,
 			isStopping: () => this.#components.phases.unreadyMs !== undefined,
 			isAfterClose: res => this.#connections.isAfterClose(res),
