--- a/packages/forward/src/callers/__tests__/held-bytes.test.ts
+++ b/packages/forward/src/callers/__tests__/held-bytes.test.ts
@@ -55,7 +55,7 @@
 			assert.ok(bytes.append(Buffer.alloc(65_536, 1)));
 		}
 
-		assert.is(bytes.join()?.length, 4_194_304);
+		assert.is(bytes.toBuffer()?.length, 4_194_304);
 	});
 });
 
@@ -73,7 +73,7 @@
 
 			const whole = Buffer.concat(chunks);
 			assert.ok(length !== null || taken <= Math.max(1024, whole.length * 3));
-			assert.ok(whole.equals(bytes.join()!));
+			assert.ok(whole.equals(bytes.toBuffer()!));
 		}), {seed});
 	});
 });
--- a/packages/forward/src/callers/caller-checks.ts
+++ b/packages/forward/src/callers/caller-checks.ts
@@ -11,7 +11,7 @@
 /** What was sent within the configured limit arrives within this time after it. */
 const marginMs = 1000;
 /** Limits that callers within the configured ones do not meet. */
-const loggedReasons: readonly CloseReason[] = ['connection-limit', 'head-limit', 'pipeline-limit', 'unread-limit', 'unused-limit'];
+const loggedReasons: ReadonlySet<CloseReason> = new Set(['connection-limit', 'head-limit', 'pipeline-limit', 'unread-limit', 'unused-limit']);
 
 export type CallerChecksOptions = {
 	readonly nowMs: () => number;
@@ -48,7 +48,7 @@
 	/** Writes at most one line in each check, with the numbers since the start. */
 	#logChanges(): void {
 		const {heldBytes, connections, log} = this.#options;
-		const closed = Object.fromEntries(Object.entries(connections.closed).filter(([reason]) => loggedReasons.includes(reason as CloseReason)));
+		const closed = Object.fromEntries(Object.entries(connections.closed).filter(([reason]) => loggedReasons.has(reason as CloseReason)));
 		const counts = {noMemory: heldBytes.refused, closed};
 		const text = JSON.stringify(counts);
 		if (text !== this.#logged && (heldBytes.refused > 0 || Object.keys(closed).length > 0)) {
--- a/packages/forward/src/callers/caller-connections.ts
+++ b/packages/forward/src/callers/caller-connections.ts
@@ -242,6 +242,13 @@
 		}
 	}
 
+	/** Closes the connections that are left when the entry ends. */
+	closeAll(): void {
+		for (const [socket, connection] of this.#open) {
+			this.close(socket, stopReasonOf(socket, connection));
+		}
+	}
+
 	/** The connections in order of their age that have waited too long. Notes which ones have part of a head. */
 	#findLate(headMs: number, unusedMs: number): Array<[Socket, Connection]> {
 		const nowMs = performance.now();
@@ -271,11 +278,4 @@
 
 		return yielding !== undefined;
 	}
-
-	/** Closes the connections that are left when the entry ends. */
-	closeAll(): void {
-		for (const [socket, connection] of this.#open) {
-			this.close(socket, stopReasonOf(socket, connection));
-		}
-	}
 }
--- a/packages/forward/src/callers/compact-bytes.ts
+++ b/packages/forward/src/callers/compact-bytes.ts
@@ -44,7 +44,7 @@
 	}
 
 	/** All bytes in one buffer; undefined if there is no room for it. Empties the slabs. */
-	join(): Buffer | undefined {
+	toBuffer(): Buffer | undefined {
 		if (this.#slabs.length <= 1) {
 			const [slab] = this.#slabs.splice(0);
 			return slab?.subarray(0, this.#length) ?? Buffer.alloc(0);
--- a/packages/forward/src/callers/read-body.ts
+++ b/packages/forward/src/callers/read-body.ts
@@ -44,13 +44,17 @@
 /** Calls `onStall` when no chunk has arrived for a time. Each chunk has to be reported. */
 const watchProgress = (maxPauseMs: number, onStall: () => void): {record: () => void; end: () => void} => {
 	let chunks = 0;
-	const timer = setTimeout(async () => {
+	const check = async (): Promise<void> => {
 		const before = chunks;
 		// After a pause of this process the next chunk may already be there.
 		await waitForPendingInput();
 		if (chunks === before) {
 			onStall();
 		}
+	};
+
+	const timer = setTimeout(() => {
+		void check();
 	}, maxPauseMs);
 	return {
 		record() {
@@ -115,7 +119,7 @@
 		req.on('data', onData);
 		req.once('end', () => {
 			if (!isFinished) {
-				finish(bytes.join() ?? 'no-room');
+				finish(bytes.toBuffer() ?? 'no-room');
 			}
 		});
 		req.once('error', () => undefined);
--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -255,7 +255,8 @@
 		},
 	});
 	return {
-		hostBudget, heldBytes, requestSlots, metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
+		hostBudget, heldBytes, requestSlots,
+		metrics, supervise, members, phases, reports: new RequestReports(log, metrics), config, pool, crashes, quarantineRows, load, rateShares, rateLimits, roleChanges,
 		softwareVersions, streamOrigins, streamRows, streams, gossip, directory, answerListener,
 		correctedClock, usage, follower,
 	};
