--- a/packages/forward/src/store/hedged-read.ts
+++ b/packages/forward/src/store/hedged-read.ts
@@ -6,7 +6,7 @@
 import type {Random} from '@hawthorncleat/core';
 
 /** A store that works answers in a small part of it; a slow one is asked few times more. */
-const hedgeMs = 400;
+const hedgeMs = 500;
 /** Entries that were started together do not ask at the same moments. */
 const hedgeSpread = 0.5;
 /** Beyond it the call that waits longest is about to be given up. */
--- a/packages/forward/src/store/poll-intervals.ts
+++ b/packages/forward/src/store/poll-intervals.ts
@@ -34,8 +34,8 @@
 const minHeardPeers = 8;
 /** With fewer of the registered entries heard, this one may be on the smaller side of a cut. */
 const minHeardFraction = 0.5;
-/** Endpoints register again within two seconds of the store's return, and peers are heard one second after they are known. */
-const settlingMs = 5000;
+/** Endpoints register again within two seconds of the store's return, and a peer is heard one second after its row is known. */
+const settlingMs = 3000;
 
 /** The rest is for the call itself, for a process that does not run for a moment, and for the request's way to the endpoint. */
 const drainFraction = 0.75;
