Let every entry read the lease as before

After an outage of the store only an entry that read the lease right before it may take it at once, and fewer readers make that one rarer.

--- a/packages/forward/src/daemon/duties.ts
+++ b/packages/forward/src/daemon/duties.ts
@@ -3,7 +3,7 @@
  * the fencing token of their calls.
  */
 import type {
-	Clock, EntryPosition, ForwardService, MakeId, Random,
+	Clock, ForwardService, MakeId, Random,
 } from '@hawthorncleat/core';
 import {runLease, type Lease} from '@hawthorncleat/store';
 import type {DecisionLog} from '../telemetry/decision-log.js';
@@ -34,28 +34,12 @@
 	return leaseDurations.leaseRenewMs * factor * (1 - (pauseJitter / 2) + (pauseJitter * random()));
 };
 
-/** So many entries of a fleet that hears itself read the lease often. One of them takes it over in time even if others do not reach the store. */
-const watchers = 12;
-/** The others read it so rarely that their calls weigh little, and as often as before once they become watchers. */
-const backupFactor = 6;
-
-/** Whether an entry is one of those that read the lease often. They are spread over the names, because those of a data centre often begin alike. */
-export const isLeaseWatcher = ({index, count}: EntryPosition): boolean => Math.floor(index * watchers / count) !== Math.floor((index - 1) * watchers / count);
-
-/** Pause between two reads of a lease in a fleet whose entries hear each other. */
-export const sharedLeaseWatchPauseMs = (position: EntryPosition, random: Random): number =>
-	leaseWatchPauseMs(position.count, random) * (isLeaseWatcher(position) ? 1 : backupFactor);
-
 export type DutiesOptions = {
 	readonly clock: Clock;
 	readonly makeId: MakeId;
 	readonly random: Random;
 	/** Number of live entries, including this one. */
 	readonly liveEntries: () => number;
-	/** Whether the entries hear each other. */
-	readonly isShared: () => boolean;
-	/** Position of this entry among the live ones. */
-	readonly position: () => EntryPosition;
 	readonly holder: string;
 	readonly usageWindowMs: number;
 	readonly platform: Platform;
@@ -122,7 +106,7 @@
 
 /** Acquires the lease whenever it is free and runs the duties while it is held. Demand is measured without the lease, too. */
 export const runDuties = async (options: DutiesOptions, signal: AbortSignal): Promise<void> => {
-	const {clock, makeId, random, liveEntries, isShared, position, holder, platform, log, supervise} = options;
+	const {clock, makeId, random, liveEntries, holder, platform, log, supervise} = options;
 	const progress: UsageProgress = {};
 	let heldLease: Lease | undefined;
 	const keepLease = async (): Promise<void> => runLease({
@@ -132,7 +116,7 @@
 		clock,
 		makeId,
 		durations: leaseDurations,
-		watchPauseMs: () => isShared() ? sharedLeaseWatchPauseMs(position(), random) : leaseWatchPauseMs(liveEntries(), random),
+		watchPauseMs: () => leaseWatchPauseMs(liveEntries(), random),
 		async onHeld(lease, held) {
 			log.write('lease', {duty: usageDutyName, held: true, epoch: lease.epoch});
 			heldLease = lease;
--- a/packages/forward/src/daemon/forward-daemon.ts
+++ b/packages/forward/src/daemon/forward-daemon.ts
@@ -225,8 +225,6 @@
 			makeId,
 			random,
 			liveEntries: () => this.#components.members.liveCount(),
-			isShared: () => this.#components.follower.isToldByPeers,
-			position: () => this.#components.members.position(),
 			holder: this.#settings.hostName,
 			usageWindowMs: this.#settings.usage.windowMs,
 			platform: this.#components.platform,
--- a/packages/store/src/lease-runner.ts
+++ b/packages/store/src/lease-runner.ts
@@ -28,10 +28,7 @@
 	/** Receives the error of a failed duty; without it `runLease` rejects. */
 	readonly onError?: (error: unknown) => void;
 	readonly durations?: LeaseDurations;
-	/**
-	 * Pause between two reads of a lease that another process holds, in ms. By default that between two renewals. It is asked again meanwhile, and a pause
-	 * that has become much shorter ends the running one.
-	 */
+	/** Pause between two reads of a lease that another process holds, in ms. By default that between two renewals. */
 	readonly watchPauseMs?: () => number;
 	/** Without it the duty stops when its lease expires, also during a table outage. */
 	readonly witnesses?: DutyWitnessClient;
@@ -99,25 +96,12 @@
 				return tenure;
 			}
 
-			await this.#pauseWatch(changed);
+			await sleep(this.#options.watchPauseMs?.() ?? this.#durations.leaseRenewMs, changed);
 		}
 
 		return undefined;
 	}
 
-	async #pauseWatch(changed: AbortSignal): Promise<void> {
-		const {clock, watchPauseMs} = this.#options;
-		const currentPauseMs = (): number => watchPauseMs?.() ?? this.#durations.leaseRenewMs;
-		const startMs = clock.nowMs();
-		let pauseMs = currentPauseMs();
-		while (!changed.aborted && clock.nowMs() < startMs + pauseMs) {
-			await sleep(Math.min(startMs + pauseMs - clock.nowMs(), this.#durations.leaseRenewMs), changed);
-			const shorterMs = currentPauseMs();
-			// Random differences between two answers do not count.
-			pauseMs = shorterMs * 2 < pauseMs ? shorterMs : pauseMs;
-		}
-	}
-
 	async #tryAcquire(taker: LeaseTaker): Promise<Tenure | undefined> {
 		const generation = this.#generations.current;
 		const row = await this.#options.table.read(this.#keyIn(generation));
