--- a/packages/forward/src/store/store-follower.ts
+++ b/packages/forward/src/store/store-follower.ts
@@ -131,7 +131,6 @@
 			rows,
 			clock,
 			random,
-			isUrgent: table !== 'members',
 			waitMs: () => this.#waitMs(table, transferMs),
 			answerMs,
 			pauseMs: () => this.#pauseMs(table, transferMs),
--- a/packages/forward/src/store/table-watch.ts
+++ b/packages/forward/src/store/table-watch.ts
@@ -5,15 +5,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, Random} from '@hawthorncleat/core';
 import type {RowStore, StoreAnswer, StoreTable} from '../ports.js';
-import {hedgedRead} from './hedged-read.js';
 
 export type TableWatchOptions = {
 	readonly table: StoreTable;
 	readonly rows: RowStore;
 	readonly clock: Clock;
 	readonly random: Random;
-	/** Whether the entry waits for the table before it can serve, so that its first read is repeated while calls wait. */
-	readonly isUrgent: boolean;
 	/**
 	 * Longest time that one call waits for changes. A connection that has gone silent is detected only after it. A call that waits is ended and made again
 	 * when much shorter waits have become necessary.
@@ -83,8 +80,7 @@
 
 /** Follows the table until `signal` aborts. */
 export const watchTable = async (options: TableWatchOptions, signal: AbortSignal): Promise<void> => {
-	const {table, rows, random, isUrgent, waitMs, pauseMs, onAvailability} = options;
-	const readSnapshot = async (callSignal: AbortSignal): Promise<StoreAnswer> => rows.read(table, {}, callSignal);
+	const {table, rows, random, waitMs, pauseMs, onAvailability} = options;
 	let after: number | undefined;
 	let retryMs = firstRetryMs;
 	/** The first call after a failed one does not wait for changes, because its answer shows that the store is back. */
@@ -93,7 +89,7 @@
 		let isEmpty = false;
 		try {
 			if (after === undefined) {
-				const answer = isUrgent ? await hedgedRead(readSnapshot, random, signal) : await readSnapshot(signal);
+				const answer = await rows.read(table, {}, signal);
 				onAvailability(true);
 				applyAnswer(options, answer, true);
 				after = answer.version;
