--- a/packages/forward/src/store/table-watch.ts
+++ b/packages/forward/src/store/table-watch.ts
@@ -5,7 +5,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Clock, Random} from '@hawthorncleat/core';
 import type {RowStore, StoreAnswer, StoreTable} from '../ports.js';
-import {hedgedRead} from './hedged-read.js';
 
 export type TableWatchOptions = {
 	readonly table: StoreTable;
@@ -90,7 +89,7 @@
 		let isEmpty = false;
 		try {
 			if (after === undefined) {
-				const answer = await hedgedRead(async callSignal => rows.read(table, {}, callSignal), random, signal);
+				const answer = await rows.read(table, {}, signal);
 				onAvailability(true);
 				applyAnswer(options, answer, true);
 				after = answer.version;
