--- a/packages/core/src/forwarding/__tests__/account-fleet.ts
+++ b/packages/core/src/forwarding/__tests__/account-fleet.ts
@@ -2,7 +2,7 @@
  * A simulated fleet that keeps the limit of one account: entries with callers, and messages that arrive late or get lost, without network.
  */
 import {createManualClock} from '@hawthorncleat/test-kit';
-import {AccountLimit, type AccountRate} from '../account-limit.js';
+import {AccountLimit, type AccountRate, type FleetPart} from '../account-limit.js';
 import {RateShares} from '../rate-shares.js';
 
 const key = 'acme';
@@ -44,13 +44,15 @@
 export class AccountFleet {
 	readonly clock = createManualClock(100_000);
 	readonly entries: Entry[] = [];
+	lossFraction = 0;
+	rate: AccountRate;
+	/** Units of the refill that found the bucket of the fleet full. */
+	lost = 0;
 	readonly admitted: Array<{readonly atMs: number; readonly cost: number}> = [];
 	/** Units refused while the bucket of the fleet, as it really was, held enough for them. */
 	refusedBelow = 0;
 	/** Units in the bucket of the fleet. */
 	#level: number;
-	lossFraction = 0;
-	rate: AccountRate;
 	readonly #options: FleetOptions;
 
 	constructor(options: FleetOptions) {
@@ -79,7 +81,7 @@
 	run(forMs: number): void {
 		for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
 			this.clock.advance(stepMs);
-			this.#level = Math.min(this.rate.burst, this.#level + (this.rate.perSecond * stepMs / 1000));
+			this.#refill();
 			for (const entry of this.entries) {
 				if (entry.frozenUntilMs <= this.clock.nowMs()) {
 					this.#offer(entry);
@@ -111,12 +113,25 @@
 		return most;
 	}
 
+	#refill(): void {
+		const level = this.#level + (this.rate.perSecond * stepMs / 1000);
+		this.#level = Math.min(this.rate.burst, level);
+		this.lost += level - this.#level;
+	}
+
 	#createState(name: string): Pick<Entry, 'heardMs' | 'incarnation' | 'limit' | 'shares'> {
 		const {clock} = this;
 		const heardMs = new Map<string, number>();
-		const fleet = (): {entries: number; inTouch: number} => {
-			const sinceMs = clock.nowMs() - 2500;
-			return {entries: this.#options.entries, inTouch: 1 + [...heardMs.values()].filter(atMs => atMs > sinceMs).length};
+		let known = {entries: this.#options.entries, inTouch: 1};
+		let knownMs = Number.NEGATIVE_INFINITY;
+		const fleet = (): FleetPart => {
+			const nowMs = clock.nowMs();
+			if (nowMs - knownMs >= 20) {
+				known = {entries: this.#options.entries, inTouch: 1 + [...heardMs.values()].filter(atMs => atMs > nowMs - 2500).length};
+				knownMs = nowMs;
+			}
+
+			return known;
 		};
 
 		const shares = new RateShares({clock, entries: () => this.#options.entries});
--- a/packages/core/src/forwarding/account-limit.ts
+++ b/packages/core/src/forwarding/account-limit.ts
@@ -45,7 +45,7 @@
 };
 
 /** A difference between the bucket and empty is evened out over this time, several times as long as news takes. */
-const correctionMs = 2000;
+const correctionMs = 1000;
 /** More debt than the refill of this time is forgiven: spending behind a cut that has ended would stop the account for as long. */
 const maxDebtMs = 2000;
 /** A peer that has told nothing for this time is forgotten. */
--- a/packages/forward/src/accounts/__tests__/account-limits.test.ts
+++ b/packages/forward/src/accounts/__tests__/account-limits.test.ts
@@ -1,7 +1,9 @@
 import {
 	brandAs, RateShares, RouteTable, type ConfigVersion, type ForwardAccount,
 } from '@hawthorncleat/core';
-import {createManualClock, describe, it, type ManualClock} from '@hawthorncleat/test-kit';
+import {
+	createManualClock, describe, it, type ManualClock,
+} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import type {CallerRequest} from '../../ports.js';
 import {ForwardMetrics} from '../../telemetry/metrics.js';
--- a/packages/forward/src/peers/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -101,7 +101,9 @@
 
 /** Whether a message has parts that can be sent in another datagram. The load of running requests is in each of them. */
 const isDivisible = ({load: {sent}, crashes, departures, limitNews, accounts, segments, streams = [], usage}: GossipMessage): boolean =>
-	sent.length > 1 || (departures.length + streams.length + (limitNews?.limits.length ?? 0) + (accounts?.accounts.length ?? 0) > 0 && (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
+	sent.length > 1
+	|| (departures.length + streams.length + (limitNews?.limits.length ?? 0) + (accounts?.accounts.length ?? 0) > 0
+		&& (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
 
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
