--- a/packages/core/src/forwarding/account-limit.ts
+++ b/packages/core/src/forwarding/account-limit.ts
@@ -66,11 +66,12 @@
 	#level = 0;
 	/** Units that this entry may take from its share of the refill. Negative after a request that was larger. */
 	#credit = 0;
-	#isTight = true;
+	#isTight = false;
 	#spent = 0;
 	#largest = {cost: 0, sinceMs: Number.NEGATIVE_INFINITY};
 	#updatedMs: number;
 	#creditMs: number;
+	#lastPart = 0;
 	readonly #createdMs: number;
 
 	constructor(options: AccountLimitOptions, rate: AccountRate, nowMs: number) {
@@ -237,7 +238,14 @@
 	#refillLevel(nowMs: number): void {
 		const elapsedMs = Math.max(0, nowMs - this.#updatedMs);
 		this.#updatedMs = nowMs;
-		this.#level += this.#rate.perSecond * this.#part * elapsedMs / msPerSecond;
+		const part = this.#part;
+		if (part < this.#lastPart) {
+			// Those who have fallen silent may have spent this until now; from now on they have parts of their own.
+			this.#level -= this.#unseen(nowMs);
+		}
+
+		this.#lastPart = part;
+		this.#level += this.#rate.perSecond * part * elapsedMs / msPerSecond;
 		this.#clampLevel();
 	}
 
