--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -6,12 +6,16 @@
 import {groupBy} from '../group-by.js';
 import type {SoftwareVersion} from '../ids.js';
 import {findNearFastest} from '../similar-latencies.js';
+import type {Random} from '../clock.js';
 import {
 	dataCentreCrossings, engineLoad, findSelectable, pickLowest, type EndpointView,
 } from './endpoint-selection.js';
 import {referenceLoad} from './decode-latency-model.js';
 import {softwareVersionOf, type PromptSegment} from './deployment.js';
 import {lowestPriorityLevel} from './priority-level.js';
+import {
+	findPromptLane, laneCostMs, laneUseOf, type LaneUse, type LongPromptDemand, type PromptLane,
+} from './prompt-lanes.js';
 
 export type SelectionRequest = {
 	readonly segments: readonly PromptSegment[];
@@ -38,6 +42,10 @@
 	readonly kvTokens: number;
 	/** Decode engine that is reserved for long answers. */
 	readonly reservedEngine?: EndpointView;
+	/** Long prompts among the demand; without it, prompts are not kept apart by their size. */
+	readonly longPrompts?: LongPromptDemand;
+	/** Spreads the prompts of entries that share the same news; without it, the engine with the lowest score is selected. */
+	readonly random?: Random;
 };
 
 export type EngineSelection = {
@@ -50,6 +58,8 @@
 	readonly firstTokenMs: number;
 	/** Prompt tokens that are not expected to be in the cache of the engine that prefills. */
 	readonly uncachedTokens: number;
+	/** Absent unless prompts of different sizes are kept apart. */
+	readonly laneUse?: LaneUse;
 	/** Expected wait for a slot of the decode engine. */
 	readonly slotWaitMs: number;
 	/** Load of the decode engine including this request. */
@@ -73,6 +83,11 @@
 const directPrefillCostFactor = 0.5;
 /** Cost of the load of a decode engine with free slots, so that streams are distributed evenly. */
 const loadCostMs = 40;
+/**
+ * Cost of the time that an answer takes on an engine, so that engines of different speed finish their streams alike. A slow engine pauses its streams
+ * for longer when it prefills, and keeps their slots and memory for longer.
+ */
+const streamTimeCostFactor = 0.05;
 
 type ExpectedPrefill = {
 	/** This request's work. */
@@ -85,14 +100,18 @@
 	readonly scoreMs: number;
 };
 
-const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens}: {nowMs: number; mostCachedTokens: number}): ExpectedPrefill => {
+type PrefillContext = Pick<SelectionContext, 'nowMs' | 'random'> & {readonly mostCachedTokens: number; readonly lane?: PromptLane<EndpointView>};
+
+const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens, lane, random}: PrefillContext): ExpectedPrefill => {
 	const cachedTokens = view.segmentCache.cachedTokens(request.segments);
 	const uncachedTokens = Math.max(1, request.promptTokens - cachedTokens);
 	const ownMs = view.prefillLatency.prefillMs({uncachedTokens, cachedTokens});
 	const waitMs = view.prefillBacklog.waitMs(request.level, nowMs) + ownMs;
 	const completionMs = view.prefillBacklog.completionMs(request.level, ownMs, nowMs);
 	const recomputeMs = Math.max(0, mostCachedTokens - cachedTokens) * recomputeMsPerThousandTokens / 1000;
-	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs);
+	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs)
+		+ (lane ? laneCostMs(view, {uncachedTokens, ownMs}, lane) : 0)
+		+ (random ? random() * view.prefillBacklog.unseenMs(nowMs) : 0);
 	return {
 		ownMs, waitMs, completionMs, uncachedTokens, scoreMs,
 	};
@@ -148,6 +167,7 @@
 	+ overrunMs(view, request, context)
 	+ reservedCostMs(view, request, context)
 	+ (loadCostMs * view.running / Math.max(1, view.endpoint.slots))
+	+ (streamTimeCostFactor * request.outputTokens * view.decodeLatency.msPerToken(Math.min(1, loadWith(view, request, context))))
 	+ (dataCentreCrossings(view, request.dataCentre) * crossingCostMs);
 
 type Candidates = {readonly decoders: readonly EndpointView[]; readonly prefillers: readonly EndpointView[]; readonly mostCachedTokens: number};
@@ -230,7 +250,8 @@
 /** Selects the best pair of a prefill and a decode engine. */
 const selectSplit = (candidates: Candidates, request: SelectionRequest, context: SelectionContext): ScoredSelection | undefined => {
 	const {prefillers, mostCachedTokens} = candidates;
-	const estimates = new Map(prefillers.map(view => [view, estimatePrefill(view, request, {nowMs: context.nowMs, mostCachedTokens})]));
+	const prefillContext = {...context, mostCachedTokens, lane: findPromptLane(prefillers, context.longPrompts)};
+	const estimates = new Map(prefillers.map(view => [view, estimatePrefill(view, request, prefillContext)]));
 	const prefillEngine = pickLowest(prefillers, view => estimates.get(view)!.scoreMs);
 	const fetching = selectFetching(candidates, request, context);
 	if (!prefillEngine || !fetching) {
@@ -245,6 +266,7 @@
 			prefillEngine,
 			prefillWaitMs: waitMs,
 			uncachedTokens,
+			laneUse: laneUseOf(prefillEngine, uncachedTokens, prefillContext.lane),
 			firstTokenMs: completionMs + prefillEngine.prefillLatency.firstTokenDelayMs + afterPrefillMs,
 			slotWaitMs: slotMs,
 			decodeLoad: loadWith(decodeEngine, request, context),
--- a/packages/core/src/forwarding/prefill-backlog.ts
+++ b/packages/core/src/forwarding/prefill-backlog.ts
@@ -17,6 +17,8 @@
 const minRemainingFraction = 0.25;
 /** Less work than this is not worth a record. */
 const negligibleMs = 0.5;
+/** Time until the other entries learn of a prefill: the interval of their messages, and the time until one is processed. */
+const newsAgeMs = 150;
 /** Weight of a new prompt in the mean work of the prompts of its level. */
 const meanWorkDecay = 0.1;
 
@@ -76,6 +78,12 @@
 		return (this.waitMs(level, nowMs) / (1 - Math.min(maxUrgentFraction, urgentFraction))) + ownMs;
 	}
 
+	/** Work that the other entries are expected to have sent since their last messages. */
+	unseenMs(nowMs: number): number {
+		this.#playForward(nowMs);
+		return newsAgeMs * this.#arrivalRates.reduce((sum, rate) => sum + rate, 0);
+	}
+
 	/** Counts a prefill that another entry has sent, without adding it to the pending work. */
 	recordArrival(sent: LevelWork, nowMs: number): void {
 		this.#playForward(nowMs);
--- a/packages/forward/src/endpoints/load-tracker.ts
+++ b/packages/forward/src/endpoints/load-tracker.ts
@@ -3,7 +3,8 @@
  * gossip messages. Also holds the estimators of token demand and answer lengths of each service.
  */
 import {
-	TokensPerEvent, getOrCreate, LateRequestBudget, LongAnswerLoadLimit, TokenWindow, type Clock, type LevelWork, type PrefillSize, type PromptSegment, type TokenRate, type TrackedPrefill,
+	TokensPerEvent, getOrCreate, LateRequestBudget, LongAnswerLoadLimit, TokenWindow,
+	type Clock, type LevelWork, type LongPromptDemand, type PrefillSize, type PromptSegment, type TokenRate, type TrackedPrefill,
 } from '@hawthorncleat/core';
 import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
 
@@ -65,6 +66,12 @@
 		return this.#demandOf(service).rate(this.#clock.nowMs());
 	}
 
+	/** Long prompts among the prefills of all entries; undefined if the service has no prefill engine. */
+	longPrompts(service: string): LongPromptDemand | undefined {
+		const engine = this.#pool.ofService(service).find(({endpoint}) => endpoint.role === 'prefill');
+		return engine && this.#demandOf(service).longPrompts(this.#clock.nowMs(), work => engine.prefillLatency.workMs(work));
+	}
+
 	/** Limit on the load of an engine at which the long answers of a service still meet their deadlines. */
 	longAnswerLoadLimit(service: string): LongAnswerLoadLimit {
 		return getOrCreate(this.#longAnswerLoadLimits, service, () => new LongAnswerLoadLimit());
--- a/packages/forward/src/requests/attempt-report.ts
+++ b/packages/forward/src/requests/attempt-report.ts
@@ -1,6 +1,7 @@
 /**
  * Figures of attempts and of decisions about them, for the log and the metrics.
  */
+import type {LaneUse} from '@hawthorncleat/core';
 import type {AttemptResult} from './attempt-result.js';
 import type {KeptOut} from './kept-out.js';
 import type {RetryDenial} from './outcome.js';
@@ -32,6 +33,7 @@
 	readonly expectedMs?: number;
 	readonly level?: number;
 	readonly uncachedTokens?: number;
+	readonly laneUse?: LaneUse;
 	readonly tookMs: number;
 	/** Duration of the prefill at a separate prefill engine. */
 	readonly prefillMs?: number;
