--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -111,7 +111,7 @@
 	const recomputeMs = Math.max(0, mostCachedTokens - cachedTokens) * recomputeMsPerThousandTokens / 1000;
 	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs)
 		+ (lane ? laneCostMs(view, {uncachedTokens, ownMs}, lane) : 0)
-		+ (random ? random() * view.prefillBacklog.unseenMs(nowMs) : 0);
+		+ (random ? (random() - 0.5) * view.prefillBacklog.unseenMs(nowMs) : 0);
 	return {
 		ownMs, waitMs, completionMs, uncachedTokens, scoreMs,
 	};
--- a/packages/core/src/forwarding/prompt-lanes.ts
+++ b/packages/core/src/forwarding/prompt-lanes.ts
@@ -33,7 +33,7 @@
 /** The short prompts, which are most of the requests, keep at least half of the engines. */
 const maxEngineFraction = 0.5;
 /** A slower engine than this multiple of the median does not take long prompts: they would miss their latency target by their own work alone. */
-const maxSlowdown = 2;
+const maxSlowdown = 1.4;
 
 export const isLongPrompt = (uncachedTokens: number): boolean => uncachedTokens > largePromptTokens;
 
--- a/packages/forward/src/endpoints/load-tracker.ts
+++ b/packages/forward/src/endpoints/load-tracker.ts
@@ -7,6 +7,7 @@
 	type Clock, type LevelWork, type LongPromptDemand, type PrefillSize, type PromptSegment, type TokenRate, type TrackedPrefill,
 } from '@hawthorncleat/core';
 import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
+import {EngineSpeeds, type MeasuredSpeed} from './engine-speeds.js';
 
 /** Prefill work that was sent to an engine, as it is gossiped to other entries. */
 export type SentWork = {
@@ -29,8 +30,13 @@
 /** Prefills that one entry has sent to one engine and that have not completed. */
 export type PendingPrefills = {readonly endpoint: string; readonly work: readonly LevelWork[]};
 
-/** Load of one entry; `prefills` is absent in messages of entries that do not report completions. */
-export type EntryLoad = {readonly running: readonly RunningCount[]; readonly prefills?: readonly PendingPrefills[]; readonly sent: readonly SentWork[]};
+/** Load of one entry; `prefills` is absent in messages of entries that do not report completions, `speeds` in those of earlier versions. */
+export type EntryLoad = {
+	readonly running: readonly RunningCount[];
+	readonly prefills?: readonly PendingPrefills[];
+	readonly sent: readonly SentWork[];
+	readonly speeds?: readonly MeasuredSpeed[];
+};
 
 /** What a running request takes up at an engine: KV cache tokens, and whether it is in the lowest priority class. */
 export type RequestSize = {readonly tokens: number; readonly isLate: boolean};
@@ -54,11 +60,14 @@
 	readonly #longAnswerLoadLimits = new Map<string, LongAnswerLoadLimit>();
 	readonly #tokensPerEvent = new Map<string, TokensPerEvent>();
 	readonly #lateRequestBudgets = new Map<string, LateRequestBudget>();
+	/** Speeds of the engines. */
+	readonly speeds: EngineSpeeds;
 	#sent: SentWork[] = [];
 
 	constructor(clock: Clock, pool: EndpointPool) {
 		this.#clock = clock;
 		this.#pool = pool;
+		this.speeds = new EngineSpeeds(pool);
 	}
 
 	/** Token rates that callers request at all entries. */
@@ -146,7 +155,8 @@
 	}
 
 	/** Applies a gossip message of another entry. */
-	applyPeerMessage(peer: string, {running, prefills, sent}: EntryLoad): void {
+	applyPeerMessage(peer: string, {running, prefills, sent, speeds = []}: EntryLoad): void {
+		this.speeds.apply(speeds);
 		const nowMs = this.#clock.nowMs();
 		this.#applyRunning(this.#peers.get(peer)?.running ?? [], -1);
 		this.#applyRunning(running, 1);
--- a/packages/forward/src/peers/gossip-message.ts
+++ b/packages/forward/src/peers/gossip-message.ts
@@ -10,6 +10,7 @@
 import type {CrashReport} from '../quarantines/crash-guard.js';
 import {departureKinds, type Departure, type DepartureKind} from '../endpoints/departures.js';
 import type {SentPhase} from '../daemon/entry-phases.js';
+import {decodeSpeed, encodeSpeed} from '../endpoints/engine-speeds.js';
 import type {
 	EntryLoad, PendingPrefills, RunningCount, SentWork,
 } from '../endpoints/load-tracker.js';
@@ -186,6 +187,7 @@
 	running: load.running.map(count => encodeRunning(count)),
 	prefills: load.prefills?.map(pending => encodePrefills(pending)),
 	sent: load.sent.map(work => encodeSent(work)),
+	...load.speeds && load.speeds.length > 0 && {speeds: load.speeds.map(speed => encodeSpeed(speed))},
 	...crashes.length > 0 && {crashes: crashes.map(report => encodeCrash(report))},
 	...departures.length > 0 && {departures: departures.map(departure => encodeDeparture(departure))},
 	...limitNews && limitNews.limits.length > 0 && encodeLimitNews(limitNews),
@@ -203,7 +205,7 @@
 /** Decodes a datagram; undefined if it is no message. */
 export const decodeMessage = (text: string): GossipMessage | undefined => {
 	const {
-		from, config, phase, changing, running, prefills, sent, crashes, departures, limits, demands, segments, streams, usage,
+		from, config, phase, changing, running, prefills, sent, speeds, crashes, departures, limits, demands, segments, streams, usage,
 	} = parseFields(text);
 	if (!isText(from) || !isAmount(config) || !isTuple(changing) || !isTuple(running) || !isTuple(sent)) {
 		return undefined;
@@ -218,6 +220,7 @@
 			running: decodeList(running, tuple => decodeRunning(tuple)),
 			...isTuple(prefills) && {prefills: decodeList(prefills, tuple => decodePrefills(tuple))},
 			sent: decodeList(sent, tuple => decodeSent(tuple)),
+			...isTuple(speeds) && {speeds: decodeList(speeds, tuple => decodeSpeed(tuple))},
 		},
 		crashes: decodeList(crashes, tuple => decodeCrash(tuple)),
 		departures: decodeList(departures, tuple => decodeDeparture(tuple)),
--- a/packages/forward/src/peers/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -11,6 +11,7 @@
 import type {CrashReport} from '../quarantines/crash-guard.js';
 import type {Departure} from '../endpoints/departures.js';
 import type {SentPhase} from '../daemon/entry-phases.js';
+import {keepNewest, type MeasuredSpeed} from '../endpoints/engine-speeds.js';
 import type {LoadTracker, SentWork} from '../endpoints/load-tracker.js';
 import type {ForwardMetrics} from '../telemetry/metrics.js';
 import {openPort, type PortFailureListener} from '../utils/open-port.js';
@@ -109,6 +110,8 @@
 	readonly intervalMs: () => number;
 	/** Work that these peers have not been told of. */
 	sent: SentWork[] = [];
+	/** Measurements that these peers have not been told of. */
+	speeds: MeasuredSpeed[] = [];
 	lastSentMs = Number.NEGATIVE_INFINITY;
 	lastUsageSentMs = Number.NEGATIVE_INFINITY;
 	lastState = '';
@@ -191,7 +194,7 @@
 			configVersion: configVersion(),
 			phase: ownPhase(),
 			roleChanges: roleChanges(),
-			load: {running: load.ownRunningCounts(), prefills: load.ownPendingPrefills(), sent: group.sent},
+			load: {running: load.ownRunningCounts(), prefills: load.ownPendingPrefills(), sent: group.sent, speeds: group.speeds},
 			crashes: crashReports(),
 			departures: departures(group.name),
 			limitNews: limitNews(),
@@ -207,6 +210,7 @@
 			return;
 		}
 
+		group.speeds = [];
 		group.lastSentMs = clock.nowMs();
 		group.lastUsageSentMs = isUsageDue ? group.lastSentMs : group.lastUsageSentMs;
 		group.lastState = state;
@@ -216,8 +220,11 @@
 	/** Keeps the latest work until each group has been told of it; a group without peers keeps none. */
 	#collectSent(): void {
 		const latest = this.#options.load.drainSent();
+		const speeds = this.#options.load.speeds.drain();
 		for (const group of this.#groups) {
-			group.sent = group.peers().length === 0 ? [] : [...group.sent, ...latest];
+			const hasPeers = group.peers().length > 0;
+			group.sent = hasPeers ? [...group.sent, ...latest] : [];
+			group.speeds = hasPeers ? keepNewest([...group.speeds, ...speeds]) : [];
 		}
 	}
 
@@ -229,18 +236,23 @@
 		}
 
 		const text = encodeMessage(message);
-		const {sent} = message.load;
+		const {sent, speeds = []} = message.load;
 		if (text.length > maxDatagramBytes && isDivisible(message)) {
 			const half = Math.ceil(sent.length / 2);
 			this.#sendToPeers(peers, {
-				...message, load: {...message.load, sent: sent.slice(0, half)}, departures: [], limitNews: undefined, streams: [],
+				...message, load: {...message.load, sent: sent.slice(0, half), speeds: speeds.slice(0, half)}, departures: [], limitNews: undefined, streams: [],
 			});
 			this.#sendToPeers(peers, {
-				...message, load: {...message.load, sent: sent.slice(half)}, usage: undefined, crashes: [], segments: undefined,
+				...message, load: {...message.load, sent: sent.slice(half), speeds: speeds.slice(half)}, usage: undefined, crashes: [], segments: undefined,
 			});
 			return;
 		}
 
+		if (text.length > maxDatagramBytes && speeds.length > 0) {
+			this.#sendToPeers(peers, {...message, load: {...message.load, speeds: []}});
+			return;
+		}
+
 		for (const {address, port} of peers) {
 			this.#socket.send(text, port, address);
 			this.#options.metrics.countControlTransfer({purpose: 'gossip', direction: 'out', bytes: text.length});
--- a/packages/forward/src/requests/prefill.ts
+++ b/packages/forward/src/requests/prefill.ts
@@ -112,8 +112,6 @@
 	}
 
 	prefill.ejection.recordSuccess();
-	prefill.prefillLatency.observe({
-		expectedMs: waitMs, ownMs: prefill.prefillLatency.prefillMs(size), tookMs: deps.clock.nowMs() - startMs, size,
-	});
+	deps.load.speeds.recordPrefill(prefill, {size, waitMs, tookMs: deps.clock.nowMs() - startMs});
 	return {kind: 'prefilled', handle: {endpoint: prefill.endpoint, name}};
 };
--- a/packages/forward/src/requests/run-attempt.ts
+++ b/packages/forward/src/requests/run-attempt.ts
@@ -48,7 +48,7 @@
 		deps.load.longAnswerLoadLimit(service.name).recordCompleted({kind: route.name, guessedTokens, tokens: answerTokens});
 	}
 
-	target.decodeLatency.observe({
+	deps.load.speeds.recordStream(target, {
 		tookMs, tokens: tokensPerEvent.estimateTokens(laterEventCount), answerTokens, load: Math.min(1, meanLoad),
 	});
 };
@@ -78,9 +78,7 @@
 		deps.onRun(admitted);
 		if (prefillWork) {
 			deps.load.completePrefill(target, prefillWork);
-			target.prefillLatency.observe({
-				expectedMs: prefillWaitMs, ownMs: target.prefillLatency.prefillMs(size), tookMs: beganMs - startMs, size,
-			});
+			deps.load.speeds.recordPrefill(target, {size, waitMs: prefillWaitMs, tookMs: beganMs - startMs});
 		}
 	};
 
