--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -111,7 +111,7 @@
 	const recomputeMs = Math.max(0, mostCachedTokens - cachedTokens) * recomputeMsPerThousandTokens / 1000;
 	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs)
 		+ (lane ? laneCostMs(view, {uncachedTokens, ownMs}, lane) : 0)
-		+ (random ? (random() - 0.5) * view.prefillBacklog.unseenMs(nowMs) : 0);
+		+ (random ? random() * view.prefillBacklog.unseenMs(nowMs) : 0);
 	return {
 		ownMs, waitMs, completionMs, uncachedTokens, scoreMs,
 	};
@@ -198,7 +198,7 @@
 
 /** Selects the best decode engine that prefills the prompt itself. */
 const selectDirect = ({decoders, prefillers, mostCachedTokens}: Candidates, request: SelectionRequest, context: SelectionContext): ScoredSelection | undefined => {
-	const estimates = new Map(decoders.map(view => [view, estimatePrefill(view, request, {nowMs: context.nowMs, mostCachedTokens})]));
+	const estimates = new Map(decoders.map(view => [view, estimatePrefill(view, request, {...context, mostCachedTokens})]));
 	const eligible = prefillers.length === 0
 		? decoders
 		: decoders.filter(view => estimates.get(view)!.waitMs <= Math.min(maxDirectPrefillMs, request.maxGapMs * maxDirectGapFraction));
--- a/packages/forward/src/peers/__tests__/gossip.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip.test.ts
@@ -29,7 +29,7 @@
 	metrics: new ForwardMetrics(),
 	supervise: async (_name, task, signal) => task(signal),
 	load: {
-		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [], applyPeerMessage: () => undefined,
+		dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => [], speeds: {drain: () => []}, applyPeerMessage: () => undefined,
 	} as unknown as GossipOptions['load'],
 	peers: () => peers,
 	configVersion: () => 1,
@@ -99,7 +99,7 @@
 				name: 'e2', address: loopback, port: localPort, dataCentre: 'a',
 			}, ...others]),
 			load: {
-				dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => work.splice(0, 1),
+				dropStalePeers: () => undefined, ownRunningCounts: () => [], ownPendingPrefills: () => [], drainSent: () => work.splice(0, 1), speeds: {drain: () => []},
 			} as unknown as GossipOptions['load'],
 		});
 		const ending = new AbortController();
--- a/packages/forward/src/requests/placement.ts
+++ b/packages/forward/src/requests/placement.ts
@@ -80,7 +80,7 @@
 const selectWithPriority = (deps: ForwardDeps, {admitted: {route, service, account, exchange}, selectionRequest, limitMs, isTrial}: SelectionOptions): PrioritizedSelection | undefined => {
 	const views = deps.pool.ofService(service.name);
 	const context = {
-		nowMs: deps.clock.nowMs(), kvTokens: service.engine!.kvTokens, longPrompts: deps.load.longPrompts(service.name), random: deps.random,
+		nowMs: deps.clock.nowMs(), kvTokens: service.engine!.kvTokens, random: deps.random,
 	};
 	const lateBudget = deps.load.lateRequestBudget(service.name);
 	const priority = account?.priority ?? route.priority;
