--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -13,9 +13,6 @@
 import {referenceLoad} from './decode-latency-model.js';
 import {softwareVersionOf, type PromptSegment} from './deployment.js';
 import {lowestPriorityLevel} from './priority-level.js';
-import {
-	findPromptLane, laneCostMs, laneUseOf, type LaneUse, type LongPromptDemand, type PromptLane,
-} from './prompt-lanes.js';
 
 export type SelectionRequest = {
 	readonly segments: readonly PromptSegment[];
@@ -42,8 +39,6 @@
 	readonly kvTokens: number;
 	/** Decode engine that is reserved for long answers. */
 	readonly reservedEngine?: EndpointView;
-	/** Long prompts among the demand; without it, prompts are not kept apart by their size. */
-	readonly longPrompts?: LongPromptDemand;
 	/** Spreads the prompts of entries that share the same news; without it, the engine with the lowest score is selected. */
 	readonly random?: Random;
 };
@@ -58,8 +53,6 @@
 	readonly firstTokenMs: number;
 	/** Prompt tokens that are not expected to be in the cache of the engine that prefills. */
 	readonly uncachedTokens: number;
-	/** Absent unless prompts of different sizes are kept apart. */
-	readonly laneUse?: LaneUse;
 	/** Expected wait for a slot of the decode engine. */
 	readonly slotWaitMs: number;
 	/** Load of the decode engine including this request. */
@@ -100,9 +93,9 @@
 	readonly scoreMs: number;
 };
 
-type PrefillContext = Pick<SelectionContext, 'nowMs' | 'random'> & {readonly mostCachedTokens: number; readonly lane?: PromptLane<EndpointView>};
+type PrefillContext = Pick<SelectionContext, 'nowMs' | 'random'> & {readonly mostCachedTokens: number};
 
-const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens, lane, random}: PrefillContext): ExpectedPrefill => {
+const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens, random}: PrefillContext): ExpectedPrefill => {
 	const cachedTokens = view.segmentCache.cachedTokens(request.segments);
 	const uncachedTokens = Math.max(1, request.promptTokens - cachedTokens);
 	const ownMs = view.prefillLatency.prefillMs({uncachedTokens, cachedTokens});
@@ -110,7 +103,6 @@
 	const completionMs = view.prefillBacklog.completionMs(request.level, ownMs, nowMs);
 	const recomputeMs = Math.max(0, mostCachedTokens - cachedTokens) * recomputeMsPerThousandTokens / 1000;
 	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs)
-		+ (lane ? laneCostMs(view, {uncachedTokens, ownMs}, lane) : 0)
 		+ (random ? random() * view.prefillBacklog.unseenMs(nowMs) : 0);
 	return {
 		ownMs, waitMs, completionMs, uncachedTokens, scoreMs,
@@ -250,8 +242,7 @@
 /** Selects the best pair of a prefill and a decode engine. */
 const selectSplit = (candidates: Candidates, request: SelectionRequest, context: SelectionContext): ScoredSelection | undefined => {
 	const {prefillers, mostCachedTokens} = candidates;
-	const prefillContext = {...context, mostCachedTokens, lane: findPromptLane(prefillers, context.longPrompts)};
-	const estimates = new Map(prefillers.map(view => [view, estimatePrefill(view, request, prefillContext)]));
+	const estimates = new Map(prefillers.map(view => [view, estimatePrefill(view, request, {...context, mostCachedTokens})]));
 	const prefillEngine = pickLowest(prefillers, view => estimates.get(view)!.scoreMs);
 	const fetching = selectFetching(candidates, request, context);
 	if (!prefillEngine || !fetching) {
@@ -266,7 +257,6 @@
 			prefillEngine,
 			prefillWaitMs: waitMs,
 			uncachedTokens,
-			laneUse: laneUseOf(prefillEngine, uncachedTokens, prefillContext.lane),
 			firstTokenMs: completionMs + prefillEngine.prefillLatency.firstTokenDelayMs + afterPrefillMs,
 			slotWaitMs: slotMs,
 			decodeLoad: loadWith(decodeEngine, request, context),
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -31,9 +31,6 @@
 export {
 	RetryWindow, type RetryLimits, type RetryReservation, type RetryWindowOptions, type RetryWindowState,
 } from './retry-window.js';
-export {
-	findPromptLane, isLongPrompt, laneCostMs, laneUseOf, type LaneUse, type LongPromptDemand, type PromptLane,
-} from './prompt-lanes.js';
 export {TokenWindow, type TokenRate} from './token-window.js';
 export {
 	balanceRoles, maxRoleChanges, type RoleBalance, type RoleBalanceState, type RoleDecision,
--- a/packages/core/src/forwarding/token-window.ts
+++ b/packages/core/src/forwarding/token-window.ts
@@ -2,7 +2,6 @@
  * Rate of the requests that callers sent and of their prompt and output tokens, measured over a sliding window.
  */
 import {millionPairs, type PrefillSize} from './prefill-latency-model.js';
-import {isLongPrompt, type LongPromptDemand} from './prompt-lanes.js';
 import {SlidingSums} from './sliding-sums.js';
 
 export type TokenRate = {
@@ -21,7 +20,7 @@
 const windowMs = 4000;
 const bucketCount = 8;
 const msPerSecond = 1000;
-const sumNames = ['requests', 'prompt', 'squaredPrompt', 'pairs', 'output', 'rejectedOutput', 'longRequests', 'longPrompt', 'longPairs'] as const;
+const sumNames = ['requests', 'prompt', 'squaredPrompt', 'pairs', 'output', 'rejectedOutput'] as const;
 
 export class TokenWindow {
 	readonly #sums = new SlidingSums({windowMs, buckets: bucketCount, names: sumNames});
@@ -35,20 +34,9 @@
 			pairs: millionPairs(size),
 			output: outputTokens,
 			rejectedOutput: isRejected ? outputTokens : 0,
-			...isLongPrompt(size.uncachedTokens) && !isRejected && {longRequests: 1, longPrompt: size.uncachedTokens, longPairs: millionPairs(size)},
 		});
 	}
 
-	/** Long prompts among the prefills that were sent. `workMs` gives the time of prompt tokens and pairs on a typical engine. */
-	longPrompts(nowMs: number, workMs: (work: {readonly tokens: number; readonly pairs: number}) => number): LongPromptDemand {
-		const total = this.#sums.totals(nowMs);
-		const longMs = workMs({tokens: total.longPrompt, pairs: total.longPairs});
-		return {
-			workFraction: longMs / Math.max(Number.EPSILON, workMs({tokens: total.prompt, pairs: total.pairs})),
-			meanTokens: total.longPrompt / Math.max(1, total.longRequests),
-		};
-	}
-
 	rate(nowMs: number): TokenRate {
 		const total = this.#sums.totals(nowMs);
 		const seconds = windowMs / msPerSecond;
--- a/packages/forward/src/endpoints/load-tracker.ts
+++ b/packages/forward/src/endpoints/load-tracker.ts
@@ -4,7 +4,7 @@
  */
 import {
 	TokensPerEvent, getOrCreate, LateRequestBudget, LongAnswerLoadLimit, TokenWindow,
-	type Clock, type LevelWork, type LongPromptDemand, type PrefillSize, type PromptSegment, type TokenRate, type TrackedPrefill,
+	type Clock, type LevelWork, type PrefillSize, type PromptSegment, type TokenRate, type TrackedPrefill,
 } from '@hawthorncleat/core';
 import type {EndpointPool, PooledEndpoint} from './endpoint-pool.js';
 import {EngineSpeeds, type MeasuredSpeed} from './engine-speeds.js';
@@ -75,12 +75,6 @@
 		return this.#demandOf(service).rate(this.#clock.nowMs());
 	}
 
-	/** Long prompts among the prefills of all entries; undefined if the service has no prefill engine. */
-	longPrompts(service: string): LongPromptDemand | undefined {
-		const engine = this.#pool.ofService(service).find(({endpoint}) => endpoint.role === 'prefill');
-		return engine && this.#demandOf(service).longPrompts(this.#clock.nowMs(), work => engine.prefillLatency.workMs(work));
-	}
-
 	/** Limit on the load of an engine at which the long answers of a service still meet their deadlines. */
 	longAnswerLoadLimit(service: string): LongAnswerLoadLimit {
 		return getOrCreate(this.#longAnswerLoadLimits, service, () => new LongAnswerLoadLimit());
--- a/packages/forward/src/requests/attempt-report.ts
+++ b/packages/forward/src/requests/attempt-report.ts
@@ -1,7 +1,6 @@
 /**
  * Figures of attempts and of decisions about them, for the log and the metrics.
  */
-import type {LaneUse} from '@hawthorncleat/core';
 import type {AttemptResult} from './attempt-result.js';
 import type {KeptOut} from './kept-out.js';
 import type {RetryDenial} from './outcome.js';
@@ -33,7 +32,6 @@
 	readonly expectedMs?: number;
 	readonly level?: number;
 	readonly uncachedTokens?: number;
-	readonly laneUse?: LaneUse;
 	readonly tookMs: number;
 	/** Duration of the prefill at a separate prefill engine. */
 	readonly prefillMs?: number;
--- a/packages/forward/src/requests/placement.ts
+++ b/packages/forward/src/requests/placement.ts
@@ -3,7 +3,7 @@
  * rejects the request when its first token is expected too late or the decode engines are saturated.
  */
 import {
-	choosePriorityLevel, selectEngines, selectEndpoint, lowestPriorityLevel, maxQueueMs, type EngineSelection, type LaneUse, type SelectionRequest,
+	choosePriorityLevel, selectEngines, selectEndpoint, lowestPriorityLevel, maxQueueMs, type EngineSelection, type SelectionRequest,
 } from '@hawthorncleat/core';
 import type {PooledEndpoint} from '../endpoints/endpoint-pool.js';
 import type {KvHandle} from '../ports.js';
@@ -30,8 +30,6 @@
 	/** Expected time until the first token. */
 	readonly firstTokenMs?: number;
 	readonly uncachedTokens?: number;
-	/** Which engines for prompts of its size the prefill has. */
-	readonly laneUse?: LaneUse;
 	/** State of the decode engine when it was selected. */
 	readonly decode?: DecodeView;
 };
@@ -176,7 +174,6 @@
 		prefillWaitMs: chosen.prefillWaitMs,
 		firstTokenMs,
 		uncachedTokens: chosen.uncachedTokens,
-		laneUse: chosen.laneUse,
 		decode: {
 			running: chosen.decodeEngine.running,
 			load: chosen.decodeLoad,
--- a/packages/forward/src/requests/report-attempt.ts
+++ b/packages/forward/src/requests/report-attempt.ts
@@ -71,7 +71,6 @@
 		expectedMs: placement.firstTokenMs,
 		level: placement.level,
 		uncachedTokens: placement.uncachedTokens,
-		laneUse: placement.laneUse,
 		tookMs: deps.clock.nowMs() - startMs,
 		firstMs: result.firstMs,
 		furtherArrivals: state.extraCalls,
--- a/packages/forward/src/telemetry/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -62,13 +62,6 @@
 		name: 'hawthorncleat_forward_attempts_total', help: 'Attempts at endpoints by result', labelNames: ['result'], registers: [this.registry],
 	});
 
-	readonly #laneUses = new Counter({
-		name: 'hawthorncleat_forward_prompt_lanes_total',
-		help: 'Attempts while long and short prompts have prefill engines of their own: at one for its size (long, short) or at another (crossed)',
-		labelNames: ['use'],
-		registers: [this.registry],
-	});
-
 	readonly #withdrawnAttempts = new Counter({
 		name: 'hawthorncleat_forward_withdrawn_attempts_total', help: 'Attempts placed again before anything was written, because their endpoint took no more requests', registers: [this.registry],
 	});
@@ -173,11 +166,7 @@
 		this.#latency.observe(tookMs / 1000);
 	}
 
-	countAttempt({tookMs, result, furtherArrivals, laneUse}: AttemptReport): void {
-		if (laneUse) {
-			this.#laneUses.inc({use: laneUse});
-		}
-
+	countAttempt({tookMs, result, furtherArrivals}: AttemptReport): void {
 		this.#furtherArrivals.inc(furtherArrivals);
 		this.#attempts.inc({result: result.kind === 'failed' ? result.failure : result.kind});
 		this.#attemptLatency.observe(tookMs / 1000);
