Share measured engine speeds between entries, and spread prompts by expected unseen work

Entries with the same news also chose the same prefill engine. Change: completed prefills and streams are told in the messages between entries; the time of an answer and the work expected unseen count in the choice of engines.

--- a/packages/forward/src/endpoints/__tests__/engine-speeds.test.ts
+++ b/packages/forward/src/endpoints/__tests__/engine-speeds.test.ts
@@ -45,7 +45,8 @@
 
 		const kept = speeds.drain();
 		assert.ok(kept.length <= 20);
-		assert.is(kept.at(-1)?.kind === 'prefill' ? kept.at(-1)!.prefill.tookMs : undefined, 500);
+		const newest = kept.at(-1);
+		assert.is(newest?.kind === 'prefill' ? newest.prefill.tookMs : undefined, 500);
 		assert.equal(speeds.drain(), []);
 	});
 
--- a/packages/forward/src/peers/__tests__/gossip-message.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip-message.test.ts
@@ -19,6 +19,12 @@
 		sent: [{
 			endpoint: 'i-2', level: 4, tokens: 800, cachedTokens: 5000, outputTokens: 60, segments: [{id: 'a', tokens: 5000}], isRefused: false,
 		}],
+		speeds: [
+			{endpoint: 'i-2', kind: 'prefill', prefill: {size: {uncachedTokens: 800, cachedTokens: 5000}, aheadMs: 20, tookMs: 90}},
+			{endpoint: 'i-1', kind: 'stream', stream: {
+				tookMs: 900, tokens: 250, answerTokens: 260, load: 0.25,
+			}},
+		],
 	},
 	crashes: [{
 		fingerprint: brandAs<Fingerprint>('f'), endpoint: 'i-3', ageMs: 50, crashes: 2,
