--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -76,10 +76,7 @@
 const directPrefillCostFactor = 0.5;
 /** Cost of the load of a decode engine with free slots, so that streams are distributed evenly. */
 const loadCostMs = 40;
-/**
- * Cost of the time that an answer takes on an engine, so that engines of different speed finish their streams alike. A slow engine pauses its streams
- * for longer when it prefills, and keeps their slots and memory for longer.
- */
+/** Cost of the time of an answer: a slow engine pauses its streams for longer when it prefills, and holds their slots and memory for longer. */
 const streamTimeCostFactor = 0.05;
 
 type ExpectedPrefill = {
@@ -93,9 +90,7 @@
 	readonly scoreMs: number;
 };
 
-type PrefillContext = Pick<SelectionContext, 'nowMs' | 'random'> & {readonly mostCachedTokens: number};
-
-const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens, random}: PrefillContext): ExpectedPrefill => {
+const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens, random}: SelectionContext & {readonly mostCachedTokens: number}): ExpectedPrefill => {
 	const cachedTokens = view.segmentCache.cachedTokens(request.segments);
 	const uncachedTokens = Math.max(1, request.promptTokens - cachedTokens);
 	const ownMs = view.prefillLatency.prefillMs({uncachedTokens, cachedTokens});
