--- a/packages/core/src/forwarding/__tests__/engine-choice-spread.test.ts
+++ b/packages/core/src/forwarding/__tests__/engine-choice-spread.test.ts
@@ -9,9 +9,11 @@
 	const request = {
 		segments: [], outputTokens: 300, level: 1, remainingMs: 10_000, maxGapMs: 400, dataCentre: 'a', excluded: new Set<string>(),
 	};
-	const select = (views: ReturnType<typeof createPrefillers>, promptTokens: number, context: Partial<SelectionContext> = {}) => selectEngines([...views, createView('d', 'decode')], {...request, promptTokens}, {
-		nowMs: 0, kvTokens: 500_000, ...context,
-	})?.prefillEngine?.endpoint.id;
+	const select = (views: ReturnType<typeof createPrefillers>, promptTokens: number, context: Partial<SelectionContext> = {}) => selectEngines(
+		[...views, createView('d', 'decode')],
+		{...request, promptTokens},
+		{nowMs: 0, kvTokens: 500_000, ...context},
+	)?.prefillEngine?.endpoint.id;
 
 	it('spreads prompts within the work that other entries have placed unseen; guards against herding on shared news', () => {
 		const views = createPrefillers(2);
--- a/packages/forward/src/endpoints/__tests__/engine-speeds.test.ts
+++ b/packages/forward/src/endpoints/__tests__/engine-speeds.test.ts
@@ -2,7 +2,9 @@
 import {describe, it} from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
 import {EndpointPool} from '../endpoint-pool.js';
-import {decodeSpeed, encodeSpeed, EngineSpeeds, type MeasuredSpeed} from '../engine-speeds.js';
+import {
+	decodeSpeed, encodeSpeed, EngineSpeeds, type MeasuredSpeed,
+} from '../engine-speeds.js';
 
 const size = {uncachedTokens: 8000, cachedTokens: 0};
 
--- a/packages/forward/src/peers/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -108,9 +108,8 @@
 	readonly name: string;
 	readonly peers: () => readonly Peer[];
 	readonly intervalMs: () => number;
-	/** Work that these peers have not been told of. */
+	/** Work and measurements that these peers have not been told of. */
 	sent: SentWork[] = [];
-	/** Measurements that these peers have not been told of. */
 	speeds: MeasuredSpeed[] = [];
 	lastSentMs = Number.NEGATIVE_INFINITY;
 	lastUsageSentMs = Number.NEGATIVE_INFINITY;
@@ -194,7 +193,9 @@
 			configVersion: configVersion(),
 			phase: ownPhase(),
 			roleChanges: roleChanges(),
-			load: {running: load.ownRunningCounts(), prefills: load.ownPendingPrefills(), sent: group.sent, speeds: group.speeds},
+			load: {
+				running: load.ownRunningCounts(), prefills: load.ownPendingPrefills(), sent: group.sent, speeds: group.speeds,
+			},
 			crashes: crashReports(),
 			departures: departures(group.name),
 			limitNews: limitNews(),
@@ -222,9 +223,8 @@
 		const latest = this.#options.load.drainSent();
 		const speeds = this.#options.load.speeds.drain();
 		for (const group of this.#groups) {
-			const hasPeers = group.peers().length > 0;
-			group.sent = hasPeers ? [...group.sent, ...latest] : [];
-			group.speeds = hasPeers ? keepNewest([...group.speeds, ...speeds]) : [];
+			group.sent = group.peers().length === 0 ? [] : [...group.sent, ...latest];
+			group.speeds = keepNewest([...group.speeds, ...speeds]);
 		}
 	}
 
