--- a/packages/core/src/forwarding/engine-selection.ts
+++ b/packages/core/src/forwarding/engine-selection.ts
@@ -6,6 +6,7 @@
 import {groupBy} from '../group-by.js';
 import type {SoftwareVersion} from '../ids.js';
 import {findNearFastest} from '../similar-latencies.js';
+import type {Random} from '../clock.js';
 import {
 	dataCentreCrossings, engineLoad, findSelectable, pickLowest, type EndpointView,
 } from './endpoint-selection.js';
@@ -38,6 +39,8 @@
 	readonly kvTokens: number;
 	/** Decode engine that is reserved for long answers. */
 	readonly reservedEngine?: EndpointView;
+	/** Spreads the prompts of entries that share the same news; without it, the engine with the lowest score is selected. */
+	readonly random?: Random;
 };
 
 export type EngineSelection = {
@@ -73,6 +76,8 @@
 const directPrefillCostFactor = 0.5;
 /** Cost of the load of a decode engine with free slots, so that streams are distributed evenly. */
 const loadCostMs = 40;
+/** Cost of the time of an answer: a slow engine pauses its streams for longer when it prefills, and holds their slots and memory for longer. */
+const streamTimeCostFactor = 0.05;
 
 type ExpectedPrefill = {
 	/** This request's work. */
@@ -85,14 +90,15 @@
 	readonly scoreMs: number;
 };
 
-const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens}: {nowMs: number; mostCachedTokens: number}): ExpectedPrefill => {
+const estimatePrefill = (view: EndpointView, request: SelectionRequest, {nowMs, mostCachedTokens, random}: SelectionContext & {readonly mostCachedTokens: number}): ExpectedPrefill => {
 	const cachedTokens = view.segmentCache.cachedTokens(request.segments);
 	const uncachedTokens = Math.max(1, request.promptTokens - cachedTokens);
 	const ownMs = view.prefillLatency.prefillMs({uncachedTokens, cachedTokens});
 	const waitMs = view.prefillBacklog.waitMs(request.level, nowMs) + ownMs;
 	const completionMs = view.prefillBacklog.completionMs(request.level, ownMs, nowMs);
 	const recomputeMs = Math.max(0, mostCachedTokens - cachedTokens) * recomputeMsPerThousandTokens / 1000;
-	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs);
+	const scoreMs = completionMs + view.prefillLatency.firstTokenDelayMs + recomputeMs + (dataCentreCrossings(view, request.dataCentre) * crossingCostMs)
+		+ (random ? random() * view.prefillBacklog.unseenMs(nowMs) : 0);
 	return {
 		ownMs, waitMs, completionMs, uncachedTokens, scoreMs,
 	};
@@ -148,6 +154,7 @@
 	+ overrunMs(view, request, context)
 	+ reservedCostMs(view, request, context)
 	+ (loadCostMs * view.running / Math.max(1, view.endpoint.slots))
+	+ (streamTimeCostFactor * request.outputTokens * view.decodeLatency.msPerToken(Math.min(1, loadWith(view, request, context))))
 	+ (dataCentreCrossings(view, request.dataCentre) * crossingCostMs);
 
 type Candidates = {readonly decoders: readonly EndpointView[]; readonly prefillers: readonly EndpointView[]; readonly mostCachedTokens: number};
@@ -178,7 +185,7 @@
 
 /** Selects the best decode engine that prefills the prompt itself. */
 const selectDirect = ({decoders, prefillers, mostCachedTokens}: Candidates, request: SelectionRequest, context: SelectionContext): ScoredSelection | undefined => {
-	const estimates = new Map(decoders.map(view => [view, estimatePrefill(view, request, {nowMs: context.nowMs, mostCachedTokens})]));
+	const estimates = new Map(decoders.map(view => [view, estimatePrefill(view, request, {...context, mostCachedTokens})]));
 	const eligible = prefillers.length === 0
 		? decoders
 		: decoders.filter(view => estimates.get(view)!.waitMs <= Math.min(maxDirectPrefillMs, request.maxGapMs * maxDirectGapFraction));
@@ -230,7 +237,7 @@
 /** Selects the best pair of a prefill and a decode engine. */
 const selectSplit = (candidates: Candidates, request: SelectionRequest, context: SelectionContext): ScoredSelection | undefined => {
 	const {prefillers, mostCachedTokens} = candidates;
-	const estimates = new Map(prefillers.map(view => [view, estimatePrefill(view, request, {nowMs: context.nowMs, mostCachedTokens})]));
+	const estimates = new Map(prefillers.map(view => [view, estimatePrefill(view, request, {...context, mostCachedTokens})]));
 	const prefillEngine = pickLowest(prefillers, view => estimates.get(view)!.scoreMs);
 	const fetching = selectFetching(candidates, request, context);
 	if (!prefillEngine || !fetching) {
--- a/packages/forward/src/requests/placement.ts
+++ b/packages/forward/src/requests/placement.ts
@@ -77,7 +77,9 @@
  */
 const selectWithPriority = (deps: ForwardDeps, {admitted: {route, service, account, exchange}, selectionRequest, limitMs, isTrial}: SelectionOptions): PrioritizedSelection | undefined => {
 	const views = deps.pool.ofService(service.name);
-	const context = {nowMs: deps.clock.nowMs(), kvTokens: service.engine!.kvTokens};
+	const context = {
+		nowMs: deps.clock.nowMs(), kvTokens: service.engine!.kvTokens, random: deps.random,
+	};
 	const lateBudget = deps.load.lateRequestBudget(service.name);
 	const priority = account?.priority ?? route.priority;
 	const requestLevel = choosePriorityLevel(priority, selectionRequest.promptTokens);
