--- a/packages/core/src/forwarding/account-limit.ts
+++ b/packages/core/src/forwarding/account-limit.ts
@@ -48,6 +48,8 @@
 const correctionMs = 1000;
 /** More debt than the refill of this time is forgiven: spending behind a cut that has ended would stop the account for as long. */
 const maxDebtMs = 2000;
+/** The share follows the demand, which lasts for two seconds after a request, so the credit of an entry with few requests grows also between them. */
+const creditIntervalMs = 250;
 /** A peer that has told nothing for this time is forgotten. */
 const peerRetentionMs = 600_000;
 /** Costs count for the largest recent one for this time. */
@@ -150,6 +152,10 @@
 	/** Records what a peer has told. */
 	recordPeer(peer: string, told: ToldSpending, nowMs: number): void {
 		this.#refillLevel(nowMs);
+		if (nowMs - this.#creditMs >= creditIntervalMs) {
+			this.#refill(nowMs);
+		}
+
 		const known = this.#told.get(peer);
 		if (!known) {
 			this.#forgetPeers(nowMs);
