--- a/packages/forward/src/endpoints/load-tracker.ts
+++ b/packages/forward/src/endpoints/load-tracker.ts
@@ -53,6 +53,8 @@
 type PeerLoad = {readonly receivedMs: number; readonly running: readonly RunningCount[]; readonly prefills: readonly PendingPrefills[]};
 
 export class LoadTracker {
+	/** Speeds of the engines. */
+	readonly speeds: EngineSpeeds;
 	readonly #clock: Clock;
 	readonly #pool: EndpointPool;
 	readonly #peers = new Map<string, PeerLoad>();
@@ -60,8 +62,6 @@
 	readonly #longAnswerLoadLimits = new Map<string, LongAnswerLoadLimit>();
 	readonly #tokensPerEvent = new Map<string, TokensPerEvent>();
 	readonly #lateRequestBudgets = new Map<string, LateRequestBudget>();
-	/** Speeds of the engines. */
-	readonly speeds: EngineSpeeds;
 	#sent: SentWork[] = [];
 
 	constructor(clock: Clock, pool: EndpointPool) {
--- a/packages/forward/src/peers/__tests__/gossip-message.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip-message.test.ts
@@ -21,9 +21,11 @@
 		}],
 		speeds: [
 			{endpoint: 'i-2', kind: 'prefill', prefill: {size: {uncachedTokens: 800, cachedTokens: 5000}, aheadMs: 20, tookMs: 90}},
-			{endpoint: 'i-1', kind: 'stream', stream: {
-				tookMs: 900, tokens: 250, answerTokens: 260, load: 0.25,
-			}},
+			{
+				endpoint: 'i-1', kind: 'stream', stream: {
+					tookMs: 900, tokens: 250, answerTokens: 260, load: 0.25,
+				},
+			},
 		],
 	},
 	crashes: [{
