--- a/packages/core/src/forwarding/account-limit.ts
+++ b/packages/core/src/forwarding/account-limit.ts
@@ -52,8 +52,6 @@
 const creditIntervalMs = 250;
 /** A peer that has told nothing for this time is forgotten. */
 const peerRetentionMs = 600_000;
-/** Costs count for the largest recent one for this time. */
-const largestCostMs = 5000;
 /** Any stock lets one request pass, so the least one only has to be above 0. */
 const minStock = 1e-6;
 /** A share may drop to almost nothing; the retry delay is bounded by the caller's time anyway. */
@@ -70,7 +68,6 @@
 	#credit = 0;
 	#isTight = false;
 	#spent = 0;
-	#largest = {cost: 0, sinceMs: Number.NEGATIVE_INFINITY};
 	#updatedMs: number;
 	#creditMs: number;
 	#lastPart = 0;
@@ -109,9 +106,7 @@
 	/** Takes the cost of a request from the limit if there is room for it. */
 	tryTake(cost: number, nowMs: number): boolean {
 		this.#refill(nowMs);
-		const largest = this.#recordCost(cost, nowMs);
-		// Judged by the largest cost, because small requests would otherwise never leave enough for a large one.
-		if (this.#available(nowMs) >= largest) {
+		if (this.#available(nowMs) >= cost) {
 			this.#isTight = false;
 			this.#spend(cost);
 			return true;
@@ -202,14 +197,6 @@
 		this.#level -= cost;
 	}
 
-	#recordCost(cost: number, nowMs: number): number {
-		if (cost >= this.#largest.cost || nowMs - this.#largest.sinceMs > largestCostMs) {
-			this.#largest = {cost, sinceMs: nowMs};
-		}
-
-		return this.#largest.cost;
-	}
-
 	/** Entries that turn to their shares at the same moment must not all admit one request at once, so each begins at another point of a request. */
 	#enterTight(cost: number): void {
 		if (!this.#isTight) {
