--- a/packages/core/src/forwarding/account-limit.ts
+++ b/packages/core/src/forwarding/account-limit.ts
@@ -42,6 +42,8 @@
 	readonly shares: Pick<RateShares, 'ownDemand' | 'recentlyTold' | 'shareAmongTold'>;
 	readonly fleet: () => FleetPart;
 	readonly random: Random;
+	/** Units that this entry has spent before; 0 by default. */
+	readonly spent?: number;
 };
 
 /** A difference between the bucket and empty is evened out over this time, several times as long as news takes. */
@@ -67,22 +69,25 @@
 	/** Units that this entry may take from its share of the refill. Negative after a request that was larger. */
 	#credit = 0;
 	#isTight = false;
-	#spent = 0;
+	#spent: number;
 	#updatedMs: number;
 	#creditMs: number;
 	#lastPart = 0;
-	readonly #createdMs: number;
+	/** When the bucket began empty; never for one that was filled. */
+	#emptySinceMs: number;
 
 	constructor(options: AccountLimitOptions, rate: AccountRate, nowMs: number) {
 		this.#options = options;
 		this.#rate = rate;
 		this.#updatedMs = nowMs;
 		this.#creditMs = nowMs;
-		this.#createdMs = nowMs;
+		this.#emptySinceMs = nowMs;
+		this.#spent = options.spent ?? 0;
 	}
 
 	/** Fills the bucket, for a limit that begins while the entries know of each other. */
 	fill(): void {
+		this.#emptySinceMs = Number.NEGATIVE_INFINITY;
 		this.#level = this.#rate.burst;
 		this.#clampLevel();
 	}
@@ -126,6 +131,7 @@
 	giveBack(cost: number): void {
 		this.#spent -= cost;
 		this.#level += cost;
+		this.#clampLevel();
 	}
 
 	/** Charges more of a request than was taken, because it ran more than once. */
@@ -159,7 +165,7 @@
 		this.#told.set(peer, {...told, atMs: nowMs});
 		if (known?.incarnation === told.incarnation) {
 			this.#level -= told.spent - known.spent;
-		} else if (known ?? nowMs - this.#createdMs >= maxDebtMs) {
+		} else if (known ?? nowMs - this.#emptySinceMs >= maxDebtMs) {
 			// Of a peer not heard of before, only recent spending counts. What peers spent before this entry counted is no debt of its bucket, which was empty.
 			this.#level -= Math.min(told.spent, told.perSecond * maxDebtMs / msPerSecond);
 		}
@@ -201,7 +207,8 @@
 	#enterTight(cost: number): void {
 		if (!this.#isTight) {
 			this.#isTight = true;
-			this.#credit -= this.#options.random() * cost;
+			// Each turn would add to the debt without a request that was admitted, so the debt of one request is the limit.
+			this.#credit = Math.min(this.#credit, Math.max(-cost, this.#credit - (this.#options.random() * cost)));
 		}
 	}
 
--- a/packages/forward/src/accounts/account-limits.ts
+++ b/packages/forward/src/accounts/account-limits.ts
@@ -181,15 +181,16 @@
 			known.settings = limit;
 			known.limit.setRate(limit, this.#options.clock.nowMs());
 		} else {
-			this.#accounts.set(name, this.#createAccount(name, limit));
+			this.#accounts.set(name, this.#createAccount(name, limit, known?.limit.spent));
 		}
 	}
 
-	#createAccount(name: string, settings: ForwardAccountLimit): LimitedAccount {
+	/** `spent`: what this entry has told of the account so far. Peers would take a lower sum for spending that was given back. */
+	#createAccount(name: string, settings: ForwardAccountLimit, spent = 0): LimitedAccount {
 		const {clock, random, shares} = this.#options;
 		const nowMs = clock.nowMs();
 		const limit = new AccountLimit({
-			name, shares, random, fleet: () => this.#fleetPart(),
+			name, shares, random, spent, fleet: () => this.#fleetPart(),
 		}, settings, nowMs);
 		if (nowMs - this.#startedMs >= settledMs) {
 			limit.fill();
--- a/packages/forward/src/callers/__tests__/caller-connections.test.ts
+++ b/packages/forward/src/callers/__tests__/caller-connections.test.ts
@@ -22,13 +22,13 @@
 	openWith(bytes: string): Promise<Socket>;
 };
 
-const withServer = async (body: (fixture: Fixture) => Promise<void>): Promise<void> => {
+const withServer = async (body: (fixture: Fixture) => Promise<void>, maxOpen?: number): Promise<void> => {
 	let fixture: Fixture | undefined;
 	const closeReasons: CloseReason[] = [];
 	const connections = new CallerConnections(reason => {
 		closeReasons.push(reason);
 		fixture?.onClose?.();
-	});
+	}, undefined, maxOpen);
 	const exchanges: CallerExchange[] = [];
 	const answers: ServerResponse[] = [];
 	const accepted: Socket[] = [];
@@ -123,3 +123,31 @@
 		assert.equal(closeReasons.toSorted(), ['stop-idle', 'stop-receiving', 'stop-running', 'stop-unused']);
 	}));
 });
+
+const chunkedHead = 'POST /x HTTP/1.1\r\nhost: h.example\r\ntransfer-encoding: chunked\r\n\r\n';
+
+describe('limits for connections', () => {
+	it('leave an idle connection open whose refused body arrived late; guards against a close before the announced limit', async () => withServer(async fixture => {
+		const {openWith, answers, exchanges, connections} = fixture;
+		const socket = await openWith(chunkedHead);
+		await waitUntil(() => answers.length === 1, {what: 'the request'});
+		const [answer] = answers;
+		answer!.req.resume();
+		exchanges[0]!.send(429, {}, '');
+		await waitUntil(() => answer!.closed, {what: 'the end of the answer'});
+		socket.write('1\r\nb\r\n0\r\n\r\n');
+		await waitUntil(() => answer!.req.complete, {what: 'the rest of the body'});
+		await connections.closeLate({headMs: -1, unusedMs: 60_000});
+		await connections.closeLate({headMs: -1, unusedMs: 60_000});
+		assert.not(answer!.req.socket.destroyed);
+	}));
+
+	it('close one whose body does not end for a further caller; guards against a crowd that keeps all others out', async () => withServer(async ({openWith, answers, closeReasons}) => {
+		await openWith(chunkedHead);
+		await openWith(chunkedHead);
+		await waitUntil(() => answers.length === 2, {what: 'two requests'});
+		await openWith(head);
+		await waitUntil(() => answers.length === 3, {what: 'the request of the further caller'});
+		assert.equal(closeReasons, ['connection-limit']);
+	}, 2));
+});
--- a/packages/forward/src/callers/__tests__/held-bytes.test.ts
+++ b/packages/forward/src/callers/__tests__/held-bytes.test.ts
@@ -35,6 +35,15 @@
 		}), {seed});
 	});
 
+	it('takes nothing when a reader ends after its request was released; guards against bytes that stay counted for good', () => {
+		const budget = new HeldBytes(capacity);
+		const holding = budget.open(['a']);
+		holding.take(smallBytes);
+		holding.release();
+		holding.give(-smallBytes);
+		assert.is(budget.held, 0);
+	});
+
 	it('has room for a small request of a further account, whatever large ones of others hold; guards against a crowd that keeps ordinary callers out', () => {
 		fc.assert(fc.property(steps, taken => {
 			const budget = new HeldBytes(capacity);
--- a/packages/forward/src/callers/caller-connections.ts
+++ b/packages/forward/src/callers/caller-connections.ts
@@ -68,6 +68,16 @@
 
 const announcesClose = (res: ServerResponse): boolean => res.getHeader('connection') === 'close';
 
+/** Whether a request was read to its end and its answer is not complete yet. */
+const waitsForEntry = ({req, writableEnded}: ServerResponse): boolean => req.complete && !writableEnded;
+
+/** Notes that what has arrived on a connection belongs to its past requests. */
+const setAtRest = ({bytesRead}: Socket, connection: Connection): void => {
+	connection.bytesAtRest = bytesRead;
+	connection.sinceMs = performance.now();
+	connection.isReceiving = false;
+};
+
 /** Node.js emits `close` only for the response that is being sent, and not for those that wait for it. */
 const closeQueued = (running: ReadonlySet<ServerResponse>): void => {
 	for (const res of running) {
@@ -146,7 +156,8 @@
 	}
 
 	/** Counts a request. Returns false if too many requests wait on its connection, which is closed then. */
-	recordRequest({socket}: IncomingMessage, res: ServerResponse): boolean {
+	recordRequest(req: IncomingMessage, res: ServerResponse): boolean {
+		const {socket} = req;
 		const connection = this.#open.get(socket);
 		if (connection) {
 			connection.requests += 1;
@@ -159,10 +170,14 @@
 			this.#ended += 1;
 			if (connection) {
 				connection.running.delete(res);
-				connection.bytesAtRest = socket.bytesRead;
 				connection.isEnding ||= announcesClose(res);
-				connection.sinceMs = performance.now();
-				connection.isReceiving = false;
+				setAtRest(socket, connection);
+			}
+		});
+		// The rest of the body of a request that was refused early is no part of a further request.
+		req.once('end', () => {
+			if (connection?.running.size === 0) {
+				setAtRest(socket, connection);
 			}
 		});
 		if (connection && connection.running.size > maxPipelined) {
@@ -249,6 +264,11 @@
 		}
 	}
 
+	#pickYielding(newAddress: string, isServing: (connection: Connection) => boolean): {readonly socket: Socket} | undefined {
+		const candidates = [...this.#open].map(([socket, connection]) => ({socket, address: connection.address, isServing: isServing(connection)}));
+		return pickYielding(candidates, newAddress);
+	}
+
 	/** The connections in order of their age that have waited too long. Notes which ones have part of a head. */
 	#findLate(headMs: number, unusedMs: number): Array<[Socket, Connection]> {
 		const nowMs = performance.now();
@@ -263,14 +283,17 @@
 		});
 	}
 
-	/** Closes a connection without a request if there are too many; false if there is none to close. */
+	/**
+	 * Closes a connection without a request if there are too many, or else one whose caller still sends its request or leaves its answer unread; false if there
+	 * is none to close.
+	 */
 	#makeRoom(address: string): boolean {
 		if (this.#open.size < this.#maxOpen) {
 			return true;
 		}
 
-		const candidates = [...this.#open].map(([socket, {address: from, running}]) => ({socket, address: from, isServing: running.size > 0}));
-		const yielding = pickYielding(candidates, address);
+		const yielding = this.#pickYielding(address, ({running}) => running.size > 0)
+			?? this.#pickYielding(address, ({running}) => [...running].some(res => waitsForEntry(res)));
 		if (yielding) {
 			this.#open.delete(yielding.socket);
 			this.close(yielding.socket, 'connection-limit');
--- a/packages/forward/src/callers/held-bytes.ts
+++ b/packages/forward/src/callers/held-bytes.ts
@@ -92,9 +92,9 @@
 		return true;
 	}
 
-	/** Gives part of the bytes back. */
+	/** Gives part of the bytes back. A reader that ends after the request was released has none left to give. */
 	give(bytes: number): void {
-		const given = Math.min(bytes, this.#bytes);
+		const given = Math.max(0, Math.min(bytes, this.#bytes));
 		this.#bytes -= given;
 		this.#budget.add(this.#groups, -given);
 	}
--- a/packages/forward/src/callers/host-budget.ts
+++ b/packages/forward/src/callers/host-budget.ts
@@ -24,6 +24,8 @@
 const callerDescriptorFraction = 0.4;
 /** The others are for the store, other entries and further attempts. */
 const endpointDescriptorFraction = 0.35;
+/** With fewer, one request of an account would leave no room that its next one may take. */
+const minRequests = 16;
 
 export const createHostBudget = ({hostLimits = {}}: Pick<ForwardSettings, 'hostLimits'>): HostBudget => {
 	const {memoryBytes = defaultMemoryBytes, descriptors = Number.POSITIVE_INFINITY} = hostLimits;
@@ -33,6 +35,6 @@
 	return {
 		heldBytes: Math.floor(memoryBytes * heldFraction),
 		connections: Math.max(1, Math.min(byMemory, byDescriptors)),
-		requests: Math.max(1, Math.floor(sockets * endpointDescriptorFraction)),
+		requests: Math.max(minRequests, Math.floor(sockets * endpointDescriptorFraction)),
 	};
 };
--- a/packages/forward/src/callers/yielding-connection.ts
+++ b/packages/forward/src/callers/yielding-connection.ts
@@ -16,7 +16,11 @@
 	}
 
 	const free = candidates.filter(({isServing}) => !isServing);
-	const most = Math.max(0, ...free.map(({address}) => counts.get(address)!));
+	let most = 0;
+	for (const {address} of free) {
+		most = Math.max(most, counts.get(address)!);
+	}
+
 	return most < counts.get(newAddress)! && !free.some(({address}) => address === newAddress)
 		? free.at(0)
 		: free.find(({address}) => counts.get(address) === most);
--- a/packages/forward/src/endpoints/engine-speeds.ts
+++ b/packages/forward/src/endpoints/engine-speeds.ts
@@ -72,6 +72,10 @@
 export const keepNewest = (speeds: readonly MeasuredSpeed[]): MeasuredSpeed[] => speeds.slice(-maxKept);
 
 const loadDigits = 100;
+/** More tokens or milliseconds than any request has; sums of larger values would lose the others. */
+const maxMeasured = 1e9;
+
+const isMeasured = (value: unknown): value is number => isAmount(value) && value <= maxMeasured;
 
 export const encodeSpeed = (speed: MeasuredSpeed): readonly unknown[] => {
 	if (speed.kind === 'prefill') {
@@ -84,7 +88,7 @@
 };
 
 export const decodeSpeed = ([endpoint, kind, a, b, c, d]: readonly unknown[]): MeasuredSpeed | undefined => {
-	if (!isText(endpoint) || !isAmount(a) || !isAmount(b) || !isAmount(c) || !isAmount(d)) {
+	if (!isText(endpoint) || !isMeasured(a) || !isMeasured(b) || !isMeasured(c) || !isMeasured(d)) {
 		return undefined;
 	}
 
--- a/packages/forward/src/peers/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -213,7 +213,7 @@
 		const state = describeState(message);
 		const isKeepAliveDue = clock.nowMs() - group.lastSentMs >= keepAliveMs;
 		const isUsageDue = clock.nowMs() - group.lastUsageSentMs >= usageIntervalMs;
-		const news = message.load.sent.length + message.departures.length + message.streams.length;
+		const news = message.load.sent.length + message.departures.length + message.streams.length + (message.accounts?.accounts.length ?? 0);
 		if (news === 0 && state === group.lastState && !isKeepAliveDue && !isUsageDue) {
 			return;
 		}
--- a/packages/forward/src/store/__tests__/poll-intervals.test.ts
+++ b/packages/forward/src/store/__tests__/poll-intervals.test.ts
@@ -27,7 +27,7 @@
 
 	it('make at most 0.8 calls a second and entry together with the others; guards against calls that cost more than machines', () => {
 		const endpointCalls = 1000 / endpointPauseMs(steady, bounds, () => 0.5);
-		const configCalls = 1000 / configWaitMs(steady, 1600);
+		const configCalls = 1000 / configWaitMs(steady, 1600, 0.5);
 		assert.ok(endpointCalls + configCalls < 0.65, String(endpointCalls + configCalls));
 	});
 
@@ -46,7 +46,7 @@
 			const situation = {...steady, ...change};
 			assert.not(isToldByPeers(situation));
 			assert.is(endpointPauseMs(situation, bounds, () => 0.5), endpointBatchMs(situation.entries));
-			assert.is(configWaitMs(situation, 1600), 1600);
+			assert.is(configWaitMs(situation, 1600, 0.9), 1600);
 		});
 	}
 });
--- a/packages/forward/src/store/poll-intervals.ts
+++ b/packages/forward/src/store/poll-intervals.ts
@@ -72,9 +72,11 @@
 
 /**
  * Longest wait of a call for a newer configuration. It ends at once with a change; only on a connection that has gone silent does the whole wait count, and
- * then peers tell of the version and hand it on.
+ * then peers tell of the version and hand it on. A change ends the waits of all entries at one moment, so each waits for another time: `spread`, from 0 to 1,
+ * is that of the entry, and some calls of the fleet are always young.
  */
-export const configWaitMs = (situation: PollSituation, aloneMs: number): number => isToldByPeers(situation) ? aloneMs * sharedWaitFactor : aloneMs;
+export const configWaitMs = (situation: PollSituation, aloneMs: number, spread: number): number =>
+	isToldByPeers(situation) ? aloneMs * (1 + ((sharedWaitFactor - 1) * spread)) : aloneMs;
 
 /** Longest wait of a call for member rows. A new entry's row ends it at once. */
 export const membersWaitMsIn = (situation: PollSituation): number => isToldByPeers(situation) ? sharedMembersWaitMs : membersWaitMs;
--- a/packages/forward/src/store/store-follower.ts
+++ b/packages/forward/src/store/store-follower.ts
@@ -62,6 +62,7 @@
 export class StoreFollower {
 	readonly #options: StoreFollowerOptions;
 	readonly #availability = new Map<StoreTable, boolean>();
+	readonly #waitSpread: number;
 	#hasReadEndpoints = false;
 	#generation: StoreGeneration | undefined;
 	/** Since when all calls have been answered, by a store that has not returned from a copy. */
@@ -69,6 +70,7 @@
 
 	constructor(options: StoreFollowerOptions) {
 		this.#options = options;
+		this.#waitSpread = options.random();
 	}
 
 	/** Whether the last call for a table was answered. */
@@ -120,7 +122,7 @@
 			return isToldByPeers(situation) ? 0 : changeWaitMs(this.#options.silenceLimitMs, endpointBatchMs(situation.entries));
 		}
 
-		return configWaitMs(situation, changeWaitMs(this.#options.silenceLimitMs, transferPauseMs(transferMs)));
+		return configWaitMs(situation, changeWaitMs(this.#options.silenceLimitMs, transferPauseMs(transferMs)), this.#waitSpread);
 	}
 
 	async #watch(table: FollowedTable, signal: AbortSignal): Promise<void> {
--- a/packages/forward/src/usage/__tests__/usage-rounds.test.ts
+++ b/packages/forward/src/usage/__tests__/usage-rounds.test.ts
@@ -2,7 +2,9 @@
 import * as assert from 'uvu/assert';
 import type {UsageCounts} from '../../ports.js';
 import {usageRowKey} from '../usage-counter.js';
-import {isWriterIn, relayedRows, roundMs} from '../usage-rounds.js';
+import {
+	isWriterIn, ownWriteDelayMs, relayedRows, roundMs,
+} from '../usage-rounds.js';
 import {sumWindow} from '../usage-sums.js';
 
 const rowKey = (owner: string): string => usageRowKey(7, owner);
@@ -61,3 +63,11 @@
 		assert.equal(sumWindow(new Map(), rows.map(row => ({...row, version: 1})), unexpected)['account-0'], 300_000);
 	});
 });
+
+describe('the own counts of a window', () => {
+	it('are written at different moments and before its report is due; guards against windows that lack an entry which no peer hears', () => {
+		const delaysMs = Array.from({length: 24}, (_, index) => ownWriteDelayMs({index, count: 24}));
+		assert.is(new Set(delaysMs).size, 24);
+		assert.ok(Math.max(...delaysMs) + (roundMs / 5) < 2000);
+	});
+});
--- a/packages/forward/src/usage/usage-counter.ts
+++ b/packages/forward/src/usage/usage-counter.ts
@@ -7,7 +7,7 @@
 import {isStoreError} from '@hawthorncleat/store';
 import type {RowStore, UsageCounts} from '../ports.js';
 import {
-	isWindowNeeded, isWriterIn, relayedRows, roundMs, roundOf,
+	isWindowNeeded, isWriterIn, ownWriteDelayMs, relayedRows, roundMs, roundOf,
 } from './usage-rounds.js';
 
 export type UsageCounterOptions = {
@@ -78,6 +78,8 @@
 	#running: Promise<void> = Promise.resolve();
 	/** The last round in which this process wrote the counts of all. */
 	#lastRound = Number.NEGATIVE_INFINITY;
+	/** When this entry last wrote because a window had ended. */
+	#endedWindowMs = Number.NEGATIVE_INFINITY;
 	/** Counts received from other processes, by window and process. */
 	readonly #peerCounts = new Map<number, Map<string, UsageCounts>>();
 
@@ -151,7 +153,7 @@
 			const pauseMs = wasShared ? roundMs / checksPerRound : Math.max(minFlushIntervalMs, liveEntries() * flushIntervalPerEntryMs);
 			await sleep(pauseMs, undefined, {signal}).catch(() => undefined);
 			// An entry that has just lost its peers writes its own counts at once.
-			if (!signal.aborted && (!wasShared || !isShared() || this.#takeTurn())) {
+			if (!signal.aborted && (!wasShared || !isShared() || this.#takeTurn() || this.#takeEndedWindow())) {
 				await Promise.race([this.flush(), aborted]);
 			}
 		}
@@ -193,6 +195,15 @@
 		return true;
 	}
 
+	/** Whether a window that has ended has own counts that are not in the store, at most once a round. Its report must not depend on what peers have heard. */
+	#takeEndedWindow(): boolean {
+		const {nowMs, windowMs, position} = this.#options;
+		const now = nowMs() ?? 0;
+		const isDue = now - this.#endedWindowMs >= roundMs && [...this.#unwrittenWindows].some(window => now >= ((window + 1) * windowMs) + ownWriteDelayMs(position()));
+		this.#endedWindowMs = isDue ? now : this.#endedWindowMs;
+		return isDue;
+	}
+
 	#isNeeded(window: number): boolean {
 		return isWindowNeeded(window, this.#options.windowMs, this.#options.nowMs() ?? 0);
 	}
--- a/packages/forward/src/usage/usage-rounds.ts
+++ b/packages/forward/src/usage/usage-rounds.ts
@@ -25,6 +25,13 @@
 export const isWriterIn = (round: number, {index, count}: EntryPosition): boolean =>
 	Array.from({length: writersPerRound}, (_, turn) => ((round * writersPerRound) + turn) % count).includes(index);
 
+/** Each process writes its own counts of a window within this span after its end, before the report is due. */
+const ownWriteFromMs = 300;
+const ownWriteSpanMs = 1000;
+
+/** When a process writes its own counts after the end of a window; not all at the same moment. */
+export const ownWriteDelayMs = ({index, count}: EntryPosition): number => ownWriteFromMs + (ownWriteSpanMs * index / count);
+
 /** Whether the counts of a window may still be needed by others. */
 export const isWindowNeeded = (window: number, windowMs: number, nowMs: number): boolean => ((window + 1) * windowMs) + lateMs > nowMs;
 
