--- a/models/usage-return.pml
+++ b/models/usage-return.pml
@@ -3,7 +3,7 @@
 /* fault: FAULT_ALWAYS_CONTINUE */
 /* fault: FAULT_CONTINUE_UNREAD */
 /* code: packages/store/src/lease-runner.ts */
-/* code: packages/forward/src/usage-duty.ts */
+/* code: packages/forward/src/usage/usage-duty.ts */
 /*
  * Usage reports under a lease, over one return of the store from a copy. Two processes compete for the lease; what was written since
  * the copy is lost at the return. Each generation has a lease row of its own. Processes may be killed, learn of the return late,
