Review case 9: an answer with status 000 stops an entry for seconds

Tried: two entries as processes, five runners, 32 clients on kept channels; one answer of one runner has the status 000.

--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -1,9 +1,9 @@
-/** Stand-in for a client: one request on a connection of its own, and its answer. */
+/** Stand-in for a client: one request, on a connection of its own unless an agent keeps one, and its answer. */
 import {request} from 'node:http';
 import {performance} from 'node:perf_hooks';
 
 /** Resolves to the answer; status 0 if the connection ended without one. `isWhole`: the answer is complete. */
-export const callOnce = async (port, {id, method = 'POST', path, body = '', key = 'k-acme', deadlineMs = 2000, headers = {}, leaveAfterMs}) => new Promise(resolve => {
+export const callOnce = async (port, {id, method = 'POST', path, body = '', key = 'k-acme', deadlineMs = 2000, headers = {}, leaveAfterMs, agent = false}) => new Promise(resolve => {
 	const sentMs = Math.round(performance.now());
 	let isDone = false;
 	const finish = answer => {
@@ -17,8 +17,8 @@
 	};
 
 	const req = request({
-		host: '127.0.0.1', port, method, path, agent: false, headers: {
-			host: 'shop.example', 'request-id': id, credential: key, 'deadline-ms': String(deadlineMs), 'content-length': body.length, connection: 'close', ...headers,
+		host: '127.0.0.1', port, method, path, agent, headers: {
+			host: 'shop.example', 'request-id': id, credential: key, 'deadline-ms': String(deadlineMs), 'content-length': body.length, ...agent === false && {connection: 'close'}, ...headers,
 		},
 	}, res => {
 		let text = '';
