--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,4 +1,4 @@
-/* eslint-disable @stylistic/object-curly-newline */
+/* eslint-disable @stylistic/object-curly-newline, no-unmodified-loop-condition */
 /**
  * One runner of five spoils one of its answers: its status line has the status 000. Counts the requests that are unanswered at their route's `timeoutMs`, and
  * those of them that have no answer half a second later.
