--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,141 +1,117 @@
-/* eslint-disable @stylistic/object-curly-newline, @stylistic/max-len */
+/* eslint-disable @stylistic/object-curly-newline */
 /**
- * A request that crashes each runner that begins to run it comes again each second, at one entry after the other. Once it has crashed three runners, the
- * entries refuse it. Then the entries are stopped and started in turn. Counts the retries that reach a runner later than `contactMs` after the third crash, sent
- * by machines in touch.
+ * Clients send requests with many short headers, within `maxHeaderBytes` of the configuration. Compares what a runner gets of each request that it runs with
+ * what its client sent: method, path, body, and the headers that describe a prompt.
  */
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {callOnce} from '../lib-2/client.mjs';
-import {bounds, findPorts} from '../lib-2/entry.mjs';
+import {findPorts} from '../lib-2/entry.mjs';
 import {answerOk, Runner} from '../lib-2/runner.mjs';
 import {buildConfig, runCase} from '../lib-2/world.mjs';
 
-const entryCount = 3;
-const runnerCount = 5;
-/** A crashed runner is back after this time. */
-const awayMs = 1500;
-const serviceMs = 40;
-const retryPauseMs = 1000;
-/** Pause between the restarts of two machines. */
-const pauseBetweenMs = 11_000;
-/** The rule allows so many retries; the request crashes as many runners before the count begins. */
-const allowedRetries = 3;
-const observeMs = 60_000;
-const poison = {path: '/look/deadly', body: 'deadly'};
+const maxHeaderBytes = 16_384;
+const manyHeaders = 1200;
+const fewHeaders = 900;
+const requestCount = 20;
+const answerLimitMs = 3000;
+const described = ['model', 'token-count', 'prompt-prefix'];
 
 const config = buildConfig({
-	routes: [{name: 'look', kind: 'idempotent', pathPrefix: '/look/', service: 'desk'}],
+	routes: [
+		{name: 'order', kind: 'non_idempotent', pathPrefix: '/order/', service: 'desk'},
+		{name: 'note', kind: 'streaming', pathPrefix: '/note/', service: 'desk', resumable: true},
+	],
 	services: [{name: 'desk'}],
+	limits: {maxHeaderBytes},
 });
 
-/** Starts the runners. Returns the runs of the deadly request, and the other runs that a crash broke off. */
-const startRunners = async world => {
-	const deadlyRuns = [];
-	const lostRuns = [];
-	const answer = async (run, res, runner) => {
-		if (run.body === poison.body) {
-			deadlyRuns.push(run);
-			world.record(`runner ${run.runner} begins ${run.id} and crashes`);
-			runner.crash(awayMs);
-			return;
-		}
-
-		await sleep(serviceMs);
-		if (res.destroyed) {
-			lostRuns.push(run);
-			world.record(`runner ${run.runner} lost ${run.id}, which it had begun`);
-			return;
-		}
-
-		answerOk(run, res, runner);
-	};
+const createRequest = (number, headerCount) => {
+	const isOrder = number % 2 === 1;
+	const id = `${isOrder ? 'order' : 'note'}-${number}`;
+	const body = `pallet ${number}`;
+	const headers = {host: 'shop.example', 'request-id': id, credential: 'k-acme'};
+	for (let index = 1; index <= headerCount; index += 1) {
+		headers[`x${index}`] = '1';
+	}
 
-	const ports = await findPorts(runnerCount);
-	const runners = ports.map(port => new Runner({platform: world.platform, service: 'desk', port}, answer));
-	world.onEnd(() => {
-		for (const runner of runners) {
-			runner.stop();
-		}
-	});
-	await Promise.all(runners.map(async runner => runner.start()));
-	return {deadlyRuns, lostRuns};
+	const last = {'deadline-ms': '2000', model: 'm', 'token-count': '400,20', 'prompt-prefix': `a1:200,b${number}:200`, 'content-length': String(body.length)};
+	return {id, body, method: 'POST', target: `/${isOrder ? 'order' : 'note'}/${number}`, headers: {...headers, ...last}};
 };
 
-class Clients {
-	isOver = false;
-	/** By the id of each retry, whether the entry that it was sent to was in touch. */
-	wasInTouch = new Map();
-	/** When each machine was last killed, stopped or started. */
-	disturbedMs = new Map();
-	#world;
-
-	constructor(world) {
-		this.#world = world;
-		for (const {name} of world.entries) {
-			this.disturbedMs.set(name, 0);
-		}
-	}
+const writeHead = ({method, target, headers}) => {
+	const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+	return `${[`${method} ${target} HTTP/1.1`, ...lines].join('\r\n')}\r\n\r\n`;
+};
 
-	async sendDeadly() {
-		const {entries, nowMs} = this.#world;
-		this.#world.record(`begin at ${nowMs}`);
-		for (let number = 1; !this.isOver; number += 1) {
-			const {name, port} = entries[number % entryCount];
-			const id = `deadly-${number}`;
-			const wasInTouch = this.#world.nowMs - this.disturbedMs.get(name) >= bounds.contactMs;
-			this.wasInTouch.set(id, wasInTouch);
-			const {status, error} = await callOnce(port, {id, ...poison});
-			this.#world.record(`client: ${id} at ${name} (in touch: ${wasInTouch}): ${status || error}`);
-			await sleep(retryPauseMs);
-		}
-	}
+/** Sends a request; resolves to the status of its answer, or to why there is none. */
+const send = async (port, request) => new Promise(resolve => {
+	const socket = connect(port, '127.0.0.1');
+	let text = '';
+	const finish = end => {
+		clearTimeout(timer);
+		socket.destroy();
+		resolve(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? end);
+	};
 
-	async sendOthers(client) {
-		for (let number = 1; !this.isOver; number += 1) {
-			const id = `look-${client}-${number}`;
-			await callOnce(this.#world.entries[number % entryCount].port, {id, path: `/look/${id}`, body: id});
-			await sleep(serviceMs / 2);
+	const timer = setTimeout(() => {
+		finish('no answer');
+	}, answerLimitMs);
+	socket.on('data', data => {
+		text += String(data);
+		if (text.includes('\r\n\r\n')) {
+			finish('answer');
 		}
-	}
-}
+	});
+	socket.on('error', error => {
+		finish(error.code);
+	});
+	socket.on('close', () => {
+		finish('closed');
+	});
+	socket.write(writeHead(request) + request.body);
+});
 
-const restartInTurn = async (world, clients) => {
-	for (const entry of world.entries) {
-		clients.disturbedMs.set(entry.name, Number.POSITIVE_INFINITY);
-		world.record(`SIGTERM ${entry.name}`);
-		entry.signal('SIGTERM');
-		await entry.waitForExit(bounds.graceS * 1000);
-		entry.start();
-		await entry.waitUntilReady();
-		clients.disturbedMs.set(entry.name, world.nowMs);
-		world.record(`${entry.name} is ready again`);
-		await sleep(pauseBetweenMs);
-	}
-};
+const findChanges = ({method, target, body, headers}, run) => [
+	...run.method === method ? [] : [`method ${run.method}`],
+	...run.target === target ? [] : [`path ${run.target}`],
+	...run.body === body ? [] : [`body ${JSON.stringify(run.body)} in place of ${JSON.stringify(body)}`],
+	...described.filter(name => run.headers[name] !== headers[name]).map(name => `${name} ${run.headers[name]} in place of ${headers[name]}`),
+];
 
 await runCase(import.meta.url, async world => {
 	await world.startPlatform(config);
-	const {deadlyRuns, lostRuns} = await startRunners(world);
-	await world.startEntries(entryCount);
-	await sleep(bounds.contactMs);
-	const clients = new Clients(world);
-	const ended = Promise.all([clients.sendDeadly(), clients.sendOthers(1), clients.sendOthers(2)]);
-	const startMs = world.nowMs;
-	while (deadlyRuns.length < allowedRetries && world.nowMs - startMs < 20_000) {
-		await sleep(50);
+	const runs = new Map();
+	const ports = await findPorts(2);
+	for (const port of ports) {
+		const runner = new Runner({platform: world.platform, service: 'desk', port}, async (run, res, answering) => {
+			runs.set(run.id, run);
+			await sleep(20);
+			answerOk(run, res, answering);
+		});
+		await runner.start();
+		world.onEnd(() => {
+			runner.stop();
+		});
 	}
 
-	const thirdMs = deadlyRuns[2].atMs;
-	await sleep(bounds.contactMs + 1000);
-	if (world.isTroubled) {
-		await restartInTurn(world, clients);
+	await world.startEntries(2);
+	const headerCount = world.isTroubled ? manyHeaders : fewHeaders;
+	let changed = 0;
+	for (let number = 1; number <= requestCount; number += 1) {
+		const request = createRequest(number, headerCount);
+		const {id} = request;
+		const entry = world.entries[number % 2];
+		const size = `${Object.keys(request.headers).length} headers, ${Buffer.byteLength(writeHead(request))} bytes of ${maxHeaderBytes}`;
+		world.record(`client: ${id} to ${entry.name}, ${size}, body ${JSON.stringify(request.body)}`);
+		const answer = await send(entry.port, request);
+		world.record(`client: ${id}: ${answer}`);
+		const run = runs.get(id);
+		const changes = run ? findChanges(request, run) : [];
+		changed += changes.length > 0 ? 1 : 0;
+		world.record(run ? `runner ${run.runner} ran ${id}: ${changes.length > 0 ? changes.join('; ') : 'as its client sent it'}` : `${id} was not run`);
 	}
 
-	await sleep(Math.max(0, thirdMs + observeMs - world.nowMs));
-	clients.isOver = true;
-	await ended;
-	const counted = deadlyRuns.filter(({id, atMs}) => atMs > thirdMs + bounds.contactMs && clients.wasInTouch.get(id));
-	world.record(`third crash at ${thirdMs}; runs of the request in all: ${deadlyRuns.length}; runs for others that a crash broke off: ${lostRuns.length}`);
-	world.record(`retries that reached a runner later than ${bounds.contactMs} ms after the third crash, sent by machines in touch: ${counted.length} (${counted.map(({id}) => id).join(', ')}); allowed: ${allowedRetries}`);
-	return counted.length <= allowedRetries;
+	world.record(`runs whose body, path, method, Model, Token-Count or Prompt-Prefix is not the client's: ${changed} of ${runs.size}`);
+	return changed === 0;
 });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,92 +1,59 @@
-/* eslint-disable @stylistic/object-curly-newline */
+/* eslint-disable @stylistic/object-curly-newline, no-unmodified-loop-condition */
 /**
- * Clients send requests with many short headers, within `maxHeaderBytes` of the configuration. Compares what a runner gets of each request that it runs with
- * what its client sent: method, path, body, and the headers that describe a prompt.
+ * One runner of five spoils one of its answers: its status line has the status 000. Counts the requests that are unanswered at their route's `timeoutMs`, and
+ * those of them that have no answer half a second later.
  */
-import {Buffer} from 'node:buffer';
-import {connect} from 'node:net';
+import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {findPorts} from '../lib-2/entry.mjs';
+import {callOnce} from '../lib-2/client.mjs';
+import {bounds, findPorts} from '../lib-2/entry.mjs';
 import {answerOk, Runner} from '../lib-2/runner.mjs';
 import {buildConfig, runCase} from '../lib-2/world.mjs';
 
-const maxHeaderBytes = 16_384;
-const manyHeaders = 1200;
-const fewHeaders = 900;
-const requestCount = 20;
-const answerLimitMs = 3000;
-const described = ['model', 'token-count', 'prompt-prefix'];
+const entryCount = 2;
+const runnerCount = 5;
+const clientsPerEntry = 16;
+const serviceMs = 20;
+const pauseMs = 200;
+/** The time limit of `stock-lookup` on the site. */
+const timeoutMs = 1000;
+/** Clients wait longer than the route allows. */
+const deadlineMs = 8000;
+const lateMs = 500;
+/** The first runner spoils this one of its answers, the last of so many, less than a fiftieth of them. */
+const spoiledAnswer = 101;
+const afterMs = 10_000;
 
 const config = buildConfig({
-	routes: [
-		{name: 'order', kind: 'non_idempotent', pathPrefix: '/order/', service: 'desk'},
-		{name: 'note', kind: 'streaming', pathPrefix: '/note/', service: 'desk', resumable: true},
-	],
+	routes: [{name: 'look', kind: 'idempotent', pathPrefix: '/look/', service: 'desk', timeoutMs, maxAttempts: 2}],
 	services: [{name: 'desk'}],
-	limits: {maxHeaderBytes},
 });
 
-const createRequest = (number, headerCount) => {
-	const isOrder = number % 2 === 1;
-	const id = `${isOrder ? 'order' : 'note'}-${number}`;
-	const body = `pallet ${number}`;
-	const headers = {host: 'shop.example', 'request-id': id, credential: 'k-acme'};
-	for (let index = 1; index <= headerCount; index += 1) {
-		headers[`x${index}`] = '1';
-	}
-
-	const last = {'deadline-ms': '2000', model: 'm', 'token-count': '400,20', 'prompt-prefix': `a1:200,b${number}:200`, 'content-length': String(body.length)};
-	return {id, body, method: 'POST', target: `/${isOrder ? 'order' : 'note'}/${number}`, headers: {...headers, ...last}};
-};
-
-const writeHead = ({method, target, headers}) => {
-	const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-	return `${[`${method} ${target} HTTP/1.1`, ...lines].join('\r\n')}\r\n\r\n`;
+/** Sends an answer whose status is 000, with the request's id. */
+const answerSpoiled = (run, res, runner) => {
+	const text = `done ${run.id}`;
+	const head = ['HTTP/1.1 000 OK', `Request-Id: ${run.id}`, `Response-Seal: ${runner.id}.${run.id}`, `Content-Length: ${text.length}`];
+	res.socket.write(`${head.join('\r\n')}\r\n\r\n${text}`);
 };
 
-/** Sends a request; resolves to the status of its answer, or to why there is none. */
-const send = async (port, request) => new Promise(resolve => {
-	const socket = connect(port, '127.0.0.1');
-	let text = '';
-	const finish = end => {
-		clearTimeout(timer);
-		socket.destroy();
-		resolve(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? end);
-	};
-
-	const timer = setTimeout(() => {
-		finish('no answer');
-	}, answerLimitMs);
-	socket.on('data', data => {
-		text += String(data);
-		if (text.includes('\r\n\r\n')) {
-			finish('answer');
-		}
-	});
-	socket.on('error', error => {
-		finish(error.code);
-	});
-	socket.on('close', () => {
-		finish('closed');
-	});
-	socket.write(writeHead(request) + request.body);
-});
-
-const findChanges = ({method, target, body, headers}, run) => [
-	...run.method === method ? [] : [`method ${run.method}`],
-	...run.target === target ? [] : [`path ${run.target}`],
-	...run.body === body ? [] : [`body ${JSON.stringify(run.body)} in place of ${JSON.stringify(body)}`],
-	...described.filter(name => run.headers[name] !== headers[name]).map(name => `${name} ${run.headers[name]} in place of ${headers[name]}`),
-];
-
-await runCase(import.meta.url, async world => {
-	await world.startPlatform(config);
-	const runs = new Map();
-	const ports = await findPorts(2);
+const startRunners = async world => {
+	const state = {spoiledMs: undefined, runs: 0};
+	const ports = await findPorts(runnerCount);
+	let answersOfFirst = 0;
 	for (const port of ports) {
 		const runner = new Runner({platform: world.platform, service: 'desk', port}, async (run, res, answering) => {
-			runs.set(run.id, run);
-			await sleep(20);
+			state.runs += 1;
+			await sleep(serviceMs);
+			answersOfFirst += port === ports[0] ? 1 : 0;
+			if (port === ports[0] && answersOfFirst === spoiledAnswer) {
+				state.spoiledMs = world.nowMs;
+				world.record(`runner ${run.runner} gives its answer ${answersOfFirst}, to ${run.id}, with status ${world.isTroubled ? '000' : '200'}`);
+				if (world.isTroubled) {
+					answerSpoiled(run, res, answering);
+					return;
+				}
+			}
+
 			answerOk(run, res, answering);
 		});
 		await runner.start();
@@ -95,23 +62,44 @@
 		});
 	}
 
-	await world.startEntries(2);
-	const headerCount = world.isTroubled ? manyHeaders : fewHeaders;
-	let changed = 0;
-	for (let number = 1; number <= requestCount; number += 1) {
-		const request = createRequest(number, headerCount);
-		const {id} = request;
-		const entry = world.entries[number % 2];
-		const size = `${Object.keys(request.headers).length} headers, ${Buffer.byteLength(writeHead(request))} bytes of ${maxHeaderBytes}`;
-		world.record(`client: ${id} to ${entry.name}, ${size}, body ${JSON.stringify(request.body)}`);
-		const answer = await send(entry.port, request);
-		world.record(`client: ${id}: ${answer}`);
-		const run = runs.get(id);
-		const changes = run ? findChanges(request, run) : [];
-		changed += changes.length > 0 ? 1 : 0;
-		world.record(run ? `runner ${run.runner} ran ${id}: ${changes.length > 0 ? changes.join('; ') : 'as its client sent it'}` : `${id} was not run`);
+	return state;
+};
+
+await runCase(import.meta.url, async world => {
+	await world.startPlatform(config);
+	const runners = await startRunners(world);
+	await world.startEntries(entryCount);
+	await sleep(bounds.contactMs);
+	const answers = [];
+	let isOver = false;
+	const runClient = async (entry, client) => {
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		for (let number = 1; !isOver; number += 1) {
+			const id = `${entry.name}-${client}-${number}`;
+			const answer = await callOnce(entry.port, {id, method: 'GET', path: `/look/${id}`, deadlineMs, agent});
+			answers.push({...answer, entry: entry.name, tookMs: answer.endedMs - answer.sentMs});
+			await sleep(pauseMs);
+		}
+
+		agent.destroy();
+	};
+
+	const clients = world.entries.flatMap(entry => Array.from({length: clientsPerEntry}, async (_, index) => runClient(entry, index + 1)));
+	const startMs = world.nowMs;
+	while (runners.spoiledMs === undefined && world.nowMs - startMs < 40_000) {
+		await sleep(50);
+	}
+
+	await sleep(afterMs);
+	isOver = true;
+	await Promise.all(clients);
+	const unanswered = answers.filter(({tookMs}) => tookMs > timeoutMs);
+	const late = unanswered.filter(({tookMs}) => tookMs > timeoutMs + lateMs);
+	for (const {id, entry, sentMs, tookMs, status, error} of unanswered) {
+		world.record(`client: ${id} at ${entry}, sent at ${sentMs}: ${status || error || 'no answer'} after ${tookMs} ms`);
 	}
 
-	world.record(`runs whose body, path, method, Model, Token-Count or Prompt-Prefix is not the client's: ${changed} of ${runs.size}`);
-	return changed === 0;
+	world.record(`${answers.length} requests, ${runners.runs} runs; ended processes: ${world.entries.filter(({exitCode}) => exitCode !== undefined).length}`);
+	world.record(`unanswered at timeoutMs (${timeoutMs} ms): ${unanswered.length}; of these without an answer ${lateMs} ms later: ${late.length}`);
+	return late.length <= unanswered.length / 2;
 });
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,105 +1,141 @@
-/* eslint-disable @stylistic/object-curly-newline, no-unmodified-loop-condition */
+/* eslint-disable @stylistic/object-curly-newline, @stylistic/max-len */
 /**
- * One runner of five spoils one of its answers: its status line has the status 000. Counts the requests that are unanswered at their route's `timeoutMs`, and
- * those of them that have no answer half a second later.
+ * A request that crashes each runner that begins to run it comes again each second, at one entry after the other. Once it has crashed three runners, the
+ * entries refuse it. Then the entries are stopped and started in turn. Counts the retries that reach a runner later than `contactMs` after the third crash, sent
+ * by machines in touch.
  */
-import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {callOnce} from '../lib-2/client.mjs';
 import {bounds, findPorts} from '../lib-2/entry.mjs';
 import {answerOk, Runner} from '../lib-2/runner.mjs';
 import {buildConfig, runCase} from '../lib-2/world.mjs';
 
-const entryCount = 2;
+const entryCount = 3;
 const runnerCount = 5;
-const clientsPerEntry = 16;
-const serviceMs = 20;
-const pauseMs = 200;
-/** The time limit of `stock-lookup` on the site. */
-const timeoutMs = 1000;
-/** Clients wait longer than the route allows. */
-const deadlineMs = 8000;
-const lateMs = 500;
-/** The first runner spoils this one of its answers, the last of so many, less than a fiftieth of them. */
-const spoiledAnswer = 101;
-const afterMs = 10_000;
+/** A crashed runner is back after this time. */
+const awayMs = 1500;
+const serviceMs = 40;
+const retryPauseMs = 1000;
+/** Pause between the restarts of two machines. */
+const pauseBetweenMs = 11_000;
+/** The rule allows so many retries; the request crashes as many runners before the count begins. */
+const allowedRetries = 3;
+const observeMs = 60_000;
+const poison = {path: '/look/deadly', body: 'deadly'};
 
 const config = buildConfig({
-	routes: [{name: 'look', kind: 'idempotent', pathPrefix: '/look/', service: 'desk', timeoutMs, maxAttempts: 2}],
+	routes: [{name: 'look', kind: 'idempotent', pathPrefix: '/look/', service: 'desk'}],
 	services: [{name: 'desk'}],
 });
 
-/** Sends an answer whose status is 000, with the request's id. */
-const answerSpoiled = (run, res, runner) => {
-	const text = `done ${run.id}`;
-	const head = ['HTTP/1.1 000 OK', `Request-Id: ${run.id}`, `Response-Seal: ${runner.id}.${run.id}`, `Content-Length: ${text.length}`];
-	res.socket.write(`${head.join('\r\n')}\r\n\r\n${text}`);
-};
-
+/** Starts the runners. Returns the runs of the deadly request, and the other runs that a crash broke off. */
 const startRunners = async world => {
-	const state = {spoiledMs: undefined, runs: 0};
-	const ports = await findPorts(runnerCount);
-	let answersOfFirst = 0;
-	for (const port of ports) {
-		const runner = new Runner({platform: world.platform, service: 'desk', port}, async (run, res, answering) => {
-			state.runs += 1;
-			await sleep(serviceMs);
-			answersOfFirst += port === ports[0] ? 1 : 0;
-			if (port === ports[0] && answersOfFirst === spoiledAnswer) {
-				state.spoiledMs = world.nowMs;
-				world.record(`runner ${run.runner} gives its answer ${answersOfFirst}, to ${run.id}, with status ${world.isTroubled ? '000' : '200'}`);
-				if (world.isTroubled) {
-					answerSpoiled(run, res, answering);
-					return;
-				}
-			}
+	const deadlyRuns = [];
+	const lostRuns = [];
+	const answer = async (run, res, runner) => {
+		if (run.body === poison.body) {
+			deadlyRuns.push(run);
+			world.record(`runner ${run.runner} begins ${run.id} and crashes`);
+			runner.crash(awayMs);
+			return;
+		}
 
-			answerOk(run, res, answering);
-		});
-		await runner.start();
-		world.onEnd(() => {
+		await sleep(serviceMs);
+		if (res.destroyed) {
+			lostRuns.push(run);
+			world.record(`runner ${run.runner} lost ${run.id}, which it had begun`);
+			return;
+		}
+
+		answerOk(run, res, runner);
+	};
+
+	const ports = await findPorts(runnerCount);
+	const runners = ports.map(port => new Runner({platform: world.platform, service: 'desk', port}, answer));
+	world.onEnd(() => {
+		for (const runner of runners) {
 			runner.stop();
-		});
+		}
+	});
+	await Promise.all(runners.map(async runner => runner.start()));
+	return {deadlyRuns, lostRuns};
+};
+
+class Clients {
+	isOver = false;
+	/** By the id of each retry, whether the entry that it was sent to was in touch. */
+	wasInTouch = new Map();
+	/** When each machine was last killed, stopped or started. */
+	disturbedMs = new Map();
+	#world;
+
+	constructor(world) {
+		this.#world = world;
+		for (const {name} of world.entries) {
+			this.disturbedMs.set(name, 0);
+		}
+	}
+
+	async sendDeadly() {
+		const {entries, nowMs} = this.#world;
+		this.#world.record(`begin at ${nowMs}`);
+		for (let number = 1; !this.isOver; number += 1) {
+			const {name, port} = entries[number % entryCount];
+			const id = `deadly-${number}`;
+			const wasInTouch = this.#world.nowMs - this.disturbedMs.get(name) >= bounds.contactMs;
+			this.wasInTouch.set(id, wasInTouch);
+			const {status, error} = await callOnce(port, {id, ...poison});
+			this.#world.record(`client: ${id} at ${name} (in touch: ${wasInTouch}): ${status || error}`);
+			await sleep(retryPauseMs);
+		}
+	}
+
+	async sendOthers(client) {
+		for (let number = 1; !this.isOver; number += 1) {
+			const id = `look-${client}-${number}`;
+			await callOnce(this.#world.entries[number % entryCount].port, {id, path: `/look/${id}`, body: id});
+			await sleep(serviceMs / 2);
+		}
 	}
+}
 
-	return state;
+const restartInTurn = async (world, clients) => {
+	for (const entry of world.entries) {
+		clients.disturbedMs.set(entry.name, Number.POSITIVE_INFINITY);
+		world.record(`SIGTERM ${entry.name}`);
+		entry.signal('SIGTERM');
+		await entry.waitForExit(bounds.graceS * 1000);
+		entry.start();
+		await entry.waitUntilReady();
+		clients.disturbedMs.set(entry.name, world.nowMs);
+		world.record(`${entry.name} is ready again`);
+		await sleep(pauseBetweenMs);
+	}
 };
 
 await runCase(import.meta.url, async world => {
 	await world.startPlatform(config);
-	const runners = await startRunners(world);
+	const {deadlyRuns, lostRuns} = await startRunners(world);
 	await world.startEntries(entryCount);
 	await sleep(bounds.contactMs);
-	const answers = [];
-	let isOver = false;
-	const runClient = async (entry, client) => {
-		const agent = new Agent({keepAlive: true, maxSockets: 1});
-		for (let number = 1; !isOver; number += 1) {
-			const id = `${entry.name}-${client}-${number}`;
-			const answer = await callOnce(entry.port, {id, method: 'GET', path: `/look/${id}`, deadlineMs, agent});
-			answers.push({...answer, entry: entry.name, tookMs: answer.endedMs - answer.sentMs});
-			await sleep(pauseMs);
-		}
-
-		agent.destroy();
-	};
-
-	const clients = world.entries.flatMap(entry => Array.from({length: clientsPerEntry}, async (_, index) => runClient(entry, index + 1)));
+	const clients = new Clients(world);
+	const ended = Promise.all([clients.sendDeadly(), clients.sendOthers(1), clients.sendOthers(2)]);
 	const startMs = world.nowMs;
-	while (runners.spoiledMs === undefined && world.nowMs - startMs < 40_000) {
+	while (deadlyRuns.length < allowedRetries && world.nowMs - startMs < 20_000) {
 		await sleep(50);
 	}
 
-	await sleep(afterMs);
-	isOver = true;
-	await Promise.all(clients);
-	const unanswered = answers.filter(({tookMs}) => tookMs > timeoutMs);
-	const late = unanswered.filter(({tookMs}) => tookMs > timeoutMs + lateMs);
-	for (const {id, entry, sentMs, tookMs, status, error} of unanswered) {
-		world.record(`client: ${id} at ${entry}, sent at ${sentMs}: ${status || error || 'no answer'} after ${tookMs} ms`);
+	const thirdMs = deadlyRuns[2].atMs;
+	await sleep(bounds.contactMs + 1000);
+	if (world.isTroubled) {
+		await restartInTurn(world, clients);
 	}
 
-	world.record(`${answers.length} requests, ${runners.runs} runs; ended processes: ${world.entries.filter(({exitCode}) => exitCode !== undefined).length}`);
-	world.record(`unanswered at timeoutMs (${timeoutMs} ms): ${unanswered.length}; of these without an answer ${lateMs} ms later: ${late.length}`);
-	return late.length <= unanswered.length / 2;
+	await sleep(Math.max(0, thirdMs + observeMs - world.nowMs));
+	clients.isOver = true;
+	await ended;
+	const counted = deadlyRuns.filter(({id, atMs}) => atMs > thirdMs + bounds.contactMs && clients.wasInTouch.get(id));
+	world.record(`third crash at ${thirdMs}; runs of the request in all: ${deadlyRuns.length}; runs for others that a crash broke off: ${lostRuns.length}`);
+	world.record(`retries that reached a runner later than ${bounds.contactMs} ms after the third crash, sent by machines in touch: ${counted.length} (${counted.map(({id}) => id).join(', ')}); allowed: ${allowedRetries}`);
+	return counted.length <= allowedRetries;
 });
