--- a/packages/entry/src/__tests__/service.test.ts
+++ b/packages/entry/src/__tests__/service.test.ts
@@ -46,6 +46,16 @@
 		assert.not.match(JSON.stringify(desk.calls), goodKey);
 	}));
 
+	it('forwards what comes behind a thousand headers; guards against an order without its body and the headers that describe it', async () => withEntry(async world => {
+		const desk = await addDesk(world, () => answer(200));
+		const many = Object.fromEntries(Array.from({length: 1200}, (_, index) => [`a${index}`, '1']));
+		const res = await order(world, {...many, 'accept-language': 'nb'});
+		assert.is(res.status, 200);
+		const [call] = desk.calls;
+		assert.is(Buffer.from(call!.bodyBase64, 'base64').toString(), '{"pallets":2}');
+		assert.is(call!.headers['accept-language'], 'nb');
+	}));
+
 	it('continues the trace of the caller', async () => withEntry(async world => {
 		const desk = await addDesk(world, () => answer(200));
 		const traceId = '0af7651916cd43dd8448eb211c80319c';
--- a/packages/entry/src/caller-server.ts
+++ b/packages/entry/src/caller-server.ts
@@ -93,5 +93,7 @@
 	});
 	// The entry's own limit for a body is shorter; this one covers slow headers.
 	server.headersTimeout = 10_000;
+	// By default Node.js drops all headers after the first thousand without an error. The size of a head is limited instead.
+	server.maxHeadersCount = 0;
 	return server;
 };
--- a/packages/forward/src/callers/servers.ts
+++ b/packages/forward/src/callers/servers.ts
@@ -11,6 +11,8 @@
 
 /** Larger request heads are refused before they are parsed. The limit in the configuration is lower. */
 const maxRequestHeadBytes = 64 * 1024;
+/** By default Node.js drops all headers after the first thousand without an error, also those that frame the body. The size of a head is limited instead. */
+const unlimitedHeaders = 0;
 const idleTimeoutMs = 15_000;
 /** A request that was sent within the announced limit arrives within this time after it. */
 const closeMarginMs = 1000;
@@ -28,6 +30,7 @@
 	const server = createServer({
 		maxHeaderSize: maxRequestHeadBytes, keepAliveTimeout: idleTimeoutMs, requestTimeout: 0, noDelay: true,
 	}, listener);
+	server.maxHeadersCount = unlimitedHeaders;
 	const isOpen = await openPort(name, async () => {
 		server.listen({host: address, port, backlog: queueLength});
 		await once(server, 'listening');
--- a/packages/stand-ins/src/http-server.ts
+++ b/packages/stand-ins/src/http-server.ts
@@ -149,6 +149,8 @@
 	const server = createServer(createRequestListener(options.routes));
 	// Clients keep idle connections; if the server closed them early, a test would see a fault that it did not inject.
 	server.keepAliveTimeout = 60_000;
+	// With the default limit headers that a daemon has sent could be missing here.
+	server.maxHeadersCount = 0;
 	const port = await startListening(server, address, options.port ?? 0);
 	const closed = new Promise<void>(resolve => {
 		const stop = (): void => {
