--- a/packages/core/src/forwarding/crashing-segments.ts
+++ b/packages/core/src/forwarding/crashing-segments.ts
@@ -9,11 +9,11 @@
  */
 import type {Clock} from '../clock.js';
 import type {SegmentKey} from '../ids.js';
+import {LatestTimes, putLatest} from './latest-times.js';
 import {
 	SegmentCrashes, wasAnyPresent, type CrashGroup, type SegmentCrash,
 } from './segment-crashes.js';
-import {putLatest, SegmentTimes} from './segment-times.js';
-import {trialWaitMs, type EntryPosition} from './trial-turns.js';
+import {TrialArrivals, trialWaitMs, type EntryPosition} from './trial-turns.js';
 
 /** A request that merely starts beside the one that crashes the engine is present at one or two crashes by chance. */
 const quarantineCrashes = 3;
@@ -35,11 +35,6 @@
 const maxQuarantineMs = 300_000;
 /** A run shows within this time whether it crashes its engine: by then most have waited for the engine, had their prompts read and begun to decode. */
 const trialMs = 10_000;
-/** Requests of this time tell how often a segment is asked for. */
-const arrivalWindowMs = 10_000;
-/** With more arrivals in the window, an entry shares its turn with no other. */
-const maxArrivalTimes = 16;
-const msPerSecond = 1000;
 /** For this time after its quarantine a segment is tried by one run at a time, and returns to quarantine at the next crash. */
 const probationMs = 600_000;
 /** Few runs begin at one engine at the same moment. */
@@ -64,10 +59,10 @@
 	/** When the latest completed run of each segment began, the latest one last. */
 	readonly #completedMs = new Map<SegmentKey, number>();
 	/** Requests of this entry that were allowed to run. */
-	readonly #requests = new SegmentTimes(maxRequestTimes);
+	readonly #requests = new LatestTimes<SegmentKey>(maxRequestTimes);
 	readonly #quarantines = new Map<SegmentKey, SegmentQuarantine>();
 	/** Requests with segments that have been in quarantine, with those that were rejected. */
-	readonly #arrivals = new SegmentTimes(maxArrivalTimes);
+	readonly #arrivals = new TrialArrivals<SegmentKey>();
 	readonly #quarantineCounts = new Map<SegmentKey, number>();
 
 	/** `position`: that of this entry among those of the fleet. */
@@ -195,12 +190,7 @@
 	/** Time until this entry may run a request that a quarantine concerns; 0 if it may run now. */
 	#waitMs({segment, untilMs}: SegmentQuarantine): number {
 		const nowMs = this.#clock.nowMs();
-		return nowMs < untilMs ? untilMs - nowMs : trialWaitMs(nowMs - untilMs, this.#position(), this.#arrivalsPerSecond(segment));
-	}
-
-	#arrivalsPerSecond(segment: SegmentKey): number {
-		const arrivals = this.#arrivals.countSince(segment, this.#clock.nowMs() - arrivalWindowMs);
-		return Math.max(1, arrivals) / arrivalWindowMs * msPerSecond;
+		return nowMs < untilMs ? untilMs - nowMs : trialWaitMs(nowMs - untilMs, this.#position(), this.#arrivals.perSecond(segment, nowMs));
 	}
 
 	/** Keeps a quarantine, until at least the time given. One that begins again after its end counts as another one. */
--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -28,6 +28,7 @@
 export {CrashingSegments, type SegmentQuarantine} from './crashing-segments.js';
 export {type SegmentCrash} from './segment-crashes.js';
 export {type EntryPosition} from './trial-turns.js';
+export {QuarantinedRequests, retainedUntilMs, type RequestQuarantine} from './quarantined-requests.js';
 export {RequestArrivals, type ArrivingCall, type PlannedAttempt} from './request-arrivals.js';
 export {
 	RetryWindow, type RetryLimits, type RetryReservation, type RetryWindowOptions, type RetryWindowState,
--- a/packages/forward/src/daemon/forward-components.ts
+++ b/packages/forward/src/daemon/forward-components.ts
@@ -2,13 +2,13 @@
  * Creates the components of a forwarding entry and connects them to each other.
  */
 import {
-	RateShares, type Clock, type FleetPart, type MakeId, type Random, type SegmentQuarantine,
+	RateShares, type Clock, type FleetPart, type MakeId, type Random,
 } from '@hawthorncleat/core';
 import {AccountLimits} from '../accounts/account-limits.js';
 import {ActiveConfig} from '../store/active-config.js';
 import {countStoreCalls} from '../store/counted-platform.js';
 import {BackoffRecorder} from '../endpoints/backoff-recorder.js';
-import {CrashGuard} from '../quarantines/crash-guard.js';
+import type {CrashGuard} from '../quarantines/crash-guard.js';
 import type {DecisionLog} from '../telemetry/decision-log.js';
 import type {AnswerListener} from '../endpoints/endpoint-answer.js';
 import {EndpointDirectory} from '../endpoints/endpoint-directory.js';
@@ -23,7 +23,6 @@
 import type {ForwardSettings, Platform} from '../ports.js';
 import {QuarantineRows} from '../quarantines/quarantine-rows.js';
 import {RateLimits} from '../endpoints/rate-limits.js';
-import {refusesConnections} from '../endpoints/refuses-connections.js';
 import {registrationExpiryMs} from '../endpoints/registration-outages.js';
 import {RequestReports} from '../requests/request-reports.js';
 import {ResumedStreams} from '../streams/resumed-streams.js';
@@ -36,6 +35,7 @@
 import {createSupervisor, type Supervise} from '../utils/supervisor.js';
 import {CorrectedClock} from '../store/corrected-clock.js';
 import {UsageCounter} from '../usage/usage-counter.js';
+import {createCrashGuard} from './create-crash-guard.js';
 import {EntryPhases} from './entry-phases.js';
 
 export type ForwardDaemonDeps = {
@@ -96,42 +96,6 @@
 /** A peer without a message for this time is not in touch. Each sends one a second, and one may be lost. */
 const inTouchMs = 2500;
 
-type LoggedQuarantine = SegmentQuarantine & {readonly isAdopted?: boolean; readonly isTrial?: boolean};
-
-const logQuarantine = ({clock, log}: {readonly clock: Clock; readonly log: DecisionLog}, {segment, companions, untilMs, isAdopted, isTrial}: LoggedQuarantine): void => {
-	log.write('quarantine', {
-		segment, companions, forMs: Math.round(untilMs - clock.nowMs()), isAdopted, isTrial,
-	});
-};
-
-type CrashGuardComponents = Pick<ForwardComponents, 'members' | 'quarantineRows'>;
-
-const createCrashGuard = (clock: Clock, log: DecisionLog, {members, quarantineRows}: CrashGuardComponents): CrashGuard => new CrashGuard({
-	clock,
-	position: () => members.position(),
-	refusesConnections,
-	onCrash({endpoint, requests}) {
-		log.write('endpoint', {
-			id: endpoint, was: 'running', is: 'crashed', requests,
-		});
-	},
-	onQuarantine(quarantine) {
-		logQuarantine({clock, log}, {...quarantine, isAdopted: false});
-		void quarantineRows.save([quarantine]);
-	},
-	onAdoption(quarantine) {
-		logQuarantine({clock, log}, {...quarantine, isAdopted: true});
-	},
-	onTrial(quarantine) {
-		logQuarantine({clock, log}, {...quarantine, isTrial: true});
-		void quarantineRows.save([quarantine]);
-	},
-	onQuarantineEnd(segment) {
-		log.write('quarantine', {segment, forMs: 0});
-		void quarantineRows.remove(segment);
-	},
-});
-
 /** The entries that share the limits, and those of them that are in touch. */
 const describeFleet = (clock: Clock, members: Membership, lastSeenMs: (peer: string) => number | undefined): FleetPart => {
 	const sinceMs = clock.nowMs() - inTouchMs;
@@ -191,7 +155,7 @@
 	const quarantineRows = new QuarantineRows({
 		rows, correctedClock, nowMs: () => clock.nowMs(), log,
 	});
-	const crashes = createCrashGuard(clock, log, {members, quarantineRows});
+	const crashes = createCrashGuard({clock, log}, {members, quarantineRows});
 	const load = new LoadTracker(clock, pool);
 	const roleChanges = new RoleChanges(clock, pool);
 	const usage = new UsageCounter({
@@ -281,7 +245,10 @@
 			usage.recordStoreReturn();
 			softwareVersions.recordStoreReturn();
 			streamOrigins.recordStoreReturn();
-			void quarantineRows.save(crashes.segmentQuarantines);
+			void quarantineRows.saveSegments(crashes.segmentQuarantines);
+			if (members.position().index === 0) {
+				void quarantineRows.saveRequests(crashes.requestQuarantines);
+			}
 		},
 	});
 	return {
--- a/packages/forward/src/peers/__tests__/gossip-message.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip-message.test.ts
@@ -39,6 +39,12 @@
 			segment: brandAs<SegmentKey>('models/x'), companions: [], refutedAgeMs: 10, remainingMs: 500,
 		}],
 	},
+	requests: {
+		quarantines: [{
+			fingerprint: brandAs<Fingerprint>('f'), count: 2, trials: 1, ageMs: 70_000, remainingMs: -10_000, heldMs: 400,
+		}],
+		completed: [{fingerprint: brandAs<Fingerprint>('g'), ageMs: 20}],
+	},
 	streams: [{service: 'models', softwareVersion: 'v1', ids: ['9c41d07be2a35f68']}],
 	usage: {owner: 'e1', windows: [[4, {planning: 12}]]},
 } as unknown as GossipMessage;
@@ -59,6 +65,7 @@
 	}
 
 	const {running, prefills = [], sent} = decoded.load;
+	assert.ok(numbersIn(decoded.requests).every(number => Number.isFinite(number)), text);
 	assert.ok(numbersIn([running, prefills, sent, decoded.phase, decoded.crashes, decoded.departures]).every(number => Number.isFinite(number) && number >= 0), text);
 	assert.ok([...sent, ...prefills.flatMap(({work}) => work)].every(({level}) => Number.isInteger(level) && level < priorityLevelCount), text);
 };
--- a/packages/forward/src/peers/__tests__/gossip.test.ts
+++ b/packages/forward/src/peers/__tests__/gossip.test.ts
@@ -8,9 +8,8 @@
 	createManualClock, describe, findFreePort, it, loopback,
 } from '@hawthorncleat/test-kit';
 import * as assert from 'uvu/assert';
-import {
-	Gossip, sendIntervalMs, type GossipOptions, type Peer,
-} from '../gossip.js';
+import {Gossip, sendIntervalMs, type GossipOptions} from '../gossip.js';
+import type {Peer} from '../peer-group.js';
 import type {Departure} from '../../endpoints/departures.js';
 import {ForwardMetrics} from '../../telemetry/metrics.js';
 import type {SegmentNews} from '../../quarantines/segment-quarantines.js';
@@ -47,6 +46,8 @@
 	onAccountNews: () => undefined,
 	segmentNews: () => ({crashes: [], completed: [], quarantines: []}),
 	onSegmentNews: () => undefined,
+	requestNews: () => ({quarantines: [], completed: []}),
+	onRequestNews: () => undefined,
 	streamNews: () => [],
 	onStreamNews: () => undefined,
 	onUsage: () => undefined,
--- a/packages/forward/src/peers/__tests__/readers-random.test.ts
+++ b/packages/forward/src/peers/__tests__/readers-random.test.ts
@@ -1,5 +1,5 @@
 /** Rows of the store that are spoiled: arbitrary texts, arbitrary JSON, and sound rows with one part changed. Each costs itself alone. */
-import {brandAs, type StoreGeneration} from '@hawthorncleat/core';
+import {brandAs, type Fingerprint, type StoreGeneration} from '@hawthorncleat/core';
 import {
 	createManualClock, describe, it, spoiledTexts,
 } from '@hawthorncleat/test-kit';
@@ -7,7 +7,8 @@
 import * as assert from 'uvu/assert';
 import {Membership} from '../membership.js';
 import type {StoreAnswer} from '../../ports.js';
-import {decodeQuarantines} from '../../quarantines/quarantine-rows.js';
+import {RequestQuarantines} from '../../quarantines/request-quarantines.js';
+import {decodeRows} from '../../quarantines/quarantine-row-format.js';
 import {usageRowKey} from '../../usage/usage-counter.js';
 import {sumWindow} from '../../usage/usage-sums.js';
 
@@ -16,6 +17,11 @@
 const soundQuarantine = {
 	segment: 'models/s1', companions: ['models/s0'], refutedAfterMs: 10, untilMs: 90_000,
 };
+const soundRequest = {
+	request: 'r1', count: 1, sinceMs: 0, untilMs: 60_000,
+};
+/** The longest quarantine of a request. */
+const maxQuarantineMs = 3_600_000;
 const soundMember = {
 	address: '127.0.0.1', gossipPort: 7946, peerPort: 7947, dataCentre: 'a', wallOffsetMs: 5,
 };
@@ -45,12 +51,22 @@
 
 	it('are no quarantine, and the others hold; guards against an entry that knows none of them after a start', () => {
 		fc.assert(fc.property(spoiledTexts(soundQuarantine), text => {
-			const quarantines = decodeQuarantines(answerWith({damaged: text, sound: JSON.stringify(soundQuarantine)}));
+			const {segments: quarantines} = decodeRows(answerWith({damaged: text, sound: JSON.stringify(soundQuarantine)}));
 			assert.ok(quarantines.some(({remainingMs}) => remainingMs === 89_900));
 			assert.ok(quarantines.every(({segment, companions, refutedAgeMs}) => [segment, ...companions].every(name => typeof name === 'string') && Number.isFinite(refutedAgeMs)));
 		}), runs);
 	});
 
+	it('are no quarantine of a request, and the others hold; guards against a request that is refused for ever, or let through', () => {
+		fc.assert(fc.property(spoiledTexts(soundRequest), text => {
+			const clock = createManualClock(100);
+			const requests = new RequestQuarantines({clock, position: () => ({index: 0, count: 1}), onChange: () => undefined});
+			requests.restore(decodeRows(answerWith({damaged: text, sound: JSON.stringify({...soundRequest, request: 'sound'})})).requests);
+			assert.is(requests.remainingMs(brandAs<Fingerprint>('sound')), 59_900);
+			assert.ok(requests.remembered.every(({fingerprint}) => (requests.remainingMs(fingerprint) ?? 0) <= maxQuarantineMs));
+		}), runs);
+	});
+
 	it('are no entry, and the others are peers; guards against datagrams to nowhere and shares of entries that are none', () => {
 		fc.assert(fc.property(spoiledTexts(soundMember), text => {
 			const members = new Membership(createManualClock(0), 'e1', () => undefined);
--- a/packages/forward/src/peers/create-gossip.ts
+++ b/packages/forward/src/peers/create-gossip.ts
@@ -77,6 +77,10 @@
 	onSegmentNews(news) {
 		components.crashes.applyPeerSegmentNews(news);
 	},
+	requestNews: receivers => components.crashes.requestNewsToSend(receivers),
+	onRequestNews(news) {
+		components.crashes.applyPeerRequestNews(news);
+	},
 	streamNews: receivers => components.streamOrigins.newsToSend(receivers),
 	onStreamNews(news) {
 		components.streamOrigins.applyNews(news);
--- a/packages/forward/src/peers/gossip-message.ts
+++ b/packages/forward/src/peers/gossip-message.ts
@@ -17,6 +17,9 @@
 } from '../endpoints/load-tracker.js';
 import type {LimitNews, ToldLimit} from '../endpoints/rate-limits.js';
 import type {RoleChange} from '../roles/role-changes.js';
+import {
+	countRequestNews, decodeRequestNews, encodeRequestNews, type RequestNews,
+} from '../quarantines/request-news.js';
 import type {SegmentNews} from '../quarantines/segment-quarantines.js';
 import type {StreamNews} from '../streams/stream-origins.js';
 import type {UsageNotice} from '../usage/usage-counter.js';
@@ -43,6 +46,8 @@
 	readonly accounts?: AccountNews;
 	/** News about prompt segments that crash engines. */
 	readonly segments?: SegmentNews;
+	/** News about requests that crash endpoints. */
+	readonly requests?: RequestNews;
 	/** Streams that the sender has begun, while several software versions are in use. */
 	readonly streams?: readonly StreamNews[];
 	/** Usage that is not in the store yet. Only some messages carry it. */
@@ -181,7 +186,7 @@
 
 /** The text of a message. The fields keep the names that entries of earlier versions read. */
 export const encodeMessage = ({
-	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, accounts, segments, streams, usage,
+	from, configVersion, phase, roleChanges, load, crashes, departures, limitNews, accounts, segments, requests, streams, usage,
 }: GossipMessage): string => JSON.stringify({
 	from,
 	config: configVersion,
@@ -196,6 +201,7 @@
 	...limitNews && limitNews.limits.length > 0 && encodeLimitNews(limitNews),
 	...accounts && {accounts: encodeAccountNews(accounts)},
 	...segments && hasSegmentNews(segments) && {segments: roundAges(segments)},
+	...requests && countRequestNews(requests) > 0 && {requests: encodeRequestNews(requests)},
 	...streams && streams.length > 0 && {streams: streams.map(news => encodeStreams(news))},
 	...usage && {usage},
 });
@@ -209,13 +215,14 @@
 /** Decodes a datagram; undefined if it is no message. */
 export const decodeMessage = (text: string): GossipMessage | undefined => {
 	const {
-		from, config, phase, changing, running, prefills, sent, speeds, crashes, departures, limits, demands, accounts, segments, streams, usage,
+		from, config, phase, changing, running, prefills, sent, speeds, crashes, departures, limits, demands, accounts, segments, requests, streams, usage,
 	} = parseFields(text);
 	if (!isText(from) || !isAmount(config) || !isTuple(changing) || !isTuple(running) || !isTuple(sent)) {
 		return undefined;
 	}
 
 	const accountNews = decodeAccountNews(accounts);
+	const requestNews = decodeRequestNews(requests);
 	return {
 		from,
 		configVersion: config,
@@ -232,6 +239,7 @@
 		...isTuple(limits) && {limitNews: {limits: decodeList(limits, tuple => decodeLimit(tuple)), demands: decodeList(demands, tuple => decodeDemand(tuple))}},
 		...accountNews && {accounts: accountNews},
 		...isSegmentNews(segments) && {segments},
+		...requestNews && {requests: requestNews},
 		...isTuple(streams) && {streams: decodeList(streams, tuple => decodeStreams(tuple))},
 		...isUsageNotice(usage) && {usage},
 	};
--- a/packages/forward/src/peers/gossip.ts
+++ b/packages/forward/src/peers/gossip.ts
@@ -12,26 +12,20 @@
 import type {CrashReport} from '../quarantines/crash-guard.js';
 import type {Departure} from '../endpoints/departures.js';
 import type {SentPhase} from '../daemon/entry-phases.js';
-import {keepNewest, type MeasuredSpeed} from '../endpoints/engine-speeds.js';
-import type {LoadTracker, SentWork} from '../endpoints/load-tracker.js';
+import {keepNewest} from '../endpoints/engine-speeds.js';
+import type {LoadTracker} from '../endpoints/load-tracker.js';
 import type {ForwardMetrics} from '../telemetry/metrics.js';
 import {openPort, type PortFailureListener} from '../utils/open-port.js';
 import type {LimitNews} from '../endpoints/rate-limits.js';
 import type {RoleChange} from '../roles/role-changes.js';
+import type {RequestNews} from '../quarantines/request-news.js';
 import type {SegmentNews} from '../quarantines/segment-quarantines.js';
 import type {StreamNews} from '../streams/stream-origins.js';
 import type {Supervise} from '../utils/supervisor.js';
 import type {UsageNotice} from '../usage/usage-counter.js';
 import {decodeMessage, encodeMessage, type GossipMessage} from './gossip-message.js';
-
-/** Another entry. */
-export type Peer = {
-	readonly name: string;
-	readonly address: string;
-	readonly port: number;
-	/** Entries of earlier versions do not tell it. */
-	readonly dataCentre?: string;
-};
+import {describeState, isDivisible} from './message-parts.js';
+import {PeerGroup, type Peer} from './peer-group.js';
 
 export type GossipOptions = {
 	readonly clock: Clock;
@@ -62,6 +56,9 @@
 	/** News for the peers that the name stands for; they are repeated to each of them. */
 	readonly segmentNews: (receivers: string) => SegmentNews;
 	readonly onSegmentNews: (news: SegmentNews) => void;
+	/** News about requests that crash endpoints, for the peers that the name stands for. */
+	readonly requestNews: (receivers: string) => RequestNews;
+	readonly onRequestNews: (news: RequestNews) => void;
 	/** Streams that this entry has begun, for the peers that the name stands for. */
 	readonly streamNews: (receivers: string) => readonly StreamNews[];
 	readonly onStreamNews: (news: readonly StreamNews[]) => void;
@@ -88,46 +85,9 @@
 /** A datagram fits into one Ethernet packet. */
 const maxDatagramBytes = 1400;
 
-/** What is new to the receivers, without ages and amounts, which change all the time. */
-const describeState = ({load: {running, prefills = []}, roleChanges, crashes, limitNews, segments, phase}: GossipMessage): string => JSON.stringify([
-	running,
-	prefills.map(({endpoint}) => endpoint),
-	roleChanges,
-	crashes.map(({fingerprint, endpoint}) => [fingerprint, endpoint]),
-	segments?.crashes.map(({endpoint}) => endpoint),
-	[...segments?.completed ?? [], ...segments?.quarantines ?? []].map(({segment}) => segment),
-	limitNews?.limits.map(({id, perSecond}) => [id, perSecond]),
-	phase.phase,
-]);
-
-/** Whether a message has parts that can be sent in another datagram. The load of running requests is in each of them. */
-const isDivisible = ({load: {sent}, crashes, departures, limitNews, accounts, segments, streams = [], usage}: GossipMessage): boolean =>
-	sent.length > 1
-	|| (departures.length + streams.length + (limitNews?.limits.length ?? 0) + (accounts?.accounts.length ?? 0) > 0
-		&& (sent.length > 0 || crashes.length > 0 || segments !== undefined || usage !== undefined));
-
 /** Interval between two messages of an entry, by the number of its peers. */
 export const sendIntervalMs = (peers: number): number => Math.min(maxSendIntervalMs, Math.max(minSendIntervalMs, peers * sendIntervalPerPeerMs));
 
-/** Peers that get the same messages, and what they have got. */
-class PeerGroup {
-	readonly name: string;
-	readonly peers: () => readonly Peer[];
-	readonly intervalMs: () => number;
-	/** Work and measurements that these peers have not been told of. */
-	sent: SentWork[] = [];
-	speeds: MeasuredSpeed[] = [];
-	lastSentMs = Number.NEGATIVE_INFINITY;
-	lastUsageSentMs = Number.NEGATIVE_INFINITY;
-	lastState = '';
-
-	constructor(name: string, peers: () => readonly Peer[], intervalMs: () => number) {
-		this.name = name;
-		this.peers = peers;
-		this.intervalMs = intervalMs;
-	}
-}
-
 export class Gossip {
 	readonly #options: GossipOptions;
 	readonly #socket: Socket;
@@ -192,7 +152,7 @@
 	/** Sends a message if there is news, or if the last message or the last usage notice is too long ago. */
 	#sendIfDue(group: PeerGroup): void {
 		const {
-			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, accountNews, segmentNews, streamNews, usageNotice,
+			clock, load, configVersion, ownPhase, roleChanges, ownName, crashReports, departures, limitNews, accountNews, segmentNews, requestNews, streamNews, usageNotice,
 		} = this.#options;
 		const message = {
 			from: ownName,
@@ -207,6 +167,7 @@
 			limitNews: limitNews(),
 			accounts: accountNews(group.name),
 			segments: segmentNews(group.name),
+			requests: requestNews(group.name),
 			streams: streamNews(group.name),
 		} satisfies GossipMessage;
 		group.sent = [];
@@ -252,6 +213,7 @@
 				departures: [],
 				limitNews: undefined,
 				accounts: undefined,
+				requests: undefined,
 				streams: [],
 			});
 			this.#sendToPeers(peers, {
@@ -304,6 +266,10 @@
 			this.#options.onSegmentNews(message.segments);
 		}
 
+		if (message.requests) {
+			this.#options.onRequestNews(message.requests);
+		}
+
 		if (message.streams && message.streams.length > 0) {
 			this.#options.onStreamNews(message.streams);
 		}
--- a/packages/forward/src/peers/membership.ts
+++ b/packages/forward/src/peers/membership.ts
@@ -9,7 +9,7 @@
 import type {RowStore, StoreAnswer} from '../ports.js';
 import type {CorrectedClock} from '../store/corrected-clock.js';
 import {isFields, isText, parseJson} from '../utils/value-checks.js';
-import type {Peer} from './gossip.js';
+import type {Peer} from './peer-group.js';
 
 /** The row that an entry writes about itself. */
 export type Member = {
--- a/packages/forward/src/quarantines/__tests__/crash-guard.test.ts
+++ b/packages/forward/src/quarantines/__tests__/crash-guard.test.ts
@@ -48,6 +48,7 @@
 		onQuarantine: () => undefined,
 		onAdoption: () => undefined,
 		onQuarantineEnd: () => undefined,
+		onRequestChange: () => undefined,
 	});
 
 /** The run began before any crash, unless `startedMs` says otherwise. */
--- a/packages/forward/src/quarantines/__tests__/quarantine-rows.test.ts
+++ b/packages/forward/src/quarantines/__tests__/quarantine-rows.test.ts
@@ -56,11 +56,11 @@
 		position: () => ({index: 0, count: 1}),
 		onTrial: () => undefined,
 		onQuarantine(quarantine) {
-			void quarantineRows.save([quarantine]);
+			void quarantineRows.saveSegments([quarantine]);
 		},
 		onAdoption: () => undefined,
 		onQuarantineEnd(segment) {
-			void quarantineRows.remove(segment);
+			void quarantineRows.removeSegment(segment);
 		},
 	});
 	return {guard, quarantineRows};
@@ -74,8 +74,8 @@
 	}
 };
 
-const restoreIn = async (entry: ReturnType<typeof startEntry>): Promise<void> => entry.quarantineRows.restore(quarantines => {
-	entry.guard.adopt(quarantines);
+const restoreIn = async (entry: ReturnType<typeof startEntry>): Promise<void> => entry.quarantineRows.restore(({segments: kept}) => {
+	entry.guard.adopt(kept);
 }, new AbortController().signal);
 
 describe('quarantines in the store', () => {
@@ -109,7 +109,7 @@
 		const entry = startEntry(store, clock);
 		crashThreeTimes(entry.guard, clock);
 		store.values.clear();
-		await entry.quarantineRows.save(entry.guard.quarantines);
+		await entry.quarantineRows.saveSegments(entry.guard.quarantines);
 		const restarted = startEntry(store, createManualClock(0));
 		await restoreIn(restarted);
 		assert.ok(restarted.guard.remainingMs(segments)! > 0);
--- a/packages/forward/src/quarantines/crash-guard.ts
+++ b/packages/forward/src/quarantines/crash-guard.ts
@@ -1,15 +1,16 @@
 /**
  * Quarantines requests that crash the endpoints that run them. A broken connection alone does not prove a crash, because
  * answers of healthy endpoints get lost, too. It counts as a crash if the endpoint refuses connections, restarts or disappears
- * soon after; to find out before the request is tried elsewhere, the entry opens a connection itself. Entries exchange crash reports by gossip, because
- * the caller may retry the request at any entry.
+ * soon after; to find out before the request is tried elsewhere, the entry opens a connection itself. Entries exchange crash reports and quarantines by gossip,
+ * because the caller may retry the request at any entry.
  */
 import {createHash} from 'node:crypto';
 import {
-	brandAs, SuspectRequests, type Clock, type EntryPosition, type Fingerprint, type RegisteredEndpoint, type SegmentKey, type SegmentQuarantine,
+	brandAs, SuspectRequests, type Clock, type EntryPosition, type Fingerprint, type RegisteredEndpoint, type RequestQuarantine, type SegmentKey, type SegmentQuarantine,
 } from '@hawthorncleat/core';
 import {segmentKeysOf, type AdmittedRequest} from '../requests/admitted-request.js';
-import {RequestQuarantines} from './request-quarantines.js';
+import type {RequestNews, ToldRequest} from './request-news.js';
+import {RequestQuarantines, type RequestChange} from './request-quarantines.js';
 import {SegmentQuarantines, type SegmentNews, type SentQuarantine} from './segment-quarantines.js';
 
 /** The registration of a crashed endpoint expires within this time, so a crash is detected within it. */
@@ -69,6 +70,8 @@
 	readonly onTrial: (quarantine: SegmentQuarantine) => void;
 	/** Called when the quarantine of a prompt segment has ended early: a run with it has completed, or its crashes are put down to another segment. */
 	readonly onQuarantineEnd: (segment: SegmentKey) => void;
+	/** Called when a request comes into quarantine, is tried after it, or is free again. */
+	readonly onRequestChange: (change: RequestChange) => void;
 };
 
 type RequestContent = Pick<AdmittedRequest, 'account' | 'body' | 'request' | 'service'>;
@@ -79,6 +82,8 @@
 };
 
 export class CrashGuard {
+	/** Bodies can be large, and a request is looked up several times. */
+	readonly #fingerprints = new WeakMap<AdmittedRequest['request'], Fingerprint>();
 	readonly #options: CrashGuardOptions;
 	readonly #suspects: SuspectRequests;
 	readonly #quarantines: RequestQuarantines;
@@ -90,7 +95,7 @@
 	constructor(options: CrashGuardOptions) {
 		this.#options = options;
 		this.#suspects = new SuspectRequests(options.clock, {quarantineCrashes, retentionMs: suspicionMs, sameCauseWindowMs: commonCauseMs});
-		this.#quarantines = new RequestQuarantines(options.clock);
+		this.#quarantines = new RequestQuarantines({clock: options.clock, position: options.position, onChange: options.onRequestChange});
 		this.#segments = new SegmentQuarantines(options);
 	}
 
@@ -100,7 +105,7 @@
 		this.#dropOldBrokenRequests(atMs);
 		const recent = (this.#brokenRequests.get(endpoint) ?? []).filter(broken => atMs - broken.atMs < crashDetectionMs);
 		this.#brokenRequests.set(endpoint, [...recent, {
-			fingerprint: fingerprintOf(request), startedMs, atMs, segments: hasJustBegun ? segmentKeysOf(request) : [],
+			fingerprint: this.#fingerprintOf(request), startedMs, atMs, segments: hasJustBegun ? segmentKeysOf(request) : [],
 		}]);
 	}
 
@@ -129,7 +134,7 @@
 		this.#segments.recordCrash(endpoint, broken, broken.at(-1)?.atMs ?? nowMs);
 		const suspects = broken.filter(({fingerprint, startedMs, atMs}) => this.#suspects.recordCrash(fingerprint, endpoint, {atMs, runStartedMs: startedMs}));
 		for (const {fingerprint} of suspects) {
-			this.#quarantineIfDue(fingerprint);
+			this.#quarantineIfDue(fingerprint, {isOwn: true});
 		}
 
 		if (suspects.length > 0) {
@@ -143,12 +148,15 @@
 	/** Time until a quarantined request may run again; undefined if it is not quarantined. */
 	quarantineRemainingMs(request: RequestContent): number | undefined {
 		const segmentsMs = this.#segments.remainingMs(segmentKeysOf(request));
-		return segmentsMs !== undefined || this.#quarantines.size === 0 ? segmentsMs : this.#quarantines.remainingMs(fingerprintOf(request));
+		return segmentsMs !== undefined || this.#quarantines.size === 0 ? segmentsMs : this.#quarantines.remainingMs(this.#fingerprintOf(request));
 	}
 
 	/** Records a request that has arrived, whether it may run or not. */
 	recordArrival(request: RequestContent): void {
 		this.#segments.recordArrival(segmentKeysOf(request));
+		if (this.#quarantines.size > 0) {
+			this.#quarantines.recordArrival(this.#fingerprintOf(request));
+		}
 	}
 
 	/** Records a request that is allowed to run: a segment that many requests have is not the one that crashes engines. */
@@ -156,9 +164,11 @@
 		this.#segments.recordRequest(segmentKeysOf(request));
 	}
 
-	/** Records that a run starts. Returns whether it is the one that tries a prompt segment after its quarantine. */
+	/** Records that a run starts. Returns whether it is the one that tries the request, or a prompt segment of it, after its quarantine. */
 	recordStart(request: RequestContent): boolean {
-		return this.#segments.recordStart(segmentKeysOf(request));
+		const isSegmentTrial = this.#segments.recordStart(segmentKeysOf(request));
+		const isRequestTrial = this.#quarantines.size > 0 && this.#quarantines.recordStart(this.#fingerprintOf(request));
+		return isSegmentTrial || isRequestTrial;
 	}
 
 	/** Crash reports to broadcast to the other entries, with the requests that are closest to quarantine first. */
@@ -179,7 +189,7 @@
 			const isNew = this.#suspects.recordCrash(fingerprint, endpoint, {atMs: nowMs - ageMs});
 			this.#suspects.adoptCount(fingerprint, crashes);
 			if (isNew || crashes >= quarantineCrashes) {
-				this.#quarantineIfDue(fingerprint);
+				this.#quarantineIfDue(fingerprint, {isOwn: false});
 			}
 		}
 	}
@@ -203,9 +213,31 @@
 		this.#segments.applyPeerNews(news);
 	}
 
-	/** Adopts quarantines of prompt segments that were kept in the store. */
-	restoreQuarantines(quarantines: readonly SentQuarantine[]): void {
-		this.#segments.adopt(quarantines);
+	/** Number of requests that must not run now. */
+	get quarantinedRequests(): number {
+		return this.#quarantines.heldCount;
+	}
+
+	/** Requests that are or have been in quarantine. */
+	get requestQuarantines(): readonly RequestQuarantine[] {
+		return this.#quarantines.remembered;
+	}
+
+	/** News about requests in quarantine for the other entries. */
+	requestNewsToSend(receivers: string): RequestNews {
+		return this.#quarantines.newsToSend(receivers);
+	}
+
+	applyPeerRequestNews(news: RequestNews): void {
+		for (const fingerprint of this.#quarantines.applyPeerNews(news)) {
+			this.#suspects.clear(fingerprint);
+		}
+	}
+
+	/** Adopts quarantines that were kept in the store. */
+	restoreQuarantines({segments, requests}: {readonly segments: readonly SentQuarantine[]; readonly requests: readonly ToldRequest[]}): void {
+		this.#segments.adopt(segments);
+		this.#quarantines.restore(requests);
 	}
 
 	/** Clears the segments of a run that has completed of the suspicion that they crash engines. `beganMs`: time of its first token, or of its start. */
@@ -216,14 +248,21 @@
 	/** Clears the suspicion against a request that has completed; equal requests, such as reads of one path, share its fingerprint. */
 	recordCompletedRequest(request: RequestContent): void {
 		if (this.#suspects.size + this.#quarantines.size > 0) {
-			const fingerprint = fingerprintOf(request);
+			const fingerprint = this.#fingerprintOf(request);
 			this.#suspects.clear(fingerprint);
-			this.#quarantines.clear(fingerprint);
+			this.#quarantines.recordCompleted(fingerprint);
 		}
 	}
 
-	#quarantineIfDue(fingerprint: Fingerprint): void {
-		this.#quarantines.recordCrash(fingerprint, {isConfirmed: this.#suspects.classify(fingerprint) === 'quarantined'});
+	#fingerprintOf(content: RequestContent): Fingerprint {
+		const {request} = content;
+		const fingerprint = this.#fingerprints.get(request) ?? fingerprintOf(content);
+		this.#fingerprints.set(request, fingerprint);
+		return fingerprint;
+	}
+
+	#quarantineIfDue(fingerprint: Fingerprint, {isOwn}: {readonly isOwn: boolean}): void {
+		this.#quarantines.recordCrash(fingerprint, {isConfirmed: this.#suspects.classify(fingerprint) === 'quarantined', isOwn});
 	}
 
 	/** A quarantined request is told as such, because its first crashes no longer count when it has begun anew. */
--- a/packages/forward/src/store/active-config.ts
+++ b/packages/forward/src/store/active-config.ts
@@ -4,7 +4,7 @@
  */
 import {RouteTable, type Clock} from '@hawthorncleat/core';
 import type {DecisionLog} from '../telemetry/decision-log.js';
-import type {Peer} from '../peers/gossip.js';
+import type {Peer} from '../peers/peer-group.js';
 import type {Membership} from '../peers/membership.js';
 import type {ForwardMetrics} from '../telemetry/metrics.js';
 import type {Address, Platform} from '../ports.js';
--- a/packages/forward/src/telemetry/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -155,6 +155,10 @@
 		name: 'hawthorncleat_forward_live_entries', help: 'Live entries that share the limits, including this one', registers: [this.registry],
 	});
 
+	readonly #quarantinedRequests = new Gauge({
+		name: 'hawthorncleat_forward_quarantined_requests', help: 'Requests in quarantine because they crash endpoints', registers: [this.registry],
+	});
+
 	readonly #quarantinedSegments = new Gauge({
 		name: 'hawthorncleat_forward_quarantined_segments', help: 'Prompt segments in quarantine because they crash engines', registers: [this.registry],
 	});
@@ -302,8 +306,9 @@
 		this.#configVersion.set(version);
 	}
 
-	setQuarantinedSegments(count: number): void {
-		this.#quarantinedSegments.set(count);
+	setQuarantined({segments, requests}: {readonly segments: number; readonly requests: number}): void {
+		this.#quarantinedSegments.set(segments);
+		this.#quarantinedRequests.set(requests);
 	}
 
 	setLiveEntries(entries: number): void {
--- a/packages/forward/src/telemetry/read-metrics.ts
+++ b/packages/forward/src/telemetry/read-metrics.ts
@@ -14,7 +14,7 @@
 	readonly metrics: ForwardMetrics;
 	readonly pool: EndpointPool;
 	readonly members: Membership;
-	readonly crashes: Pick<CrashGuard, 'quarantinedSegments'>;
+	readonly crashes: Pick<CrashGuard, 'quarantinedRequests' | 'quarantinedSegments'>;
 	readonly log: Pick<DecisionLog, 'droppedLines'>;
 	readonly accepts: Pick<AcceptMonitor, 'counts' | 'runMs'>;
 	readonly heldBytes: Pick<HeldBytes, 'held' | 'refused'>;
@@ -29,6 +29,6 @@
 	metrics.setLiveEntries(members.liveCount());
 	metrics.setEventLoop({turns: accepts.counts.turns, acceptRunMs: accepts.runMs});
 	metrics.setHeldBytes(heldBytes);
-	metrics.setQuarantinedSegments(crashes.quarantinedSegments);
+	metrics.setQuarantined({segments: crashes.quarantinedSegments, requests: crashes.quarantinedRequests});
 	return metrics.registry.metrics();
 };
