--- a/packages/core/src/forwarding/index.ts
+++ b/packages/core/src/forwarding/index.ts
@@ -25,6 +25,7 @@
 export {SplitRejections} from './split-rejections.js';
 export {StallDetector, type StallListener} from './stall-detector.js';
 export {SegmentCache} from './segment-cache.js';
+export {ConnectionQueue, type ConnectionQueueOptions, type QueuedCall} from './connection-queue.js';
 export {CrashingSegments, type SegmentQuarantine} from './crashing-segments.js';
 export {type SegmentCrash} from './segment-crashes.js';
 export {type EntryPosition} from './trial-turns.js';
--- a/packages/forward/src/callers/caller-exchange.ts
+++ b/packages/forward/src/callers/caller-exchange.ts
@@ -45,6 +45,8 @@
 	#timer: NodeJS.Timeout | undefined;
 	/** What is kept for this request, from the memory budget. */
 	#holding: Holding | undefined;
+	/** Calls to endpoints that may still read the body. */
+	#bodyReaders = 0;
 	/** Bytes of an answer that is sent only once it is complete. */
 	#buffer: AnswerBuffer | undefined;
 	#bufferedStart: AnswerStart | undefined;
@@ -73,7 +75,7 @@
 		socket.once('end', onCallerEnd);
 		res.once('close', () => {
 			clearTimeout(this.#timer);
-			this.#holding?.release();
+			this.#releaseIfUnused();
 			socket.removeListener('end', onCallerEnd);
 			stopLimit.removeEventListener('abort', onStopLimit);
 			if (!res.writableFinished) {
@@ -104,12 +106,18 @@
 		});
 	}
 
-	/** Counts what is kept for this request from now on, until its answer was sent or its connection has closed. */
+	/** Counts what is kept for this request from now on, until its answer was sent or its connection has closed, and no call needs its body. */
 	holdWith(holding: Holding): void {
 		this.#holding = holding;
-		if (this.#res.closed) {
-			holding.release();
-		}
+		this.#releaseIfUnused();
+	}
+
+	/** Counts the body until a call with it needs it no more, also when the caller has left. */
+	async holdUntil(released: Promise<void>): Promise<void> {
+		this.#bodyReaders += 1;
+		await released;
+		this.#bodyReaders -= 1;
+		this.#releaseIfUnused();
 	}
 
 	/** Takes bytes of an answer from the memory budget; false if there is no room for them. */
@@ -236,6 +244,12 @@
 		}
 	}
 
+	#releaseIfUnused(): void {
+		if (this.#res.closed && this.#bodyReaders === 0) {
+			this.#holding?.release();
+		}
+	}
+
 	#end(reason: EndReason): void {
 		if (!this.#controller.signal.aborted) {
 			this.#endReason = reason;
--- a/packages/forward/src/endpoints/connections.ts
+++ b/packages/forward/src/endpoints/connections.ts
@@ -4,6 +4,7 @@
  * truncated answer would look complete. In the other direction, a connection is reset when the entry gives it up.
  */
 import type {Socket} from 'node:net';
+import {ConnectionQueue} from '@hawthorncleat/core';
 import {buildConnector, Pool, type Dispatcher} from 'undici';
 
 /** Data centres are milliseconds apart, so a connection attempt that takes longer counts as failed. */
@@ -13,8 +14,12 @@
 
 export type Connections = {
 	readonly dispatcher: Dispatcher;
+	/** Calls that wait for a connection. The dispatcher gets as many as it has connections, so nothing waits in it. */
+	readonly queue: ConnectionQueue;
 	/** Whether the connection that is ending right now was reset. Clears the flag. */
 	isEndingByReset(): boolean;
+	/** Closes the connections once all calls have ended. */
+	close(): Promise<void>;
 };
 
 const connect = buildConnector({timeout: connectTimeoutMs});
@@ -74,12 +79,18 @@
 			});
 		},
 	});
+	const queue = new ConnectionQueue({connections: maxConnections});
 	return {
 		dispatcher,
+		queue,
 		isEndingByReset() {
 			const wasReset = isReset;
 			isReset = false;
 			return wasReset;
 		},
+		async close() {
+			await queue.whenIdle();
+			await dispatcher.close();
+		},
 	};
 };
--- a/packages/forward/src/endpoints/endpoint-exchange.ts
+++ b/packages/forward/src/endpoints/endpoint-exchange.ts
@@ -2,8 +2,9 @@
  * One HTTP exchange with an endpoint. Its result states whether the request was ever written to a connection, because
  * only an unsent request is certain not to have run.
  */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
+import type {QueuedCall} from '@hawthorncleat/core';
 import type {Dispatcher} from 'undici';
 import type {OutgoingHeaders} from '../ports.js';
 import type {Connections} from './connections.js';
@@ -11,15 +12,18 @@
 export type EndpointCall = {
 	readonly method: string;
 	readonly path: string;
-	readonly headers: OutgoingHeaders;
+	/** A function is called right before the head is written, because the call may have waited for a connection. */
+	readonly headers: OutgoingHeaders | (() => OutgoingHeaders);
 	readonly body?: Buffer | string;
+	/** Client account of the request, so that accounts take turns when calls wait; absent for calls of this process. */
+	readonly account?: string;
 };
 
 /** How an exchange ended. */
 export type ExchangeEnd
 	= | {readonly kind: 'complete'}
-		/** Nothing was written to a connection. `isWithdrawn`: because the endpoint takes no new requests any more. */
-		| {readonly kind: 'not-sent'; readonly error: Error; readonly isWithdrawn?: boolean}
+		/** Nothing was written to a connection. `isWithdrawn`: because the endpoint takes no new requests any more; `isQueueFull`: because too many calls wait for it. */
+		| {readonly kind: 'not-sent'; readonly error: Error; readonly isWithdrawn?: boolean; readonly isQueueFull?: boolean}
 		| {readonly kind: 'broken'; readonly error: Error};
 
 export type AnswerHandler = {
@@ -42,6 +46,8 @@
 /** An exchange in progress. */
 export type EndpointExchange = {
 	readonly ended: Promise<ExchangeEnd>;
+	/** Resolves when the HTTP client does not need the body any more, which may be later if the exchange was given up. */
+	readonly released: Promise<void>;
 	resume(): void;
 	/** Ends the exchange and closes its connection. */
 	abort(error: Error): void;
@@ -50,92 +56,177 @@
 const resetError = new Error('the connection was reset');
 const abortedError = new Error('the exchange was aborted');
 const withdrawnError = new Error('the endpoint takes no new requests any more');
+const fullError = new Error('too many calls wait for the endpoint');
 
-/** Sends one request. */
-export const startEndpointExchange = (
-	{dispatcher, isEndingByReset}: Connections,
-	call: EndpointCall,
-	answerHandler: AnswerHandler,
-	{signal, withdrawal, maySend}: ExchangeLimits,
-): EndpointExchange => {
-	let controller: Dispatcher.DispatchController | undefined;
-	let isSent = false;
-	let hasNoLength = false;
-	const ended = new Promise<ExchangeEnd>(resolve => {
-		// A request that still waits for a connection cannot be removed from the queue of the HTTP client; `onRequestStart` ends it there.
-		const abort = (): void => {
-			controller?.abort(signal.reason instanceof Error ? signal.reason : abortedError);
-			finish(isSent ? {kind: 'broken', error: abortedError} : {kind: 'not-sent', error: abortedError});
-		};
+type Deferred<Value> = {readonly promise: Promise<Value>; readonly resolve: (value: Value) => void};
 
-		const withdraw = (): void => {
-			finish({kind: 'not-sent', error: withdrawnError, isWithdrawn: true});
-		};
+const createDeferred = <Value>(): Deferred<Value> => {
+	let resolve: ((value: Value) => void) | undefined;
+	const promise = new Promise<Value>(resolvePromise => {
+		resolve = resolvePromise;
+	});
+	return {promise, resolve: resolve!};
+};
 
-		const finish = (end: ExchangeEnd): void => {
-			signal.removeEventListener('abort', abort);
-			withdrawal?.removeEventListener('abort', withdraw);
-			resolve(end);
-		};
+/** A call from its place in the queue to its end. */
+class QueuedExchange implements EndpointExchange {
+	readonly ended: Promise<ExchangeEnd>;
+	readonly released: Promise<void>;
+	readonly #connections: Connections;
+	readonly #call: EndpointCall;
+	readonly #answerHandler: AnswerHandler;
+	readonly #limits: ExchangeLimits;
+	readonly #queued: QueuedCall;
+	readonly #ending = createDeferred<ExchangeEnd>();
+	readonly #releasing = createDeferred<void>();
+	/** Both are removed when the exchange has ended. */
+	readonly #listeners: {readonly onAbort: () => void; readonly onWithdrawal: () => void};
+	#controller: Dispatcher.DispatchController | undefined;
+	/** Whether the HTTP client has got the call. */
+	#isStarted = false;
+	/** Whether the call was written to a connection, or may have been. */
+	#isSent = false;
+	#hasNoLength = false;
 
-		const isWithdrawn = (): boolean => withdrawal?.aborted === true || maySend?.() === false;
+	constructor(connections: Connections, call: EndpointCall, answerHandler: AnswerHandler, limits: ExchangeLimits) {
+		this.#connections = connections;
+		this.#call = call;
+		this.#answerHandler = answerHandler;
+		this.#limits = limits;
+		this.#queued = {
+			group: call.account ?? '', bytes: call.body === undefined ? 0 : Buffer.byteLength(call.body), start: () => {
+				this.#dispatch();
+			},
+		};
+		this.#listeners = {
+			onAbort: () => {
+				this.#abortWithSignal();
+			},
+			onWithdrawal: () => {
+				this.#withdraw();
+			},
+		};
+		this.ended = this.#ending.promise;
+		this.released = this.#releasing.promise;
+	}
 
+	/** Enters the queue, unless the call must not be sent any more. */
+	start(): void {
+		const {signal, withdrawal} = this.#limits;
 		if (signal.aborted) {
-			abort();
+			this.#abortWithSignal();
 			return;
 		}
 
-		if (isWithdrawn()) {
-			withdraw();
+		if (this.#isWithdrawn()) {
+			this.#withdraw();
 			return;
 		}
 
-		signal.addEventListener('abort', abort, {once: true});
-		withdrawal?.addEventListener('abort', withdraw, {once: true});
-		dispatcher.dispatch({
-			method: call.method, path: call.path, headers: call.headers, body: call.body ?? null,
-		}, {
-			onRequestStart(started) {
-				// An error ends this request alone, whereas `abort` would close the connection that the next one can use.
-				if (signal.aborted) {
-					throw abortedError;
-				}
+		signal.addEventListener('abort', this.#listeners.onAbort, {once: true});
+		withdrawal?.addEventListener('abort', this.#listeners.onWithdrawal, {once: true});
+		if (!this.#connections.queue.enter(this.#queued)) {
+			this.#finish({kind: 'not-sent', error: fullError, isQueueFull: true});
+		}
+	}
 
-				if (isWithdrawn()) {
-					withdraw();
-					throw withdrawnError;
-				}
+	resume(): void {
+		this.#controller?.resume();
+	}
+
+	abort(error: Error): void {
+		this.#controller?.abort(error);
+	}
 
-				withdrawal?.removeEventListener('abort', withdraw);
-				controller = started;
-				isSent = true;
+	#abortWithSignal(): void {
+		const {reason} = this.#limits.signal as {readonly reason: unknown};
+		this.#controller?.abort(reason instanceof Error ? reason : abortedError);
+		this.#finish(this.#isSent ? {kind: 'broken', error: abortedError} : {kind: 'not-sent', error: abortedError});
+	}
+
+	#withdraw(): void {
+		this.#finish({kind: 'not-sent', error: withdrawnError, isWithdrawn: true});
+	}
+
+	#isWithdrawn(): boolean {
+		const {withdrawal, maySend} = this.#limits;
+		return withdrawal?.aborted === true || maySend?.() === false;
+	}
+
+	#dispatch(): void {
+		this.#isStarted = true;
+		const {method, path, headers, body} = this.#call;
+		this.#connections.dispatcher.dispatch({
+			method, path, headers: typeof headers === 'function' ? headers() : headers, body: body ?? null,
+		}, this.#createHandler());
+	}
+
+	#createHandler(): Dispatcher.DispatchHandler {
+		return {
+			onRequestStart: started => {
+				this.#checkBeforeWrite();
+				this.#limits.withdrawal?.removeEventListener('abort', this.#listeners.onWithdrawal);
+				this.#controller = started;
+				this.#isSent = true;
 			},
-			onResponseStart(started, status, headers) {
-				hasNoLength = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-				if (status >= 200 && !answerHandler.onHead(status, headers)) {
+			onResponseStart: (started, status, headers) => {
+				this.#hasNoLength = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+				if (status >= 200 && !this.#answerHandler.onHead(status, headers)) {
 					started.abort(abortedError);
 				}
 			},
-			onResponseData(started, chunk) {
-				if (!answerHandler.onData(chunk)) {
+			onResponseData: (started, chunk) => {
+				if (!this.#answerHandler.onData(chunk)) {
 					started.pause();
 				}
 			},
-			onResponseEnd() {
-				finish(hasNoLength && isEndingByReset() ? {kind: 'broken', error: resetError} : {kind: 'complete'});
+			onResponseEnd: () => {
+				const isReset = this.#hasNoLength && this.#connections.isEndingByReset();
+				this.#finish(isReset ? {kind: 'broken', error: resetError} : {kind: 'complete'});
+				this.#release();
 			},
-			onResponseError(_started, error) {
-				finish(isSent ? {kind: 'broken', error} : {kind: 'not-sent', error});
+			onResponseError: (_started, error) => {
+				this.#finish(this.#isSent ? {kind: 'broken', error} : {kind: 'not-sent', error});
+				this.#release();
 			},
+		};
+	}
+
+	/** An exception ends this call alone, whereas `abort` would close the connection that the next one can use. */
+	#checkBeforeWrite(): void {
+		if (this.#limits.signal.aborted) {
+			throw abortedError;
+		}
+
+		if (this.#isWithdrawn()) {
+			this.#withdraw();
+			throw withdrawnError;
+		}
+	}
+
+	#finish(end: ExchangeEnd): void {
+		this.#limits.signal.removeEventListener('abort', this.#listeners.onAbort);
+		this.#limits.withdrawal?.removeEventListener('abort', this.#listeners.onWithdrawal);
+		if (!this.#isStarted) {
+			this.#connections.queue.leave(this.#queued);
+			this.#releasing.resolve();
+		}
+
+		this.#ending.resolve(end);
+	}
+
+	/** The HTTP client is done with the call. The next one starts after the callbacks of this one. */
+	#release(): void {
+		this.#releasing.resolve();
+		queueMicrotask(() => {
+			this.#connections.queue.release();
 		});
-	});
-	return {
-		ended,
-		resume() {
-			controller?.resume();
-		},
-		abort(error) {
-			controller?.abort(error);
-		},
-	};
+	}
+}
+
+/** Sends one request, as soon as a connection is free. */
+export const startEndpointExchange = (connections: Connections, call: EndpointCall, answerHandler: AnswerHandler, limits: ExchangeLimits): EndpointExchange => {
+	const exchange = new QueuedExchange(connections, call, answerHandler, limits);
+	exchange.start();
+	return exchange;
 };
--- a/packages/forward/src/endpoints/endpoint-pool.ts
+++ b/packages/forward/src/endpoints/endpoint-pool.ts
@@ -119,7 +119,7 @@
 
 	/** Closes all connections once the calls on them have ended, such as releases of KV caches, or after the limit. */
 	async close(limitMs: number): Promise<void> {
-		const closed = Promise.all([...this.#byId.values()].map(async ({connections}) => connections.dispatcher.close()));
+		const closed = Promise.all([...this.#byId.values()].map(async ({connections}) => connections.close()));
 		const limit = new AbortController();
 		await Promise.race([closed, sleep(limitMs, undefined, {signal: limit.signal}).catch(() => undefined)]);
 		limit.abort();
@@ -163,7 +163,7 @@
 		}
 
 		pooled?.withdrawal.abort();
-		pooled?.connections.dispatcher.close().catch(() => {/* Closing twice is harmless. */});
+		pooled?.connections.close().catch(() => {/* Closing twice is harmless. */});
 	}
 
 	#indexByService(): void {
--- a/packages/forward/src/requests/attempt-helpers.ts
+++ b/packages/forward/src/requests/attempt-helpers.ts
@@ -46,6 +46,7 @@
 			failedAt,
 			isDown: (end.error as NodeJS.ErrnoException).code === 'ECONNREFUSED',
 			isWithdrawn: end.isWithdrawn,
+			isQueueFull: end.isQueueFull,
 		};
 	}
 
@@ -69,10 +70,14 @@
 export const isAnswerToRequest = (head: AnswerHead, {request}: AdmittedRequest): boolean =>
 	head.status <= maxStatus && (head.requestId === undefined ? head.status >= 300 : head.requestId === request.id) && (head.isSealed || head.status >= 300);
 
-export const createEndpointCall = (deps: ForwardDeps, {request, body}: AdmittedRequest, details: SendDetails): EndpointCall => ({
+/** What is known of a call before it is sent. */
+export type CallDetails = Omit<SendDetails, 'remainingMs'>;
+
+export const createEndpointCall = (deps: ForwardDeps, {request, body, exchange, account}: AdmittedRequest, details: CallDetails): EndpointCall => ({
 	method: request.method,
 	path: request.target,
-	headers: deps.wire.writeRequest(request, details),
+	headers: () => deps.wire.writeRequest(request, {...details, remainingMs: Math.max(1, Math.floor(exchange.remainingMs))}),
+	account: account?.name,
 	...body && body.length > 0 && {body},
 });
 
@@ -85,9 +90,8 @@
 	signal, withdrawal: target.withdrawal.signal, maySend: () => pool.maySend(target) && place.confirm(clock.nowMs()),
 });
 
-export const createSendDetails = ({account, exchange}: AdmittedRequest, target: PooledEndpoint, level: number | undefined): SendDetails => ({
+export const createSendDetails = ({account}: AdmittedRequest, target: PooledEndpoint, level: number | undefined): CallDetails => ({
 	endpoint: target.endpoint,
 	account: account?.name,
-	remainingMs: Math.max(1, Math.floor(exchange.remainingMs)),
 	level,
 });
--- a/packages/forward/src/requests/attempt-result.ts
+++ b/packages/forward/src/requests/attempt-result.ts
@@ -51,6 +51,8 @@
 	readonly isDown?: boolean;
 	/** Nothing was written, because the endpoint began to leave, or a backoff from it began, while the request waited. */
 	readonly isWithdrawn?: boolean;
+	/** Nothing was written, because too many calls wait for a connection to the endpoint. */
+	readonly isQueueFull?: boolean;
 	/** The endpoint answered that another endpoint has this address now, or that it has another role. */
 	readonly isMisdirected?: boolean;
 };
--- a/packages/forward/src/requests/forward-request.ts
+++ b/packages/forward/src/requests/forward-request.ts
@@ -73,6 +73,13 @@
 		return undefined;
 	}
 
+	if (result.isQueueFull) {
+		progress.withdrawn += 1;
+		progress.lastFailure ??= result;
+		excluded.add(result.failedAt.endpoint.id);
+		return undefined;
+	}
+
 	const {failure} = result;
 	// A later attempt that fails without an answer does not take away the answer of an earlier one.
 	progress.lastFailure = {...result, answer: result.answer ?? progress.lastFailure?.answer};
--- a/packages/forward/src/requests/prefill.ts
+++ b/packages/forward/src/requests/prefill.ts
@@ -85,6 +85,7 @@
 			return true;
 		},
 	}, createRequestLimits(deps, {target: prefill, place}, limit.signal));
+	void exchange.holdUntil(prefillExchange.released);
 	const end = await prefillExchange.ended;
 	limit.clear();
 	stallTimer.clear();
--- a/packages/forward/src/requests/record-attempt-result.ts
+++ b/packages/forward/src/requests/record-attempt-result.ts
@@ -45,7 +45,7 @@
 		target.ejection.recordSuccess();
 		target.splitRejections.recordSuccess();
 		prefill?.splitRejections.recordSuccess();
-	} else if (result.kind === 'failed' && result.isWithdrawn) {
+	} else if (result.kind === 'failed' && (result.isWithdrawn ?? result.isQueueFull)) {
 		// Nothing was written, so it says nothing of the endpoint.
 	} else if (result.kind === 'failed' && endpointFaults.has(result.failure)) {
 		result.failedAt.ejection.recordFailure(nowMs);
--- a/packages/forward/src/requests/relay-buffered-answer.ts
+++ b/packages/forward/src/requests/relay-buffered-answer.ts
@@ -80,6 +80,7 @@
 			return true;
 		},
 	}, createRequestLimits(deps, {target, place}, control.signal));
+	void admitted.exchange.holdUntil(endpointExchange.released);
 	exchange.onDrain(() => {
 		endpointExchange.resume();
 	});
--- a/packages/forward/src/streams/relay-stream.ts
+++ b/packages/forward/src/streams/relay-stream.ts
@@ -140,6 +140,7 @@
 			return mayContinue;
 		},
 	}, createRequestLimits(deps, {target, place}, control.signal));
+	void admitted.exchange.holdUntil(endpointExchange.released);
 	const end = checkStreamEnd(await endpointExchange.ended, head, splitter);
 	watch.end();
 	if (control.isSuperseded) {
--- a/packages/forward/src/telemetry/metrics.ts
+++ b/packages/forward/src/telemetry/metrics.ts
@@ -155,6 +155,14 @@
 		name: 'hawthorncleat_forward_live_entries', help: 'Live entries that share the limits, including this one', registers: [this.registry],
 	});
 
+	readonly #waitingCalls = new Gauge({
+		name: 'hawthorncleat_forward_waiting_calls', help: 'Calls that wait for a connection to an endpoint', registers: [this.registry],
+	});
+
+	readonly #waitingBytes = new Gauge({
+		name: 'hawthorncleat_forward_waiting_bytes', help: 'Bodies of calls that wait for a connection to an endpoint, in bytes', registers: [this.registry],
+	});
+
 	readonly #quarantinedRequests = new Gauge({
 		name: 'hawthorncleat_forward_quarantined_requests', help: 'Requests in quarantine because they crash endpoints', registers: [this.registry],
 	});
@@ -306,6 +314,11 @@
 		this.#configVersion.set(version);
 	}
 
+	setWaitingCalls(queues: ReadonlyArray<{readonly waiting: number; readonly waitingBytes: number}>): void {
+		this.#waitingCalls.set(queues.reduce((sum, {waiting}) => sum + waiting, 0));
+		this.#waitingBytes.set(queues.reduce((sum, {waitingBytes}) => sum + waitingBytes, 0));
+	}
+
 	setQuarantined({segments, requests}: {readonly segments: number; readonly requests: number}): void {
 		this.#quarantinedSegments.set(segments);
 		this.#quarantinedRequests.set(requests);
--- a/packages/forward/src/telemetry/read-metrics.ts
+++ b/packages/forward/src/telemetry/read-metrics.ts
@@ -29,6 +29,7 @@
 	metrics.setLiveEntries(members.liveCount());
 	metrics.setEventLoop({turns: accepts.counts.turns, acceptRunMs: accepts.runMs});
 	metrics.setHeldBytes(heldBytes);
+	metrics.setWaitingCalls([...pool.all()].map(({connections}) => connections.queue));
 	metrics.setQuarantined({segments: crashes.quarantinedSegments, requests: crashes.quarantinedRequests});
 	return metrics.registry.metrics();
 };
